--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+BIN := $(CURDIR)/bin
+GO ?= go
+FUZZ_TIME ?= 40s
+TIME ?= $(FUZZ_TIME)
+RACE_PACKAGES ?= ./bvplatform/...
+
+.PHONY: all build demo test test-race fuzz measure bench format lint tools generate check clean
+
+all: build
+
+build: ## build the one binary into bin/
+	$(GO) build -o $(BIN)/balsamvalve .
+
+demo: build ## run the whole system in one process and print a summary
+	$(BIN)/balsamvalve demo
+
+test: ## everything that CI tests
+	$(GO) test ./...
+
+test-race: ## the tests that run daemons, under the race detector
+	$(GO) test -race $(RACE_PACKAGES)
+
+fuzz: ## explore fresh seeds for TIME
+	$(GO) run . fuzz --time $(TIME)
+
+measure: build ## the decisions against their baselines, in virtual time
+	$(BIN)/balsamvalve experiment
+
+bench: ## benchmarks of decisions and daemons
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+format: ## rewrite sources with gofmt
+	gofmt -w $$(git ls-files '*.go')
+
+lint: tools ## gofmt, go vet and staticcheck
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(BIN)/staticcheck ./...
+
+tools: $(BIN)/staticcheck
+
+$(BIN)/staticcheck: tools/go.mod
+	cd tools && GOBIN=$(BIN) $(GO) install honnef.co/go/tools/cmd/staticcheck golang.org/x/tools/cmd/stringer
+
+generate: ## regenerate enum names and the peer protocol
+	cd tools && GOBIN=$(BIN) $(GO) install tool
+	PATH=$(BIN):$$PATH $(GO) generate ./...
+
+check: lint build test ## what to run before a commit
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/bvcommand/command.go
@@ -0,0 +1,57 @@
+// Package bvcommand is the command line: one file per command, each of which
+// reads its settings and hands over to the package that does the work.
+//
+// # Usage
+//
+//	os.Exit(bvcommand.Execute(os.Args[1:], os.Stdout, os.Stderr))
+package bvcommand
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the program.
+const (
+	exitSuccess = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// usageError marks an error that the user can mend by other flags.
+type usageError struct{ cause error }
+
+func (err usageError) Error() string { return err.cause.Error() }
+func (err usageError) Unwrap() error { return err.cause }
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return exitSuccess
+	}
+	_, _ = fmt.Fprintf(stderr, "balsamvalve: %v\n", err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "balsamvalve",
+		Short:         "A scheduler for agent programs",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	return root
+}
--- /dev/null
+++ b/bvplatform/endpoint.go
@@ -0,0 +1,33 @@
+package bvplatform
+
+import "context"
+
+//go:generate stringer -type=EndpointKind -linecomment -output=endpointkind_string.go
+
+// EndpointKind tells model engines from plain services.
+type EndpointKind int
+
+// The kinds of endpoints.
+const (
+	Engine  EndpointKind = iota // engine
+	Service                     // service
+)
+
+// Endpoint is a back end: a model engine or a plain service.
+type Endpoint struct {
+	Name        string
+	Kind        EndpointKind
+	Serves      string    // model of an engine, or name of a service
+	Address     string    // IP and port of its HTTP listener
+	Zone        string    // availability zone
+	Incarnation string    // differs with each start of the process
+	State       HostState // live or leaving
+	Slots       int       // calls that it batches at once
+	CacheTokens int       // prefix cache of an engine
+	Fencing     bool      // refuses orders with an old fencing number
+}
+
+// EndpointList is the platform's lagging list of live and leaving endpoints.
+type EndpointList interface {
+	Endpoints(ctx context.Context) ([]Endpoint, error)
+}
