bvgate: a thin Pool that grants, lapses, refuses and drains

Cause: the daemon and the measurements need the Pool's methods to build on. Ruled out: waiting for the whole policy; its parts can replace these one by one behind the same methods.

--- /dev/null
+++ b/bvgate/pool_test.go
@@ -0,0 +1,56 @@
+package bvgate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvverdict"
+)
+
+func TestUnusedPermitLapsesAndItsSlotIsGrantedAgain(t *testing.T) {
+	// An owner dies right after it was granted the only slot. The next caller
+	// must not wait for ever: the permit lapses, and its slot is granted again.
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "a", Slots: 1})
+	pool.Ask(0, Request{ID: 1, Member: "m"})
+	pool.Ask(0, Request{ID: 2, Member: "m"})
+	require.Equal(t, []Effect{Grant{Request: 1, Endpoint: "a", Expires: bvclock.Time(PermitWindow)}}, pool.Tick(0))
+
+	lapse := bvclock.Time(PermitWindow)
+	require.Equal(t, lapse, pool.Next())
+	require.Equal(t, []Effect{Grant{Request: 2, Endpoint: "a", Expires: lapse.Add(PermitWindow)}}, pool.Tick(lapse))
+}
+
+func TestUsedPermitDoesNotLapse(t *testing.T) {
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "a", Slots: 1})
+	pool.Ask(0, Request{ID: 1, Member: "m"})
+	pool.Ask(0, Request{ID: 2, Member: "m"})
+	pool.Tick(0)
+	require.True(t, pool.Used(0, 1))
+	require.Empty(t, pool.Tick(bvclock.Time(bvclock.Hour)))
+
+	pool.Finish(bvclock.Time(bvclock.Hour), Finish{ID: 1})
+	require.Len(t, pool.Tick(bvclock.Time(bvclock.Hour)), 1)
+}
+
+func TestRequestIsRefusedAtItsDeadline(t *testing.T) {
+	pool := &Pool{}
+	pool.Ask(0, Request{ID: 1, Member: "m", Deadline: 500})
+	require.Empty(t, pool.Tick(0))
+	require.Equal(t, bvclock.Time(500), pool.Next())
+	effects := pool.Tick(500)
+	require.Len(t, effects, 1)
+	refusal := effects[0].(Refusal)
+	require.Equal(t, bvverdict.DeadlinePassed, refusal.Err.Code())
+	require.Equal(t, bvverdict.NotRun, refusal.Err.Verdict())
+}
+
+func TestLeavingEndpointGetsNoGrant(t *testing.T) {
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "a", Slots: 1, Leaving: true})
+	pool.Ask(0, Request{ID: 1, Member: "m"})
+	require.Empty(t, pool.Tick(0))
+}
