--- /dev/null
+++ b/bvkey/role.go
@@ -0,0 +1,26 @@
+package bvkey
+
+import "fmt"
+
+//go:generate stringer -type=Role -linecomment -output=role_string.go
+
+// Role says what the holder of a key may do. The zero value may do nothing.
+type Role int
+
+// The roles.
+const (
+	NoRole   Role = iota // none
+	Caller               // caller
+	Operator             // operator
+	Admin                // admin
+)
+
+// ParseRole returns the role of the given name.
+func ParseRole(name string) (Role, error) {
+	for role := Caller; role <= Admin; role++ {
+		if role.String() == name {
+			return role, nil
+		}
+	}
+	return NoRole, fmt.Errorf("unknown role %q (one of caller, operator, admin)", name)
+}
