--- /dev/null
+++ b/bvstandin/platform.go
@@ -0,0 +1,238 @@
+package bvstandin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"balsamvalve.example/bvplatform"
+)
+
+// hostLapse is how long an announced host stays on the list.
+const hostLapse = 3 * time.Second
+
+// PlatformFaults are the faults that a Platform shows; the zero value is none.
+type PlatformFaults struct {
+	Down        bool  `json:"down"`         // answers 503 and does nothing
+	DelayMS     int64 `json:"delay_ms"`     // before each call is carried out
+	LoseAnswers int   `json:"lose_answers"` // every n-th commit's answer, after it took effect; 0: none
+	ListLagMS   int64 `json:"list_lag_ms"`  // of the lists of hosts and endpoints
+	LateMS      int64 `json:"late_ms"`      // each commit takes effect this late, even if its caller has gone
+}
+
+// Platform is a stand-in of the platform's service. The zero value is an
+// empty platform without faults.
+type Platform struct {
+	memory bvplatform.Memory
+	hosts  lagged[bvplatform.Host]
+	ends   lagged[bvplatform.Endpoint]
+
+	mutex   sync.Mutex
+	faults  PlatformFaults
+	commits int
+	lost    int
+
+	once sync.Once
+	mux  *http.ServeMux
+}
+
+// Memory returns the tables behind the HTTP protocol.
+func (platform *Platform) Memory() *bvplatform.Memory { return &platform.memory }
+
+// SetFaults replaces the faults.
+func (platform *Platform) SetFaults(faults PlatformFaults) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.faults = faults
+}
+
+// Faults returns the faults that are set.
+func (platform *Platform) Faults() PlatformFaults {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	return platform.faults
+}
+
+// ServeHTTP implements http.Handler.
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	platform.once.Do(platform.routes)
+	platform.mux.ServeHTTP(writer, request)
+}
+
+func (platform *Platform) routes() {
+	platform.mux = http.NewServeMux()
+	platform.mux.HandleFunc("POST /faults", platform.setFaults)
+	platform.mux.HandleFunc("GET /counts", platform.counts)
+	platform.serve("POST /table/commit", platform.commit)
+	platform.serve("POST /table/read", platform.read)
+	platform.serve("POST /table/scan", platform.scan)
+	platform.serve("PUT /objects/{name}", platform.putObject)
+	platform.serve("GET /objects/{name}", platform.object)
+	platform.serve("DELETE /objects/{name}", platform.deleteObject)
+	platform.serve("GET /hosts", platform.listHosts)
+	platform.serve("PUT /hosts/{name}", platform.announce)
+	platform.serve("DELETE /hosts/{name}", platform.removeHost)
+	platform.serve("GET /endpoints", platform.listEndpoints)
+	platform.serve("PUT /endpoints/{name}", platform.putEndpoint)
+	platform.serve("DELETE /endpoints/{name}", platform.removeEndpoint)
+}
+
+// serve adds a route that outages and delays hold back.
+func (platform *Platform) serve(pattern string, handler http.HandlerFunc) {
+	platform.mux.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
+		faults := platform.Faults()
+		if faults.Down {
+			http.Error(writer, "platform is down", http.StatusServiceUnavailable)
+			return
+		}
+		if !sleep(request.Context(), faults.DelayMS) {
+			return
+		}
+		handler(writer, request)
+	})
+}
+
+func (platform *Platform) setFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults PlatformFaults
+	if !readJSON(writer, request, &faults) {
+		return
+	}
+	platform.SetFaults(faults)
+	writeJSON(writer, http.StatusOK, faults)
+}
+
+func (platform *Platform) counts(writer http.ResponseWriter, _ *http.Request) {
+	writes, reads := platform.memory.Counts()
+	platform.mutex.Lock()
+	lost := platform.lost
+	platform.mutex.Unlock()
+	writeJSON(writer, http.StatusOK, struct {
+		Writes int64 `json:"writes"`
+		Reads  int64 `json:"reads"`
+		Lost   int   `json:"lost_answers"`
+	}{writes, reads, lost})
+}
+
+func (platform *Platform) commit(writer http.ResponseWriter, request *http.Request) {
+	var transaction bvplatform.Transaction
+	if !readJSON(writer, request, &transaction) {
+		return
+	}
+	// The pause doesn't end with the request: a late commit takes effect
+	// although its caller has timed out.
+	sleep(context.WithoutCancel(request.Context()), platform.Faults().LateMS)
+	version, err := platform.memory.Commit(request.Context(), transaction)
+	if platform.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	var conflict *bvplatform.ConflictError
+	if errors.As(err, &conflict) {
+		writeJSON(writer, http.StatusConflict, conflict)
+		return
+	}
+	writeResult(writer, struct{ Version int64 }{version}, err)
+}
+
+func (platform *Platform) losesAnswer() bool {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.commits++
+	if platform.faults.LoseAnswers == 0 || platform.commits%platform.faults.LoseAnswers != 0 {
+		return false
+	}
+	platform.lost++
+	return true
+}
+
+func (platform *Platform) read(writer http.ResponseWriter, request *http.Request) {
+	var question struct{ Keys []string }
+	if !readJSON(writer, request, &question) {
+		return
+	}
+	rows, err := platform.memory.Read(request.Context(), question.Keys...)
+	writeResult(writer, struct{ Rows []bvplatform.Row }{rows}, err)
+}
+
+func (platform *Platform) scan(writer http.ResponseWriter, request *http.Request) {
+	var question struct {
+		Prefix string
+		After  string
+		Limit  int
+	}
+	if !readJSON(writer, request, &question) {
+		return
+	}
+	rows, err := platform.memory.Scan(request.Context(), question.Prefix, question.After, question.Limit)
+	writeResult(writer, struct{ Rows []bvplatform.Row }{rows}, err)
+}
+
+func (platform *Platform) putObject(writer http.ResponseWriter, request *http.Request) {
+	content, err := io.ReadAll(request.Body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = platform.memory.PutObject(request.Context(), request.PathValue("name"), content)
+	writeResult(writer, struct{}{}, err)
+}
+
+func (platform *Platform) object(writer http.ResponseWriter, request *http.Request) {
+	content, err := platform.memory.Object(request.Context(), request.PathValue("name"))
+	if errors.Is(err, bvplatform.ErrNotFound) {
+		http.Error(writer, err.Error(), http.StatusNotFound)
+		return
+	}
+	_, _ = writer.Write(content)
+}
+
+func (platform *Platform) deleteObject(writer http.ResponseWriter, request *http.Request) {
+	err := platform.memory.DeleteObject(request.Context(), request.PathValue("name"))
+	writeResult(writer, struct{}{}, err)
+}
+
+func (platform *Platform) listHosts(writer http.ResponseWriter, _ *http.Request) {
+	hosts := platform.hosts.list(platform.listLag())
+	writeJSON(writer, http.StatusOK, struct{ Hosts []bvplatform.Host }{hosts})
+}
+
+func (platform *Platform) announce(writer http.ResponseWriter, request *http.Request) {
+	var host bvplatform.Host
+	if !readJSON(writer, request, &host) {
+		return
+	}
+	platform.hosts.put(request.PathValue("name"), host, hostLapse)
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (platform *Platform) removeHost(writer http.ResponseWriter, request *http.Request) {
+	platform.hosts.remove(request.PathValue("name"))
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (platform *Platform) listEndpoints(writer http.ResponseWriter, _ *http.Request) {
+	endpoints := platform.ends.list(platform.listLag())
+	writeJSON(writer, http.StatusOK, struct{ Endpoints []bvplatform.Endpoint }{endpoints})
+}
+
+func (platform *Platform) putEndpoint(writer http.ResponseWriter, request *http.Request) {
+	var endpoint bvplatform.Endpoint
+	if !readJSON(writer, request, &endpoint) {
+		return
+	}
+	lapse, _ := strconv.ParseInt(request.URL.Query().Get("lapse_ms"), 10, 64)
+	platform.ends.put(request.PathValue("name"), endpoint, time.Duration(lapse)*time.Millisecond)
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (platform *Platform) removeEndpoint(writer http.ResponseWriter, request *http.Request) {
+	platform.ends.remove(request.PathValue("name"))
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+func (platform *Platform) listLag() time.Duration {
+	return time.Duration(platform.Faults().ListLagMS) * time.Millisecond
+}
--- /dev/null
+++ b/bvstandin/service.go
@@ -0,0 +1,161 @@
+package bvstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// RequestHeader carries the caller's id of a request to a service.
+const RequestHeader = "Bv-Request"
+
+// ServiceFaults are the faults that a Service shows; the zero value is none.
+type ServiceFaults struct {
+	DelayMS    int64 `json:"delay_ms"`    // before each call runs
+	Hang       bool  `json:"hang"`        // calls run but are never answered
+	FailBefore bool  `json:"fail_before"` // calls answer 503 and don't run
+	FailAfter  bool  `json:"fail_after"`  // calls run and their connection breaks
+}
+
+// ServiceAnswer is the answer of a Service.
+type ServiceAnswer struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Request string `json:"request"`
+	Digest  string `json:"digest"` // of the body
+	Run     int    `json:"run"`    // how often the request has run, this time included
+}
+
+// Service is a stand-in of a plain service. The zero value is ready to use.
+type Service struct {
+	Name string
+
+	mutex  sync.Mutex
+	faults ServiceFaults
+	runs   map[string]int
+	total  int
+}
+
+// SetFaults replaces the faults.
+func (service *Service) SetFaults(faults ServiceFaults) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.faults = faults
+}
+
+// Runs returns how often the request ran.
+func (service *Service) Runs(request string) int {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.runs[request]
+}
+
+// ServeHTTP implements http.Handler.
+func (service *Service) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch request.Method + " " + request.URL.Path {
+	case "GET /runs":
+		service.serveRuns(writer, request)
+	case "POST /faults":
+		service.serveFaults(writer, request)
+	default:
+		service.call(writer, request)
+	}
+}
+
+func (service *Service) serveRuns(writer http.ResponseWriter, request *http.Request) {
+	id := request.URL.Query().Get("request")
+	service.mutex.Lock()
+	total := service.total
+	service.mutex.Unlock()
+	writeJSON(writer, http.StatusOK, struct {
+		Runs  int `json:"runs"`
+		Total int `json:"total"`
+	}{service.Runs(id), total})
+}
+
+func (service *Service) serveFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults ServiceFaults
+	if !readJSON(writer, request, &faults) {
+		return
+	}
+	service.SetFaults(faults)
+	writeJSON(writer, http.StatusOK, faults)
+}
+
+func (service *Service) call(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	service.mutex.Lock()
+	faults := service.faults
+	service.mutex.Unlock()
+	if faults.FailBefore {
+		writeError(writer, http.StatusServiceUnavailable, "overloaded", "not run", "service refuses calls")
+		return
+	}
+	if !sleep(request.Context(), faults.DelayMS) {
+		return
+	}
+	run := service.count(request.Header.Get(RequestHeader))
+	if faults.Hang {
+		<-request.Context().Done()
+		return
+	}
+	if faults.FailAfter {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(writer, http.StatusOK, ServiceAnswer{
+		Service: service.Name,
+		Path:    strings.TrimPrefix(request.URL.Path, "/"),
+		Request: request.Header.Get(RequestHeader),
+		Digest:  BodyDigest(body),
+		Run:     run,
+	})
+}
+
+func (service *Service) count(request string) int {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.runs == nil {
+		service.runs = make(map[string]int)
+	}
+	service.total++
+	service.runs[request]++
+	return service.runs[request]
+}
+
+// BodyDigest returns the digest that a Service gives for a body.
+func BodyDigest(body []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(body))
+}
+
+// writeError answers in the shape of the OpenAI API, with a verdict besides.
+func writeError(writer http.ResponseWriter, status int, code, verdict, message string) {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+			Type    string `json:"type"`
+			Code    string `json:"code"`
+			Verdict string `json:"verdict"`
+		} `json:"error"`
+	}
+	body.Error.Message = message
+	body.Error.Type = "endpoint_error"
+	body.Error.Code = code
+	body.Error.Verdict = verdict
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, message, status)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(encoded)
+}
