Peers, host view, permits, owner, entry and caller API

Cause: the whole path needs its edges. They only translate between HTTP, gRPC, the platform and the decision systems. Not wired into a process yet; no test drives them yet. Ruled out: relaying answers through the deciding host of a pool (its death would cut streams; the owner calls the endpoint itself and reports).

--- /dev/null
+++ b/bvcaller/api.go
@@ -0,0 +1,76 @@
+// Package bvcaller is the callers' HTTP API: the OpenAI-compatible chat
+// completions, plain services by path, and the programs they belong to.
+//
+// # Usage
+//
+//	api := &bvcaller.API{}
+//	api.Configure(entry, policy, limits)
+//	server := &http.Server{Handler: api.Handler()}
+//
+// # Headers
+//
+// An unchanged client of the chat API works without any of these.
+//
+//	Bv-Program       the program's id; without it the call is a program of its own
+//	Bv-Turn          the number of the call in its program, from 1
+//	Bv-Parent        the program that started this one
+//	Bv-Request       the caller's id of the request, the same when it is repeated
+//	Bv-Class         the row of the operators' table
+//	Bv-Deadline-Ms   how long the caller will wait
+//	Bv-Unrepeatable  true: the request runs at most once
+//	Bv-History       append (default): the body has only new messages; full: all
+package bvcaller
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"balsamvalve.example/bvkey"
+	"balsamvalve.example/bvpeer"
+)
+
+// Entry takes calls to the owners of their programs.
+type Entry interface {
+	Run(ctx context.Context, call *bvpeer.Call, emit func(*bvpeer.CallEvent) error) error
+	Fetch(ctx context.Context, member, program, request string) ([]byte, error)
+	EndProgram(ctx context.Context, member, program string) error
+}
+
+// Policy is what the operators' table and the lists say about a call.
+type Policy interface {
+	// Admit returns a *bvverdict.Error when the host must not take new work,
+	// or when the member's row does not allow the model or service.
+	Admit(member, class string, call *bvpeer.Call) error
+}
+
+// API holds the handlers.
+type API struct {
+	entry     Entry
+	policy    Policy
+	ring      *bvkey.Ring
+	bodyLimit int64
+	measure   Measure
+}
+
+// Measure counts what callers got.
+type Measure interface {
+	Answered()
+	Refused(err error)
+}
+
+// New returns the API; bodyLimit is in bytes.
+func New(entry Entry, policy Policy, ring *bvkey.Ring, bodyLimit int64, measure Measure) *API {
+	return &API{entry: entry, policy: policy, ring: ring, bodyLimit: bodyLimit, measure: measure}
+}
+
+// Handler returns the routes.
+func (api *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", api.member(api.chat))
+	mux.HandleFunc("/v1/services/{service}/{path...}", api.member(api.service))
+	mux.HandleFunc("DELETE /v1/programs/{program}", api.member(api.endProgram))
+	mux.HandleFunc("GET /v1/programs/{program}/answers/{request}", api.member(api.fetch))
+	return otelhttp.NewHandler(mux, "caller")
+}
--- /dev/null
+++ b/bvcaller/service.go
@@ -0,0 +1,69 @@
+package bvcaller
+
+import (
+	"net/http"
+
+	"balsamvalve.example/bvanswer"
+	"balsamvalve.example/bvpeer"
+)
+
+func (api *API) service(writer http.ResponseWriter, request *http.Request, member string) {
+	body, err := readBody(request)
+	if err != nil {
+		api.fail(writer, err)
+		return
+	}
+	call, single, err := callOf(request, member, body)
+	if err != nil {
+		api.fail(writer, err)
+		return
+	}
+	call.Target = &bvpeer.Call_Service{Service: &bvpeer.ServiceCall{
+		Service:     request.PathValue("service"),
+		Method:      request.Method,
+		Path:        servicePath(request),
+		Body:        body,
+		ContentType: request.Header.Get("Content-Type"),
+	}}
+	if err := api.policy.Admit(member, call.GetClass(), call); err != nil {
+		api.fail(writer, err)
+		return
+	}
+	if single {
+		defer api.endSingle(request.Context(), call)
+	}
+	var finished *bvpeer.Finished
+	err = api.entry.Run(request.Context(), call, func(event *bvpeer.CallEvent) error {
+		if event.GetFinished() != nil {
+			finished = event.GetFinished()
+		}
+		return nil
+	})
+	if err != nil {
+		api.fail(writer, err)
+		return
+	}
+	api.writeService(writer, finished.GetAnswer())
+}
+
+func servicePath(request *http.Request) string {
+	path := "/" + request.PathValue("path")
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	return path
+}
+
+func (api *API) writeService(writer http.ResponseWriter, kept []byte) {
+	answer, err := bvanswer.DecodeService(kept)
+	if err != nil {
+		api.fail(writer, err)
+		return
+	}
+	api.measure.Answered()
+	if answer.ContentType != "" {
+		writer.Header().Set("Content-Type", answer.ContentType)
+	}
+	writer.WriteHeader(answer.Status)
+	_, _ = writer.Write(answer.Body)
+}
--- /dev/null
+++ b/bventry/entry.go
@@ -0,0 +1,196 @@
+// Package bventry takes a call to the owner of its program and brings back the
+// answer, whatever happens to owners on the way.
+//
+// # Usage
+//
+//	entry := bventry.New(clock, view, peers, owner)
+//	err := entry.Run(ctx, call, func(event *bvpeer.CallEvent) error {
+//		return forward(event)
+//	})
+package bventry
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+// hostsPerCall bounds how many hosts are asked to own one call's program.
+const hostsPerCall = 5
+
+// retryAfterNoOwner is told when no host took the program: the platform's list
+// shows a lost host within this time.
+const retryAfterNoOwner = 2 * bvclock.Second
+
+// Owner runs calls of the programs that this host owns.
+type Owner interface {
+	Run(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error
+	Fetch(ctx context.Context, member, program, request string) ([]byte, error)
+	EndProgram(ctx context.Context, member, program string) error
+}
+
+// Entry finds owners. It keeps nothing between calls.
+type Entry struct {
+	clock bvclock.Clock
+	view  *bvhost.View
+	peers *bvpeer.Pool
+	owner Owner
+}
+
+// New returns an entry; owner is this host's own.
+func New(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, owner Owner) *Entry {
+	return &Entry{clock: clock, view: view, peers: peers, owner: owner}
+}
+
+// Run carries a call to its owner and hands each token and the final answer
+// to emit, each once and in order. An owner that is lost is replaced: asking
+// another one is safe for every call, because an owner commits its claim, and
+// the record of an unrepeatable request, before it sends anything.
+func (entry *Entry) Run(ctx context.Context, call *bvpeer.Call, emit func(*bvpeer.CallEvent) error) error {
+	relay := &relay{call: call, emit: emit}
+	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(host bvplatform.Host) error {
+		return entry.runAt(ctx, host, relay)
+	})
+}
+
+// Fetch returns the kept answer of a request.
+func (entry *Entry) Fetch(ctx context.Context, member, program, request string) ([]byte, error) {
+	var answer []byte
+	err := entry.eachOwner(ctx, member, program, func(host bvplatform.Host) (err error) {
+		answer, err = entry.fetchAt(ctx, host, member, program, request)
+		return err
+	})
+	return answer, err
+}
+
+// EndProgram ends a program.
+func (entry *Entry) EndProgram(ctx context.Context, member, program string) error {
+	return entry.eachOwner(ctx, member, program, func(host bvplatform.Host) error {
+		return entry.endAt(ctx, host, member, program)
+	})
+}
+
+// lostError says that a host gave no final answer.
+type lostError struct{ cause error }
+
+func (err *lostError) Error() string { return "host lost: " + err.cause.Error() }
+func (err *lostError) Unwrap() error { return err.cause }
+
+// eachOwner asks the candidates for a program until one gives a final answer.
+func (entry *Entry) eachOwner(ctx context.Context, member, program string, ask func(bvplatform.Host) error) error {
+	key := "program/" + member + "/" + program
+	candidates := entry.view.Candidates(entry.clock.Now(), key)
+	var loss error
+	for _, host := range candidates[:min(len(candidates), hostsPerCall)] {
+		err := ask(host)
+		if ctx.Err() != nil {
+			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
+		}
+		if lost := new(lostError); errors.As(err, &lost) {
+			entry.view.Distrust(entry.clock.Now(), host.Name)
+			loss = err
+			continue
+		}
+		if isNotOwner(err) {
+			continue
+		}
+		return err
+	}
+	return noOwner(loss)
+}
+
+func isNotOwner(err error) bool {
+	return err != nil && bvverdict.From(err).Code() == bvverdict.NotOwner
+}
+
+// noOwner is the final answer when every candidate was lost or declined. Where
+// one was lost, the call may have run there.
+func noOwner(loss error) error {
+	if loss != nil {
+		return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Internal,
+			"the program's host was lost; send the same request again").
+			WithRetryAfter(retryAfterNoOwner).WithCause(loss)
+	}
+	return bvverdict.Refuse(bvverdict.NotOwner, "no host takes the program now").
+		WithRetryAfter(retryAfterNoOwner)
+}
+
+func (entry *Entry) isSelf(host bvplatform.Host) bool {
+	return host.Name == entry.view.Self().Name
+}
+
+func (entry *Entry) runAt(ctx context.Context, host bvplatform.Host, relay *relay) error {
+	if entry.isSelf(host) {
+		return entry.owner.Run(ctx, relay.next(), relay.forward)
+	}
+	peer, err := entry.peers.Peer(host.PeerAddress)
+	if err != nil {
+		return &lostError{err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := peer.Run(ctx, relay.next())
+	if err != nil {
+		return &lostError{err}
+	}
+	for {
+		event, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return &lostError{err}
+		}
+		if failure := event.GetFailure(); failure != nil {
+			return bvpeer.ErrorOf(failure)
+		}
+		if err := relay.forward(event); err != nil {
+			return err
+		}
+		if event.GetFinished() != nil {
+			return nil
+		}
+	}
+}
+
+func (entry *Entry) fetchAt(ctx context.Context, host bvplatform.Host, member, program, request string) ([]byte, error) {
+	if entry.isSelf(host) {
+		return entry.owner.Fetch(ctx, member, program, request)
+	}
+	peer, err := entry.peers.Peer(host.PeerAddress)
+	if err != nil {
+		return nil, &lostError{err}
+	}
+	reply, err := peer.Fetch(ctx, &bvpeer.FetchRequest{Member: member, Program: program, Request: request})
+	if err != nil {
+		return nil, &lostError{err}
+	}
+	if failure := reply.GetFailure(); failure != nil {
+		return nil, bvpeer.ErrorOf(failure)
+	}
+	return reply.GetAnswer(), nil
+}
+
+func (entry *Entry) endAt(ctx context.Context, host bvplatform.Host, member, program string) error {
+	if entry.isSelf(host) {
+		return entry.owner.EndProgram(ctx, member, program)
+	}
+	peer, err := entry.peers.Peer(host.PeerAddress)
+	if err != nil {
+		return &lostError{err}
+	}
+	reply, err := peer.EndProgram(ctx, &bvpeer.EndProgramRequest{Member: member, Program: program})
+	if err != nil {
+		return &lostError{err}
+	}
+	if failure := reply.GetFailure(); failure != nil {
+		return bvpeer.ErrorOf(failure)
+	}
+	return nil
+}
--- /dev/null
+++ b/bvowner/chat.go
@@ -0,0 +1,127 @@
+package bvowner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamvalve.example/bvanswer"
+	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvverdict"
+)
+
+// chat runs a model call on the permitted endpoint.
+func (session *session) chat(ctx context.Context, start bvledger.Start, permit *bvpermit.Permit, try int) (bvledger.Result, bool) {
+	model := session.call.GetModel()
+	prompt, err := joinArrays(start.History, model.GetMessages())
+	if err != nil {
+		permit.Finish(unused())
+		return failed(bvverdict.Refuse(bvverdict.BadRequest, "the messages could not be joined")), false
+	}
+	call := bvendpoint.ChatCall{
+		Model:     model.GetModel(),
+		Messages:  prompt,
+		MaxTokens: int(model.GetMaxTokens()),
+		Stream:    session.streamID(start, try),
+		Salt:      session.call.GetMember(),
+		Prefix:    session.call.GetProgram(),
+		Priority:  session.row.Priority,
+		Params:    model.GetParameters(),
+	}
+	session.emit(startedEvent(permit.Endpoint(), call.Stream))
+	emitted := false
+	answer, err := session.owner.parts.Endpoints.Chat(ctx, permit.Address(), call, func(offset int, text string) error {
+		emitted = true
+		session.emit(tokenEvent(offset, text))
+		return nil
+	})
+	finish(permit, answer, err)
+	result := bvledger.Result{
+		Spent:    int64(answer.PromptTokens) + int64(answer.OutputTokens),
+		Endpoint: permit.Endpoint(),
+	}
+	if err != nil {
+		result.Err = bvverdict.From(err)
+		// Another run writes another text: once the caller has a part of this
+		// one, it would get a mixture.
+		exposed := emitted && session.call.GetStreaming()
+		return result, !exposed && !session.call.GetUnrepeatable()
+	}
+	return session.complete(result, model.GetModel(), answer), false
+}
+
+func (session *session) complete(result bvledger.Result, model string, answer bvendpoint.ChatResult) bvledger.Result {
+	kept, err := bvanswer.Encode(bvanswer.Model{
+		Model:        model,
+		Text:         answer.Text,
+		FinishReason: answer.FinishReason,
+		PromptTokens: answer.PromptTokens,
+		CachedTokens: answer.CachedTokens,
+		OutputTokens: answer.OutputTokens,
+	})
+	if err != nil {
+		result.Err = bvverdict.From(err)
+		return result
+	}
+	message, err := json.Marshal([]struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{{Role: "assistant", Content: answer.Text}})
+	if err != nil {
+		result.Err = bvverdict.From(err)
+		return result
+	}
+	result.Answer = kept
+	result.Message = message
+	return result
+}
+
+// streamID names the stream of one attempt, at one epoch of the program.
+func (session *session) streamID(start bvledger.Start, try int) string {
+	call := session.call
+	name := fmt.Sprintf("%s/%s/%d/%d/%d", call.GetMember(), call.GetProgram(), start.Turn, start.Epoch, try)
+	return fmt.Sprintf("%016x-%016x", xxhash.Sum64String(name), xxhash.Sum64String(call.GetRequest()+name))
+}
+
+// joinArrays joins two JSON arrays. Either may be empty.
+func joinArrays(first, second []byte) ([]byte, error) {
+	if len(first) == 0 || string(first) == "[]" {
+		return second, nil
+	}
+	if len(second) == 0 || string(second) == "[]" {
+		return first, nil
+	}
+	if first[len(first)-1] != ']' || second[0] != '[' {
+		return nil, fmt.Errorf("owner: not a JSON array")
+	}
+	joined := make([]byte, 0, len(first)+len(second))
+	joined = append(joined, first[:len(first)-1]...)
+	joined = append(joined, ',')
+	return append(joined, second[1:]...), nil
+}
+
+func startedEvent(endpoint, stream string) *bvpeer.CallEvent {
+	return &bvpeer.CallEvent{Event: &bvpeer.CallEvent_Started{
+		Started: &bvpeer.StreamPosition{Endpoint: endpoint, Stream: stream},
+	}}
+}
+
+func tokenEvent(offset int, text string) *bvpeer.CallEvent {
+	return &bvpeer.CallEvent{Event: &bvpeer.CallEvent_Token{
+		Token: &bvpeer.Token{Offset: int64(offset), Text: text},
+	}}
+}
+
+func hash(parts ...string) uint64 {
+	digest := xxhash.New()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/bvowner/invoke.go
@@ -0,0 +1,50 @@
+package bvowner
+
+import (
+	"context"
+	"net/http"
+
+	"balsamvalve.example/bvanswer"
+	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvverdict"
+)
+
+// invoke runs a call of a plain service.
+func (session *session) invoke(ctx context.Context, permit *bvpermit.Permit) (bvledger.Result, bool) {
+	service := session.call.GetService()
+	header := make(http.Header)
+	if service.GetContentType() != "" {
+		header.Set("Content-Type", service.GetContentType())
+	}
+	answer, err := session.owner.parts.Endpoints.Invoke(ctx, permit.Address(), bvendpoint.ServiceCall{
+		Path:         service.GetPath(),
+		Method:       service.GetMethod(),
+		Body:         service.GetBody(),
+		Header:       header,
+		Request:      session.call.GetRequest(),
+		Unrepeatable: session.call.GetUnrepeatable(),
+	})
+	finish(permit, bvendpoint.ChatResult{}, err)
+	if err != nil {
+		refusal := bvverdict.From(err)
+		again := refusal.Verdict() == bvverdict.NotRun || !session.call.GetUnrepeatable()
+		return bvledger.Result{Err: refusal, Spent: serviceCost}, again
+	}
+	kept, err := bvanswer.Encode(bvanswer.Service{
+		Status:      answer.Status,
+		ContentType: answer.Header.Get("Content-Type"),
+		Body:        answer.Body,
+	})
+	if err != nil {
+		return bvledger.Result{Err: bvverdict.From(err), Spent: serviceCost}, false
+	}
+	return bvledger.Result{Answer: kept, Spent: serviceCost}, false
+}
+
+func unused() *bvpeer.PermitFinish {
+	return &bvpeer.PermitFinish{Outcome: int32(bvgate.Unused)}
+}
--- /dev/null
+++ b/bvowner/release.go
@@ -0,0 +1,38 @@
+package bvowner
+
+import (
+	"context"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvpermit"
+)
+
+// releaseTimeout bounds one order to one endpoint; the ledger repeats it.
+const releaseTimeout = 3 * bvclock.Second
+
+// release tells the endpoints that hold an ended program's cache to drop it.
+func (owner *Owner) release(released bvledger.Released) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Std())
+	defer cancel()
+	for _, name := range released.Endpoints {
+		if owner.releaseAt(ctx, released.Key, name) {
+			owner.do(func(now bvclock.Time) { owner.ledger.ReleaseDone(now, released.Key, name) })
+		}
+	}
+}
+
+// releaseAt reports whether the endpoint holds nothing of the program any
+// more. An endpoint that is no longer listed has lost its memory.
+func (owner *Owner) releaseAt(ctx context.Context, key bvledger.ProgramKey, name string) bool {
+	endpoint, found := owner.parts.Addresses.Endpoint(name)
+	if !found {
+		return true
+	}
+	owner.parts.Permits.EndProgram(ctx, bvpermit.PoolOf(endpoint), key.Member, key.Program)
+	err := owner.parts.Endpoints.Release(ctx, endpoint.Address, key.Member, key.Program)
+	if err != nil {
+		owner.parts.Log.WithError(err).WithField("endpoint", name).Warn("cache release not confirmed, will be repeated")
+	}
+	return err == nil
+}
--- /dev/null
+++ b/bvpeer/pool.go
@@ -0,0 +1,124 @@
+package bvpeer
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+// How a silent connection is found. Something between two hosts can lose
+// track of a connection: both ends think it open and nothing arrives. A ping
+// without an answer ends it, and the next call dials anew.
+const (
+	pingInterval = 2 * time.Second
+	pingTimeout  = 2 * time.Second
+)
+
+// How soon a host that came back is tried again.
+const (
+	firstRedial = 50 * time.Millisecond
+	lastRedial  = time.Second
+	dialTimeout = time.Second
+)
+
+// maxMessage bounds a message between hosts: a history of 320,000 tokens is
+// well below it.
+const maxMessage = 64 << 20
+
+// Pool keeps one connection per peer. The zero value is ready to use, without
+// TLS.
+type Pool struct {
+	mutex       sync.Mutex
+	connections map[string]*grpc.ClientConn
+	credentials credentials.TransportCredentials
+}
+
+// NewPool returns a pool that dials with the given credentials.
+func NewPool(transport credentials.TransportCredentials) *Pool {
+	return &Pool{credentials: transport}
+}
+
+// Peer returns a client of the host that listens at address, an IP and port.
+func (pool *Pool) Peer(address string) (PeerClient, error) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if connection, found := pool.connections[address]; found {
+		return NewPeerClient(connection), nil
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address, pool.options()...)
+	if err != nil {
+		return nil, fmt.Errorf("peer: dial %s: %w", address, err)
+	}
+	if pool.connections == nil {
+		pool.connections = make(map[string]*grpc.ClientConn)
+	}
+	pool.connections[address] = connection
+	return NewPeerClient(connection), nil
+}
+
+// Retain closes the connections to all addresses but these.
+func (pool *Pool) Retain(addresses map[string]bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for address, connection := range pool.connections {
+		if !addresses[address] {
+			_ = connection.Close()
+			delete(pool.connections, address)
+		}
+	}
+}
+
+// Close closes all connections.
+func (pool *Pool) Close() {
+	pool.Retain(nil)
+}
+
+func (pool *Pool) options() []grpc.DialOption {
+	transport := pool.credentials
+	if transport == nil {
+		transport = insecure.NewCredentials()
+	}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(transport),
+		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		// Without this, gRPC sends a call again by itself when it believes that
+		// the server has not seen it. A request that must not be repeated is
+		// sent by this project's own decision only.
+		grpc.WithDisableRetry(),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:                pingInterval,
+			Timeout:             pingTimeout,
+			PermitWithoutStream: true,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstRedial, Multiplier: 2, MaxDelay: lastRedial},
+			MinConnectTimeout: dialTimeout,
+		}),
+	}
+}
+
+// ServerOptions returns what a daemon's gRPC server needs to match Pool.
+func ServerOptions(transport credentials.TransportCredentials) []grpc.ServerOption {
+	if transport == nil {
+		transport = insecure.NewCredentials()
+	}
+	return []grpc.ServerOption{
+		grpc.Creds(transport),
+		grpc.StatsHandler(otelgrpc.NewServerHandler()),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             pingInterval / 2,
+			PermitWithoutStream: true,
+		}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
+	}
+}
