--- /dev/null
+++ b/bvstandin/digest.go
@@ -0,0 +1,113 @@
+package bvstandin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bytesPerToken is the stand-in's whole tokenizer.
+const bytesPerToken = 4
+
+// Tokens returns how many tokens the stand-in counts for so many bytes of
+// canonical JSON.
+func Tokens(bytes int) int {
+	return (bytes + bytesPerToken - 1) / bytesPerToken
+}
+
+// Digest returns the digest of a JSON array of messages. It is the same for
+// the same messages, however their JSON is spaced and its fields are ordered.
+func Digest(messages json.RawMessage) (string, error) {
+	prompt, err := parsePrompt(messages)
+	return prompt.digest, err
+}
+
+// FirstWord returns the first word of an engine's answer to messages with the
+// given digest.
+func FirstWord(digest string) string {
+	return "digest:" + digest
+}
+
+// AnswerText returns the whole text of an engine's answer of so many tokens.
+func AnswerText(digest string, tokens int) string {
+	var text bytes.Buffer
+	for offset := range tokens {
+		text.WriteString(tokenText(digest, offset))
+	}
+	return text.String()
+}
+
+func tokenText(digest string, offset int) string {
+	if offset == 0 {
+		return FirstWord(digest)
+	}
+	return fmt.Sprintf(" %s.%d", digest[:4], offset)
+}
+
+// promptMessage is one message as far as the cache is concerned.
+type promptMessage struct {
+	hash   uint64
+	tokens int
+}
+
+// prompt is what an engine knows of the messages that it was sent.
+type prompt struct {
+	digest   string
+	tokens   int
+	messages []promptMessage
+}
+
+func parsePrompt(messages json.RawMessage) (prompt, error) {
+	var parsed []any
+	decoder := json.NewDecoder(bytes.NewReader(messages))
+	decoder.UseNumber()
+	if err := decoder.Decode(&parsed); err != nil {
+		return prompt{}, fmt.Errorf("messages: %w", err)
+	}
+	var prompt prompt
+	whole := xxhash.New()
+	for _, message := range parsed {
+		canonical, err := json.Marshal(message)
+		if err != nil {
+			return prompt, fmt.Errorf("messages: %w", err)
+		}
+		_, _ = whole.Write(canonical)
+		_, _ = whole.WriteString("\n")
+		prompt.add(canonical)
+	}
+	prompt.digest = fmt.Sprintf("%016x", whole.Sum64())
+	return prompt, nil
+}
+
+func (prompt *prompt) add(canonical []byte) {
+	message := promptMessage{hash: xxhash.Sum64(canonical), tokens: Tokens(len(canonical))}
+	prompt.messages = append(prompt.messages, message)
+	prompt.tokens += message.tokens
+}
+
+// shared returns how many tokens two lists of messages have in common at their
+// beginning.
+func shared(a, b []promptMessage) int {
+	tokens := 0
+	for i := range min(len(a), len(b)) {
+		if a[i] != b[i] {
+			break
+		}
+		tokens += a[i].tokens
+	}
+	return tokens
+}
+
+// answerMessage is what an answer adds to the history of its program.
+func answerMessage(text string) promptMessage {
+	canonical, err := json.Marshal(struct {
+		Content string `json:"content"`
+		Role    string `json:"role"`
+	}{text, "assistant"})
+	if err != nil {
+		return promptMessage{}
+	}
+	return promptMessage{hash: xxhash.Sum64(canonical), tokens: Tokens(len(canonical))}
+}
--- a/bvstandin/lagged.go
+++ b/bvstandin/lagged.go
@@ -1,13 +1,14 @@
 package bvstandin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
-// keepAnnouncements bounds how far back a list can lag.
+// keepAnnouncements is how far back a list can lag by default.
 const keepAnnouncements = 2 * time.Minute
 
 // announcement is what a list was told of an entry at one moment.
@@ -21,6 +22,7 @@
 // lagged is a list that can be read as it stood some time ago. The zero value
 // is empty and ready for use by many goroutines.
 type lagged[T any] struct {
+	keep    time.Duration // how far back it can lag; 0: keepAnnouncements
 	mutex   sync.Mutex
 	entries map[string][]announcement[T]
 }
@@ -40,7 +42,8 @@
 		lagged.entries = make(map[string][]announcement[T])
 	}
 	kept := lagged.entries[name]
-	for len(kept) > 1 && added.at.Sub(kept[1].at) > keepAnnouncements {
+	keep := cmp.Or(lagged.keep, keepAnnouncements)
+	for len(kept) > 1 && added.at.Sub(kept[1].at) > keep {
 		kept = kept[1:]
 	}
 	lagged.entries[name] = append(kept, added)
--- a/bvstandin/service.go
+++ b/bvstandin/service.go
@@ -1,6 +1,7 @@
 package bvstandin
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,11 +10,16 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"balsamvalve.example/bvplatform"
 )
 
 // RequestHeader carries the caller's id of a request to a service.
 const RequestHeader = "Bv-Request"
 
+// serviceSlots is how many calls a service says that it takes at once.
+const serviceSlots = 64
+
 // ServiceFaults are the faults that a Service shows; the zero value is none.
 type ServiceFaults struct {
 	DelayMS    int64 `json:"delay_ms"`    // before each call runs
@@ -33,12 +39,56 @@
 
 // Service is a stand-in of a plain service. The zero value is ready to use.
 type Service struct {
-	Name string
+	Name    string // of the endpoint
+	Serves  string // name of the service
+	Zone    string
+	Fencing bool
+
+	mutex       sync.Mutex
+	incarnation string
+	leaving     bool
+	calls       int // under way
+	faults      ServiceFaults
+	runs        map[string]int
+	total       int
+}
+
+// Endpoint returns the service's entry for the platform's list.
+func (service *Service) Endpoint(address string) bvplatform.Endpoint {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.incarnation == "" {
+		service.incarnation = rand.Text()
+	}
+	state := bvplatform.HostLive
+	if service.leaving {
+		state = bvplatform.HostLeaving
+	}
+	return bvplatform.Endpoint{
+		Name:        service.Name,
+		Kind:        bvplatform.Service,
+		Serves:      service.Serves,
+		Address:     address,
+		Zone:        service.Zone,
+		Incarnation: service.incarnation,
+		State:       state,
+		Slots:       serviceSlots,
+		Fencing:     service.Fencing,
+	}
+}
+
+// Leave marks the service as leaving. It goes on serving.
+func (service *Service) Leave() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.leaving = true
+}
 
-	mutex  sync.Mutex
-	faults ServiceFaults
-	runs   map[string]int
-	total  int
+// Idle reports whether no call is under way.
+func (service *Service) Idle() bool {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.calls == 0
 }
 
 // SetFaults replaces the faults.
@@ -93,9 +143,8 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	service.mutex.Lock()
-	faults := service.faults
-	service.mutex.Unlock()
+	faults := service.enter()
+	defer service.leave()
 	if faults.FailBefore {
 		writeError(writer, http.StatusServiceUnavailable, "overloaded", "not run", "service refuses calls")
 		return
@@ -112,7 +161,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(writer, http.StatusOK, ServiceAnswer{
-		Service: service.Name,
+		Service: service.Serves,
 		Path:    strings.TrimPrefix(request.URL.Path, "/"),
 		Request: request.Header.Get(RequestHeader),
 		Digest:  BodyDigest(body),
@@ -120,6 +169,19 @@
 	})
 }
 
+func (service *Service) enter() ServiceFaults {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.calls++
+	return service.faults
+}
+
+func (service *Service) leave() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.calls--
+}
+
 func (service *Service) count(request string) int {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
