bvendpoint: a client that never sends a request twice

A call's error must say truthfully whether the call may have run, and a connection that went silent must not hold a stream for ever.

Ruled out: http.Client (follows redirects and may send a body again); retries of the call inside the client (only the engine knows whether it runs).

Invoke sends unrepeatable calls over connections of their own. Verdicts come from whether the request ever had a connection.

--- /dev/null
+++ b/bvendpoint/client.go
@@ -0,0 +1,233 @@
+package bvendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvverdict"
+)
+
+// Values that a zero field of Client stands for.
+const (
+	DefaultProgress       = 5 * bvclock.Second
+	DefaultDialTimeout    = 1 * bvclock.Second
+	DefaultServiceTimeout = 30 * bvclock.Second
+	DefaultResumes        = 3
+	DefaultMaxBody        = 16 << 20
+)
+
+const (
+	maxIdleConns      = 64
+	idleConnTimeout   = 20 * time.Second
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveProbes   = 3
+	controlTimeout    = 2 * time.Second // of a release or a cancel
+	maxErrorBody      = 64 << 10
+)
+
+// Client calls endpoints. The zero value is ready to use by many goroutines;
+// fields must not change after the first call.
+type Client struct {
+	// Progress is how long a stream may bring nothing before its connection
+	// counts as silent.
+	Progress       bvclock.Duration
+	DialTimeout    bvclock.Duration
+	ServiceTimeout bvclock.Duration // of a service call
+	Resumes        int              // of one stream; negative means none
+	MaxBody        int64            // bytes of a service's answer
+
+	once   sync.Once
+	shared *http.Transport // keeps connections
+	fresh  *http.Transport // dials for each request
+	budget retryBudget
+}
+
+// Close drops idle connections.
+func (client *Client) Close() {
+	client.start()
+	client.shared.CloseIdleConnections()
+	client.fresh.CloseIdleConnections()
+}
+
+func (client *Client) start() {
+	client.once.Do(func() {
+		client.shared = client.transport()
+		client.fresh = client.transport()
+		client.fresh.DisableKeepAlives = true
+	})
+}
+
+func (client *Client) transport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: orDefault(client.DialTimeout, DefaultDialTimeout).Std(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
+		},
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func orDefault[T int | int64 | bvclock.Duration](value, standard T) T {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+// Release tells an engine to drop what it caches for a program. A nil error
+// means that the engine confirmed.
+func (client *Client) Release(ctx context.Context, address, salt, prefix string) error {
+	body, err := json.Marshal(struct {
+		Salt   string `json:"salt"`
+		Prefix string `json:"prefix"`
+	}{salt, prefix})
+	if err != nil {
+		return failure(bvverdict.NotRun, bvverdict.Internal, bvgate.Canceled, err, "release can't be encoded")
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	exchange, err := client.newExchange(ctx, http.MethodPost, address, "/cache/release", body)
+	if err != nil {
+		return err
+	}
+	response, err := exchange.send(client.shared)
+	if err != nil {
+		return exchange.lost(err)
+	}
+	return checkStatus(response)
+}
+
+// checkStatus closes the answer and returns its error, if it is one.
+func checkStatus(response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return statusError(response)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBody))
+	return nil
+}
+
+// exchange is one HTTP request, which is sent once at most.
+type exchange struct {
+	request   *http.Request
+	connected atomic.Bool // whether a byte of the request may have left
+}
+
+// newExchange builds a request that http.Transport can't send twice.
+//
+// A transport that finds a reused connection broken sends the request again by
+// itself if it holds the request to be replayable: a GET, HEAD, OPTIONS or
+// TRACE, or any method with an Idempotency-Key header, whose body it can
+// rewind. The service would run the call twice. A body without GetBody can't
+// be rewound, also when it is empty, so the transport gives up instead.
+func (client *Client) newExchange(ctx context.Context, method, address, path string, body []byte) (*exchange, error) {
+	client.start()
+	exchange := &exchange{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { exchange.connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return nil, failure(bvverdict.NotRun, bvverdict.BadRequest, bvgate.Canceled, err, "request can't be built")
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.ContentLength = int64(len(body))
+	if len(body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	exchange.request = request
+	return exchange, nil
+}
+
+// send uses the transport itself: an http.Client would follow a redirect and
+// send the request a second time.
+func (exchange *exchange) send(transport *http.Transport) (*http.Response, error) {
+	return transport.RoundTrip(exchange.request)
+}
+
+// lost returns the error of an exchange that brought no answer.
+func (exchange *exchange) lost(cause error) *bvverdict.Error {
+	if err := exchange.givenUp(cause); err != nil {
+		return err
+	}
+	if !exchange.connected.Load() {
+		return failure(bvverdict.NotRun, bvverdict.EndpointFailed, bvgate.Refused, cause, "endpoint can't be reached")
+	}
+	return failure(bvverdict.MayHaveRun, bvverdict.EndpointFailed, bvgate.Crashed, cause, "connection to endpoint broke")
+}
+
+// givenUp returns the error of a call that ended because its context did.
+func (exchange *exchange) givenUp(cause error) *bvverdict.Error {
+	verdict := bvverdict.MayHaveRun
+	if !exchange.connected.Load() {
+		verdict = bvverdict.NotRun
+	}
+	ctx := exchange.request.Context()
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), errSilent):
+		return failure(verdict, bvverdict.EndpointTimeout, bvgate.Silent, errSilent, "endpoint brought nothing in time")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failure(verdict, bvverdict.DeadlinePassed, bvgate.Canceled, cause, "deadline passed during the call")
+	}
+	return failure(verdict, bvverdict.Canceled, bvgate.Canceled, cause, "call was canceled")
+}
+
+// statusError returns the error that an endpoint answered. An endpoint that
+// says nothing about whether the call ran is not trusted to have refused it.
+func statusError(response *http.Response) *bvverdict.Error {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+			Verdict string `json:"verdict"`
+		} `json:"error"`
+	}
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	_ = json.Unmarshal(content, &body)
+	verdict := bvverdict.MayHaveRun
+	if body.Error.Verdict == bvverdict.NotRun.String() {
+		verdict = bvverdict.NotRun
+	}
+	err := failure(verdict, statusCode(response.StatusCode), bvgate.Refused, nil,
+		"endpoint answered %d: %s", response.StatusCode, body.Error.Message)
+	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
+		err = err.WithRetryAfter(bvclock.Duration(seconds) * bvclock.Second)
+	}
+	return err
+}
+
+func statusCode(status int) bvverdict.Code {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return bvverdict.Overloaded
+	case http.StatusNotFound:
+		return bvverdict.UnknownModel
+	case http.StatusBadRequest:
+		return bvverdict.BadRequest
+	case http.StatusConflict:
+		return bvverdict.AlreadySent
+	}
+	return bvverdict.EndpointFailed
+}
--- /dev/null
+++ b/bvendpoint/endpoint.go
@@ -0,0 +1,84 @@
+// Package bvendpoint calls endpoints: model engines and plain services.
+//
+// A Client makes one call at one endpoint, chosen by its user, and reports
+// truthfully how it ended. It never sends a request a second time: a stream
+// that broke or went silent is resumed from its offset over a new connection,
+// and a call whose fate is unknown is reported as such.
+//
+// Engines speak the OpenAI chat completions protocol with these additions, all
+// of which an engine may ignore:
+//
+//   - the headers below, on the request;
+//   - the SSE field "id", which holds the number of the token in its stream;
+//   - GET and DELETE /v1/streams/{id}, which resume and cancel a stream;
+//   - POST /cache/release, which drops the cached prefix of a program.
+//
+// # Usage
+//
+//	client := &bvendpoint.Client{}
+//	defer client.Close()
+//	result, err := client.Chat(ctx, address, call, func(offset int, text string) error {
+//		return relay(text)
+//	})
+//	switch bvendpoint.OutcomeOf(err) {
+//	case bvgate.Succeeded:
+//	case bvgate.Crashed: // the request is a suspect
+//	}
+package bvendpoint
+
+import (
+	"errors"
+
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvverdict"
+)
+
+// Headers of a request to an endpoint, and of its answer.
+const (
+	HeaderStream      = "Bv-Stream"      // id of the stream, chosen by the client
+	HeaderSalt        = "Bv-Salt"        // prefixes of two salts are never shared
+	HeaderPrefix      = "Bv-Prefix"      // key of the program whose history the prompt repeats
+	HeaderPriority    = "Bv-Priority"    // higher goes first
+	HeaderFence       = "Bv-Fence"       // fencing number of the sender
+	HeaderRequest     = "Bv-Request"     // the caller's id of the request
+	HeaderIncarnation = "Bv-Incarnation" // of the engine, in its answer
+)
+
+// outcomeError tells the outcome of a call within an error chain.
+type outcomeError struct {
+	outcome bvgate.Outcome
+	cause   error
+}
+
+// Error implements error.
+func (err *outcomeError) Error() string {
+	if err.cause == nil {
+		return "call " + err.outcome.String()
+	}
+	return "call " + err.outcome.String() + ": " + err.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (err *outcomeError) Unwrap() error { return err.cause }
+
+// OutcomeOf tells how a call ended, from the error that it returned.
+//
+// Refused: the endpoint answered that it would not run the call, or could not
+// be reached. Crashed: the connection broke and the stream is lost. Silent:
+// the endpoint stopped answering and could not be asked. Canceled: the user of
+// the client gave up.
+func OutcomeOf(err error) bvgate.Outcome {
+	if err == nil {
+		return bvgate.Succeeded
+	}
+	var found *outcomeError
+	if errors.As(err, &found) {
+		return found.outcome
+	}
+	return bvgate.Canceled
+}
+
+// failure builds the error of a call that has no complete answer.
+func failure(verdict bvverdict.Verdict, code bvverdict.Code, outcome bvgate.Outcome, cause error, reason string, args ...any) *bvverdict.Error {
+	return bvverdict.New(verdict, code, reason, args...).WithCause(&outcomeError{outcome: outcome, cause: cause})
+}
--- /dev/null
+++ b/bvendpoint/event.go
@@ -0,0 +1,102 @@
+package bvendpoint
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// errBadStream marks a stream that breaks the protocol.
+var errBadStream = errors.New("bad stream")
+
+const maxEventLine = 64 << 10
+
+// chunk is a chat completion chunk of the OpenAI API, as far as it is used.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *usage `json:"usage"`
+}
+
+type usage struct {
+	PromptTokens        int `json:"prompt_tokens"`
+	CompletionTokens    int `json:"completion_tokens"`
+	PromptTokensDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// event is one server-sent event.
+type event struct {
+	hasID bool
+	id    int
+	chunk chunk
+	done  bool // the stream is complete
+}
+
+// eventReader parses server-sent events.
+type eventReader struct {
+	lines    *bufio.Reader
+	progress func() // called for each line, comments included
+}
+
+func newEventReader(body io.Reader, progress func()) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(body, maxEventLine), progress: progress}
+}
+
+// next returns the next event with data. A body that ends before the stream
+// does gives io.ErrUnexpectedEOF.
+func (reader *eventReader) next() (event, error) {
+	var event event
+	for {
+		line, err := reader.lines.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return event, io.ErrUnexpectedEOF
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return event, fmt.Errorf("%w: line too long", errBadStream)
+		}
+		if err != nil {
+			return event, err
+		}
+		reader.progress()
+		complete, err := event.add(bytes.TrimRight(line, "\r\n"))
+		if err != nil || complete {
+			return event, err
+		}
+	}
+}
+
+// add takes one line and reports whether it was the event's data.
+func (event *event) add(line []byte) (bool, error) {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "id":
+		id, err := strconv.Atoi(string(value))
+		event.id, event.hasID = id, err == nil
+		return false, nil
+	case "data":
+		return true, event.parse(value)
+	}
+	return false, nil
+}
+
+func (event *event) parse(data []byte) error {
+	if string(data) == "[DONE]" {
+		event.done = true
+		return nil
+	}
+	if err := json.Unmarshal(data, &event.chunk); err != nil {
+		return fmt.Errorf("%w: %v", errBadStream, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/bvendpoint/service.go
@@ -0,0 +1,109 @@
+package bvendpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvverdict"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Path         string // with the leading slash
+	Method       string // empty: POST
+	Body         []byte
+	Header       http.Header
+	Request      string // the caller's id of the request
+	Unrepeatable bool
+}
+
+// ServiceResult is the answer of a plain service, whatever its status.
+type ServiceResult struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// replayHeaders make http.Transport hold any request to be replayable.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// Invoke calls a plain service once. It returns an error when there is no
+// answer or the service says that it did not run the call.
+//
+// An unrepeatable call goes over a connection of its own. A reused connection
+// may have been closed by the service while the request was on its way: the
+// client sees a reset and can't tell whether the call ran. On a connection
+// that was just dialed this can't happen without a failure of the service.
+func (client *Client) Invoke(ctx context.Context, address string, call ServiceCall) (ServiceResult, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, orDefault(client.ServiceTimeout, DefaultServiceTimeout).Std(), errSilent)
+	defer cancel()
+	exchange, err := client.newExchange(ctx, call.method(), address, call.Path, call.Body)
+	if err != nil {
+		return ServiceResult{}, err
+	}
+	call.addHeaders(exchange.request.Header)
+	transport := client.shared
+	if call.Unrepeatable {
+		transport = client.fresh
+	}
+	response, err := exchange.send(transport)
+	if err != nil {
+		return ServiceResult{}, exchange.lost(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return client.serviceResult(exchange, response)
+}
+
+func (client *Client) serviceResult(exchange *exchange, response *http.Response) (ServiceResult, error) {
+	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
+		if err := statusError(response); err.Verdict() == bvverdict.NotRun {
+			return ServiceResult{}, err
+		}
+	}
+	limit := orDefault(client.MaxBody, DefaultMaxBody)
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return ServiceResult{}, exchange.lost(err)
+	}
+	if int64(len(body)) > limit {
+		return ServiceResult{}, failure(bvverdict.Ran, bvverdict.TooLarge, bvgate.Refused,
+			errors.New("answer is too large"), "service answered with more than %d bytes", limit)
+	}
+	header := response.Header.Clone()
+	removeHeaders(header, hopHeaders)
+	return ServiceResult{Status: response.StatusCode, Header: header, Body: body}, nil
+}
+
+func (call ServiceCall) method() string {
+	if call.Method == "" {
+		return http.MethodPost
+	}
+	return call.Method
+}
+
+func (call ServiceCall) addHeaders(header http.Header) {
+	for name, values := range call.Header {
+		header[http.CanonicalHeaderKey(name)] = slices.Clone(values)
+	}
+	removeHeaders(header, hopHeaders)
+	if call.Unrepeatable {
+		removeHeaders(header, replayHeaders)
+	}
+	setIfAny(header, HeaderRequest, call.Request)
+}
+
+func removeHeaders(header http.Header, names []string) {
+	for _, name := range names {
+		header.Del(name)
+	}
+}
