standin: commands that run each stand-in as a process

Tests and demonstrations start platform, engines and services as processes.

Change: balsamvalve standin platform|engine|service print their address first and stop gracefully on SIGTERM: an engine or service is listed as leaving, goes on serving for a while, finishes what it has and leaves the list.

--- /dev/null
+++ b/bvcommand/standin.go
@@ -0,0 +1,217 @@
+package bvcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvmodel"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvstandin"
+)
+
+const (
+	defaultStandinAddress = "127.0.0.1:0"
+	defaultDrain          = 2 * time.Second
+	shutdownTimeout       = 30 * time.Second
+	idlePoll              = 20 * time.Millisecond
+	exitCrash             = 3
+)
+
+func newStandin() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "standin",
+		Short: "Small stand-ins of the platform and of endpoints, for tests and demonstrations",
+	}
+	command.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
+	return command
+}
+
+func newStandinPlatform() *cobra.Command {
+	var address string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Serve tables, objects and lists over HTTP",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			server := standinServer{handler: &bvstandin.Platform{}, stdout: command.OutOrStdout()}
+			return server.run(address)
+		},
+	}
+	addressFlag(command, &address)
+	return command
+}
+
+func addressFlag(command *cobra.Command, address *string) {
+	command.Flags().StringVar(address, "address", defaultStandinAddress, "IP and port to listen on; port 0 chooses one")
+}
+
+// endpointFlags are the flags that engines and services share.
+type endpointFlags struct {
+	address  string
+	platform string
+	name     string
+	zone     string
+	fencing  bool
+	drain    time.Duration
+}
+
+func (flags *endpointFlags) add(command *cobra.Command, name string) {
+	addressFlag(command, &flags.address)
+	set := command.Flags()
+	set.StringVar(&flags.platform, "platform", "", "IP and port of the platform; empty: not announced")
+	set.StringVar(&flags.name, "name", name, "name of the endpoint")
+	set.StringVar(&flags.zone, "zone", "", "availability zone")
+	set.BoolVar(&flags.fencing, "fencing", false, "refuse orders with an old fencing number")
+	set.DurationVar(&flags.drain, "drain", defaultDrain, "how long it goes on serving after it began to leave")
+}
+
+func newStandinEngine() *cobra.Command {
+	var flags endpointFlags
+	var config bvstandin.EngineConfig
+	var loadLag, eventLag time.Duration
+	command := &cobra.Command{
+		Use:   "engine",
+		Short: "Serve a model engine that answers with digests",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			config.Name, config.Zone, config.Fencing = flags.name, flags.zone, flags.fencing
+			config.LoadLag = bvclock.FromStd(loadLag)
+			config.EventLag = bvclock.FromStd(eventLag)
+			config.OnCrash = func() { os.Exit(exitCrash) }
+			return flags.serve(bvstandin.NewEngine(config), command.OutOrStdout())
+		},
+	}
+	flags.add(command, "engine-1")
+	engineFlags(command, &config)
+	set := command.Flags()
+	set.DurationVar(&loadLag, "load-lag", 0, "age of load reports")
+	set.DurationVar(&eventLag, "event-lag", 0, "age of cache events")
+	return command
+}
+
+func engineFlags(command *cobra.Command, config *bvstandin.EngineConfig) {
+	set := command.Flags()
+	set.StringVar(&config.Model, "model", "", "model that it serves; empty: any")
+	set.BoolVar(&config.Instant, "instant", false, "answer at once")
+	set.IntVar(&config.OutputTokens, "output-tokens", 0, "tokens of an answer that has no max_tokens; 0: default")
+	set.IntVar(&config.MaxWaiting, "max-waiting", 0, "calls that wait before it refuses; 0: unbounded")
+	set.IntVar(&config.EventGap, "event-gap", 0, "every n-th cache event is lost; 0: none")
+	batchFlags(command, &config.Batch)
+}
+
+func batchFlags(command *cobra.Command, batch *bvmodel.Config) {
+	set := command.Flags()
+	set.IntVar(&batch.Slots, "slots", 0, "calls batched at once; 0: default")
+	set.IntVar(&batch.CacheTokens, "cache-tokens", 0, "tokens of KV cache; 0: default")
+	set.Float64Var(&batch.PrefillTokensPerSecond, "prefill", 0, "prefilled tokens a second; 0: default")
+	set.Float64Var(&batch.DecodeTokensPerSecond, "decode", 0, "decoded tokens a second of a call alone; 0: default")
+	set.Float64Var(&batch.Slowdown, "slowdown", 0, "by which each further call stretches the time between tokens")
+}
+
+func newStandinService() *cobra.Command {
+	var flags endpointFlags
+	var serves string
+	command := &cobra.Command{
+		Use:   "service",
+		Short: "Serve a plain service that counts its calls",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			service := &bvstandin.Service{Name: flags.name, Serves: serves, Zone: flags.zone, Fencing: flags.fencing}
+			return flags.serve(service, command.OutOrStdout())
+		},
+	}
+	flags.add(command, "service-1")
+	command.Flags().StringVar(&serves, "service", "tool", "name of the service")
+	return command
+}
+
+// standinEndpoint is a stand-in that the platform lists.
+type standinEndpoint interface {
+	http.Handler
+	Endpoint(address string) bvplatform.Endpoint
+	Leave()
+	Idle() bool
+}
+
+func (flags *endpointFlags) serve(endpoint standinEndpoint, stdout io.Writer) error {
+	server := standinServer{handler: endpoint, stdout: stdout}
+	if flags.platform != "" {
+		client := &bvplatform.Client{Address: flags.platform}
+		server.started = func(ctx context.Context, address string) func() {
+			return flags.announce(ctx, endpoint, client, address)
+		}
+	}
+	return server.run(flags.address)
+}
+
+// announce keeps the endpoint listed and returns what takes it off the list.
+func (flags *endpointFlags) announce(ctx context.Context, endpoint standinEndpoint, client *bvplatform.Client, address string) func() {
+	announcer := &bvstandin.Announcer{
+		Client:   client,
+		Endpoint: func() bvplatform.Endpoint { return endpoint.Endpoint(address) },
+	}
+	announcing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	go announcer.Run(announcing)
+	return func() {
+		endpoint.Leave()
+		_ = announcer.Announce(context.Background())
+		time.Sleep(flags.drain)
+		deadline := time.Now().Add(shutdownTimeout)
+		for !endpoint.Idle() && time.Now().Before(deadline) {
+			time.Sleep(idlePoll)
+		}
+		cancel()
+		_ = announcer.Remove(context.Background())
+	}
+}
+
+// standinServer runs a handler until the process is told to stop.
+type standinServer struct {
+	handler http.Handler
+	stdout  io.Writer
+	started func(ctx context.Context, address string) (stop func())
+}
+
+func (server *standinServer) run(address string) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	stop := func() {}
+	if server.started != nil {
+		stop = server.started(ctx, listener.Addr().String())
+	}
+	_, _ = fmt.Fprintf(server.stdout, "listening %s\n", listener.Addr())
+	web := &http.Server{Handler: server.handler, ReadHeaderTimeout: shutdownTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- web.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("standin: %w", err)
+	case <-ctx.Done():
+	}
+	stop()
+	return shutDown(web)
+}
+
+func shutDown(web *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := web.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("standin: %w", err)
+	}
+	return nil
+}
