--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -7,6 +7,7 @@
 package bvcommand
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -33,7 +34,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return exitSuccess
 	}
@@ -53,6 +54,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(newServe())
 	root.AddCommand(newCheck())
 	root.AddCommand(newSettings())
 	root.AddCommand(newStandin())
--- /dev/null
+++ b/bvdaemon/daemon.go
@@ -0,0 +1,179 @@
+// Package bvdaemon puts one host's daemon together: the callers' API, the
+// service towards other hosts, the operators' API, and the loops that follow
+// the platform's lists.
+//
+// # Usage
+//
+//	daemon, err := bvdaemon.New(settings, log)
+//	err = daemon.Run(ctx) // until ctx ends, then a graceful stop
+package bvdaemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"balsamvalve.example/bvcaller"
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bventry"
+	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvmeasure"
+	"balsamvalve.example/bvowner"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvsetting"
+)
+
+// Platform is all that a daemon asks of the platform.
+type Platform interface {
+	bvplatform.Store
+	bvplatform.HostList
+	bvplatform.EndpointList
+}
+
+// Daemon is one host's process.
+type Daemon struct {
+	settings    bvsetting.Serve
+	log         logrus.FieldLogger
+	clock       bvclock.Clock
+	platform    Platform
+	incarnation string
+	view        *bvhost.View
+	peers       *bvpeer.Pool
+	endpoints   *endpointTable
+	table       *table
+	permits     *bvpermit.Server
+	owner       *bvowner.Owner
+	commits     *commitLoop
+	entry       *bventry.Entry
+	caller      *http.Server
+	operator    *http.Server
+	peer        *grpc.Server
+	listeners   listeners
+	measures    *bvmeasure.Counters
+	ready       atomic.Bool
+}
+
+// listeners are the open ports of a daemon.
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+	peer     net.Listener
+}
+
+// New opens the ports and puts the parts together. Nothing is served before
+// Run.
+func New(settings bvsetting.Serve, log logrus.FieldLogger) (*Daemon, error) {
+	daemon := &Daemon{
+		settings:    settings,
+		log:         log,
+		clock:       bvclock.Boot(),
+		incarnation: newIncarnation(),
+		view:        &bvhost.View{},
+		endpoints:   &endpointTable{},
+		measures:    bvmeasure.New(),
+	}
+	if err := daemon.listen(); err != nil {
+		return nil, err
+	}
+	daemon.platform = &bvplatform.Client{Address: settings.PlatformAddress().String()}
+	daemon.view.SetSelf(daemon.self(bvplatform.HostLive))
+	daemon.peers = bvpeer.NewPool(nil)
+	daemon.table = newTable(daemon)
+	daemon.build()
+	return daemon, nil
+}
+
+func (daemon *Daemon) build() {
+	client := &bvendpoint.Client{Progress: daemon.settings.SilenceLimit()}
+	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client))
+	daemon.commits = newCommitLoop(daemon)
+	daemon.owner = bvowner.New(daemon.Name()+"/"+daemon.incarnation, bvowner.Parts{
+		Clock:     daemon.clock,
+		Store:     daemon.platform,
+		Committer: daemon.commits,
+		Permits:   bvpermit.NewClient(daemon.clock, daemon.view, daemon.peers, daemon.permits),
+		Endpoints: client,
+		Addresses: daemon.endpoints,
+		Rows:      daemon.table,
+		Log:       daemon.log,
+	})
+	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner)
+	api := bvcaller.New(daemon.entry, daemon.table, daemon.settings.Ring(), daemon.settings.BodyLimit(), daemon.measures)
+	daemon.caller = newHTTPServer(api.Handler())
+	daemon.operator = newHTTPServer(daemon.operatorHandler())
+	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(nil)...)
+	bvpeer.RegisterPeerServer(daemon.peer, &peerService{daemon: daemon})
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout.Std()}
+}
+
+// headerTimeout bounds how long a client may take to send its headers. Without
+// it, clients that send nothing hold connections for ever.
+const headerTimeout = 10 * bvclock.Second
+
+func releaseWith(client *bvendpoint.Client) bvpermit.Release {
+	return func(address, member, program string) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Std())
+		defer cancel()
+		return client.Release(ctx, address, member, program) == nil
+	}
+}
+
+const releaseTimeout = 3 * bvclock.Second
+
+func (daemon *Daemon) listen() (err error) {
+	if daemon.listeners.caller, err = listen("callers", daemon.settings.CallerAddress()); err != nil {
+		return err
+	}
+	if daemon.listeners.operator, err = listen("operators", daemon.settings.OperatorAddress()); err != nil {
+		return err
+	}
+	daemon.listeners.peer, err = listen("peers", daemon.settings.PeerAddress())
+	return err
+}
+
+func listen(purpose string, address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("daemon: listen for %s: %w", purpose, err)
+	}
+	return listener, nil
+}
+
+// CallerAddress returns the IP and port that callers use.
+func (daemon *Daemon) CallerAddress() string { return daemon.listeners.caller.Addr().String() }
+
+// OperatorAddress returns the IP and port that operators use.
+func (daemon *Daemon) OperatorAddress() string { return daemon.listeners.operator.Addr().String() }
+
+// PeerAddress returns the IP and port that other hosts use.
+func (daemon *Daemon) PeerAddress() string { return daemon.listeners.peer.Addr().String() }
+
+// Name returns the host's name.
+func (daemon *Daemon) Name() string {
+	if name := daemon.settings.HostName(); name != "" {
+		return name
+	}
+	return daemon.PeerAddress()
+}
+
+func (daemon *Daemon) self(state bvplatform.HostState) bvplatform.Host {
+	return bvplatform.Host{
+		Name:        daemon.Name(),
+		PeerAddress: daemon.PeerAddress(),
+		Zone:        daemon.settings.Zone(),
+		Incarnation: daemon.incarnation,
+		State:       state,
+	}
+}
--- /dev/null
+++ b/bvdaemon/endpoint.go
@@ -0,0 +1,43 @@
+package bvdaemon
+
+import (
+	"sync"
+
+	"balsamvalve.example/bvplatform"
+)
+
+// endpointTable is the last list of endpoints.
+type endpointTable struct {
+	mutex  sync.Mutex
+	byName map[string]bvplatform.Endpoint
+}
+
+func (table *endpointTable) update(endpoints []bvplatform.Endpoint) {
+	byName := make(map[string]bvplatform.Endpoint, len(endpoints))
+	for _, endpoint := range endpoints {
+		byName[endpoint.Name] = endpoint
+	}
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.byName = byName
+}
+
+// Endpoint returns the endpoint with a name.
+func (table *endpointTable) Endpoint(name string) (bvplatform.Endpoint, bool) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	endpoint, found := table.byName[name]
+	return endpoint, found
+}
+
+// serves reports whether any endpoint serves the model or service.
+func (table *endpointTable) serves(kind bvplatform.EndpointKind, name string) bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	for _, endpoint := range table.byName {
+		if endpoint.Kind == kind && endpoint.Serves == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/bvdaemon/run.go
@@ -0,0 +1,112 @@
+package bvdaemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// How a planned stop goes: first the host says that it is leaving, then it
+// goes on serving until the balancer and the other hosts have seen it.
+const (
+	leaveTime    = 2 * bvclock.Second
+	announceTime = 2 * bvclock.Second
+)
+
+// Run serves until ctx ends, and then stops without cutting off a request.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	daemon.log.WithField("callers", daemon.CallerAddress()).
+		WithField("operators", daemon.OperatorAddress()).
+		WithField("peers", daemon.PeerAddress()).Info("serving")
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	group, groupContext := errgroup.WithContext(context.Background())
+	group.Go(func() error { return serve(daemon.caller.Serve(daemon.listeners.caller)) })
+	group.Go(func() error { return serve(daemon.operator.Serve(daemon.listeners.operator)) })
+	group.Go(func() error { return daemon.peer.Serve(daemon.listeners.peer) })
+	group.Go(func() error { daemon.commits.run(loops); return nil })
+	group.Go(func() error { daemon.follow(loops); return nil })
+	group.Go(func() error { daemon.table.run(loops); return nil })
+	select {
+	case <-ctx.Done():
+	case <-groupContext.Done():
+	}
+	daemon.stop()
+	stopLoops()
+	daemon.peers.Close()
+	return group.Wait()
+}
+
+func serve(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// stop is the graceful stop. The order matters: a host that closed its ports
+// before the others knew of it would refuse calls that the balancer and the
+// entries still send.
+func (daemon *Daemon) stop() {
+	daemon.log.Info("leaving")
+	limit, cancel := context.WithTimeout(context.Background(), daemon.settings.StopLimit().Std())
+	defer cancel()
+	daemon.ready.Store(false)
+	daemon.owner.Leave()
+	daemon.view.SetSelf(daemon.self(bvplatform.HostLeaving))
+	daemon.announce(limit)
+	sleep(limit, leaveTime)
+	_ = daemon.caller.Shutdown(limit)
+	daemon.waitForCalls(limit)
+	daemon.commits.flush(limit)
+	daemon.stopPeers(limit)
+	_ = daemon.operator.Shutdown(limit)
+	daemon.log.Info("stopped")
+}
+
+func (daemon *Daemon) waitForCalls(limit context.Context) {
+	done := make(chan struct{})
+	go func() {
+		daemon.owner.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-limit.Done():
+		daemon.log.Warn("calls were still under way at the stop limit")
+	}
+}
+
+func (daemon *Daemon) stopPeers(limit context.Context) {
+	done := make(chan struct{})
+	go func() {
+		daemon.peer.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-limit.Done():
+		daemon.peer.Stop()
+	}
+}
+
+func sleep(ctx context.Context, duration bvclock.Duration) {
+	select {
+	case <-time.After(duration.Std()):
+	case <-ctx.Done():
+	}
+}
+
+func (daemon *Daemon) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTime.Std())
+	defer cancel()
+	if err := daemon.platform.Announce(ctx, daemon.view.Self()); err != nil {
+		daemon.log.WithError(err).Warn("host could not be announced")
+	}
+}
--- /dev/null
+++ b/bvmeasure/measure.go
@@ -0,0 +1,83 @@
+// Package bvmeasure counts what a daemon does, for /debug/vars.
+//
+// # Usage
+//
+//	counters := bvmeasure.New()
+//	counters.Answered()
+//	mux.Handle("GET /debug/vars", counters)
+//
+// # Variables
+//
+//	answered              calls that got a complete answer
+//	refused               a map: errors by "verdict/code"
+//	platform_writes       transactions sent to the platform
+//	platform_conflicts    transactions that another host's write had overtaken
+//	platform_unknown      transactions whose outcome had to be read back
+//	commit_entries        program entries in those transactions
+//	resumed_streams       streams taken over from a lost owner or connection
+//	lost_owners           calls whose owner was lost on the way
+//	declined_calls        calls that had to ask another host for the owner
+//	table_version         version of the operators' table in force
+//	hosts                 hosts in this host's view
+package bvmeasure
+
+import (
+	"expvar"
+	"net/http"
+
+	"balsamvalve.example/bvverdict"
+)
+
+// Counters are one daemon's counters. They are not in the process-wide list of
+// expvar, so that several daemons in one process stay apart.
+type Counters struct {
+	variables expvar.Map
+	refused   expvar.Map
+}
+
+// New returns counters at zero.
+func New() *Counters {
+	counters := &Counters{}
+	counters.variables.Init()
+	counters.refused.Init()
+	counters.variables.Set("refused", &counters.refused)
+	return counters
+}
+
+// Add adds to a counter.
+func (counters *Counters) Add(name string, delta int64) {
+	counters.variables.Add(name, delta)
+}
+
+// Set sets a variable.
+func (counters *Counters) Set(name string, value int64) {
+	number := new(expvar.Int)
+	number.Set(value)
+	counters.variables.Set(name, number)
+}
+
+// Get returns a counter's value.
+func (counters *Counters) Get(name string) int64 {
+	number, ok := counters.variables.Get(name).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return number.Value()
+}
+
+// Answered counts a complete answer.
+func (counters *Counters) Answered() {
+	counters.Add("answered", 1)
+}
+
+// Refused counts an error by its verdict and code.
+func (counters *Counters) Refused(err error) {
+	found := bvverdict.From(err)
+	counters.refused.Add(found.Verdict().String()+"/"+found.Code().String(), 1)
+}
+
+// ServeHTTP writes the variables as JSON.
+func (counters *Counters) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write([]byte(counters.variables.String()))
+}
