--- a/bvkey/role.go
+++ b/bvkey/role.go
@@ -24,3 +24,14 @@
 	}
 	return NoRole, fmt.Errorf("unknown role %q (one of caller, operator, admin)", name)
 }
+
+// MarshalText implements encoding.TextMarshaler.
+func (role Role) MarshalText() ([]byte, error) {
+	return []byte(role.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (role *Role) UnmarshalText(text []byte) (err error) {
+	*role, err = ParseRole(string(text))
+	return err
+}
--- /dev/null
+++ b/bvtable/editor.go
@@ -0,0 +1,355 @@
+package bvtable
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	mathrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+const (
+	// editTimeout bounds an edit from its arrival to its acceptance.
+	editTimeout = 10 * bvclock.Second
+	// retryPause is the longest wait before the first retry; it doubles up to
+	// maxRetryPause.
+	retryPause    = 10 * bvclock.Millisecond
+	maxRetryPause = 500 * bvclock.Millisecond
+	// attemptsSearched is the number of versions in which a repeated edit
+	// looks for its attempt.
+	attemptsSearched = 1000
+)
+
+// Editor edits the table for operators. Store and Follower must be set; it is
+// safe for concurrent use, by many hosts at once.
+//
+// Errors are bvverdict errors. The codes are Invalid (a rule is broken; wraps
+// an *InvalidError), Conflict (wraps a *CellConflictError where a cell is the
+// cause), Forbidden, and PlatformUnavailable, whose verdict says whether the
+// edit may have been accepted.
+type Editor struct {
+	Store     bvplatform.Store
+	Follower  *Follower
+	Endpoints bvplatform.EndpointList // knows models and services; may be nil
+	Hosts     bvplatform.HostList     // whose confirmation is awaited; may be nil
+	Confirmer Confirmer               // may be nil
+	Host      string                  // own name in Hosts
+
+	pause func(ctx context.Context, tries int) // nil: wait a random time that grows
+}
+
+// Get returns the newest table: one that holds every edit accepted before the
+// call.
+func (editor *Editor) Get(ctx context.Context) (*Table, error) {
+	if err := editor.Follower.refresh(ctx); err != nil {
+		return nil, unavailable(err)
+	}
+	return editor.Follower.Snapshot(), nil
+}
+
+// History returns at most limit changes below the given version, or the
+// newest if that is 0, from the newest to the oldest.
+func (editor *Editor) History(ctx context.Context, below int64, limit int) ([]Change, error) {
+	table, err := editor.Get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if below <= 0 || below > table.version {
+		below = table.version + 1
+	}
+	changes, err := storage{editor.Store}.history(ctx, below, limit)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return changes, nil
+}
+
+// Set edits cells, all or none, and reports on which hosts the new version is
+// in force. An edit that changes nothing makes no version.
+func (editor *Editor) Set(ctx context.Context, actor Actor, edit Edit) (Report, error) {
+	started := editor.Follower.Clock.Now()
+	plan := &editPlan{actor: actor, edit: edit}
+	change, err := editor.write(ctx, actor, edit.Attempt, func(_ context.Context, table *Table) (draft, error) {
+		cells, err := plan.cells(table)
+		return draft{cells: cells}, err
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	return editor.announce(ctx, started, change), nil
+}
+
+// draft is a change that isn't accepted yet.
+type draft struct {
+	cells    []Cell
+	proposal string
+	note     string
+	checks   []bvplatform.Check
+	puts     []bvplatform.Put
+}
+
+func (draft draft) empty() bool {
+	return len(draft.cells) == 0 && len(draft.puts) == 0
+}
+
+// planner drafts a change against the newest table. It is called again after
+// each lost race.
+type planner func(ctx context.Context, table *Table) (draft, error)
+
+// write plans and commits until the change is accepted or refused.
+func (editor *Editor) write(ctx context.Context, actor Actor, attempt string, plan planner) (Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, editTimeout.Std())
+	defer cancel()
+	repeatable := attempt != ""
+	if !repeatable {
+		attempt = rand.Text()
+	}
+	for tries := 0; ; tries++ {
+		change, accepted, err := editor.try(ctx, actor, attempt, plan)
+		if err != nil && repeatable && bvverdict.From(err).Code() == bvverdict.Conflict {
+			return editor.findAttempt(ctx, actor, attempt, err)
+		}
+		if err != nil || accepted {
+			return change, err
+		}
+		if err := editor.wait(ctx, tries); err != nil {
+			return Change{}, bvverdict.Refuse(bvverdict.Conflict, "lost every race against other edits").WithCause(err)
+		}
+	}
+}
+
+// try makes one version, unless another edit makes it first.
+func (editor *Editor) try(ctx context.Context, actor Actor, attempt string, plan planner) (change Change, accepted bool, err error) {
+	table, err := editor.Get(ctx)
+	if err != nil {
+		return Change{}, false, err
+	}
+	draft, err := plan(ctx, table)
+	if err != nil {
+		return Change{}, false, err
+	}
+	if draft.empty() {
+		return Change{Version: table.version}, true, nil
+	}
+	change = Change{
+		Version:  table.version + 1,
+		Actor:    actor,
+		At:       time.Now().UTC(),
+		Attempt:  attempt,
+		Proposal: draft.proposal,
+		Note:     draft.note,
+		Cells:    draft.cells,
+	}
+	next, err := table.With(change)
+	if err != nil {
+		return Change{}, false, invalid(err)
+	}
+	if err := editor.validate(ctx, next, change); err != nil {
+		return Change{}, false, err
+	}
+	transaction, current, err := editor.transaction(ctx, next, change, draft)
+	if err != nil || !current {
+		return Change{}, false, err
+	}
+	accepted, err = editor.commit(ctx, transaction, change.Version)
+	if err != nil || !accepted {
+		return Change{}, false, err
+	}
+	return change, true, editor.Follower.apply([]Change{change})
+}
+
+// validate checks the table whole, so that an edit that merged with another
+// one can't break a rule that each kept alone. Models and services are checked
+// only in the cells of this edit: the platform's list lags, and a rival's
+// model that left must not block everybody.
+func (editor *Editor) validate(ctx context.Context, next *Table, change Change) error {
+	validation := validation{known: editor.known(ctx)}
+	for _, cell := range change.Cells {
+		row, found := next.Exact(cell.Row())
+		switch {
+		case found && cell.Column == Models:
+			validation.checkKnown(row.Name(), Models, "model", row.Models, validation.known.Models)
+		case found && cell.Column == Services:
+			validation.checkKnown(row.Name(), Services, "service", row.Services, validation.known.Services)
+		}
+	}
+	if len(validation.problems) > 0 {
+		return invalid(&InvalidError{Problems: validation.problems})
+	}
+	if err := Validate(next.Rows(), Known{}); err != nil {
+		return invalid(err)
+	}
+	return nil
+}
+
+func (editor *Editor) known(ctx context.Context) Known {
+	if editor.Endpoints == nil {
+		return Known{}
+	}
+	endpoints, err := editor.Endpoints.Endpoints(ctx)
+	if err != nil {
+		return Known{}
+	}
+	var known Known
+	for _, endpoint := range endpoints {
+		if endpoint.Kind == bvplatform.Engine {
+			known.Models = append(known.Models, endpoint.Serves)
+		} else {
+			known.Services = append(known.Services, endpoint.Serves)
+		}
+	}
+	return known
+}
+
+// transaction makes the new version conditional on the counter and on the
+// rows that it touches. It reports whether the table is still the newest.
+func (editor *Editor) transaction(ctx context.Context, next *Table, change Change, draft draft) (bvplatform.Transaction, bool, error) {
+	names := touched(change.Cells)
+	keys := []string{versionKey}
+	for _, name := range names {
+		keys = append(keys, rowKey(name))
+	}
+	rows, err := editor.Store.Read(ctx, keys...)
+	if err != nil {
+		return bvplatform.Transaction{}, false, unavailable(err)
+	}
+	version, err := decodeVersion(rows[0])
+	if err != nil {
+		return bvplatform.Transaction{}, false, unavailable(err)
+	}
+	if version != change.Version-1 {
+		return bvplatform.Transaction{}, false, nil
+	}
+	transaction := bvplatform.Transaction{Attempt: "table/" + rand.Text(), Checks: draft.checks, Puts: draft.puts}
+	for _, row := range rows {
+		transaction.Checks = append(transaction.Checks, bvplatform.Check{Key: row.Key, Version: row.Version})
+	}
+	err = addPuts(&transaction, next, change, names)
+	return transaction, true, err
+}
+
+func touched(cells []Cell) []RowName {
+	var names []RowName
+	for _, cell := range cells {
+		if !slices.Contains(names, cell.Row()) {
+			names = append(names, cell.Row())
+		}
+	}
+	return names
+}
+
+func addPuts(transaction *bvplatform.Transaction, next *Table, change Change, names []RowName) error {
+	content, err := json.Marshal(change)
+	if err != nil {
+		return invalid(err)
+	}
+	transaction.Puts = append(transaction.Puts,
+		bvplatform.Put{Key: versionKey, Value: encodeVersion(change.Version)},
+		bvplatform.Put{Key: changeKey(change.Version), Value: content})
+	if change.Version > changesKept {
+		transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: changeKey(change.Version - changesKept)})
+	}
+	for _, name := range names {
+		row, found := next.Exact(name)
+		if !found {
+			transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: rowKey(name)})
+			continue
+		}
+		content, err := json.Marshal(row)
+		if err != nil {
+			return invalid(err)
+		}
+		transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: rowKey(name), Value: content})
+	}
+	return nil
+}
+
+// commit sends the transaction until its outcome is known. It reports whether
+// the version is this transaction's; false means that another edit has it.
+//
+// The store's answer can be lost after the write took effect, or before. The
+// change's row tells: it bears the attempt of whoever made the version. While
+// it is absent, the write may still be under way. Sending the same
+// transaction again is then safe, because both are conditional on the same
+// counter and so at most one of them takes effect.
+func (editor *Editor) commit(ctx context.Context, transaction bvplatform.Transaction, version int64) (bool, error) {
+	unknown := false
+	for tries := 0; ; tries++ {
+		_, err := editor.Store.Commit(ctx, transaction)
+		if err == nil {
+			return true, nil
+		}
+		var conflict *bvplatform.ConflictError
+		isConflict := errors.As(err, &conflict)
+		unknown = unknown || errors.Is(err, bvplatform.ErrUnknown)
+		if !unknown && isConflict {
+			return false, nil
+		}
+		if !unknown {
+			return false, unavailable(err)
+		}
+		if writer, found := editor.writer(ctx, version); found {
+			return writer == transaction.Attempt, nil
+		}
+		if editor.wait(ctx, tries) != nil {
+			return false, bvverdict.New(bvverdict.MayHaveRun, bvverdict.PlatformUnavailable,
+				"the platform didn't tell whether the edit was accepted; see the table's history").WithCause(err)
+		}
+	}
+}
+
+// writer returns the attempt that made a version, if it is made and can be
+// read.
+func (editor *Editor) writer(ctx context.Context, version int64) (string, bool) {
+	rows, err := editor.Store.Read(ctx, changeKey(version))
+	if err != nil || rows[0].Version == 0 {
+		return "", false
+	}
+	return rows[0].Attempt, true
+}
+
+// findAttempt answers an operator who sends an edit again because the answer
+// was lost on the way from this host. The first one took effect, so the cells
+// no longer hold what it expects; without the attempt the operator would be
+// told of a conflict with themselves.
+func (editor *Editor) findAttempt(ctx context.Context, actor Actor, attempt string, conflict error) (Change, error) {
+	changes, err := editor.History(ctx, 0, attemptsSearched)
+	if err != nil {
+		return Change{}, conflict
+	}
+	for _, change := range changes {
+		if change.Attempt == attempt && change.Actor == actor {
+			return change, nil
+		}
+	}
+	return Change{}, conflict
+}
+
+// wait pauses before a retry, for a random time so that racing editors don't
+// meet again at once. It returns an error when the context has ended.
+func (editor *Editor) wait(ctx context.Context, tries int) error {
+	if editor.pause != nil {
+		editor.pause(ctx, tries)
+		return ctx.Err()
+	}
+	longest := min(retryPause<<min(tries, 10), maxRetryPause)
+	timer := time.NewTimer(mathrand.N(longest.Std()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func unavailable(cause error) error {
+	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the platform can't be reached; nothing was changed").
+		WithRetryAfter(retryUnconfirmed).WithCause(cause)
+}
--- /dev/null
+++ b/bvtable/report.go
@@ -0,0 +1,118 @@
+package bvtable
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// confirmPause is the wait before a host that didn't confirm is asked again.
+const confirmPause = 200 * bvclock.Millisecond
+
+// Confirmer brings changes to another host.
+type Confirmer interface {
+	// Confirm gives a host the changes that lead up to a version and returns
+	// the version that the host then has in force.
+	Confirm(ctx context.Context, host string, version int64, changes []Change) (int64, error)
+}
+
+// Report tells where a version is in force.
+type Report struct {
+	Version     int64            `json:"version"`
+	Changed     bool             `json:"changed"`               // false: the cells held the texts already
+	Hosts       int              `json:"hosts"`                 // live hosts on the platform's list
+	Unconfirmed []string         `json:"unconfirmed,omitempty"` // those that didn't confirm within ConfirmBound
+	Unlisted    bool             `json:"unlisted,omitempty"`    // the list of hosts couldn't be read
+	Elapsed     bvclock.Duration `json:"elapsed_ms"`            // since the edit arrived
+}
+
+// String formats the report in a line for an operator.
+func (report Report) String() string {
+	if report.Unlisted {
+		return fmt.Sprintf("version %d accepted; the list of hosts can't be read, so nothing is known of them", report.Version)
+	}
+	if len(report.Unconfirmed) == 0 {
+		return fmt.Sprintf("version %d in force on all %d hosts after %d ms", report.Version, report.Hosts, int64(report.Elapsed))
+	}
+	return fmt.Sprintf("version %d in force on %d of %d hosts after %d ms; not confirmed by %s",
+		report.Version, report.Hosts-len(report.Unconfirmed), report.Hosts, int64(report.Elapsed),
+		strings.Join(report.Unconfirmed, ", "))
+}
+
+// announce brings an accepted change to all live hosts and waits, at most
+// ConfirmBound, until each has it in force. The change is accepted whatever
+// the hosts answer; their polls would bring it too.
+func (editor *Editor) announce(ctx context.Context, started bvclock.Time, change Change) Report {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ConfirmBound.Std())
+	defer cancel()
+	report := Report{Version: change.Version, Changed: change.Attempt != ""}
+	// An edit that changed nothing has no change to bring: a host that lags
+	// would take an empty one for the version and miss what that holds.
+	var changes []Change
+	if report.Changed {
+		changes = []Change{change}
+	}
+	hosts, err := editor.liveHosts(ctx)
+	report.Unlisted = err != nil
+	report.Hosts = len(hosts)
+	answers := make(chan string, len(hosts))
+	for _, host := range hosts {
+		go func() { answers <- editor.confirmHost(ctx, host, change.Version, changes) }()
+	}
+	for range hosts {
+		if unconfirmed := <-answers; unconfirmed != "" {
+			report.Unconfirmed = append(report.Unconfirmed, unconfirmed)
+		}
+	}
+	slices.Sort(report.Unconfirmed)
+	report.Elapsed = editor.Follower.Clock.Now().Sub(started)
+	return report
+}
+
+func (editor *Editor) liveHosts(ctx context.Context) ([]string, error) {
+	if editor.Hosts == nil {
+		return nil, nil
+	}
+	hosts, err := editor.Hosts.Hosts(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("table: list hosts: %w", err)
+	}
+	var names []string
+	for _, host := range hosts {
+		if host.State == bvplatform.HostLive {
+			names = append(names, host.Name)
+		}
+	}
+	return names, nil
+}
+
+// confirmHost returns the host's name if it didn't confirm in time.
+func (editor *Editor) confirmHost(ctx context.Context, host string, version int64, changes []Change) string {
+	for {
+		if editor.askHost(ctx, host, version, changes) {
+			return ""
+		}
+		select {
+		case <-ctx.Done():
+			return host
+		case <-time.After(confirmPause.Std()):
+		}
+	}
+}
+
+func (editor *Editor) askHost(ctx context.Context, host string, version int64, changes []Change) bool {
+	if host == editor.Host {
+		inForce, _ := editor.Follower.InForce()
+		return inForce >= version
+	}
+	if editor.Confirmer == nil {
+		return false
+	}
+	inForce, err := editor.Confirmer.Confirm(ctx, host, version, changes)
+	return err == nil && inForce >= version
+}
