bvgate: count work in generated tokens; name an ended program's endpoints

Cause: owners add up attained service, so both sides need one unit. A host that takes over deciding for a pool knows no program, so EndProgram alone would release nothing there. Ruled out: a variadic EndProgram, which would no longer fit the interface of those who call it. The change: a prompt token counts 0.1 and a generated one 1; EndProgramAt takes the endpoints of the owner's record.

--- a/bvgate/cost.go
+++ b/bvgate/cost.go
@@ -6,7 +6,7 @@
 // default.
 type Cost struct {
 	// PrefillWork and DecodeWork are the work of a prompt token that was not
-	// cached and of a generated token; 1 and 10.
+	// cached and of a generated token; 0.1 and 1.
 	PrefillWork Work
 	DecodeWork  Work
 	// PrefillRate is prompt tokens a second of an endpoint; 8,000.
@@ -19,8 +19,8 @@
 }
 
 const (
-	defaultPrefillWork Work = 1
-	defaultDecodeWork  Work = 10
+	defaultPrefillWork Work = 0.1
+	defaultDecodeWork  Work = 1
 	defaultPrefillRate      = 8000
 	defaultDecodeRate       = 60
 	defaultSlowdown         = 0.05
--- a/bvgate/program.go
+++ b/bvgate/program.go
@@ -115,11 +115,9 @@
 	pool.seat(at)
 }
 
-// EndProgram releases what endpoints cache for a program that has ended. The
-// owner names the endpoints of its record, because a host that has just begun
-// to decide for the pool does not know where the program ran.
-func (pool *Pool) EndProgram(now bvclock.Time, member, program string, endpoints ...string) {
-	ended := pool.endedProgram(now, member, program, endpoints)
+// EndProgram releases what endpoints cache for a program that has ended.
+func (pool *Pool) EndProgram(now bvclock.Time, member, program string) {
+	ended := pool.programs[programKey{member: member, name: program}]
 	if ended == nil {
 		return
 	}
@@ -129,13 +127,16 @@
 	}
 }
 
-func (pool *Pool) endedProgram(now bvclock.Time, member, name string, endpoints []string) *program {
+// EndProgramAt is EndProgram for a program that may have run on the given
+// endpoints before this pool knew of it: a host that has just begun to decide
+// for the pool knows no program, but the owner's record names its endpoints.
+func (pool *Pool) EndProgramAt(now bvclock.Time, member, program string, endpoints []string) {
 	for _, endpoint := range endpoints {
 		if at := pool.endpoints[endpoint]; at != nil {
-			pool.program(now, member, name).visit(at)
+			pool.program(now, member, program).visit(at)
 		}
 	}
-	return pool.programs[programKey{member: member, name: name}]
+	pool.EndProgram(now, member, program)
 }
 
 // release asks the endpoint to drop what it caches, until it confirms.
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -8,7 +8,7 @@
 // RequestID identifies a request within one Pool.
 type RequestID uint64
 
-// Work is engine work in token equivalents: see Cost.
+// Work is engine work in generated tokens: see Cost.
 type Work float64
 
 // Request asks for a permit to make one call to an endpoint of the pool.
--- a/bvgate/sharing_test.go
+++ b/bvgate/sharing_test.go
@@ -73,7 +73,7 @@
 		request := engines.asked[grant.Request]
 		engines.started = append(engines.started, request)
 		engines.pool.Used(engines.now, grant.Request)
-		engines.work[request.Member] += float64(request.PromptTokens + 10*request.OutputTokens)
+		engines.work[request.Member] += float64(request.PromptTokens)/10 + float64(request.OutputTokens)
 		took := bvclock.Duration(request.PromptTokens/8 + 17*request.OutputTokens)
 		heap.Push(&engines.ends, end{at: engines.now.Add(took), id: grant.Request})
 	}
@@ -144,9 +144,9 @@
 	engines := newEngines(1, 1)
 	engines.ask(Request{Member: "m", Program: "running", OutputTokens: 1})
 	engines.tick()
-	engines.ask(Request{Member: "m", Program: "long", Attained: 100_000, OutputTokens: 1})
+	engines.ask(Request{Member: "m", Program: "long", Attained: 10_000, OutputTokens: 1})
 	engines.ask(Request{Member: "m", Program: "short", OutputTokens: 1})
-	engines.ask(Request{Member: "m", Program: "urgent", Attained: 100_000, Priority: 1, OutputTokens: 1})
+	engines.ask(Request{Member: "m", Program: "urgent", Attained: 10_000, Priority: 1, OutputTokens: 1})
 	for range 3 {
 		engines.run()
 		engines.tick()
