bvgate: refuse at once what overflows or can't make its deadline

Cause: the queue was unbounded, and a caller learned only at its deadline that it would not be served. Ruled out: one bound for all members (a rival's flood would fill it) and a bound on the wait of each request's own level: new programs stand at the lowest level, would always get in, and those under way would be refused after work was spent on them.

Measured: time told / time taken within 0.5 to 1.5 in TestToldTimeToComeBackIsWithinTwiceTheWait, one member, 400 waiting.

--- /dev/null
+++ b/bvgate/admission_test.go
@@ -0,0 +1,115 @@
+package bvgate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvverdict"
+)
+
+func refusals(effects []Effect) []Refusal {
+	var refusals []Refusal
+	for _, effect := range effects {
+		if refusal, ok := effect.(Refusal); ok {
+			refusals = append(refusals, refusal)
+		}
+	}
+	return refusals
+}
+
+func TestFloodOfARivalIsTurnedAwayAndLeavesTheOthersQueueAlone(t *testing.T) {
+	// A rival sends thousands of calls at once. Its own callers are told to
+	// come back; a caller of the other member is served as its share allows.
+	// In one bounded queue for all, the other member would be refused.
+	engines := newEngines(4, 4)
+	engines.pool.SetLimits(Limits{Queue: 100, Wait: bvclock.Hour})
+	for range 500 {
+		engines.ask(Request{Member: "rival", OutputTokens: 50})
+	}
+	victim := engines.ask(Request{Member: "victim", OutputTokens: 50})
+	refused := refusals(engines.tick())
+	require.Len(t, refused, 400)
+	require.Equal(t, bvverdict.Overloaded, refused[0].Err.Code())
+	require.Equal(t, bvverdict.NotRun, refused[0].Err.Verdict())
+	require.Positive(t, refused[0].Err.RetryAfter())
+	require.Equal(t, "victim", engines.pool.calls[victim].request.Member)
+}
+
+func TestRequestThatCannotMakeItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	engines := newEngines(1, 1)
+	for range 10 {
+		engines.ask(Request{Member: "m", OutputTokens: 100})
+	}
+	engines.tick()
+	engines.ask(Request{Member: "m", OutputTokens: 100, Deadline: 5000})
+	refused := refusals(engines.tick())
+	require.Len(t, refused, 1)
+	require.Equal(t, bvverdict.Overloaded, refused[0].Err.Code())
+	require.Zero(t, engines.now)
+}
+
+func TestNewProgramsAreTurnedAwayBeforeThoseUnderWay(t *testing.T) {
+	engines := newEngines(1, 1)
+	engines.pool.SetLimits(Limits{Wait: 5 * bvclock.Second})
+	for range 20 {
+		engines.ask(Request{Member: "m", Attained: 10, OutputTokens: 100})
+	}
+	require.Empty(t, refusals(engines.tick()))
+	engines.ask(Request{Member: "m", OutputTokens: 100})
+	require.Len(t, refusals(engines.tick()), 1)
+}
+
+func TestToldTimeToComeBackIsWithinTwiceTheWait(t *testing.T) {
+	engines := newEngines(4, 4)
+	for range 400 {
+		engines.ask(Request{Member: "m", OutputTokens: 100})
+	}
+	engines.tick()
+	for range 100 {
+		engines.run()
+		engines.tick()
+	}
+	engines.pool.SetLimits(Limits{Queue: 1})
+	engines.ask(Request{Member: "m", OutputTokens: 100})
+	told := refusals(engines.tick())[0].Err.RetryAfter()
+	asked := engines.now
+	for len(engines.pool.waiting) > 0 {
+		engines.run()
+		engines.tick()
+	}
+	took := float64(engines.now.Sub(asked))
+	require.InDelta(t, 1, float64(told)/took, 0.5)
+}
+
+func TestRateLimitSpreadsGrants(t *testing.T) {
+	engines := newEngines(1, 100)
+	engines.pool.SetMembers([]MemberShare{{Member: "m", Rate: 2}})
+	engines.now = 10_000
+	for range 10 {
+		engines.ask(Request{Member: "m", Attained: 1, OutputTokens: 1})
+	}
+	engines.tick()
+	require.Len(t, engines.started, 2)
+	for engines.now < 12_000 {
+		engines.now = engines.pool.Next()
+		engines.tick()
+	}
+	require.Len(t, engines.started, 6)
+}
+
+func TestConcurrencyLimitLeavesSlotsToOthers(t *testing.T) {
+	engines := newEngines(1, 4)
+	engines.pool.SetMembers([]MemberShare{{Member: "a", Concurrency: 1}})
+	for range 5 {
+		engines.ask(Request{Member: "a", OutputTokens: 10})
+		engines.ask(Request{Member: "b", OutputTokens: 10})
+	}
+	engines.tick()
+	running := map[string]int{}
+	for _, request := range engines.started {
+		running[request.Member]++
+	}
+	require.Equal(t, map[string]int{"a": 1, "b": 3}, running)
+}
--- a/bvgate/estimate.go
+++ b/bvgate/estimate.go
@@ -2,11 +2,79 @@
 
 import "balsamvalve.example/bvclock"
 
+const (
+	// minLeft is the least part of the pool that is taken to be left for the
+	// members with a backlog.
+	minLeft = 0.05
+	minRate = Work(1e-6)
+)
+
+// callWork is the usual work of a call.
+func (pool *Pool) callWork() Work {
+	return Work(pool.work.or(float64(pool.cost.Work(0, defaultOutput))))
+}
+
+// callTime is the usual time of a call in milliseconds.
+func (pool *Pool) callTime() float64 {
+	return pool.duration.or(pool.cost.decodeTime(defaultOutput, 1))
+}
+
 // rate is the pool's work a millisecond with all slots taken.
 func (pool *Pool) rate() Work {
-	duration := pool.duration.or(pool.cost.decodeTime(defaultOutput, 1))
-	work := pool.work.or(float64(pool.cost.Work(0, defaultOutput)))
-	return Work(float64(pool.slots) * work / duration)
+	return max(Work(float64(pool.slots)/pool.callTime())*pool.callWork(), minRate)
+}
+
+// memberRate is the work a millisecond that a backlogged member gets: its
+// share of what the members without backlog leave.
+func (pool *Pool) memberRate(asking *member) Work {
+	weight := pool.backloggedWeight
+	running := pool.backloggedRunning
+	if asking.queued == 0 {
+		weight += asking.weight()
+		running += asking.running
+	}
+	others := float64(pool.runningTotal-running) / float64(max(pool.slots, 1))
+	left := max(1-others, minLeft)
+	return max(pool.rate()*Work(left*asking.weight()/weight), minRate)
+}
+
+// wait estimates how long a request would wait that is asked now.
+func (pool *Pool) wait(asking *member, priority, level int) bvclock.Duration {
+	if pool.slots == 0 {
+		return noEndpointWait + pool.limitWait(asking)
+	}
+	if len(pool.free) > 0 && asking.queue.len == 0 {
+		return pool.limitWait(asking)
+	}
+	ahead := asking.queue.ahead(priority, level) + asking.parkedWork
+	next := float64(pool.callWork() / pool.rate())
+	wait := bvclock.Duration(float64(ahead/pool.memberRate(asking)) + next)
+	return max(wait, pool.limitWait(asking))
+}
+
+// limitWait is the wait that the member's own limits cause.
+func (pool *Pool) limitWait(asking *member) bvclock.Duration {
+	wait := 0.0
+	if rate := asking.share.Rate; rate > 0 {
+		wait = (float64(asking.queued+1) - asking.tokens) / rate * float64(bvclock.Second)
+	}
+	if limit := asking.share.Concurrency; limit > 0 {
+		over := asking.running + asking.queued + 1 - limit
+		wait = max(wait, float64(over)*pool.callTime()/float64(limit))
+	}
+	return bvclock.Duration(max(wait, 0))
+}
+
+// backlogTime is how long a member's waiting requests keep its share busy.
+func (pool *Pool) backlogTime(asking *member) bvclock.Duration {
+	if asking.queued == 0 {
+		return 0
+	}
+	if pool.slots == 0 {
+		return noEndpointWait
+	}
+	work := asking.queue.work() + asking.parkedWork
+	return max(bvclock.Duration(float64(work/pool.memberRate(asking))), pool.limitWait(asking))
 }
 
 func (pool *Pool) expectOutput(asked *Request) int {
@@ -36,29 +104,3 @@
 		asking.ring(pool, now)
 	}
 }
-
-// wait estimates how long a request would wait that is asked now.
-func (pool *Pool) wait(asking *member, priority, level int) bvclock.Duration {
-	if len(pool.free) > 0 && asking.queue.len == 0 {
-		return 0
-	}
-	ahead := asking.queue.ahead(priority, level) + asking.parkedWork
-	next := Work(pool.work.or(float64(pool.cost.Work(0, defaultOutput))))
-	return bvclock.Duration(float64(ahead)/float64(pool.memberRate(asking)) + float64(next/max(pool.rate(), 1e-6)))
-}
-
-// memberRate is the work a millisecond that a backlogged member gets: its
-// share of what the members without backlog leave.
-func (pool *Pool) memberRate(asking *member) Work {
-	weight := pool.backloggedWeight
-	running := pool.backloggedRunning
-	if asking.queued == 0 {
-		weight += asking.weight()
-		running += asking.running
-	}
-	others := float64(pool.runningTotal-running) / float64(max(pool.slots, 1))
-	left := max(1-others, minLeft)
-	return max(pool.rate()*Work(left*asking.weight()/weight), 1e-6)
-}
-
-const minLeft = 0.05
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -32,6 +32,7 @@
 // empty pool. It is not safe for concurrent use.
 type Pool struct {
 	cost      Cost
+	limits    Limits
 	members   map[string]*member
 	byName    []*member
 	endpoints map[string]*endpoint
@@ -86,7 +87,14 @@
 	if lapsed := pool.calls[asked.ID]; lapsed != nil {
 		pool.drop(now, lapsed, lapsed.cached)
 	}
-	pool.enqueue(now, pool.admit(now, asked))
+	queued := pool.newRequest(now, asked)
+	pool.allow(now, queued.member)
+	if err := pool.reject(now, queued); err != nil {
+		pool.refuse(asked.ID, err)
+		pool.dropProgram(queued.program)
+		return
+	}
+	pool.enqueue(now, queued)
 }
 
 func (pool *Pool) running(id RequestID) bool {
@@ -94,8 +102,7 @@
 	return found != nil && !found.lapsed
 }
 
-// admit makes the row of a request that will wait.
-func (pool *Pool) admit(now bvclock.Time, asked Request) *request {
+func (pool *Pool) newRequest(now bvclock.Time, asked Request) *request {
 	pool.order++
 	queued := &request{
 		Request: asked,
@@ -121,7 +128,6 @@
 	queued.program.open++
 	pool.enter(queued.member)
 	queued.member.queue.add(queued)
-	pool.allow(now, queued.member)
 	pool.place(queued.member)
 	queued.agesAt = now.Add(ageStep)
 	pool.watch(queued)
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -162,3 +162,11 @@
 	}
 	return work
 }
+
+func (queue *queue) work() Work {
+	var work Work
+	for _, bucket := range queue.buckets {
+		work += bucket.work
+	}
+	return work
+}
