--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 FUZZ_TIME ?= 40s
 TIME ?= $(FUZZ_TIME)
-RACE_PACKAGES ?= ./bvplatform/...
+RACE_PACKAGES ?= ./bvdaemon/... ./bvprocess/... ./bvowner/... ./bvpermit/...
 
 .PHONY: all build demo test test-race fuzz measure bench format lint tools generate check clean
 
--- /dev/null
+++ b/bvprocess/caller_test.go
@@ -0,0 +1,125 @@
+package bvprocess
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvstandin"
+)
+
+// message is one message of a conversation.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// conversation is a program as its caller knows it: what it said and what it
+// was answered. It is the oracle of history, order and own answers.
+type conversation struct {
+	t       *testing.T
+	key     string
+	program string
+	kept    []message
+	turn    int
+}
+
+func newConversation(t *testing.T, key, program string) *conversation {
+	return &conversation{t: t, key: key, program: program}
+}
+
+// say makes the next call at a daemon and checks that the answer belongs to
+// exactly this history.
+func (conversation *conversation) say(daemon *process, text string) {
+	conversation.t.Helper()
+	conversation.turn++
+	status, body := conversation.post(daemon, text, false)
+	require.Equal(conversation.t, http.StatusOK, status, body)
+	conversation.take(text, contentOf(conversation.t, body))
+}
+
+func (conversation *conversation) take(text, answer string) {
+	conversation.t.Helper()
+	conversation.kept = append(conversation.kept, message{"user", text})
+	require.Equal(conversation.t, conversation.firstWord(), strings.Fields(answer)[0],
+		"the answer belongs to another history")
+	conversation.kept = append(conversation.kept, message{"assistant", answer})
+}
+
+// firstWord is how the engine's answer to the history so far begins.
+func (conversation *conversation) firstWord() string {
+	encoded, err := json.Marshal(conversation.kept)
+	require.NoError(conversation.t, err)
+	digest, err := bvstandin.Digest(encoded)
+	require.NoError(conversation.t, err)
+	return bvstandin.FirstWord(digest)
+}
+
+func (conversation *conversation) request(daemon *process, text string, stream bool) *http.Request {
+	body, err := json.Marshal(struct {
+		Model     string    `json:"model"`
+		Messages  []message `json:"messages"`
+		Stream    bool      `json:"stream"`
+		MaxTokens int       `json:"max_tokens"`
+	}{"m", []message{{"user", text}}, stream, 40})
+	require.NoError(conversation.t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+daemon.field("callers")+"/v1/chat/completions", bytes.NewReader(body))
+	require.NoError(conversation.t, err)
+	request.Header.Set("Authorization", "Bearer "+conversation.key)
+	request.Header.Set("Bv-Program", conversation.program)
+	request.Header.Set("Bv-Turn", strconv.Itoa(conversation.turn))
+	request.Header.Set("Bv-Request", conversation.program+"-"+strconv.Itoa(conversation.turn))
+	return request
+}
+
+func (conversation *conversation) post(daemon *process, text string, stream bool) (int, string) {
+	response, err := http.DefaultClient.Do(conversation.request(daemon, text, stream))
+	require.NoError(conversation.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(conversation.t, err)
+	return response.StatusCode, string(body)
+}
+
+func contentOf(t *testing.T, body string) string {
+	var answer struct {
+		Choices []struct{ Message message }
+	}
+	require.NoError(t, json.Unmarshal([]byte(body), &answer), body)
+	require.Len(t, answer.Choices, 1)
+	return answer.Choices[0].Message.Content
+}
+
+// chunks reads a stream of server-sent events. It returns the text, and
+// whether the stream ended with [DONE].
+func chunks(body io.Reader, each func(text string)) (text string, done bool) {
+	var whole strings.Builder
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return whole.String(), true
+		}
+		var chunk struct {
+			Choices []struct{ Delta message }
+		}
+		if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+			continue
+		}
+		whole.WriteString(chunk.Choices[0].Delta.Content)
+		if each != nil {
+			each(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return whole.String(), false
+}
--- /dev/null
+++ b/bvprocess/cluster_test.go
@@ -0,0 +1,97 @@
+package bvprocess
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Keys of the two members.
+const (
+	piranKey = "piran-caller-key-0000"
+	boltsKey = "bolts-caller-key-0000"
+	keyLines = "piran caller " + piranKey + "\nbolts caller " + boltsKey +
+		"\npiran operator piran-operator-key-0\nbolts operator bolts-operator-key-0\n"
+)
+
+// poll is how often a condition is looked at, and patience how long; patience
+// only bounds a test that fails.
+const (
+	poll     = 50 * time.Millisecond
+	patience = 30 * time.Second
+)
+
+// cluster is a set of processes that serve together.
+type cluster struct {
+	t        *testing.T
+	platform *process
+	engines  []*process
+	services []*process
+	daemons  []*process
+}
+
+type size struct {
+	daemons  int
+	engines  int
+	services int
+	engine   []string // further arguments of engines
+}
+
+func startCluster(t *testing.T, size size) *cluster {
+	t.Helper()
+	cluster := &cluster{t: t}
+	cluster.platform = start(t, "platform", nil, "standin", "platform")
+	for i := range size.engines {
+		cluster.engines = append(cluster.engines, cluster.startEngine(i, size.engine...))
+	}
+	for i := range size.services {
+		cluster.services = append(cluster.services, cluster.startService(i))
+	}
+	for i := range size.daemons {
+		cluster.daemons = append(cluster.daemons, cluster.startDaemon(i))
+	}
+	cluster.waitReady()
+	return cluster
+}
+
+func (cluster *cluster) startEngine(i int, further ...string) *process {
+	name := fmt.Sprintf("engine-%d", i)
+	arguments := []string{"standin", "engine", flag("platform", cluster.platform.address()), flag("name", name), flag("model", "m")}
+	return start(cluster.t, name, nil, append(arguments, further...)...)
+}
+
+func (cluster *cluster) startService(i int) *process {
+	name := fmt.Sprintf("service-%d", i)
+	return start(cluster.t, name, nil, "standin", "service",
+		flag("platform", cluster.platform.address()), flag("name", name), flag("service", "booking"))
+}
+
+func (cluster *cluster) startDaemon(i int, further ...string) *process {
+	name := fmt.Sprintf("host-%d", i)
+	arguments := []string{
+		"serve", flag("host-name", name), flag("platform-address", cluster.platform.address()),
+		flag("caller-address", portZero()), flag("peer-address", portZero()), flag("operator-address", portZero()),
+		flag("poll-interval", "200ms"),
+	}
+	return start(cluster.t, name, []string{"BALSAMVALVE_KEYS=" + keyLines}, append(arguments, further...)...)
+}
+
+// waitReady waits until every daemon sees the endpoints and the other hosts.
+func (cluster *cluster) waitReady() {
+	cluster.t.Helper()
+	for _, daemon := range cluster.daemons {
+		require.Eventually(cluster.t, func() bool { return isReady(daemon) }, patience, poll, daemon.name)
+	}
+}
+
+func isReady(daemon *process) bool {
+	response, err := http.Get("http://" + daemon.field("operators") + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/bvprocess/path_test.go
@@ -0,0 +1,31 @@
+package bvprocess
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A program of three turns is served when each turn comes in at another host:
+// the balancer knows nothing of programs.
+func TestProgramIsServedThroughEveryHost(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--instant"}})
+	conversation := newConversation(t, piranKey, "lesson")
+	for _, daemon := range cluster.daemons {
+		conversation.say(daemon, "a lesson tomorrow at nine")
+	}
+	require.Len(t, conversation.kept, 6)
+}
+
+func TestStreamEndsWithDone(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
+	conversation := newConversation(t, boltsKey, "quote")
+	conversation.turn = 1
+	response, err := http.DefaultClient.Do(conversation.request(cluster.daemons[0], "200 anchors M10", true))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, done := chunks(response.Body, nil)
+	require.True(t, done, text)
+	conversation.take("200 anchors M10", text)
+}
--- /dev/null
+++ b/bvprocess/process_test.go
@@ -0,0 +1,106 @@
+package bvprocess
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startLimit is how long a process may take until it listens; it decides no
+// verdict but that of a process which never starts.
+const startLimit = 20 * time.Second
+
+// process is a child process.
+type process struct {
+	t       *testing.T
+	name    string
+	command *exec.Cmd
+	line    string // its first line of output
+	exited  chan error
+}
+
+// start starts the command with arguments and waits until it listens.
+func start(t *testing.T, name string, environment []string, arguments ...string) *process {
+	t.Helper()
+	command := exec.Command(os.Args[0], arguments...)
+	command.Env = append(os.Environ(), childVariable+"=1")
+	command.Env = append(command.Env, environment...)
+	log, err := os.Create(filepath.Join(t.TempDir(), strings.ReplaceAll(name, "/", "-")+".log"))
+	require.NoError(t, err)
+	command.Stderr = log
+	output, err := command.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, command.Start())
+	process := &process{t: t, name: name, command: command, exited: make(chan error, 1)}
+	lines := make(chan string, 1)
+	go func() {
+		reader := bufio.NewScanner(output)
+		if reader.Scan() {
+			lines <- reader.Text()
+		}
+		for reader.Scan() {
+		}
+		process.exited <- command.Wait()
+	}()
+	t.Cleanup(func() { process.cleanUp(log) })
+	select {
+	case process.line = <-lines:
+	case <-time.After(startLimit):
+		t.Fatalf("%s did not start", name)
+	}
+	return process
+}
+
+func (process *process) cleanUp(log *os.File) {
+	process.kill()
+	if process.t.Failed() {
+		content, _ := os.ReadFile(log.Name())
+		process.t.Logf("log of %s:\n%s", process.name, content)
+	}
+	_ = log.Close()
+}
+
+// field returns the value of a name=value word of the first line.
+func (process *process) field(name string) string {
+	for _, word := range strings.Fields(process.line) {
+		if value, found := strings.CutPrefix(word, name+"="); found {
+			return value
+		}
+	}
+	process.t.Fatalf("%s printed no %s: %q", process.name, name, process.line)
+	return ""
+}
+
+// address returns the address of a stand-in.
+func (process *process) address() string {
+	return strings.TrimPrefix(process.line, "listening ")
+}
+
+func (process *process) signal(signal syscall.Signal) {
+	_ = process.command.Process.Signal(signal)
+}
+
+// kill ends the process as a power cut would.
+func (process *process) kill() {
+	process.signal(syscall.SIGKILL)
+	process.wait()
+}
+
+// wait returns the exit code.
+func (process *process) wait() int {
+	err := <-process.exited
+	process.exited <- err
+	return process.command.ProcessState.ExitCode()
+}
+
+func portZero() string { return "127.0.0.1:0" }
+
+func flag(name string, value any) string { return fmt.Sprintf("--%s=%v", name, value) }
