bvplatform: name the error of a transaction that is never taken

A committer tries a batch again after an outage. A batch that the platform will never take, for instance because one entry is too large, would be tried for ever and hold up all other programs of the host.

Change: ErrRejected, told apart from ErrUnavailable. Memory never returns it.

--- a/bvplatform/store.go
+++ b/bvplatform/store.go
@@ -112,6 +112,10 @@
 // ErrUnavailable marks a call that the platform did not carry out.
 var ErrUnavailable = errors.New("platform: unavailable")
 
+// ErrRejected marks a transaction that the platform will never carry out,
+// for instance because it is too large.
+var ErrRejected = errors.New("platform: transaction rejected")
+
 // ErrNotFound marks an object that is absent.
 var ErrNotFound = errors.New("platform: object not found")
 
