--- a/bvledger/call.go
+++ b/bvledger/call.go
@@ -54,8 +54,9 @@
 
 // Load wants the program's rows read; the answer is given to Loaded.
 type Load struct {
-	Key  ProgramKey
-	Keys []string // rows to read; the prefix TurnPrefix(Key) is to be scanned too
+	Key   ProgramKey
+	Keys  []string // rows to read
+	Turns bool     // scan the prefix TurnPrefix(Key) too, to its end, after the rows are read
 }
 
 // Commit wants rows written; the outcome is given to Committed. Entries of
--- /dev/null
+++ b/bvledger/head.go
@@ -0,0 +1,97 @@
+package bvledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+//go:generate stringer -type=State,onceState -linecomment -output=state_string.go
+
+// State is how far a program has come.
+type State int
+
+// The states of a program.
+const (
+	Running      State = iota // running
+	EndedAsked                // ended by its caller
+	EndedIdle                 // ended after its idle limit
+	EndedLooping              // ended at its limit of calls
+)
+
+// Ended reports whether the program takes no more calls.
+func (state State) Ended() bool {
+	return state != Running
+}
+
+// head is the row that says who owns a program and how far it has come. Only
+// the owner writes it, each time conditional on the version it wrote before,
+// so a stale owner's next write fails.
+type head struct {
+	Epoch     int64            `json:"epoch"`
+	Owner     string           `json:"owner"`
+	Parent    string           `json:"parent,omitempty"`
+	State     State            `json:"state"`
+	Turns     int              `json:"turns"`
+	Calls     int              `json:"calls"` // started ones, kept or not
+	Spent     int64            `json:"spent"`
+	Drawn     int64            `json:"drawn"` // budget reserved in blocks, spent or not
+	Digest    string           `json:"digest"`
+	Endpoint  string           `json:"endpoint,omitempty"`  // of the last turn
+	Endpoints []string         `json:"endpoints,omitempty"` // that may hold its cache
+	Idle      bvclock.Duration `json:"idle,omitempty"`
+}
+
+func (head head) clone() head {
+	head.Endpoints = slices.Clone(head.Endpoints)
+	return head
+}
+
+// turnRow is a kept turn.
+type turnRow struct {
+	Request  string `json:"request"`
+	Digest   string `json:"digest"`
+	Messages []byte `json:"messages"`
+	Message  []byte `json:"message"`
+	Answer   []byte `json:"answer"`
+}
+
+type onceState int
+
+const (
+	onceInserted onceState = iota // inserted
+	onceAnswered                  // answered
+	onceNotRun                    // not run
+	onceUnknown                   // may have run
+)
+
+// onceRow is the record of an unrepeatable request.
+type onceRow struct {
+	State  onceState `json:"state"`
+	Digest string    `json:"digest"`
+	Owner  string    `json:"owner"`
+	Epoch  int64     `json:"epoch"`
+	Answer []byte    `json:"answer,omitempty"`
+}
+
+func encode(row any) []byte {
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: row can't be encoded: %v", err)) // all rows are plain structs
+	}
+	return value
+}
+
+func decode[T any](row bvplatform.Row) (T, error) {
+	var value T
+	if row.Version == 0 {
+		return value, nil
+	}
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, fmt.Errorf("ledger: row %s: %w", row.Key, err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/bvledger/ledger_test.go
@@ -0,0 +1,147 @@
+package bvledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvverdict"
+)
+
+var lesson = bvledger.ProgramKey{Member: "piran", Program: "lesson"}
+
+func question(id bvledger.CallID, request string, turn int) bvledger.Call {
+	return bvledger.Call{
+		ID: id, Key: lesson, Request: request, Turn: turn, Digest: request,
+		Messages: []byte(`["` + request + `"]`), Cost: 10,
+	}
+}
+
+func reply(text string) bvledger.Result {
+	return bvledger.Result{Answer: []byte(text), Message: []byte(`["` + text + `"]`), Spent: 7, Endpoint: "engine-1"}
+}
+
+func requireAnswer(t *testing.T, host *host, call bvledger.CallID, answer string) {
+	t.Helper()
+	require.NotNil(t, host.outcomes[call].answer, "%+v", host.outcomes[call].refuse)
+	require.Equal(t, answer, string(host.outcomes[call].answer.Answer))
+}
+
+func requireRefusal(t *testing.T, host *host, call bvledger.CallID, verdict bvverdict.Verdict, code bvverdict.Code) {
+	t.Helper()
+	refuse := host.outcomes[call].refuse
+	require.NotNil(t, refuse)
+	require.Equal(t, code, refuse.Err.Code(), refuse.Err.Error())
+	require.Equal(t, verdict, refuse.Err.Verdict(), refuse.Err.Error())
+}
+
+func TestCallRunsAfterClaimAndAnswersAfterCommit(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	require.Len(t, host.started, 1)
+	start := host.takeStarted()
+	require.Equal(t, "[]", string(start.History))
+	require.EqualValues(t, 1, start.Epoch)
+	require.True(t, host.ledger.MayStart(1, 1))
+	host.ledger.Finish(2, 1, reply("hello"))
+	require.Empty(t, host.outcomes)
+	host.pump(2)
+	requireAnswer(t, host, 1, "hello")
+
+	host.ledger.Submit(3, question(2, "r2", 2))
+	host.pump(3)
+	require.Equal(t, `["r1","hello"]`, string(host.takeStarted().History))
+	writes, _ := host.store.Counts()
+	require.EqualValues(t, 2, writes, "one claim, one turn; the second call needs no write to start")
+}
+
+func TestRepeatGetsTheKeptAnswer(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("hello"))
+	host.pump(2)
+	host.ledger.Submit(3, question(2, "r1", 1))
+	host.pump(3)
+	requireAnswer(t, host, 2, "hello")
+	require.True(t, host.outcomes[2].answer.Repeated)
+	require.Len(t, host.started, 1)
+}
+
+// The caller's host dies after the answer; the repeat reaches another host.
+// It must find the turn in the platform and run nothing.
+func TestRepeatAtAnotherHostGetsTheKeptAnswer(t *testing.T) {
+	store := &faults{}
+	first := newHost("a", store)
+	first.ledger.Submit(1, question(1, "r1", 1))
+	first.pump(1)
+	first.ledger.Finish(2, 1, reply("hello"))
+	first.pump(2)
+	second := newHost("b", store)
+	second.ledger.Submit(3, question(1, "r1", 1))
+	second.pump(3)
+	requireAnswer(t, second, 1, "hello")
+	require.Empty(t, second.started)
+	require.Zero(t, second.ledger.Programs())
+}
+
+func TestRequestIDWithAnotherBodyIsRefused(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	other := question(2, "r1", 1)
+	other.Digest = "other"
+	host.ledger.Submit(1, other)
+	host.pump(1)
+	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.Conflict)
+}
+
+func TestLaterTurnWaitsForTheOneBefore(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(2, "r2", 2))
+	host.pump(1)
+	require.Empty(t, host.started)
+	host.ledger.Submit(2, question(1, "r1", 1))
+	host.pump(2)
+	require.EqualValues(t, 1, host.takeStarted().Call)
+	host.ledger.Finish(3, 1, reply("one"))
+	host.pump(3)
+	require.EqualValues(t, 2, host.takeStarted().Call)
+}
+
+func TestLaterTurnIsRefusedAfterItsWait(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(0, question(2, "r2", 2))
+	host.pump(0)
+	now := bvclock.Time(0).Add(bvledger.DefaultOrderWait)
+	next, ok := host.ledger.Next()
+	require.True(t, ok)
+	require.Equal(t, now, next)
+	host.pump(now)
+	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.TurnOutOfOrder)
+}
+
+// Host a is paused in mid-call and host b takes the program over. When a goes
+// on, its write fails: its caller is told that the call may have run, and the
+// history has only what b kept.
+func TestStaleOwnerKeepsNothing(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, question(1, "r1", 1))
+	fresh.pump(2)
+	require.EqualValues(t, 2, fresh.takeStarted().Epoch)
+	fresh.ledger.Finish(3, 1, reply("fresh"))
+	fresh.pump(3)
+	requireAnswer(t, fresh, 1, "fresh")
+	stale.ledger.Finish(4, 1, reply("stale"))
+	stale.pump(4)
+	requireRefusal(t, stale, 1, bvverdict.Ran, bvverdict.NotOwner)
+	stale.ledger.Submit(5, question(2, "r1", 1))
+	stale.pump(5)
+	requireAnswer(t, stale, 2, "fresh")
+}
--- /dev/null
+++ b/bvledger/once.go
@@ -0,0 +1,142 @@
+package bvledger
+
+import (
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+// judgeOnce looks for a record of an unrepeatable request.
+//
+// It guards against a booking that is made twice: a caller that heard nothing
+// repeats its request, the repeat reaches another host, and both hosts send.
+// The record is inserted before the send on the condition that there is none,
+// so only one host ever sends; everybody else answers from the record.
+func (ledger *Ledger) judgeOnce(now bvclock.Time, program *program, call *call) (judgement, *bvverdict.Error) {
+	if call.inserted {
+		if now.After(call.windowEnd) {
+			return answered, ledger.unavailable("the request's record took too long to write")
+		}
+		return mayRun, nil
+	}
+	record, found := program.once[OnceKey(program.key, call.Request)]
+	if found && record.row.Digest != call.Digest {
+		return answered, reusedRequest()
+	}
+	if found && record.row.State != onceNotRun {
+		program.running = nil
+		ledger.answerFromRecord(call, record)
+		return answered, nil
+	}
+	// Without the platform there can be no record, so the request must not
+	// be sent; waiting would only hold up the program's other calls.
+	if ledger.suspected(now) {
+		return answered, ledger.unavailable("unrepeatable requests need the platform, which doesn't answer")
+	}
+	return mayRun, nil
+}
+
+func (ledger *Ledger) answerFromRecord(call *call, record onceRecord) {
+	if record.row.State == onceAnswered && !record.settled {
+		for _, joined := range call.joined {
+			ledger.answer(joined, record.row.Answer, 0, true)
+		}
+		call.joined = nil
+		ledger.answer(call, record.row.Answer, 0, true)
+		return
+	}
+	err := bvverdict.New(bvverdict.MayHaveRun, bvverdict.AlreadySent,
+		"the request was sent before and is not sent again; its outcome isn't known")
+	if record.row.State != onceUnknown {
+		err = err.WithRetryAfter(ledger.settings.RetryAfter)
+	}
+	ledger.refuse(call, err)
+}
+
+// settle notes the outcome of a record that this host inserted. It is written
+// with the program's next entry.
+func (program *program) settle(call *call, row onceRow) {
+	key := OnceKey(program.key, call.Request)
+	row.Digest = call.Digest
+	row.Owner = program.head.Owner
+	row.Epoch = program.head.Epoch
+	record := program.once[key]
+	record.row = row
+	record.settled = true
+	program.once[key] = record
+	program.settlements = append(program.settlements, settlement{key: key, row: row})
+}
+
+// takeSettlement removes the settlement of a record that is to be inserted
+// anew: one entry can't write a row twice.
+func (program *program) takeSettlement(key string) {
+	kept := program.settlements[:0]
+	for _, settlement := range program.settlements {
+		if settlement.key != key {
+			kept = append(kept, settlement)
+		}
+	}
+	program.settlements = kept
+}
+
+// stray is a call of a program that moved to another host while the call ran
+// here. An unrepeatable one isn't stopped, since stopping leaves open whether
+// it took effect; its answer goes into the record, where every repeat finds
+// it. Of the others only the endpoint matters, which is to be released.
+type stray struct {
+	call    *call
+	key     string
+	version int64
+	digest  string
+	epoch   int64
+}
+
+func (program *program) stray(call *call) *stray {
+	key := OnceKey(program.key, call.Request)
+	return &stray{call: call, key: key, version: program.once[key].version, digest: call.Digest, epoch: call.epoch}
+}
+
+func (ledger *Ledger) strayFinished(now bvclock.Time, stray *stray, result Result) {
+	delete(ledger.strays, stray.call.ID)
+	if result.Endpoint != "" {
+		ledger.emit(Released{Key: stray.call.Key, Endpoints: []string{result.Endpoint}})
+	}
+	if stray.call.Unrepeatable {
+		ledger.finishStray(now, stray, result)
+	}
+}
+
+func (ledger *Ledger) finishStray(now bvclock.Time, stray *stray, result Result) {
+	row := onceRow{State: onceAnswered, Digest: stray.digest, Owner: ledger.owner, Epoch: stray.epoch, Answer: result.Answer}
+	if result.Err != nil {
+		row.Answer = nil
+		row.State = onceUnknown
+		if result.Err.Verdict() == bvverdict.NotRun {
+			row.State = onceNotRun
+		}
+		ledger.refuse(stray.call, result.Err)
+	}
+	entry := &entry{stray: stray, answer: row.Answer}
+	ledger.issue(now, entry, Entry{
+		Checks: []bvplatform.Check{{Key: stray.key, Version: stray.version}},
+		Puts:   []bvplatform.Put{{Key: stray.key, Value: encode(row)}},
+	})
+}
+
+func (ledger *Ledger) strayCommitted(entry *entry, err error) {
+	call := entry.stray.call
+	if ledger.calls[call.ID] == nil {
+		return
+	}
+	if err != nil {
+		ledger.refuse(call, bvverdict.New(bvverdict.Ran, bvverdict.Conflict,
+			"the call ran but its answer could not be kept").WithCause(err))
+		return
+	}
+	joined := call.joined
+	call.joined = nil
+	ledger.answer(call, entry.answer, 0, false)
+	for _, repeat := range joined {
+		ledger.answer(repeat, entry.answer, 0, true)
+	}
+}
--- /dev/null
+++ b/bvledger/request.go
@@ -0,0 +1,97 @@
+package bvledger
+
+import (
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvverdict"
+)
+
+type callState int
+
+const (
+	callQueued    callState = iota // waits for its turn
+	callPreparing                  // needs rows written before it may start
+	callRunning                    // started
+	callJoined                     // a repeat, waits for the outcome of the first
+	callUnkept                     // has its answer, waits for the commit
+)
+
+type callKind int
+
+const (
+	kindCall callKind = iota
+	kindFetch
+	kindEnd
+)
+
+// call is a caller's call on its way through the ledger.
+type call struct {
+	Call
+	kind       callKind
+	state      callState
+	program    *program
+	arrived    bvclock.Time
+	waitsSince bvclock.Time // for rows to be written
+	waitUntil  bvclock.Time // refused then, unless it has started
+	keepUntil  bvclock.Time // told then that its answer isn't kept yet
+	joined     []*call
+	abandoned  bool
+	repeated   bool // its answer is that of another submission
+	aborted    bool
+	sent       bool // MayStart said yes
+	inserted   bool // its unrepeatable record is in the platform
+	windowEnd  bvclock.Time
+	epoch      int64
+}
+
+// timeout is when Tick must look at the call; 0 means never.
+func (call *call) timeout() bvclock.Time {
+	switch call.state {
+	case callQueued, callPreparing:
+		return earlier(call.waitUntil, call.Deadline)
+	case callUnkept:
+		return earlier(call.keepUntil, call.Deadline)
+	case callJoined:
+		return call.Deadline
+	}
+	return 0
+}
+
+// earlier returns the earlier of two times, where 0 means never.
+func earlier(a, b bvclock.Time) bvclock.Time {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+func due(at, now bvclock.Time) bool {
+	return at != 0 && !now.Before(at)
+}
+
+func (ledger *Ledger) emit(effect Effect) {
+	ledger.effects = append(ledger.effects, effect)
+}
+
+// forget ends the ledger's interest in a call.
+func (ledger *Ledger) forget(call *call) {
+	delete(ledger.calls, call.ID)
+}
+
+func (ledger *Ledger) answer(call *call, answer []byte, turn int, repeated bool) {
+	ledger.forget(call)
+	if !call.abandoned {
+		ledger.emit(Answer{Call: call.ID, Answer: answer, Turn: turn, Repeated: repeated})
+	}
+}
+
+// refuse ends a call and those that joined it.
+func (ledger *Ledger) refuse(call *call, err *bvverdict.Error) {
+	ledger.forget(call)
+	if !call.abandoned {
+		ledger.emit(Refuse{Call: call.ID, Err: err})
+	}
+	for _, joined := range call.joined {
+		ledger.refuse(joined, err)
+	}
+	call.joined = nil
+}
