bvgate: eject endpoints that fail, and probe them by one call

Cause: an endpoint that fails calls fast has the fewest in flight and draws the next calls. Ruled out: ejecting at the first silent connection (something between the ends may have lost only that one) and unbounded backoff. The change: two failures in a row, or a crash, eject for 1 s doubling to 60 s; then one call at a time until one succeeds. Ejected slots leave the pool's capacity, so estimated waits grow and refusals come at once. A new incarnation of a failed endpoint is probed too. Measured: times away in the test: 1, 2, 4 .. 32, 60, 60 s.

--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -179,6 +179,7 @@
 		return
 	}
 	pool.settle(now, ended, finish)
+	pool.judge(now, ended, finish.Outcome)
 	pool.drop(now, ended, ended.held(finish))
 	if finish.Pause < 0 {
 		pool.EndProgram(now, ended.request.Member, ended.request.Program)
--- a/bvgate/endpoint.go
+++ b/bvgate/endpoint.go
@@ -43,6 +43,7 @@
 	pressure     float64
 	index        int // in the heap of endpoints with a free slot, from 1
 	waking       bool
+	health       health
 	timer        timer // forgets a removed endpoint
 }
 
@@ -59,7 +60,7 @@
 
 // open reports whether the endpoint may be granted at all.
 func (endpoint *endpoint) open() bool {
-	return !endpoint.gone && !endpoint.report.Leaving
+	return !endpoint.gone && !endpoint.report.Leaving && !endpoint.health.ejected
 }
 
 // free is how many more calls the endpoint may be granted.
@@ -67,7 +68,15 @@
 	if !endpoint.open() {
 		return 0
 	}
-	return endpoint.report.Slots - endpoint.running() - endpoint.external
+	return endpoint.usable() - endpoint.running() - endpoint.external
+}
+
+// usable is how many calls the endpoint may run now.
+func (endpoint *endpoint) usable() int {
+	if endpoint.health.probing {
+		return min(endpoint.report.Slots, 1)
+	}
+	return endpoint.report.Slots
 }
 
 func (endpoint *endpoint) slowness() float64 {
@@ -116,7 +125,7 @@
 func (pool *Pool) seat(seated *endpoint) {
 	slots := 0
 	if seated.open() {
-		slots = max(seated.report.Slots, 0)
+		slots = max(seated.usable(), 0)
 	}
 	pool.slots += slots - seated.slots
 	seated.slots = slots
@@ -186,6 +195,7 @@
 	rebooted.peaks = [2]int{}
 	rebooted.external = 0
 	rebooted.speed = average{}
+	pool.rest(rebooted)
 }
 
 func (pool *Pool) dropSites(of *endpoint) {
--- /dev/null
+++ b/bvgate/health_test.go
@@ -0,0 +1,63 @@
+package bvgate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+)
+
+// failNext asks, and fails the call if it is granted.
+func failNext(engines *engines, outcome Outcome) []Effect {
+	id := engines.ask(Request{Member: "m", Attained: 1, OutputTokens: 1})
+	effects := engines.pool.Tick(engines.now)
+	if engines.pool.calls[id] == nil {
+		engines.pool.Withdraw(engines.now, id)
+		return nil
+	}
+	engines.pool.Finish(engines.now, Finish{ID: id, Outcome: outcome})
+	return effects
+}
+
+func TestEndpointThatAnswersNothingIsLeftForAGrowingBoundedTime(t *testing.T) {
+	// An engine accepts calls and answers none. It always shows the fewest
+	// calls in flight, so every caller would be sent there and time out.
+	engines := newEngines(1, 8)
+	require.NotEmpty(t, failNext(engines, Silent))
+	require.NotEmpty(t, failNext(engines, Silent), "one silent connection is not a failed endpoint")
+	var waits []bvclock.Duration
+	for range 9 {
+		require.Empty(t, failNext(engines, Silent))
+		probe := engines.pool.Next()
+		waits = append(waits, probe.Sub(engines.now))
+		engines.now = probe
+		require.NotEmpty(t, failNext(engines, Silent))
+	}
+	require.Equal(t, []bvclock.Duration{1000, 2000, 4000, 8000, 16000, 32000, 60000, 60000, 60000}, waits)
+}
+
+func TestEjectedEndpointIsProbedByOneCall(t *testing.T) {
+	engines := newEngines(1, 8)
+	failNext(engines, Crashed)
+	for range 4 {
+		engines.ask(Request{Member: "m", Attained: 1, OutputTokens: 10})
+	}
+	require.Empty(t, engines.tick())
+	engines.now = engines.pool.Next()
+	require.Len(t, engines.tick(), 1)
+	engines.run()
+	require.Len(t, engines.tick(), 3)
+}
+
+func TestLateFailuresOfOldCallsDoNotLengthenTheEjection(t *testing.T) {
+	engines := newEngines(1, 8)
+	for range 8 {
+		engines.ask(Request{Member: "m", Attained: 1, OutputTokens: 10})
+	}
+	engines.tick()
+	for id := RequestID(1); id <= 8; id++ {
+		engines.pool.Finish(engines.now, Finish{ID: id, Outcome: Silent})
+	}
+	require.Equal(t, bvclock.Time(firstEject), engines.pool.Next())
+}
--- a/bvgate/snapshot.go
+++ b/bvgate/snapshot.go
@@ -23,6 +23,7 @@
 	Slots        int
 	CachedTokens int // of programs that wait for their next turn
 	Leaving      bool
+	Ejected      bool // failed calls; probed later
 }
 
 // Snapshot returns the state, members and endpoints sorted by name.
@@ -47,6 +48,7 @@
 			Slots:        at.report.Slots,
 			CachedTokens: at.cache.tokens,
 			Leaving:      at.report.Leaving,
+			Ejected:      at.health.ejected,
 		})
 	}
 	return snapshot
