bvgate: run suspects of a crash alone, refuse them after the second

Cause: now and then one request crashes each endpoint that runs it, and its caller sends it again; every call beside it dies with it. Ruled out: blaming only the first call that reports the crash (any of those in flight may be it) and holding a zone's crash against its calls: each would empty an endpoint elsewhere.

The change: all calls in flight on the crashed incarnation become suspects by member and fingerprint. A suspect waits for an endpoint that is emptied for it, one in sixteen at a time, runs with nothing beside it and never twice at once; it is charged for the whole endpoint. Finishing clears it, the second crash refuses it at once as poisonous for an hour. Half of a zone's endpoints, three at least, within ten seconds is the zone's failure and pardons its calls. Suspects and AddSuspects carry the table between hosts, bounded per member. A permit that had lapsed and whose call ends all the same counts as used.

Conclusion: at most two crashes by one request within a pool; the calls beside its first run are lost once.

--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -30,6 +30,8 @@
 	grantedAt bvclock.Time
 	used      bool
 	lapsed    bool
+	alone     bool // is a suspect
+	blamed    bool // for a crash of its endpoint
 	cached    int
 	memory    int
 	estimate  Work
@@ -37,6 +39,14 @@
 	timer     timer
 }
 
+// occupied is how many slots the call takes.
+func (call *call) occupied() Work {
+	if call.alone && call.boot != nil {
+		return Work(max(call.boot.endpoint.report.Slots, 1))
+	}
+	return 1
+}
+
 func (pool *Pool) begin(now bvclock.Time, begun *call) {
 	if pool.calls == nil {
 		pool.calls = make(map[RequestID]*call)
@@ -51,6 +61,7 @@
 
 // attach lets a call occupy its endpoint.
 func (pool *Pool) attach(now bvclock.Time, attached *call) {
+	pool.countFlight(&attached.request, 1)
 	if attached.boot == nil {
 		return
 	}
@@ -60,6 +71,9 @@
 	if attached.boot != at.boot {
 		return
 	}
+	if attached.alone {
+		at.alone = attached
+	}
 	if attached.program.key.name != "" {
 		attached.site = attached.program.visit(at)
 		pool.pin(attached.site)
@@ -82,6 +96,7 @@
 // detach frees what a call occupies; held is what the endpoint now caches of
 // the program.
 func (pool *Pool) detach(now bvclock.Time, detached *call, held int) {
+	pool.countFlight(&detached.request, -1)
 	if detached.boot == nil {
 		return
 	}
@@ -90,6 +105,9 @@
 	if detached.boot != at.boot {
 		return
 	}
+	if at.alone == detached {
+		at.alone = nil
+	}
 	at.cache.pinned -= detached.memory
 	if site := detached.site; site != nil {
 		pool.unpin(now, site, held)
@@ -178,8 +196,13 @@
 	if ended == nil {
 		return
 	}
+	if ended.lapsed && finish.Outcome != Unused {
+		// Its Used was lost on the way, but it ran.
+		pool.Used(now, finish.ID)
+	}
 	pool.settle(now, ended, finish)
 	pool.judge(now, ended, finish.Outcome)
+	pool.verify(now, ended, finish.Outcome)
 	pool.drop(now, ended, ended.held(finish))
 	if finish.Pause < 0 {
 		pool.EndProgram(now, ended.request.Member, ended.request.Program)
@@ -188,15 +211,33 @@
 	pool.tidy(now, ended, finish)
 }
 
+// verify learns whether the call is a suspect.
+func (pool *Pool) verify(now bvclock.Time, ended *call, outcome Outcome) {
+	switch outcome {
+	case Crashed:
+		pool.blame(now, ended)
+	case Succeeded:
+		if held := pool.suspicion(&ended.request); held != nil && ended.alone {
+			pool.clear(held)
+		}
+	}
+}
+
 // settle corrects what was charged by the estimate, and learns from it.
 func (pool *Pool) settle(now bvclock.Time, ended *call, finish Finish) {
 	if ended.lapsed {
 		return
 	}
-	work := pool.cost.Work(finish.PromptTokens-finish.CachedTokens, finish.OutputTokens)
+	work := pool.cost.Work(finish.PromptTokens-finish.CachedTokens, finish.OutputTokens) * ended.occupied()
 	switch finish.Outcome {
-	case Unused, Refused, Crashed:
+	case Unused, Refused:
 		work = 0
+	case Crashed:
+		// The members of innocent calls do not pay for the crash.
+		work = 0
+		if ended.alone {
+			work = ended.estimate
+		}
 	case Silent:
 		work = ended.estimate
 	}
@@ -205,7 +246,7 @@
 		return
 	}
 	took := max(float64(now.Sub(ended.grantedAt)), 1)
-	pool.work.add(float64(work))
+	pool.work.add(float64(work / ended.occupied()))
 	pool.duration.add(took)
 	pool.learnOutput(&ended.request, finish.OutputTokens)
 	if ended.boot != nil && ended.expected > 0 {
--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -22,6 +22,7 @@
 	cached   int     // tokens of the prompt
 	wait     float64 // until a slot is free, in milliseconds
 	service  float64 // from the start to the end
+	alone    bool    // with no other call beside it
 }
 
 func (choice choice) finish() float64 { return choice.wait + choice.service }
@@ -69,7 +70,7 @@
 
 func (pool *Pool) weighSite(now bvclock.Time, queued *request, warm *site) (choice, bool) {
 	at := warm.endpoint
-	if warm.tokens == 0 || !at.open() {
+	if warm.tokens == 0 || !at.open() || at.reserved() {
 		return choice{}, false
 	}
 	weighed := pool.weigh(now, queued, at)
@@ -134,6 +135,10 @@
 			if parked == nil {
 				break
 			}
+			if pool.suspicion(&parked.Request) != nil {
+				pool.setAside(parked)
+				continue
+			}
 			pool.grant(now, parked, pool.weigh(now, parked, at))
 			served = true
 		}
--- a/bvgate/endpoint.go
+++ b/bvgate/endpoint.go
@@ -44,7 +44,9 @@
 	index        int // in the heap of endpoints with a free slot, from 1
 	waking       bool
 	health       health
-	timer        timer // forgets a removed endpoint
+	isolates     *request // suspect for which the endpoint is emptied
+	alone        *call    // suspect that runs here
+	timer        timer    // forgets a removed endpoint
 }
 
 func (endpoint *endpoint) name() string { return endpoint.report.Name }
@@ -63,9 +65,14 @@
 	return !endpoint.gone && !endpoint.report.Leaving && !endpoint.health.ejected
 }
 
+// reserved reports whether the endpoint is kept for a suspect.
+func (endpoint *endpoint) reserved() bool {
+	return endpoint.isolates != nil || endpoint.alone != nil
+}
+
 // free is how many more calls the endpoint may be granted.
 func (endpoint *endpoint) free() int {
-	if !endpoint.open() {
+	if !endpoint.open() || endpoint.reserved() {
 		return 0
 	}
 	return endpoint.usable() - endpoint.running() - endpoint.external
@@ -144,6 +151,7 @@
 	}
 	if !seated.open() {
 		pool.unparkAll(seated)
+		pool.abandon(seated)
 	}
 }
 
@@ -194,6 +202,7 @@
 	rebooted.prefillUntil = 0
 	rebooted.peaks = [2]int{}
 	rebooted.external = 0
+	rebooted.alone = nil
 	rebooted.speed = average{}
 	pool.rest(rebooted)
 }
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -31,6 +31,8 @@
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
+
+	suspicions []suspectKey // oldest first
 }
 
 func (member *member) weight() float64 {
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -24,6 +24,8 @@
 package bvgate
 
 import (
+	"slices"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvverdict"
 )
@@ -48,6 +50,13 @@
 	free    endpointHeap // endpoints with a free slot
 	woken   []*endpoint  // with a free slot and parked requests
 	timers  timerHeap
+
+	suspicions map[suspectKey]*suspicion
+	flights    map[suspectKey]int // calls in flight by content
+	zones      map[string]*zone
+	suspects   []*request  // that wait for an endpoint to isolate
+	isolated   []*endpoint // that are emptied for a suspect
+
 	order   uint64
 	effects []Effect
 
@@ -87,6 +96,10 @@
 	if lapsed := pool.calls[asked.ID]; lapsed != nil {
 		pool.drop(now, lapsed, lapsed.cached)
 	}
+	if pool.poisonous(&asked) {
+		pool.refuse(asked.ID, errPoisonous())
+		return
+	}
 	queued := pool.newRequest(now, asked)
 	pool.allow(now, queued.member)
 	if err := pool.reject(now, queued); err != nil {
@@ -130,6 +143,10 @@
 	queued.member.queue.add(queued)
 	pool.place(queued.member)
 	queued.agesAt = now.Add(ageStep)
+	if pool.suspicion(&queued.Request) != nil {
+		pool.setAside(queued)
+		return
+	}
 	pool.watch(queued)
 }
 
@@ -199,6 +216,13 @@
 	if queued.bucket != nil {
 		queued.member.queue.remove(queued)
 	}
+	if queued.aside {
+		queued.aside = false
+		pool.suspects = slices.DeleteFunc(pool.suspects, func(other *request) bool { return other == queued })
+	}
+	if queued.isolates != nil {
+		pool.unisolate(queued)
+	}
 	pool.leave(queued.member)
 	pool.place(queued.member)
 }
@@ -207,6 +231,7 @@
 // and at the time that Next returns.
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
 	pool.ringTimers(now)
+	pool.serveSuspects(now)
 	for pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
 	}
@@ -230,6 +255,10 @@
 	served := false
 	for len(pool.backlog) > 0 && len(pool.free) > 0 {
 		first := pool.backlog[0].queue.first()
+		if pool.suspicion(&first.Request) != nil {
+			pool.setAside(first)
+			continue
+		}
 		best := pool.choose(now, first)
 		if best.wait > 0 {
 			pool.park(now, first, best)
@@ -254,11 +283,12 @@
 		cached:   at.cached,
 		memory:   granted.PromptTokens + granted.OutputTokens,
 		expected: at.service,
+		alone:    at.alone,
 	}
-	begun.estimate = pool.cost.Work(granted.PromptTokens-at.cached, granted.OutputTokens)
+	begun.estimate = pool.cost.Work(granted.PromptTokens-at.cached, granted.OutputTokens) * begun.occupied()
 	at.endpoint.prefillUntil = max(at.endpoint.prefillUntil, float64(now)) + pool.cost.prefillTime(granted.PromptTokens-at.cached)
 	pool.begin(now, begun)
 	expires := now.Add(PermitWindow)
 	pool.setTimer(&begun.timer, expires, begun)
-	pool.effects = append(pool.effects, Grant{Request: granted.ID, Endpoint: at.endpoint.name(), Expires: expires})
+	pool.effects = append(pool.effects, Grant{Request: granted.ID, Endpoint: at.endpoint.name(), Alone: at.alone, Expires: expires})
 }
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -35,7 +35,9 @@
 
 	parkedAt    *endpoint // whose slot it waits for
 	parkedUntil bvclock.Time
-	restless    bool // was parked once in vain
+	restless    bool      // was parked once in vain
+	aside       bool      // is a suspect that waits for an endpoint
+	isolates    *endpoint // which is emptied for it
 }
 
 // level is that of a program with the given attained service: programs of one
