bvgate: bound repeated calls to a tenth of the work

Cause: callers send a call again when it breaks; under a failure that breaks many, the load doubles just when there is less to carry it. Ruled out: counting calls (one of 300,000 tokens counts as one of 100) and a budget per host (a member's callers reach all hosts). The change: first calls earn a tenth of their work, repeated ones spend it; twenty usual calls are there from the start, a minute's worth is kept. A call is repeated when its owner says so (Attempt) or when one of the same content crashed or fell silent within a minute. Beyond the budget it is refused at once, with the time until it is earned. Measured: 4,000 calls each sent twice: 420 repeated calls run (TestRepeatedCallsTakeATenthOfTheWork).

--- a/bvgate/admission.go
+++ b/bvgate/admission.go
@@ -59,6 +59,9 @@
 	if asked.member.queued >= pool.limits.queue() {
 		return overloaded(wait, "queue of member %s is full", asked.Member)
 	}
+	if err := pool.rejectRepetition(asked); err != nil {
+		return err
+	}
 	backlog := pool.backlogTime(asked.member)
 	if asked.starts() && backlog > pool.limits.wait() {
 		return overloaded(backlog-pool.limits.wait(), "backlog of member %s is %s", asked.Member, backlog)
--- a/bvgate/admission_test.go
+++ b/bvgate/admission_test.go
@@ -113,3 +113,36 @@
 	}
 	require.Equal(t, map[string]int{"a": 1, "b": 3}, running)
 }
+
+func TestRepeatedCallsTakeATenthOfTheWork(t *testing.T) {
+	// Answers are lost on their way, and the callers send each call again.
+	// Unbounded, every call would be run twice and the load doubled for as
+	// long as this goes on.
+	engines := newEngines(4, 4)
+	repeated, refused := 0, 0
+	for range 4000 {
+		first := engines.ask(Request{Member: "m", OutputTokens: 100})
+		engines.tick()
+		engines.pool.Finish(engines.now, Finish{ID: first, OutputTokens: 100})
+		again := engines.ask(Request{Member: "m", OutputTokens: 100, Attempt: 1})
+		refused += len(refusals(engines.tick()))
+		if engines.pool.calls[again] != nil {
+			repeated++
+			engines.pool.Finish(engines.now, Finish{ID: again, OutputTokens: 100})
+		}
+		engines.now += 100
+	}
+	require.Equal(t, 4000, repeated+refused)
+	require.InDelta(t, 400+retryCalls, repeated, 2)
+}
+
+func TestCallOfAContentThatFailedCountsAsRepeated(t *testing.T) {
+	engines := newEngines(1, 4)
+	first := engines.ask(Request{Member: "m", Fingerprint: 1, OutputTokens: 100})
+	engines.tick()
+	engines.pool.Finish(engines.now, Finish{ID: first, Outcome: Silent})
+	require.True(t, engines.pool.repeats(engines.now, &Request{Member: "m", Fingerprint: 1}))
+	require.False(t, engines.pool.repeats(engines.now, &Request{Member: "m", Fingerprint: 2}))
+	later := engines.now.Add(failedKept + 1)
+	require.False(t, engines.pool.repeats(later, &Request{Member: "m", Fingerprint: 1}))
+}
--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -216,6 +216,9 @@
 	switch outcome {
 	case Crashed:
 		pool.blame(now, ended)
+		pool.noteFailure(now, ended)
+	case Silent:
+		pool.noteFailure(now, ended)
 	case Succeeded:
 		if held := pool.suspicion(&ended.request); held != nil && ended.alone {
 			pool.clear(held)
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -33,6 +33,7 @@
 	timer   timer // of the rate limit
 
 	suspicions []suspectKey // oldest first
+	retries    retries
 }
 
 func (member *member) weight() float64 {
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -130,6 +130,7 @@
 	pool.learnHistory(queued)
 	queued.estimate = pool.cost.Work(asked.PromptTokens-queued.program.cachedTokens(), queued.OutputTokens)
 	queued.level = level(asked.Attained)
+	queued.repeated = pool.repeats(now, &asked)
 	return queued
 }
 
@@ -287,6 +288,7 @@
 	}
 	begun.estimate = pool.cost.Work(granted.PromptTokens-at.cached, granted.OutputTokens) * begun.occupied()
 	at.endpoint.prefillUntil = max(at.endpoint.prefillUntil, float64(now)) + pool.cost.prefillTime(granted.PromptTokens-at.cached)
+	pool.account(granted, begun.estimate)
 	pool.begin(now, begun)
 	expires := now.Add(PermitWindow)
 	pool.setTimer(&begun.timer, expires, begun)
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -29,6 +29,7 @@
 	level    int
 	agesAt   bvclock.Time
 	estimate Work
+	repeated bool    // was sent before
 	bucket   *bucket // nil unless in the member's queue
 	index    int     // in the bucket
 	timer    timer
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -26,6 +26,7 @@
 	Fingerprint  uint64       // of the request's content; 0 means none
 	Deadline     bvclock.Time // 0 means none
 	Unrepeatable bool         // never granted twice
+	Attempt      int          // times that it was sent before
 }
 
 //go:generate stringer -type=Outcome -linecomment -output=outcome_string.go
