bvendpoint: tests of silent, broken and dying connections

Each promise of the client has a test that brings the failure about. A test with the plain http.Client shows that it sends a replayable call twice when a reused connection dies, with an Idempotency-Key as well as with GET; Invoke sends it once.

--- /dev/null
+++ b/bvendpoint/chat_test.go
@@ -0,0 +1,236 @@
+package bvendpoint_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvmodel"
+	"balsamvalve.example/bvstandin"
+	"balsamvalve.example/bvverdict"
+)
+
+const (
+	testTokens   = 20
+	testProgress = 200 * bvclock.Millisecond
+)
+
+var testMessages = json.RawMessage(`[{"role":"user","content":"a lesson for two"}]`)
+
+func testCall() bvendpoint.ChatCall {
+	return bvendpoint.ChatCall{Model: "m", Messages: testMessages, MaxTokens: testTokens, Stream: "s1", Salt: "piran", Prefix: "p1"}
+}
+
+func testAnswer(t *testing.T) string {
+	digest, err := bvstandin.Digest(testMessages)
+	require.NoError(t, err)
+	return bvstandin.AnswerText(digest, testTokens)
+}
+
+func newTestEngine(t *testing.T, handler func(http.Handler) http.Handler) (*bvstandin.Engine, string) {
+	engine := bvstandin.NewEngine(bvstandin.EngineConfig{Batch: bvmodel.Config{DecodeTokensPerSecond: 500}})
+	server := httptest.NewServer(handler(engine))
+	t.Cleanup(server.Close)
+	return engine, server.Listener.Addr().String()
+}
+
+func direct(handler http.Handler) http.Handler { return handler }
+
+func newTestClient(t *testing.T) *bvendpoint.Client {
+	client := &bvendpoint.Client{Progress: testProgress}
+	t.Cleanup(client.Close)
+	return client
+}
+
+// collector checks that each token comes once and in order.
+func collector(t *testing.T, text *string) func(int, string) error {
+	next := 0
+	return func(offset int, token string) error {
+		require.Equal(t, next, offset)
+		next++
+		*text += token
+		return nil
+	}
+}
+
+func TestChatBringsWholeAnswerAndUsage(t *testing.T) {
+	_, address := newTestEngine(t, direct)
+	var text string
+	result, err := newTestClient(t).Chat(t.Context(), address, testCall(), collector(t, &text))
+	require.NoError(t, err)
+	require.Equal(t, testAnswer(t), text)
+	require.Equal(t, text, result.Text)
+	require.Equal(t, "length", result.FinishReason)
+	require.Equal(t, testTokens, result.OutputTokens)
+	require.Positive(t, result.PromptTokens)
+}
+
+func TestChatPassesFurtherFieldsOnButNotOverItsOwn(t *testing.T) {
+	call := testCall()
+	call.Params = json.RawMessage(`{"temperature":0.5,"model":"other","messages":[],"stream":false,"max_completion_tokens":900}`)
+	body, err := call.Body()
+	require.NoError(t, err)
+	require.JSONEq(t, `{"temperature":0.5,"model":"m","stream":true,"stream_options":{"include_usage":true},
+		"max_tokens":20,"messages":[{"role":"user","content":"a lesson for two"}]}`, string(body))
+}
+
+// A family waits for an answer that stops after five words although the engine
+// goes on. The connection has gone silent: no token comes and no error. The
+// rest must come over a new connection, and the engine must run the call once.
+func TestSilentStreamIsResumedOverNewConnection(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	engine.SetFaults(bvstandin.EngineFaults{SilentAfter: 5})
+	var text string
+	result, err := newTestClient(t).Chat(t.Context(), address, testCall(), collector(t, &text))
+	require.NoError(t, err)
+	require.Equal(t, testAnswer(t), text)
+	require.Positive(t, result.Resumes)
+	require.Equal(t, 1, engine.Stats().Calls)
+}
+
+// The connection breaks after the first bytes of the answer, but the engine
+// lives and goes on. The caller must get the whole answer, and a healthy
+// request must not be taken for one that crashes engines.
+func TestBrokenConnectionToLivingEngineIsNotACrash(t *testing.T) {
+	var broken atomic.Bool
+	engine, address := newTestEngine(t, func(engine http.Handler) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if !broken.Swap(true) {
+				writer = &breakingWriter{ResponseWriter: writer, left: 3}
+			}
+			engine.ServeHTTP(writer, request)
+		})
+	})
+	var text string
+	result, err := newTestClient(t).Chat(t.Context(), address, testCall(), collector(t, &text))
+	require.NoError(t, err)
+	require.Equal(t, testAnswer(t), text)
+	require.Equal(t, 1, result.Resumes)
+	require.Equal(t, 1, engine.Stats().Calls)
+}
+
+// breakingWriter breaks its connection after some writes.
+type breakingWriter struct {
+	http.ResponseWriter
+	left int
+}
+
+func (writer *breakingWriter) Write(content []byte) (int, error) {
+	if writer.left == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	writer.left--
+	return writer.ResponseWriter.Write(content)
+}
+
+func (writer *breakingWriter) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
+
+// An engine dies in mid-stream and its successor knows nothing of the stream.
+// The caller has seen some words. The error must say that the call may have
+// run, hold the words, and name a crash so that the request becomes a suspect.
+func TestCrashInMidStreamIsReportedAsCrash(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	result, err := newTestClient(t).Chat(t.Context(), address, testCall(), func(offset int, _ string) error {
+		if offset == 3 {
+			engine.SetFaults(bvstandin.EngineFaults{Crash: true})
+		}
+		return nil
+	})
+	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, bvverdict.EndpointFailed, bvverdict.From(err).Code())
+	require.GreaterOrEqual(t, result.OutputTokens, 4)
+	require.NotEmpty(t, result.Incarnation)
+}
+
+func TestPoisonedRequestIsReportedAsCrash(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	call := testCall()
+	call.Messages = json.RawMessage(`[{"role":"user","content":"` + bvstandin.PoisonMarker + `"}]`)
+	_, err := newTestClient(t).Chat(t.Context(), address, call, nil)
+	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
+	require.Equal(t, 1, engine.Stats().Crashes)
+}
+
+func TestRefusalOfEngineIsNotRun(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	engine.SetFaults(bvstandin.EngineFaults{Refuse: true})
+	_, err := newTestClient(t).Chat(t.Context(), address, testCall(), nil)
+	require.Equal(t, bvgate.Refused, bvendpoint.OutcomeOf(err))
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+	require.Equal(t, bvverdict.Overloaded, bvverdict.From(err).Code())
+	require.Equal(t, bvclock.Second, bvverdict.From(err).RetryAfter())
+	require.Zero(t, engine.Stats().Calls)
+}
+
+func TestUnreachableEngineIsNotRun(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := newTestClient(t).Chat(t.Context(), server.Listener.Addr().String(), testCall(), nil)
+	require.Equal(t, bvgate.Refused, bvendpoint.OutcomeOf(err))
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+}
+
+// The engine's host stops answering for good, on new connections too. The
+// caller must not wait for ever, and learns that the call may have run.
+func TestEngineThatStaysSilentIsGivenUp(t *testing.T) {
+	hold := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	t.Cleanup(func() {
+		close(hold)
+		server.Close()
+	})
+	client := &bvendpoint.Client{Progress: 30 * bvclock.Millisecond, Resumes: 2}
+	t.Cleanup(client.Close)
+	result, err := client.Chat(t.Context(), server.Listener.Addr().String(), testCall(), nil)
+	require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err))
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, bvverdict.EndpointTimeout, bvverdict.From(err).Code())
+	require.Equal(t, 2, result.Resumes)
+}
+
+// A caller hangs up in mid-stream. Were only the connection closed, the engine
+// would go on for a nobody, because a stream that broke may be resumed.
+func TestCallerThatGivesUpFreesTheEngine(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	gone := errors.New("caller is gone")
+	_, err := newTestClient(t).Chat(t.Context(), address, testCall(), func(int, string) error { return gone })
+	require.ErrorIs(t, err, gone)
+	require.Equal(t, bvgate.Canceled, bvendpoint.OutcomeOf(err))
+	require.Equal(t, 1, engine.Stats().Canceled)
+}
+
+// A zone fails and many streams break at once. Without a budget each of them
+// would load what is left with resumes.
+func TestResumesAreBoundedByTheBudget(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	client := newTestClient(t)
+	client.SpendBudget()
+	engine.SetFaults(bvstandin.EngineFaults{SilentAfter: 5})
+	result, err := client.Chat(t.Context(), address, testCall(), nil)
+	require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err))
+	require.Zero(t, result.Resumes)
+}
+
+func TestReleaseDropsOnlyTheProgramsPrefix(t *testing.T) {
+	engine, address := newTestEngine(t, direct)
+	client := newTestClient(t)
+	other := testCall()
+	other.Stream, other.Salt = "s2", "brindley"
+	_, err := client.Chat(t.Context(), address, testCall(), nil)
+	require.NoError(t, err)
+	_, err = client.Chat(t.Context(), address, other, nil)
+	require.NoError(t, err)
+	require.NoError(t, client.Release(t.Context(), address, "piran", "p1"))
+	held := engine.Cache()
+	require.Len(t, held, 1)
+	require.Equal(t, "brindley", held[0].Salt)
+}
--- /dev/null
+++ b/bvendpoint/service_test.go
@@ -0,0 +1,207 @@
+package bvendpoint_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvstandin"
+	"balsamvalve.example/bvverdict"
+)
+
+// dyingService answers the first request of each connection and closes the
+// connection on the second, after it has run it.
+type dyingService struct {
+	listener net.Listener
+	runs     atomic.Int64
+}
+
+func newDyingService(t *testing.T) *dyingService {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	service := &dyingService{listener: listener}
+	go service.accept()
+	return service
+}
+
+func (service *dyingService) accept() {
+	for {
+		connection, err := service.listener.Accept()
+		if err != nil {
+			return
+		}
+		go service.serve(connection)
+	}
+}
+
+func (service *dyingService) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	requests := bufio.NewReader(connection)
+	for i := range 2 {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		service.runs.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+func (service *dyingService) address() string { return service.listener.Addr().String() }
+
+// sendTwoNaively makes two calls as http.Client does by itself.
+func sendTwoNaively(t *testing.T, service *dyingService, method string, header http.Header) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range 2 {
+		request, err := http.NewRequestWithContext(t.Context(), method, "http://"+service.address()+"/book", bytes.NewReader([]byte("{}")))
+		require.NoError(t, err)
+		request.Header = header.Clone()
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}
+}
+
+func sendTwo(t *testing.T, service *dyingService, call bvendpoint.ServiceCall) (second error) {
+	client := newTestClient(t)
+	call.Path = "/book"
+	_, err := client.Invoke(t.Context(), service.address(), call)
+	require.NoError(t, err)
+	_, second = client.Invoke(t.Context(), service.address(), call)
+	return second
+}
+
+var replayHeader = http.Header{"Idempotency-Key": {"r1"}}
+
+// A booking is made twice. The service closes a reused connection after it has
+// run the second call; http.Transport sends a request that it holds to be
+// replayable again by itself. This is the fault that the next tests look for:
+// with the plain client the service runs three calls for two.
+func TestPlainClientSendsReplayableCallTwice(t *testing.T) {
+	withKey, withGet := newDyingService(t), newDyingService(t)
+	sendTwoNaively(t, withKey, http.MethodPost, replayHeader)
+	require.Equal(t, int64(3), withKey.runs.Load())
+	sendTwoNaively(t, withGet, http.MethodGet, nil)
+	require.Equal(t, int64(3), withGet.runs.Load())
+}
+
+// The same order of events as above, for a call that may be repeated: the
+// service runs two calls, and the second one's caller is told the truth.
+func TestInvokeNeverSendsTwiceWhenReusedConnectionDies(t *testing.T) {
+	service := newDyingService(t)
+	err := sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader})
+	require.Equal(t, int64(2), service.runs.Load())
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
+}
+
+// A GET without a body has nothing to rewind, so http.Transport would send it
+// again whatever its headers are.
+func TestInvokeNeverSendsGetTwiceWhenReusedConnectionDies(t *testing.T) {
+	service := newDyingService(t)
+	err := sendTwo(t, service, bvendpoint.ServiceCall{Method: http.MethodGet})
+	require.Equal(t, int64(2), service.runs.Load())
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+}
+
+// An unrepeatable call must not meet a connection that is about to be closed:
+// it has one of its own, so both calls are answered and run once each.
+func TestUnrepeatableCallsHaveConnectionsOfTheirOwn(t *testing.T) {
+	service := newDyingService(t)
+	require.NoError(t, sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader, Unrepeatable: true}))
+	require.Equal(t, int64(2), service.runs.Load())
+}
+
+func newTestService(t *testing.T) (*bvstandin.Service, string) {
+	service := &bvstandin.Service{Name: "s", Serves: "book"}
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	return service, server.Listener.Addr().String()
+}
+
+func TestInvokePassesRequestAndAnswerOn(t *testing.T) {
+	service, address := newTestService(t)
+	result, err := newTestClient(t).Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book", Body: []byte("x"), Request: "r1"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, result.Status)
+	require.Contains(t, string(result.Body), bvstandin.BodyDigest([]byte("x")))
+	require.Equal(t, 1, service.Runs("r1"))
+}
+
+// A booking's connection breaks after the service has run it. The caller must
+// not read that it was not run, or it would book again.
+func TestCallWhoseAnswerIsLostMayHaveRun(t *testing.T) {
+	service, address := newTestService(t)
+	service.SetFaults(bvstandin.ServiceFaults{FailAfter: true})
+	_, err := newTestClient(t).Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book", Request: "r1", Unrepeatable: true})
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, 1, service.Runs("r1"))
+}
+
+func TestRefusalOfServiceIsNotRun(t *testing.T) {
+	service, address := newTestService(t)
+	service.SetFaults(bvstandin.ServiceFaults{FailBefore: true})
+	_, err := newTestClient(t).Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book", Request: "r1"})
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+	require.Zero(t, service.Runs("r1"))
+}
+
+// A service answers 503 without a word on whether it ran the call. Taking the
+// status for a refusal would make "not run" a lie.
+func TestBareUnavailableIsPassedOnAsAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(server.Close)
+	result, err := newTestClient(t).Invoke(t.Context(), server.Listener.Addr().String(), bvendpoint.ServiceCall{Path: "/book"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, result.Status)
+}
+
+// A tool takes the call and never answers.
+func TestHangingServiceTimesOut(t *testing.T) {
+	service, address := newTestService(t)
+	service.SetFaults(bvstandin.ServiceFaults{Hang: true})
+	client := &bvendpoint.Client{ServiceTimeout: 100 * bvclock.Millisecond}
+	t.Cleanup(client.Close)
+	_, err := client.Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book"})
+	require.Equal(t, bvverdict.EndpointTimeout, bvverdict.From(err).Code())
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err))
+}
+
+func TestCallersDeadlineIsToldFromHangingService(t *testing.T) {
+	service, address := newTestService(t)
+	service.SetFaults(bvstandin.ServiceFaults{Hang: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := newTestClient(t).Invoke(ctx, address, bvendpoint.ServiceCall{Path: "/book"})
+	require.Equal(t, bvverdict.DeadlinePassed, bvverdict.From(err).Code())
+}
+
+func TestAnswerAboveTheLimitIsRan(t *testing.T) {
+	_, address := newTestService(t)
+	client := &bvendpoint.Client{MaxBody: 10}
+	t.Cleanup(client.Close)
+	_, err := client.Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book"})
+	require.Equal(t, bvverdict.TooLarge, bvverdict.From(err).Code())
+	require.Equal(t, bvverdict.Ran, bvverdict.Of(err))
+}
