--- /dev/null
+++ b/bvstandin/lagged_test.go
@@ -0,0 +1,31 @@
+package bvstandin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A host stops without a word. The list must drop it some time after its last
+// announcement, and a list that lags must still show it then.
+func TestEntryLapsesAndLagsBehind(t *testing.T) {
+	var list lagged[string]
+	start := time.Now()
+	list.addAt("host-1", "a", start.Add(-5*time.Second), 3*time.Second)
+	require.Empty(t, list.list(0))
+	require.Equal(t, []string{"a"}, list.list(4*time.Second))
+	require.Empty(t, list.list(6*time.Second))
+}
+
+func TestRemovedEntryIsGoneAfterTheLag(t *testing.T) {
+	var list lagged[string]
+	list.addAt("host-1", "a", time.Now().Add(-time.Minute), 0)
+	list.remove("host-1")
+	require.Empty(t, list.list(0))
+	require.Equal(t, []string{"a"}, list.list(time.Second))
+}
+
+func (lagged *lagged[T]) addAt(name string, value T, at time.Time, lapse time.Duration) {
+	lagged.add(name, announcement[T]{at: at, value: value, lapse: lapse})
+}
