--- a/bvgate/endpoint.go
+++ b/bvgate/endpoint.go
@@ -43,7 +43,10 @@
 	pressure     float64
 	index        int // in the heap of endpoints with a free slot, from 1
 	waking       bool
-	timer        timer // forgets a removed endpoint
+	health       health
+	isolates     *request // suspect for which the endpoint is emptied
+	alone        *call    // suspect that runs here
+	timer        timer    // forgets a removed endpoint
 }
 
 func (endpoint *endpoint) name() string { return endpoint.report.Name }
@@ -59,15 +62,28 @@
 
 // open reports whether the endpoint may be granted at all.
 func (endpoint *endpoint) open() bool {
-	return !endpoint.gone && !endpoint.report.Leaving
+	return !endpoint.gone && !endpoint.report.Leaving && !endpoint.health.ejected
+}
+
+// reserved reports whether the endpoint is kept for a suspect.
+func (endpoint *endpoint) reserved() bool {
+	return endpoint.isolates != nil || endpoint.alone != nil
 }
 
 // free is how many more calls the endpoint may be granted.
 func (endpoint *endpoint) free() int {
-	if !endpoint.open() {
+	if !endpoint.open() || endpoint.reserved() {
 		return 0
 	}
-	return endpoint.report.Slots - endpoint.running() - endpoint.external
+	return endpoint.usable() - endpoint.running() - endpoint.external
+}
+
+// usable is how many calls the endpoint may run now.
+func (endpoint *endpoint) usable() int {
+	if endpoint.health.probing {
+		return min(endpoint.report.Slots, 1)
+	}
+	return endpoint.report.Slots
 }
 
 func (endpoint *endpoint) slowness() float64 {
@@ -116,7 +132,7 @@
 func (pool *Pool) seat(seated *endpoint) {
 	slots := 0
 	if seated.open() {
-		slots = max(seated.report.Slots, 0)
+		slots = max(seated.usable(), 0)
 	}
 	pool.slots += slots - seated.slots
 	seated.slots = slots
@@ -135,6 +151,7 @@
 	}
 	if !seated.open() {
 		pool.unparkAll(seated)
+		pool.abandon(seated)
 	}
 }
 
@@ -185,7 +202,9 @@
 	rebooted.prefillUntil = 0
 	rebooted.peaks = [2]int{}
 	rebooted.external = 0
+	rebooted.alone = nil
 	rebooted.speed = average{}
+	pool.rest(rebooted)
 }
 
 func (pool *Pool) dropSites(of *endpoint) {
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -31,6 +31,9 @@
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
+
+	suspicions []suspectKey // oldest first
+	retries    retries
 }
 
 func (member *member) weight() float64 {
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -29,13 +29,16 @@
 	level    int
 	agesAt   bvclock.Time
 	estimate Work
+	repeated bool    // was sent before
 	bucket   *bucket // nil unless in the member's queue
 	index    int     // in the bucket
 	timer    timer
 
 	parkedAt    *endpoint // whose slot it waits for
 	parkedUntil bvclock.Time
-	restless    bool // was parked once in vain
+	restless    bool      // was parked once in vain
+	aside       bool      // is a suspect that waits for an endpoint
+	isolates    *endpoint // which is emptied for it
 }
 
 // level is that of a program with the given attained service: programs of one
