--- a/bvdaemon/endpoint.go
+++ b/bvdaemon/endpoint.go
@@ -10,6 +10,14 @@
 type endpointTable struct {
 	mutex  sync.Mutex
 	byName map[string]bvplatform.Endpoint
+	listed []bvplatform.Endpoint
+}
+
+// list returns the endpoints as they were listed.
+func (table *endpointTable) list() []bvplatform.Endpoint {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.listed
 }
 
 func (table *endpointTable) update(endpoints []bvplatform.Endpoint) {
@@ -20,6 +28,7 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	table.byName = byName
+	table.listed = endpoints
 }
 
 // Endpoint returns the endpoint with a name.
--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"balsamvalve.example/bvclock"
-	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -47,10 +46,11 @@
 		return
 	}
 	daemon.endpoints.update(endpoints)
-	daemon.permits.Update(endpoints, daemon.table.shares())
+	daemon.shareTable()
 	daemon.ready.Store(daemon.view.Self().State == bvplatform.HostLive)
 }
 
-func memberShare(member string, weight, rate float64, concurrency int) bvgate.MemberShare {
-	return bvgate.MemberShare{Member: member, Weight: weight, Rate: rate, Concurrency: concurrency}
+// shareTable gives the decisions the endpoints and the shares in force.
+func (daemon *Daemon) shareTable() {
+	daemon.permits.Update(daemon.endpoints.list(), daemon.table.shares())
 }
