Operators' HTTP API and the table commands

Operators need the table over HTTP and on the command line. Decided what a member's operators see: their own rows whole, and of the others the members' rows with their shares, which all must agree on. Rivals' classes, limits and models are left out of rows, CSV, history and errors alike.

An edit may bear an Idempotency-Key. Its row is written and checked in the transaction of the change, so that a second sending after a lost answer is the same edit. Ruled out: searching the history on a conflict, which takes a cell that was set back meanwhile for an unsent edit and sets it again.

--- /dev/null
+++ b/bvoperator/client.go
@@ -0,0 +1,163 @@
+package bvoperator
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"balsamvalve.example/bvtable"
+)
+
+// sendTries is how often an edit is sent when no answer comes. The
+// Idempotency-Key makes the copies one edit.
+const sendTries = 3
+
+// Client asks a host for the table and edits it.
+type Client struct {
+	Address string       // IP and port of the host's operators' HTTP
+	Key     string       // sent as a bearer token
+	HTTP    *http.Client // nil: plain HTTP without a timeout of its own
+	TLS     bool         // https instead of http
+}
+
+// Get returns the table as the key's member may see it.
+func (client *Client) Get(ctx context.Context) (View, error) {
+	var view View
+	return view, client.call(ctx, http.MethodGet, "/table", nil, &view)
+}
+
+// Set edits cells, all or none.
+func (client *Client) Set(ctx context.Context, cells []bvtable.CellEdit) (Outcome, error) {
+	return client.edit(ctx, http.MethodPatch, "/table", bvtable.Edit{Cells: cells})
+}
+
+// Propose proposes shares.
+func (client *Client) Propose(ctx context.Context, shares []bvtable.MemberShare) (Outcome, error) {
+	body := struct {
+		Shares []bvtable.MemberShare `json:"shares"`
+	}{shares}
+	return client.edit(ctx, http.MethodPost, "/table/proposals", body)
+}
+
+// Accept consents to a proposal.
+func (client *Client) Accept(ctx context.Context, id string) (Outcome, error) {
+	return client.edit(ctx, http.MethodPost, "/table/proposals/"+url.PathEscape(id)+"/accept", struct{}{})
+}
+
+// Proposals returns all proposals.
+func (client *Client) Proposals(ctx context.Context) ([]bvtable.Proposal, error) {
+	var proposals []bvtable.Proposal
+	return proposals, client.call(ctx, http.MethodGet, "/table/proposals", nil, &proposals)
+}
+
+// History returns the newest changes below a version; 0 for the newest of all.
+func (client *Client) History(ctx context.Context, below int64, limit int) ([]bvtable.Change, error) {
+	query := url.Values{}
+	query.Set("below", strconv.FormatInt(below, 10))
+	query.Set("limit", strconv.Itoa(limit))
+	var changes []bvtable.Change
+	return changes, client.call(ctx, http.MethodGet, "/table/history?"+query.Encode(), nil, &changes)
+}
+
+// Export returns the table as CSV.
+func (client *Client) Export(ctx context.Context) ([]byte, error) {
+	return client.send(ctx, http.MethodGet, "/table/csv", nil, "")
+}
+
+// Import edits all cells in which the CSV differs from its export.
+func (client *Client) Import(ctx context.Context, content []byte, remove bool) (Outcome, error) {
+	path := "/table/csv?remove=" + strconv.FormatBool(remove)
+	return client.editBytes(ctx, http.MethodPut, path, content)
+}
+
+func (client *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	content, err := client.send(ctx, method, path, body, "")
+	if err != nil {
+		return err
+	}
+	return decode(content, answer)
+}
+
+func (client *Client) edit(ctx context.Context, method, path string, body any) (Outcome, error) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return Outcome{}, fmt.Errorf("operator client: %w", err)
+	}
+	return client.editBytes(ctx, method, path, content)
+}
+
+func (client *Client) editBytes(ctx context.Context, method, path string, body []byte) (Outcome, error) {
+	var outcome Outcome
+	content, err := client.send(ctx, method, path, body, rand.Text())
+	if err != nil {
+		return outcome, err
+	}
+	return outcome, decode(content, &outcome)
+}
+
+func decode(content []byte, answer any) error {
+	if err := json.Unmarshal(content, answer); err != nil {
+		return fmt.Errorf("operator client: answer: %w", err)
+	}
+	return nil
+}
+
+// send returns the body of the answer. Without an answer it sends again: a
+// host may have accepted the edit and died before it could say so, and the
+// attempt tells the copies apart.
+func (client *Client) send(ctx context.Context, method, path string, body []byte, attempt string) ([]byte, error) {
+	var err error
+	for range sendTries {
+		var response *http.Response
+		if response, err = client.sendOnce(ctx, method, path, body, attempt); err != nil {
+			continue
+		}
+		var content []byte
+		content, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			continue
+		}
+		if response.StatusCode != http.StatusOK {
+			return nil, failureOf(response.StatusCode, content)
+		}
+		return content, nil
+	}
+	if attempt == "" {
+		return nil, fmt.Errorf("operator client: %w", err)
+	}
+	return nil, fmt.Errorf("operator client: no answer, the edit may have been accepted as %s: %w", attempt, err)
+}
+
+func (client *Client) sendOnce(ctx context.Context, method, path string, body []byte, attempt string) (*http.Response, error) {
+	scheme := "http://"
+	if client.TLS {
+		scheme = "https://"
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+client.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+client.Key)
+	if attempt != "" {
+		request.Header.Set(attemptHeader, attempt)
+	}
+	if client.HTTP == nil {
+		return http.DefaultClient.Do(request)
+	}
+	return client.HTTP.Do(request)
+}
+
+func failureOf(status int, content []byte) error {
+	var body failureBody
+	if err := json.Unmarshal(content, &body); err != nil || body.Error == nil {
+		return fmt.Errorf("operator client: status %d: %s", status, content)
+	}
+	return body.Error
+}
--- a/bvtable/editor.go
+++ b/bvtable/editor.go
@@ -21,9 +21,6 @@
 	// maxRetryPause.
 	retryPause    = 10 * bvclock.Millisecond
 	maxRetryPause = 500 * bvclock.Millisecond
-	// attemptsSearched is the number of versions in which a repeated edit
-	// looks for its attempt.
-	attemptsSearched = 1000
 )
 
 // Editor edits the table for operators. Store and Follower must be set; it is
@@ -106,15 +103,14 @@
 func (editor *Editor) write(ctx context.Context, actor Actor, attempt string, plan planner) (Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout.Std())
 	defer cancel()
-	repeatable := attempt != ""
-	if !repeatable {
+	if attempt == "" {
 		attempt = rand.Text()
 	}
+	if !validName(attempt) {
+		return Change{}, bvverdict.Refuse(bvverdict.BadRequest, "attempt %q is not a plain word", attempt)
+	}
 	for tries := 0; ; tries++ {
 		change, accepted, err := editor.try(ctx, actor, attempt, plan)
-		if err != nil && repeatable && bvverdict.From(err).Code() == bvverdict.Conflict {
-			return editor.findAttempt(ctx, actor, attempt, err)
-		}
 		if err != nil || accepted {
 			return change, err
 		}
@@ -130,6 +126,10 @@
 	if err != nil {
 		return Change{}, false, err
 	}
+	earlier, found, err := editor.earlier(ctx, actor, attempt)
+	if err != nil || found {
+		return earlier, found, err
+	}
 	draft, err := plan(ctx, table)
 	if err != nil {
 		return Change{}, false, err
@@ -164,6 +164,35 @@
 	return change, true, editor.Follower.apply([]Change{change})
 }
 
+// earlier returns the change of an attempt that was accepted before.
+//
+// An operator whose answer was lost on the way from a host sends the edit
+// again. Run twice, it would set back what others changed in between, also
+// when the cell happens to hold the expected text again. The row of the
+// attempt is written in the transaction of the change and checked by it, so
+// that of two copies at once one is accepted too.
+func (editor *Editor) earlier(ctx context.Context, actor Actor, attempt string) (Change, bool, error) {
+	rows, err := editor.Store.Read(ctx, attemptKey(actor, attempt))
+	if err != nil {
+		return Change{}, false, unavailable(err)
+	}
+	if rows[0].Version == 0 {
+		return Change{}, false, nil
+	}
+	version, err := decodeVersion(rows[0])
+	if err != nil {
+		return Change{}, false, unavailable(err)
+	}
+	changes, err := storage{editor.Store}.changes(ctx, version, version)
+	if err != nil {
+		return Change{}, false, unavailable(err)
+	}
+	if len(changes) == 0 {
+		return Change{Version: version}, true, nil
+	}
+	return changes[0], true, nil
+}
+
 // validate checks the table whole, so that an edit that merged with another
 // one can't break a rule that each kept alone. Models and services are checked
 // only in the cells of this edit: the platform's list lags, and a rival's
@@ -207,8 +236,9 @@
 	return known
 }
 
-// transaction makes the new version conditional on the counter and on the
-// rows that it touches. It reports whether the table is still the newest.
+// transaction makes the new version conditional on the counter, on the rows
+// that it touches and on the attempt being new. It reports whether the table
+// is still the newest.
 func (editor *Editor) transaction(ctx context.Context, next *Table, change Change, draft draft) (bvplatform.Transaction, bool, error) {
 	names := touched(change.Cells)
 	keys := []string{versionKey}
@@ -230,8 +260,28 @@
 	for _, row := range rows {
 		transaction.Checks = append(transaction.Checks, bvplatform.Check{Key: row.Key, Version: row.Version})
 	}
-	err = addPuts(&transaction, next, change, names)
-	return transaction, true, err
+	transaction.Checks = append(transaction.Checks, bvplatform.Check{Key: attemptKey(change.Actor, change.Attempt)})
+	if err := addPuts(&transaction, next, change, names); err != nil {
+		return bvplatform.Transaction{}, false, err
+	}
+	return transaction, true, editor.addDeletes(ctx, &transaction, change.Version-changesKept)
+}
+
+// addDeletes lets a change that is kept no longer go along with this write.
+func (editor *Editor) addDeletes(ctx context.Context, transaction *bvplatform.Transaction, version int64) error {
+	if version < 1 {
+		return nil
+	}
+	changes, err := storage{editor.Store}.changes(ctx, version, version)
+	if err != nil {
+		return unavailable(err)
+	}
+	for _, change := range changes {
+		transaction.Puts = append(transaction.Puts,
+			bvplatform.Put{Key: changeKey(version)},
+			bvplatform.Put{Key: attemptKey(change.Actor, change.Attempt)})
+	}
+	return nil
 }
 
 func touched(cells []Cell) []RowName {
@@ -251,10 +301,8 @@
 	}
 	transaction.Puts = append(transaction.Puts,
 		bvplatform.Put{Key: versionKey, Value: encodeVersion(change.Version)},
-		bvplatform.Put{Key: changeKey(change.Version), Value: content})
-	if change.Version > changesKept {
-		transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: changeKey(change.Version - changesKept)})
-	}
+		bvplatform.Put{Key: changeKey(change.Version), Value: content},
+		bvplatform.Put{Key: attemptKey(change.Actor, change.Attempt), Value: encodeVersion(change.Version)})
 	for _, name := range names {
 		row, found := next.Exact(name)
 		if !found {
@@ -314,23 +362,6 @@
 	return rows[0].Attempt, true
 }
 
-// findAttempt answers an operator who sends an edit again because the answer
-// was lost on the way from this host. The first one took effect, so the cells
-// no longer hold what it expects; without the attempt the operator would be
-// told of a conflict with themselves.
-func (editor *Editor) findAttempt(ctx context.Context, actor Actor, attempt string, conflict error) (Change, error) {
-	changes, err := editor.History(ctx, 0, attemptsSearched)
-	if err != nil {
-		return Change{}, conflict
-	}
-	for _, change := range changes {
-		if change.Attempt == attempt && change.Actor == actor {
-			return change, nil
-		}
-	}
-	return Change{}, conflict
-}
-
 // wait pauses before a retry, for a random time so that racing editors don't
 // meet again at once. It returns an error when the context has ended.
 func (editor *Editor) wait(ctx context.Context, tries int) error {
--- a/bvtable/proposal.go
+++ b/bvtable/proposal.go
@@ -49,7 +49,6 @@
 	ID       string        `json:"id"`
 	Member   string        `json:"member"` // whose operator proposed it
 	At       time.Time     `json:"at"`
-	Attempt  string        `json:"attempt"`
 	Before   []MemberShare `json:"before"` // in force when it was proposed
 	Shares   []MemberShare `json:"shares"`
 	Consents []string      `json:"consents,omitempty"` // members, in the order of acceptance
@@ -77,31 +76,26 @@
 // member is concerned.
 func (editor *Editor) Propose(ctx context.Context, actor Actor, attempt string, shares []MemberShare) (Proposal, Report, error) {
 	started := editor.Follower.Clock.Now()
-	if earlier, found := editor.findProposal(ctx, actor, attempt); found {
-		table, err := editor.Get(ctx)
-		if err != nil {
-			return Proposal{}, Report{}, err
-		}
-		return earlier, editor.announce(ctx, started, Change{Version: table.version}), nil
-	}
 	var proposal Proposal
 	change, err := editor.write(ctx, actor, attempt, func(_ context.Context, table *Table) (draft, error) {
 		if err := checkProposal(actor, table, shares); err != nil {
 			return draft{}, err
 		}
 		proposal = Proposal{
-			ID:      "p" + strconv.FormatInt(table.version+1, 10),
-			Member:  actor.Member,
-			At:      time.Now().UTC(),
-			Attempt: attempt,
-			Before:  table.Shares(),
-			Shares:  slices.Clone(shares),
+			ID:     "p" + strconv.FormatInt(table.version+1, 10),
+			Member: actor.Member,
+			At:     time.Now().UTC(),
+			Before: table.Shares(),
+			Shares: slices.Clone(shares),
 		}
 		return proposalDraft(table, &proposal, 0, "proposed")
 	})
 	if err != nil {
 		return Proposal{}, Report{}, err
 	}
+	if proposal, err = editor.orEarlier(ctx, proposal, change); err != nil {
+		return Proposal{}, Report{}, err
+	}
 	return proposal, editor.announce(ctx, started, change), nil
 }
 
@@ -134,6 +128,9 @@
 	if err != nil {
 		return Proposal{}, Report{}, err
 	}
+	if proposal, err = editor.orEarlier(ctx, proposal, change); err != nil {
+		return Proposal{}, Report{}, err
+	}
 	return proposal, editor.announce(ctx, started, change), nil
 }
 
@@ -163,20 +160,14 @@
 	}
 }
 
-func (editor *Editor) findProposal(ctx context.Context, actor Actor, attempt string) (Proposal, bool) {
-	if attempt == "" {
-		return Proposal{}, false
-	}
-	proposals, err := editor.Proposals(ctx)
-	if err != nil {
-		return Proposal{}, false
-	}
-	for _, proposal := range proposals {
-		if proposal.Attempt == attempt && proposal.Member == actor.Member {
-			return proposal, true
-		}
+// orEarlier returns the proposal of the change, when it is one that an earlier
+// sending of the same attempt made.
+func (editor *Editor) orEarlier(ctx context.Context, proposal Proposal, change Change) (Proposal, error) {
+	if change.Proposal == "" || change.Proposal == proposal.ID {
+		return proposal, nil
 	}
-	return Proposal{}, false
+	proposal, _, err := editor.readProposal(ctx, editor.Follower.Snapshot(), change.Proposal)
+	return proposal, err
 }
 
 func (editor *Editor) readProposal(ctx context.Context, table *Table, id string) (Proposal, int64, error) {
--- a/bvtable/storage.go
+++ b/bvtable/storage.go
@@ -16,6 +16,7 @@
 	rowPrefix      = "table/row/"
 	changePrefix   = "table/change/"
 	proposalPrefix = "table/proposal/"
+	attemptPrefix  = "table/attempt/"
 )
 
 // Sizes of reads.
@@ -43,6 +44,10 @@
 	return proposalPrefix + id
 }
 
+func attemptKey(actor Actor, attempt string) string {
+	return attemptPrefix + actor.Member + "/" + attempt
+}
+
 // storage reads the table from the platform's store.
 type storage struct {
 	store bvplatform.Store
--- a/bvtable/view.go
+++ b/bvtable/view.go
@@ -17,9 +17,12 @@
 	return rows
 }
 
-// VisibleTo returns the change as a member's operators may see it.
-func (change Change) VisibleTo(member string) Change {
-	if change.Actor.Member != member {
+// VisibleTo returns the change as a member's operators may see it, and
+// whether they may see it at all: of rivals' edits only those of shares and of
+// membership.
+func (change Change) VisibleTo(member string) (Change, bool) {
+	own := change.Actor.Member == member
+	if !own {
 		change.Attempt = ""
 	}
 	cells := change.Cells
@@ -29,5 +32,5 @@
 			change.Cells = append(change.Cells, cell)
 		}
 	}
-	return change
+	return change, own || change.Proposal != "" || len(change.Cells) > 0
 }
