--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -58,5 +58,6 @@
 	root.AddCommand(newCheck())
 	root.AddCommand(newSettings())
 	root.AddCommand(newStandin())
+	root.AddCommand(newTable())
 	return root
 }
