bvgate: benchmarks of a decision at 76, 1,000 and 4,200 endpoints

go test -run '^$' -bench Decide -benchmem ./bvgate, 16 slots an endpoint, all taken, eight requests waiting for each, programs of twelve turns; a step is one request's Ask, Tick, Used, Finish and, at the end of a program, its release, with the test's own bookkeeping of running calls:

--- /dev/null
+++ b/bvgate/bench_test.go
@@ -0,0 +1,64 @@
+package bvgate
+
+import (
+	"testing"
+
+	"balsamvalve.example/bvclock"
+)
+
+// benchmarkDecide measures a request's whole way through a loaded pool: Ask,
+// Tick, Used and Finish, with all slots taken, eight requests waiting for each
+// endpoint and programs that come back to their caches.
+func benchmarkDecide(b *testing.B, count int) {
+	const slots, turns = 16, 12
+	engines := newEngines(count, slots)
+	pool := engines.pool
+	pool.SetMembers([]MemberShare{{Member: "a", Weight: 3}, {Member: "b", Weight: 1}})
+	programs := make([]string, count*slots*2)
+	for i := range programs {
+		programs[i] = "p" + string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676%26)) + string(rune('a'+i/17576%26))
+	}
+	members := [2]string{"a", "b"}
+	next := 0
+	ask := func() {
+		i := next % len(programs)
+		turn := next / len(programs) % turns
+		engines.ask(Request{
+			Member: members[i%2], Program: programs[i], Attained: Work(500 * turn),
+			PromptTokens: 600 * (turn + 1), OutputTokens: 60 + i%80, Fingerprint: uint64(next + 1),
+		})
+		next++
+	}
+	for range count * (slots + 8) {
+		ask()
+	}
+	engines.tick()
+	step := func() {
+		ended := engines.ends[0].id
+		request := engines.run()
+		delete(engines.asked, ended)
+		if request.PromptTokens >= 600*turns {
+			pool.EndProgram(engines.now, request.Member, request.Program)
+		}
+		ask()
+		for _, effect := range engines.tick() {
+			if release, ok := effect.(Release); ok {
+				pool.ReleaseDone(engines.now, release.Endpoint, release.Member, release.Program)
+			}
+		}
+		engines.started = engines.started[:0]
+	}
+	for range 3 * len(programs) {
+		step()
+	}
+	engines.now = max(engines.now, bvclock.Time(bvclock.Second))
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		step()
+	}
+}
+
+func BenchmarkDecide76(b *testing.B)   { benchmarkDecide(b, 76) }
+func BenchmarkDecide1000(b *testing.B) { benchmarkDecide(b, 1000) }
+func BenchmarkDecide4200(b *testing.B) { benchmarkDecide(b, 4200) }
