A lost owner's stream is taken over by the next owner

Cause: a caller that reads a stream got a cut answer when the owner's host died; running the turn anew would mix two answers. Ruled out: a durable record of the endpoint per call (one write a turn); the entry knows the endpoint and stream and shows both to the next owner. Run: go test ./bvprocess passes; the killed owner is shown by lost_owners=1.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -106,7 +106,7 @@
 		Rows:      daemon.table,
 		Log:       daemon.log,
 	})
-	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner)
+	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner, daemon.measures)
 	api := bvcaller.New(daemon.entry, daemon.table, daemon.settings.Ring(), daemon.settings.BodyLimit(), daemon.measures)
 	daemon.caller = newHTTPServer(api.Handler())
 	daemon.operator = newHTTPServer(daemon.operatorHandler())
--- a/bvdaemon/operator.go
+++ b/bvdaemon/operator.go
@@ -1,12 +1,30 @@
 package bvdaemon
 
-import "net/http"
+import (
+	"net/http"
+
+	"balsamvalve.example/bvkey"
+	"balsamvalve.example/bvoperator"
+	"balsamvalve.example/bvtable"
+)
 
 // operatorHandler serves what operators and the balancer look at.
 func (daemon *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", daemon.serveReady)
 	mux.Handle("GET /debug/vars", daemon.measures)
+	table := &bvoperator.Handler{
+		Editor: &bvtable.Editor{
+			Store:     daemon.platform,
+			Follower:  daemon.table.follower,
+			Endpoints: daemon.platform,
+			Hosts:     daemon.platform,
+			Confirmer: tablePeers{daemon: daemon},
+			Host:      daemon.Name(),
+		},
+		Ring: func() *bvkey.Ring { return daemon.settings.Ring() },
+	}
+	table.Register(mux)
 	return mux
 }
 
--- a/bvendpoint/chat.go
+++ b/bvendpoint/chat.go
@@ -58,19 +58,11 @@
 		return ChatResult{}, failure(bvverdict.NotRun, bvverdict.BadRequest, bvgate.Canceled, err, "call can't be encoded")
 	}
 	stream := &chatStream{client: client, address: address, call: call, onToken: onToken}
-	failed := stream.open(ctx, body)
-	for failed != nil && stream.mayResume(ctx, failed) {
-		failed = stream.resume(ctx, failed)
-	}
-	stream.result.Text = stream.text.String()
-	if failed == nil {
-		client.budget.earn()
-		return stream.result, nil
-	}
-	if OutcomeOf(failed) == bvgate.Canceled {
+	result, err := stream.end(ctx, stream.open(ctx, body))
+	if err != nil && OutcomeOf(err) == bvgate.Canceled {
 		stream.cancel(ctx)
 	}
-	return stream.result, failed
+	return result, err
 }
 
 // body encodes the request. Messages may be large: they are copied as they
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -41,11 +41,17 @@
 	view  *bvhost.View
 	peers *bvpeer.Pool
 	owner Owner
+	count Count
+}
+
+// Count counts how often something happened.
+type Count interface {
+	Add(name string, delta int64)
 }
 
 // New returns an entry; owner is this host's own.
-func New(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, owner Owner) *Entry {
-	return &Entry{clock: clock, view: view, peers: peers, owner: owner}
+func New(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, owner Owner, count Count) *Entry {
+	return &Entry{clock: clock, view: view, peers: peers, owner: owner, count: count}
 }
 
 // Run carries a call to its owner and hands each token and the final answer
@@ -76,6 +82,11 @@
 	})
 }
 
+// ProgramPlace is the key by which the hosts that may own a program are ranked.
+func ProgramPlace(member, program string) string {
+	return "program/" + member + "/" + program
+}
+
 // lostError says that a host gave no final answer.
 type lostError struct{ cause error }
 
@@ -84,8 +95,7 @@
 
 // eachOwner asks the candidates for a program until one gives a final answer.
 func (entry *Entry) eachOwner(ctx context.Context, member, program string, ask func(bvplatform.Host) error) error {
-	key := "program/" + member + "/" + program
-	candidates := entry.view.Candidates(entry.clock.Now(), key)
+	candidates := entry.view.Candidates(entry.clock.Now(), ProgramPlace(member, program))
 	var loss error
 	for _, host := range candidates[:min(len(candidates), hostsPerCall)] {
 		err := ask(host)
@@ -94,10 +104,12 @@
 		}
 		if lost := new(lostError); errors.As(err, &lost) {
 			entry.view.Distrust(entry.clock.Now(), host.Name)
+			entry.count.Add("lost_owners", 1)
 			loss = err
 			continue
 		}
 		if isNotOwner(err) {
+			entry.count.Add("declined_calls", 1)
 			continue
 		}
 		return err
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -29,12 +29,14 @@
 // Permits grants calls to endpoints.
 type Permits interface {
 	Acquire(ctx context.Context, ask *bvpeer.PermitAsk) (*bvpermit.Permit, error)
+	Adopt(ctx context.Context, ask *bvpeer.PermitAsk, endpoint, address string) *bvpermit.Permit
 	EndProgram(ctx context.Context, pool, member, program string)
 }
 
 // Endpoints calls model engines and plain services.
 type Endpoints interface {
 	Chat(ctx context.Context, address string, call bvendpoint.ChatCall, onToken func(offset int, text string) error) (bvendpoint.ChatResult, error)
+	Resume(ctx context.Context, address string, call bvendpoint.ChatCall, onToken func(offset int, text string) error) (bvendpoint.ChatResult, error)
 	Invoke(ctx context.Context, address string, call bvendpoint.ServiceCall) (bvendpoint.ServiceResult, error)
 	Release(ctx context.Context, address, salt, prefix string) error
 }
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -46,6 +46,11 @@
 	if session.isGone() {
 		return failed(bvverdict.Refuse(bvverdict.Canceled, "the caller went away before the call was run"))
 	}
+	if session.call.GetResume() != nil {
+		if result, ended := session.resume(ctx, start); ended {
+			return result
+		}
+	}
 	spent := int64(0)
 	ran := false
 	for try := 0; ; try++ {
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -139,6 +139,16 @@
 	}, nil
 }
 
+// Adopt returns the permit of a call that already runs on an endpoint.
+func (client *Client) Adopt(ctx context.Context, ask *bvpeer.PermitAsk, endpoint, address string) *Permit {
+	permit := &Permit{client: client, ask: ask, endpoint: endpoint, address: address}
+	permit.line = client.adopt(ctx, ask, endpoint)
+	if line, remote := permit.line.(remoteLine); remote {
+		go permit.watch(line)
+	}
+	return permit
+}
+
 // EndProgram tells the deciding host of a pool that a program has ended. It is
 // a hint: the durable record of the end is its owner's.
 func (client *Client) EndProgram(ctx context.Context, pool, member, program string) {
--- a/bvpermit/line.go
+++ b/bvpermit/line.go
@@ -110,13 +110,13 @@
 	}
 	client := permit.client
 	client.view.Distrust(client.clock.Now(), lost.host.Name)
-	permit.line = client.adopt(permit.ask, permit.endpoint)
+	permit.line = client.adopt(context.Background(), permit.ask, permit.endpoint)
 	next, watched = permit.line.(remoteLine)
 	return next, watched
 }
 
 // adopt tells the deciding host of a call that already runs on an endpoint.
-func (client *Client) adopt(ask *bvpeer.PermitAsk, endpoint string) line {
+func (client *Client) adopt(ctx context.Context, ask *bvpeer.PermitAsk, endpoint string) line {
 	running, ok := proto.Clone(ask).(*bvpeer.PermitAsk)
 	if !ok {
 		return noLine{}
@@ -126,7 +126,7 @@
 		if host.Name == client.view.Self().Name {
 			return localLine{client.local.Ask(running)}
 		}
-		line, err := client.open(context.Background(), host, running)
+		line, err := client.open(ctx, host, running)
 		if err == nil {
 			return line
 		}
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -1,12 +1,17 @@
 package bvprocess
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bventry"
+	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvplatform"
 )
 
 // Keys of the two members.
@@ -95,3 +100,34 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// programOwnedBy returns the name of a program that belongs to a daemon as
+// long as all daemons of the cluster are live.
+func (cluster *cluster) programOwnedBy(member, host string) string {
+	view := &bvhost.View{}
+	var hosts []bvplatform.Host
+	for _, daemon := range cluster.daemons {
+		hosts = append(hosts, bvplatform.Host{Name: daemon.name})
+	}
+	view.Update(0, hosts)
+	for i := 0; ; i++ {
+		program := fmt.Sprintf("program-%d", i)
+		if view.Candidates(0, bventry.ProgramPlace(member, program))[0].Name == host {
+			return program
+		}
+	}
+}
+
+// counter returns a variable of a daemon's /debug/vars.
+func (cluster *cluster) counter(daemon *process, name string) int {
+	response, err := http.Get("http://" + daemon.field("operators") + "/debug/vars")
+	require.NoError(cluster.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var variables map[string]json.RawMessage
+	require.NoError(cluster.t, json.NewDecoder(response.Body).Decode(&variables))
+	value := 0
+	if raw, found := variables[name]; found {
+		require.NoError(cluster.t, json.Unmarshal(raw, &value))
+	}
+	return value
+}
--- /dev/null
+++ b/bvprocess/loss_test.go
@@ -0,0 +1,36 @@
+package bvprocess
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A builder's merchant reads a quote as it is written when the host that owns
+// the program loses power. The entry host notices the broken stream, the next
+// owner claims the program and takes the engine's stream over: the caller sees
+// one whole answer and nothing of the loss.
+func TestCallerGetsWholeAnswerWhenOwnerIsKilledInMidStream(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=40"}})
+	entry, owner := cluster.daemons[0], cluster.daemons[1]
+	conversation := newConversation(t, boltsKey, cluster.programOwnedBy("bolts", owner.name))
+	conversation.say(entry, "200 anchors")
+	conversation.turn++
+	response, err := http.DefaultClient.Do(conversation.request(entry, "of M10", true))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	tokens := 0
+	text, done := chunks(response.Body, func(string) {
+		tokens++
+		if tokens == 5 {
+			owner.kill()
+		}
+	})
+	require.True(t, done, "cut after %q", text)
+	require.Len(t, strings.Fields(text), 40)
+	conversation.take("of M10", text)
+	conversation.say(entry, "and 50 more")
+	require.Equal(t, 1, cluster.counter(entry, "lost_owners"))
+}
