Stand-in engine that varies its answers shows a mixture of two runs

Cause: the kill test passed with the take-over switched off, because the stand-in wrote the same text in each run and a mixture could not be seen.

--- a/bvcommand/standin.go
+++ b/bvcommand/standin.go
@@ -104,6 +104,7 @@
 	set := command.Flags()
 	set.StringVar(&config.Model, "model", "", "model that it serves; empty: any")
 	set.BoolVar(&config.Instant, "instant", false, "answer at once")
+	set.BoolVar(&config.Vary, "vary", false, "write another text each time a call is run")
 	set.IntVar(&config.OutputTokens, "output-tokens", 0, "tokens of an answer that has no max_tokens; 0: default")
 	set.IntVar(&config.MaxWaiting, "max-waiting", 0, "calls that wait before it refuses; 0: unbounded")
 	set.IntVar(&config.EventGap, "event-gap", 0, "every n-th cache event is lost; 0: none")
--- a/bvprocess/caller_test.go
+++ b/bvprocess/caller_test.go
@@ -50,9 +50,21 @@
 	conversation.kept = append(conversation.kept, message{"user", text})
 	require.Equal(conversation.t, conversation.firstWord(), strings.Fields(answer)[0],
 		"the answer belongs to another history")
+	requireOneRun(conversation.t, answer)
 	conversation.kept = append(conversation.kept, message{"assistant", answer})
 }
 
+// requireOneRun checks that all tokens of an answer come from one run: an
+// engine that varies its answers marks the tokens of each run.
+func requireOneRun(t *testing.T, answer string) {
+	t.Helper()
+	words := strings.Fields(answer)
+	for i, word := range words[1:] {
+		mark, _, _ := strings.Cut(words[1], ".")
+		require.Equal(t, mark+"."+strconv.Itoa(i+1), word, "tokens of two runs: %s", answer)
+	}
+}
+
 // firstWord is how the engine's answer to the history so far begins.
 func (conversation *conversation) firstWord() string {
 	encoded, err := json.Marshal(conversation.kept)
--- a/bvstandin/chat.go
+++ b/bvstandin/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -94,6 +95,10 @@
 		readers: 1,
 	}
 	stream.readings = 1
+	stream.tag = tagOf(prompt.digest)
+	if engine.config.Vary {
+		stream.tag = rand.Text()[:4]
+	}
 	if stream.total <= 0 {
 		stream.total = max(engine.config.OutputTokens, 0)
 		stream.finish = "stop"
@@ -319,7 +324,7 @@
 		Message      message `json:"message"`
 		FinishReason string  `json:"finish_reason"`
 	}
-	text := AnswerText(stream.prompt.digest, stream.total)
+	text := answerText(stream.prompt.digest, stream.tag, stream.total)
 	writeJSON(writer, http.StatusOK, struct {
 		ID      string    `json:"id"`
 		Object  string    `json:"object"`
@@ -359,7 +364,7 @@
 			role = `"role":"assistant",`
 		}
 		_, _ = fmt.Fprintf(&events.buffer, "id: %d\ndata: "+chunkHead, offset, digest)
-		_, _ = fmt.Fprintf(&events.buffer, `{"index":0,"delta":{%s"content":%q},"finish_reason":null}]}`+"\n\n", role, tokenText(digest, offset))
+		_, _ = fmt.Fprintf(&events.buffer, `{"index":0,"delta":{%s"content":%q},"finish_reason":null}]}`+"\n\n", role, tokenText(digest, events.stream.tag, offset))
 	}
 	if to > from {
 		events.flushNow()
--- a/bvstandin/digest.go
+++ b/bvstandin/digest.go
@@ -32,18 +32,28 @@
 
 // AnswerText returns the whole text of an engine's answer of so many tokens.
 func AnswerText(digest string, tokens int) string {
+	return answerText(digest, tagOf(digest), tokens)
+}
+
+// tagOf is what an engine puts into every token but the first, unless it
+// varies its answers.
+func tagOf(digest string) string {
+	return digest[:4]
+}
+
+func answerText(digest, tag string, tokens int) string {
 	var text bytes.Buffer
 	for offset := range tokens {
-		text.WriteString(tokenText(digest, offset))
+		text.WriteString(tokenText(digest, tag, offset))
 	}
 	return text.String()
 }
 
-func tokenText(digest string, offset int) string {
+func tokenText(digest, tag string, offset int) string {
 	if offset == 0 {
 		return FirstWord(digest)
 	}
-	return fmt.Sprintf(" %s.%d", digest[:4], offset)
+	return fmt.Sprintf(" %s.%d", tag, offset)
 }
 
 // promptMessage is one message as far as the cache is concerned.
--- a/bvstandin/engine.go
+++ b/bvstandin/engine.go
@@ -29,6 +29,7 @@
 	Batch        bvmodel.Config
 	Instant      bool             // answers at once, without the model of batching
 	OutputTokens int              // of an answer whose length the caller doesn't set; 32
+	Vary         bool             // each run writes another text, as a model that samples does
 	MaxWaiting   int              // calls without a slot before it refuses; 0: unbounded
 	Fencing      bool             // refuses orders with an old fencing number
 	Grace        bvclock.Duration // how long a stream is kept without a reader; 10 s
--- a/bvstandin/stream.go
+++ b/bvstandin/stream.go
@@ -25,7 +25,8 @@
 	call     bvmodel.CallID
 	key      cacheKey
 	prompt   prompt
-	total    int // tokens of the whole answer
+	tag      string // in every token but the first
+	total    int    // tokens of the whole answer
 	finish   string
 	poisoned bool
 	usage    bool // wanted by the client
@@ -58,5 +59,5 @@
 }
 
 func (stream *stream) text() string {
-	return AnswerText(stream.prompt.digest, stream.produced)
+	return answerText(stream.prompt.digest, stream.tag, stream.produced)
 }
