Bookings and planned stops proved with separate processes

Cause: no process test of unrepeatable requests and of rolling replacement. Found on the way: the first form of the killed-host test never killed the owner, because a host whose list did not yet show the others ranked differently; the harness now waits until every host sees all (variable hosts).

--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -30,6 +30,8 @@
 		return
 	}
 	daemon.view.Update(daemon.clock.Now(), hosts)
+	daemon.measures.Set("hosts", int64(len(daemon.view.Hosts())))
+	daemon.measures.Set("table_version", daemon.table.version())
 	addresses := make(map[string]bool, len(hosts))
 	for _, host := range hosts {
 		addresses[host.PeerAddress] = true
--- a/bvdaemon/table.go
+++ b/bvdaemon/table.go
@@ -32,6 +32,12 @@
 	table.follower.Run(ctx, table.daemon.settings.PollInterval())
 }
 
+// version returns the version in force.
+func (table *table) version() int64 {
+	version, _ := table.follower.InForce()
+	return version
+}
+
 // Row implements bvowner.Rows.
 func (table *table) Row(member, class string) (bvtable.Row, bool) {
 	snapshot := table.follower.Snapshot()
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -88,7 +88,9 @@
 func (cluster *cluster) waitReady() {
 	cluster.t.Helper()
 	for _, daemon := range cluster.daemons {
-		require.Eventually(cluster.t, func() bool { return isReady(daemon) }, patience, poll, daemon.name)
+		require.Eventually(cluster.t, func() bool {
+			return isReady(daemon) && cluster.counter(daemon, "hosts") == len(cluster.daemons)
+		}, patience, poll, daemon.name)
 	}
 }
 
--- /dev/null
+++ b/bvprocess/once_test.go
@@ -0,0 +1,112 @@
+package bvprocess
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// book sends an unrepeatable booking and returns status, verdict and body.
+func (cluster *cluster) book(daemon *process, program, request string) (status int, verdict, body string) {
+	url := "http://" + daemon.field("callers") + "/v1/services/booking/lessons"
+	post, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"lesson":"nine o'clock"}`))
+	require.NoError(cluster.t, err)
+	post.Header.Set("Authorization", "Bearer "+piranKey)
+	post.Header.Set("Bv-Program", program)
+	post.Header.Set("Bv-Request", request)
+	post.Header.Set("Bv-Unrepeatable", "true")
+	response, err := http.DefaultClient.Do(post)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(cluster.t, err)
+	var failure struct{ Error struct{ Verdict string } }
+	_ = json.Unmarshal(content, &failure)
+	return response.StatusCode, failure.Error.Verdict, string(content)
+}
+
+// runs asks the service how often a request ran there.
+func (cluster *cluster) runs(request string) int {
+	response, err := http.Get("http://" + cluster.services[0].address() + "/runs?request=" + request)
+	require.NoError(cluster.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var count struct{ Runs int }
+	require.NoError(cluster.t, json.NewDecoder(response.Body).Decode(&count))
+	return count.Runs
+}
+
+// fault sets faults of a stand-in.
+func (process *process) fault(faults string) {
+	response, err := http.Post("http://"+process.address()+"/faults", "application/json", strings.NewReader(faults))
+	require.NoError(process.t, err)
+	_ = response.Body.Close()
+	require.Less(process.t, response.StatusCode, 300)
+}
+
+func TestRepeatedBookingIsAnsweredFromItsRecord(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, services: 1})
+	status, _, first := cluster.book(cluster.daemons[0], "lesson", "booking-1")
+	require.Equal(t, http.StatusOK, status, first)
+	for _, daemon := range cluster.daemons {
+		status, _, again := cluster.book(daemon, "lesson", "booking-1")
+		require.Equal(t, http.StatusOK, status, again)
+		require.Equal(t, first, again)
+	}
+	require.Equal(t, 1, cluster.runs("booking-1"))
+}
+
+// A family's booking is on its way to the booking service when the host that
+// sent it loses power, and the client sends it again through all other hosts
+// at once. Whoever takes the program over must not send it a second time.
+func TestBookingRunsAtMostOnceWhenItsHostIsKilled(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, services: 1})
+	owner := cluster.daemons[2]
+	program := cluster.programOwnedBy("piran", owner.name)
+	cluster.services[0].fault(`{"hang":true}`)
+	var callers sync.WaitGroup
+	callers.Go(func() { cluster.book(cluster.daemons[0], program, "booking-2") })
+	require.Eventually(t, func() bool { return cluster.runs("booking-2") == 1 }, patience, poll)
+	owner.kill()
+	for range 2 {
+		for _, daemon := range cluster.daemons[:2] {
+			callers.Go(func() {
+				status, verdict, body := cluster.book(daemon, program, "booking-2")
+				if status != http.StatusOK && verdict != "may have run" {
+					t.Errorf("status %d, verdict %q: %s", status, verdict, body)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	require.Equal(t, 1, cluster.runs("booking-2"))
+}
+
+// The host that is about to send a booking is frozen, as by a stalled
+// hypervisor; its caller's repeat goes to another host; then the frozen host
+// wakes up and goes on as if nothing had happened. Without its record in the
+// platform and its look at the clock, both would send.
+func TestBookingRunsAtMostOnceWhenItsHostIsFrozen(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, services: 1})
+	owner := cluster.daemons[2]
+	program := cluster.programOwnedBy("piran", owner.name)
+	for round := range 4 {
+		request := fmt.Sprintf("booking-3-%d", round)
+		var callers sync.WaitGroup
+		callers.Go(func() { cluster.book(cluster.daemons[0], program, request) })
+		owner.signal(syscall.SIGSTOP)
+		callers.Go(func() { cluster.book(cluster.daemons[1], program, request) })
+		callers.Wait()
+		owner.signal(syscall.SIGCONT)
+		cluster.book(cluster.daemons[0], program, request)
+		require.LessOrEqual(t, cluster.runs(request), 1)
+	}
+}
--- /dev/null
+++ b/bvprocess/stop_test.go
@@ -0,0 +1,108 @@
+package bvprocess
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// balancer hands out the daemons that are ready, as the platform's does.
+type balancer struct {
+	mutex   sync.Mutex
+	daemons []*process
+	next    int
+}
+
+func (balancer *balancer) pick() *process {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	balancer.next++
+	return balancer.daemons[balancer.next%len(balancer.daemons)]
+}
+
+func (balancer *balancer) remove(daemon *process) {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	var rest []*process
+	for _, other := range balancer.daemons {
+		if other != daemon {
+			rest = append(rest, other)
+		}
+	}
+	balancer.daemons = rest
+}
+
+func (balancer *balancer) add(daemon *process) {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	balancer.daemons = append(balancer.daemons, daemon)
+}
+
+// sayAnywhere makes the next call through the balancer and returns what went
+// wrong, if anything.
+func (conversation *conversation) sayAnywhere(balancer *balancer, text string) error {
+	conversation.turn++
+	response, err := http.DefaultClient.Do(conversation.request(balancer.pick(), text, true))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	answer, done := chunks(response.Body, nil)
+	if !done {
+		return fmt.Errorf("cut after %q", answer)
+	}
+	conversation.take(text, answer)
+	return nil
+}
+
+// Families book lessons while operators replace every host, one by one, with a
+// planned stop. A host that closed its ports at once, or dropped the programs
+// that it was running, would cut their answers. Nobody may notice anything.
+func TestReplacingEveryHostCutsNoRequest(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=200", "--vary"}})
+	balancer := &balancer{daemons: append([]*process{}, cluster.daemons...)}
+	var stopping atomic.Bool
+	var answered atomic.Int64
+	failures := make(chan error, 64)
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			conversation := newConversation(t, piranKey, fmt.Sprintf("lesson-%d", i))
+			for !stopping.Load() {
+				if err := conversation.sayAnywhere(balancer, "next"); err != nil {
+					failures <- fmt.Errorf("%s turn %d: %w", conversation.program, conversation.turn, err)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for i, old := range cluster.daemons {
+		replacement := cluster.startDaemon(len(cluster.daemons) + i)
+		require.Eventually(t, func() bool { return isReady(replacement) }, patience, poll)
+		balancer.add(replacement)
+		old.signal(syscall.SIGTERM)
+		require.Eventually(t, func() bool { return !isReady(old) }, patience, poll)
+		balancer.remove(old)
+		require.Zero(t, old.wait())
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopping.Store(true)
+	callers.Wait()
+	close(failures)
+	for failure := range failures {
+		t.Error(failure)
+	}
+	require.Greater(t, answered.Load(), int64(50))
+}
