bvload: programs against running daemons, with the promises checked

Every later proof and measurement needs callers that behave like the members' programs and that notice a broken promise.

Ruled out: latencies per call as the measure (only the whole program counts); open-loop latencies from the moment of sending (a stall of the system would hide the programs that it held up); checks by a second history kept in the load's own form (the engine's digest proves which messages it was sent).

Change: programs drawn from a seed, closed and open loop, both members' mix; each answer must be that of exactly the known history; unrepeatable requests are asked about at the services, held caches at the engines; percentiles, text, JSON and a plot; balsamvalve load.

Each check has a test in which a fake system that breaks the promise is caught: history forgotten, history mixed, run twice, false refusal, cache held, stream cut.

--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -53,6 +53,6 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newStandin())
+	root.AddCommand(newStandin(), newLoad())
 	return root
 }
--- /dev/null
+++ b/bvcommand/load.go
@@ -0,0 +1,113 @@
+package bvcommand
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvload"
+)
+
+// errPromiseBroken makes the load command fail.
+var errPromiseBroken = errors.New("load: a promise was broken")
+
+// loadFlags are the flags of the load command that are no field of its config.
+type loadFlags struct {
+	keys     map[string]string
+	deadline time.Duration
+	jsonFile string
+	plotFile string
+}
+
+func newLoad() *cobra.Command {
+	var flags loadFlags
+	var config bvload.Config
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Send agent programs to running daemons and check the promises",
+		Example: `  balsamvalve load --address 127.0.0.1:8080,127.0.0.1:8081 \
+    --key piran=KEY1 --key brindley=KEY2 --programs 200 --concurrency 20`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			config.Members = bvload.Members(flags.keys)
+			config.Deadline = bvclock.FromStd(flags.deadline)
+			config.Progress = func(progress bvload.Progress) { showProgress(command.ErrOrStderr(), progress) }
+			return flags.run(command, config)
+		},
+	}
+	flags.add(command)
+	addLoadConfig(command, &config)
+	return command
+}
+
+func (flags *loadFlags) add(command *cobra.Command) {
+	set := command.Flags()
+	set.StringToStringVar(&flags.keys, "key", nil, "member=key of its callers")
+	set.DurationVar(&flags.deadline, "deadline", 0, "of each request, its repeats included; 0: default")
+	set.StringVar(&flags.jsonFile, "json", "", "file that takes the report as JSON")
+	set.StringVar(&flags.plotFile, "plot", "", "file that takes the latencies as a plot (.svg or .png)")
+}
+
+func addLoadConfig(command *cobra.Command, config *bvload.Config) {
+	set := command.Flags()
+	set.StringSliceVar(&config.Addresses, "address", nil, "caller API of the daemons, IP and port")
+	set.IntVar(&config.Programs, "programs", 0, "programs in all; 0: default")
+	set.IntVar(&config.Concurrency, "concurrency", 0, "closed loop: programs under way; 0: default")
+	set.Float64Var(&config.Rate, "rate", 0, "open loop: programs that begin a second; 0: closed loop")
+	set.Uint64Var(&config.Seed, "seed", 1, "of all that is drawn")
+	set.IntVar(&config.Tries, "tries", 0, "of each request; 0: default")
+	set.Float64Var(&config.Pauses, "pauses", 0, "factor on all pauses; 0: 1, negative: none")
+	set.StringSliceVar(&config.Counters, "service", nil, "stand-in services that are asked how often a request ran")
+	set.StringSliceVar(&config.Engines, "engine", nil, "stand-in engines that are asked what they hold at the end")
+}
+
+func (flags *loadFlags) run(command *cobra.Command, config bvload.Config) error {
+	if len(config.Addresses) == 0 || len(config.Members) == 0 {
+		return usageError{errors.New("load: --address and --key are needed; members are piran and brindley")}
+	}
+	ctx, cancel := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	report, err := bvload.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	if _, err := io.WriteString(command.OutOrStdout(), report.Text()); err != nil {
+		return err
+	}
+	if err := flags.write(report); err != nil {
+		return err
+	}
+	if !report.Kept() {
+		return errPromiseBroken
+	}
+	return nil
+}
+
+func (flags *loadFlags) write(report bvload.Report) error {
+	if flags.jsonFile != "" {
+		encoded, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+		if err := os.WriteFile(flags.jsonFile, append(encoded, '\n'), 0o644); err != nil {
+			return fmt.Errorf("load: %w", err)
+		}
+	}
+	if flags.plotFile != "" {
+		return report.Plot(flags.plotFile)
+	}
+	return nil
+}
+
+func showProgress(output io.Writer, progress bvload.Progress) {
+	_, _ = fmt.Fprintf(output, "programs %d of %d finished, %d failed, %d requests\n",
+		progress.Finished, progress.Programs, progress.Failed, progress.Requests)
+}
--- /dev/null
+++ b/bvload/load_test.go
@@ -0,0 +1,112 @@
+package bvload
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func run(t *testing.T, config Config) Report {
+	report, err := Run(t.Context(), config)
+	require.NoError(t, err)
+	return report
+}
+
+func TestSystemThatKeepsItsPromisesPasses(t *testing.T) {
+	_, config := newFakeSystem(t)
+	report := run(t, config)
+	require.True(t, report.Kept(), report.Text())
+	require.Equal(t, 8, report.Finished)
+	require.Zero(t, report.Failed)
+	require.Positive(t, report.Unrepeatable)
+	require.Positive(t, report.CachedTokens)
+	require.Equal(t, int64(8), report.All.Program.Count)
+}
+
+func TestOpenLoopSendsAllPrograms(t *testing.T) {
+	_, config := newFakeSystem(t)
+	config.Rate = 200
+	require.Equal(t, 8, run(t, config).Finished)
+}
+
+// A program's earliest message is gone from its history. The model answers as
+// if nothing had happened; only the digest of what it was sent shows it.
+func TestForgottenHistoryIsFound(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.forget = true
+	report := run(t, config)
+	require.Positive(t, report.Lost)
+	require.False(t, report.Kept())
+}
+
+func TestMixedHistoryIsFound(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.cross = true
+	require.Positive(t, run(t, config).Mixed)
+}
+
+func TestUnrepeatableRequestThatRanTwiceIsFound(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.twice = true
+	report := run(t, config)
+	require.Equal(t, report.Unrepeatable, report.Twice)
+}
+
+func TestFalseRefusalIsFound(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.lie = true
+	report := run(t, config)
+	require.Positive(t, report.FalseRefusals)
+	require.Zero(t, report.Twice)
+}
+
+func TestCacheHeldForEndedProgramIsFound(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.hold = true
+	config.Programs = 1
+	load := startLoad(config)
+	load.runProgram(t.Context(), 0, load.started)
+	ended := make(map[endedProgram]bool)
+	for _, program := range load.measure.endings {
+		ended[program] = true
+	}
+	require.Positive(t, load.heldAt(t.Context(), config.Engines[0], ended))
+}
+
+// A daemon dies before it could mark the end of a stream. The caller must not
+// take what it has for the whole, and asks again under the same id.
+func TestCutStreamIsAskedForAgain(t *testing.T) {
+	system, config := newFakeSystem(t)
+	system.cut = true
+	report := run(t, config)
+	require.Positive(t, report.Retries)
+	require.Equal(t, 8, report.Finished)
+	require.True(t, report.Kept(), report.Text())
+}
+
+func TestSameSeedDrawsTheSamePrograms(t *testing.T) {
+	members := Members(map[string]string{Piran: "a", Brindley: "b"})
+	first := planner{seed: 1, members: members}
+	again := planner{seed: 1, members: members}
+	other := planner{seed: 2, members: members}
+	require.Equal(t, first.program(5), again.program(5))
+	require.NotEqual(t, first.program(5), other.program(5))
+}
+
+func TestReportIsWrittenAsJSONAndPlot(t *testing.T) {
+	_, config := newFakeSystem(t)
+	report := run(t, config)
+	encoded, err := json.Marshal(report)
+	require.NoError(t, err)
+	require.Contains(t, string(encoded), `"p99_ms"`)
+	for _, name := range []string{"latency.svg", "latency.png"} {
+		path := filepath.Join(t.TempDir(), name)
+		require.NoError(t, report.Plot(path))
+		written, err := os.Stat(path)
+		require.NoError(t, err)
+		require.Positive(t, written.Size())
+	}
+}
--- /dev/null
+++ b/bvload/report.go
@@ -0,0 +1,192 @@
+package bvload
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency sums up one kind of latency, in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+
+	curve []point
+}
+
+// point is one point of a percentile curve.
+type point struct{ percentile, milliseconds float64 }
+
+// MemberReport is what one member's callers saw.
+type MemberReport struct {
+	Name       string  `json:"name"`
+	Programs   int     `json:"programs"`
+	Finished   int     `json:"finished"`
+	Failed     int     `json:"failed"`
+	Program    Latency `json:"program"`     // first call to final answer, pauses included
+	FirstToken Latency `json:"first_token"` // of streamed calls
+	Between    Latency `json:"between_tokens"`
+	Chat       Latency `json:"chat"` // whole model calls, repeats included
+	Tool       Latency `json:"tool"`
+}
+
+// Report is what a load found.
+type Report struct {
+	Seed     uint64         `json:"seed"`
+	Seconds  float64        `json:"seconds"`
+	Programs int            `json:"programs"`
+	Finished int            `json:"finished"`
+	Failed   int            `json:"failed"`
+	Requests int            `json:"requests"`
+	Retries  int            `json:"retries"`
+	Refusals map[string]int `json:"refusals"` // that were repeated, by code
+	Errors   map[string]int `json:"errors"`   // of requests without an answer in the end, by code
+
+	Lost          int `json:"lost"`           // histories and answers that are not whole
+	Mixed         int `json:"mixed"`          // answers that belong to something else
+	Twice         int `json:"twice"`          // unrepeatable requests that ran more than once
+	FalseRefusals int `json:"false_refusals"` // "not run", but it ran
+	Held          int `json:"held"`           // prefixes of ended programs that engines still hold
+	Unanswered    int `json:"unanswered"`     // requests with neither an answer nor a typed error
+	Uncertain     int `json:"uncertain"`      // unrepeatable requests that may have run
+	Unrepeatable  int `json:"unrepeatable"`   // unrepeatable requests that were sent
+	Unasked       int `json:"unasked"`        // of them, those whose runs could not be asked for
+
+	PromptTokens int `json:"prompt_tokens"`
+	CachedTokens int `json:"cached_tokens"`
+	OutputTokens int `json:"output_tokens"`
+
+	All     MemberReport   `json:"all"`
+	Members []MemberReport `json:"members"`
+}
+
+// Kept reports whether all promises held that were checked.
+func (report Report) Kept() bool {
+	return report.Lost+report.Mixed+report.Twice+report.FalseRefusals+report.Held == 0
+}
+
+func (load *load) report(duration time.Duration) Report {
+	measure := &load.measure
+	measure.mutex.Lock()
+	defer measure.mutex.Unlock()
+	report := Report{
+		Seed:          load.config.Seed,
+		Seconds:       duration.Seconds(),
+		Requests:      measure.requests,
+		Retries:       measure.retries,
+		Refusals:      measure.refusals,
+		Errors:        measure.errors,
+		Lost:          measure.lost,
+		Mixed:         measure.mixed,
+		Twice:         measure.twice,
+		FalseRefusals: measure.falseRefusal,
+		Held:          measure.held,
+		Unanswered:    measure.unanswered,
+		Uncertain:     measure.uncertain,
+		Unrepeatable:  len(measure.once),
+		Unasked:       measure.unasked,
+		PromptTokens:  measure.prompt,
+		CachedTokens:  measure.cached,
+		OutputTokens:  measure.output,
+	}
+	all := memberCount{name: "all", times: newTimes()}
+	for _, member := range measure.members {
+		report.Members = append(report.Members, member.report())
+		all.add(member)
+	}
+	report.All = all.report()
+	report.Programs = all.begun
+	report.Finished = all.finished
+	report.Failed = all.failed
+	return report
+}
+
+func (count *memberCount) add(other memberCount) {
+	count.begun += other.begun
+	count.finished += other.finished
+	count.failed += other.failed
+	count.times.merge(other.times)
+}
+
+func (count *memberCount) report() MemberReport {
+	return MemberReport{
+		Name:       count.name,
+		Programs:   count.begun,
+		Finished:   count.finished,
+		Failed:     count.failed,
+		Program:    latencyOf(count.times.program),
+		FirstToken: latencyOf(count.times.first),
+		Between:    latencyOf(count.times.between),
+		Chat:       latencyOf(count.times.chat),
+		Tool:       latencyOf(count.times.tool),
+	}
+}
+
+func latencyOf(histogram *hdrhistogram.Histogram) Latency {
+	latency := Latency{
+		Count: histogram.TotalCount(),
+		P50:   milliseconds(histogram.ValueAtPercentile(50)),
+		P90:   milliseconds(histogram.ValueAtPercentile(90)),
+		P95:   milliseconds(histogram.ValueAtPercentile(95)),
+		P99:   milliseconds(histogram.ValueAtPercentile(99)),
+		Max:   milliseconds(histogram.Max()),
+	}
+	for _, bracket := range histogram.CumulativeDistribution() {
+		latency.curve = append(latency.curve, point{bracket.Quantile, milliseconds(bracket.ValueAt)})
+	}
+	return latency
+}
+
+func milliseconds(micros int64) float64 {
+	return float64(micros) / 1000
+}
+
+// Text returns the report as a table for a person.
+func (report Report) Text() string {
+	var text strings.Builder
+	_, _ = fmt.Fprintf(&text, "seed %d, %.1f s: %d programs, %d finished, %d failed; %d requests, %d repeats\n",
+		report.Seed, report.Seconds, report.Programs, report.Finished, report.Failed, report.Requests, report.Retries)
+	_, _ = fmt.Fprintf(&text, "promises: lost %d, mixed %d, twice %d, false refusals %d, held %d (unanswered %d, uncertain %d of %d unrepeatable)\n",
+		report.Lost, report.Mixed, report.Twice, report.FalseRefusals, report.Held, report.Unanswered, report.Uncertain, report.Unrepeatable)
+	_, _ = fmt.Fprintf(&text, "tokens: %d prompt (%d cached), %d generated\n", report.PromptTokens, report.CachedTokens, report.OutputTokens)
+	writeCounts(&text, "repeated after", report.Refusals)
+	writeCounts(&text, "failed with", report.Errors)
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "member\tlatency\tcount\tp50 ms\tp90 ms\tp95 ms\tp99 ms\tmax ms\t")
+	for _, member := range append(slices.Clone(report.Members), report.All) {
+		member.write(table)
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func writeCounts(text *strings.Builder, label string, counts map[string]int) {
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(text, "%s %s: %d\n", label, code, counts[code])
+	}
+}
+
+func (report MemberReport) write(table *tabwriter.Writer) {
+	report.Program.write(table, report.Name, "program")
+	report.FirstToken.write(table, report.Name, "first token")
+	report.Between.write(table, report.Name, "between tokens")
+	report.Chat.write(table, report.Name, "model call")
+	report.Tool.write(table, report.Name, "service call")
+}
+
+func (latency Latency) write(table *tabwriter.Writer, member, kind string) {
+	if latency.Count == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+		member, kind, latency.Count, latency.P50, latency.P90, latency.P95, latency.P99, latency.Max)
+}
--- /dev/null
+++ b/bvload/system_test.go
@@ -0,0 +1,190 @@
+package bvload
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"balsamvalve.example/bvmodel"
+	"balsamvalve.example/bvstandin"
+)
+
+// fakeSystem is the caller API in front of one engine and one service, with
+// every promise kept, but for the one that a test breaks.
+type fakeSystem struct {
+	engine  *bvstandin.Engine
+	service *bvstandin.Service
+
+	mutex     sync.Mutex
+	histories map[string][]json.RawMessage // by program
+	answers   map[string][]byte            // by request
+
+	forget bool // loses the oldest message of each history
+	cross  bool // appends to another program's history
+	twice  bool // runs service calls twice
+	lie    bool // says "not run" of service calls that ran
+	cut    bool // ends streams early, without [DONE], once per request
+	hold   bool // never releases caches
+	seen   map[string]bool
+}
+
+func newFakeSystem(t *testing.T) (*fakeSystem, Config) {
+	system := &fakeSystem{
+		engine:    bvstandin.NewEngine(bvstandin.EngineConfig{Batch: bvmodel.Config{DecodeTokensPerSecond: 20_000, PrefillTokensPerSecond: 1e6}}),
+		service:   &bvstandin.Service{Serves: "any"},
+		histories: make(map[string][]json.RawMessage),
+		answers:   make(map[string][]byte),
+		seen:      make(map[string]bool),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", system.chat)
+	mux.HandleFunc("POST /v1/services/{service}/{path...}", system.tool)
+	mux.HandleFunc("DELETE /v1/programs/{program}", system.end)
+	mux.HandleFunc("GET /v1/programs/{program}/answers/{request}", system.fetch)
+	address := func(handler http.Handler) string {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	return system, Config{
+		Addresses:   []string{address(mux)},
+		Members:     Members(map[string]string{Piran: "key-1", Brindley: "key-2"}),
+		Programs:    8,
+		Concurrency: 4,
+		Seed:        3,
+		Pauses:      -1,
+		Tries:       3,
+		Counters:    []string{address(system.service)},
+		Engines:     []string{address(system.engine)},
+	}
+}
+
+func (system *fakeSystem) chat(writer http.ResponseWriter, request *http.Request) {
+	var body struct {
+		Messages  []json.RawMessage `json:"messages"`
+		MaxTokens int               `json:"max_tokens"`
+		Stream    bool              `json:"stream"`
+	}
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		http.Error(writer, "bad", http.StatusBadRequest)
+		return
+	}
+	program, id := request.Header.Get("Bv-Program"), request.Header.Get("Bv-Request")
+	answer := system.kept(id)
+	if answer == nil {
+		prompt := body.Messages
+		if request.Header.Get("Bv-History") != "full" {
+			prompt = append(system.history(program), body.Messages...)
+		}
+		answer = system.ask(request.Header.Get("Authorization"), program, prompt, body.MaxTokens)
+		system.keep(program, id, prompt, answer)
+	}
+	if !body.Stream {
+		_, _ = writer.Write(answer)
+		return
+	}
+	text, _, _ := completionText(answer)
+	encoded, _ := json.Marshal(text)
+	_, _ = writer.Write([]byte(`data: {"choices":[{"delta":{"content":` + string(encoded) + `}}]}` + "\n\n"))
+	if system.cut && system.first(id) {
+		return
+	}
+	_, _ = writer.Write([]byte("data: [DONE]\n\n"))
+}
+
+func (system *fakeSystem) ask(salt, program string, prompt []json.RawMessage, tokens int) []byte {
+	encoded, _ := json.Marshal(map[string]any{"model": "m", "messages": prompt, "max_tokens": tokens})
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", bytes.NewReader(encoded))
+	request.Header.Set("Bv-Salt", memberOf(salt))
+	request.Header.Set("Bv-Prefix", program)
+	system.engine.ServeHTTP(recorder, request)
+	return recorder.Body.Bytes()
+}
+
+func memberOf(authorization string) string {
+	if strings.HasSuffix(authorization, "key-1") {
+		return Piran
+	}
+	return Brindley
+}
+
+func (system *fakeSystem) history(program string) []json.RawMessage {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	history := system.histories[program]
+	if system.forget && len(history) > 0 {
+		history = history[1:]
+	}
+	if system.cross {
+		history = append(history[:len(history):len(history)], json.RawMessage(`{"role":"user","content":"a rival's"}`))
+	}
+	return append([]json.RawMessage{}, history...)
+}
+
+func (system *fakeSystem) kept(id string) []byte {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	return system.answers[id]
+}
+
+func (system *fakeSystem) keep(program, id string, prompt []json.RawMessage, answer []byte) {
+	text, _, _ := completionText(answer)
+	said, _ := json.Marshal(message{"assistant", text})
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	system.histories[program] = append(prompt, said)
+	system.answers[id] = answer
+}
+
+func (system *fakeSystem) first(id string) bool {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	seen := system.seen[id]
+	system.seen[id] = true
+	return !seen
+}
+
+func (system *fakeSystem) tool(writer http.ResponseWriter, request *http.Request) {
+	var body bytes.Buffer
+	_, _ = body.ReadFrom(request.Body)
+	invoke := func(to http.ResponseWriter) {
+		forwarded := httptest.NewRequest(http.MethodPost, "/"+request.PathValue("path"), bytes.NewReader(body.Bytes()))
+		forwarded.Header = request.Header
+		system.service.ServeHTTP(to, forwarded)
+	}
+	if system.twice {
+		invoke(httptest.NewRecorder())
+	}
+	if system.lie {
+		if system.first(request.Header.Get("Bv-Request")) {
+			invoke(httptest.NewRecorder())
+		}
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = writer.Write([]byte(`{"error":{"message":"full","code":"overloaded","verdict":"not run"}}`))
+		return
+	}
+	invoke(writer)
+}
+
+func (system *fakeSystem) end(writer http.ResponseWriter, request *http.Request) {
+	if !system.hold {
+		body, _ := json.Marshal(map[string]string{"salt": memberOf(request.Header.Get("Authorization")), "prefix": request.PathValue("program")})
+		system.engine.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/cache/release", bytes.NewReader(body)))
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (system *fakeSystem) fetch(writer http.ResponseWriter, request *http.Request) {
+	answer := system.kept(request.PathValue("request"))
+	if answer == nil {
+		writer.WriteHeader(http.StatusNotFound)
+		_, _ = writer.Write([]byte(`{"error":{"code":"unknown_request","verdict":"not run"}}`))
+		return
+	}
+	_, _ = writer.Write(answer)
+}
