--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -8,7 +8,7 @@
 // RequestID identifies a request within one Pool.
 type RequestID uint64
 
-// Work is engine work in token equivalents: see Cost.
+// Work is engine work in generated tokens: see Cost.
 type Work float64
 
 // Request asks for a permit to make one call to an endpoint of the pool.
@@ -26,6 +26,7 @@
 	Fingerprint  uint64       // of the request's content; 0 means none
 	Deadline     bvclock.Time // 0 means none
 	Unrepeatable bool         // never granted twice
+	Attempt      int          // times that it was sent before
 }
 
 //go:generate stringer -type=Outcome -linecomment -output=outcome_string.go
