bvload: describe the first broken promises and failures

A count alone does not lead to a cause: the first load against three daemons showed 13 mixed answers and one failed program without a word on which.

Change: the report describes up to 20 of each; a refusal that says when to come back is followed, whatever its code; a varied answer is judged as one run.

--- a/bvload/audit.go
+++ b/bvload/audit.go
@@ -42,10 +42,13 @@
 			load.measure.unasked++
 		case runs > 1:
 			load.measure.twice++
+			load.measure.note("twice", sent.request, fmt.Sprintf("ran %d times", runs))
 		case runs == 1 && sent.notRun:
 			load.measure.falseRefusal++
+			load.measure.note("false refusal", sent.request, "said to be not run, but ran")
 		case runs == 0 && sent.known:
 			load.measure.lost++
+			load.measure.note("lost", sent.request, "answered, but the services know of no run")
 		}
 	})
 }
--- a/bvload/caller.go
+++ b/bvload/caller.go
@@ -75,7 +75,13 @@
 	return err.typed && err.verdict == bvverdict.NotRun.String()
 }
 
-// finalCodes are the errors that coming back doesn't help.
+// final reports whether coming back can't help.
+func (err *callError) final() bool {
+	return err.typed && finalCodes[err.code] && err.retryAfter == 0
+}
+
+// finalCodes are the errors after which coming back doesn't help, unless the
+// system says when to come back.
 var finalCodes = map[string]bool{
 	bvverdict.BadRequest.String():     true,
 	bvverdict.Unauthorized.String():   true,
@@ -114,7 +120,7 @@
 			return answer, nil
 		}
 		last = err
-		if err.typed && finalCodes[err.code] {
+		if err.final() {
 			break
 		}
 		if !pause(ctx, max(backoff, err.retryAfter)) {
@@ -122,7 +128,7 @@
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
-	load.measure.failed(last)
+	load.measure.failed(request, last)
 	return incoming{}, last
 }
 
--- a/bvload/measure.go
+++ b/bvload/measure.go
@@ -1,7 +1,7 @@
 package bvload
 
 import (
-	"strings"
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,6 +19,9 @@
 	answerMixed                 // mixed
 )
 
+// maxBroken is how many broken promises a report describes.
+const maxBroken = 20
+
 const (
 	lowestMicros      = 1
 	highestMicros     = int64(time.Hour / time.Microsecond)
@@ -94,6 +97,8 @@
 	output       int
 	once         []sentOnce
 	endings      []endedProgram
+	broken       []string
+	failures     []string
 }
 
 func (measure *measure) start(members []Member) {
@@ -123,8 +128,11 @@
 
 // failed notes a request that has no answer for good. One without so much as
 // a typed error is lost: its caller can't know what became of it.
-func (measure *measure) failed(cause *callError) {
+func (measure *measure) failed(request outgoing, cause *callError) {
 	measure.locked(func() {
+		if len(measure.failures) < maxBroken {
+			measure.failures = append(measure.failures, fmt.Sprintf("%s %s, request %s: %v", request.method, request.path, request.request, cause))
+		}
 		measure.errors[cause.code]++
 		if !cause.typed {
 			measure.unanswered++
@@ -168,7 +176,10 @@
 	measure.locked(func() { record(measure.members[member].times.tool, answer.latency) })
 }
 
-func (measure *measure) judged(judgment judgment) {
+func (measure *measure) judged(judgment judgment, request, detail string) {
+	if judgment == answerGood {
+		return
+	}
 	measure.locked(func() {
 		switch judgment {
 		case answerLost:
@@ -176,9 +187,17 @@
 		case answerMixed:
 			measure.mixed++
 		}
+		measure.note(judgment.String(), request, detail)
 	})
 }
 
+// note keeps the first broken promises for the report. The mutex is held.
+func (measure *measure) note(promise, request, detail string) {
+	if len(measure.broken) < maxBroken {
+		measure.broken = append(measure.broken, fmt.Sprintf("%s: request %s: %s", promise, request, detail))
+	}
+}
+
 func (measure *measure) unrepeatable(request string, failed *callError) {
 	measure.locked(func() {
 		measure.once = append(measure.once, sentOnce{
@@ -206,7 +225,3 @@
 	}
 	return progress
 }
-
-func cutWord(text string) (word, rest string, found bool) {
-	return strings.Cut(text, " ")
-}
--- a/bvload/program.go
+++ b/bvload/program.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,13 +119,18 @@
 		return err
 	}
 	program.load.measure.chat(program.plan.member, answer, used)
-	program.load.measure.judged(checkAnswer(program.history, fresh, text, step.tokens))
+	program.load.measure.judged(checkAnswer(program.history, fresh, text, step.tokens), request.request, program.describe(text, step))
 	program.history = append(program.history, fresh...)
 	program.history = append(program.history, message{"assistant", text})
 	program.last = text
 	return program.fetchAgain(ctx, step, request, text)
 }
 
+func (program *program) describe(text string, step step) string {
+	return fmt.Sprintf("class %s, turn %d, %d messages of history, full %t, stream %t, %d tokens: %.60q",
+		program.plan.class.Name, program.turn, len(program.history), program.plan.full, step.stream, step.tokens, text)
+}
+
 func chatBody(model string, messages []message, step step) ([]byte, error) {
 	type options struct {
 		IncludeUsage bool `json:"include_usage"`
@@ -160,14 +166,14 @@
 		key:    request.key,
 	})
 	if failed != nil {
-		if failed.typed && finalCodes[failed.code] {
-			program.load.measure.judged(answerLost)
+		if failed.final() {
+			program.load.measure.judged(answerLost, request.request, "fetched again: "+failed.Error())
 		}
 		return nil
 	}
 	kept, _, err := completionText(answer.body)
 	if err != nil || kept != text {
-		program.load.measure.judged(answerMixed)
+		program.load.measure.judged(answerMixed, request.request, fmt.Sprintf("fetched again: %.60q in place of %.60q", kept, text))
 	}
 	return nil
 }
@@ -196,7 +202,7 @@
 		return nil
 	}
 	program.load.measure.tool(program.plan.member, answer)
-	program.load.measure.judged(checkTool(answer.body, request, body))
+	program.load.measure.judged(checkTool(answer.body, request, body), request.request, fmt.Sprintf("service answered %.200q", answer.body))
 	program.pending = append(program.pending, message{"tool", string(answer.body)})
 	return nil
 }
@@ -252,12 +258,12 @@
 // checkAnswer judges a model's answer by the history that the caller knows.
 func checkAnswer(history, fresh []message, text string, tokens int) judgment {
 	want, err := digestOf(history, fresh)
-	if err != nil || text == bvstandin.AnswerText(want, tokens) {
+	if err != nil || bvstandin.IsAnswer(text, want, tokens) {
 		return answerGood
 	}
-	got, _, _ := cutWord(text)
+	got, _, _ := strings.Cut(text, " ")
 	if got == bvstandin.FirstWord(want) {
-		return answerLost // the beginning is right, the rest is missing
+		return judgeRest(text, want, tokens)
 	}
 	for from := range len(history) {
 		shorter, err := digestOf(history[from+1:], fresh)
@@ -272,6 +278,16 @@
 	return answerMixed
 }
 
+// judgeRest judges an answer whose first word is right.
+func judgeRest(text, digest string, tokens int) judgment {
+	for shorter := range tokens {
+		if bvstandin.IsAnswer(text, digest, shorter) {
+			return answerLost // the end is missing
+		}
+	}
+	return answerMixed // of two runs
+}
+
 func digestOf(history, fresh []message) (string, error) {
 	encoded, err := json.Marshal(append(append([]message{}, history...), fresh...))
 	if err != nil {
--- a/bvload/report.go
+++ b/bvload/report.go
@@ -65,8 +65,10 @@
 	CachedTokens int `json:"cached_tokens"`
 	OutputTokens int `json:"output_tokens"`
 
-	All     MemberReport   `json:"all"`
-	Members []MemberReport `json:"members"`
+	Broken   []string       `json:"broken"`   // the first broken promises, described
+	Failures []string       `json:"failures"` // the first requests without an answer in the end
+	All      MemberReport   `json:"all"`
+	Members  []MemberReport `json:"members"`
 }
 
 // Kept reports whether all promises held that were checked.
@@ -97,6 +99,8 @@
 		PromptTokens:  measure.prompt,
 		CachedTokens:  measure.cached,
 		OutputTokens:  measure.output,
+		Broken:        measure.broken,
+		Failures:      measure.failures,
 	}
 	all := memberCount{name: "all", times: newTimes()}
 	for _, member := range measure.members {
@@ -160,6 +164,12 @@
 	_, _ = fmt.Fprintf(&text, "tokens: %d prompt (%d cached), %d generated\n", report.PromptTokens, report.CachedTokens, report.OutputTokens)
 	writeCounts(&text, "repeated after", report.Refusals)
 	writeCounts(&text, "failed with", report.Errors)
+	for _, broken := range report.Broken {
+		_, _ = fmt.Fprintf(&text, "broken: %s\n", broken)
+	}
+	for _, failure := range report.Failures {
+		_, _ = fmt.Fprintf(&text, "failed: %s\n", failure)
+	}
 	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "member\tlatency\tcount\tp50 ms\tp90 ms\tp95 ms\tp99 ms\tmax ms\t")
 	for _, member := range append(slices.Clone(report.Members), report.All) {
--- a/bvstandin/digest.go
+++ b/bvstandin/digest.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,6 +36,16 @@
 	return answerText(digest, tagOf(digest), tokens)
 }
 
+// IsAnswer reports whether text is the whole answer of one run of an engine,
+// also of one that varies its answers.
+func IsAnswer(text, digest string, tokens int) bool {
+	tag := tagOf(digest)
+	if _, rest, found := strings.Cut(text, " "); found {
+		tag, _, _ = strings.Cut(rest, ".")
+	}
+	return text == answerText(digest, tag, tokens)
+}
+
 // tagOf is what an engine puts into every token but the first, unless it
 // varies its answers.
 func tagOf(digest string) string {
--- a/bvstandin/engine_test.go
+++ b/bvstandin/engine_test.go
@@ -98,6 +98,17 @@
 	require.Equal(t, paced.chat(helloMessages, 5, nil), instant.chat(helloMessages, 5, nil))
 }
 
+// Two runs of one call write two texts. A caller that got the beginning of one
+// and the end of the other would have an answer that no model gave.
+func TestAnswerOfTwoRunsIsNoAnswer(t *testing.T) {
+	one, two := answerText("0123456789abcdef", "AAAA", 4), answerText("0123456789abcdef", "BBBB", 4)
+	mixture := one[:len(one)-len(" AAAA.3")] + " BBBB.3"
+	require.True(t, IsAnswer(one, "0123456789abcdef", 4))
+	require.True(t, IsAnswer(two, "0123456789abcdef", 4))
+	require.False(t, IsAnswer(mixture, "0123456789abcdef", 4))
+	require.False(t, IsAnswer(one, "0123456789abcdef", 5))
+}
+
 // nextTurn returns the messages of a program's second call.
 func nextTurn(answer wholeAnswer) string {
 	return fmt.Sprintf(`[{"role":"user","content":"hello"},{"role":"assistant","content":%q},{"role":"user","content":"go on"}]`,
