--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -57,6 +57,7 @@
 	root.AddCommand(newServe())
 	root.AddCommand(newCheck())
 	root.AddCommand(newSettings())
+	root.AddCommand(newLoad())
 	root.AddCommand(newStandin())
 	root.AddCommand(newTable())
 	return root
