bvledger: hand programs over in order; release what a dead owner may have used

Ruled out: a write before each first call to an endpoint (a synchronous write per placement, 14,000 a second at the peak).

Change: a claim over an owner that has not handed the program over adds the name '*' to the endpoints to release, which stands for all that could have run it; a host that stops hands its programs over by a row without owner, which also settles the block of budget; a stale owner releases what it used since its last commit. A refused repeat (Resent) never says that the request was not run.

--- a/bvledger/call.go
+++ b/bvledger/call.go
@@ -31,6 +31,7 @@
 	Turn         int    // from 1, as the caller numbered it; 0 means the next
 	Digest       string // of the body: a repeat must carry the same
 	Unrepeatable bool
+	Resent       bool   // the caller has sent the request before: a refusal then never says that it was not run
 	Full         bool   // Messages carry the whole history, not only what is new
 	Messages     []byte // JSON array of the call's new messages
 	Cost         int64  // most that the call can spend, in work units
@@ -95,8 +96,9 @@
 	Call CallID
 }
 
-// Released wants the endpoints told to drop the program's cache. Confirm with
-// ReleaseDone.
+// Released wants the endpoints told to drop the program's cache. Confirm each
+// with ReleaseDone. AnyEndpoint among them stands for all that could have run
+// the program.
 type Released struct {
 	Key       ProgramKey
 	Endpoints []string
--- a/bvledger/end.go
+++ b/bvledger/end.go
@@ -121,7 +121,7 @@
 	if program == nil || !program.head.State.Ended() {
 		return
 	}
-	program.removeEndpoint(endpoint)
+	program.head.removeEndpoint(endpoint)
 	if len(program.head.Endpoints) == 0 {
 		program.dirty = true
 	}
--- a/bvledger/head.go
+++ b/bvledger/head.go
@@ -50,6 +50,45 @@
 	return head
 }
 
+// AnyEndpoint stands in a program's list of endpoints for all that could have
+// run it: a former owner has died and may have sent a call to any of them.
+const AnyEndpoint = "*"
+
+// spentAtClaim is what counts as spent for a new owner. An owner that has
+// handed the program over has settled its block; of another one nobody knows
+// how much of the block it has used.
+func (head head) spentAtClaim() int64 {
+	if head.Owner == "" {
+		return head.Spent
+	}
+	return max(head.Spent, head.Drawn)
+}
+
+func (head *head) addEndpoint(endpoint string) bool {
+	if endpoint == "" {
+		return false
+	}
+	place, found := slices.BinarySearch(head.Endpoints, endpoint)
+	if found {
+		return false
+	}
+	head.Endpoints = slices.Insert(head.Endpoints, place, endpoint)
+	return true
+}
+
+func (head *head) addEndpoints(endpoints []string) {
+	for _, endpoint := range endpoints {
+		head.addEndpoint(endpoint)
+	}
+}
+
+func (head *head) removeEndpoint(endpoint string) {
+	place, found := slices.BinarySearch(head.Endpoints, endpoint)
+	if found {
+		head.Endpoints = slices.Delete(head.Endpoints, place, place+1)
+	}
+}
+
 // turnRow is a kept turn.
 type turnRow struct {
 	Request  string `json:"request"`
--- a/bvledger/key.go
+++ b/bvledger/key.go
@@ -1,8 +1,10 @@
 package bvledger
 
 import (
+	"cmp"
 	"fmt"
 	"net/url"
+	"strings"
 )
 
 // The tables of the platform that hold program state.
@@ -58,3 +60,7 @@
 	}
 	return ProgramKey{Member: memberName, Program: programName}, true
 }
+
+func compareKeys(a, b ProgramKey) int {
+	return cmp.Or(strings.Compare(a.Member, b.Member), strings.Compare(a.Program, b.Program))
+}
--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -53,6 +53,7 @@
 	effects    []Effect
 	timers     timers
 	timerOrder uint64
+	leaving    bool
 	starved    []*program // wait for an account that another program writes
 }
 
@@ -193,6 +194,10 @@
 	if program.gone {
 		return
 	}
+	if program.handover {
+		ledger.schedule(program) // nothing may start that the next owner can't know of
+		return
+	}
 	if program.phase == phaseCold && (len(program.queue) > 0 || program.ending != nil) {
 		program.phase = phaseLoading
 		ledger.load(program, "")
@@ -204,6 +209,7 @@
 		ledger.advanceEnd(now, program)
 		ledger.write(now, program)
 	}
+	ledger.leaveProgram(now, program)
 	ledger.release(now, program)
 	ledger.closeUnused(program)
 	ledger.schedule(program)
--- a/bvledger/program.go
+++ b/bvledger/program.go
@@ -1,10 +1,6 @@
 package bvledger
 
-import (
-	"slices"
-
-	"balsamvalve.example/bvclock"
-)
+import "balsamvalve.example/bvclock"
 
 type phase int
 
@@ -42,6 +38,8 @@
 	releasedAt  bvclock.Time
 	reclaimed   bool     // is to be claimed although no call waits
 	sighted     int64    // head version that ReclaimScan judged by
+	handover    bool     // is to be given up
+	used        []string // endpoints that ran a call since the last entry
 	placed      []string // endpoints in the durable head
 	gone        bool
 	wakeAt      bvclock.Time
@@ -90,25 +88,6 @@
 	return max(len(program.turns)-program.durable, 0)
 }
 
-func (program *program) addEndpoint(endpoint string) bool {
-	if endpoint == "" {
-		return false
-	}
-	place, found := slices.BinarySearch(program.head.Endpoints, endpoint)
-	if found {
-		return false
-	}
-	program.head.Endpoints = slices.Insert(program.head.Endpoints, place, endpoint)
-	return true
-}
-
-func (program *program) removeEndpoint(endpoint string) {
-	place, found := slices.BinarySearch(program.head.Endpoints, endpoint)
-	if found {
-		program.head.Endpoints = slices.Delete(program.head.Endpoints, place, place+1)
-	}
-}
-
 func (program *program) isRunning() bool {
 	return program.running != nil && program.running.state == callRunning
 }
--- /dev/null
+++ b/bvledger/promise_test.go
@@ -0,0 +1,586 @@
+package bvledger_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+const (
+	modelCost   = 10
+	modelBudget = 120
+	modelIdle   = 5 * bvclock.Minute
+)
+
+// request is one request of the callers, over all its submissions.
+type request struct {
+	name         string
+	key          bvledger.ProgramKey
+	turn         int
+	unrepeatable bool
+	runs         []bvledger.CallID // submissions that an endpoint ran
+	answer       string            // as first told
+	repeats      int
+}
+
+// ranBy reports whether the given submission of the request or one before it
+// was run. What a later one does is no lie of this one's refusal.
+func (request *request) ranBy(call bvledger.CallID) bool {
+	return slices.ContainsFunc(request.runs, func(run bvledger.CallID) bool { return run <= call })
+}
+
+// submission is one call of a request at one incarnation of a host.
+type submission struct {
+	request  *request
+	told     bool
+	spent    int64
+	endpoint string
+}
+
+// machine is the state of one fuzz run: hosts over one faulty platform, the
+// callers, and what the oracles remember.
+type machine struct {
+	store       *faults
+	now         bvclock.Time
+	hosts       []*host
+	paused      []bool
+	lastCall    bvledger.CallID
+	lastHost    int
+	submissions map[*host]map[bvledger.CallID]*submission
+	programs    []bvledger.ProgramKey
+	parents     map[bvledger.ProgramKey]string
+	requests    map[bvledger.ProgramKey][]*request
+	budgets     map[bvledger.ProgramKey]int64
+	ended       map[bvledger.ProgramKey]bool
+	spent       map[bvledger.ProgramKey]int64
+	held        map[bvledger.ProgramKey]map[string]bool
+	kept        map[string]string // durable turn rows
+	drawn       map[string]int64
+	broken      []string
+}
+
+func newMachine() *machine {
+	machine := &machine{
+		store:       &faults{},
+		now:         1,
+		submissions: make(map[*host]map[bvledger.CallID]*submission),
+		parents:     make(map[bvledger.ProgramKey]string),
+		requests:    make(map[bvledger.ProgramKey][]*request),
+		budgets:     make(map[bvledger.ProgramKey]int64),
+		ended:       make(map[bvledger.ProgramKey]bool),
+		spent:       make(map[bvledger.ProgramKey]int64),
+		held:        make(map[bvledger.ProgramKey]map[string]bool),
+		kept:        make(map[string]string),
+		drawn:       make(map[string]int64),
+	}
+	machine.store.applied = machine.checkRows
+	for range 3 {
+		machine.hosts = append(machine.hosts, machine.startHost())
+		machine.paused = append(machine.paused, false)
+	}
+	for _, name := range []string{"lesson", "roster", "child", "grandchild"} {
+		machine.addProgram(bvledger.ProgramKey{Member: "piran", Program: name})
+	}
+	machine.addProgram(bvledger.ProgramKey{Member: "brindley", Program: "lesson"})
+	machine.parents[machine.programs[2]] = "lesson"
+	machine.parents[machine.programs[3]] = "child"
+	return machine
+}
+
+func (machine *machine) addProgram(key bvledger.ProgramKey) {
+	machine.programs = append(machine.programs, key)
+	machine.budgets[key] = modelBudget
+	machine.held[key] = make(map[string]bool)
+}
+
+func (machine *machine) startHost() *host {
+	machine.lastHost++
+	host := newHost(fmt.Sprintf("host-%d", machine.lastHost), machine.store)
+	machine.submissions[host] = make(map[bvledger.CallID]*submission)
+	return host
+}
+
+func (machine *machine) fault(format string, args ...any) {
+	machine.broken = append(machine.broken, fmt.Sprintf(format, args...))
+}
+
+// submit sends a request to a host.
+func (machine *machine) submit(host *host, request *request) {
+	machine.lastCall++
+	machine.submissions[host][machine.lastCall] = &submission{request: request}
+	name, _ := json.Marshal([]string{text(request.key, request.name)})
+	host.ledger.Submit(machine.now, bvledger.Call{
+		ID: machine.lastCall, Key: request.key, Parent: machine.parents[request.key],
+		Request: request.name, Turn: request.turn, Digest: request.name,
+		Unrepeatable: request.unrepeatable, Resent: request.repeats > 0, Messages: name, Cost: modelCost,
+		Limits: bvledger.Limits{Budget: machine.budgets[request.key], Idle: modelIdle},
+	})
+	request.repeats++
+}
+
+// text is a message that shows whose it is.
+func text(key bvledger.ProgramKey, content string) string {
+	return key.Member + "/" + key.Program + ":" + content
+}
+
+// newRequest is the next one that the program's caller makes: it goes on when
+// it has its answer or gave the last one up.
+func (machine *machine) newRequest(key bvledger.ProgramKey, unrepeatable bool) *request {
+	turn := 1
+	for _, request := range machine.requests[key] {
+		if request.answer != "" {
+			turn = request.turn + 1
+		}
+	}
+	made := &request{
+		name: fmt.Sprintf("r%d", len(machine.requests[key])), key: key,
+		turn: turn, unrepeatable: unrepeatable,
+	}
+	machine.requests[key] = append(machine.requests[key], made)
+	return made
+}
+
+// send lets an endpoint run a started call, if the ledger still allows it.
+func (machine *machine) send(host *host, start bvledger.Start, spent int64, endpoint string) {
+	submission := machine.submissions[host][start.Call]
+	machine.checkStart(submission.request, start)
+	if !host.ledger.MayStart(machine.now, start.Call) {
+		err := bvverdict.Refuse(bvverdict.Canceled, "not sent")
+		host.ledger.Finish(machine.now, start.Call, bvledger.Result{Err: err})
+		return
+	}
+	submission.spent = spent
+	submission.endpoint = endpoint
+	submission.request.runs = append(submission.request.runs, start.Call)
+	if submission.request.unrepeatable && len(submission.request.runs) > 1 {
+		machine.fault("request %s of %v ran twice", submission.request.name, submission.request.key)
+	}
+	machine.held[submission.request.key][endpoint] = true
+	for key := submission.request.key; ; key.Program = machine.parents[key] {
+		machine.spent[key] += spent
+		if machine.spent[key] > modelBudget {
+			machine.fault("%v spent %d of %d", key, machine.spent[key], modelBudget)
+		}
+		if machine.parents[key] == "" {
+			break
+		}
+	}
+	host.ledger.Placed(machine.now, start.Call, endpoint)
+	host.running = append(host.running, running{call: start.Call, endpoint: endpoint})
+}
+
+// finish ends a call that an endpoint ran.
+func (machine *machine) finish(host *host, run running, failed bool) {
+	submission := machine.submissions[host][run.call]
+	result := bvledger.Result{Endpoint: run.endpoint, Spent: submission.spent}
+	if failed {
+		result.Spent = 0
+		result.Err = bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed, "connection lost")
+	} else {
+		answer := fmt.Sprintf("%s#%d", submission.request.name, run.call)
+		result.Answer = []byte(text(submission.request.key, answer))
+		result.Message, _ = json.Marshal([]string{string(result.Answer)})
+	}
+	machine.held[submission.request.key][run.endpoint] = true
+	host.ledger.Finish(machine.now, run.call, result)
+}
+
+// checkStart: a call's history is its own program's, and its turn its own.
+func (machine *machine) checkStart(request *request, start bvledger.Start) {
+	if start.Turn != request.turn {
+		machine.fault("%s of %v runs as turn %d, not %d", request.name, request.key, start.Turn, request.turn)
+	}
+	var messages []string
+	if err := json.Unmarshal(start.History, &messages); err != nil {
+		machine.fault("history of %v: %v", request.key, err)
+	}
+	if len(messages) != 2*(start.Turn-1) {
+		machine.fault("history of %v has %d messages before turn %d", request.key, len(messages), start.Turn)
+	}
+	for _, message := range messages {
+		if !strings.HasPrefix(message, text(request.key, "")) {
+			machine.fault("history of %v holds %q", request.key, message)
+		}
+	}
+}
+
+// step lets a host work for a round and hears what its callers are told.
+func (machine *machine) step(host *host) {
+	host.tick(machine.now)
+	inbox := host.inbox
+	host.inbox = nil
+	for _, deliver := range inbox {
+		deliver(machine.now)
+	}
+	machine.hear(host)
+}
+
+func (machine *machine) hear(host *host) {
+	calls := make([]bvledger.CallID, 0, len(host.outcomes))
+	for call := range host.outcomes {
+		calls = append(calls, call)
+	}
+	slices.Sort(calls)
+	for _, call := range calls {
+		told := host.outcomes[call]
+		submission := machine.submissions[host][call]
+		if submission == nil || submission.told {
+			continue
+		}
+		submission.told = true
+		if told.answer != nil {
+			machine.hearAnswer(submission.request, string(told.answer.Answer))
+			machine.checkRows()
+			continue
+		}
+		if told.refuse.Err.Verdict() == bvverdict.NotRun && submission.request.ranBy(call) {
+			machine.fault("%s of %v ran and was refused as not run: %v",
+				submission.request.name, submission.request.key, told.refuse.Err)
+		}
+	}
+	for _, released := range host.released {
+		for _, endpoint := range released.Endpoints {
+			delete(machine.held[released.Key], endpoint)
+			if endpoint == bvledger.AnyEndpoint {
+				clear(machine.held[released.Key])
+			}
+			host.ledger.ReleaseDone(machine.now, released.Key, endpoint)
+		}
+	}
+	host.released = nil
+}
+
+// hearAnswer: every answer of a request is its own, and always the same.
+func (machine *machine) hearAnswer(request *request, answer string) {
+	if !strings.HasPrefix(answer, text(request.key, request.name+"#")) {
+		machine.fault("%s of %v was answered %q", request.name, request.key, answer)
+	}
+	if request.answer == "" {
+		request.answer = answer
+	}
+	if request.answer != answer {
+		machine.fault("%s of %v was answered %q after %q", request.name, request.key, answer, request.answer)
+	}
+}
+
+// crash replaces a host by a new one that knows nothing.
+func (machine *machine) crash(place int) {
+	old := machine.hosts[place]
+	machine.forgetPlacements(old)
+	machine.hosts[place] = machine.startHost()
+	machine.paused[place] = false
+}
+
+// leave stops a host in order, and replaces it.
+func (machine *machine) leave(place int) {
+	host := machine.hosts[place]
+	host.ledger.Leave(machine.now)
+	for range 5 {
+		machine.work(host)
+	}
+	machine.crash(place)
+}
+
+// forgetPlacements drops from the oracle what only the crashed host knew: the
+// endpoint of a call that ran on while another host took the program over and
+// ended it. This gap is stated in docs/design/program-state.md.
+func (machine *machine) forgetPlacements(host *host) {
+	for _, submission := range machine.submissions[host] {
+		key := submission.request.key
+		if submission.endpoint != "" && machine.headOf(key).State.Ended() {
+			delete(machine.held[key], submission.endpoint)
+		}
+	}
+}
+
+type headRow struct {
+	State     bvledger.State `json:"state"`
+	Turns     int            `json:"turns"`
+	Endpoints []string       `json:"endpoints"`
+}
+
+func (machine *machine) headOf(key bvledger.ProgramKey) headRow {
+	rows, _ := machine.store.Memory.Read(context.Background(), bvledger.HeadKey(key))
+	var head headRow
+	_ = json.Unmarshal(rows[0].Value, &head)
+	return head
+}
+
+// checkRows: turns are only added, never changed; answers that were told are
+// there; what is drawn grows only inside the budget.
+func (machine *machine) checkRows() {
+	for _, key := range machine.programs {
+		rows, _ := machine.store.Scan(context.Background(), bvledger.TurnPrefix(key), "", 1000)
+		found := make(map[string]string, len(rows))
+		for _, row := range rows {
+			found[row.Key] = string(row.Value)
+		}
+		for name, value := range machine.kept {
+			if strings.HasPrefix(name, bvledger.TurnPrefix(key)) && found[name] != value {
+				machine.fault("kept turn %s changed", name)
+			}
+		}
+		for name, value := range found {
+			machine.kept[name] = value
+		}
+		machine.checkAnswered(key, rows)
+		machine.checkDrawn(key)
+	}
+}
+
+func (machine *machine) checkAnswered(key bvledger.ProgramKey, rows []bvplatform.Row) {
+	for _, request := range machine.requests[key] {
+		if request.answer == "" || request.unrepeatable {
+			continue
+		}
+		kept := struct{ Answer []byte }{}
+		if len(rows) >= request.turn {
+			_ = json.Unmarshal(rows[request.turn-1].Value, &kept)
+		}
+		if !bytes.Equal(kept.Answer, []byte(request.answer)) {
+			machine.fault("answer %q is not kept as turn %d", request.answer, request.turn)
+		}
+	}
+}
+
+func (machine *machine) checkDrawn(key bvledger.ProgramKey) {
+	rows, _ := machine.store.Memory.Read(context.Background(), bvledger.AccountKey(key))
+	var account struct{ Budget, Drawn int64 }
+	_ = json.Unmarshal(rows[0].Value, &account)
+	if account.Drawn > machine.drawn[rows[0].Key] && account.Drawn > account.Budget {
+		machine.fault("%v drew %d of %d", key, account.Drawn, account.Budget)
+	}
+	machine.drawn[rows[0].Key] = account.Drawn
+}
+
+// recover ends all faults and lets every host work until nothing is left.
+func (machine *machine) recover() {
+	machine.store.down = false
+	machine.store.loseNext = 0
+	machine.store.delayNext = 0
+	machine.store.land()
+	for i := range machine.paused {
+		machine.paused[i] = false
+	}
+	for range 60 {
+		machine.now = machine.now.Add(bvclock.Second)
+		for _, host := range machine.hosts {
+			machine.work(host)
+		}
+	}
+}
+
+// work sends and finishes all that a host has started.
+func (machine *machine) work(host *host) {
+	for range 5 {
+		machine.step(host)
+		for len(host.started) > 0 {
+			machine.send(host, host.takeStarted(), 1, "engine-1")
+		}
+		for len(host.running) > 0 {
+			machine.finish(host, host.takeRunning(), false)
+		}
+	}
+	machine.step(host)
+}
+
+// checkGoesOn: after all faults are over, each program that hasn't ended
+// either makes another turn or has no budget left for it.
+func (machine *machine) checkGoesOn() {
+	for _, key := range machine.programs {
+		if machine.headOf(key).State.Ended() || machine.parents[key] != "" {
+			continue
+		}
+		request := machine.newRequest(key, false)
+		request.turn = machine.headOf(key).Turns + 1
+		host := machine.hosts[0]
+		machine.submit(host, request)
+		call := machine.lastCall
+		for range 10 {
+			machine.now = machine.now.Add(bvclock.Second)
+			machine.work(host)
+		}
+		told := host.outcomes[call]
+		if told.answer != nil || told.refuse != nil && told.refuse.Err.Code() == bvverdict.BudgetExceeded {
+			continue
+		}
+		machine.fault("%v makes no more turns: %+v", key, told.refuse)
+	}
+}
+
+// checkReleased: when every program has been idle for its limit, all have
+// ended and no endpoint holds anything.
+func (machine *machine) checkReleased() {
+	for range 4 {
+		machine.now = machine.now.Add(modelIdle)
+		for _, host := range machine.hosts {
+			rows, _ := machine.store.Scan(context.Background(), bvledger.HeadTable, "", 1000)
+			host.ledger.ReclaimScan(machine.now, rows, machine.live, modelIdle)
+			machine.work(host)
+		}
+	}
+	for _, key := range machine.programs {
+		endpoints := make([]string, 0, len(machine.held[key]))
+		for endpoint := range machine.held[key] {
+			endpoints = append(endpoints, endpoint)
+		}
+		sort.Strings(endpoints)
+		if len(endpoints) > 0 {
+			machine.fault("%v is still held by %v, its row by %+v", key, endpoints, machine.headOf(key))
+		}
+	}
+}
+
+func (machine *machine) live(owner string) bool {
+	return slices.ContainsFunc(machine.hosts, func(host *host) bool { return host.name == owner })
+}
+
+// promises runs one fuzz run on a machine.
+func promises(t *rapid.T, machine *machine) {
+	place := rapid.IntRange(0, len(machine.hosts)-1)
+	program := rapid.SampledFrom(machine.programs)
+	endpoint := rapid.SampledFrom([]string{"engine-1", "engine-2", "engine-3"})
+	free := func(t *rapid.T) *host {
+		at := place.Draw(t, "host")
+		if machine.paused[at] {
+			t.Skip("paused")
+		}
+		return machine.hosts[at]
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			if len(machine.broken) > 0 {
+				t.Fatalf("%s", strings.Join(machine.broken, "\n"))
+			}
+		},
+		"submit": func(t *rapid.T) {
+			unrepeatable := rapid.Bool().Draw(t, "unrepeatable")
+			machine.submit(free(t), machine.newRequest(program.Draw(t, "program"), unrepeatable))
+		},
+		"repeat": func(t *rapid.T) {
+			requests := machine.requests[program.Draw(t, "program")]
+			if len(requests) == 0 {
+				t.Skip("no request")
+			}
+			machine.submit(free(t), rapid.SampledFrom(requests).Draw(t, "request"))
+		},
+		"work": func(t *rapid.T) { machine.work(free(t)) },
+		"step": func(t *rapid.T) { machine.step(free(t)) },
+		"stepAll": func(*rapid.T) {
+			for i, host := range machine.hosts {
+				if !machine.paused[i] {
+					machine.step(host)
+				}
+			}
+		},
+		"send": func(t *rapid.T) {
+			host := free(t)
+			if len(host.started) == 0 {
+				t.Skip("nothing started")
+			}
+			spent := rapid.Int64Range(1, modelCost).Draw(t, "spent")
+			machine.send(host, host.takeStarted(), spent, endpoint.Draw(t, "endpoint"))
+		},
+		"finish": func(t *rapid.T) {
+			host := free(t)
+			if len(host.running) == 0 {
+				t.Skip("nothing runs")
+			}
+			machine.finish(host, host.takeRunning(), rapid.IntRange(0, 3).Draw(t, "failed") == 0)
+		},
+		"crash":  func(t *rapid.T) { machine.crash(place.Draw(t, "host")) },
+		"leave":  func(t *rapid.T) { machine.leave(place.Draw(t, "host")) },
+		"pause":  func(t *rapid.T) { machine.paused[place.Draw(t, "host")] = true },
+		"resume": func(t *rapid.T) { machine.paused[place.Draw(t, "host")] = false },
+		"wait": func(t *rapid.T) {
+			machine.now = machine.now.Add(bvclock.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")))
+		},
+		"outage":  func(*rapid.T) { machine.store.down = !machine.store.down },
+		"loseOne": func(*rapid.T) { machine.store.loseNext++ },
+		"delay":   func(*rapid.T) { machine.store.delayNext++ },
+		"land":    func(*rapid.T) { machine.store.land() },
+		"budget": func(t *rapid.T) {
+			machine.budgets[program.Draw(t, "program")] = rapid.Int64Range(1, modelBudget).Draw(t, "budget")
+		},
+		"end": func(t *rapid.T) {
+			machine.lastCall++
+			free(t).ledger.End(machine.now, program.Draw(t, "program"), machine.lastCall)
+		},
+	})
+	machine.recover()
+	machine.checkGoesOn()
+	machine.checkReleased()
+	if len(machine.broken) > 0 {
+		t.Fatalf("%s", strings.Join(machine.broken, "\n"))
+	}
+}
+
+// seed fixes what CI explores; a run with -rapid.seed set explores others.
+func seed(t *testing.T, value string) {
+	t.Helper()
+	for name, fixed := range map[string]string{"rapid.seed": value, "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		known := flag.Lookup(name)
+		if known.Value.String() != known.DefValue {
+			continue
+		}
+		require.NoError(t, flag.Set(name, fixed))
+		t.Cleanup(func() { _ = flag.Set(name, known.DefValue) })
+	}
+}
+
+// Hosts crash, are paused and act later, own one program at a time by two,
+// the platform is out, slow, loses answers and applies writes late, callers
+// repeat everywhere, operators change budgets: no promise may break.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	seed(t, "4")
+	rapid.Check(t, func(t *rapid.T) { promises(t, newMachine()) })
+}
+
+// recorder takes the place of a test whose failure is expected.
+type recorder struct {
+	*testing.T
+	failed bool
+	log    []string
+}
+
+func (recorder *recorder) Errorf(format string, args ...any) {
+	recorder.failed = true
+	recorder.log = append(recorder.log, fmt.Sprintf(format, args...))
+}
+
+func (recorder *recorder) Logf(string, ...any) {}
+func (recorder *recorder) Failed() bool        { return recorder.failed }
+func (recorder *recorder) FailNow()            {}
+
+// requireCaught runs the fuzz on machines with a broken part and wants one of
+// its oracles to notice.
+func requireCaught(t *testing.T, complaint string, broken func(*machine)) {
+	t.Helper()
+	recorder := &recorder{T: t}
+	rapid.Check(recorder, func(t *rapid.T) {
+		machine := newMachine()
+		broken(machine)
+		promises(t, machine)
+	})
+	require.True(t, recorder.failed, "no oracle noticed")
+	require.Contains(t, strings.Join(recorder.log, "\n"), complaint)
+}
+
+func TestOraclesCatchAPlatformThatIgnoresChecks(t *testing.T) {
+	seed(t, "4")
+	requireCaught(t, "", func(machine *machine) { machine.store.ignoreChecks = true })
+}
--- a/bvledger/request.go
+++ b/bvledger/request.go
@@ -1,6 +1,8 @@
 package bvledger
 
 import (
+	"errors"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvverdict"
 )
@@ -85,10 +87,20 @@
 }
 
 // refuse ends a call and those that joined it.
+//
+// A verdict is about the request, not about this submission of it. A caller
+// that heard nothing and sends a booking again must not be told "not run" only
+// because this submission didn't get far: the first one may have run at a
+// host that is gone. Without that caller's word this host can't know.
 func (ledger *Ledger) refuse(call *call, err *bvverdict.Error) {
 	ledger.forget(call)
+	told := err
+	if call.Resent && err.Verdict() == bvverdict.NotRun {
+		told = bvverdict.New(bvverdict.MayHaveRun, err.Code(), "%s", err.Reason()).
+			WithRetryAfter(err.RetryAfter()).WithCause(errors.Unwrap(err))
+	}
 	if !call.abandoned {
-		ledger.emit(Refuse{Call: call.ID, Err: err})
+		ledger.emit(Refuse{Call: call.ID, Err: told})
 	}
 	for _, joined := range call.joined {
 		ledger.refuse(joined, err)
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -118,7 +118,7 @@
 func (ledger *Ledger) need(program *program, call *call) (spent, need int64) {
 	spent = program.head.Spent
 	if program.phase != phaseOwned {
-		spent = max(spent, program.head.Drawn)
+		spent = program.head.spentAtClaim()
 	}
 	return spent, call.Cost - (program.head.Drawn - spent)
 }
@@ -190,7 +190,7 @@
 	if call == nil || call.state != callRunning || call.program.gone {
 		return
 	}
-	if call.program.addEndpoint(endpoint) {
+	if call.program.head.addEndpoint(endpoint) {
 		call.program.dirty = true
 		ledger.advance(now, call.program)
 	}
@@ -211,7 +211,10 @@
 	program.reserved = 0
 	program.activeAt = now
 	program.head.Spent += charge(call, result)
-	program.addEndpoint(result.Endpoint)
+	if result.Endpoint != "" {
+		program.head.addEndpoint(result.Endpoint)
+		program.used = append(program.used, result.Endpoint)
+	}
 	program.dirty = true // also after a failure: a program that only fails must reach its limits
 	if result.Err == nil && result.Message != nil && !isArray(result.Message) {
 		result.Err = bvverdict.New(bvverdict.Ran, bvverdict.Internal, "the answer's messages are not a JSON array")
--- a/bvledger/world_test.go
+++ b/bvledger/world_test.go
@@ -18,12 +18,21 @@
 	delayNext    int  // writes that take effect later, answers lost
 	ignoreChecks bool // broken on purpose, to show that oracles can fail
 	delayed      []bvplatform.Transaction
+	applied      func() // called after each write that took effect
 }
 
-func (faults *faults) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+func (faults *faults) apply(transaction bvplatform.Transaction) (int64, error) {
 	if faults.ignoreChecks {
 		transaction.Checks = nil
 	}
+	version, err := faults.Memory.Commit(context.Background(), transaction)
+	if err == nil && faults.applied != nil {
+		faults.applied()
+	}
+	return version, err
+}
+
+func (faults *faults) Commit(_ context.Context, transaction bvplatform.Transaction) (int64, error) {
 	if faults.down {
 		return 0, bvplatform.ErrUnavailable
 	}
@@ -32,7 +41,7 @@
 		faults.delayed = append(faults.delayed, transaction)
 		return 0, bvplatform.ErrUnknown
 	}
-	version, err := faults.Memory.Commit(ctx, transaction)
+	version, err := faults.apply(transaction)
 	if faults.loseNext > 0 {
 		faults.loseNext--
 		return 0, bvplatform.ErrUnknown
@@ -50,7 +59,7 @@
 // land lets the delayed writes take effect, if their checks still hold.
 func (faults *faults) land() {
 	for _, transaction := range faults.delayed {
-		_, _ = faults.Memory.Commit(context.Background(), transaction)
+		_, _ = faults.apply(transaction)
 	}
 	faults.delayed = nil
 }
@@ -61,6 +70,12 @@
 	refuse *bvledger.Refuse
 }
 
+// running is a call that an endpoint runs.
+type running struct {
+	call     bvledger.CallID
+	endpoint string
+}
+
 // host is a ledger with its committer, and the calls it has started.
 type host struct {
 	name      string
@@ -69,6 +84,7 @@
 	store     *faults
 	inbox     []func(now bvclock.Time)
 	started   []bvledger.Start
+	running   []running
 	released  []bvledger.Released
 	outcomes  map[bvledger.CallID]outcome
 }
@@ -162,3 +178,10 @@
 	host.started = host.started[1:]
 	return start
 }
+
+// takeRunning removes and returns the call that was sent first.
+func (host *host) takeRunning() running {
+	run := host.running[0]
+	host.running = host.running[1:]
+	return run
+}
--- a/bvledger/write.go
+++ b/bvledger/write.go
@@ -25,7 +25,9 @@
 	draws       []draw
 	amount      int64
 	settlements []settlement
+	used        []string
 	ending      bool
+	handover    bool
 	issued      bvclock.Time
 	done        bool
 }
@@ -42,6 +44,10 @@
 	if program.running != nil && program.running.state == callPreparing {
 		entry.call = program.running
 	}
+	if program.handover {
+		ledger.handOver(now, entry)
+		return
+	}
 	if program.phase != phaseOwned {
 		if entry.call == nil && !entry.ending && !program.reclaimed {
 			return
@@ -68,11 +74,17 @@
 // lists of live hosts differ or one of them was paused: the epoch changes
 // with the head row, the other's next write is conditional on the old row and
 // fails, and it refuses what it has.
+//
+// A former owner that has not handed the program over may have spent its whole
+// block, and may have sent calls to endpoints that no row names.
 func (ledger *Ledger) claim(entry *entry) {
 	entry.claim = true
+	entry.head.Spent = entry.head.spentAtClaim()
+	if entry.head.Owner != "" && !entry.head.State.Ended() {
+		entry.head.addEndpoint(AnyEndpoint)
+	}
 	entry.head.Epoch++
 	entry.head.Owner = ledger.owner
-	entry.head.Spent = max(entry.head.Spent, entry.head.Drawn)
 }
 
 // draw plans the entry's changes to accounts. It reports false when the entry
@@ -153,6 +165,8 @@
 	ledger.insertOnce(now, entry, put)
 	entry.settlements = program.settlements
 	program.settlements = nil
+	entry.used = program.used
+	program.used = nil
 	for _, settlement := range entry.settlements {
 		put(settlement.key, program.once[settlement.key].version, settlement.row)
 	}
@@ -248,6 +262,11 @@
 		program.head.Epoch = entry.head.Epoch
 		program.head.Owner = entry.head.Owner
 		program.head.Spent = entry.head.Spent
+		program.head.addEndpoints(entry.head.Endpoints)
+	}
+	if entry.handover {
+		ledger.handedOver(program)
+		return
 	}
 	ledger.appliedOnce(entry, version)
 	ledger.keep(program, entry.turns)
@@ -309,6 +328,7 @@
 func (ledger *Ledger) failed(now bvclock.Time, entry *entry, err error) {
 	program := entry.program
 	program.settlements = append(entry.settlements, program.settlements...)
+	program.used = append(entry.used, program.used...)
 	var conflict *bvplatform.ConflictError
 	if !errors.As(err, &conflict) || !entry.shared(conflict.Keys) {
 		ledger.lose(now, program, err)
@@ -413,15 +433,19 @@
 	}
 }
 
-// loseEndpoints has the endpoints released that the new owner can't know of.
+// loseEndpoints has the endpoints released that the new owner can't know of,
+// and those that ran a call since this host's last commit: the new owner may
+// have ended the program and released them before that call ran.
 func (ledger *Ledger) loseEndpoints(program *program) {
-	var unknown []string
+	lost := slices.Clone(program.used)
 	for _, endpoint := range program.head.Endpoints {
 		if !slices.Contains(program.placed, endpoint) {
-			unknown = append(unknown, endpoint)
+			lost = append(lost, endpoint)
 		}
 	}
-	if len(unknown) > 0 {
-		ledger.emit(Released{Key: program.key, Endpoints: unknown})
+	slices.Sort(lost)
+	lost = slices.Compact(lost)
+	if len(lost) > 0 {
+		ledger.emit(Released{Key: program.key, Endpoints: lost})
 	}
 }
