--- a/bvtable/editor.go
+++ b/bvtable/editor.go
@@ -109,28 +109,41 @@
 	if !validName(attempt) {
 		return Change{}, bvverdict.Refuse(bvverdict.BadRequest, "attempt %q is not a plain word", attempt)
 	}
+	writing := &writing{editor: editor, actor: actor, attempt: attempt, plan: plan}
 	for tries := 0; ; tries++ {
-		change, accepted, err := editor.try(ctx, actor, attempt, plan)
-		if err != nil || accepted {
-			return change, err
+		change, accepted, err := writing.try(ctx)
+		if err == nil && !accepted && editor.wait(ctx, tries) != nil {
+			err = bvverdict.Refuse(bvverdict.Conflict, "lost every race against other edits")
 		}
-		if err := editor.wait(ctx, tries); err != nil {
-			return Change{}, bvverdict.Refuse(bvverdict.Conflict, "lost every race against other edits").WithCause(err)
+		if err != nil {
+			return Change{}, writing.verdict(err)
+		}
+		if accepted {
+			return change, nil
 		}
 	}
 }
 
+// writing is one edit on its way to a version.
+type writing struct {
+	editor  *Editor
+	actor   Actor
+	attempt string
+	plan    planner
+	unknown int64 // version that a commit of unknown outcome would make; 0: none
+}
+
 // try makes one version, unless another edit makes it first.
-func (editor *Editor) try(ctx context.Context, actor Actor, attempt string, plan planner) (change Change, accepted bool, err error) {
-	table, err := editor.Get(ctx)
+func (writing *writing) try(ctx context.Context) (change Change, accepted bool, err error) {
+	table, err := writing.editor.Get(ctx)
 	if err != nil {
 		return Change{}, false, err
 	}
-	earlier, found, err := editor.earlier(ctx, actor, attempt)
+	earlier, found, err := writing.earlier(ctx, table)
 	if err != nil || found {
 		return earlier, found, err
 	}
-	draft, err := plan(ctx, table)
+	draft, err := writing.plan(ctx, table)
 	if err != nil {
 		return Change{}, false, err
 	}
@@ -139,9 +152,9 @@
 	}
 	change = Change{
 		Version:  table.version + 1,
-		Actor:    actor,
+		Actor:    writing.actor,
 		At:       time.Now().UTC(),
-		Attempt:  attempt,
+		Attempt:  writing.attempt,
 		Proposal: draft.proposal,
 		Note:     draft.note,
 		Cells:    draft.cells,
@@ -150,18 +163,50 @@
 	if err != nil {
 		return Change{}, false, invalid(err)
 	}
-	if err := editor.validate(ctx, next, change); err != nil {
+	if err := writing.editor.validate(ctx, next, change); err != nil {
 		return Change{}, false, err
 	}
-	transaction, current, err := editor.transaction(ctx, next, change, draft)
+	transaction, current, err := writing.editor.transaction(ctx, next, change, draft)
 	if err != nil || !current {
 		return Change{}, false, err
 	}
-	accepted, err = editor.commit(ctx, transaction, change.Version)
-	if err != nil || !accepted {
+	if accepted, err = writing.commit(ctx, transaction, change.Version); err != nil || !accepted {
 		return Change{}, false, err
 	}
-	return change, true, editor.Follower.apply([]Change{change})
+	return change, true, writing.editor.Follower.apply([]Change{change})
+}
+
+// commit reports whether the transaction is known to have made the version.
+//
+// The store's answer can be lost after the write took effect, or before, or
+// while it is still under way. The next try tells: the attempt's row is there
+// if it took effect, and if it is still under way, both transactions are
+// conditional on the counter and the attempt, so that one takes effect at most.
+func (writing *writing) commit(ctx context.Context, transaction bvplatform.Transaction, version int64) (bool, error) {
+	_, err := writing.editor.Store.Commit(ctx, transaction)
+	if err == nil {
+		return true, nil
+	}
+	if errors.Is(err, bvplatform.ErrUnknown) {
+		writing.unknown = version
+		return false, nil
+	}
+	var conflict *bvplatform.ConflictError
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return false, unavailable(err)
+}
+
+// verdict keeps an error from saying that the edit was not accepted while a
+// commit of it may still take effect.
+func (writing *writing) verdict(err error) error {
+	if writing.unknown == 0 {
+		return err
+	}
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.PlatformUnavailable,
+		"the platform didn't tell whether the edit was accepted; see the table's history, or send it again as attempt %s",
+		writing.attempt).WithCause(err)
 }
 
 // earlier returns the change of an attempt that was accepted before.
@@ -171,19 +216,27 @@
 // when the cell happens to hold the expected text again. The row of the
 // attempt is written in the transaction of the change and checked by it, so
 // that of two copies at once one is accepted too.
-func (editor *Editor) earlier(ctx context.Context, actor Actor, attempt string) (Change, bool, error) {
-	rows, err := editor.Store.Read(ctx, attemptKey(actor, attempt))
+//
+// A commit of unknown outcome is known to be lost when the attempt has no row
+// although the counter has passed the version that it would have made: the
+// table was read before the row, and the commit is conditional on the counter.
+func (writing *writing) earlier(ctx context.Context, table *Table) (Change, bool, error) {
+	store := writing.editor.Store
+	rows, err := store.Read(ctx, attemptKey(writing.actor, writing.attempt))
 	if err != nil {
 		return Change{}, false, unavailable(err)
 	}
 	if rows[0].Version == 0 {
+		if table.version >= writing.unknown {
+			writing.unknown = 0
+		}
 		return Change{}, false, nil
 	}
 	version, err := decodeVersion(rows[0])
 	if err != nil {
 		return Change{}, false, unavailable(err)
 	}
-	changes, err := storage{editor.Store}.changes(ctx, version, version)
+	changes, err := storage{store}.changes(ctx, version, version)
 	if err != nil {
 		return Change{}, false, unavailable(err)
 	}
@@ -318,50 +371,6 @@
 	return nil
 }
 
-// commit sends the transaction until its outcome is known. It reports whether
-// the version is this transaction's; false means that another edit has it.
-//
-// The store's answer can be lost after the write took effect, or before. The
-// change's row tells: it bears the attempt of whoever made the version. While
-// it is absent, the write may still be under way. Sending the same
-// transaction again is then safe, because both are conditional on the same
-// counter and so at most one of them takes effect.
-func (editor *Editor) commit(ctx context.Context, transaction bvplatform.Transaction, version int64) (bool, error) {
-	unknown := false
-	for tries := 0; ; tries++ {
-		_, err := editor.Store.Commit(ctx, transaction)
-		if err == nil {
-			return true, nil
-		}
-		var conflict *bvplatform.ConflictError
-		isConflict := errors.As(err, &conflict)
-		unknown = unknown || errors.Is(err, bvplatform.ErrUnknown)
-		if !unknown && isConflict {
-			return false, nil
-		}
-		if !unknown {
-			return false, unavailable(err)
-		}
-		if writer, found := editor.writer(ctx, version); found {
-			return writer == transaction.Attempt, nil
-		}
-		if editor.wait(ctx, tries) != nil {
-			return false, bvverdict.New(bvverdict.MayHaveRun, bvverdict.PlatformUnavailable,
-				"the platform didn't tell whether the edit was accepted; see the table's history").WithCause(err)
-		}
-	}
-}
-
-// writer returns the attempt that made a version, if it is made and can be
-// read.
-func (editor *Editor) writer(ctx context.Context, version int64) (string, bool) {
-	rows, err := editor.Store.Read(ctx, changeKey(version))
-	if err != nil || rows[0].Version == 0 {
-		return "", false
-	}
-	return rows[0].Attempt, true
-}
-
 // wait pauses before a retry, for a random time so that racing editors don't
 // meet again at once. It returns an error when the context has ended.
 func (editor *Editor) wait(ctx context.Context, tries int) error {
--- a/bvtable/state.go
+++ b/bvtable/state.go
@@ -18,6 +18,7 @@
 type State struct {
 	table     *Table
 	confirmed bvclock.Time
+	ever      bool // confirmed is set
 }
 
 // Version returns the version in force; 0 before the first table.
@@ -64,7 +65,10 @@
 	if state.table == nil || state.table.version < shown {
 		return
 	}
-	state.confirmed = max(state.confirmed, sent)
+	if !state.ever || sent.After(state.confirmed) {
+		state.confirmed = sent
+	}
+	state.ever = true
 }
 
 // Current returns the table in force. A host that nobody has confirmed for
@@ -73,9 +77,9 @@
 // elsewhere that it would act against. The clock counts suspended time, so a
 // host that wakes up is refused before it has run anything.
 func (state *State) Current(now bvclock.Time) (*Table, error) {
-	if state.table == nil {
+	if state.table == nil || !state.ever {
 		return nil, bvverdict.Refuse(bvverdict.PlatformUnavailable,
-			"this host has no table yet").WithRetryAfter(retryUnconfirmed)
+			"this host has no confirmed table yet").WithRetryAfter(retryUnconfirmed)
 	}
 	if age := now.Sub(state.confirmed); age > ConfirmBound {
 		return nil, bvverdict.Refuse(bvverdict.PlatformUnavailable,
