Programs are handed over at a stop and reclaimed after a crash

Cause: a stopping host left claims behind, so the next owner had to count its budget blocks as spent and release caches everywhere; programs of dead hosts that nobody calls again held engine memory. The ledger had the systems, the daemon did not run them.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -96,7 +96,7 @@
 	client := &bvendpoint.Client{Progress: daemon.settings.SilenceLimit()}
 	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client))
 	daemon.commits = newCommitLoop(daemon)
-	daemon.owner = bvowner.New(daemon.Name()+"/"+daemon.incarnation, bvowner.Parts{
+	daemon.owner = bvowner.New(ownerName(daemon.view.Self()), bvowner.Parts{
 		Clock:     daemon.clock,
 		Store:     daemon.platform,
 		Committer: daemon.commits,
--- a/bvdaemon/endpoint.go
+++ b/bvdaemon/endpoint.go
@@ -50,3 +50,14 @@
 	}
 	return false
 }
+
+// Engines returns the names of all model engines.
+func (table *endpointTable) Engines() []string {
+	var names []string
+	for _, endpoint := range table.list() {
+		if endpoint.Kind == bvplatform.Engine {
+			names = append(names, endpoint.Name)
+		}
+	}
+	return names
+}
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -17,6 +17,7 @@
 const (
 	leaveTime    = 2 * bvclock.Second
 	announceTime = 2 * bvclock.Second
+	handoverTime = 5 * bvclock.Second
 )
 
 // Run serves until ctx ends, and then stops without cutting off a request.
@@ -33,6 +34,7 @@
 	group.Go(func() error { daemon.commits.run(loops); return nil })
 	group.Go(func() error { daemon.follow(loops); return nil })
 	group.Go(func() error { daemon.table.run(loops); return nil })
+	group.Go(func() error { daemon.reclaim(loops); return nil })
 	select {
 	case <-ctx.Done():
 	case <-groupContext.Done():
@@ -64,6 +66,7 @@
 	sleep(limit, leaveTime)
 	_ = daemon.caller.Shutdown(limit)
 	daemon.waitForCalls(limit)
+	daemon.waitForHandover(limit)
 	daemon.commits.flush(limit)
 	daemon.stopPeers(limit)
 	_ = daemon.operator.Shutdown(limit)
@@ -83,6 +86,16 @@
 	}
 }
 
+// waitForHandover waits, within a bound, until the programs are handed over.
+// What is left is taken over like the programs of a host that died.
+func (daemon *Daemon) waitForHandover(limit context.Context) {
+	limit, cancel := context.WithTimeout(limit, handoverTime.Std())
+	defer cancel()
+	for limit.Err() == nil && !daemon.owner.Left() {
+		sleep(limit, flushPoll)
+	}
+}
+
 func (daemon *Daemon) stopPeers(limit context.Context) {
 	done := make(chan struct{})
 	go func() {
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -61,7 +61,11 @@
 func (entry *Entry) Run(ctx context.Context, call *bvpeer.Call, emit func(*bvpeer.CallEvent) error) error {
 	relay := &relay{call: call, emit: emit}
 	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(host bvplatform.Host) error {
-		return entry.runAt(ctx, host, relay)
+		err := entry.runAt(ctx, host, relay)
+		if lost := new(lostError); errors.As(err, &lost) {
+			relay.lost = true
+		}
+		return err
 	})
 }
 
--- a/bventry/relay.go
+++ b/bventry/relay.go
@@ -13,17 +13,22 @@
 	emit     func(*bvpeer.CallEvent) error
 	position *bvpeer.StreamPosition
 	offset   int64 // tokens handed on so far
+	lost     bool  // an owner that had the call was lost
 }
 
 // next returns the call as the next owner is to see it.
 func (relay *relay) next() *bvpeer.Call {
-	if relay.position == nil {
+	if !relay.lost {
 		return relay.call
 	}
 	call, ok := proto.Clone(relay.call).(*bvpeer.Call)
 	if !ok {
 		return relay.call
 	}
+	call.Resent = true
+	if relay.position == nil {
+		return call
+	}
 	call.Resume = &bvpeer.StreamPosition{
 		Endpoint: relay.position.GetEndpoint(),
 		Stream:   relay.position.GetStream(),
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -49,6 +49,8 @@
 // Addresses finds endpoints by name.
 type Addresses interface {
 	Endpoint(name string) (bvplatform.Endpoint, bool)
+	// Engines returns the names of all model engines.
+	Engines() []string
 }
 
 // Parts are what an owner works with.
@@ -178,13 +180,32 @@
 	return finished, err
 }
 
-// Leave makes the owner decline programs that it has nothing of.
+// Leave makes the owner decline programs that it has no call of, and hand its
+// programs over, each as soon as nothing of it is under way.
 func (owner *Owner) Leave() {
+	owner.do(func(now bvclock.Time) {
+		owner.leaving = true
+		owner.ledger.Leave(now)
+	})
+}
+
+// Left reports whether every program has been handed over.
+func (owner *Owner) Left() bool {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	owner.leaving = true
+	return owner.ledger.Programs() == 0
 }
 
+// Reclaim ends programs that nobody ends: rows are all head rows, and live
+// tells whether the owner of a row still runs.
+func (owner *Owner) Reclaim(rows []bvplatform.Row, live func(owner string) bool) {
+	owner.do(func(now bvclock.Time) { owner.ledger.ReclaimScan(now, rows, live, longestIdle) })
+}
+
+// longestIdle is after which a program counts as lost whose row of the
+// operators' table sets no idle time.
+const longestIdle = 24 * bvclock.Hour
+
 // Busy reports whether a program has calls under way here.
 func (owner *Owner) Busy(member, program string) bool {
 	owner.mutex.Lock()
--- a/bvowner/release.go
+++ b/bvowner/release.go
@@ -16,12 +16,28 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Std())
 	defer cancel()
 	for _, name := range released.Endpoints {
-		if owner.releaseAt(ctx, released.Key, name) {
+		done := false
+		if name == bvledger.AnyEndpoint {
+			done = owner.releaseEverywhere(ctx, released.Key)
+		} else {
+			done = owner.releaseAt(ctx, released.Key, name)
+		}
+		if done {
 			owner.do(func(now bvclock.Time) { owner.ledger.ReleaseDone(now, released.Key, name) })
 		}
 	}
 }
 
+// releaseEverywhere reports whether no endpoint holds anything of the program
+// any more.
+func (owner *Owner) releaseEverywhere(ctx context.Context, key bvledger.ProgramKey) bool {
+	all := true
+	for _, endpoint := range owner.parts.Addresses.Engines() {
+		all = owner.releaseAt(ctx, key, endpoint) && all
+	}
+	return all
+}
+
 // releaseAt reports whether the endpoint holds nothing of the program any
 // more. An endpoint that is no longer listed has lost its memory.
 func (owner *Owner) releaseAt(ctx context.Context, key bvledger.ProgramKey, name string) bool {
--- a/bvowner/session.go
+++ b/bvowner/session.go
@@ -44,6 +44,7 @@
 		Turn:         int(call.GetTurn()),
 		Digest:       call.GetDigest(),
 		Unrepeatable: call.GetUnrepeatable(),
+		Resent:       call.GetResent(),
 		Full:         call.GetFullHistory(),
 		Messages:     call.GetModel().GetMessages(),
 		Cost:         costOf(call),
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -104,7 +104,12 @@
 	}
 	owner := session.owner
 	allowed := false
-	owner.do(func(now bvclock.Time) { allowed = owner.ledger.MayStart(now, session.id) })
+	owner.do(func(now bvclock.Time) {
+		allowed = owner.ledger.MayStart(now, session.id)
+		if allowed && session.call.GetModel() != nil {
+			owner.ledger.Placed(now, session.id, permit.Endpoint())
+		}
+	})
 	if !allowed {
 		return bvverdict.Refuse(bvverdict.NotOwner, "the time in which the call could be sent has passed")
 	}
