Demonstration of the whole system; history is not doubled in full mode

Change: the prompt is the caller's messages in full mode. The new process test fails without the change.

--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -55,6 +55,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(newServe())
+	root.AddCommand(newDemo())
 	root.AddCommand(newCheck())
 	root.AddCommand(newSettings())
 	root.AddCommand(newLoad())
--- /dev/null
+++ b/bvcommand/demo.go
@@ -0,0 +1,30 @@
+package bvcommand
+
+import (
+	"errors"
+
+	"github.com/spf13/cobra"
+
+	"balsamvalve.example/bvdemo"
+)
+
+func newDemo() *cobra.Command {
+	var seed uint64
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole system in one process and check its promises",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			report, err := bvdemo.Run(command.Context(), bvdemo.Config{Output: command.OutOrStdout(), Seed: seed})
+			if err != nil {
+				return err
+			}
+			if !report.Kept() || report.Finished != report.Programs {
+				return errors.New("demo: a promise was broken")
+			}
+			return nil
+		},
+	}
+	command.Flags().Uint64Var(&seed, "seed", 1, "of the programs")
+	return command
+}
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -60,6 +60,7 @@
 	listeners   listeners
 	measures    *bvmeasure.Counters
 	ready       atomic.Bool
+	stopped     chan struct{}
 }
 
 // listeners are the open ports of a daemon.
@@ -80,6 +81,7 @@
 		view:        &bvhost.View{},
 		endpoints:   &endpointTable{},
 		measures:    bvmeasure.New(),
+		stopped:     make(chan struct{}),
 	}
 	if err := daemon.listen(); err != nil {
 		return nil, err
@@ -160,14 +162,25 @@
 // PeerAddress returns the IP and port that other hosts use.
 func (daemon *Daemon) PeerAddress() string { return daemon.listeners.peer.Addr().String() }
 
-// Name returns the host's name.
+// Name returns the host's name. Where the settings give none it is the peer
+// address, with the port that was chosen.
 func (daemon *Daemon) Name() string {
-	if name := daemon.settings.HostName(); name != "" {
-		return name
+	name := daemon.settings.HostName()
+	if name == daemon.settings.PeerAddress().String() {
+		return daemon.PeerAddress()
 	}
-	return daemon.PeerAddress()
+	return name
 }
 
+// Ready reports whether the host takes calls.
+func (daemon *Daemon) Ready() bool { return daemon.ready.Load() }
+
+// HostsSeen returns how many hosts this one knows of, itself included.
+func (daemon *Daemon) HostsSeen() int { return len(daemon.view.Hosts()) }
+
+// Stopped is closed when Run has returned.
+func (daemon *Daemon) Stopped() <-chan struct{} { return daemon.stopped }
+
 func (daemon *Daemon) self(state bvplatform.HostState) bvplatform.Host {
 	return bvplatform.Host{
 		Name:        daemon.Name(),
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -22,6 +22,7 @@
 
 // Run serves until ctx ends, and then stops without cutting off a request.
 func (daemon *Daemon) Run(ctx context.Context) error {
+	defer close(daemon.stopped)
 	daemon.log.WithField("callers", daemon.CallerAddress()).
 		WithField("operators", daemon.OperatorAddress()).
 		WithField("peers", daemon.PeerAddress()).Info("serving")
--- /dev/null
+++ b/bvdemo/demo.go
@@ -0,0 +1,75 @@
+// Package bvdemo runs the whole system inside one process on loopback: the
+// platform's stand-in, engines, services, three daemons, and both members'
+// programs, with the promises checked.
+//
+// # Usage
+//
+//	summary, err := bvdemo.Run(ctx, bvdemo.Config{Output: os.Stdout})
+//	if err == nil && !summary.Kept() {
+//		// a promise was broken
+//	}
+package bvdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"balsamvalve.example/bvload"
+)
+
+// Sizes of the demonstration.
+const (
+	daemons     = 3
+	programs    = 60
+	concurrency = 12
+	readyLimit  = 10 * time.Second
+	readyPoll   = 20 * time.Millisecond
+)
+
+// Config says how the demonstration is run. The zero value shows nothing.
+type Config struct {
+	Output io.Writer // takes progress and the table
+	Seed   uint64    // of the programs
+}
+
+// Run serves the programs and returns what was found. An error means that the
+// system did not come up.
+func Run(ctx context.Context, config Config) (bvload.Report, error) {
+	if config.Output == nil {
+		config.Output = io.Discard
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	system, err := start(ctx, config.Output)
+	if err != nil {
+		return bvload.Report{}, err
+	}
+	defer system.stop()
+	report, err := bvload.Run(ctx, bvload.Config{
+		Addresses:   system.callerAddresses(),
+		Members:     bvload.Members(map[string]string{bvload.Piran: piranKey, bvload.Brindley: brindleyKey}),
+		Programs:    programs,
+		Concurrency: concurrency,
+		Seed:        config.Seed,
+		Counters:    system.services,
+		Engines:     system.engines,
+		Progress:    func(progress bvload.Progress) { show(config.Output, progress) },
+	})
+	if err != nil {
+		return bvload.Report{}, err
+	}
+	_, _ = fmt.Fprintf(config.Output, "\n%s\n%s\n", report.Text(), lastLine(report))
+	return report, nil
+}
+
+func show(output io.Writer, progress bvload.Progress) {
+	_, _ = fmt.Fprintf(output, "%d of %d programs finished, %d requests\n", progress.Finished, programs, progress.Requests)
+}
+
+func lastLine(report bvload.Report) string {
+	return fmt.Sprintf("demo: programs=%d finished=%d requests=%d lost=%d mixed=%d twice=%d p50_ms=%.0f p99_ms=%.0f",
+		report.Programs, report.Finished, report.Requests, report.Lost, report.Mixed, report.Twice,
+		report.All.Program.P50, report.All.Program.P99)
+}
--- /dev/null
+++ b/bvdemo/system.go
@@ -0,0 +1,201 @@
+package bvdemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/pflag"
+
+	"balsamvalve.example/bvdaemon"
+	"balsamvalve.example/bvload"
+	"balsamvalve.example/bvmodel"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/bvstandin"
+)
+
+// Keys of the demonstration. They open nothing but its own process.
+const (
+	piranKey    = "demo-piran-caller"
+	brindleyKey = "demo-brindley-caller"
+	keyLines    = "piran caller " + piranKey + "\nbrindley caller " + brindleyKey + "\n"
+)
+
+// system is everything that runs.
+type system struct {
+	platform string
+	engines  []string
+	services []string
+	daemons  []*bvdaemon.Daemon
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+func start(ctx context.Context, output io.Writer) (*system, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	system := &system{cancel: cancel}
+	if err := system.build(ctx, output); err != nil {
+		system.stop()
+		return nil, err
+	}
+	return system, nil
+}
+
+func (system *system) build(ctx context.Context, output io.Writer) (err error) {
+	system.platform, err = system.serve(&bvstandin.Platform{})
+	if err != nil {
+		return err
+	}
+	if err := system.startEngines(ctx); err != nil {
+		return err
+	}
+	if err := system.startServices(ctx); err != nil {
+		return err
+	}
+	if err := system.writeTable(ctx); err != nil {
+		return err
+	}
+	for i := range daemons {
+		if err := system.startDaemon(ctx, fmt.Sprintf("host-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	if err := system.waitReady(ctx); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(output, "%d daemons, %d engines, %d services on loopback\n",
+		len(system.daemons), len(system.engines), len(system.services))
+	return nil
+}
+
+// serve starts a handler on a free port and returns its address.
+func (system *system) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("demo: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyLimit}
+	system.servers = append(system.servers, server)
+	system.running.Go(func() { _ = server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+func (system *system) startEngines(ctx context.Context) error {
+	for i, model := range []string{bvload.ModelBooking, bvload.ModelAgent, bvload.ModelAgent} {
+		engine := bvstandin.NewEngine(bvstandin.EngineConfig{
+			Name:  fmt.Sprintf("engine-%d", i+1),
+			Model: model,
+			Batch: bvmodel.Config{Slots: 8, DecodeTokensPerSecond: 150},
+		})
+		address, err := system.serve(engine)
+		if err != nil {
+			return err
+		}
+		system.engines = append(system.engines, address)
+		system.announce(ctx, func() bvplatform.Endpoint { return engine.Endpoint(address) })
+	}
+	return nil
+}
+
+func (system *system) startServices(ctx context.Context) error {
+	for _, name := range []string{bvload.ServiceBooking, bvload.ServiceStock} {
+		service := &bvstandin.Service{Name: name + "-1", Serves: name}
+		address, err := system.serve(service)
+		if err != nil {
+			return err
+		}
+		system.services = append(system.services, address)
+		system.announce(ctx, func() bvplatform.Endpoint { return service.Endpoint(address) })
+	}
+	return nil
+}
+
+func (system *system) announce(ctx context.Context, endpoint func() bvplatform.Endpoint) {
+	announcer := &bvstandin.Announcer{Client: system.client(), Endpoint: endpoint}
+	system.running.Go(func() { announcer.Run(ctx) })
+}
+
+func (system *system) client() *bvplatform.Client {
+	return &bvplatform.Client{Address: system.platform}
+}
+
+func (system *system) startDaemon(ctx context.Context, name string) error {
+	settings, err := settingsOf(map[string]string{
+		"host-name":        name,
+		"zone":             "demo",
+		"caller-address":   "127.0.0.1:0",
+		"peer-address":     "127.0.0.1:0",
+		"operator-address": "127.0.0.1:0",
+		"platform-address": system.platform,
+		"poll-interval":    "200ms",
+	})
+	if err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	daemon, err := bvdaemon.New(settings, log)
+	if err != nil {
+		return err
+	}
+	system.daemons = append(system.daemons, daemon)
+	system.running.Go(func() { _ = daemon.Run(ctx) })
+	return nil
+}
+
+func settingsOf(values map[string]string) (bvsetting.Serve, error) {
+	flags := pflag.NewFlagSet("demo", pflag.ContinueOnError)
+	bvsetting.AddFlags(flags)
+	for name, value := range values {
+		if err := flags.Set(name, value); err != nil {
+			return bvsetting.Serve{}, fmt.Errorf("demo: %w", err)
+		}
+	}
+	lookup := func(name string) (string, bool) {
+		return keyLines, name == "BALSAMVALVE_KEYS"
+	}
+	return bvsetting.Load(flags, lookup)
+}
+
+func (system *system) waitReady(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, daemon := range system.daemons {
+		for !daemon.Ready() || daemon.HostsSeen() < len(system.daemons) {
+			select {
+			case <-limit.Done():
+				return errors.New("demo: the daemons did not get ready")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func (system *system) callerAddresses() []string {
+	var addresses []string
+	for _, daemon := range system.daemons {
+		addresses = append(addresses, daemon.CallerAddress())
+	}
+	return addresses
+}
+
+// stop ends the daemons, which finish what they have, and then the stand-ins.
+func (system *system) stop() {
+	system.cancel()
+	for _, daemon := range system.daemons {
+		<-daemon.Stopped()
+	}
+	for _, server := range system.servers {
+		_ = server.Close()
+	}
+	system.running.Wait()
+}
--- a/bvowner/chat.go
+++ b/bvowner/chat.go
@@ -18,7 +18,7 @@
 // chat runs a model call on the permitted endpoint.
 func (session *session) chat(ctx context.Context, start bvledger.Start, permit *bvpermit.Permit, try int) (bvledger.Result, bool) {
 	model := session.call.GetModel()
-	prompt, err := joinArrays(start.History, model.GetMessages())
+	prompt, err := session.prompt(start)
 	if err != nil {
 		permit.Finish(unused())
 		return failed(bvverdict.Refuse(bvverdict.BadRequest, "the messages could not be joined")), false
@@ -55,6 +55,17 @@
 	return session.complete(result, model.GetModel(), answer), false
 }
 
+// prompt is all that the engine is to see: the kept history and the new
+// messages, or just the messages where the caller sent the history with them
+// and the ledger found it to be the kept one.
+func (session *session) prompt(start bvledger.Start) ([]byte, error) {
+	messages := session.call.GetModel().GetMessages()
+	if session.call.GetFullHistory() {
+		return messages, nil
+	}
+	return joinArrays(start.History, messages)
+}
+
 func (session *session) complete(result bvledger.Result, model string, answer bvendpoint.ChatResult) bvledger.Result {
 	kept, err := bvanswer.Encode(bvanswer.Model{
 		Model:        model,
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -133,7 +133,10 @@
 	}
 	if model := call.GetModel(); model != nil {
 		ask.Pool = bvpermit.PoolName(bvplatform.Engine, model.GetModel())
-		ask.PromptTokens = tokensOf(start.History) + tokensOf(model.GetMessages())
+		ask.PromptTokens = tokensOf(model.GetMessages())
+		if !call.GetFullHistory() {
+			ask.PromptTokens += tokensOf(start.History)
+		}
 		return ask
 	}
 	ask.Pool = bvpermit.PoolName(bvplatform.Service, call.GetService().GetService())
--- a/bvprocess/caller_test.go
+++ b/bvprocess/caller_test.go
@@ -29,6 +29,7 @@
 	program string
 	kept    []message
 	turn    int
+	full    bool // sends the whole history with each call
 }
 
 func newConversation(t *testing.T, key, program string) *conversation {
@@ -75,17 +76,24 @@
 }
 
 func (conversation *conversation) request(daemon *process, text string, stream bool) *http.Request {
+	messages := []message{{"user", text}}
+	if conversation.full {
+		messages = append(append([]message{}, conversation.kept...), messages...)
+	}
 	body, err := json.Marshal(struct {
 		Model     string    `json:"model"`
 		Messages  []message `json:"messages"`
 		Stream    bool      `json:"stream"`
 		MaxTokens int       `json:"max_tokens"`
-	}{"m", []message{{"user", text}}, stream, 40})
+	}{"m", messages, stream, 40})
 	require.NoError(conversation.t, err)
 	request, err := http.NewRequest(http.MethodPost, "http://"+daemon.field("callers")+"/v1/chat/completions", bytes.NewReader(body))
 	require.NoError(conversation.t, err)
 	request.Header.Set("Authorization", "Bearer "+conversation.key)
 	request.Header.Set("Bv-Program", conversation.program)
+	if conversation.full {
+		request.Header.Set("Bv-History", "full")
+	}
 	request.Header.Set("Bv-Turn", strconv.Itoa(conversation.turn))
 	request.Header.Set("Bv-Request", conversation.program+"-"+strconv.Itoa(conversation.turn))
 	return request
--- a/bvprocess/path_test.go
+++ b/bvprocess/path_test.go
@@ -29,3 +29,15 @@
 	require.True(t, done, text)
 	conversation.take("200 anchors M10", text)
 }
+
+// A client that keeps the conversation itself sends all of it with each call.
+// The history was put before it once more, so that the engine saw everything
+// twice and answered another question; the demonstration found it.
+func TestHistoryIsNotDoubledWhenTheCallerSendsItAll(t *testing.T) {
+	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
+	conversation := newConversation(t, boltsKey, "account")
+	conversation.full = true
+	for range 3 {
+		conversation.say(cluster.daemons[0], "and the anchors?")
+	}
+}
