A call's reservation covers the history that the engine reads again

Cause: the reservation counted a call's new messages only, so a program with a long history spent more than was reserved, and could pass its budget. Change: HistoryCost, per byte of kept history, which only the ledger knows.

--- a/bvledger/call.go
+++ b/bvledger/call.go
@@ -34,7 +34,8 @@
 	Resent       bool   // the caller has sent the request before: a refusal then never says that it was not run
 	Full         bool   // Messages carry the whole history, not only what is new
 	Messages     []byte // JSON array of the call's new messages
-	Cost         int64  // most that the call can spend, in work units
+	Cost         int64  // most that the call can spend, in work units, without HistoryCost
+	HistoryCost  int64  // what each byte of the history that comes before the call adds to Cost
 	Deadline     bvclock.Time
 	Limits       Limits
 }
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -17,6 +17,7 @@
 		}
 		program.running = call
 		call.state = callPreparing
+		call.addHistoryCost(program)
 		if call.waitsSince == 0 {
 			call.waitsSince = now
 			call.waitUntil = now.Add(ledger.settings.PrepareWait)
@@ -37,6 +38,14 @@
 	}
 }
 
+// addHistoryCost adds what the history costs, which the caller's host can't
+// know. Without it, a call with few new words on a long history would spend
+// more than was reserved for it, and the program more than its budget.
+func (call *call) addHistoryCost(program *program) {
+	call.Cost += call.HistoryCost * int64(len(program.history.inside))
+	call.HistoryCost = 0
+}
+
 // judgement says what becomes of a call whose turn it is.
 type judgement int
 
--- a/bvowner/session.go
+++ b/bvowner/session.go
@@ -48,6 +48,7 @@
 		Full:         call.GetFullHistory(),
 		Messages:     call.GetModel().GetMessages(),
 		Cost:         costOf(call),
+		HistoryCost:  historyCostOf(call),
 		Deadline:     session.deadline,
 		Limits:       limitsOf(session.row),
 	}
@@ -60,6 +61,14 @@
 // serviceCost is what a call of a plain service costs, in work units.
 const serviceCost = 1
 
+// historyCostOf is what a byte of the kept history adds to a call's cost.
+func historyCostOf(call *bvpeer.Call) int64 {
+	if call.GetModel() == nil || call.GetFullHistory() {
+		return 0
+	}
+	return 1
+}
+
 // costOf bounds what a call can spend, in tokens. A token is at least one
 // byte, so the bytes of the prompt bound its tokens; the ledger adds those of
 // the history.
