--- /dev/null
+++ b/bvtable/bench_test.go
@@ -0,0 +1,120 @@
+package bvtable
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// largeTable has a member's own row and classes, as many rows as told.
+func largeTable(rows int) *Table {
+	list := []Row{{Member: "piran", Share: 100}}
+	for i := 1; i < rows; i++ {
+		list = append(list, Row{
+			Member: "piran", Class: "class-" + strconv.Itoa(i), Priority: i % 10, Budget: int64(i),
+			Idle: 15 * bvclock.Minute, Models: []string{"small", "large"},
+		})
+	}
+	return NewTable(1, list)
+}
+
+func withRows(b *testing.B, run func(b *testing.B, rows int)) {
+	for _, rows := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) { run(b, rows) })
+	}
+}
+
+// BenchmarkApply is a follower's cost of one change.
+func BenchmarkApply(b *testing.B) {
+	withRows(b, func(b *testing.B, rows int) {
+		state := &State{}
+		state.Install(largeTable(rows))
+		b.ReportAllocs()
+		for b.Loop() {
+			change := budgetChange(state.Version()+1, "17")
+			change.Cells[0].Class = "class-7"
+			if err := state.Apply([]Change{change}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkMemory is what a follower keeps.
+func BenchmarkMemory(b *testing.B) {
+	withRows(b, func(b *testing.B, rows int) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			table := largeTable(rows)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(table)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+	})
+}
+
+// BenchmarkSnapshot is what a host that starts in an outage gets from a peer.
+func BenchmarkSnapshot(b *testing.B) {
+	withRows(b, func(b *testing.B, rows int) {
+		table := largeTable(rows)
+		size := 0
+		for b.Loop() {
+			content, err := table.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := Decode(content); err != nil {
+				b.Fatal(err)
+			}
+			size = len(content)
+		}
+		b.ReportMetric(float64(size), "snapshot-B")
+	})
+}
+
+// BenchmarkRow is what each call pays to learn its limits.
+func BenchmarkRow(b *testing.B) {
+	withRows(b, func(b *testing.B, rows int) {
+		table := largeTable(rows)
+		for b.Loop() {
+			if _, found := table.Row("piran", "class-77"); !found {
+				b.Fatal("absent")
+			}
+		}
+	})
+}
+
+// BenchmarkSet is an edit on the host that serves it, against a store without
+// latency, and the platform calls that it takes.
+func BenchmarkSet(b *testing.B) {
+	withRows(b, func(b *testing.B, rows int) {
+		memory := &bvplatform.Memory{}
+		editor := newEditor(memory)
+		editor.Follower.install(largeTable(rows).at(0))
+		writesBefore, readsBefore := memory.Counts()
+		edits := 0
+		for b.Loop() {
+			edits++
+			edit := set("piran", "class-7", Budget, strconv.Itoa(edits+100))
+			if _, err := editor.Set(context.Background(), piran, edit); err != nil {
+				b.Fatal(err)
+			}
+		}
+		writes, reads := memory.Counts()
+		b.ReportMetric(float64(writes-writesBefore)/float64(edits), "writes/op")
+		b.ReportMetric(float64(reads-readsBefore)/float64(edits), "reads/op")
+	})
+}
+
+// at returns the table under another version.
+func (table *Table) at(version int64) *Table {
+	return &Table{version: version, rows: table.rows}
+}
