--- /dev/null
+++ b/bvkey/ring_test.go
@@ -0,0 +1,39 @@
+package bvkey
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFindTellsMemberAndRole(t *testing.T) {
+	ring, err := Read(strings.NewReader("# keys of the pilot\n\npiran operator piran-operator-key\nbrindley caller brindley-caller-key\n"))
+	require.NoError(t, err)
+	require.Equal(t, 2, ring.Len())
+	member, role, found := ring.Find("piran-operator-key")
+	require.True(t, found)
+	require.Equal(t, "piran", member)
+	require.Equal(t, Operator, role)
+}
+
+func TestZeroRingKnowsNoKey(t *testing.T) {
+	_, role, found := (&Ring{}).Find("")
+	require.False(t, found)
+	require.Equal(t, NoRole, role)
+}
+
+// A keys file has a typing error in the line of a key. The message ends up in
+// a log that other members' operators read: it must not hold the key.
+func TestErrorNamesTheLineAndNotTheKey(t *testing.T) {
+	_, err := Read(strings.NewReader("piran operator piran-operator-key\npiran operater secret-secret\n"))
+	require.ErrorContains(t, err, "line 2")
+	require.NotContains(t, err.Error(), "secret-secret")
+}
+
+// Two members get the same key by a copying error. The first line would win
+// and one member act as the other.
+func TestOneKeyForTwoMembersIsRefused(t *testing.T) {
+	_, err := Read(strings.NewReader("piran caller shared-key-1\nbrindley caller shared-key-1\n"))
+	require.ErrorContains(t, err, "earlier line")
+}
