--- a/bvload/report.go
+++ b/bvload/report.go
@@ -23,6 +23,9 @@
 	curve []point
 }
 
+// curvePoints is one for each percentile from 0 to 100.
+const curvePoints = 101
+
 // point is one point of a percentile curve.
 type point struct{ percentile, milliseconds float64 }
 
@@ -144,8 +147,9 @@
 		P99:   milliseconds(histogram.ValueAtPercentile(99)),
 		Max:   milliseconds(histogram.Max()),
 	}
-	for _, bracket := range histogram.CumulativeDistribution() {
-		latency.curve = append(latency.curve, point{bracket.Quantile, milliseconds(bracket.ValueAt)})
+	for percentile := range curvePoints {
+		value := histogram.ValueAtPercentile(float64(percentile))
+		latency.curve = append(latency.curve, point{float64(percentile), milliseconds(value)})
 	}
 	return latency
 }
