--- a/bvprocess/caller_test.go
+++ b/bvprocess/caller_test.go
@@ -46,6 +46,20 @@
 	conversation.take(text, contentOf(conversation.t, body))
 }
 
+// sayNext makes the next call without saying its number.
+func (conversation *conversation) sayNext(daemon *process, text string) {
+	conversation.t.Helper()
+	request := conversation.request(daemon, text, false)
+	request.Header.Del("Bv-Turn")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(conversation.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(conversation.t, err)
+	require.Equal(conversation.t, http.StatusOK, response.StatusCode, string(body))
+	conversation.take(text, contentOf(conversation.t, string(body)))
+}
+
 func (conversation *conversation) take(text, answer string) {
 	conversation.t.Helper()
 	conversation.kept = append(conversation.kept, message{"user", text})
@@ -143,3 +157,18 @@
 	}
 	return whole.String(), false
 }
+
+// fetch asks for a kept answer.
+func fetch(t *testing.T, daemon *process, key, program, id string) (status int, body string) {
+	t.Helper()
+	url := "http://" + daemon.field("callers") + "/v1/programs/" + program + "/answers/" + id
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(content)
+}
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -18,8 +18,14 @@
 const (
 	piranKey = "piran-caller-key-0000"
 	boltsKey = "bolts-caller-key-0000"
+
+	piranOperatorKey = "piran-operator-key-00"
+	boltsOperatorKey = "bolts-operator-key-00"
+	adminKey         = "consortium-admin-key0"
+
 	keyLines = "piran caller " + piranKey + "\nbolts caller " + boltsKey +
-		"\npiran operator piran-operator-key-0\nbolts operator bolts-operator-key-0\n"
+		"\npiran operator " + piranOperatorKey + "\nbolts operator " + boltsOperatorKey +
+		"\nconsortium admin " + adminKey + "\n"
 )
 
 // poll is how often a condition is looked at, and patience how long; patience
--- /dev/null
+++ b/bvprocess/endpoint_test.go
@@ -0,0 +1,144 @@
+package bvprocess
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvstandin"
+)
+
+// held returns how many prefixes an engine holds for a program.
+func (cluster *cluster) held(engine *process, program string) int {
+	response, err := http.Get("http://" + engine.address() + "/cache")
+	require.NoError(cluster.t, err)
+	defer func() { _ = response.Body.Close() }()
+	var cache struct {
+		Cached []struct{ Prefix string }
+	}
+	require.NoError(cluster.t, json.NewDecoder(response.Body).Decode(&cache))
+	count := 0
+	for _, held := range cache.Cached {
+		if held.Prefix == program {
+			count++
+		}
+	}
+	return count
+}
+
+// end ends a program through a daemon.
+func (conversation *conversation) end(daemon *process) {
+	request, err := http.NewRequest(http.MethodDelete, "http://"+daemon.field("callers")+"/v1/programs/"+conversation.program, nil)
+	require.NoError(conversation.t, err)
+	request.Header.Set("Authorization", "Bearer "+conversation.key)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(conversation.t, err)
+	_ = response.Body.Close()
+	require.Equal(conversation.t, http.StatusNoContent, response.StatusCode)
+}
+
+// A quote is done and its program ends, but the host that ran it, and knew
+// where its cache lies, has just lost power. The next owner must find out and
+// have the engines drop it, or the memory stays held.
+func TestEnginesHoldNothingOfAnEndedProgramWhoseOwnerWasKilled(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=2000"}})
+	owner := cluster.daemons[1]
+	conversation := newConversation(t, boltsKey, cluster.programOwnedBy("bolts", owner.name))
+	conversation.say(cluster.daemons[0], "200 anchors")
+	conversation.say(cluster.daemons[0], "and 50 more")
+	total := func() int {
+		return cluster.held(cluster.engines[0], conversation.program) + cluster.held(cluster.engines[1], conversation.program)
+	}
+	require.Positive(t, total(), "the engines should hold the program's prefix while it runs")
+	owner.kill()
+	conversation.end(cluster.daemons[0])
+	require.Eventually(t, func() bool { return total() == 0 }, patience, poll)
+}
+
+// Something between a host and an engine loses track of the connection in
+// mid-stream: no token comes and no error either. The stream is taken up over
+// a new connection, and the caller sees one whole answer.
+func TestSilentStreamIsTakenUpOverANewConnection(t *testing.T) {
+	t.Parallel()
+	cluster := &cluster{t: t}
+	cluster.platform = start(t, "platform", nil, "standin", "platform")
+	cluster.engines = append(cluster.engines, cluster.startEngine(0, "--vary", "--decode=200"))
+	cluster.daemons = append(cluster.daemons, cluster.startDaemon(0, "--silence-limit=500ms"))
+	cluster.waitReady()
+	cluster.engines[0].fault(`{"silent_after":5}`)
+	conversation := newConversation(t, boltsKey, "quote")
+	conversation.say(cluster.daemons[0], "200 anchors")
+}
+
+// An engine is told to stop while callers go on. It must get no new call a few
+// seconds after it began to leave, and no answer may be cut.
+func TestLeavingEngineGetsNoNewCallsAndCutsNone(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=400", "--vary", "--drain=4s"}})
+	leaving := cluster.engines[0]
+	conversation := newConversation(t, boltsKey, "quote")
+	conversation.say(cluster.daemons[0], "first")
+	leaving.signal(syscall.SIGTERM)
+	exited := make(chan int, 1)
+	go func() { exited <- leaving.wait() }()
+	for {
+		conversation.say(cluster.daemons[conversation.turn%3], "next")
+		select {
+		case code := <-exited:
+			require.Zero(t, code)
+			conversation.say(cluster.daemons[0], "after it")
+			return
+		default:
+		}
+	}
+}
+
+// A request crashes each engine that runs it, and its caller sends it again
+// and again. After two crashes it is refused everywhere, and the engines that
+// are left go on serving the others.
+func TestRequestThatCrashesEnginesIsRefusedAfterTwoCrashes(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
+	poison := newConversation(t, piranKey, "poison")
+	poison.turn = 1
+	for try := range 4 {
+		status, body := poison.post(cluster.daemons[try%3], bvstandin.PoisonMarker, false)
+		require.NotEqual(t, http.StatusOK, status, body)
+	}
+	status, body := poison.post(cluster.daemons[0], bvstandin.PoisonMarker, false)
+	require.Equal(t, http.StatusUnprocessableEntity, status, body)
+	require.True(t, strings.Contains(body, "poisonous"), body)
+	alive := 0
+	for _, engine := range cluster.engines {
+		if _, err := http.Get("http://" + engine.address() + "/load"); err == nil {
+			alive++
+		}
+	}
+	require.GreaterOrEqual(t, alive, 2)
+	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
+}
+
+// The booking service hangs. The caller gets its final answer at its own
+// deadline, and the program goes on.
+func TestHungServiceEndsAtTheDeadline(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 1, services: 1, engine: []string{"--instant"}})
+	cluster.services[0].fault(`{"hang":true}`)
+	url := "http://" + cluster.daemons[0].field("callers") + "/v1/services/booking/weather"
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+piranKey)
+	request.Header.Set("Bv-Program", "lesson")
+	request.Header.Set("Bv-Deadline-Ms", "800")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+	conversation := newConversation(t, piranKey, "lesson")
+	conversation.sayNext(cluster.daemons[0], "is there wind?")
+}
--- a/bvprocess/loss_test.go
+++ b/bvprocess/loss_test.go
@@ -13,6 +13,7 @@
 // owner claims the program and takes the engine's stream over: the caller sees
 // one whole answer and nothing of the loss.
 func TestCallerGetsWholeAnswerWhenOwnerIsKilledInMidStream(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=40", "--vary"}})
 	entry, owner := cluster.daemons[0], cluster.daemons[1]
 	conversation := newConversation(t, boltsKey, cluster.programOwnedBy("bolts", owner.name))
--- a/bvprocess/once_test.go
+++ b/bvprocess/once_test.go
@@ -53,6 +53,7 @@
 }
 
 func TestRepeatedBookingIsAnsweredFromItsRecord(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
 	status, _, first := cluster.book(cluster.daemons[0], "lesson", "booking-1")
 	require.Equal(t, http.StatusOK, status, first)
@@ -68,6 +69,7 @@
 // sent it loses power, and the client sends it again through all other hosts
 // at once. Whoever takes the program over must not send it a second time.
 func TestBookingRunsAtMostOnceWhenItsHostIsKilled(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
 	owner := cluster.daemons[2]
 	program := cluster.programOwnedBy("piran", owner.name)
@@ -95,6 +97,7 @@
 // wakes up and goes on as if nothing had happened. Without its record in the
 // platform and its look at the clock, both would send.
 func TestBookingRunsAtMostOnceWhenItsHostIsFrozen(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
 	owner := cluster.daemons[2]
 	program := cluster.programOwnedBy("piran", owner.name)
--- a/bvprocess/path_test.go
+++ b/bvprocess/path_test.go
@@ -10,6 +10,7 @@
 // A program of three turns is served when each turn comes in at another host:
 // the balancer knows nothing of programs.
 func TestProgramIsServedThroughEveryHost(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--instant"}})
 	conversation := newConversation(t, piranKey, "lesson")
 	for _, daemon := range cluster.daemons {
@@ -19,6 +20,7 @@
 }
 
 func TestStreamEndsWithDone(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
 	conversation := newConversation(t, boltsKey, "quote")
 	conversation.turn = 1
@@ -34,6 +36,7 @@
 // The history was put before it once more, so that the engine saw everything
 // twice and answered another question; the demonstration found it.
 func TestHistoryIsNotDoubledWhenTheCallerSendsItAll(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
 	conversation := newConversation(t, boltsKey, "account")
 	conversation.full = true
--- a/bvprocess/stop_test.go
+++ b/bvprocess/stop_test.go
@@ -70,6 +70,7 @@
 // planned stop. A host that closed its ports at once, or dropped the programs
 // that it was running, would cut their answers. Nobody may notice anything.
 func TestReplacingEveryHostCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=200", "--vary"}})
 	balancer := &balancer{daemons: append([]*process{}, cluster.daemons...)}
 	var stopping atomic.Bool
