--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -198,7 +198,7 @@
 		ledger.schedule(program) // nothing may start that the next owner can't know of
 		return
 	}
-	if program.phase == phaseCold && (len(program.queue) > 0 || program.ending != nil) {
+	if program.phase == phaseCold && (len(program.queue) > 0 || program.ending != nil || program.dirty) {
 		program.phase = phaseLoading
 		ledger.load(program, "")
 	}
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -145,3 +145,44 @@
 	stale.pump(5)
 	requireAnswer(t, stale, 2, "fresh")
 }
+
+// A caller hears nothing of its first submission, which runs at another host,
+// and asks for the answer at this one, where a repeat waits for its turn. The
+// repeat is refused as not run, and so was the fetch that had joined it,
+// although the request had run (found with -rapid.seed=57239654).
+func TestFetchIsNeverToldThatTheRequestWasNotRun(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(0, question(1, "r2", 2))
+	host.ledger.Fetch(0, 2, lesson, "r2")
+	host.pump(0)
+	host.pump(bvclock.Time(0).Add(bvledger.DefaultOrderWait))
+	requireRefusal(t, host, 1, bvverdict.NotRun, bvverdict.TurnOutOfOrder)
+	requireRefusal(t, host, 2, bvverdict.MayHaveRun, bvverdict.TurnOutOfOrder)
+}
+
+// Two sub-agents on one host draw from their parent's account, which another
+// host has written meanwhile. While one of them read it anew the other wrote
+// on the old version, by turns and for ever (found with -rapid.seed=29058880).
+func TestTwoSubAgentsGetOverAConflictOnTheirParentsAccount(t *testing.T) {
+	store := &faults{}
+	parent := newHost("a", store)
+	call := question(1, "r1", 1)
+	call.Limits.Budget = 1000
+	parent.ledger.Submit(1, call)
+	parent.pump(1)
+	children := newHost("b", store)
+	for i, name := range []string{"c1", "c2", "c3"} {
+		call := question(bvledger.CallID(i+1), "r1", 1)
+		call.Key.Program = name
+		call.Parent = lesson.Program
+		children.ledger.Submit(2, call)
+	}
+	children.tick(2) // the children's host has read the account
+	parent.ledger.Finish(3, 1, reply("one"))
+	call = question(2, "r2", 2)
+	call.Limits.Budget = 900 // changes the account row
+	parent.ledger.Submit(3, call)
+	parent.pump(3)
+	children.pump(4)
+	require.Len(t, children.started, 3)
+}
--- a/bvledger/order.go
+++ b/bvledger/order.go
@@ -176,9 +176,6 @@
 		call.inserted = false
 		program.settle(call, onceRow{State: onceNotRun})
 	}
-	if call.kind == kindFetch {
-		err = bvverdict.New(bvverdict.MayHaveRun, err.Code(), "%s", err.Reason()).WithRetryAfter(err.RetryAfter())
-	}
 	ledger.refuse(call, err)
 }
 
--- a/bvledger/release_test.go
+++ b/bvledger/release_test.go
@@ -5,7 +5,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvverdict"
 )
 
 // The engine keeps an ended program's cache for good. Host a runs a turn and
@@ -34,3 +36,48 @@
 	require.Len(t, stale.released, 1)
 	require.Equal(t, []string{"engine-1"}, stale.released[0].Endpoints)
 }
+
+// The engine keeps an ended program's cache for good. The caller ends the
+// program while a call runs, the call doesn't stop when told to, the host ends
+// the program without it and the release goes out; then the call ends on
+// engine-2. The cause: the ledger had forgotten the call (found with
+// -rapid.seed=8851532).
+func TestCallThatOutlivesItsProgramIsReleased(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.End(2, lesson, 2)
+	host.pump(2)
+	now := bvclock.Time(2).Add(bvledger.DefaultAbortGrace)
+	host.pump(now)
+	requireRefusal(t, host, 1, bvverdict.MayHaveRun, bvverdict.ProgramEnded)
+	require.NotNil(t, host.outcomes[2].answer)
+	require.Empty(t, host.released)
+
+	late := reply("late")
+	late.Endpoint = "engine-2"
+	host.ledger.Finish(now, 1, late)
+	host.pump(now)
+	require.Len(t, host.released, 1)
+	require.Equal(t, []string{"engine-2"}, host.released[0].Endpoints)
+}
+
+// A program that nobody uses any more is never ended. It rests so long that
+// its history leaves memory, then an operator lowers its budget, which has to
+// be written; the write waited for a history that nothing loaded, and the end
+// waited for the write (found with -rapid.seed=8851532).
+func TestRestingProgramEndsAfterItsLimitsChanged(t *testing.T) {
+	host := newHost("a", &faults{})
+	call := question(1, "r1", 1)
+	call.Limits = bvledger.Limits{Budget: 100, Idle: bvclock.Hour}
+	host.ledger.Submit(1, call)
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("one"))
+	host.pump(2)
+	now := bvclock.Time(2).Add(bvledger.DefaultEvictAfter)
+	host.pump(now)
+	host.ledger.SetLimits(now, lesson, bvledger.Limits{Budget: 50, Idle: bvclock.Hour})
+	host.pump(now)
+	host.pump(bvclock.Time(2).Add(bvclock.Hour))
+	require.Len(t, host.released, 1)
+}
--- a/bvledger/request.go
+++ b/bvledger/request.go
@@ -91,11 +91,12 @@
 // A verdict is about the request, not about this submission of it. A caller
 // that heard nothing and sends a booking again must not be told "not run" only
 // because this submission didn't get far: the first one may have run at a
-// host that is gone. Without that caller's word this host can't know.
+// host that is gone. Without that caller's word this host can't know. For a fetch
+// there always was a first one.
 func (ledger *Ledger) refuse(call *call, err *bvverdict.Error) {
 	ledger.forget(call)
 	told := err
-	if call.Resent && err.Verdict() == bvverdict.NotRun {
+	if (call.Resent || call.kind == kindFetch) && err.Verdict() == bvverdict.NotRun {
 		told = bvverdict.New(bvverdict.MayHaveRun, err.Code(), "%s", err.Reason()).
 			WithRetryAfter(err.RetryAfter()).WithCause(errors.Unwrap(err))
 	}
--- a/bvledger/world_test.go
+++ b/bvledger/world_test.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// GoString keeps the traces of fuzz runs short.
+func (host *host) GoString() string {
+	return host.name
+}
+
 // pump carries effects until nothing is left that time doesn't have to bring.
 func (host *host) pump(now bvclock.Time) {
 	for range 100 {
--- a/bvledger/write.go
+++ b/bvledger/write.go
@@ -335,10 +335,23 @@
 		return
 	}
 	program.dirty = true
+	ledger.forgetAccounts(conflict.Keys)
 	ledger.requeue(program)
 	ledger.read(program, false, conflict.Keys...)
 }
 
+// forgetAccounts makes sure that nobody uses an old view of an account until
+// it has been read again. Otherwise two programs of one host that draw from
+// the same account can fail by turns for ever: while one reads, the other
+// writes on the old version, and what is read under a write is not taken.
+func (ledger *Ledger) forgetAccounts(keys []string) {
+	for _, key := range keys {
+		if account := ledger.accounts[key]; account != nil {
+			account.known = false
+		}
+	}
+}
+
 // shared reports whether all the keys are rows that others write too.
 func (entry *entry) shared(keys []string) bool {
 	for _, key := range keys {
