--- a/bvendpoint/template_test.go
+++ b/bvendpoint/template_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -93,3 +94,23 @@
 	_, fits := reader.template.text([]byte(`{"choices":[{"delta":{"content":" word"}}]}`))
 	require.True(t, fits)
 }
+
+// An engine puts many words into one chunk. The line is longer than the
+// reader's buffer and must come out whole.
+func TestLongLineIsReadWhole(t *testing.T) {
+	long := strings.Repeat("word ", 10_000)
+	body := fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\ndata: [DONE]\n\n", long)
+	reader := newEventReader(strings.NewReader(body), func() {})
+	event, err := reader.next()
+	require.NoError(t, err)
+	require.Equal(t, long, event.text)
+	event, err = reader.next()
+	require.NoError(t, err)
+	require.True(t, event.done)
+}
+
+func TestEndlessLineIsABadStream(t *testing.T) {
+	reader := newEventReader(strings.NewReader("data: "+strings.Repeat("x", 2*maxEventLine)), func() {})
+	_, err := reader.next()
+	require.ErrorIs(t, err, errBadStream)
+}
