--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -104,7 +104,12 @@
 	}
 	owner := session.owner
 	allowed := false
-	owner.do(func(now bvclock.Time) { allowed = owner.ledger.MayStart(now, session.id) })
+	owner.do(func(now bvclock.Time) {
+		allowed = owner.ledger.MayStart(now, session.id)
+		if allowed && session.call.GetModel() != nil {
+			owner.ledger.Placed(now, session.id, permit.Endpoint())
+		}
+	})
 	if !allowed {
 		return bvverdict.Refuse(bvverdict.NotOwner, "the time in which the call could be sent has passed")
 	}
@@ -128,7 +133,10 @@
 	}
 	if model := call.GetModel(); model != nil {
 		ask.Pool = bvpermit.PoolName(bvplatform.Engine, model.GetModel())
-		ask.PromptTokens = tokensOf(start.History) + tokensOf(model.GetMessages())
+		ask.PromptTokens = tokensOf(model.GetMessages())
+		if !call.GetFullHistory() {
+			ask.PromptTokens += tokensOf(start.History)
+		}
 		return ask
 	}
 	ask.Pool = bvpermit.PoolName(bvplatform.Service, call.GetService().GetService())
