--- a/bvendpoint/event.go
+++ b/bvendpoint/event.go
@@ -13,7 +13,7 @@
 // errBadStream marks a stream that breaks the protocol.
 var errBadStream = errors.New("bad stream")
 
-const maxEventLine = 64 << 10
+const maxEventLine = 1 << 20
 
 // chunk is a chat completion chunk of the OpenAI API, as far as it is used.
 type chunk struct {
@@ -26,6 +26,12 @@
 	Usage *usage `json:"usage"`
 }
 
+// onlyText reports whether the chunk carries text and nothing else.
+func (chunk chunk) onlyText() bool {
+	return len(chunk.Choices) == 1 && chunk.Usage == nil &&
+		chunk.Choices[0].FinishReason == "" && chunk.Choices[0].Delta.Content != ""
+}
+
 type usage struct {
 	PromptTokens        int `json:"prompt_tokens"`
 	CompletionTokens    int `json:"completion_tokens"`
@@ -36,20 +42,23 @@
 
 // event is one server-sent event.
 type event struct {
-	hasID bool
-	id    int
-	chunk chunk
-	done  bool // the stream is complete
+	hasID  bool
+	id     int
+	text   string
+	finish string
+	usage  *usage
+	done   bool // the stream is complete
 }
 
 // eventReader parses server-sent events.
 type eventReader struct {
 	lines    *bufio.Reader
 	progress func() // called for each line, comments included
+	template template
 }
 
 func newEventReader(body io.Reader, progress func()) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(body, maxEventLine), progress: progress}
+	return &eventReader{lines: bufio.NewReader(body), progress: progress}
 }
 
 // next returns the next event with data. A body that ends before the stream
@@ -57,26 +66,41 @@
 func (reader *eventReader) next() (event, error) {
 	var event event
 	for {
-		line, err := reader.lines.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			return event, io.ErrUnexpectedEOF
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return event, fmt.Errorf("%w: line too long", errBadStream)
-		}
+		line, err := reader.line()
 		if err != nil {
 			return event, err
 		}
 		reader.progress()
-		complete, err := event.add(bytes.TrimRight(line, "\r\n"))
+		complete, err := reader.add(&event, bytes.TrimRight(line, "\r\n"))
 		if err != nil || complete {
 			return event, err
 		}
 	}
 }
 
+// line returns the next line. The buffer is small, because a daemon has many
+// streams open at once; a longer line is put together from pieces.
+func (reader *eventReader) line() ([]byte, error) {
+	piece, err := reader.lines.ReadSlice('\n')
+	if err == nil {
+		return piece, nil
+	}
+	line := bytes.Clone(piece)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(line) > maxEventLine {
+			return nil, fmt.Errorf("%w: line too long", errBadStream)
+		}
+		piece, err = reader.lines.ReadSlice('\n')
+		line = append(line, piece...)
+	}
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return line, err
+}
+
 // add takes one line and reports whether it was the event's data.
-func (event *event) add(line []byte) (bool, error) {
+func (reader *eventReader) add(event *event, line []byte) (bool, error) {
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
@@ -85,18 +109,34 @@
 		event.id, event.hasID = id, err == nil
 		return false, nil
 	case "data":
-		return true, event.parse(value)
+		return true, reader.parse(event, value)
 	}
 	return false, nil
 }
 
-func (event *event) parse(data []byte) error {
+func (reader *eventReader) parse(event *event, data []byte) error {
 	if string(data) == "[DONE]" {
 		event.done = true
 		return nil
 	}
-	if err := json.Unmarshal(data, &event.chunk); err != nil {
+	if text, fits := reader.template.text(data); fits {
+		event.text = text
+		return nil
+	}
+	var chunk chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
 		return fmt.Errorf("%w: %v", errBadStream, err)
 	}
+	reader.template.learn(data, chunk)
+	event.take(chunk)
 	return nil
 }
+
+func (event *event) take(chunk chunk) {
+	event.usage = chunk.Usage
+	if len(chunk.Choices) == 0 {
+		return
+	}
+	event.text = chunk.Choices[0].Delta.Content
+	event.finish = chunk.Choices[0].FinishReason
+}
