A call ahead of a host's memory has the program read again

A host that had owned the program before another one ran a turn kept its old memory and waited for a turn that had been made elsewhere. Also found by reading: an owner that lost the program in mid-call answered NotOwner with 'may have run', and the entry gave the call to the next host as if it had never begun, so a reader of a stream could have got a mixture. Ruled out: yielding by a message between owners (an owner that can't be reached would hold the call up; the turn number that the request carries tells enough). Change: a number ahead of memory is checked against the platform once per call; the entry shows its position after any loss.

--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -62,9 +62,7 @@
 	relay := &relay{call: call, emit: emit}
 	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(host bvplatform.Host) error {
 		err := entry.runAt(ctx, host, relay)
-		if lost := new(lostError); errors.As(err, &lost) {
-			relay.lost = true
-		}
+		relay.lost = relay.lost || mayHaveBegun(err)
 		return err
 	})
 }
@@ -114,6 +112,9 @@
 		}
 		if isNotOwner(err) {
 			entry.count.Add("declined_calls", 1)
+			if mayHaveBegun(err) {
+				loss = err
+			}
 			continue
 		}
 		return err
@@ -125,6 +126,15 @@
 	return err != nil && bvverdict.From(err).Code() == bvverdict.NotOwner
 }
 
+// mayHaveBegun reports whether the host that gave this error may have begun
+// the call: it was lost, or lost the program in the middle of the call.
+func mayHaveBegun(err error) bool {
+	if lost := new(lostError); errors.As(err, &lost) {
+		return true
+	}
+	return isNotOwner(err) && bvverdict.Of(err) != bvverdict.NotRun
+}
+
 // noOwner is the final answer when every candidate was lost or declined. Where
 // one was lost, the call may have run there.
 func noOwner(loss error) error {
--- /dev/null
+++ b/bvledger/gap_test.go
@@ -0,0 +1,73 @@
+package bvledger
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// A host runs turn 1 of a program. A new host joins and, being ranked first,
+// runs turn 2; then it is replaced, and turn 3 comes to the first host again,
+// whose memory still says that turn 2 is next. It held turn 3 back for ten
+// seconds and refused it as out of order; a rolling replacement found it.
+func TestCallThatIsAheadOfStaleMemoryIsRunAfterAReload(t *testing.T) {
+	memory := &bvplatform.Memory{}
+	first := New("host-1/a")
+	second := New("host-2/a")
+	turn := func(number int, request string) Call {
+		return Call{
+			ID: CallID(number), Key: ProgramKey{Member: "piran", Program: "lesson"}, Turn: number,
+			Request: request, Digest: request, Messages: []byte(`["` + request + `"]`), Cost: 1,
+		}
+	}
+	require.True(t, isAnswered(t, first, memory, turn(1, "r1")))
+	require.True(t, isAnswered(t, second, memory, turn(2, "r2")))
+	require.True(t, isAnswered(t, first, memory, turn(3, "r3")))
+}
+
+// A call that really comes too early still waits for the one before.
+func TestCallThatIsTooEarlyWaits(t *testing.T) {
+	memory := &bvplatform.Memory{}
+	ledger := New("host-1/a")
+	early := Call{
+		ID: 2, Key: ProgramKey{Member: "piran", Program: "lesson"}, Turn: 2,
+		Request: "r2", Digest: "r2", Messages: []byte(`["r2"]`), Cost: 1,
+	}
+	require.False(t, isAnswered(t, ledger, memory, early))
+	first := early
+	first.ID, first.Turn, first.Request, first.Digest = 1, 1, "r1", "r1"
+	require.True(t, isAnswered(t, ledger, memory, first))
+}
+
+// isAnswered runs a call against a platform without faults, all at one time.
+func isAnswered(t *testing.T, ledger *Ledger, memory *bvplatform.Memory, call Call) bool {
+	t.Helper()
+	const now = bvclock.Time(1)
+	ledger.Submit(now, call)
+	done := false
+	for range 20 {
+		for _, effect := range ledger.Tick(now) {
+			switch effect := effect.(type) {
+			case Load:
+				rows, err := memory.Read(t.Context(), effect.Keys...)
+				require.NoError(t, err)
+				turns, err := memory.Scan(t.Context(), TurnPrefix(effect.Key), "", 100)
+				require.NoError(t, err)
+				ledger.Loaded(now, effect.Key, append(rows, turns...), nil)
+			case Commit:
+				version, err := memory.Commit(t.Context(), bvplatform.Transaction{Checks: effect.Entry.Checks, Puts: effect.Entry.Puts})
+				ledger.Committed(now, effect.Entry.ID, version, err)
+			case Start:
+				ledger.Finish(now, effect.Call, Result{Answer: []byte("a"), Message: []byte(`["z"]`), Endpoint: "e"})
+			case Answer:
+				done = done || effect.Call == call.ID
+			case Refuse:
+				t.Logf("call %d refused: %v", effect.Call, effect.Err)
+			}
+		}
+	}
+	return done
+}
--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -205,6 +205,10 @@
 	if program.phase == phaseLoaded || program.phase == phaseOwned {
 		ledger.serveRepeats(now, program)
 		ledger.serveFetched(program)
+		if ledger.checkGap(program) {
+			ledger.schedule(program)
+			return
+		}
 		ledger.startNext(now, program)
 		ledger.advanceEnd(now, program)
 		ledger.write(now, program)
--- a/bvledger/order.go
+++ b/bvledger/order.go
@@ -276,3 +276,39 @@
 		}
 	}
 }
+
+// checkGap has the program read again when a call's number shows that there
+// are turns which this host knows nothing of.
+//
+// It guards against a host that owned the program before, lost it to another
+// one without a write of its own to tell it so, and is asked again: it would
+// hold the call back for a turn that was made elsewhere, and then refuse it.
+// The number of the turn that the request carries is the caller's watermark;
+// see docs/design/program-state.md. Each call is checked once, so a call that
+// really came too early costs one read and then waits.
+func (ledger *Ledger) checkGap(program *program) bool {
+	if program.phase != phaseOwned || program.dirty || !program.quiet() {
+		return false
+	}
+	found := false
+	for _, call := range program.queue {
+		if call.Turn > 0 && call.Turn <= program.nextTurn() {
+			return false
+		}
+		if call.Turn > program.nextTurn() && !call.checked {
+			call.checked = true
+			found = true
+		}
+	}
+	if found {
+		program.phase = phaseLoading
+		ledger.load(program, program.head.Parent)
+	}
+	return found
+}
+
+// quiet reports whether nothing but queued calls is under way.
+func (program *program) quiet() bool {
+	return program.running == nil && program.entry == nil && program.unkept() == 0 && program.ending == nil &&
+		!program.reloading && len(program.fetching) == 0 && len(program.settlements) == 0 && !program.reclaimed
+}
--- a/bvledger/program.go
+++ b/bvledger/program.go
@@ -94,9 +94,7 @@
 
 // idle reports whether nothing of the program is under way.
 func (program *program) idle() bool {
-	return len(program.queue) == 0 && program.running == nil && program.entry == nil &&
-		program.unkept() == 0 && program.ending == nil && !program.reloading && len(program.fetching) == 0 &&
-		len(program.settlements) == 0 && !program.reclaimed
+	return len(program.queue) == 0 && program.quiet()
 }
 
 func (program *program) addTurn(turn *turn) {
--- a/bvledger/request.go
+++ b/bvledger/request.go
@@ -37,6 +37,7 @@
 	keepUntil  bvclock.Time // told then that its answer isn't kept yet
 	joined     []*call
 	abandoned  bool
+	checked    bool // its number was ahead, and the rows were read again for it
 	repeated   bool // its answer is that of another submission
 	aborted    bool
 	sent       bool // MayStart said yes
