bvledger: answers of former owners join the history; stale owners find out

An unrepeatable call whose program moved in mid-call has its answer in its record only. Its caller went on with the next turn and the new owner waited for the one before, for ever (fuzz, after the liveness check asked for the turn that the caller would send). The head row now names unrepeatable calls that may be running; an owner reads their records before the program goes on and adds an answered one as the turn it was.

Ruled out: a lease per program (a write each period for 140,000 programs).

--- a/bvledger/end.go
+++ b/bvledger/end.go
@@ -92,7 +92,7 @@
 }
 
 func (ledger *Ledger) emitReleased(program *program) {
-	if len(program.head.Endpoints) > 0 {
+	if program.head.State.Ended() && len(program.head.Endpoints) > 0 {
 		ledger.emit(Released{Key: program.key, Endpoints: program.head.clone().Endpoints})
 	}
 }
--- a/bvledger/head.go
+++ b/bvledger/head.go
@@ -40,6 +40,7 @@
 	Spent     int64            `json:"spent"`
 	Drawn     int64            `json:"drawn"` // budget reserved in blocks, spent or not
 	Digest    string           `json:"digest"`
+	Pending   []string         `json:"pending,omitempty"`   // unrepeatable requests that may be running
 	Endpoint  string           `json:"endpoint,omitempty"`  // of the last turn
 	Endpoints []string         `json:"endpoints,omitempty"` // that may hold its cache
 	Idle      bvclock.Duration `json:"idle,omitempty"`
@@ -47,6 +48,7 @@
 
 func (head head) clone() head {
 	head.Endpoints = slices.Clone(head.Endpoints)
+	head.Pending = slices.Clone(head.Pending)
 	return head
 }
 
@@ -109,11 +111,14 @@
 
 // onceRow is the record of an unrepeatable request.
 type onceRow struct {
-	State  onceState `json:"state"`
-	Digest string    `json:"digest"`
-	Owner  string    `json:"owner"`
-	Epoch  int64     `json:"epoch"`
-	Answer []byte    `json:"answer,omitempty"`
+	State    onceState `json:"state"`
+	Digest   string    `json:"digest"`
+	Owner    string    `json:"owner"`
+	Epoch    int64     `json:"epoch"`
+	Turn     int       `json:"turn"`
+	Messages []byte    `json:"messages,omitempty"`
+	Message  []byte    `json:"message,omitempty"`
+	Answer   []byte    `json:"answer,omitempty"`
 }
 
 func encode(row any) []byte {
--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -124,6 +124,7 @@
 		program.ending = nil // the program isn't lost after all
 	}
 	program.queue = append(program.queue, call)
+	program.looked = false
 	if call.kind == kindCall {
 		ledger.limit(program, call.Limits)
 	}
@@ -203,9 +204,11 @@
 		ledger.load(program, "")
 	}
 	if program.phase == phaseLoaded || program.phase == phaseOwned {
+		ledger.lookForPending(program)
 		ledger.serveRepeats(now, program)
 		ledger.serveFetched(program)
 		ledger.startNext(now, program)
+		ledger.doubtOwnership(program)
 		ledger.advanceEnd(now, program)
 		ledger.write(now, program)
 	}
@@ -293,6 +296,10 @@
 		return
 	}
 	program.reloading = false
+	if err == nil && program.outdated(rows) {
+		ledger.lose(now, program, &bvplatform.ConflictError{Keys: []string{HeadKey(key)}})
+		return
+	}
 	if err == nil {
 		err = ledger.takeRows(program, rows)
 	}
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -186,3 +186,59 @@
 	children.pump(4)
 	require.Len(t, children.started, 3)
 }
+
+// A caller whose program was served elsewhere for a turn comes back to a host
+// that still takes itself for the owner. That host has nothing to write, so no
+// conflict tells it; it refused every further turn as out of order (found with
+// -rapid.seed=12693245).
+func TestStaleOwnerWithoutWritesFindsOutByALaterTurn(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	stale.ledger.Finish(1, 1, reply("one"))
+	stale.pump(1)
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, question(1, "r2", 2))
+	fresh.pump(2)
+	fresh.ledger.Finish(2, 1, reply("two"))
+	fresh.pump(2)
+
+	stale.ledger.Submit(3, question(2, "r3", 3))
+	stale.pump(3)
+	requireRefusal(t, stale, 2, bvverdict.NotRun, bvverdict.NotOwner)
+	stale.ledger.Submit(4, question(3, "r3", 3))
+	stale.pump(4)
+	require.Len(t, stale.started, 2)
+	require.Equal(t, `["r1","one","r2","two"]`, string(stale.started[1].History))
+}
+
+// The caller has the answer of its booking from host a, but a's commit of the
+// turn failed because host b had taken the program over in mid-call. The
+// caller goes on with turn 2 at b, whose history must have the booking.
+func TestUnrepeatableAnswerOfAFormerOwnerJoinsTheHistory(t *testing.T) {
+	store := &faults{}
+	former := newHost("a", store)
+	booking := question(1, "book", 1)
+	booking.Unrepeatable = true
+	former.ledger.Submit(1, booking)
+	former.pump(1)
+	require.True(t, former.ledger.MayStart(1, 1))
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, booking)
+	fresh.pump(2)
+	requireRefusal(t, fresh, 1, bvverdict.MayHaveRun, bvverdict.AlreadySent)
+	fresh.ledger.Submit(2, question(2, "other", 1))
+	fresh.pump(2)
+	fresh.takeStarted()
+	fresh.ledger.Finish(2, 2, bvledger.Result{Err: bvverdict.Refuse(bvverdict.Overloaded, "full")})
+	fresh.pump(2)
+
+	former.ledger.Finish(3, 1, reply("booked"))
+	former.pump(3)
+	requireAnswer(t, former, 1, "booked")
+	fresh.ledger.Submit(4, question(3, "r2", 2))
+	fresh.pump(4)
+	require.Len(t, fresh.started, 1)
+	require.Equal(t, `["book","booked"]`, string(fresh.started[0].History))
+}
--- a/bvledger/once.go
+++ b/bvledger/once.go
@@ -23,6 +23,14 @@
 	if found && record.row.Digest != call.Digest {
 		return answered, reusedRequest()
 	}
+	if found && record.row.State == onceInserted && !call.looked {
+		call.looked = true // the host that sends it may have written the answer meanwhile
+		ledger.read(program, false, OnceKey(program.key, call.Request))
+		return mustWait, nil
+	}
+	if found && program.adopt(call.Request, record.row) {
+		return adopted, nil
+	}
 	if found && record.row.State != onceNotRun {
 		program.running = nil
 		ledger.answerFromRecord(call, record)
@@ -53,6 +61,73 @@
 	ledger.refuse(call, err)
 }
 
+// lookForPending reads the record of an unrepeatable call that a former owner
+// had started, before the program goes on.
+//
+// It guards against a program that is stuck, or loses a turn of its history:
+// the caller has its answer from the former owner, whose commit of the turn
+// failed, and goes on with the next turn here.
+func (ledger *Ledger) lookForPending(program *program) {
+	foreign := len(program.head.Pending) > 0 && program.running == nil && program.entry == nil &&
+		len(program.settlements) == 0
+	if !foreign || program.reloading || len(program.queue) == 0 {
+		return
+	}
+	var keys []string
+	for _, request := range program.head.Pending {
+		keys = append(keys, OnceKey(program.key, request))
+	}
+	if !program.looked {
+		program.looked = true
+		ledger.read(program, false, keys...)
+		return
+	}
+	for i, request := range program.head.Pending {
+		program.adopt(request, program.once[keys[i]].row)
+	}
+}
+
+// adopt adds a turn whose answer a former owner could only write into the
+// record. It belongs after the turns that were kept when the record was
+// inserted, and nowhere else.
+func (program *program) adopt(request string, row onceRow) bool {
+	if row.State != onceAnswered || row.Turn != program.nextTurn() || program.head.State.Ended() {
+		return false
+	}
+	if _, kept := program.requests[request]; kept {
+		return false
+	}
+	program.addTurn(&turn{
+		request: request, digest: row.Digest, messages: row.Messages,
+		message: row.Message, answer: row.Answer, held: true,
+	})
+	program.history.add(row.Messages, row.Message)
+	program.head.Digest = program.history.digest
+	program.reclaimed = program.phase != phaseOwned
+	return true
+}
+
+// maxPending bounds the list of unrepeatable calls of dead owners. One that
+// falls off the list is still found by a repeat of its request.
+const maxPending = 16
+
+// pending is what the head row says of unrepeatable calls under way.
+func (program *program) pending(inserted string) []string {
+	var pending []string
+	for _, request := range program.head.Pending {
+		_, kept := program.requests[request]
+		record, found := program.once[OnceKey(program.key, request)]
+		settled := found && record.row.State != onceInserted
+		if !kept && !settled && request != inserted {
+			pending = append(pending, request)
+		}
+	}
+	if inserted != "" {
+		pending = append(pending, inserted)
+	}
+	return pending[max(len(pending)-maxPending, 0):]
+}
+
 // settle notes the outcome of a record that this host inserted. It is written
 // with the program's next entry.
 func (program *program) settle(call *call, row onceRow) {
@@ -87,13 +162,14 @@
 	call    *call
 	key     string
 	version int64
-	digest  string
-	epoch   int64
+	row     onceRow // as inserted
 }
 
 func (program *program) stray(call *call) *stray {
 	key := OnceKey(program.key, call.Request)
-	return &stray{call: call, key: key, version: program.once[key].version, digest: call.Digest, epoch: call.epoch}
+	record := program.once[key]
+	record.row.Messages = call.Messages
+	return &stray{call: call, key: key, version: record.version, row: record.row}
 }
 
 func (ledger *Ledger) strayFinished(now bvclock.Time, stray *stray, result Result) {
@@ -107,8 +183,13 @@
 }
 
 func (ledger *Ledger) finishStray(now bvclock.Time, stray *stray, result Result) {
-	row := onceRow{State: onceAnswered, Digest: stray.digest, Owner: ledger.owner, Epoch: stray.epoch, Answer: result.Answer}
+	row := stray.row
+	row.State = onceAnswered
+	row.Message = result.Message
+	row.Answer = result.Answer
 	if result.Err != nil {
+		row.Messages = nil
+		row.Message = nil
 		row.Answer = nil
 		row.State = onceUnknown
 		if result.Err.Verdict() == bvverdict.NotRun {
--- a/bvledger/program.go
+++ b/bvledger/program.go
@@ -30,6 +30,7 @@
 	reserved    int64 // of the running call
 	lastCost    int64
 	entry       *entry // under way; one at a time, since each builds on the version of the last
+	looked      bool   // for the newest record of head.Pending
 	dirty       bool   // the head must be written soon
 	limits      Limits
 	limitsKnown bool
--- a/bvledger/request.go
+++ b/bvledger/request.go
@@ -40,9 +40,10 @@
 	repeated   bool // its answer is that of another submission
 	aborted    bool
 	sent       bool // MayStart said yes
+	looked     bool // for the newest record of its request
+	doubted    bool // whether this host still owns the program
 	inserted   bool // its unrepeatable record is in the platform
 	windowEnd  bvclock.Time
-	epoch      int64
 }
 
 // timeout is when Tick must look at the call; 0 means never.
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -31,6 +31,10 @@
 			ledger.requeue(program)
 			return
 		}
+		if judgement == adopted {
+			ledger.requeue(program)
+			ledger.serveRepeats(now, program)
+		}
 		if judgement == mayRun && ledger.prepared(program, call) {
 			ledger.start(now, program, call)
 		}
@@ -44,6 +48,7 @@
 	mayRun   judgement = iota
 	mustWait           // stays in front of the queue
 	answered           // has its outcome
+	adopted            // repeats a turn that was just added to the history
 )
 
 // takeNext takes the call whose turn it is out of the queue.
@@ -146,7 +151,6 @@
 		call.Full = false
 	}
 	call.state = callRunning
-	call.epoch = program.head.Epoch
 	program.reserved = call.Cost
 	program.lastCost = call.Cost
 	program.head.Calls++
@@ -262,7 +266,7 @@
 	program.head.Digest = program.history.digest
 	program.head.Endpoint = result.Endpoint
 	if call.Unrepeatable {
-		program.settle(call, onceRow{State: onceAnswered, Answer: result.Answer})
+		program.settle(call, onceRow{State: onceAnswered, Turn: len(program.turns), Answer: result.Answer})
 	}
 	turn.waiters = append(turn.waiters, call)
 	for _, joined := range call.joined {
--- a/bvledger/write.go
+++ b/bvledger/write.go
@@ -157,6 +157,11 @@
 	if entry.ending {
 		entry.head.State = program.ending.state
 	}
+	inserted := ""
+	if entry.inserts() {
+		inserted = entry.call.Request
+	}
+	entry.head.Pending = program.pending(inserted)
 	put(HeadKey(program.key), program.headVersion, entry.head)
 	for _, draw := range entry.draws {
 		draw.account.busy = true
@@ -184,16 +189,24 @@
 	return rows
 }
 
+// inserts reports whether the entry inserts an unrepeatable record.
+func (entry *entry) inserts() bool {
+	return entry.call != nil && entry.call.Unrepeatable && !entry.call.inserted
+}
+
 func (ledger *Ledger) insertOnce(now bvclock.Time, entry *entry, put func(string, int64, any)) {
-	call := entry.call
-	if call == nil || !call.Unrepeatable || call.inserted {
+	if !entry.inserts() {
 		return
 	}
+	call := entry.call
 	key := OnceKey(entry.program.key, call.Request)
 	entry.program.takeSettlement(key)
 	call.windowEnd = now.Add(ledger.settings.OnceWindow)
 	entry.onceKey = key
-	entry.onceRow = onceRow{State: onceInserted, Digest: call.Digest, Owner: ledger.owner, Epoch: entry.head.Epoch}
+	entry.onceRow = onceRow{
+		State: onceInserted, Digest: call.Digest, Owner: ledger.owner,
+		Epoch: entry.head.Epoch, Turn: entry.turns + 1,
+	}
 	put(key, entry.program.once[key].version, entry.onceRow)
 }
 
@@ -257,6 +270,7 @@
 		draw.account.version = version
 	}
 	program.head.Drawn += entry.amount
+	program.head.Pending = entry.head.Pending
 	if entry.claim {
 		program.phase = phaseOwned
 		program.head.Epoch = entry.head.Epoch
@@ -423,13 +437,13 @@
 			WithRetryAfter(ledger.settings.RetryAfter).WithCause(cause))
 		return
 	}
-	call := &call{Call: Call{Key: program.key, Request: turn.request, Digest: turn.digest}, program: program}
+	call := &call{Call: Call{Key: program.key, Request: turn.request, Messages: turn.messages}}
 	stray := program.stray(call)
 	if len(turn.waiters) > 0 {
 		stray.call = turn.waiters[0]
 		stray.call.joined = slices.Concat(stray.call.joined, turn.waiters[1:])
 	}
-	ledger.finishStray(now, stray, Result{Answer: turn.answer})
+	ledger.finishStray(now, stray, Result{Answer: turn.answer, Message: turn.message})
 }
 
 // loseSettlements writes what became of records that this host inserted; the
