--- a/bvledger/order.go
+++ b/bvledger/order.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -277,38 +278,33 @@
 	}
 }
 
-// checkGap has the program read again when a call's number shows that there
-// are turns which this host knows nothing of.
+// doubtOwnership reads the head row when a call is for a later turn than this
+// host expects and nothing is under way.
 //
-// It guards against a host that owned the program before, lost it to another
-// one without a write of its own to tell it so, and is asked again: it would
-// hold the call back for a turn that was made elsewhere, and then refuse it.
-// The number of the turn that the request carries is the caller's watermark;
-// see docs/design/program-state.md. Each call is checked once, so a call that
-// really came too early costs one read and then waits.
-func (ledger *Ledger) checkGap(program *program) bool {
-	if program.phase != phaseOwned || program.dirty || !program.quiet() {
-		return false
+// It guards against a stale owner that has nothing to write and so never
+// learns of its successor: it would refuse the caller's next turns as out of
+// order for as long as the caller keeps asking.
+func (ledger *Ledger) doubtOwnership(program *program) {
+	if program.phase != phaseOwned || program.running != nil || program.entry != nil || program.reloading {
+		return
 	}
-	found := false
+	doubted := false
 	for _, call := range program.queue {
-		if call.Turn > 0 && call.Turn <= program.nextTurn() {
-			return false
-		}
-		if call.Turn > program.nextTurn() && !call.checked {
-			call.checked = true
-			found = true
-		}
+		doubted = doubted || !call.doubted
+		call.doubted = true
 	}
-	if found {
-		program.phase = phaseLoading
-		ledger.load(program, program.head.Parent)
+	if doubted {
+		ledger.read(program, false, HeadKey(program.key))
 	}
-	return found
 }
 
-// quiet reports whether nothing but queued calls is under way.
-func (program *program) quiet() bool {
-	return program.running == nil && program.entry == nil && program.unkept() == 0 && program.ending == nil &&
-		!program.reloading && len(program.fetching) == 0 && len(program.settlements) == 0 && !program.reclaimed
+// outdated reports whether the rows show that another host has written the
+// head of a program that this host owned.
+func (program *program) outdated(rows []bvplatform.Row) bool {
+	if program.phase != phaseOwned {
+		return false
+	}
+	return slices.ContainsFunc(rows, func(row bvplatform.Row) bool {
+		return row.Key == HeadKey(program.key) && row.Version != program.headVersion
+	})
 }
--- a/bvledger/program.go
+++ b/bvledger/program.go
@@ -30,6 +30,7 @@
 	reserved    int64 // of the running call
 	lastCost    int64
 	entry       *entry // under way; one at a time, since each builds on the version of the last
+	looked      bool   // for the newest record of head.Pending
 	dirty       bool   // the head must be written soon
 	limits      Limits
 	limitsKnown bool
@@ -94,7 +95,9 @@
 
 // idle reports whether nothing of the program is under way.
 func (program *program) idle() bool {
-	return len(program.queue) == 0 && program.quiet()
+	return len(program.queue) == 0 && program.running == nil && program.entry == nil &&
+		program.unkept() == 0 && program.ending == nil && !program.reloading && len(program.fetching) == 0 &&
+		len(program.settlements) == 0 && !program.reclaimed
 }
 
 func (program *program) addTurn(turn *turn) {
--- a/bvledger/request.go
+++ b/bvledger/request.go
@@ -28,22 +28,23 @@
 // call is a caller's call on its way through the ledger.
 type call struct {
 	Call
-	kind       callKind
-	state      callState
-	program    *program
-	arrived    bvclock.Time
-	waitsSince bvclock.Time // for rows to be written
-	waitUntil  bvclock.Time // refused then, unless it has started
-	keepUntil  bvclock.Time // told then that its answer isn't kept yet
-	joined     []*call
-	abandoned  bool
-	checked    bool // its number was ahead, and the rows were read again for it
-	repeated   bool // its answer is that of another submission
-	aborted    bool
-	sent       bool // MayStart said yes
-	inserted   bool // its unrepeatable record is in the platform
-	windowEnd  bvclock.Time
-	epoch      int64
+	kind        callKind
+	state       callState
+	program     *program
+	arrived     bvclock.Time
+	waitsSince  bvclock.Time // for rows to be written
+	waitUntil   bvclock.Time // refused then, unless it has started
+	keepUntil   bvclock.Time // told then that its answer isn't kept yet
+	joined      []*call
+	abandoned   bool
+	historyCost int64 // that Cost has in it
+	repeated    bool  // its answer is that of another submission
+	aborted     bool
+	sent        bool // MayStart said yes
+	looked      bool // for the newest record of its request
+	doubted     bool // whether this host still owns the program
+	inserted    bool // its unrepeatable record is in the platform
+	windowEnd   bvclock.Time
 }
 
 // timeout is when Tick must look at the call; 0 means never.
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -32,6 +32,10 @@
 			ledger.requeue(program)
 			return
 		}
+		if judgement == adopted {
+			ledger.requeue(program)
+			ledger.serveRepeats(now, program)
+		}
 		if judgement == mayRun && ledger.prepared(program, call) {
 			ledger.start(now, program, call)
 		}
@@ -42,8 +46,9 @@
 // know. Without it, a call with few new words on a long history would spend
 // more than was reserved for it, and the program more than its budget.
 func (call *call) addHistoryCost(program *program) {
-	call.Cost += call.HistoryCost * int64(len(program.history.inside))
-	call.HistoryCost = 0
+	cost := call.HistoryCost * int64(len(program.history.inside))
+	call.Cost += cost - call.historyCost
+	call.historyCost = cost
 }
 
 // judgement says what becomes of a call whose turn it is.
@@ -53,6 +58,7 @@
 	mayRun   judgement = iota
 	mustWait           // stays in front of the queue
 	answered           // has its outcome
+	adopted            // repeats a turn that was just added to the history
 )
 
 // takeNext takes the call whose turn it is out of the queue.
@@ -155,7 +161,6 @@
 		call.Full = false
 	}
 	call.state = callRunning
-	call.epoch = program.head.Epoch
 	program.reserved = call.Cost
 	program.lastCost = call.Cost
 	program.head.Calls++
@@ -271,7 +276,7 @@
 	program.head.Digest = program.history.digest
 	program.head.Endpoint = result.Endpoint
 	if call.Unrepeatable {
-		program.settle(call, onceRow{State: onceAnswered, Answer: result.Answer})
+		program.settle(call, onceRow{State: onceAnswered, Turn: len(program.turns), Answer: result.Answer})
 	}
 	turn.waiters = append(turn.waiters, call)
 	for _, joined := range call.joined {
