bvexperiment: scenarios, baselines and a virtual-time driver for the decisions

Cause: the decisions are to be measured against what a user would do without the product, by the product's own code.

The change: a discrete-event driver that serves the same drawn programs by each policy before bvmodel engines; bvgate.Pool satisfies the Policy interface as it stands.

bvmodel: Advance(Next()) could return nothing and Next the same time again, for a change due by less than the arithmetic error later; the driver then never moved on. Such a change now counts as due.

--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -53,5 +53,6 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(newExperiment())
 	return root
 }
--- /dev/null
+++ b/bvexperiment/endpoint.go
@@ -0,0 +1,55 @@
+package bvexperiment
+
+import (
+	"fmt"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvmodel"
+)
+
+// endpoint is a model engine with its place and its life.
+type endpoint struct {
+	name        string
+	zone        string
+	model       *bvmodel.Engine
+	incarnation int
+	down        bool
+	gone        bool // will not come back
+	leaving     bool
+	leavingAt   bvclock.Time
+	listed      bool // the list of live endpoints shows it
+	nextAt      bvclock.Time
+	hasNext     bool
+}
+
+func newEndpoints(pool poolSize) []*endpoint {
+	endpoints := make([]*endpoint, pool.engines)
+	for at := range endpoints {
+		endpoints[at] = &endpoint{
+			name:   fmt.Sprintf("engine-%02d", at),
+			zone:   fmt.Sprintf("zone-%d", at%pool.zones),
+			model:  bvmodel.New(pool.config),
+			listed: true,
+		}
+	}
+	return endpoints
+}
+
+// changed notes that the model was touched.
+func (endpoint *endpoint) changed() {
+	endpoint.nextAt, endpoint.hasNext = endpoint.model.Next()
+}
+
+// report is what the endpoint says of itself at a time.
+func (endpoint *endpoint) report(now bvclock.Time) bvgate.EndpointReport {
+	return bvgate.EndpointReport{
+		Name:        endpoint.name,
+		Incarnation: fmt.Sprintf("%s/%d", endpoint.name, endpoint.incarnation),
+		Slots:       endpoint.model.Config().Slots,
+		CacheTokens: endpoint.model.Config().CacheTokens,
+		Running:     endpoint.model.Running() + endpoint.model.Waiting(),
+		ReportedAt:  now,
+		Zone:        endpoint.zone,
+	}
+}
--- /dev/null
+++ b/bvexperiment/killedgate.go
@@ -0,0 +1,167 @@
+package bvexperiment
+
+import (
+	"cmp"
+	"slices"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+)
+
+// takeoverTime is from the death of the deciding host until the next one
+// decides: its peers' connections break, and the list drops it.
+const takeoverTime = listLag
+
+// killedGate is a Pool whose host dies at faultAt. The next host starts with an
+// empty Pool; owners tell it again what runs and what waits.
+type killedGate struct {
+	*bvgate.Pool
+	dead    bool
+	revived bool
+	shares  []bvgate.MemberShare
+	reports []bvgate.EndpointReport
+	waiting map[bvgate.RequestID]bvgate.Request
+	running map[bvgate.RequestID]adopted
+	ended   [][2]string // member and program
+}
+
+type adopted struct {
+	request  bvgate.Request
+	endpoint string
+}
+
+func newKilledGate(uint64) Policy {
+	return &killedGate{
+		Pool:    &bvgate.Pool{},
+		waiting: make(map[bvgate.RequestID]bvgate.Request),
+		running: make(map[bvgate.RequestID]adopted),
+	}
+}
+
+// SetMembers implements Policy.
+func (gate *killedGate) SetMembers(shares []bvgate.MemberShare) {
+	gate.shares = shares
+	gate.Pool.SetMembers(shares)
+}
+
+// Report implements Policy.
+func (gate *killedGate) Report(now bvclock.Time, report bvgate.EndpointReport) {
+	gate.forget(report.Name)
+	gate.reports = append(gate.reports, report)
+	if !gate.dead {
+		gate.Pool.Report(now, report)
+	}
+}
+
+// Remove implements Policy.
+func (gate *killedGate) Remove(now bvclock.Time, endpoint string) {
+	gate.forget(endpoint)
+	if !gate.dead {
+		gate.Pool.Remove(now, endpoint)
+	}
+}
+
+func (gate *killedGate) forget(endpoint string) {
+	gate.reports = slices.DeleteFunc(gate.reports, func(report bvgate.EndpointReport) bool {
+		return report.Name == endpoint
+	})
+}
+
+// Ask implements Policy.
+func (gate *killedGate) Ask(now bvclock.Time, request bvgate.Request) {
+	gate.waiting[request.ID] = request
+	if !gate.dead {
+		gate.Pool.Ask(now, request)
+	}
+}
+
+// Used implements Policy.
+func (gate *killedGate) Used(now bvclock.Time, id bvgate.RequestID) bool {
+	return gate.dead || gate.Pool.Used(now, id)
+}
+
+// Finish implements Policy.
+func (gate *killedGate) Finish(now bvclock.Time, finish bvgate.Finish) {
+	delete(gate.running, finish.ID)
+	if !gate.dead {
+		gate.Pool.Finish(now, finish)
+	}
+}
+
+// EndProgram implements Policy. An owner whose release found no deciding host
+// tells the next one.
+func (gate *killedGate) EndProgram(now bvclock.Time, member, program string) {
+	if gate.dead {
+		gate.ended = append(gate.ended, [2]string{member, program})
+		return
+	}
+	gate.Pool.EndProgram(now, member, program)
+}
+
+// Tick implements Policy.
+func (gate *killedGate) Tick(now bvclock.Time) []bvgate.Effect {
+	if !gate.dead && !gate.revived && !now.Before(faultAt) {
+		gate.dead = true
+	}
+	if gate.dead && now.Before(faultAt.Add(takeoverTime)) {
+		return nil
+	}
+	if gate.dead {
+		gate.takeOver(now)
+	}
+	effects := gate.Pool.Tick(now)
+	for _, effect := range effects {
+		gate.note(effect)
+	}
+	return effects
+}
+
+func (gate *killedGate) note(effect bvgate.Effect) {
+	switch effect := effect.(type) {
+	case bvgate.Grant:
+		gate.running[effect.Request] = adopted{gate.waiting[effect.Request], effect.Endpoint}
+		delete(gate.waiting, effect.Request)
+	case bvgate.Refusal:
+		delete(gate.waiting, effect.Request)
+	}
+}
+
+func (gate *killedGate) takeOver(now bvclock.Time) {
+	gate.dead, gate.revived = false, true
+	gate.Pool = &bvgate.Pool{}
+	gate.Pool.SetMembers(gate.shares)
+	for _, report := range gate.reports {
+		gate.Pool.Report(now, report)
+	}
+	for _, id := range sortedIDs(gate.running) {
+		gate.Pool.Adopt(now, gate.running[id].request, gate.running[id].endpoint)
+	}
+	for _, id := range sortedIDs(gate.waiting) {
+		gate.Pool.Ask(now, gate.waiting[id])
+	}
+	for _, program := range gate.ended {
+		gate.Pool.EndProgram(now, program[0], program[1])
+	}
+	gate.ended = nil
+}
+
+func sortedIDs[Value any](byID map[bvgate.RequestID]Value) []bvgate.RequestID {
+	ids := make([]bvgate.RequestID, 0, len(byID))
+	for id := range byID {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, cmp.Compare[bvgate.RequestID])
+	return ids
+}
+
+// Next implements Policy.
+func (gate *killedGate) Next() bvclock.Time {
+	if gate.dead {
+		return faultAt.Add(takeoverTime)
+	}
+	next := gate.Pool.Next()
+	if !gate.revived && (next == 0 || faultAt.Before(next)) {
+		return faultAt
+	}
+	return next
+}
--- /dev/null
+++ b/bvexperiment/policy.go
@@ -0,0 +1,113 @@
+package bvexperiment
+
+import (
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvverdict"
+)
+
+// Policy decides which call goes to which endpoint, and when. Its methods are
+// those of bvgate.Pool, so that the product's own decisions are measured and
+// not a copy of them. The baselines answer to the same events.
+type Policy interface {
+	SetMembers(shares []bvgate.MemberShare)
+	Report(now bvclock.Time, report bvgate.EndpointReport)
+	Remove(now bvclock.Time, endpoint string)
+	Ask(now bvclock.Time, request bvgate.Request)
+	Used(now bvclock.Time, id bvgate.RequestID) bool
+	Finish(now bvclock.Time, finish bvgate.Finish)
+	Adopt(now bvclock.Time, running bvgate.Request, endpoint string)
+	EndProgram(now bvclock.Time, member, program string)
+	ReleaseDone(now bvclock.Time, endpoint, member, program string)
+	Tick(now bvclock.Time) []bvgate.Effect
+	Next() bvclock.Time
+}
+
+// oracle knows what no policy of the product can know.
+type oracle interface {
+	// remaining returns the seconds of service that a program still needs.
+	remaining(program string) float64
+	// cached returns what an endpoint has cached for a program right now.
+	cached(endpoint, member, program string) int
+	// seconds is how long an endpoint would take for a request besides a number
+	// of other calls.
+	seconds(endpoint string, id bvgate.RequestID, others int) float64
+}
+
+// clairvoyantPolicy is a Policy that is told the future.
+type clairvoyantPolicy interface {
+	foresee(oracle oracle)
+}
+
+// baseline does what all baselines share: it keeps the list of endpoints and
+// sends each call at once.
+type baseline struct {
+	endpoints []bvgate.EndpointReport // sorted by name
+	effects   []bvgate.Effect
+}
+
+func (baseline *baseline) SetMembers([]bvgate.MemberShare)                                {}
+func (baseline *baseline) Used(bvclock.Time, bvgate.RequestID) bool                       { return true }
+func (baseline *baseline) Finish(bvclock.Time, bvgate.Finish)                             {}
+func (baseline *baseline) Adopt(bvclock.Time, bvgate.Request, string)                     {}
+func (baseline *baseline) EndProgram(now bvclock.Time, member, program string)            {}
+func (baseline *baseline) ReleaseDone(now bvclock.Time, endpoint, member, program string) {}
+func (baseline *baseline) Next() bvclock.Time                                             { return 0 }
+
+func (baseline *baseline) Report(_ bvclock.Time, report bvgate.EndpointReport) {
+	at, found := baseline.find(report.Name)
+	if found {
+		baseline.endpoints[at] = report
+		return
+	}
+	baseline.endpoints = append(baseline.endpoints, report)
+	sortByName(baseline.endpoints)
+}
+
+func (baseline *baseline) Remove(_ bvclock.Time, endpoint string) {
+	if at, found := baseline.find(endpoint); found {
+		baseline.endpoints = append(baseline.endpoints[:at], baseline.endpoints[at+1:]...)
+	}
+}
+
+func (baseline *baseline) find(name string) (int, bool) {
+	for at, endpoint := range baseline.endpoints {
+		if endpoint.Name == name {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
+// usable returns the endpoints that are not leaving, or all of them when every
+// one is.
+func (baseline *baseline) usable() []bvgate.EndpointReport {
+	usable := make([]bvgate.EndpointReport, 0, len(baseline.endpoints))
+	for _, endpoint := range baseline.endpoints {
+		if !endpoint.Leaving {
+			usable = append(usable, endpoint)
+		}
+	}
+	if len(usable) == 0 {
+		return baseline.endpoints
+	}
+	return usable
+}
+
+func (baseline *baseline) send(id bvgate.RequestID, endpoint string) {
+	baseline.effects = append(baseline.effects, bvgate.Grant{Request: id, Endpoint: endpoint})
+}
+
+// Tick implements Policy.
+func (baseline *baseline) Tick(bvclock.Time) []bvgate.Effect {
+	effects := baseline.effects
+	baseline.effects = nil
+	return effects
+}
+
+const retryWithoutEndpoint = bvclock.Second
+
+func (baseline *baseline) refuseWithoutEndpoint(id bvgate.RequestID) {
+	err := bvverdict.Refuse(bvverdict.Overloaded, "no endpoint").WithRetryAfter(retryWithoutEndpoint)
+	baseline.effects = append(baseline.effects, bvgate.Refusal{Request: id, Err: err})
+}
--- /dev/null
+++ b/bvexperiment/quotas.go
@@ -0,0 +1,124 @@
+package bvexperiment
+
+import (
+	"hash/fnv"
+	"strings"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+)
+
+// hosts is how many hosts decide where each decides alone.
+const hosts = 13
+
+// hostOf is the host that owns a program; sub-agents stay with their root.
+func hostOf(program string) int {
+	root, _, _ := strings.Cut(program, ".")
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(root))
+	return int(hash.Sum32() % hosts)
+}
+
+// quotas gives each host a fixed part of each endpoint's slots and lets it
+// decide for its own programs with the product's Pool.
+type quotas struct {
+	pools []*bvgate.Pool
+	owner map[bvgate.RequestID]int
+}
+
+func newQuotas(uint64) Policy {
+	policy := &quotas{owner: make(map[bvgate.RequestID]int)}
+	for range hosts {
+		policy.pools = append(policy.pools, &bvgate.Pool{})
+	}
+	return policy
+}
+
+// SetMembers implements Policy.
+func (policy *quotas) SetMembers(shares []bvgate.MemberShare) {
+	for _, pool := range policy.pools {
+		pool.SetMembers(shares)
+	}
+}
+
+// Report implements Policy.
+func (policy *quotas) Report(now bvclock.Time, report bvgate.EndpointReport) {
+	first := hostOf(report.Name)
+	for at, pool := range policy.pools {
+		part := report
+		part.Slots = quota(report.Slots, (at-first+hosts)%hosts)
+		part.CacheTokens = report.CacheTokens * part.Slots / report.Slots
+		part.Running = report.Running * part.Slots / report.Slots
+		if part.Slots > 0 {
+			pool.Report(now, part)
+		}
+	}
+}
+
+// quota is the part of an endpoint's slots that a host has.
+func quota(slots, place int) int {
+	part := slots / hosts
+	if place < slots%hosts {
+		part++
+	}
+	return part
+}
+
+// Remove implements Policy.
+func (policy *quotas) Remove(now bvclock.Time, endpoint string) {
+	for _, pool := range policy.pools {
+		pool.Remove(now, endpoint)
+	}
+}
+
+// Ask implements Policy.
+func (policy *quotas) Ask(now bvclock.Time, request bvgate.Request) {
+	host := hostOf(request.Program)
+	policy.owner[request.ID] = host
+	policy.pools[host].Ask(now, request)
+}
+
+// Used implements Policy.
+func (policy *quotas) Used(now bvclock.Time, id bvgate.RequestID) bool {
+	return policy.pools[policy.owner[id]].Used(now, id)
+}
+
+// Finish implements Policy.
+func (policy *quotas) Finish(now bvclock.Time, finish bvgate.Finish) {
+	policy.pools[policy.owner[finish.ID]].Finish(now, finish)
+}
+
+// Adopt implements Policy.
+func (policy *quotas) Adopt(now bvclock.Time, running bvgate.Request, endpoint string) {
+	policy.pools[hostOf(running.Program)].Adopt(now, running, endpoint)
+}
+
+// EndProgram implements Policy.
+func (policy *quotas) EndProgram(now bvclock.Time, member, program string) {
+	policy.pools[hostOf(program)].EndProgram(now, member, program)
+}
+
+// ReleaseDone implements Policy.
+func (policy *quotas) ReleaseDone(now bvclock.Time, endpoint, member, program string) {
+	policy.pools[hostOf(program)].ReleaseDone(now, endpoint, member, program)
+}
+
+// Tick implements Policy.
+func (policy *quotas) Tick(now bvclock.Time) []bvgate.Effect {
+	var effects []bvgate.Effect
+	for _, pool := range policy.pools {
+		effects = append(effects, pool.Tick(now)...)
+	}
+	return effects
+}
+
+// Next implements Policy.
+func (policy *quotas) Next() bvclock.Time {
+	next := bvclock.Time(0)
+	for _, pool := range policy.pools {
+		if at := pool.Next(); at != 0 && (next == 0 || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
--- a/bvmodel/call.go
+++ b/bvmodel/call.go
@@ -41,6 +41,14 @@
 	ended    bool    // its program ended while it ran
 }
 
+// decodedBy is how many tokens after the first one are out.
+func (call *running) decodedBy(decoded float64) float64 {
+	if !call.decoding {
+		return 0
+	}
+	return float64(call.output()-1) - max(0, call.finishAt-decoded)
+}
+
 // kept is how many tokens of the prompt are certainly in the cache.
 func (call *running) kept() int {
 	if call.decoding {
@@ -49,6 +57,18 @@
 	return call.cached
 }
 
+// Served is service of an engine, in tokens. It is fractional because the
+// model is fluid.
+type Served struct {
+	Prefilled float64
+	Decoded   float64
+}
+
+// Add returns the sum.
+func (served Served) Add(other Served) Served {
+	return Served{Prefilled: served.Prefilled + other.Prefilled, Decoded: served.Decoded + other.Decoded}
+}
+
 //go:generate stringer -type=EventKind -linecomment -output=eventkind_string.go
 
 // EventKind is what happened in an engine.
--- a/bvmodel/engine.go
+++ b/bvmodel/engine.go
@@ -34,6 +34,10 @@
 	"balsamvalve.example/bvclock"
 )
 
+// arithmeticError is a difference of tokens or milliseconds that comes from
+// the arithmetic alone.
+const arithmeticError = 1e-6
+
 // Values that a zero Config stands for.
 const (
 	defaultSlots         = 16
@@ -80,8 +84,9 @@
 	memory    int        // of the batch
 	cache     prefixCache
 	waste     Waste
-	prefilled float64 // tokens
-	repeated  float64 // of the prefilled tokens, history that no cache held
+	prefilled float64            // tokens
+	repeated  float64            // of the prefilled tokens, history that no cache held
+	served    map[string]*Served // by salt
 	events    []Event
 }
 
@@ -105,6 +110,27 @@
 	return engine.prefilled, engine.repeated
 }
 
+// Served returns the service that all calls of a salt had so far.
+func (engine *Engine) Served(salt string) Served {
+	if served := engine.served[salt]; served != nil {
+		return *served
+	}
+	return Served{}
+}
+
+// Spent returns the service that a running call had so far.
+func (engine *Engine) Spent(id CallID) Served {
+	for _, call := range engine.batch {
+		if call.ID == id {
+			return Served{
+				Prefilled: float64(max(call.PromptTokens-call.cached, 0)) - call.prefill,
+				Decoded:   call.decodedBy(engine.decoded),
+			}
+		}
+	}
+	return Served{}
+}
+
 // Cached returns how many tokens are cached for a program that has no call
 // running here.
 func (engine *Engine) Cached(salt, prefix string) int {
@@ -124,8 +150,7 @@
 func (engine *Engine) Produced(id CallID) int {
 	for _, call := range engine.batch {
 		if call.ID == id && call.decoding {
-			left := max(0, call.finishAt-engine.decoded)
-			return call.output() - int(math.Ceil(left))
+			return 1 + int(call.decodedBy(engine.decoded)+arithmeticError)
 		}
 	}
 	return 0
@@ -320,11 +345,13 @@
 	engine.evict()
 }
 
-// runUntil carries out all changes up to now, each at its exact time.
+// runUntil carries out all changes up to now, each at its exact time. A change
+// that is due later by an arithmetic error counts as due: Next has rounded it
+// down to now, and its user would ask for the same time again without end.
 func (engine *Engine) runUntil(now float64) {
 	for {
 		at, call := engine.nextChange()
-		if at > now {
+		if at > now+arithmeticError {
 			break
 		}
 		engine.flow(at)
@@ -342,10 +369,30 @@
 	if passed <= 0 {
 		return
 	}
-	engine.decoded += passed * engine.decodeRate()
+	decoded := passed * engine.decodeRate()
+	engine.decoded += decoded
+	for _, call := range engine.batch {
+		if call.decoding {
+			engine.servedTo(call.Salt).Decoded += decoded
+		}
+	}
 	if at := engine.prefilling(); at >= 0 {
-		engine.batch[at].prefill -= passed * engine.prefillRate()
+		prefilled := passed * engine.prefillRate()
+		engine.batch[at].prefill -= prefilled
+		engine.servedTo(engine.batch[at].Salt).Prefilled += prefilled
+	}
+}
+
+func (engine *Engine) servedTo(salt string) *Served {
+	served := engine.served[salt]
+	if served == nil {
+		if engine.served == nil {
+			engine.served = make(map[string]*Served)
+		}
+		served = &Served{}
+		engine.served[salt] = served
 	}
+	return served
 }
 
 // change ends the prefill or the decode of a call.
@@ -410,8 +457,6 @@
 	engine.events = append(engine.events, event)
 }
 
-// roundUp ignores differences that come from the arithmetic alone.
 func roundUp(at float64) bvclock.Time {
-	const arithmeticError = 1e-6
 	return bvclock.Time(math.Ceil(at - arithmeticError))
 }
--- a/bvmodel/engine_test.go
+++ b/bvmodel/engine_test.go
@@ -149,3 +149,12 @@
 	engine.Advance(1100)
 	require.Equal(t, 11, engine.Produced(1))
 }
+
+func TestServiceIsCountedByMember(t *testing.T) {
+	engine := bvmodel.New(testConfig())
+	engine.Submit(0, call(1, "m", "p", 100, 0, 50))
+	engine.Advance(1100)
+	require.InDelta(t, 10, engine.Spent(1).Decoded, 1e-6)
+	require.InDelta(t, 100, engine.Served("m").Prefilled, 1e-6)
+	require.Zero(t, engine.Served("rival"))
+}
