bvexperiment: the clairvoyant bound goes for cached history first

Prefill (5,000 tokens/s an engine) is the scarce resource: a history of 5,000 tokens sent to a colder engine blocks that engine's prefill for a second, for all calls there. To wait about 0.2 s for a slot at the warm engine is cheaper for everyone.

--- a/bvexperiment/clairvoyant.go
+++ b/bvexperiment/clairvoyant.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -11,8 +10,8 @@
 
 // clairvoyant knows how much service each program still needs and what each
 // endpoint has cached. It keeps one queue and serves the program with the
-// least remaining service first, at the free endpoint that would be done first
-// with its next call. Nothing that serves users can do this; it shows how far
+// least remaining service first, at the free endpoint with the most of its
+// history cached. Nothing that serves users can do this; it shows how far
 // a policy could get.
 type clairvoyant struct {
 	baseline
@@ -84,16 +83,20 @@
 	policy.send(id, endpoint)
 }
 
-// choose returns the free endpoint that would be done first.
+// choose returns the free endpoint with the most of the program's history
+// cached, the one with the fewest calls among equals. Choosing the one that
+// would be done first with the call alone was a little worse: it prefills
+// history again, at the cost of the other calls.
 func (policy *clairvoyant) choose(request bvgate.Request) string {
-	best, bestSeconds := "", math.Inf(1)
+	best, bestCached, bestRunning := "", 0, 0
 	for _, endpoint := range policy.usable() {
 		running := policy.running[endpoint.Name]
 		if running >= endpoint.Slots {
 			continue
 		}
-		if seconds := policy.oracle.seconds(endpoint.Name, request.ID, running); seconds < bestSeconds {
-			best, bestSeconds = endpoint.Name, seconds
+		cached := policy.oracle.cached(endpoint.Name, request.Member, request.Program)
+		if best == "" || cached > bestCached || cached == bestCached && running < bestRunning {
+			best, bestCached, bestRunning = endpoint.Name, cached, running
 		}
 	}
 	return best
--- a/bvexperiment/policy.go
+++ b/bvexperiment/policy.go
@@ -29,9 +29,6 @@
 	remaining(program string) float64
 	// cached returns what an endpoint has cached for a program right now.
 	cached(endpoint, member, program string) int
-	// seconds is how long an endpoint would take for a request besides a number
-	// of other calls.
-	seconds(endpoint string, id bvgate.RequestID, others int) float64
 }
 
 // clairvoyantPolicy is a Policy that is told the future.
--- a/bvexperiment/simulation.go
+++ b/bvexperiment/simulation.go
@@ -369,13 +369,3 @@
 func (simulation *simulation) cached(endpoint, member, program string) int {
 	return simulation.byName[endpoint].model.Cached(member, program)
 }
-
-// seconds implements oracle.
-func (simulation *simulation) seconds(endpoint string, id bvgate.RequestID, others int) float64 {
-	config := simulation.scenario.pool.config
-	call := simulation.calls[id]
-	uncached := call.model.PromptTokens - simulation.cached(endpoint, call.member, call.key)
-	stretch := 1 + config.Slowdown*float64(others)
-	return float64(uncached)/config.PrefillTokensPerSecond +
-		float64(call.model.OutputTokens)/config.DecodeTokensPerSecond*stretch
-}
