--- a/bvexperiment/contender.go
+++ b/bvexperiment/contender.go
@@ -41,7 +41,20 @@
 	}
 }
 
-func newPool(uint64) Policy { return &bvgate.Pool{} }
+// newPool returns the product's own decisions, told the speed of the engines as
+// operators would.
+func newPool(uint64) Policy { return tunedPool() }
+
+func tunedPool() *bvgate.Pool {
+	config := usualPool().config
+	pool := &bvgate.Pool{}
+	pool.SetCost(bvgate.Cost{
+		PrefillRate: config.PrefillTokensPerSecond,
+		DecodeRate:  config.DecodeTokensPerSecond,
+		Slowdown:    config.Slowdown,
+	})
+	return pool
+}
 
 func decisionContenders() []contender {
 	return []contender{
--- a/bvexperiment/killedgate.go
+++ b/bvexperiment/killedgate.go
@@ -32,7 +32,7 @@
 
 func newKilledGate(uint64) Policy {
 	return &killedGate{
-		Pool:    &bvgate.Pool{},
+		Pool:    tunedPool(),
 		waiting: make(map[bvgate.RequestID]bvgate.Request),
 		running: make(map[bvgate.RequestID]adopted),
 	}
@@ -128,7 +128,7 @@
 
 func (gate *killedGate) takeOver(now bvclock.Time) {
 	gate.dead, gate.revived = false, true
-	gate.Pool = &bvgate.Pool{}
+	gate.Pool = tunedPool()
 	gate.Pool.SetMembers(gate.shares)
 	for _, report := range gate.reports {
 		gate.Pool.Report(now, report)
--- a/bvexperiment/quotas.go
+++ b/bvexperiment/quotas.go
@@ -29,7 +29,7 @@
 func newQuotas(uint64) Policy {
 	policy := &quotas{owner: make(map[bvgate.RequestID]int)}
 	for range hosts {
-		policy.pools = append(policy.pools, &bvgate.Pool{})
+		policy.pools = append(policy.pools, tunedPool())
 	}
 	return policy
 }
--- a/bvexperiment/records.go
+++ b/bvexperiment/records.go
@@ -128,6 +128,5 @@
 
 // workOf weighs service as the product's own accounting does.
 func workOf(served bvmodel.Served) bvgate.Work {
-	const prefillWeight = 0.1
-	return bvgate.Work(served.Prefilled*prefillWeight + served.Decoded)
+	return bvgate.Cost{}.Work(int(served.Prefilled), int(served.Decoded))
 }
