--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -297,6 +297,10 @@
 	}
 	program.reloading = false
 	if err == nil && program.outdated(rows) {
+		if program.unburdened() {
+			ledger.reload(program)
+			return
+		}
 		ledger.lose(now, program, &bvplatform.ConflictError{Keys: []string{HeadKey(key)}})
 		return
 	}
--- a/bvledger/order.go
+++ b/bvledger/order.go
@@ -308,3 +308,19 @@
 		return row.Key == HeadKey(program.key) && row.Version != program.headVersion
 	})
 }
+
+// unburdened reports whether this host has nothing of the program but calls
+// that were never started, so that reading it again loses nothing.
+func (program *program) unburdened() bool {
+	return program.running == nil && program.entry == nil && program.unkept() == 0 && !program.dirty &&
+		program.ending == nil && len(program.fetching) == 0 && len(program.settlements) == 0 && len(program.used) == 0
+}
+
+// reload reads a program again that other hosts owned in the meantime, and
+// keeps the calls that wait. To refuse them would let their callers notice
+// that the program came back to a host that had it before.
+func (ledger *Ledger) reload(program *program) {
+	program.phase = phaseLoading
+	ledger.load(program, program.head.Parent)
+	ledger.schedule(program)
+}
