--- a/bvtable/race_test.go
+++ b/bvtable/race_test.go
@@ -273,3 +273,26 @@
 	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
 	requireCode(t, bvverdict.PlatformUnavailable, err)
 }
+
+// Changes pile up in the store, a row each, until a scan of all of them takes
+// longer than an outage. The write of a new one takes the oldest along.
+func TestOldChangesGoWithTheNewOnes(t *testing.T) {
+	store := &bvplatform.Memory{}
+	seed(t, store)
+	_, err := store.Commit(t.Context(), bvplatform.Transaction{
+		Puts: []bvplatform.Put{{Key: versionKey, Value: encodeVersion(changesKept)}},
+	})
+	require.NoError(t, err)
+	writes, _ := store.Counts()
+	_, err = newEditor(store).Set(t.Context(), piran, set("piran", "booking", Budget, "500"))
+	require.NoError(t, err)
+	after, _ := store.Counts()
+	require.EqualValues(t, 1, after-writes)
+	rows, err := store.Scan(t.Context(), changePrefix, "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+	require.Equal(t, changeKey(changesKept+1), rows[0].Key)
+	rows, err = store.Scan(t.Context(), attemptPrefix, "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+}
