bvload: tell a daemon that is gone from one that cut a request off

A planned stop of one daemon showed 63 requests without an answer; most were sent to an address that nobody served any more, which a balancer would not do. Only the rest would be a broken promise.

Change: codes unreachable, timeout and cut in place of no_answer.

--- a/bvload/caller.go
+++ b/bvload/caller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -184,8 +185,24 @@
 	}
 }
 
+// Codes of requests that no daemon answered.
+const (
+	codeUnreachable = "unreachable" // no connection
+	codeTimeout     = "timeout"     // the caller's own deadline
+	codeCut         = "cut"         // the connection broke before the answer was whole
+)
+
+// untyped tells a daemon that is not there from one that cut a request off:
+// a planned stop must do the first only.
 func untyped(err error) *callError {
-	return &callError{code: "no_answer", message: err.Error()}
+	failed := &callError{code: codeCut, message: err.Error()}
+	if operation := new(net.OpError); errors.As(err, &operation) && operation.Op == "dial" {
+		failed.code = codeUnreachable
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		failed.code = codeTimeout
+	}
+	return failed
 }
 
 func typed(response *http.Response) *callError {
--- a/bvload/load_test.go
+++ b/bvload/load_test.go
@@ -83,6 +83,7 @@
 	system.cut = true
 	report := run(t, config)
 	require.Positive(t, report.Retries)
+	require.Equal(t, report.Retries, report.Refusals[codeCut])
 	require.Equal(t, 8, report.Finished)
 	require.True(t, report.Kept(), report.Text())
 }
