--- a/bvexperiment/outcome.go
+++ b/bvexperiment/outcome.go
@@ -22,8 +22,10 @@
 	ShareMedian   float64            `json:"share_error_median"`
 	Twice         float64            `json:"work_twice"`
 	Refusals      int                `json:"refusals"`
-	RefusalDelay  float64            `json:"refusal_delay_ms"`   // 99th percentile
-	RetryAfter    float64            `json:"retry_after_factor"` // median
+	RefusalDelay  float64            `json:"refusal_delay_ms"`     // 99th percentile
+	RetryAfter    float64            `json:"retry_after_factor"`   // median
+	RetryTold     float64            `json:"retry_after_told_ms"`  // median
+	RetryReal     float64            `json:"retry_after_taken_ms"` // median time until requests were taken
 	CrashLost     int                `json:"calls_lost_by_crash"`
 	PoisonCrashes int                `json:"poison_crashes"`
 	SentToLeaving int                `json:"sent_to_leaving"`
@@ -135,7 +137,7 @@
 }
 
 func (outcome *Outcome) summarizeRefusals(asks []asked) {
-	var delays, factors []float64
+	var delays, factors, told, real []float64
 	for at, asked := range asks {
 		if !asked.refused {
 			continue
@@ -144,10 +146,14 @@
 		delays = append(delays, float64(asked.refusedAt.Sub(asked.at)))
 		if taken, ok := takenAt(asks, at); ok && asked.wait > 0 {
 			factors = append(factors, factor(asked.wait, taken.Sub(asked.refusedAt)))
+			told = append(told, float64(asked.wait))
+			real = append(real, float64(taken.Sub(asked.refusedAt)))
 		}
 	}
 	outcome.RefusalDelay = percentile(delays, 0.99)
 	outcome.RetryAfter = percentile(factors, 0.50)
+	outcome.RetryTold = percentile(told, 0.50)
+	outcome.RetryReal = percentile(real, 0.50)
 }
 
 // factor is how far two durations are apart, the larger over the smaller. Both
--- a/bvexperiment/report.go
+++ b/bvexperiment/report.go
@@ -125,6 +125,8 @@
 	add("twice", func(outcome Outcome) float64 { return outcome.Twice }, 3)
 	add("refused", func(outcome Outcome) float64 { return float64(outcome.Refusals) }, 0)
 	add("retry_after_factor", func(outcome Outcome) float64 { return outcome.RetryAfter }, 2)
+	add("told_ms", func(outcome Outcome) float64 { return outcome.RetryTold }, 0)
+	add("taken_after_ms", func(outcome Outcome) float64 { return outcome.RetryReal }, 0)
 	add("refusal_delay_ms", func(outcome Outcome) float64 { return outcome.RefusalDelay }, 0)
 	add("crash_lost", func(outcome Outcome) float64 { return float64(outcome.CrashLost) }, 0)
 	add("poison_crashes", func(outcome Outcome) float64 { return float64(outcome.PoisonCrashes) }, 0)
