--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -12,7 +12,7 @@
 	candidates = 3
 	// parkPatience is how many times its expected wait a request stays parked
 	// before it takes any endpoint.
-	parkPatience = 2
+	parkPatience = 6
 	minPark      = 50 * bvclock.Millisecond
 	// prefillHarm weighs the prefill of a call as harm to the others at its
 	// endpoint, which wait for it and whose prefixes it evicts. Without it the
