bvgate: serve programs of up to 4,000 tokens of work by age alone

Cause: with levels from 200 generated tokens on, a program of the usual size fell behind newcomers in mid-course: under overload nobody finished. Ruled out: no levels at all, which is as good in these mixes, but leaves nothing against a program that loops within its member. The change: level 0 ends at 4,000 tokens of work, the levels above double it.

The oracle test for the second grant of an unrepeatable request relied on that oracle firing before the one for false verdicts, which the new order of grants changed. It now leaves only its own oracle something to find, and the oracle for false verdicts has a test of its own.

--- a/bvgate/broken_test.go
+++ b/bvgate/broken_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvverdict"
 )
 
 // verdict records what rapid reports, in place of a testing.T.
@@ -119,7 +120,29 @@
 
 func TestOracleCatchesSecondGrantOfUnrepeatableRequest(t *testing.T) {
 	requireCaught(t, "granted twice", func(pool *Pool) decider {
-		return tampered{Pool: pool, ask: func(request *Request) { request.Unrepeatable = false }}
+		return tampered{
+			Pool: pool,
+			ask:  func(request *Request) { request.Unrepeatable = false },
+			effect: func(effect Effect) []Effect {
+				if refusal, ok := effect.(Refusal); ok {
+					refusal.Err = bvverdict.New(bvverdict.MayHaveRun, bvverdict.Internal, "")
+					return []Effect{refusal}
+				}
+				return []Effect{effect}
+			},
+		}
+	})
+}
+
+func TestOracleCatchesFalseVerdictOfARefusal(t *testing.T) {
+	requireCaught(t, "refused as not run", func(pool *Pool) decider {
+		return tampered{Pool: pool, effect: func(effect Effect) []Effect {
+			if refusal, ok := effect.(Refusal); ok {
+				refusal.Err = bvverdict.Refuse(bvverdict.Internal, "")
+				return []Effect{refusal}
+			}
+			return []Effect{effect}
+		}}
 	})
 }
 
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -10,7 +10,7 @@
 
 const (
 	// levelBase is the work of the lowest level; each level doubles it.
-	levelBase Work = 200
+	levelBase Work = 4000
 	lastLevel int  = 12
 	// ageStep is the wait after which a request goes one level down. Without
 	// it a long program starves while short ones keep coming: it shows as a
