--- a/bvledger/end.go
+++ b/bvledger/end.go
@@ -140,7 +140,7 @@
 	if !owned {
 		return
 	}
-	if program.limits.Idle > 0 && due(program.activeAt.Add(program.limits.Idle), now) {
+	if program.head.Idle > 0 && due(program.activeAt.Add(program.head.Idle), now) {
 		program.ending = &ending{state: EndedIdle}
 		return
 	}
--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -283,9 +283,6 @@
 	if parent != "" {
 		keys = append(keys, AccountKey(ProgramKey{Member: program.key.Member, Program: parent}))
 	}
-	if program.headVersion == 0 {
-		program.head.Parent = parent
-	}
 	ledger.read(program, true, keys...)
 }
 
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -242,3 +242,23 @@
 	require.Len(t, fresh.started, 1)
 	require.Equal(t, `["book","booked"]`, string(fresh.started[0].History))
 }
+
+// A sub-agent spends without counting against its parent's budget. A fetch
+// for it came first and had its rows read; the sub-agent's first call found
+// them loaded, and its parent was only taken from the call that had caused the
+// load (found with -rapid.seed=11570459).
+func TestSubAgentDrawsFromItsParentAlsoAfterAnEarlyFetch(t *testing.T) {
+	host := newHost("a", &faults{})
+	parent := question(1, "r1", 1)
+	parent.Limits.Budget = 100
+	host.ledger.Submit(1, parent)
+	host.pump(1)
+	child := question(3, "r1", 1)
+	child.Key.Program = "child"
+	child.Parent = lesson.Program
+	child.Cost = 100
+	host.ledger.Fetch(2, 2, child.Key, "r1")
+	host.ledger.Submit(2, child)
+	host.pump(2)
+	requireRefusal(t, host, 3, bvverdict.NotRun, bvverdict.BudgetExceeded)
+}
--- a/bvledger/load.go
+++ b/bvledger/load.go
@@ -51,9 +51,6 @@
 	if err != nil {
 		return err
 	}
-	if row.Version == 0 {
-		kept.Parent = program.head.Parent
-	}
 	if program.limitsKnown {
 		kept.Idle = program.limits.Idle
 	}
@@ -160,7 +157,8 @@
 			"the answer is kept but can't be read now").
 			WithRetryAfter(ledger.settings.RetryAfter).WithCause(cause))
 	}
-	if program.ending != nil && program.ending.state == EndedAsked {
+	endIssued := program.entry != nil && program.entry.ending
+	if program.ending != nil && program.ending.state == EndedAsked && !endIssued {
 		for _, caller := range program.ending.callers {
 			ledger.refuse(caller, err)
 		}
--- a/bvledger/release_test.go
+++ b/bvledger/release_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvcommit"
 	"balsamvalve.example/bvledger"
 	"balsamvalve.example/bvverdict"
 )
@@ -81,3 +82,50 @@
 	host.pump(bvclock.Time(2).Add(bvclock.Hour))
 	require.Len(t, host.released, 1)
 }
+
+// The daemon crashed. A caller ends its program, and while that is being
+// written the platform goes away: a fetch of an older answer can't be read and
+// took the end back, although its write was under way (found with
+// -rapid.seed=78610).
+func TestEndUnderWaySurvivesAFailedRead(t *testing.T) {
+	store := &faults{}
+	host := newHost("a", store)
+	host.committer.SetInterval(bvclock.Second)
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(2000, 1, reply("one"))
+	host.pump(2000)
+	host.ledger.Submit(2000, question(2, "r2", 2))
+	host.pump(2000)
+	host.ledger.Finish(4000, 2, reply("two"))
+	host.pump(4000)
+	host.ledger.End(4000, lesson, 3)
+	host.tick(4000)
+	store.down = true
+	host.ledger.Fetch(4000, 4, lesson, "r1")
+	host.pump(4000)
+	requireRefusal(t, host, 4, bvverdict.Ran, bvverdict.PlatformUnavailable)
+	store.down = false
+	host.pump(6000)
+	require.NotNil(t, host.outcomes[3].answer)
+}
+
+// A program is never ended, although its table row limits its idle time. Its
+// owner had closed it, a caller's fetch brought it back into memory, and the
+// limit was only known from calls (found with -rapid.seed=652657).
+func TestProgramThatAFetchBroughtBackStillEndsWhenIdle(t *testing.T) {
+	host := newHost("a", &faults{})
+	call := question(1, "r1", 1)
+	call.Limits.Idle = bvclock.Hour
+	host.ledger.Submit(1, call)
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("one"))
+	host.pump(2)
+	again := newHost("a", host.store) // as after a commit that was given up
+	again.committer = bvcommit.New("a", "2")
+	again.ledger.Fetch(3, 1, lesson, "r1")
+	again.pump(3)
+	requireAnswer(t, again, 1, "one")
+	again.pump(bvclock.Time(3).Add(bvclock.Hour))
+	require.Len(t, again.released, 1)
+}
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -67,6 +67,9 @@
 	if program.unkept() >= ledger.settings.MaxUnkept {
 		return mustWait, nil
 	}
+	if program.headVersion == 0 && program.entry == nil {
+		program.head.Parent = call.Parent // the first call that runs makes the program
+	}
 	if limit := program.limits.Turns; limit > 0 && program.head.Calls >= limit {
 		program.ending = &ending{state: EndedLooping}
 		return answered, bvverdict.Refuse(bvverdict.LimitExceeded, "the program has made all its %d calls", limit)
--- a/bvledger/timer.go
+++ b/bvledger/timer.go
@@ -107,8 +107,8 @@
 	if program.phase != phaseCold {
 		at = program.activeAt.Add(ledger.settings.EvictAfter)
 	}
-	if program.limits.Idle > 0 {
-		at = earlier(at, program.activeAt.Add(program.limits.Idle))
+	if program.head.Idle > 0 {
+		at = earlier(at, program.activeAt.Add(program.head.Idle))
 	}
 	return at
 }
