Writes may come in a burst: a lone call no longer waits for its second write

Cause: a call that is alone commits its claim and its turn within milliseconds; the fixed interval (10 ms with three hosts, 43 ms with thirteen) held the second back although the platform had nothing to do. Ruled out: a shorter interval (breaks the budget for all hosts together); running before the claim is durable (a budget could be passed). Change: each host may save up the writes of 250 ms.

--- a/bvcommit/committer.go
+++ b/bvcommit/committer.go
@@ -1,14 +1,15 @@
 // Package bvcommit gathers the entries of many programs into few platform
 // writes: the platform takes a few hundred writes a second for all hosts.
 //
-// A Committer has one transaction in flight, starts the next no sooner than
-// its interval allows, and tells each entry's outcome exactly once. It knows
+// A Committer has one transaction in flight, starts no more of them than its
+// interval and burst allow, and tells each entry's outcome exactly once. It knows
 // no sockets, no clock and no platform.
 //
 // # Usage
 //
 //	committer := bvcommit.New("host-1", "incarnation")
 //	committer.SetInterval(bvclock.Duration(liveHosts) * bvclock.Second / writeBudget)
+//	committer.SetBurst(8)
 //	committer.Add(entry)
 //	for _, effect := range committer.Tick(now) {
 //		switch effect := effect.(type) {
@@ -79,6 +80,7 @@
 	host        string
 	incarnation string
 	interval    bvclock.Duration
+	burst       int
 	maxEntries  int
 	maxBytes    int
 
@@ -91,7 +93,7 @@
 	count   int64
 	marker  int64 // version of the marker row
 	solo    int   // entries that are tried one by one, after a rejection
-	started bvclock.Time
+	earned  bvclock.Time // when all transactions so far are paid for, at one an interval
 	begun   bool
 	retryAt bvclock.Time
 	backoff bvclock.Duration
@@ -110,11 +112,25 @@
 	}
 }
 
-// SetInterval sets the least time between the starts of two transactions.
+// SetInterval sets the time between the starts of two transactions in the
+// long run.
 func (committer *Committer) SetInterval(interval bvclock.Duration) {
 	committer.interval = interval
 }
 
+// SetBurst sets how many transactions may start without waiting after a quiet
+// time; 0 counts as 1. A call that is alone needs two writes in a row, and
+// would otherwise wait for the second although the platform has nothing to do.
+func (committer *Committer) SetBurst(burst int) {
+	committer.burst = burst
+}
+
+// due is when the next transaction may start.
+func (committer *Committer) due() bvclock.Time {
+	saved := bvclock.Duration(max(committer.burst, 1)-1) * committer.interval
+	return committer.earned.Add(-saved)
+}
+
 // SetMax bounds a transaction; an entry that is larger goes alone.
 func (committer *Committer) SetMax(entries, bytes int) {
 	committer.maxEntries = entries
@@ -166,7 +182,7 @@
 		if !committer.begun {
 			return 0, true
 		}
-		return committer.started.Add(committer.interval), true
+		return committer.due(), true
 	}
 	return 0, false
 }
@@ -246,7 +262,7 @@
 		transaction.Puts = append(transaction.Puts, entry.Puts...)
 	}
 	committer.phase = phaseWriting
-	committer.started = now
+	committer.earned = max(committer.earned, now).Add(committer.interval)
 	committer.begun = true
 	committer.writes++
 	committer.effects = append(committer.effects, Write{Transaction: transaction})
--- a/bvdaemon/commit.go
+++ b/bvdaemon/commit.go
@@ -11,6 +11,10 @@
 	"balsamvalve.example/bvplatform"
 )
 
+// writeBurst is how much of its share of writes a host may save up: all hosts
+// together then never ask for more than the budget of this time at once.
+const writeBurst = 250 * bvclock.Millisecond
+
 // storeTimeout bounds one read or write of the platform's table. A write that
 // got no answer in this time is read back.
 const storeTimeout = 2 * bvclock.Second
@@ -46,6 +50,7 @@
 	loop.mutex.Lock()
 	defer loop.mutex.Unlock()
 	loop.committer.SetInterval(interval)
+	loop.committer.SetBurst(max(int(writeBurst/max(interval, 1)), 1))
 }
 
 // Add implements bvowner.Committer.
--- a/bvdemo/system.go
+++ b/bvdemo/system.go
@@ -120,6 +120,7 @@
 
 func (system *system) announce(ctx context.Context, endpoint func() bvplatform.Endpoint) {
 	announcer := &bvstandin.Announcer{Client: system.client(), Endpoint: endpoint}
+	_ = announcer.Announce(ctx) // listed before the daemons look; Run announces again
 	system.running.Go(func() { announcer.Run(ctx) })
 }
 
