bvexperiment: a bound that waits for cached history, shared workloads, tests

Change: the bound waits for the engine with the history where that costs less than six times the prefill, else takes the engine with the most free slots and memory.

Tests: each measure has a deliberately broken policy that it must catch: lost releases, wrong weights, a policy that never hears of a leaving endpoint.

--- a/bvexperiment/clairvoyant.go
+++ b/bvexperiment/clairvoyant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -10,8 +11,8 @@
 
 // clairvoyant knows how much service each program still needs and what each
 // endpoint has cached. It keeps one queue and serves the program with the
-// least remaining service first, at the free endpoint with the most of its
-// history cached. Nothing that serves users can do this; it shows how far
+// least remaining service first, at the endpoint that has its history cached or
+// at a free one with free memory. Nothing that serves users can do this; it shows how far
 // a policy could get.
 type clairvoyant struct {
 	baseline
@@ -60,19 +61,45 @@
 	}
 }
 
+// slotSeconds is about how long a full endpoint takes to free a slot.
+const slotSeconds = 0.2
+
+// prefillHarm weighs the seconds of a prefill that a cached history would
+// save: all other calls at the endpoint wait for it too.
+const prefillHarm = 6
+
 // Tick implements Policy.
 func (policy *clairvoyant) Tick(now bvclock.Time) []bvgate.Effect {
-	for len(policy.queue) > 0 {
-		endpoint := policy.choose(policy.queue[0].Request)
-		if endpoint == "" {
+	const horizon = 100 // how far down the queue a free slot is offered
+	free := policy.freeSlots()
+	waiters := make(map[string]int)
+	kept := policy.queue[:0]
+	for at, asked := range policy.queue {
+		if free == 0 || at >= horizon {
+			kept = append(kept, policy.queue[at:]...)
 			break
 		}
-		policy.grant(policy.queue[0].ID, endpoint)
-		policy.queue = policy.queue[1:]
+		endpoint, wait := policy.choose(asked.Request, waiters)
+		if wait || endpoint == "" {
+			waiters[endpoint]++
+			kept = append(kept, asked)
+			continue
+		}
+		policy.grant(asked.ID, endpoint)
+		free--
 	}
+	policy.queue = kept
 	return policy.baseline.Tick(now)
 }
 
+func (policy *clairvoyant) freeSlots() int {
+	free := 0
+	for _, endpoint := range policy.usable() {
+		free += max(endpoint.Slots-policy.running[endpoint.Name], 0)
+	}
+	return free
+}
+
 func (policy *clairvoyant) grant(id bvgate.RequestID, endpoint string) {
 	if policy.running == nil {
 		policy.running = make(map[string]int)
@@ -83,21 +110,31 @@
 	policy.send(id, endpoint)
 }
 
-// choose returns the free endpoint with the most of the program's history
-// cached, the one with the fewest calls among equals. Choosing the one that
-// would be done first with the call alone was a little worse: it prefills
-// history again, at the cost of the other calls.
-func (policy *clairvoyant) choose(request bvgate.Request) string {
-	best, bestCached, bestRunning := "", 0, 0
+// room weighs free slots and free memory, which are both short at high load.
+func (policy *clairvoyant) room(endpoint bvgate.EndpointReport) float64 {
+	const memoryWeight = 0.5
+	slots := 1 - float64(policy.running[endpoint.Name])/float64(endpoint.Slots)
+	return slots + memoryWeight*policy.oracle.freeMemory(endpoint.Name)
+}
+
+// choose returns the free endpoint with the most room, or the one that
+// has the program's history cached where it is free or worth waiting for.
+func (policy *clairvoyant) choose(request bvgate.Request, waiters map[string]int) (name string, wait bool) {
+	freest := math.Inf(-1)
 	for _, endpoint := range policy.usable() {
-		running := policy.running[endpoint.Name]
-		if running >= endpoint.Slots {
-			continue
+		free := policy.running[endpoint.Name] < endpoint.Slots
+		if cached := policy.oracle.cached(endpoint.Name, request.Member, request.Program); cached > 0 {
+			if free {
+				return endpoint.Name, false
+			}
+			saved := prefillHarm * policy.oracle.prefillSeconds(cached)
+			if slotSeconds*float64(waiters[endpoint.Name]+1) < saved {
+				return endpoint.Name, true
+			}
 		}
-		cached := policy.oracle.cached(endpoint.Name, request.Member, request.Program)
-		if best == "" || cached > bestCached || cached == bestCached && running < bestRunning {
-			best, bestCached, bestRunning = endpoint.Name, cached, running
+		if room := policy.room(endpoint); free && room > freest {
+			name, freest = endpoint.Name, room
 		}
 	}
-	return best
+	return name, false
 }
--- a/bvexperiment/experiment.go
+++ b/bvexperiment/experiment.go
@@ -69,6 +69,7 @@
 func (report *Report) plan(scenarios []*Scenario) []func() {
 	var runs []func()
 	for _, scenario := range scenarios {
+		programs := report.drawn(scenario)
 		for _, contender := range scenario.contenders {
 			result := &Result{
 				Scenario: scenario.name, Policy: contender.name, Baseline: contender.baseline,
@@ -77,7 +78,7 @@
 			report.Results = append(report.Results, result)
 			for seed := range report.Seeds {
 				runs = append(runs, func() {
-					simulation := newSimulation(scenario, uint64(seed+1), contender)
+					simulation := newSimulation(scenario, seedOf(seed), contender, programs[seed]())
 					result.Outcomes[seed] = summarize(scenario, simulation.run())
 				})
 			}
@@ -86,6 +87,18 @@
 	return runs
 }
 
+func seedOf(at int) uint64 { return uint64(at + 1) }
+
+// drawn returns the programs of each seed, drawn once for all contenders,
+// which only read them.
+func (report *Report) drawn(scenario *Scenario) []func() []*spec {
+	programs := make([]func() []*spec, report.Seeds)
+	for at := range programs {
+		programs[at] = sync.OnceValue(func() []*spec { return scenario.programs(seedOf(at)) })
+	}
+	return programs
+}
+
 func carryOut(runs []func(), workers int) {
 	queue := make(chan func())
 	var group sync.WaitGroup
--- /dev/null
+++ b/bvexperiment/experiment_test.go
@@ -0,0 +1,198 @@
+package bvexperiment
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+	"github.com/stretchr/testify/require"
+)
+
+// short cuts a scenario down to what a test needs.
+func short(scenario *Scenario, contenders ...contender) *Scenario {
+	scenario.warmUp = 5000
+	scenario.duration = 40 * bvclock.Second
+	scenario.measureFrom, scenario.measureTo = scenario.warmUp, scenario.end()
+	if len(contenders) > 0 {
+		scenario.contenders = contenders
+	}
+	return scenario
+}
+
+func runOne(scenario *Scenario, contender contender) (*records, Outcome) {
+	records := newSimulation(scenario, 1, contender, scenario.programs(1)).run()
+	return records, summarize(scenario, records)
+}
+
+func product() contender {
+	return contender{name: nameProduct, policy: newPool, delay: permitDelay}
+}
+
+func TestTwoRunsPrintTheSame(t *testing.T) {
+	print := func() string {
+		report := &Report{Seeds: 2}
+		carryOut(report.plan([]*Scenario{short(usual(nameLoad80, "", 0.8))}), 3)
+		var text bytes.Buffer
+		require.NoError(t, report.Write(&text))
+		return text.String()
+	}
+	first := print()
+	require.Contains(t, first, "measure: p50-at-0.80 ratio=")
+	require.Equal(t, first, print())
+}
+
+func TestUnknownScenarioIsRefused(t *testing.T) {
+	_, err := Run(Options{Scenario: "nothing"})
+	require.ErrorContains(t, err, "nothing")
+}
+
+func TestEveryPolicyAnswersEveryProgramAtLowLoad(t *testing.T) {
+	for _, contender := range append(standardContenders(), decisionContenders()...) {
+		scenario := short(usual("low", "", 0.2))
+		records, _ := runOne(scenario, contender)
+		require.Zero(t, records.failed, contender.name)
+		require.NotEmpty(t, records.samples, contender.name)
+	}
+}
+
+func TestLoadIsThePartOfTheSlotsThatProgramsOccupy(t *testing.T) {
+	pool := usualPool()
+	const span = 2000 * bvclock.Second
+	seconds := 0.0
+	for _, program := range brindleyMix().arrivals(3, 0.5, pool, 0, bvclock.Time(span)) {
+		seconds += program.seconds(pool.config, 0)
+	}
+	require.InEpsilon(t, 0.5, seconds/span.Std().Seconds()/float64(pool.slots()), 0.1)
+}
+
+func TestSubAgentsCarryTheirParentsKeyAndPriority(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	shape := bookingShape()
+	shape.subAgents = 1
+	program := shape.program(random, piran, "p")
+	for at, step := range program.steps[:len(program.steps)-1] {
+		require.NotEmpty(t, step.children, at)
+		require.Equal(t, hostOf("p"), hostOf(step.children[0].key))
+	}
+}
+
+// neverReleases is a Pool whose releases get lost.
+type neverReleases struct{ *bvgate.Pool }
+
+func (policy neverReleases) Tick(now bvclock.Time) []bvgate.Effect {
+	return slices.DeleteFunc(policy.Pool.Tick(now), func(effect bvgate.Effect) bool {
+		_, lost := effect.(bvgate.Release)
+		return lost
+	})
+}
+
+// An operator sees engine memory fill with the history of programs that ended
+// long ago, because nobody told the engines to drop it. A measurement that did
+// not show it would praise any policy.
+func TestLostReleasesShowAsWaste(t *testing.T) {
+	broken := contender{policy: func(uint64) Policy { return neverReleases{tunedPool()} }}
+	_, kept := runOne(short(usual("usual", "", 0.5)), broken)
+	_, released := runOne(short(usual("usual", "", 0.5)), product())
+	require.Greater(t, kept.WastedEnded, 10*released.WastedEnded)
+}
+
+// favours is a Pool that is told wrong weights.
+type favours struct{ *bvgate.Pool }
+
+func (policy favours) SetMembers(shares []bvgate.MemberShare) {
+	shares = slices.Clone(shares)
+	for at := range shares {
+		shares[at].Weight = 1
+	}
+	policy.Pool.SetMembers(shares)
+}
+
+// A member that pays for three quarters of the pool gets half of it, while
+// both always wait for more.
+func TestWrongWeightsShowAsShareError(t *testing.T) {
+	broken := contender{policy: func(uint64) Policy { return favours{tunedPool()} }}
+	backlogged := func() *Scenario {
+		scenario := backlog()
+		scenario.duration = 60 * bvclock.Second
+		return scenario
+	}
+	_, wrong := runOne(backlogged(), broken)
+	_, right := runOne(backlogged(), product())
+	require.Greater(t, wrong.ShareMedian, 0.5)
+	require.Less(t, right.ShareMedian, 0.25)
+}
+
+// deaf never learns that an endpoint is leaving.
+type deaf struct{ *bvgate.Pool }
+
+func (policy deaf) Report(now bvclock.Time, report bvgate.EndpointReport) {
+	report.Leaving = false
+	policy.Pool.Report(now, report)
+}
+
+// A caller's answer is cut off because its call went to an engine that had
+// said half a minute before that it would stop.
+func TestCallsToALeavingEndpointAreCounted(t *testing.T) {
+	leaving := func() *Scenario {
+		scenario := short(usual("leaving", "", 0.8))
+		scenario.faults = []fault{leave(6000, "engine-03")}
+		return scenario
+	}
+	_, wrong := runOne(leaving(), contender{policy: func(uint64) Policy { return deaf{tunedPool()} }})
+	_, right := runOne(leaving(), product())
+	require.Positive(t, wrong.SentToLeaving)
+	require.Zero(t, right.SentToLeaving)
+}
+
+// Engines of one zone stop with calls in flight. The callers see their
+// connections break; each call is run again elsewhere, and that work counts.
+func TestCrashedZoneCountsWorkDoneTwice(t *testing.T) {
+	scenario := short(usual("crash", "", 0.6))
+	scenario.faults = []fault{crashZone(10_000, "zone-1", 20*bvclock.Second)}
+	records, outcome := runOne(scenario, product())
+	require.Positive(t, records.crashLost)
+	require.Positive(t, outcome.Twice)
+}
+
+// The host that decides for the pool dies. For two seconds nobody is granted
+// anything; then the next host learns from the owners what runs and what
+// waits, and every program still comes to its end.
+func TestDeadDecidingHostLosesNoProgram(t *testing.T) {
+	scenario := usual("killed", "", 0.3)
+	scenario.warmUp, scenario.duration = faultAt-10_000, 40*bvclock.Second
+	scenario.measureFrom, scenario.measureTo = scenario.warmUp, scenario.end()
+	records, outcome := runOne(scenario, contender{policy: newKilledGate, delay: permitDelay})
+	require.Zero(t, records.failed)
+	require.Positive(t, outcome.Answers)
+}
+
+func TestPercentileIsNearestRank(t *testing.T) {
+	samples := []float64{4, 1, 3, 2}
+	require.Equal(t, 2.0, percentile(samples, 0.5))
+	require.Equal(t, 4.0, percentile(samples, 0.99))
+	require.Zero(t, percentile(nil, 0.5))
+}
+
+func TestRetryAfterIsComparedWithWhenRequestsWereTaken(t *testing.T) {
+	asks := []asked{
+		{member: piran, at: 0, refused: true, refusedAt: 2, wait: 8000},
+		{member: brindley, at: 500},
+		{member: piran, at: 1000, refused: true, refusedAt: 1002, wait: 8000},
+		{member: piran, at: 4002},
+	}
+	var outcome Outcome
+	outcome.summarizeRefusals(asks)
+	require.Equal(t, 2, outcome.Refusals)
+	require.InDelta(t, 2, outcome.RetryAfter, 0.01)
+	require.InDelta(t, 2, outcome.RefusalDelay, 0)
+}
+
+func TestPlotWritesAFile(t *testing.T) {
+	report := &Report{Seeds: 1}
+	carryOut(report.plan([]*Scenario{short(usual("load-0.50", "", 0.5))}), 2)
+	require.NoError(t, report.Plot(t.TempDir()+"/latency.svg"))
+	require.Error(t, report.Plot(t.TempDir()+"/latency.unknown"))
+}
--- a/bvexperiment/goal.go
+++ b/bvexperiment/goal.go
@@ -42,6 +42,7 @@
 
 // Names of scenarios that the goals speak of.
 const (
+	nameUnloaded    = "unloaded"
 	nameLoad80      = "load-0.80"
 	nameBacklog     = "backlog"
 	nameFlood       = "flood"
@@ -78,8 +79,8 @@
 		add(report.against("victim-p99-"+scenario, scenario, nameAlone, nameProduct, memberP99(piran), goalVictim))
 	}
 	add(report.figure("work-twice-crashed-zone", nameCrashedZone, func(outcome Outcome) float64 { return outcome.Twice }, goalTwice))
-	add(report.figure("retry-after-factor", nameOverload, func(outcome Outcome) float64 { return outcome.RetryAfter }, goalRetryAfter))
-	add(report.figure("refusal-delay-ms", nameOverload, func(outcome Outcome) float64 { return outcome.RefusalDelay }, float64(2*permitDelay)))
+	add(report.figure("retry-after-factor", nameFlood, func(outcome Outcome) float64 { return outcome.RetryAfter }, goalRetryAfter))
+	add(report.figure("refusal-delay-ms", nameFlood, func(outcome Outcome) float64 { return outcome.RefusalDelay }, float64(2*permitDelay)))
 	add(report.figure("sent-to-leaving", nameLeaving, func(outcome Outcome) float64 { return float64(outcome.SentToLeaving) }, goalNone))
 	add(report.figure("cut-off-at-leaving", nameLeaving, func(outcome Outcome) float64 { return float64(outcome.CutOff) }, goalNone))
 	return measures
--- a/bvexperiment/outcome.go
+++ b/bvexperiment/outcome.go
@@ -137,23 +137,23 @@
 }
 
 func (outcome *Outcome) summarizeRefusals(asks []asked) {
-	var delays, factors, told, real []float64
+	var delays, factors, told, taken []float64
 	for at, asked := range asks {
 		if !asked.refused {
 			continue
 		}
 		outcome.Refusals++
 		delays = append(delays, float64(asked.refusedAt.Sub(asked.at)))
-		if taken, ok := takenAt(asks, at); ok && asked.wait > 0 {
-			factors = append(factors, factor(asked.wait, taken.Sub(asked.refusedAt)))
+		if takenAt, ok := firstTaken(asks, at); ok && asked.wait > 0 {
+			factors = append(factors, factor(asked.wait, takenAt.Sub(asked.refusedAt)))
 			told = append(told, float64(asked.wait))
-			real = append(real, float64(taken.Sub(asked.refusedAt)))
+			taken = append(taken, float64(takenAt.Sub(asked.refusedAt)))
 		}
 	}
 	outcome.RefusalDelay = percentile(delays, 0.99)
 	outcome.RetryAfter = percentile(factors, 0.50)
 	outcome.RetryTold = percentile(told, 0.50)
-	outcome.RetryReal = percentile(real, 0.50)
+	outcome.RetryReal = percentile(taken, 0.50)
 }
 
 // factor is how far two durations are apart, the larger over the smaller. Both
@@ -164,9 +164,9 @@
 	return max(a, b) / min(a, b)
 }
 
-// takenAt is the first time after a refusal from which on, for a second, at
+// firstTaken is the first time after a refusal from which on, for a second, at
 // least half of the same member's requests were taken.
-func takenAt(asks []asked, refused int) (bvclock.Time, bool) {
+func firstTaken(asks []asked, refused int) (bvclock.Time, bool) {
 	member := asks[refused].member
 	for at := refused + 1; at < len(asks); at++ {
 		if asks[at].member != member || asks[at].refused || asks[at].at.Before(asks[refused].refusedAt) {
--- a/bvexperiment/policy.go
+++ b/bvexperiment/policy.go
@@ -29,6 +29,10 @@
 	remaining(program string) float64
 	// cached returns what an endpoint has cached for a program right now.
 	cached(endpoint, member, program string) int
+	// prefillSeconds is how long an endpoint takes to prefill tokens.
+	prefillSeconds(tokens int) float64
+	// freeMemory is the part of an endpoint's memory that holds nothing.
+	freeMemory(endpoint string) float64
 }
 
 // clairvoyantPolicy is a Policy that is told the future.
--- a/bvexperiment/report.go
+++ b/bvexperiment/report.go
@@ -70,7 +70,7 @@
 // with the spread in brackets, and then the measures against their goals.
 func (report *Report) Write(to io.Writer) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "medians over %d seeds [least..greatest]; times in seconds\n", report.Seeds)
+	fmt.Fprintf(&text, "medians over %d seeds [least..greatest]; latency in seconds, wasted cache in million token-seconds (Mts)\n", report.Seeds)
 	for _, result := range report.Results {
 		text.WriteString(result.line())
 		text.WriteByte('\n')
--- a/bvexperiment/scenario.go
+++ b/bvexperiment/scenario.go
@@ -103,6 +103,7 @@
 // Scenarios returns all scenarios in the order of the report.
 func Scenarios() []*Scenario {
 	return []*Scenario{
+		unloaded(),
 		usual("load-0.50", "both mixes at half of what the pool can do", 0.5),
 		usual(nameLoad80, "both mixes at load 0.8", 0.8),
 		usual("load-0.95", "both mixes at load 0.95", 0.95),
@@ -122,6 +123,22 @@
 	}
 }
 
+// unloaded has four times the engines for the programs of load 0.8: what is
+// left of the latency there no policy can take away.
+func unloaded() *Scenario {
+	const times = 4
+	scenario := usual(nameUnloaded, "the programs of load 0.8 before four times the engines", 0)
+	pool := scenario.pool
+	scenario.pool.engines *= times
+	scenario.programs = func(seed uint64) []*spec {
+		return byArrival(
+			piranMix().arrivals(seed, 0.4, pool, 0, scenario.end()),
+			brindleyMix().arrivals(seed, 0.4, pool, 0, scenario.end()),
+		)
+	}
+	return scenario
+}
+
 // backlog has both members ask for more than the whole pool, with weights 3
 // to 1.
 func backlog() *Scenario {
--- a/bvexperiment/simulation.go
+++ b/bvexperiment/simulation.go
@@ -42,7 +42,7 @@
 	records   records
 }
 
-func newSimulation(scenario *Scenario, seed uint64, contender contender) *simulation {
+func newSimulation(scenario *Scenario, seed uint64, contender contender, programs []*spec) *simulation {
 	simulation := &simulation{
 		scenario:  scenario,
 		policy:    contender.policy(seed),
@@ -57,11 +57,11 @@
 	for _, endpoint := range simulation.endpoints {
 		simulation.byName[endpoint.name] = endpoint
 	}
-	simulation.prepare(seed)
+	simulation.prepare(programs)
 	return simulation
 }
 
-func (simulation *simulation) prepare(seed uint64) {
+func (simulation *simulation) prepare(programs []*spec) {
 	if clairvoyant, ok := simulation.policy.(clairvoyantPolicy); ok {
 		clairvoyant.foresee(simulation)
 	}
@@ -70,7 +70,7 @@
 		simulation.policy.Report(0, endpoint.report(0))
 		simulation.planReports(endpoint)
 	}
-	for _, spec := range simulation.scenario.programs(seed) {
+	for _, spec := range programs {
 		simulation.agenda.add(spec.arrival, func() { simulation.begin(spec, nil) })
 	}
 	for _, fault := range simulation.scenario.faults {
@@ -369,3 +369,13 @@
 func (simulation *simulation) cached(endpoint, member, program string) int {
 	return simulation.byName[endpoint].model.Cached(member, program)
 }
+
+// prefillSeconds implements oracle.
+func (simulation *simulation) prefillSeconds(tokens int) float64 {
+	return float64(tokens) / simulation.scenario.pool.config.PrefillTokensPerSecond
+}
+
+// freeMemory implements oracle.
+func (simulation *simulation) freeMemory(endpoint string) float64 {
+	return simulation.byName[endpoint].model.FreeMemory()
+}
--- a/bvmodel/engine.go
+++ b/bvmodel/engine.go
@@ -145,6 +145,13 @@
 // that have no call running here.
 func (engine *Engine) CachedTokens() int { return engine.cache.tokens }
 
+// FreeMemory returns the part of the memory that holds neither running calls
+// nor cached prefixes.
+func (engine *Engine) FreeMemory() float64 {
+	used := engine.memory + engine.cache.tokens
+	return 1 - float64(used)/float64(engine.config.CacheTokens)
+}
+
 // Produced returns how many tokens of a running call are out by the time of
 // the last method call.
 func (engine *Engine) Produced(id CallID) int {
