bvgate: estimate a member's waits by the work that it is being granted

Cause: the time to come back was three times what it took: the share that it was worked out from halves whenever the other member has one request waiting. Ruled out: averaging the number of members with a backlog (says nothing of concurrency limits or of work that others leave). The change: each member's granted work is averaged over about ten seconds of its backlog; until two seconds have passed the share counts as before.

--- a/bvgate/admission.go
+++ b/bvgate/admission.go
@@ -46,7 +46,7 @@
 // caller that could not be served in time learns it while it can still go
 // elsewhere, and a member's flood fills only its own queue.
 func (pool *Pool) reject(now bvclock.Time, asked *request) *bvverdict.Error {
-	wait := pool.wait(asked.member, asked.Priority, asked.level)
+	wait := pool.wait(now, asked.member, asked.Priority, asked.level)
 	if asked.Deadline != 0 {
 		left := asked.Deadline.Sub(now)
 		if left <= 0 {
@@ -59,10 +59,10 @@
 	if asked.member.queued >= pool.limits.queue() {
 		return overloaded(wait, "queue of member %s is full", asked.Member)
 	}
-	if err := pool.rejectRepetition(asked); err != nil {
+	if err := pool.rejectRepetition(now, asked); err != nil {
 		return err
 	}
-	backlog := pool.backlogTime(asked.member)
+	backlog := pool.backlogTime(now, asked.member)
 	if asked.starts() && backlog > pool.limits.wait() {
 		return overloaded(backlog-pool.limits.wait(), "backlog of member %s is %s", asked.Member, backlog)
 	}
--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -54,7 +54,7 @@
 	pool.calls[begun.request.ID] = begun
 	begun.grantedAt = now
 	pool.countRunning(begun.member, 1)
-	pool.charge(begun.member, begun.estimate)
+	pool.charge(now, begun.member, begun.estimate)
 	pool.attach(now, begun)
 	pool.remember(now, &begun.request)
 }
@@ -159,7 +159,7 @@
 	}
 	found.lapsed = false
 	pool.countRunning(found.member, 1)
-	pool.charge(found.member, found.estimate)
+	pool.charge(now, found.member, found.estimate)
 	pool.attach(now, found)
 	return false
 }
@@ -172,7 +172,7 @@
 	}
 	call.lapsed = true
 	pool.countRunning(call.member, -1)
-	pool.charge(call.member, -call.estimate)
+	pool.charge(now, call.member, -call.estimate)
 	pool.detach(now, call, call.cached)
 	pool.setTimer(&call.timer, now.Add(lapsedKept), call)
 }
@@ -244,7 +244,7 @@
 	case Silent:
 		work = ended.estimate
 	}
-	pool.charge(ended.member, work-ended.estimate)
+	pool.charge(now, ended.member, work-ended.estimate)
 	if finish.Outcome != Succeeded || finish.OutputTokens == 0 {
 		return
 	}
--- a/bvgate/estimate.go
+++ b/bvgate/estimate.go
@@ -1,6 +1,10 @@
 package bvgate
 
-import "balsamvalve.example/bvclock"
+import (
+	"math"
+
+	"balsamvalve.example/bvclock"
+)
 
 const (
 	// minLeft is the least part of the pool that is taken to be left for the
@@ -24,9 +28,49 @@
 	return max(Work(float64(pool.slots)/pool.callTime())*pool.callWork(), minRate)
 }
 
-// memberRate is the work a millisecond that a backlogged member gets: its
-// share of what the members without backlog leave.
-func (pool *Pool) memberRate(asking *member) Work {
+// flow measures the work a millisecond that a member is granted while it has
+// a backlog, averaged over about flowWindow.
+type flow struct {
+	since bvclock.Time
+	at    bvclock.Time
+	work  float64 // of which older parts count less
+}
+
+const (
+	flowWindow = 10 * bvclock.Second
+	// flowLeast is how long a backlog lasts before its flow says anything.
+	flowLeast = 2 * bvclock.Second
+)
+
+func (flow *flow) add(now bvclock.Time, work Work) {
+	flow.work = flow.work*decay(now.Sub(flow.at)) + float64(work)
+	flow.at = now
+}
+
+func decay(passed bvclock.Duration) float64 {
+	return math.Exp(-float64(passed) / float64(flowWindow))
+}
+
+// rate returns the flow, or false if it is too young.
+func (flow *flow) rate(now bvclock.Time) (Work, bool) {
+	age := now.Sub(flow.since)
+	if age < flowLeast {
+		return 0, false
+	}
+	seen := float64(flowWindow) * (1 - decay(age))
+	return max(Work(flow.work*decay(now.Sub(flow.at))/seen), minRate), true
+}
+
+// memberRate is the work a millisecond that a backlogged member gets: as
+// measured, or at first its share of what the members without backlog leave.
+// The share alone is a bad measure: it halves whenever the other member has a
+// single request waiting.
+func (pool *Pool) memberRate(now bvclock.Time, asking *member) Work {
+	if asking.queued > 0 {
+		if rate, ok := asking.flow.rate(now); ok {
+			return rate
+		}
+	}
 	weight := pool.backloggedWeight
 	running := pool.backloggedRunning
 	if asking.queued == 0 {
@@ -39,7 +83,7 @@
 }
 
 // wait estimates how long a request would wait that is asked now.
-func (pool *Pool) wait(asking *member, priority, level int) bvclock.Duration {
+func (pool *Pool) wait(now bvclock.Time, asking *member, priority, level int) bvclock.Duration {
 	if pool.slots == 0 {
 		return noEndpointWait + pool.limitWait(asking)
 	}
@@ -48,7 +92,7 @@
 	}
 	ahead := asking.queue.ahead(priority, level) + asking.parkedWork
 	next := float64(pool.callWork() / pool.rate())
-	wait := bvclock.Duration(float64(ahead/pool.memberRate(asking)) + next)
+	wait := bvclock.Duration(float64(ahead/pool.memberRate(now, asking)) + next)
 	return max(wait, pool.limitWait(asking))
 }
 
@@ -66,7 +110,7 @@
 }
 
 // backlogTime is how long a member's waiting requests keep its share busy.
-func (pool *Pool) backlogTime(asking *member) bvclock.Duration {
+func (pool *Pool) backlogTime(now bvclock.Time, asking *member) bvclock.Duration {
 	if asking.queued == 0 {
 		return 0
 	}
@@ -74,7 +118,7 @@
 		return noEndpointWait
 	}
 	work := asking.queue.work() + asking.parkedWork
-	return max(bvclock.Duration(float64(work/pool.memberRate(asking))), pool.limitWait(asking))
+	return max(bvclock.Duration(float64(work/pool.memberRate(now, asking))), pool.limitWait(asking))
 }
 
 func (pool *Pool) expectOutput(asked *Request) int {
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -27,7 +27,8 @@
 	// virtual is the work that was granted, divided by the weight. The member
 	// with the least goes first (start-time fair queueing).
 	virtual float64
-	index   int     // in the heap of members, from 1; 0 when it may not be served
+	index   int // in the heap of members, from 1; 0 when it may not be served
+	flow    flow
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
@@ -139,11 +140,12 @@
 
 // enter counts a waiting request. A member that was idle resumes at most
 // idleClaim behind the others.
-func (pool *Pool) enter(entered *member) {
+func (pool *Pool) enter(now bvclock.Time, entered *member) {
 	entered.queued++
 	if entered.queued > 1 {
 		return
 	}
+	entered.flow = flow{since: now, at: now}
 	pool.backloggedWeight += entered.weight()
 	pool.backloggedRunning += entered.running
 	entered.virtual = max(entered.virtual, pool.virtual-pool.claim())
@@ -172,7 +174,8 @@
 }
 
 // charge adds work to what a member was granted; corrections may be negative.
-func (pool *Pool) charge(charged *member, work Work) {
+func (pool *Pool) charge(now bvclock.Time, charged *member, work Work) {
+	charged.flow.add(now, work)
 	charged.virtual += float64(work) / charged.weight()
 	pool.place(charged)
 }
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -35,6 +35,7 @@
 type Pool struct {
 	cost      Cost
 	limits    Limits
+	now       bvclock.Time // of the last Tick
 	members   map[string]*member
 	byName    []*member
 	endpoints map[string]*endpoint
@@ -140,7 +141,7 @@
 	}
 	pool.waiting[queued.ID] = queued
 	queued.program.open++
-	pool.enter(queued.member)
+	pool.enter(now, queued.member)
 	queued.member.queue.add(queued)
 	pool.place(queued.member)
 	queued.agesAt = now.Add(ageStep)
@@ -240,6 +241,7 @@
 // Tick decides and returns what is to be done. It is called after each event
 // and at the time that Next returns.
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
+	pool.now = now
 	pool.ringTimers(now)
 	for pool.serveSuspects(now) || pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
--- a/bvgate/retry.go
+++ b/bvgate/retry.go
@@ -52,12 +52,12 @@
 }
 
 // rejectRepetition returns why a repeated call is not queued, or nil.
-func (pool *Pool) rejectRepetition(asked *request) *bvverdict.Error {
+func (pool *Pool) rejectRepetition(now bvclock.Time, asked *request) *bvverdict.Error {
 	left := pool.retriesLeft(asked.member)
 	if !asked.repeated || asked.estimate <= left {
 		return nil
 	}
-	wait := float64(asked.estimate-left) / float64(retryPart*pool.memberRate(asked.member))
+	wait := float64(asked.estimate-left) / float64(retryPart*pool.memberRate(now, asked.member))
 	return overloaded(bvclock.Duration(wait), "retry budget of member %s is spent", asked.Member)
 }
 
--- a/bvgate/snapshot.go
+++ b/bvgate/snapshot.go
@@ -26,7 +26,7 @@
 	Ejected      bool // failed calls; probed later
 }
 
-// Snapshot returns the state, members and endpoints sorted by name.
+// Snapshot returns the state at the last Tick, members and endpoints sorted by name.
 func (pool *Pool) Snapshot() Snapshot {
 	var snapshot Snapshot
 	for _, found := range pool.byName {
@@ -34,7 +34,7 @@
 			Member:        found.name,
 			Queued:        found.queued,
 			Running:       found.running,
-			EstimatedWait: pool.wait(found, 0, 0),
+			EstimatedWait: pool.wait(pool.now, found, 0, 0),
 		})
 	}
 	for _, name := range pool.names {
