bvexperiment: the endpoint decision under a rival's flood

Cause: at load 0.9 without a rival, the ways of deciding for an endpoint are compared on latency only; sharing shows where a member asks for too much. Change: scenario decision-flood, the flood before the same five contenders; endpoint-decision is now decision-0.90.

--- a/bvexperiment/scenario.go
+++ b/bvexperiment/scenario.go
@@ -120,6 +120,7 @@
 		poison(),
 		weekly(),
 		endpointDecision(),
+		endpointDecisionInFlood(),
 	}
 }
 
@@ -251,7 +252,18 @@
 
 // endpointDecision compares the ways to decide for an endpoint.
 func endpointDecision() *Scenario {
-	scenario := usual("endpoint-decision", "load 0.9, 13 hosts, reports 1 s late: who decides for an endpoint", 0.9)
+	scenario := usual("decision-0.90", "load 0.9, 13 hosts, reports 1 s late: who decides for an endpoint", 0.9)
+	scenario.reports = reports{every: 1 * bvclock.Second, lag: 1 * bvclock.Second}
+	scenario.contenders = decisionContenders()
+	return scenario
+}
+
+// endpointDecisionInFlood compares them where a rival asks for three times the
+// pool.
+func endpointDecisionInFlood() *Scenario {
+	scenario := flood()
+	scenario.name = "decision-flood"
+	scenario.about = "the flood with 13 hosts, reports 1 s late: who decides for an endpoint"
 	scenario.reports = reports{every: 1 * bvclock.Second, lag: 1 * bvclock.Second}
 	scenario.contenders = decisionContenders()
 	return scenario
