--- a/bvledger/call.go
+++ b/bvledger/call.go
@@ -31,9 +31,11 @@
 	Turn         int    // from 1, as the caller numbered it; 0 means the next
 	Digest       string // of the body: a repeat must carry the same
 	Unrepeatable bool
+	Resent       bool   // the caller has sent the request before: a refusal then never says that it was not run
 	Full         bool   // Messages carry the whole history, not only what is new
 	Messages     []byte // JSON array of the call's new messages
-	Cost         int64  // most that the call can spend, in work units
+	Cost         int64  // most that the call can spend, in work units, without HistoryCost
+	HistoryCost  int64  // what each byte of the history that comes before the call adds to Cost
 	Deadline     bvclock.Time
 	Limits       Limits
 }
@@ -54,8 +56,9 @@
 
 // Load wants the program's rows read; the answer is given to Loaded.
 type Load struct {
-	Key  ProgramKey
-	Keys []string // rows to read; the prefix TurnPrefix(Key) is to be scanned too
+	Key   ProgramKey
+	Keys  []string // rows to read
+	Turns bool     // scan the prefix TurnPrefix(Key) too, to its end, after the rows are read
 }
 
 // Commit wants rows written; the outcome is given to Committed. Entries of
@@ -94,8 +97,9 @@
 	Call CallID
 }
 
-// Released wants the endpoints told to drop the program's cache. Confirm with
-// ReleaseDone.
+// Released wants the endpoints told to drop the program's cache. Confirm each
+// with ReleaseDone. AnyEndpoint among them stands for all that could have run
+// the program.
 type Released struct {
 	Key       ProgramKey
 	Endpoints []string
--- /dev/null
+++ b/bvledger/ledger_test.go
@@ -0,0 +1,261 @@
+package bvledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvverdict"
+)
+
+var lesson = bvledger.ProgramKey{Member: "piran", Program: "lesson"}
+
+func question(id bvledger.CallID, request string, turn int) bvledger.Call {
+	return bvledger.Call{
+		ID: id, Key: lesson, Request: request, Turn: turn, Digest: request,
+		Messages: []byte(`["` + request + `"]`), Cost: 10,
+	}
+}
+
+func reply(text string) bvledger.Result {
+	return bvledger.Result{Answer: []byte(text), Message: []byte(`["` + text + `"]`), Spent: 7, Endpoint: "engine-1"}
+}
+
+func requireAnswer(t *testing.T, host *host, call bvledger.CallID, answer string) {
+	t.Helper()
+	require.NotNil(t, host.outcomes[call].answer, "%+v", host.outcomes[call].refuse)
+	require.Equal(t, answer, string(host.outcomes[call].answer.Answer))
+}
+
+func requireRefusal(t *testing.T, host *host, call bvledger.CallID, verdict bvverdict.Verdict, code bvverdict.Code) {
+	t.Helper()
+	refuse := host.outcomes[call].refuse
+	require.NotNil(t, refuse)
+	require.Equal(t, code, refuse.Err.Code(), refuse.Err.Error())
+	require.Equal(t, verdict, refuse.Err.Verdict(), refuse.Err.Error())
+}
+
+func TestCallRunsAfterClaimAndAnswersAfterCommit(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	require.Len(t, host.started, 1)
+	start := host.takeStarted()
+	require.Equal(t, "[]", string(start.History))
+	require.EqualValues(t, 1, start.Epoch)
+	require.True(t, host.ledger.MayStart(1, 1))
+	host.ledger.Finish(2, 1, reply("hello"))
+	require.Empty(t, host.outcomes)
+	host.pump(2)
+	requireAnswer(t, host, 1, "hello")
+
+	host.ledger.Submit(3, question(2, "r2", 2))
+	host.pump(3)
+	require.Equal(t, `["r1","hello"]`, string(host.takeStarted().History))
+	writes, _ := host.store.Counts()
+	require.EqualValues(t, 2, writes, "one claim, one turn; the second call needs no write to start")
+}
+
+func TestRepeatGetsTheKeptAnswer(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("hello"))
+	host.pump(2)
+	host.ledger.Submit(3, question(2, "r1", 1))
+	host.pump(3)
+	requireAnswer(t, host, 2, "hello")
+	require.True(t, host.outcomes[2].answer.Repeated)
+	require.Len(t, host.started, 1)
+}
+
+// The caller's host dies after the answer; the repeat reaches another host.
+// It must find the turn in the platform and run nothing.
+func TestRepeatAtAnotherHostGetsTheKeptAnswer(t *testing.T) {
+	store := &faults{}
+	first := newHost("a", store)
+	first.ledger.Submit(1, question(1, "r1", 1))
+	first.pump(1)
+	first.ledger.Finish(2, 1, reply("hello"))
+	first.pump(2)
+	second := newHost("b", store)
+	second.ledger.Submit(3, question(1, "r1", 1))
+	second.pump(3)
+	requireAnswer(t, second, 1, "hello")
+	require.Empty(t, second.started)
+	require.Zero(t, second.ledger.Programs())
+}
+
+func TestRequestIDWithAnotherBodyIsRefused(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	other := question(2, "r1", 1)
+	other.Digest = "other"
+	host.ledger.Submit(1, other)
+	host.pump(1)
+	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.Conflict)
+}
+
+func TestLaterTurnWaitsForTheOneBefore(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(2, "r2", 2))
+	host.pump(1)
+	require.Empty(t, host.started)
+	host.ledger.Submit(2, question(1, "r1", 1))
+	host.pump(2)
+	require.EqualValues(t, 1, host.takeStarted().Call)
+	host.ledger.Finish(3, 1, reply("one"))
+	host.pump(3)
+	require.EqualValues(t, 2, host.takeStarted().Call)
+}
+
+func TestLaterTurnIsRefusedAfterItsWait(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(0, question(2, "r2", 2))
+	host.pump(0)
+	now := bvclock.Time(0).Add(bvledger.DefaultOrderWait)
+	next, ok := host.ledger.Next()
+	require.True(t, ok)
+	require.Equal(t, now, next)
+	host.pump(now)
+	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.TurnOutOfOrder)
+}
+
+// Host a is paused in mid-call and host b takes the program over. When a goes
+// on, its write fails: its caller is told that the call may have run, and the
+// history has only what b kept.
+func TestStaleOwnerKeepsNothing(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, question(1, "r1", 1))
+	fresh.pump(2)
+	require.EqualValues(t, 2, fresh.takeStarted().Epoch)
+	fresh.ledger.Finish(3, 1, reply("fresh"))
+	fresh.pump(3)
+	requireAnswer(t, fresh, 1, "fresh")
+	stale.ledger.Finish(4, 1, reply("stale"))
+	stale.pump(4)
+	requireRefusal(t, stale, 1, bvverdict.Ran, bvverdict.NotOwner)
+	stale.ledger.Submit(5, question(2, "r1", 1))
+	stale.pump(5)
+	requireAnswer(t, stale, 2, "fresh")
+}
+
+// A caller hears nothing of its first submission, which runs at another host,
+// and asks for the answer at this one, where a repeat waits for its turn. The
+// repeat is refused as not run, and so was the fetch that had joined it,
+// although the request had run (found with -rapid.seed=57239654).
+func TestFetchIsNeverToldThatTheRequestWasNotRun(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(0, question(1, "r2", 2))
+	host.ledger.Fetch(0, 2, lesson, "r2")
+	host.pump(0)
+	host.pump(bvclock.Time(0).Add(bvledger.DefaultOrderWait))
+	requireRefusal(t, host, 1, bvverdict.NotRun, bvverdict.TurnOutOfOrder)
+	requireRefusal(t, host, 2, bvverdict.MayHaveRun, bvverdict.TurnOutOfOrder)
+}
+
+// Two sub-agents on one host draw from their parent's account, which another
+// host has written meanwhile. While one of them read it anew the other wrote
+// on the old version, by turns and for ever (found with -rapid.seed=29058880).
+func TestTwoSubAgentsGetOverAConflictOnTheirParentsAccount(t *testing.T) {
+	store := &faults{}
+	parent := newHost("a", store)
+	call := question(1, "r1", 1)
+	call.Limits.Budget = 1000
+	parent.ledger.Submit(1, call)
+	parent.pump(1)
+	children := newHost("b", store)
+	for i, name := range []string{"c1", "c2", "c3"} {
+		call := question(bvledger.CallID(i+1), "r1", 1)
+		call.Key.Program = name
+		call.Parent = lesson.Program
+		children.ledger.Submit(2, call)
+	}
+	children.tick(2) // the children's host has read the account
+	parent.ledger.Finish(3, 1, reply("one"))
+	call = question(2, "r2", 2)
+	call.Limits.Budget = 900 // changes the account row
+	parent.ledger.Submit(3, call)
+	parent.pump(3)
+	children.pump(4)
+	require.Len(t, children.started, 3)
+}
+
+// A caller whose program was served elsewhere for a turn comes back to a host
+// that still takes itself for the owner. That host has nothing to write, so no
+// conflict tells it; it refused every further turn as out of order (found with
+// -rapid.seed=12693245).
+func TestStaleOwnerWithoutWritesFindsOutByALaterTurn(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	stale.ledger.Finish(1, 1, reply("one"))
+	stale.pump(1)
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, question(1, "r2", 2))
+	fresh.pump(2)
+	fresh.ledger.Finish(2, 1, reply("two"))
+	fresh.pump(2)
+
+	stale.ledger.Submit(3, question(2, "r3", 3))
+	stale.pump(3)
+	require.Len(t, stale.started, 2)
+	require.Equal(t, `["r1","one","r2","two"]`, string(stale.started[1].History))
+}
+
+// The caller has the answer of its booking from host a, but a's commit of the
+// turn failed because host b had taken the program over in mid-call. The
+// caller goes on with turn 2 at b, whose history must have the booking.
+func TestUnrepeatableAnswerOfAFormerOwnerJoinsTheHistory(t *testing.T) {
+	store := &faults{}
+	former := newHost("a", store)
+	booking := question(1, "book", 1)
+	booking.Unrepeatable = true
+	former.ledger.Submit(1, booking)
+	former.pump(1)
+	require.True(t, former.ledger.MayStart(1, 1))
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(2, booking)
+	fresh.pump(2)
+	requireRefusal(t, fresh, 1, bvverdict.MayHaveRun, bvverdict.AlreadySent)
+	fresh.ledger.Submit(2, question(2, "other", 1))
+	fresh.pump(2)
+	fresh.takeStarted()
+	fresh.ledger.Finish(2, 2, bvledger.Result{Err: bvverdict.Refuse(bvverdict.Overloaded, "full")})
+	fresh.pump(2)
+
+	former.ledger.Finish(3, 1, reply("booked"))
+	former.pump(3)
+	requireAnswer(t, former, 1, "booked")
+	fresh.ledger.Submit(4, question(3, "r2", 2))
+	fresh.pump(4)
+	require.Len(t, fresh.started, 1)
+	require.Equal(t, `["book","booked"]`, string(fresh.started[0].History))
+}
+
+// A sub-agent spends without counting against its parent's budget. A fetch
+// for it came first and had its rows read; the sub-agent's first call found
+// them loaded, and its parent was only taken from the call that had caused the
+// load (found with -rapid.seed=11570459).
+func TestSubAgentDrawsFromItsParentAlsoAfterAnEarlyFetch(t *testing.T) {
+	host := newHost("a", &faults{})
+	parent := question(1, "r1", 1)
+	parent.Limits.Budget = 100
+	host.ledger.Submit(1, parent)
+	host.pump(1)
+	child := question(3, "r1", 1)
+	child.Key.Program = "child"
+	child.Parent = lesson.Program
+	child.Cost = 100
+	host.ledger.Fetch(2, 2, child.Key, "r1")
+	host.ledger.Submit(2, child)
+	host.pump(2)
+	requireRefusal(t, host, 3, bvverdict.NotRun, bvverdict.BudgetExceeded)
+}
--- /dev/null
+++ b/bvledger/release_test.go
@@ -0,0 +1,131 @@
+package bvledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvcommit"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvverdict"
+)
+
+// The engine keeps an ended program's cache for good. Host a runs a turn and
+// is paused; host b takes the program over, ends it and has engine-1 release
+// it; then a goes on, and its call runs on engine-1 after the release. The
+// cause: a thought that the new owner knew of engine-1, from the row, and left
+// the release to it (found with -rapid.seed=136513030).
+func TestLateCallOfAStaleOwnerIsReleased(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	stale.ledger.Finish(2, 1, reply("one"))
+	stale.pump(2)
+	stale.ledger.Submit(3, question(2, "r2", 2))
+	stale.pump(3)
+
+	fresh := newHost("b", store)
+	fresh.ledger.End(4, lesson, 1)
+	fresh.pump(4)
+	require.Len(t, fresh.released, 1)
+	require.Equal(t, []string{bvledger.AnyEndpoint, "engine-1"}, fresh.released[0].Endpoints)
+
+	stale.ledger.Finish(5, 2, reply("two"))
+	stale.pump(5)
+	require.Len(t, stale.released, 1)
+	require.Equal(t, []string{"engine-1"}, stale.released[0].Endpoints)
+}
+
+// The engine keeps an ended program's cache for good. The caller ends the
+// program while a call runs, the call doesn't stop when told to, the host ends
+// the program without it and the release goes out; then the call ends on
+// engine-2. The cause: the ledger had forgotten the call (found with
+// -rapid.seed=8851532).
+func TestCallThatOutlivesItsProgramIsReleased(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.End(2, lesson, 2)
+	host.pump(2)
+	now := bvclock.Time(2).Add(bvledger.DefaultAbortGrace)
+	host.pump(now)
+	requireRefusal(t, host, 1, bvverdict.MayHaveRun, bvverdict.ProgramEnded)
+	require.NotNil(t, host.outcomes[2].answer)
+	require.Empty(t, host.released)
+
+	late := reply("late")
+	late.Endpoint = "engine-2"
+	host.ledger.Finish(now, 1, late)
+	host.pump(now)
+	require.Len(t, host.released, 1)
+	require.Equal(t, []string{"engine-2"}, host.released[0].Endpoints)
+}
+
+// A program that nobody uses any more is never ended. It rests so long that
+// its history leaves memory, then an operator lowers its budget, which has to
+// be written; the write waited for a history that nothing loaded, and the end
+// waited for the write (found with -rapid.seed=8851532).
+func TestRestingProgramEndsAfterItsLimitsChanged(t *testing.T) {
+	host := newHost("a", &faults{})
+	call := question(1, "r1", 1)
+	call.Limits = bvledger.Limits{Budget: 100, Idle: bvclock.Hour}
+	host.ledger.Submit(1, call)
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("one"))
+	host.pump(2)
+	now := bvclock.Time(2).Add(bvledger.DefaultEvictAfter)
+	host.pump(now)
+	host.ledger.SetLimits(now, lesson, bvledger.Limits{Budget: 50, Idle: bvclock.Hour})
+	host.pump(now)
+	host.pump(bvclock.Time(2).Add(bvclock.Hour))
+	require.Len(t, host.released, 1)
+}
+
+// The daemon crashed. A caller ends its program, and while that is being
+// written the platform goes away: a fetch of an older answer can't be read and
+// took the end back, although its write was under way (found with
+// -rapid.seed=78610).
+func TestEndUnderWaySurvivesAFailedRead(t *testing.T) {
+	store := &faults{}
+	host := newHost("a", store)
+	host.committer.SetInterval(bvclock.Second)
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(2000, 1, reply("one"))
+	host.pump(2000)
+	host.ledger.Submit(2000, question(2, "r2", 2))
+	host.pump(2000)
+	host.ledger.Finish(4000, 2, reply("two"))
+	host.pump(4000)
+	host.ledger.End(4000, lesson, 3)
+	host.tick(4000)
+	store.down = true
+	host.ledger.Fetch(4000, 4, lesson, "r1")
+	host.pump(4000)
+	requireRefusal(t, host, 4, bvverdict.Ran, bvverdict.PlatformUnavailable)
+	store.down = false
+	host.pump(6000)
+	require.NotNil(t, host.outcomes[3].answer)
+}
+
+// A program is never ended, although its table row limits its idle time. Its
+// owner had closed it, a caller's fetch brought it back into memory, and the
+// limit was only known from calls (found with -rapid.seed=652657).
+func TestProgramThatAFetchBroughtBackStillEndsWhenIdle(t *testing.T) {
+	host := newHost("a", &faults{})
+	call := question(1, "r1", 1)
+	call.Limits.Idle = bvclock.Hour
+	host.ledger.Submit(1, call)
+	host.pump(1)
+	host.ledger.Finish(2, 1, reply("one"))
+	host.pump(2)
+	again := newHost("a", host.store) // as after a commit that was given up
+	again.committer = bvcommit.New("a", "2")
+	again.ledger.Fetch(3, 1, lesson, "r1")
+	again.pump(3)
+	requireAnswer(t, again, 1, "one")
+	again.pump(bvclock.Time(3).Add(bvclock.Hour))
+	require.Len(t, again.released, 1)
+}
