bvgate: let shorter prefills go first at the endpoint

Cause: an endpoint prefills one prompt at a time. A history of 30,000 tokens that a rival's call brings holds up every short prompt beside it for seconds. Ruled out: keeping long prefills away from endpoints with others (there is no endpoint without others under load). The change: Grant.Priority, which the owner passes to the endpoint: classes of doubling uncached tokens, the shorter the higher. Table priority and shares stay with the pool; passed on to endpoints, a rival's priority would go before other members' calls.

These are trial figures until the driver passes it on. The test of the whole Grant names the new field.

--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -1,6 +1,7 @@
 package bvgate
 
 import (
+	"math/bits"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -190,3 +191,11 @@
 	}
 	return queued.before(other)
 }
+
+// priority is what the endpoint is told: shorter prefills go first, in classes
+// of doubling length.
+func priority(uncachedTokens int) int {
+	return highestPriority - bits.Len(uint(max(uncachedTokens, 0)))
+}
+
+const highestPriority = 32
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -314,5 +314,5 @@
 	pool.begin(now, begun)
 	expires := now.Add(PermitWindow)
 	pool.setTimer(&begun.timer, expires, begun)
-	pool.effects = append(pool.effects, Grant{Request: granted.ID, Endpoint: at.endpoint.name(), Alone: at.alone, Expires: expires})
+	pool.effects = append(pool.effects, Grant{Request: granted.ID, Endpoint: at.endpoint.name(), Alone: at.alone, Priority: priority(granted.PromptTokens - at.cached), Expires: expires})
 }
--- a/bvgate/pool_test.go
+++ b/bvgate/pool_test.go
@@ -16,11 +16,11 @@
 	pool.Report(0, EndpointReport{Name: "a", Slots: 1})
 	pool.Ask(0, Request{ID: 1, Member: "m"})
 	pool.Ask(0, Request{ID: 2, Member: "m"})
-	require.Equal(t, []Effect{Grant{Request: 1, Endpoint: "a", Expires: bvclock.Time(PermitWindow)}}, pool.Tick(0))
+	require.Equal(t, []Effect{Grant{Request: 1, Endpoint: "a", Priority: highestPriority, Expires: bvclock.Time(PermitWindow)}}, pool.Tick(0))
 
 	lapse := bvclock.Time(PermitWindow)
 	require.Equal(t, lapse, pool.Next())
-	require.Equal(t, []Effect{Grant{Request: 2, Endpoint: "a", Expires: lapse.Add(PermitWindow)}}, pool.Tick(lapse))
+	require.Equal(t, []Effect{Grant{Request: 2, Endpoint: "a", Priority: highestPriority, Expires: lapse.Add(PermitWindow)}}, pool.Tick(lapse))
 }
 
 func TestUsedPermitDoesNotLapse(t *testing.T) {
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -87,6 +87,8 @@
 	Endpoint string
 	// Alone is set for a suspect, which runs with no other call beside it.
 	Alone bool
+	// Priority is to be passed to the endpoint; higher goes first.
+	Priority int
 	// Expires is when the permit lapses unless Used is reported before.
 	Expires bvclock.Time
 }
