--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -47,9 +47,6 @@
 		}
 	}
 	for _, at := range pool.free[:min(candidates, len(pool.free))] {
-		if pool.spare(at, queued.member) <= 0 {
-			continue
-		}
 		cold := pool.weigh(now, queued, at)
 		if best.endpoint == nil || cold.cost() < best.cost() {
 			best = cold
@@ -91,7 +88,7 @@
 		return choice{}, false
 	}
 	weighed := pool.weigh(now, queued, at)
-	if pool.spare(at, queued.member) > 0 {
+	if at.free() > 0 {
 		return weighed, true
 	}
 	weighed.wait = pool.slotTime(at) * float64(len(at.parked)+1)
@@ -172,7 +169,7 @@
 func (pool *Pool) firstParked(at *endpoint) *request {
 	var first *request
 	for _, parked := range at.parked {
-		if parked.member.atConcurrency() || parked.member.atRate() || pool.spare(at, parked.member) <= 0 {
+		if parked.member.atConcurrency() || parked.member.atRate() {
 			continue
 		}
 		if first == nil || parked.precedes(first) {
