--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -1,6 +1,7 @@
 package bvgate
 
 import (
+	"math/bits"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -101,7 +102,7 @@
 
 // park lets a request wait for a slot of the endpoint that caches its program.
 func (pool *Pool) park(now bvclock.Time, parked *request, at choice) {
-	parked.member.queue.remove(parked)
+	parked.line().remove(parked)
 	parked.member.parkedWork += parked.estimate
 	parked.parkedAt = at.endpoint
 	patience := max(bvclock.Duration(at.wait*parkPatience), minPark)
@@ -123,7 +124,7 @@
 func (pool *Pool) unpark(unparked *request) {
 	unparked.parkedAt.unpark(unparked)
 	unparked.restless = true
-	unparked.member.queue.add(unparked)
+	unparked.line().add(unparked)
 	pool.place(unparked.member)
 }
 
@@ -190,3 +191,11 @@
 	}
 	return queued.before(other)
 }
+
+// priority is what the endpoint is told: shorter prefills go first, in classes
+// of doubling length.
+func priority(uncachedTokens int) int {
+	return highestPriority - bits.Len(uint(max(uncachedTokens, 0)))
+}
+
+const highestPriority = 32
