status: show hosts, endpoints and members against their shares

Cause: operators could not see which hosts have which version of the table in force, what endpoints run, or whether their member gets its share. The peer RPC Status was declared and not served.

Change: bvstatus merges the reports of all hosts, which GET /status on the operators' port and balsamvalve status show. The other hosts are asked in parallel for at most 1 s; one that does not answer is shown as such. An operator sees work, queue, calls, programs and refusals of the own member and of rivals the share alone; a key of role admin likewise. Work of the last 10 s is the difference of totals that each pool samples once a second, so that the decisions need no clock for it. Refusals are counted by member beside the variables of /debug/vars, which bear no key and stay without member names.

Ruled out: taking an endpoint's figures from the deciding host alone; while the decision moves, both hosts have calls there, so they are added up. An ejection counts only from the host that decides, since another one no longer probes.

What remains visible of a rival: the endpoints' running calls are of all members, so that a member can subtract its own.

--- a/bvcaller/api.go
+++ b/bvcaller/api.go
@@ -57,7 +57,7 @@
 // Measure counts what callers got.
 type Measure interface {
 	Answered()
-	Refused(err error)
+	Refused(member string, err error)
 }
 
 // New returns the API; bodyLimit is in bytes.
--- a/bvcaller/chat.go
+++ b/bvcaller/chat.go
@@ -31,17 +31,17 @@
 func (api *API) chat(writer http.ResponseWriter, request *http.Request, member string) {
 	body, err := readBody(request)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	chat, err := parseChat(body)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	call, single, err := callOf(request, member, body)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	call.Streaming = chat.stream
@@ -52,7 +52,7 @@
 		MaxTokens:  chat.maxTokens,
 	}}
 	if err := api.policy.Admit(member, call.GetClass(), call); err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	if single {
@@ -165,21 +165,21 @@
 		return nil
 	})
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
-	api.writeModel(writer, call.GetRequest(), finished.GetAnswer())
+	api.writeModel(writer, request, call.GetRequest(), finished.GetAnswer())
 }
 
-func (api *API) writeModel(writer http.ResponseWriter, request string, kept []byte) {
+func (api *API) writeModel(writer http.ResponseWriter, request *http.Request, id string, kept []byte) {
 	answer, err := bvanswer.DecodeModel(kept)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
-	body, err := json.Marshal(completionOf(request, answer))
+	body, err := json.Marshal(completionOf(id, answer))
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	api.measure.Answered()
--- a/bvcaller/failure.go
+++ b/bvcaller/failure.go
@@ -36,8 +36,8 @@
 
 // fail writes a typed error with its verdict. The cause stays out of it: it
 // can name another member's endpoint or program.
-func (api *API) fail(writer http.ResponseWriter, err error) {
-	api.measure.Refused(err)
+func (api *API) fail(writer http.ResponseWriter, request *http.Request, err error) {
+	api.measure.Refused(memberOf(request), err)
 	verdict := bvverdict.From(err)
 	writer.Header().Set("Content-Type", "application/json")
 	if verdict.RetryAfter() > 0 {
--- a/bvcaller/program.go
+++ b/bvcaller/program.go
@@ -9,7 +9,7 @@
 // hold for it is released. Ending it twice is no error.
 func (api *API) endProgram(writer http.ResponseWriter, request *http.Request, member string) {
 	if err := api.entry.EndProgram(request.Context(), member, request.PathValue("program")); err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	writer.WriteHeader(http.StatusNoContent)
@@ -21,19 +21,19 @@
 	id := request.PathValue("request")
 	kept, err := api.entry.Fetch(request.Context(), member, request.PathValue("program"), id)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	var kind struct {
 		Status int `json:"status"`
 	}
 	if err := json.Unmarshal(kept, &kind); err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	if kind.Status != 0 {
-		api.writeService(writer, kept)
+		api.writeService(writer, request, kept)
 		return
 	}
-	api.writeModel(writer, id, kept)
+	api.writeModel(writer, request, id, kept)
 }
--- a/bvcaller/request.go
+++ b/bvcaller/request.go
@@ -1,6 +1,7 @@
 package bvcaller
 
 import (
+	"context"
 	"encoding/hex"
 	"net/http"
 	"strconv"
@@ -39,14 +40,23 @@
 	return func(writer http.ResponseWriter, request *http.Request) {
 		member, role, found := api.ring.Find(bearer(request))
 		if !found || role != bvkey.Caller {
-			api.fail(writer, bvverdict.Refuse(bvverdict.Unauthorized, "no member has this key"))
+			api.fail(writer, request, bvverdict.Refuse(bvverdict.Unauthorized, "no member has this key"))
 			return
 		}
 		request.Body = http.MaxBytesReader(writer, request.Body, api.bodyLimit)
-		next(writer, request, member)
+		next(writer, request.WithContext(context.WithValue(request.Context(), memberKey{}, member)), member)
 	}
 }
 
+// memberKey is the key of the member's name in a request's context.
+type memberKey struct{}
+
+// memberOf returns the member whose key the request bears; empty if none's.
+func memberOf(request *http.Request) string {
+	member, _ := request.Context().Value(memberKey{}).(string)
+	return member
+}
+
 func bearer(request *http.Request) string {
 	const prefix = "Bearer "
 	header := request.Header.Get("Authorization")
--- a/bvcaller/service.go
+++ b/bvcaller/service.go
@@ -10,12 +10,12 @@
 func (api *API) service(writer http.ResponseWriter, request *http.Request, member string) {
 	body, err := readBody(request)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	call, single, err := callOf(request, member, body)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	call.Target = &bvpeer.Call_Service{Service: &bvpeer.ServiceCall{
@@ -26,7 +26,7 @@
 		ContentType: request.Header.Get("Content-Type"),
 	}}
 	if err := api.policy.Admit(member, call.GetClass(), call); err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	if single {
@@ -40,10 +40,10 @@
 		return nil
 	})
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
-	api.writeService(writer, finished.GetAnswer())
+	api.writeService(writer, request, finished.GetAnswer())
 }
 
 func servicePath(request *http.Request) string {
@@ -54,10 +54,10 @@
 	return path
 }
 
-func (api *API) writeService(writer http.ResponseWriter, kept []byte) {
+func (api *API) writeService(writer http.ResponseWriter, request *http.Request, kept []byte) {
 	answer, err := bvanswer.DecodeService(kept)
 	if err != nil {
-		api.fail(writer, err)
+		api.fail(writer, request, err)
 		return
 	}
 	api.measure.Answered()
--- a/bvcaller/stream.go
+++ b/bvcaller/stream.go
@@ -57,23 +57,23 @@
 		return stream.chunk(chunkOf(stream.request, stream.model, event.GetToken().GetText()))
 	})
 	if err != nil {
-		api.failStream(stream, err)
+		api.failStream(stream, request, err)
 		return
 	}
 	if err := stream.finish(chat, finished); err != nil {
-		api.failStream(stream, err)
+		api.failStream(stream, request, err)
 		return
 	}
 	api.measure.Answered()
 }
 
 // failStream ends a stream with a typed error in place of [DONE].
-func (api *API) failStream(stream *eventStream, err error) {
+func (api *API) failStream(stream *eventStream, request *http.Request, err error) {
 	if !stream.begun {
-		api.fail(stream.writer, err)
+		api.fail(stream.writer, request, err)
 		return
 	}
-	api.measure.Refused(err)
+	api.measure.Refused(memberOf(request), err)
 	_ = stream.write(failureBody(bvverdict.From(err)))
 }
 
--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -61,6 +61,7 @@
 	root.AddCommand(newLoad())
 	root.AddCommand(newStandin())
 	root.AddCommand(newTable())
+	root.AddCommand(newStatus())
 	root.AddCommand(newExperiment())
 	return root
 }
--- /dev/null
+++ b/bvcommand/status.go
@@ -0,0 +1,38 @@
+package bvcommand
+
+import "github.com/spf13/cobra"
+
+func newStatus() *cobra.Command {
+	flags := &tableCommand{}
+	status := &cobra.Command{
+		Use:   "status",
+		Short: "Show hosts, endpoints and members against their shares",
+		Long: `Show all hosts with the version of the table that each has in force, all
+endpoints with their running calls, and the members with their shares. Any host
+answers; one that doesn't answer the asked host within a second is shown as
+such. Operators see the work, queue, calls, programs and refusals of their own
+member, and of the others the share alone.
+
+The key comes from BALSAMVALVE_KEY or from the file of --key-file, never from an
+argument.`,
+		Example: `  BALSAMVALVE_KEY=$(cat key) balsamvalve status
+  balsamvalve status --key-file key --operator-address 10.0.0.7:8082 --json`,
+		Args: noArguments,
+		RunE: func(command *cobra.Command, _ []string) error {
+			client, err := flags.client()
+			if err != nil {
+				return err
+			}
+			status, err := client.Status(command.Context())
+			if err != nil {
+				return err
+			}
+			if flags.asJSON {
+				return printJSON(command, status)
+			}
+			return status.Print(command.OutOrStdout())
+		},
+	}
+	flags.define(status.Flags())
+	return status
+}
--- a/bvcommand/table.go
+++ b/bvcommand/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvtable"
@@ -15,7 +16,7 @@
 	tableTimeout = 20 * bvclock.Second
 )
 
-// tableCommand holds the flags that all commands of the table share.
+// tableCommand holds the flags that the commands for operators share.
 type tableCommand struct {
 	address   string
 	keyFile   string
@@ -43,16 +44,21 @@
 		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
-	table.PersistentFlags().StringVar(&flags.address, "operator-address", "",
-		"IP:port of a host's operators' HTTP ["+operatorEnvironment+"] (default "+operatorInitial+")")
-	table.PersistentFlags().StringVar(&flags.keyFile, "key-file", "", "file that holds the key alone")
-	table.PersistentFlags().StringVar(&flags.authority, "ca", "", "certificates (PEM file) to trust; turns HTTPS on")
-	table.PersistentFlags().BoolVar(&flags.asJSON, "json", false, "print JSON")
+	flags.define(table.PersistentFlags())
 	table.AddCommand(newTableGet(flags), newTableSet(flags), newTableImport(flags), newTableExport(flags),
 		newTableHistory(flags), newTablePropose(flags), newTableAccept(flags), newTableProposals(flags))
 	return table
 }
 
+// define adds the flags.
+func (flags *tableCommand) define(set *pflag.FlagSet) {
+	set.StringVar(&flags.address, "operator-address", "",
+		"IP:port of a host's operators' HTTP ["+operatorEnvironment+"] (default "+operatorInitial+")")
+	set.StringVar(&flags.keyFile, "key-file", "", "file that holds the key alone")
+	set.StringVar(&flags.authority, "ca", "", "certificates (PEM file) to trust; turns HTTPS on")
+	set.BoolVar(&flags.asJSON, "json", false, "print JSON")
+}
+
 func newTableGet(flags *tableCommand) *cobra.Command {
 	return &cobra.Command{
 		Use:   "get [member[/class]]",
--- a/bvdaemon/operator.go
+++ b/bvdaemon/operator.go
@@ -22,7 +22,8 @@
 			Confirmer: tablePeers{daemon: daemon},
 			Host:      daemon.Name(),
 		},
-		Ring: func() *bvkey.Ring { return daemon.settings.Ring() },
+		Ring:   func() *bvkey.Ring { return daemon.settings.Ring() },
+		Status: daemon.status,
 	}
 	table.Register(mux)
 	return mux
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -27,6 +27,7 @@
 	// virtual is the work that was granted, divided by the weight. The member
 	// with the least goes first (start-time fair queueing).
 	virtual float64
+	served  Work    // in all, for status
 	index   int     // in the heap of members, from 1; 0 when it may not be served
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
@@ -174,6 +175,7 @@
 // charge adds work to what a member was granted; corrections may be negative.
 func (pool *Pool) charge(charged *member, work Work) {
 	charged.virtual += float64(work) / charged.weight()
+	charged.served += work
 	pool.place(charged)
 }
 
--- a/bvgate/snapshot.go
+++ b/bvgate/snapshot.go
@@ -14,6 +14,7 @@
 	Queued        int
 	Running       int
 	EstimatedWait bvclock.Duration // of a new program's first request
+	Served        Work             // since this pool was first decided here
 }
 
 // EndpointStatus is an endpoint's state in a pool.
@@ -35,6 +36,7 @@
 			Queued:        found.queued,
 			Running:       found.running,
 			EstimatedWait: pool.wait(found, 0, 0),
+			Served:        found.served,
 		})
 	}
 	for _, name := range pool.names {
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -23,7 +23,10 @@
 
 import (
 	"expvar"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 
 	"balsamvalve.example/bvverdict"
 )
@@ -33,6 +36,9 @@
 type Counters struct {
 	variables expvar.Map
 	refused   expvar.Map
+
+	mutex    sync.Mutex
+	byMember map[string]map[string]int64 // refusals; not in the variables, which everybody may read
 }
 
 // New returns counters at zero.
@@ -70,10 +76,49 @@
 	counters.Add("answered", 1)
 }
 
-// Refused counts an error by its verdict and code.
-func (counters *Counters) Refused(err error) {
+// Refused counts an error by its verdict and code; member is empty when the
+// caller's key was not known.
+func (counters *Counters) Refused(member string, err error) {
 	found := bvverdict.From(err)
-	counters.refused.Add(found.Verdict().String()+"/"+found.Code().String(), 1)
+	kind := found.Verdict().String() + "/" + found.Code().String()
+	counters.refused.Add(kind, 1)
+	if member == "" {
+		return
+	}
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	if counters.byMember == nil {
+		counters.byMember = make(map[string]map[string]int64)
+	}
+	if counters.byMember[member] == nil {
+		counters.byMember[member] = make(map[string]int64)
+	}
+	counters.byMember[member][kind]++
+}
+
+// Refusals returns a member's refusals by "verdict/code".
+func (counters *Counters) Refusals(member string) map[string]int64 {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	return maps.Clone(counters.byMember[member])
+}
+
+// RefusedMembers returns the members that were refused anything.
+func (counters *Counters) RefusedMembers() []string {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	return slices.Sorted(maps.Keys(counters.byMember))
+}
+
+// Numbers returns all counters that are a number.
+func (counters *Counters) Numbers() map[string]int64 {
+	numbers := make(map[string]int64)
+	counters.variables.Do(func(variable expvar.KeyValue) {
+		if number, ok := variable.Value.(*expvar.Int); ok {
+			numbers[variable.Key] = number.Value()
+		}
+	})
+	return numbers
 }
 
 // ServeHTTP writes the variables as JSON.
--- a/bvoperator/client.go
+++ b/bvoperator/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 
+	"balsamvalve.example/bvstatus"
 	"balsamvalve.example/bvtable"
 	"balsamvalve.example/bvverdict"
 )
@@ -33,6 +34,12 @@
 	return view, client.call(ctx, http.MethodGet, "/table", nil, &view)
 }
 
+// Status returns the state of hosts, endpoints and members.
+func (client *Client) Status(ctx context.Context) (bvstatus.Status, error) {
+	var status bvstatus.Status
+	return status, client.call(ctx, http.MethodGet, "/status", nil, &status)
+}
+
 // Set edits cells, all or none.
 func (client *Client) Set(ctx context.Context, cells []bvtable.CellEdit) (Outcome, error) {
 	return client.edit(ctx, http.MethodPatch, "/table", bvtable.Edit{Cells: cells})
--- a/bvoperator/handler.go
+++ b/bvoperator/handler.go
@@ -9,6 +9,7 @@
 //	GET   /table/proposals               changes of shares and their consents
 //	POST  /table/proposals               propose shares
 //	POST  /table/proposals/{id}/accept   consent to a proposal
+//	GET   /status                        hosts, endpoints and members
 //
 // Each request bears "Authorization: Bearer <key>". An edit may bear an
 // Idempotency-Key, under which it may be sent again after a lost answer.
@@ -20,12 +21,14 @@
 package bvoperator
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"balsamvalve.example/bvkey"
+	"balsamvalve.example/bvstatus"
 	"balsamvalve.example/bvtable"
 	"balsamvalve.example/bvverdict"
 )
@@ -39,10 +42,12 @@
 	jsonType      = "application/json"
 )
 
-// Handler serves the table. Editor and Ring must be set.
+// Handler serves the table and the status. Editor and Ring must be set.
 type Handler struct {
 	Editor *bvtable.Editor
 	Ring   func() *bvkey.Ring // asked at each request, so that keys can be replaced
+	// Status returns what a member may see; nil for a host without status.
+	Status func(ctx context.Context, member string) bvstatus.Status
 }
 
 // Register adds the handler's routes.
@@ -55,6 +60,9 @@
 	mux.HandleFunc("GET /table/proposals", handler.authorized(handler.proposals))
 	mux.HandleFunc("POST /table/proposals", handler.authorized(handler.propose))
 	mux.HandleFunc("POST /table/proposals/{id}/accept", handler.authorized(handler.accept))
+	if handler.Status != nil {
+		mux.HandleFunc("GET /status", handler.authorized(handler.status))
+	}
 }
 
 // View is the body of GET /table.
@@ -98,11 +106,15 @@
 		return bvtable.Actor{}, bvverdict.Refuse(bvverdict.Unauthorized, "the key is not known")
 	}
 	if role != bvkey.Operator && role != bvkey.Admin {
-		return bvtable.Actor{}, bvverdict.Refuse(bvverdict.Forbidden, "a key of role %s has no access to the table", role)
+		return bvtable.Actor{}, bvverdict.Refuse(bvverdict.Forbidden, "a key of role %s has no access here", role)
 	}
 	return bvtable.Actor{Member: member, Role: role}, nil
 }
 
+func (handler *Handler) status(writer http.ResponseWriter, request *http.Request, actor bvtable.Actor) error {
+	return writeJSON(writer, handler.Status(request.Context(), actor.Member))
+}
+
 func (handler *Handler) get(writer http.ResponseWriter, request *http.Request, actor bvtable.Actor) error {
 	table, confirmed, err := handler.table(request)
 	if err != nil {
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -196,6 +196,13 @@
 	return owner.ledger.Programs() == 0
 }
 
+// Members counts the programs that this host owns by member.
+func (owner *Owner) Members() []bvledger.MemberCount {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	return owner.ledger.Members()
+}
+
 // Reclaim ends programs that nobody ends: rows are all head rows, and live
 // tells whether the owner of a row still runs.
 func (owner *Owner) Reclaim(rows []bvplatform.Row, live func(owner string) bool) {
--- a/bvpermit/pool.go
+++ b/bvpermit/pool.go
@@ -19,6 +19,7 @@
 	decisions bvgate.Pool
 	tickets   map[bvgate.RequestID]*Ticket
 	addresses map[string]string
+	work      workLog
 	timer     *time.Timer
 }
 
@@ -47,6 +48,7 @@
 				pool.decisions.Remove(now, name)
 			}
 		}
+		pool.work.sample(now, &pool.decisions)
 	})
 }
 
--- /dev/null
+++ b/bvprocess/status_test.go
@@ -0,0 +1,97 @@
+package bvprocess
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvstatus"
+)
+
+// status runs the status command against a daemon.
+func (cluster *cluster) status(daemon *process, key string, arguments ...string) string {
+	cluster.t.Helper()
+	command := exec.Command(os.Args[0], append([]string{"status"}, arguments...)...)
+	command.Env = append(os.Environ(), childVariable+"=1", "BALSAMVALVE_KEY="+key,
+		"BALSAMVALVE_OPERATOR_ADDRESS="+daemon.field("operators"))
+	content, err := command.CombinedOutput()
+	require.NoError(cluster.t, err, string(content))
+	return string(content)
+}
+
+func (cluster *cluster) statusJSON(daemon *process, key string) bvstatus.Status {
+	cluster.t.Helper()
+	var status bvstatus.Status
+	require.NoError(cluster.t, json.Unmarshal([]byte(cluster.status(daemon, key, "--json")), &status))
+	return status
+}
+
+func member(status bvstatus.Status, name string) bvstatus.Member {
+	for _, member := range status.Members {
+		if member.Name == name {
+			return member
+		}
+	}
+	return bvstatus.Member{}
+}
+
+func TestStatusShowsHostsEndpointsAndOneOwnMember(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--instant"}})
+	cluster.writeTable()
+	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
+	refused := newConversation(t, boltsKey, "refused")
+	refused.turn = 9
+	status, body := refused.post(cluster.daemons[2], "out of order", false)
+	require.NotEqual(t, http.StatusOK, status, body)
+
+	require.Eventually(t, func() bool {
+		seen := cluster.statusJSON(cluster.daemons[1], boltsOperatorKey)
+		own := member(seen, "bolts").Own
+		return own != nil && own.Programs > 0 && own.Work > 0 && len(own.Refusals) > 0 && seen.Hosts[0].Version == 1
+	}, patience, poll)
+	seen := cluster.statusJSON(cluster.daemons[1], boltsOperatorKey)
+	require.Len(t, seen.Hosts, 3)
+	require.Len(t, seen.Endpoints, 2)
+	require.Nil(t, member(seen, "piran").Own)
+	require.InDelta(t, 50, member(seen, "piran").Share, 0)
+	rivals := cluster.statusJSON(cluster.daemons[0], piranOperatorKey)
+	require.Nil(t, member(rivals, "bolts").Own)
+	require.Zero(t, member(rivals, "piran").Own.Programs)
+	for line := range strings.Lines(cluster.status(cluster.daemons[0], boltsOperatorKey)) {
+		require.LessOrEqual(t, len(strings.TrimRight(line, "\n")), bvstatus.Width, line)
+	}
+}
+
+// One host is frozen. The status still comes from the others, in a second or
+// so, and says which host doesn't answer.
+func TestStatusNamesTheHostThatDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3})
+	cluster.writeTable()
+	cluster.daemons[2].signal(syscall.SIGSTOP)
+	defer cluster.daemons[2].signal(syscall.SIGCONT)
+	seen := cluster.statusJSON(cluster.daemons[0], adminKey)
+	require.Len(t, seen.Hosts, 3)
+	for _, host := range seen.Hosts {
+		require.Equal(t, host.Name != cluster.daemons[2].name, host.Answered, host.Name)
+	}
+}
+
+func TestCallersKeyGetsNoStatus(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 1})
+	request, err := http.NewRequest(http.MethodGet, "http://"+cluster.daemons[0].field("operators")+"/status", nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+boltsKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusForbidden, response.StatusCode)
+}
--- /dev/null
+++ b/bvstatus/print.go
@@ -0,0 +1,148 @@
+package bvstatus
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"unicode/utf8"
+)
+
+// Width is the most columns that Print uses.
+const Width = 80
+
+// Widths of cells, in columns. The widest line, that of an endpoint, has
+// cells of 20, 7, 14, 12, 7 and 9 columns with 2 between each two.
+const (
+	nameWidth  = 20
+	servesCell = 14
+	zoneCell   = 12
+	gap        = 2
+)
+
+// Print writes the status as tables of at most Width columns.
+func (status *Status) Print(output io.Writer) error {
+	printer := &printer{output: output}
+	printer.line("asked %s as %s; table version %d", short(status.Host, nameWidth), short(status.Member, nameWidth), status.Version)
+	printer.hosts(status.Hosts)
+	printer.endpoints(status.Endpoints)
+	printer.members(status.Members)
+	printer.counters(status.Counters)
+	return printer.err
+}
+
+type printer struct {
+	output io.Writer
+	err    error
+}
+
+func (printer *printer) line(format string, arguments ...any) {
+	if printer.err == nil {
+		_, printer.err = fmt.Fprintf(printer.output, format+"\n", arguments...)
+	}
+}
+
+// table writes rows of cells under a header.
+func (printer *printer) table(header string, rows [][]string) {
+	if printer.err != nil {
+		return
+	}
+	printer.line("")
+	writer := tabwriter.NewWriter(printer.output, 0, 0, gap, ' ', 0)
+	_, _ = fmt.Fprintln(writer, strings.ReplaceAll(header, " ", "\t"))
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	printer.err = writer.Flush()
+}
+
+func (printer *printer) hosts(hosts []Host) {
+	var rows [][]string
+	for _, host := range hosts {
+		rows = append(rows, []string{
+			short(host.Name, nameWidth), short(host.Zone, zoneCell), host.State, versionText(host), confirmedText(host),
+		})
+	}
+	printer.table("HOST ZONE STATE VERSION CONFIRMED", rows)
+}
+
+func versionText(host Host) string {
+	switch {
+	case !host.Answered:
+		return "?"
+	case host.Behind:
+		return fmt.Sprintf("%d (behind)", host.Version)
+	}
+	return fmt.Sprint(host.Version)
+}
+
+func confirmedText(host Host) string {
+	switch {
+	case !host.Answered:
+		return "no answer"
+	case host.Refusing:
+		return "too long ago"
+	}
+	return fmt.Sprintf("%.1f s ago", float64(host.Confirmed)/1000)
+}
+
+func (printer *printer) endpoints(endpoints []Endpoint) {
+	var rows [][]string
+	for _, endpoint := range endpoints {
+		state := endpoint.State
+		if endpoint.Ejected {
+			state = "ejected"
+		}
+		rows = append(rows, []string{
+			short(endpoint.Name, nameWidth), endpoint.Kind, short(endpoint.Serves, servesCell),
+			short(endpoint.Zone, zoneCell), state, fmt.Sprintf("%d/%d", endpoint.Running, endpoint.Slots),
+		})
+	}
+	printer.table("ENDPOINT KIND SERVES ZONE STATE RUNNING", rows)
+}
+
+func (printer *printer) members(members []Member) {
+	var rows [][]string
+	for _, member := range members {
+		row := []string{short(member.Name, nameWidth), fmt.Sprintf("%.4g%%", member.Share)}
+		if own := member.Own; own != nil {
+			row = append(row, fmt.Sprintf("%.0f", own.Work), fmt.Sprint(own.Queued), fmt.Sprint(own.Running),
+				fmt.Sprint(own.Programs), fmt.Sprint(sum(own.Refusals)))
+		}
+		rows = append(rows, row)
+	}
+	printer.table("MEMBER SHARE WORK/10s QUEUED RUNNING PROGRAMS REFUSALS", rows)
+	for _, member := range members {
+		if member.Own != nil {
+			printer.counters(member.Own.Refusals)
+		}
+	}
+}
+
+func sum(counts map[string]int64) int64 {
+	total := int64(0)
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+func (printer *printer) counters(counters map[string]int64) {
+	if len(counters) == 0 {
+		return
+	}
+	printer.line("")
+	for _, name := range slices.Sorted(maps.Keys(counters)) {
+		printer.line("  %-45s %12d", short(name, 45), counters[name])
+	}
+}
+
+// short cuts a text to a width, with a mark where something is missing.
+func short(text string, width int) string {
+	if utf8.RuneCountInString(text) <= width {
+		return text
+	}
+	return string([]rune(text)[:width-1]) + "~"
+}
--- /dev/null
+++ b/bvstatus/status_test.go
@@ -0,0 +1,95 @@
+package bvstatus
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/stretchr/testify/require"
+)
+
+func twoReports() []Report {
+	return []Report{
+		{Host: "host-2", Version: 6, Members: []MemberReport{
+			{Member: "bolts", Programs: 5, Queued: 77},
+			{Member: "piran", Programs: 1, Refusals: map[string]int64{"not run/overloaded": 2}},
+		}, Endpoints: []EndpointReport{{Endpoint: "engine-1", Running: 1}}},
+		{Host: "host-1", Version: 7, Members: []MemberReport{
+			{Member: "piran", Programs: 2, Running: 1, Work: 120, Refusals: map[string]int64{"not run/overloaded": 1}},
+		}, Endpoints: []EndpointReport{{Endpoint: "engine-1", Running: 2, Ejected: true}}},
+		Silent("host-3", "koper", "live"),
+	}
+}
+
+func mergeFor(member string) Status {
+	return Merge(member, []Endpoint{{Name: "engine-1", Slots: 8}},
+		[]Member{{Name: "piran", Share: 60}, {Name: "bolts", Share: 40}}, twoReports())
+}
+
+func TestMergeAddsUpWhatTheHostsSay(t *testing.T) {
+	status := mergeFor("piran")
+	require.Equal(t, int64(7), status.Version)
+	require.Equal(t, []string{"host-1", "host-2", "host-3"},
+		[]string{status.Hosts[0].Name, status.Hosts[1].Name, status.Hosts[2].Name})
+	require.True(t, status.Hosts[1].Behind)
+	require.False(t, status.Hosts[2].Answered)
+	require.Equal(t, Endpoint{Name: "engine-1", Running: 3, Slots: 8, Ejected: true}, status.Endpoints[0])
+	own := &Own{Work: 120, Running: 1, Programs: 3, Refusals: map[string]int64{"not run/overloaded": 3}}
+	require.Equal(t, Member{Name: "piran", Share: 60, Own: own}, status.Members[1])
+}
+
+// An operator of one member reads the status while the rival's queue is long.
+// Nothing of the rival but its share may be in the answer.
+func TestStatusShowsOfRivalsTheShareAlone(t *testing.T) {
+	status := mergeFor("piran")
+	require.Equal(t, Member{Name: "bolts", Share: 40}, status.Members[0])
+	encoded, err := json.Marshal(status)
+	require.NoError(t, err)
+	require.NotContains(t, string(encoded), "77")
+	for _, member := range mergeFor("consortium").Members {
+		require.Nil(t, member.Own, "an admin's member has no work of its own")
+	}
+}
+
+func TestGatherKeepsTheListedEntryOfAHostThatDoesNotAnswer(t *testing.T) {
+	hosts := []Report{Silent("host-1", "piran", "live"), Silent("host-2", "koper", "leaving")}
+	reports := Gather(context.Background(), hosts, func(ctx context.Context, host string) (Report, error) {
+		if host == "host-2" {
+			<-ctx.Done()
+			return Report{}, ctx.Err()
+		}
+		return Report{Host: host, Version: 3}, nil
+	})
+	require.Equal(t, []Report{{Host: "host-1", Version: 3}, hosts[1]}, reports)
+}
+
+func TestPrintNamesTheHostThatDidNotAnswer(t *testing.T) {
+	var output bytes.Buffer
+	status := mergeFor("piran")
+	require.NoError(t, status.Print(&output))
+	require.Regexp(t, `host-3 +koper +live +\? +no answer`, output.String())
+	require.Regexp(t, `host-2 .*6 \(behind\)`, output.String())
+}
+
+func TestPrintStaysWithinItsWidth(t *testing.T) {
+	long := strings.Repeat("š", 100)
+	status := Status{
+		Member:    long,
+		Host:      long,
+		Version:   1234567890,
+		Hosts:     []Host{{Name: long, Zone: long, State: "leaving", Answered: true, Version: 1234567, Behind: true, Refusing: true}},
+		Endpoints: []Endpoint{{Name: long, Kind: "service", Serves: long, Zone: long, State: "leaving", Running: 100, Slots: 256}},
+		Members: []Member{{Name: long, Share: 33.333333333, Own: &Own{
+			Work: 1234567, Queued: 99999, Running: 9999, Programs: 140000, Refusals: map[string]int64{long: 1 << 40},
+		}}},
+		Counters: map[string]int64{long: 1 << 60},
+	}
+	var output bytes.Buffer
+	require.NoError(t, status.Print(&output))
+	for line := range strings.Lines(output.String()) {
+		require.LessOrEqual(t, utf8.RuneCountInString(strings.TrimRight(line, "\n")), Width, line)
+	}
+}
