bvtls: TLS for callers, operators, hosts and the platform

Cause: the settings for TLS were read and checked, but every connection was plain.

Change: a bvtls.Source looks at its PEM files at each handshake and reads them again when modification time or size has changed; content that can't be used is logged and the last good one stays in force. Hosts show certificates to each other and refuse to serve without an authority. Callers' certificates are asked for where an authority is set; the operators' port never asks, since the balancer reads /ready there. Settings that would be ignored silently (peer certificate without authority, platform certificate without authority, caller authority without certificate) are named by check.

Ruled out: InsecureSkipVerify with a check of our own in order to replace the authorities of a client; the ConnectionState of a client has no name to check for an IP number. The configuration is built anew for each handshake instead, in the dial function of HTTP and in the credentials of gRPC.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -58,6 +58,7 @@
 	operator    *http.Server
 	peer        *grpc.Server
 	listeners   listeners
+	transports  transports
 	measures    *bvmeasure.Counters
 	ready       atomic.Bool
 	stopped     chan struct{}
@@ -83,12 +84,15 @@
 		measures:    bvmeasure.New(),
 		stopped:     make(chan struct{}),
 	}
+	if err := daemon.openTransports(); err != nil {
+		return nil, err
+	}
 	if err := daemon.listen(); err != nil {
 		return nil, err
 	}
-	daemon.platform = &bvplatform.Client{Address: settings.PlatformAddress().String()}
+	daemon.platform = daemon.platformClient()
 	daemon.view.SetSelf(daemon.self(bvplatform.HostLive))
-	daemon.peers = bvpeer.NewPool(nil)
+	daemon.peers = bvpeer.NewPool(daemon.peerCredentials())
 	daemon.table = newTable(daemon)
 	daemon.build()
 	return daemon, nil
@@ -112,7 +116,7 @@
 	api := bvcaller.New(daemon.entry, daemon.table, daemon.settings.Ring(), daemon.settings.BodyLimit(), daemon.measures)
 	daemon.caller = newHTTPServer(api.Handler())
 	daemon.operator = newHTTPServer(daemon.operatorHandler())
-	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(nil)...)
+	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials())...)
 	bvpeer.RegisterPeerServer(daemon.peer, &peerService{daemon: daemon})
 }
 
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -10,6 +10,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvtls"
 )
 
 // How a planned stop goes: first the host says that it is leaving, then it
@@ -29,8 +30,12 @@
 	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	group, groupContext := errgroup.WithContext(context.Background())
-	group.Go(func() error { return serve(daemon.caller.Serve(daemon.listeners.caller)) })
-	group.Go(func() error { return serve(daemon.operator.Serve(daemon.listeners.operator)) })
+	group.Go(func() error {
+		return serve(daemon.serveHTTP(daemon.caller, daemon.listeners.caller, bvtls.SignedClients))
+	})
+	group.Go(func() error {
+		return serve(daemon.serveHTTP(daemon.operator, daemon.listeners.operator, bvtls.AnyClient))
+	})
 	group.Go(func() error { return daemon.peer.Serve(daemon.listeners.peer) })
 	group.Go(func() error { daemon.commits.run(loops); return nil })
 	group.Go(func() error { daemon.follow(loops); return nil })
--- a/bvplatform/client.go
+++ b/bvplatform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -29,6 +30,8 @@
 type Client struct {
 	Address string           // IP and port
 	Timeout bvclock.Duration // of one call; 0 means DefaultTimeout
+	// DialTLS connects with TLS; nil means plain HTTP.
+	DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once      sync.Once
 	transport *http.Transport
@@ -202,7 +205,7 @@
 }
 
 func (client *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+client.Address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, client.scheme()+client.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
@@ -216,6 +219,13 @@
 	return request, nil
 }
 
+func (client *Client) scheme() string {
+	if client.DialTLS == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 func noAnswer(connected bool, cause error) error {
 	if connected {
 		return fmt.Errorf("%w: %v", ErrUnknown, cause)
@@ -259,6 +269,7 @@
 		client.transport = &http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
+			DialTLSContext:      client.DialTLS,
 		}
 	})
 	return client.transport
--- a/bvsetting/load.go
+++ b/bvsetting/load.go
@@ -66,6 +66,7 @@
 	loader.checkTLS("caller", loader.serve.callerTLS)
 	loader.checkTLS("peer", loader.serve.peerTLS)
 	loader.checkTLS("platform", loader.serve.platformTLS)
+	loader.checkTLSWhole()
 	loader.checkAddresses()
 	if loader.serve.hostName == "" {
 		loader.serve.hostName = loader.serve.peerAddress.String()
@@ -157,6 +158,20 @@
 	}
 }
 
+// checkTLSWhole finds files that would be ignored: what looks like TLS would
+// be plain, or let anybody in.
+func (loader *loader) checkTLSWhole() {
+	if caller := loader.serve.callerTLS; caller.authority != "" && caller.certificate == "" {
+		loader.report("--caller-tls-ca", caller.authority, "needs --caller-tls-cert beside it")
+	}
+	if peer := loader.serve.peerTLS; (peer.certificate == "") != (peer.authority == "") {
+		loader.report("--peer-tls-cert", peer.certificate, "needs --peer-tls-ca beside it, and the other way round")
+	}
+	if platform := loader.serve.platformTLS; platform.certificate != "" && platform.authority == "" {
+		loader.report("--platform-tls-cert", platform.certificate, "needs --platform-tls-ca beside it")
+	}
+}
+
 // checkAddresses finds two listeners on one address; the second would fail
 // only when the daemon starts.
 func (loader *loader) checkAddresses() {
--- a/bvsetting/load_test.go
+++ b/bvsetting/load_test.go
@@ -96,3 +96,10 @@
 	require.NoError(t, err)
 	require.Contains(t, strings.Join(serve.Warnings(), "\n"), "gRPC is plain")
 }
+
+// A host is to have TLS towards the others, but the authority was forgotten.
+// It would let in everybody who reaches its port.
+func TestPeerCertificateWithoutAuthorityIsNamed(t *testing.T) {
+	_, err := load(t, nil, "--peer-tls-cert", "c.pem", "--peer-tls-key", "k.pem")
+	require.Contains(t, problems(t, err), "needs --peer-tls-ca beside it")
+}
--- a/bvsetting/serve.go
+++ b/bvsetting/serve.go
@@ -126,8 +126,8 @@
 func (serve *Serve) PlatformTLS() TLS { return serve.platformTLS }
 
 // TLS names the PEM files of one kind of connection. The zero value means
-// plain TCP. The files are read at each handshake's configuration, so that a
-// renewed certificate needs no restart.
+// plain TCP. Changed files are read again, so that a renewed certificate needs
+// no restart.
 type TLS struct {
 	certificate string
 	key         string
