--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -31,6 +31,7 @@
 	virtual float64
 	index   int // in the heap of members, from 1; 0 when it may not be served
 	flow    flow
+	served  Work    // in all, for status
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
@@ -179,6 +180,7 @@
 func (pool *Pool) charge(now bvclock.Time, charged *member, work Work) {
 	charged.flow.add(now, work)
 	charged.virtual += float64(work) / charged.weight()
+	charged.served += work
 	pool.place(charged)
 }
 
