bvtrace: a span for each hop, exported to stdout or by OTLP

Cause: the servers and clients of HTTP and gRPC made spans, but no provider received them, and the hops between (which owner was tried, what a call waited for) had none.

Change: each daemon has a provider with host, zone and incarnation as resource attributes; trace-exporter off, stdout and otlp work. Own spans: relay (one for each owner tried), session with order, run and commit, permit, queue at the deciding host, endpoint. They find the provider in the context, so that no constructor in between changed. The trace context goes to endpoints and to the platform's reads that belong to a call. A stop exports what is left.

Exported attributes are on a list: a trial without it showed url.path with the program's id from the HTTP library, caught by TestSpansHoldNoPromptNoMemberAndNoProgramID. Programs are named by a hash, members not at all. Baggage is not carried.

Ruled out: the process-wide provider of OpenTelemetry; several daemons in one process would share one host attribute.

With off, spans are not sampled; their trace ids exist, for log lines.

Conclusion: TestOneTraceHasASpanForEachHop follows one call through two embedded daemons.

--- a/bvcaller/api.go
+++ b/bvcaller/api.go
@@ -3,8 +3,7 @@
 //
 // # Usage
 //
-//	api := &bvcaller.API{}
-//	api.Configure(entry, policy, limits)
+//	api := bvcaller.New(bvcaller.Parts{Entry: entry, Policy: policy, Ring: ring, BodyLimit: 16 << 20, Measure: counters})
 //	server := &http.Server{Handler: api.Handler()}
 //
 // # Headers
@@ -26,9 +25,12 @@
 	"net/http"
 
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"balsamvalve.example/bvkey"
 	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvtrace"
 )
 
 // Entry takes calls to the owners of their programs.
@@ -45,6 +47,16 @@
 	Admit(member, class string, call *bvpeer.Call) error
 }
 
+// Parts are what the API works with. All but Tracers must be set.
+type Parts struct {
+	Entry     Entry
+	Policy    Policy
+	Ring      *bvkey.Ring
+	BodyLimit int64 // in bytes
+	Measure   Measure
+	Tracers   trace.TracerProvider // nil: no spans
+}
+
 // API holds the handlers.
 type API struct {
 	entry     Entry
@@ -52,6 +64,7 @@
 	ring      *bvkey.Ring
 	bodyLimit int64
 	measure   Measure
+	tracers   trace.TracerProvider
 }
 
 // Measure counts what callers got.
@@ -60,9 +73,20 @@
 	Refused(member string, err error)
 }
 
-// New returns the API; bodyLimit is in bytes.
-func New(entry Entry, policy Policy, ring *bvkey.Ring, bodyLimit int64, measure Measure) *API {
-	return &API{entry: entry, policy: policy, ring: ring, bodyLimit: bodyLimit, measure: measure}
+// New returns the API.
+func New(parts Parts) *API {
+	tracers := parts.Tracers
+	if tracers == nil {
+		tracers = noop.NewTracerProvider()
+	}
+	return &API{
+		entry:     parts.Entry,
+		policy:    parts.Policy,
+		ring:      parts.Ring,
+		bodyLimit: parts.BodyLimit,
+		measure:   parts.Measure,
+		tracers:   tracers,
+	}
 }
 
 // Handler returns the routes.
@@ -72,5 +96,6 @@
 	mux.HandleFunc("/v1/services/{service}/{path...}", api.member(api.service))
 	mux.HandleFunc("DELETE /v1/programs/{program}", api.member(api.endProgram))
 	mux.HandleFunc("GET /v1/programs/{program}/answers/{request}", api.member(api.fetch))
-	return otelhttp.NewHandler(mux, "caller")
+	return otelhttp.NewHandler(mux, "caller",
+		otelhttp.WithTracerProvider(api.tracers), otelhttp.WithPropagators(bvtrace.Propagator()))
 }
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/sdk/trace"
 	"google.golang.org/grpc"
 
 	"balsamvalve.example/bvcaller"
@@ -30,6 +31,7 @@
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/bvtrace"
 )
 
 // Platform is all that a daemon asks of the platform.
@@ -59,6 +61,8 @@
 	peer        *grpc.Server
 	listeners   listeners
 	transports  transports
+	traces      *bvtrace.Provider
+	spans       trace.SpanExporter // of an embedding program; may be nil
 	measures    *bvmeasure.Counters
 	ready       atomic.Bool
 	stopped     chan struct{}
@@ -73,7 +77,7 @@
 
 // New opens the ports and puts the parts together. Nothing is served before
 // Run.
-func New(settings bvsetting.Serve, log logrus.FieldLogger) (*Daemon, error) {
+func New(settings bvsetting.Serve, log logrus.FieldLogger, options ...Option) (*Daemon, error) {
 	daemon := &Daemon{
 		settings:    settings,
 		log:         log,
@@ -84,15 +88,21 @@
 		measures:    bvmeasure.New(),
 		stopped:     make(chan struct{}),
 	}
+	for _, option := range options {
+		option(daemon)
+	}
 	if err := daemon.openTransports(); err != nil {
 		return nil, err
 	}
 	if err := daemon.listen(); err != nil {
 		return nil, err
 	}
+	if err := daemon.openTraces(); err != nil {
+		return nil, err
+	}
 	daemon.platform = daemon.platformClient()
 	daemon.view.SetSelf(daemon.self(bvplatform.HostLive))
-	daemon.peers = bvpeer.NewPool(daemon.peerCredentials())
+	daemon.peers = bvpeer.NewPool(daemon.peerCredentials(), daemon.traces.Tracers())
 	daemon.table = newTable(daemon)
 	daemon.build()
 	return daemon, nil
@@ -113,10 +123,17 @@
 		Log:       daemon.log,
 	})
 	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner, daemon.measures)
-	api := bvcaller.New(daemon.entry, daemon.table, daemon.settings.Ring(), daemon.settings.BodyLimit(), daemon.measures)
+	api := bvcaller.New(bvcaller.Parts{
+		Entry:     daemon.entry,
+		Policy:    daemon.table,
+		Ring:      daemon.settings.Ring(),
+		BodyLimit: daemon.settings.BodyLimit(),
+		Measure:   daemon.measures,
+		Tracers:   daemon.traces.Tracers(),
+	})
 	daemon.caller = newHTTPServer(api.Handler())
 	daemon.operator = newHTTPServer(daemon.operatorHandler())
-	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials())...)
+	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials(), daemon.traces.Tracers())...)
 	bvpeer.RegisterPeerServer(daemon.peer, &peerService{daemon: daemon})
 }
 
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -76,6 +76,7 @@
 	daemon.commits.flush(limit)
 	daemon.stopPeers(limit)
 	_ = daemon.operator.Shutdown(limit)
+	daemon.flushTraces(limit)
 	daemon.log.Info("stopped")
 }
 
--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -16,6 +16,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -155,6 +156,7 @@
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	bvtrace.Inject(ctx, request.Header)
 	exchange.request = request
 	return exchange, nil
 }
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -18,6 +18,7 @@
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -60,7 +61,7 @@
 // the record of an unrepeatable request, before it sends anything.
 func (entry *Entry) Run(ctx context.Context, call *bvpeer.Call, emit func(*bvpeer.CallEvent) error) error {
 	relay := &relay{call: call, emit: emit}
-	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(host bvplatform.Host) error {
+	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(ctx context.Context, host bvplatform.Host) error {
 		err := entry.runAt(ctx, host, relay)
 		relay.lost = relay.lost || mayHaveBegun(err)
 		return err
@@ -70,7 +71,7 @@
 // Fetch returns the kept answer of a request.
 func (entry *Entry) Fetch(ctx context.Context, member, program, request string) ([]byte, error) {
 	var answer []byte
-	err := entry.eachOwner(ctx, member, program, func(host bvplatform.Host) (err error) {
+	err := entry.eachOwner(ctx, member, program, func(ctx context.Context, host bvplatform.Host) (err error) {
 		answer, err = entry.fetchAt(ctx, host, member, program, request)
 		return err
 	})
@@ -79,7 +80,7 @@
 
 // EndProgram ends a program.
 func (entry *Entry) EndProgram(ctx context.Context, member, program string) error {
-	return entry.eachOwner(ctx, member, program, func(host bvplatform.Host) error {
+	return entry.eachOwner(ctx, member, program, func(ctx context.Context, host bvplatform.Host) error {
 		return entry.endAt(ctx, host, member, program)
 	})
 }
@@ -96,11 +97,13 @@
 func (err *lostError) Unwrap() error { return err.cause }
 
 // eachOwner asks the candidates for a program until one gives a final answer.
-func (entry *Entry) eachOwner(ctx context.Context, member, program string, ask func(bvplatform.Host) error) error {
+func (entry *Entry) eachOwner(ctx context.Context, member, program string, ask func(context.Context, bvplatform.Host) error) error {
 	candidates := entry.view.Candidates(entry.clock.Now(), ProgramPlace(member, program))
 	var loss error
 	for _, host := range candidates[:min(len(candidates), hostsPerCall)] {
-		err := ask(host)
+		askContext, span := bvtrace.Start(ctx, "relay", bvtrace.Program(member, program), bvtrace.Host(host.Name))
+		err := ask(askContext, host)
+		span.End(err)
 		if ctx.Err() != nil {
 			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
 		}
--- a/bvowner/chat.go
+++ b/bvowner/chat.go
@@ -12,6 +12,7 @@
 	"balsamvalve.example/bvledger"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -35,11 +36,13 @@
 	}
 	session.emit(startedEvent(permit.Endpoint(), call.Stream))
 	emitted := false
+	ctx, span := bvtrace.Start(ctx, "endpoint", bvtrace.Endpoint(permit.Endpoint()))
 	answer, err := session.owner.parts.Endpoints.Chat(ctx, permit.Address(), call, func(offset int, text string) error {
 		emitted = true
 		session.emit(tokenEvent(offset, text))
 		return nil
 	})
+	span.End(err)
 	finish(permit, answer, err)
 	result := bvledger.Result{
 		Spent:    int64(answer.PromptTokens) + int64(answer.OutputTokens),
--- a/bvowner/invoke.go
+++ b/bvowner/invoke.go
@@ -10,6 +10,7 @@
 	"balsamvalve.example/bvledger"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -20,6 +21,7 @@
 	if service.GetContentType() != "" {
 		header.Set("Content-Type", service.GetContentType())
 	}
+	ctx, span := bvtrace.Start(ctx, "endpoint", bvtrace.Endpoint(permit.Endpoint()))
 	answer, err := session.owner.parts.Endpoints.Invoke(ctx, permit.Address(), bvendpoint.ServiceCall{
 		Path:         service.GetPath(),
 		Method:       service.GetMethod(),
@@ -28,6 +30,7 @@
 		Request:      session.call.GetRequest(),
 		Unrepeatable: session.call.GetUnrepeatable(),
 	})
+	span.End(err)
 	finish(permit, bvendpoint.ChatResult{}, err)
 	if err != nil {
 		refusal := bvverdict.From(err)
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -23,6 +23,7 @@
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvtable"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -140,6 +141,13 @@
 // Run runs one call. Its events go to send; its error is a *bvverdict.Error.
 // When ctx ends, a call that has started goes on and its answer is kept.
 func (owner *Owner) Run(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error {
+	ctx, span := bvtrace.Start(ctx, "session", bvtrace.Program(call.GetMember(), call.GetProgram()))
+	err := owner.runSession(ctx, call, send)
+	span.End(err)
+	return err
+}
+
+func (owner *Owner) runSession(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error {
 	session, err := owner.open(ctx, call)
 	if err != nil {
 		return err
@@ -277,6 +285,7 @@
 		}
 		session.deadline = deadlineOf(now, call)
 		owner.register(session)
+		session.enter("order")
 		owner.ledger.Submit(now, session.ledgerCall())
 	})
 	if declined {
--- a/bvowner/session.go
+++ b/bvowner/session.go
@@ -8,6 +8,7 @@
 	"balsamvalve.example/bvledger"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvtable"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -27,6 +28,7 @@
 	done   bool
 	gone   bool // the caller went away
 	abort  context.CancelFunc
+	span   bvtrace.Span // of what it waits for or does
 }
 
 func newSession(owner *Owner, call *bvpeer.Call) *session {
@@ -80,6 +82,16 @@
 	return int64(len(model.GetMessages())) + int64(model.GetMaxTokens())
 }
 
+// enter ends the span of what the call did up to now and begins the next.
+func (session *session) enter(name string) context.Context {
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	session.span.End(nil)
+	ctx, span := bvtrace.Start(session.context, name)
+	session.span = span
+	return ctx
+}
+
 // take takes over what the ledger decided for the call.
 func (session *session) take(effect bvledger.Effect) {
 	switch effect := effect.(type) {
@@ -134,6 +146,7 @@
 	if done {
 		session.done = true
 		session.err = err
+		session.span.End(err)
 	}
 	select {
 	case session.wake <- struct{}{}:
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -23,12 +23,13 @@
 
 // start runs the call and reports to the ledger, which then answers.
 func (session *session) start(start bvledger.Start) {
-	ctx, cancel := context.WithTimeout(session.context, session.timeLeft().Std())
+	ctx, cancel := context.WithTimeout(session.enter("run"), session.timeLeft().Std())
 	defer cancel()
 	session.mutex.Lock()
 	session.abort = cancel
 	session.mutex.Unlock()
 	result := session.run(ctx, start)
+	session.enter("commit")
 	owner := session.owner
 	owner.do(func(now bvclock.Time) { owner.ledger.Finish(now, session.id, result) })
 }
--- a/bvpeer/pool.go
+++ b/bvpeer/pool.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"balsamvalve.example/bvtrace"
 )
 
 // How a silent connection is found. Something between two hosts can lose
@@ -38,11 +42,13 @@
 	mutex       sync.Mutex
 	connections map[string]*grpc.ClientConn
 	credentials credentials.TransportCredentials
+	tracers     trace.TracerProvider
 }
 
-// NewPool returns a pool that dials with the given credentials.
-func NewPool(transport credentials.TransportCredentials) *Pool {
-	return &Pool{credentials: transport}
+// NewPool returns a pool that dials with the given credentials and traces by
+// the given provider. Both may be nil.
+func NewPool(transport credentials.TransportCredentials, tracers trace.TracerProvider) *Pool {
+	return &Pool{credentials: transport, tracers: tracers}
 }
 
 // Peer returns a client of the host that listens at address, an IP and port.
@@ -87,7 +93,7 @@
 	}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(transport),
-		grpc.WithStatsHandler(otelgrpc.NewClientHandler()),
+		grpc.WithStatsHandler(otelgrpc.NewClientHandler(traceOptions(pool.tracers)...)),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		// Without this, gRPC sends a call again by itself when it believes that
 		// the server has not seen it. A request that must not be repeated is
@@ -106,13 +112,13 @@
 }
 
 // ServerOptions returns what a daemon's gRPC server needs to match Pool.
-func ServerOptions(transport credentials.TransportCredentials) []grpc.ServerOption {
+func ServerOptions(transport credentials.TransportCredentials, tracers trace.TracerProvider) []grpc.ServerOption {
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
 	return []grpc.ServerOption{
 		grpc.Creds(transport),
-		grpc.StatsHandler(otelgrpc.NewServerHandler()),
+		grpc.StatsHandler(otelgrpc.NewServerHandler(traceOptions(tracers)...)),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
@@ -122,3 +128,10 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
 }
+
+func traceOptions(tracers trace.TracerProvider) []otelgrpc.Option {
+	if tracers == nil {
+		tracers = noop.NewTracerProvider()
+	}
+	return []otelgrpc.Option{otelgrpc.WithTracerProvider(tracers), otelgrpc.WithPropagators(bvtrace.Propagator())}
+}
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -8,6 +8,7 @@
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -82,6 +83,13 @@
 // Acquire waits for a permit. Its errors are *bvverdict.Error with verdict
 // NotRun: nothing was sent to an endpoint.
 func (client *Client) Acquire(ctx context.Context, ask *bvpeer.PermitAsk) (*Permit, error) {
+	ctx, span := bvtrace.Start(ctx, "permit")
+	permit, err := client.acquire(ctx, ask)
+	span.End(err)
+	return permit, err
+}
+
+func (client *Client) acquire(ctx context.Context, ask *bvpeer.PermitAsk) (*Permit, error) {
 	asked := 0
 	for _, host := range client.view.Candidates(client.clock.Now(), "pool/"+ask.GetPool()) {
 		if host.State != bvplatform.HostLive && host.Name != client.view.Self().Name {
@@ -114,6 +122,8 @@
 }
 
 func (client *Client) askLocal(ctx context.Context, ask *bvpeer.PermitAsk) (*Permit, error) {
+	_, span := bvtrace.Start(ctx, "queue")
+	defer span.End(nil)
 	ticket := client.local.Ask(ask)
 	select {
 	case decision := <-ticket.Decision():
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -26,6 +26,7 @@
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -141,6 +142,8 @@
 // decide waits for the decision and reports whether it was a grant that
 // reached the owner.
 func (server *Server) decide(stream bvpeer.Peer_PermitServer, ticket *Ticket, events <-chan *bvpeer.PermitEvent) bool {
+	_, span := bvtrace.Start(stream.Context(), "queue")
+	defer span.End(nil)
 	select {
 	case decision := <-ticket.Decision():
 		granted := decision.GetGrant() != nil
--- a/bvplatform/client.go
+++ b/bvplatform/client.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvtrace"
 )
 
 // Default settings of a Client.
@@ -216,6 +217,7 @@
 		request.Body = io.NopCloser(bytes.NewReader(nil))
 	}
 	request.Header.Set("Content-Type", "application/json")
+	bvtrace.Inject(ctx, request.Header)
 	return request, nil
 }
 
--- /dev/null
+++ b/bvtrace/span.go
@@ -0,0 +1,91 @@
+package bvtrace
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"balsamvalve.example/bvverdict"
+)
+
+const tracerName = "balsamvalve.example/bvtrace"
+
+// Attributes of this project's own spans.
+const (
+	attributeProgram  = attribute.Key("bv.program")
+	attributeHost     = attribute.Key("bv.host")
+	attributeEndpoint = attribute.Key("bv.endpoint")
+	attributeVerdict  = attribute.Key("bv.verdict")
+	attributeCode     = attribute.Key("bv.code")
+)
+
+// programHash is how much of a program's hash is shown, in bytes.
+const programHash = 8
+
+// Span is one hop of a request. The zero value records nothing.
+type Span struct {
+	span trace.Span
+}
+
+// Start begins a span under the one in ctx, by the same provider. Without one
+// it records nothing.
+func Start(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, Span) {
+	tracer := trace.SpanFromContext(ctx).TracerProvider().Tracer(tracerName)
+	ctx, span := tracer.Start(ctx, name, trace.WithAttributes(attributes...))
+	return ctx, Span{span}
+}
+
+// End ends the span. Of an error it keeps the verdict and the code only, since
+// the reason can hold a caller's text.
+func (span Span) End(err error) {
+	if span.span == nil {
+		return
+	}
+	if err != nil {
+		verdict := bvverdict.From(err)
+		span.span.SetAttributes(attributeVerdict.String(verdict.Verdict().String()), attributeCode.String(verdict.Code().String()))
+		span.span.SetStatus(codes.Error, "")
+	}
+	span.span.End()
+}
+
+// Program names a program by a hash.
+func Program(member, program string) attribute.KeyValue {
+	return attributeProgram.String(HashProgram(member, program))
+}
+
+// HashProgram returns a name for a program that shows neither its id nor its
+// member.
+func HashProgram(member, program string) string {
+	digest := sha256.Sum256([]byte(member + "\x00" + program))
+	return hex.EncodeToString(digest[:programHash])
+}
+
+// Host names the host that is asked.
+func Host(name string) attribute.KeyValue {
+	return attributeHost.String(name)
+}
+
+// Endpoint names the endpoint that is called.
+func Endpoint(name string) attribute.KeyValue {
+	return attributeEndpoint.String(name)
+}
+
+// ID returns the id of the trace in ctx; empty if there is none.
+func ID(ctx context.Context) string {
+	if id := trace.SpanContextFromContext(ctx).TraceID(); id.IsValid() {
+		return id.String()
+	}
+	return ""
+}
+
+// Inject adds the trace's context to the headers of a request.
+func Inject(ctx context.Context, header http.Header) {
+	Propagator().Inject(ctx, propagation.HeaderCarrier(header))
+}
