Callers of a model whose endpoints are all gone are told when to come back

Cause: a load run and a new process test: when the only engine of a model died, a waiting request without a deadline hung, and new ones were told that the model is unknown (404), for which no client comes back. Also: an answer given by another host was unknown to a stale owner that was asked to fetch it again. Change: a pool refuses what waits once no endpoint has been open for 5 s; a model that was served since the start is refused as overloaded with Retry-After; a fetch that misses looks at the head row once. The queue limit of the settings reaches the pools.

--- a/bvcommit/committer.go
+++ b/bvcommit/committer.go
@@ -91,8 +91,8 @@
 	asked   error    // conflict that a read must explain
 	attempt string   // under way
 	count   int64
-	marker  int64 // version of the marker row
-	solo    int   // entries that are tried one by one, after a rejection
+	marker  int64        // version of the marker row
+	solo    int          // entries that are tried one by one, after a rejection
 	earned  bvclock.Time // when all transactions so far are paid for, at one an interval
 	begun   bool
 	retryAt bvclock.Time
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bventry"
+	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvowner"
@@ -110,7 +111,7 @@
 
 func (daemon *Daemon) build() {
 	client := &bvendpoint.Client{Progress: daemon.settings.SilenceLimit()}
-	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client))
+	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client), bvgate.Limits{Queue: daemon.settings.QueueLimit()})
 	daemon.commits = newCommitLoop(daemon)
 	daemon.owner = bvowner.New(ownerName(daemon.view.Self()), bvowner.Parts{
 		Clock:     daemon.clock,
--- a/bvdaemon/endpoint.go
+++ b/bvdaemon/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -11,6 +12,7 @@
 	mutex  sync.Mutex
 	byName map[string]bvplatform.Endpoint
 	listed []bvplatform.Endpoint
+	served map[string]bool // pools that any endpoint has served since this start
 }
 
 // list returns the endpoints as they were listed.
@@ -28,6 +30,12 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	table.byName = byName
+	if table.served == nil {
+		table.served = make(map[string]bool)
+	}
+	for _, endpoint := range endpoints {
+		table.served[bvpermit.PoolOf(endpoint)] = true
+	}
 	table.listed = endpoints
 }
 
@@ -51,6 +59,15 @@
 	return false
 }
 
+// hasServed reports whether any endpoint has served the model or service since
+// this start. One whose endpoints have all failed is not unknown: its callers
+// are told to come back.
+func (table *endpointTable) hasServed(kind bvplatform.EndpointKind, name string) bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.served[bvpermit.PoolName(kind, name)]
+}
+
 // Engines returns the names of all model engines.
 func (table *endpointTable) Engines() []string {
 	var names []string
--- a/bvdaemon/table.go
+++ b/bvdaemon/table.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvplatform"
@@ -71,12 +72,20 @@
 	if len(allowed) > 0 && !contains(allowed, name) {
 		return bvverdict.Refuse(bvverdict.Forbidden, "the operators' table does not allow %s %s", kind, name)
 	}
-	if !table.daemon.endpoints.serves(kind, name) {
-		return bvverdict.Refuse(unknown, "no endpoint serves %s %s", kind, name)
+	if table.daemon.endpoints.serves(kind, name) {
+		return nil
+	}
+	if table.daemon.endpoints.hasServed(kind, name) {
+		return bvverdict.Refuse(bvverdict.Overloaded, "no endpoint serves %s %s now", kind, name).
+			WithRetryAfter(retryAfterNoEndpoint)
 	}
-	return nil
+	return bvverdict.Refuse(unknown, "no endpoint serves %s %s", kind, name)
 }
 
+// retryAfterNoEndpoint is told when all endpoints of a model or service have
+// failed; one that restarts is listed within this time.
+const retryAfterNoEndpoint = 5 * bvclock.Second
+
 func contains(names []string, name string) bool {
 	for _, other := range names {
 		if other == name {
--- /dev/null
+++ b/bvgate/absence_test.go
@@ -0,0 +1,29 @@
+package bvgate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvverdict"
+)
+
+// The only engine of a model loses power while a caller waits without a
+// deadline. Nothing is granted any more, and the caller hung for ever; a test
+// with processes found it.
+func TestRequestIsRefusedWhenNoEndpointComesBack(t *testing.T) {
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "engine-1", Slots: 1})
+	pool.Ask(0, Request{ID: 1, Member: "piran", Program: "p"})
+	require.IsType(t, Grant{}, pool.Tick(0)[0])
+	pool.Used(0, 1)
+	pool.Ask(1, Request{ID: 2, Member: "piran", Program: "q"})
+	pool.Remove(2, "engine-1")
+	require.Empty(t, refusals(pool.Tick(2)))
+	require.NotZero(t, pool.Next())
+	refused := refusals(pool.Tick(2 + 5000))
+	require.Len(t, refused, 1)
+	require.Equal(t, RequestID(2), refused[0].Request)
+	require.Equal(t, bvverdict.NotRun, refused[0].Err.Verdict())
+	require.Positive(t, refused[0].Err.RetryAfter())
+}
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -58,6 +58,8 @@
 	suspects   []*request  // that wait for an endpoint to isolate
 	isolated   []*endpoint // that are emptied for a suspect
 
+	absence absence
+
 	order   uint64
 	effects []Effect
 
@@ -225,6 +227,9 @@
 // take removes a waiting request and leaves its program open.
 func (pool *Pool) take(queued *request) {
 	delete(pool.waiting, queued.ID)
+	if len(pool.waiting) == 0 {
+		pool.stopTimer(&pool.absence.timer)
+	}
 	pool.stopTimer(&queued.timer)
 	if queued.parkedAt != nil {
 		queued.parkedAt.unpark(queued)
@@ -248,6 +253,7 @@
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
 	pool.now = now
 	pool.ringTimers(now)
+	pool.refuseStranded(now)
 	pool.unhold()
 	for pool.serveSuspects(now) || pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
--- a/bvledger/gap_test.go
+++ b/bvledger/gap_test.go
@@ -28,6 +28,22 @@
 	require.True(t, isAnswered(t, first, memory, turn(3, "r3")))
 }
 
+// A caller was given the answer of turn 2 by another host and asks for it again
+// at the first one, whose memory ends at turn 1. It said that the request was
+// unknown; a load run with a platform outage found it.
+func TestFetchAtStaleMemoryFindsTheAnswer(t *testing.T) {
+	memory := &bvplatform.Memory{}
+	first := New("host-1/a")
+	second := New("host-2/a")
+	key := ProgramKey{Member: "piran", Program: "lesson"}
+	call := Call{ID: 1, Key: key, Turn: 1, Request: "r1", Digest: "r1", Messages: []byte(`["r1"]`), Cost: 1}
+	require.True(t, isAnswered(t, first, memory, call))
+	call.ID, call.Turn, call.Request, call.Digest = 2, 2, "r2", "r2"
+	require.True(t, isAnswered(t, second, memory, call))
+	first.Fetch(1, 3, key, "r2")
+	require.True(t, pump(t, first, memory, 3))
+}
+
 // A call that really comes too early still waits for the one before.
 func TestCallThatIsTooEarlyWaits(t *testing.T) {
 	memory := &bvplatform.Memory{}
@@ -44,9 +60,15 @@
 
 // isAnswered runs a call against a platform without faults, all at one time.
 func isAnswered(t *testing.T, ledger *Ledger, memory *bvplatform.Memory, call Call) bool {
+	t.Helper()
+	ledger.Submit(1, call)
+	return pump(t, ledger, memory, call.ID)
+}
+
+// pump carries out effects and reports whether a call was answered.
+func pump(t *testing.T, ledger *Ledger, memory *bvplatform.Memory, id CallID) bool {
 	t.Helper()
 	const now = bvclock.Time(1)
-	ledger.Submit(now, call)
 	done := false
 	for range 20 {
 		for _, effect := range ledger.Tick(now) {
@@ -63,7 +85,7 @@
 			case Start:
 				ledger.Finish(now, effect.Call, Result{Answer: []byte("a"), Message: []byte(`["z"]`), Endpoint: "e"})
 			case Answer:
-				done = done || effect.Call == call.ID
+				done = done || effect.Call == id
 			case Refuse:
 				t.Logf("call %d refused: %v", effect.Call, effect.Err)
 			}
--- a/bvledger/order.go
+++ b/bvledger/order.go
@@ -62,11 +62,20 @@
 		first.joined = append(first.joined, call)
 		return true
 	}
+	if program.mayBeStale() && !call.doubted {
+		return false
+	}
 	ledger.refuse(call, bvverdict.New(bvverdict.MayHaveRun, bvverdict.UnknownRequest,
 		"no answer is kept for the request"))
 	return true
 }
 
+// mayBeStale reports whether another host may own the program by now without
+// this one having noticed, and whether that can be looked up at once.
+func (program *program) mayBeStale() bool {
+	return program.phase == phaseOwned && program.running == nil && program.entry == nil
+}
+
 // kept returns the turn that the call repeats.
 func (program *program) kept(call *call) (int, bool) {
 	if call.Request != "" {
@@ -279,13 +288,15 @@
 }
 
 // doubtOwnership reads the head row when a call is for a later turn than this
-// host expects and nothing is under way.
+// host expects, or asks for an answer that it does not have, and nothing is
+// under way.
 //
 // It guards against a stale owner that has nothing to write and so never
 // learns of its successor: it would refuse the caller's next turns as out of
-// order for as long as the caller keeps asking.
+// order for as long as the caller keeps asking, and not know answers that the
+// caller was given elsewhere.
 func (ledger *Ledger) doubtOwnership(program *program) {
-	if program.phase != phaseOwned || program.running != nil || program.entry != nil || program.reloading {
+	if !program.mayBeStale() || program.reloading {
 		return
 	}
 	doubted := false
--- a/bvledger/start.go
+++ b/bvledger/start.go
@@ -64,7 +64,7 @@
 // takeNext takes the call whose turn it is out of the queue.
 func (program *program) takeNext() *call {
 	for i, call := range program.queue {
-		if call.Turn == 0 || call.Turn == program.nextTurn() {
+		if call.kind == kindCall && (call.Turn == 0 || call.Turn == program.nextTurn()) {
 			program.queue = slices.Delete(program.queue, i, i+1)
 			return call
 		}
--- a/bvpermit/pool.go
+++ b/bvpermit/pool.go
@@ -24,12 +24,14 @@
 }
 
 func newPool(name string, server *Server) *pool {
-	return &pool{
+	pool := &pool{
 		name:      name,
 		server:    server,
 		tickets:   make(map[bvgate.RequestID]*Ticket),
 		addresses: make(map[string]string),
 	}
+	pool.decisions.SetLimits(server.limits)
+	return pool
 }
 
 // update takes over the list of endpoints and the members' shares.
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	server := bvpermit.NewServer(clock, release)
+//	server := bvpermit.NewServer(clock, release, bvgate.Limits{})
 //	server.Update(endpoints, shares)
 //	client := bvpermit.NewClient(clock, view, peers, server)
 //	permit, err := client.Acquire(ctx, ask)
@@ -38,6 +38,7 @@
 type Server struct {
 	clock     bvclock.Clock
 	release   Release
+	limits    bvgate.Limits
 	requests  atomic.Uint64
 	mutex     sync.Mutex
 	pools     map[string]*pool
@@ -46,8 +47,8 @@
 }
 
 // NewServer returns a server without endpoints.
-func NewServer(clock bvclock.Clock, release Release) *Server {
-	return &Server{clock: clock, release: release, pools: make(map[string]*pool)}
+func NewServer(clock bvclock.Clock, release Release, limits bvgate.Limits) *Server {
+	return &Server{clock: clock, release: release, limits: limits, pools: make(map[string]*pool)}
 }
 
 // PoolOf names the pool that an endpoint belongs to: endpoints of one model or
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -142,3 +142,30 @@
 	conversation := newConversation(t, piranKey, "lesson")
 	conversation.sayNext(cluster.daemons[0], "is there wind?")
 }
+
+// Every engine of a model has failed. Callers were told that the model is
+// unknown, for which no client comes back; it is refused as not run, with the
+// time to come back, and answered when an engine is there again.
+func TestModelWithoutEnginesIsRefusedWithATimeToComeBack(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 1, engines: 1, engine: []string{"--instant"}})
+	conversation := newConversation(t, piranKey, "lesson")
+	conversation.say(cluster.daemons[0], "first")
+	cluster.engines[0].kill()
+	conversation.turn++
+	var body string
+	require.Eventually(t, func() bool {
+		var status int
+		status, body = conversation.post(cluster.daemons[0], "next", false)
+		return status == http.StatusServiceUnavailable
+	}, patience, poll)
+	require.Contains(t, body, `"retry_after_ms"`)
+	cluster.startEngine(1, "--instant")
+	require.Eventually(t, func() bool {
+		status, answer := conversation.post(cluster.daemons[0], "next", false)
+		if status == http.StatusOK {
+			conversation.take("next", contentOf(t, answer))
+		}
+		return status == http.StatusOK
+	}, patience, poll)
+}
