bvgate: benchmark decisions for cold requests too

Cause: in the warm benchmark nearly all waiting requests are parked for the endpoint that caches their program (607 of 608 at 76 endpoints), so the members' queues are hardly used.

--- a/bvgate/bench_test.go
+++ b/bvgate/bench_test.go
@@ -8,8 +8,8 @@
 
 // benchmarkDecide measures a request's whole way through a loaded pool: Ask,
 // Tick, Used and Finish, with all slots taken, eight requests waiting for each
-// endpoint and programs that come back to their caches.
-func benchmarkDecide(b *testing.B, count int) {
+// endpoint and programs that come back to their caches or, cold, of one call.
+func benchmarkDecide(b *testing.B, count int, cold bool) {
 	const slots, turns = 16, 12
 	engines := newEngines(count, slots)
 	pool := engines.pool
@@ -23,8 +23,12 @@
 	ask := func() {
 		i := next % len(programs)
 		turn := next / len(programs) % turns
+		program := programs[i]
+		if cold {
+			program = ""
+		}
 		engines.ask(Request{
-			Member: members[i%2], Program: programs[i], Attained: Work(500 * turn),
+			Member: members[i%2], Program: program, Attained: Work(500 * turn),
 			PromptTokens: 600 * (turn + 1), OutputTokens: 60 + i%80, Fingerprint: uint64(next + 1),
 		})
 		next++
@@ -59,6 +63,8 @@
 	}
 }
 
-func BenchmarkDecide76(b *testing.B)   { benchmarkDecide(b, 76) }
-func BenchmarkDecide1000(b *testing.B) { benchmarkDecide(b, 1000) }
-func BenchmarkDecide4200(b *testing.B) { benchmarkDecide(b, 4200) }
+func BenchmarkDecide76(b *testing.B)       { benchmarkDecide(b, 76, false) }
+func BenchmarkDecide1000(b *testing.B)     { benchmarkDecide(b, 1000, false) }
+func BenchmarkDecide4200(b *testing.B)     { benchmarkDecide(b, 4200, false) }
+func BenchmarkDecideCold76(b *testing.B)   { benchmarkDecide(b, 76, true) }
+func BenchmarkDecideCold4200(b *testing.B) { benchmarkDecide(b, 4200, true) }
