--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -69,6 +69,7 @@
 	room              int       // cache of all open endpoints, in tokens
 	held              []*member // whose starts wait for memory
 	backloggedWeight  float64
+	activeWeight      float64 // of the members that wait or run
 	backloggedRunning int
 	runningTotal      int
 	work              average // of a call
@@ -149,6 +150,9 @@
 	queued.program.open++
 	pool.countMemory(queued.program)
 	pool.enter(now, queued.member)
+	if queued.start {
+		queued.member.away.taken.add(now, 1)
+	}
 	queued.line().add(queued)
 	pool.place(queued.member)
 	queued.agesAt = now.Add(ageStep)
