Benchmarks for the capacity page: owners, pools, ledgers and permits by size

Cause: docs/CAPACITY.md needs slopes at three or more sizes for what the decision and ledger benchmarks do not cover. Change: heap per program of a pool, heap and processor time of a ledger over turns, cost of finding a host over the length of the list, bytes of a permit.

--- /dev/null
+++ b/bvexperiment/capacity_test.go
@@ -0,0 +1,246 @@
+package bvexperiment_test
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvplatform"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+)
+
+// The benchmarks of this file give the slopes of docs/CAPACITY.md.
+
+func withSizes(b *testing.B, name string, sizes []int, run func(b *testing.B, size int)) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%s=%d", name, size), func(b *testing.B) { run(b, size) })
+	}
+}
+
+// heap is what build leaves on the heap.
+func heap(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkCapacityCandidates is the cost of finding an owner or a deciding
+// host.
+func BenchmarkCapacityCandidates(b *testing.B) {
+	withSizes(b, "hosts", []int{13, 100, 730}, func(b *testing.B, size int) {
+		hosts := make([]bvplatform.Host, size)
+		for at := range hosts {
+			hosts[at] = bvplatform.Host{Name: fmt.Sprintf("host-%d", at), State: bvplatform.HostLive}
+		}
+		view := &bvhost.View{}
+		view.SetSelf(hosts[0])
+		view.Update(1, hosts)
+		b.ReportAllocs()
+		for b.Loop() {
+			view.Candidates(1, "program/piran/p1")
+		}
+	})
+}
+
+const programsPerEngine = 33 // 140,000 programs before 4,200 engines
+
+// BenchmarkCapacityPoolMemory is what a pool keeps, with programs that pause.
+func BenchmarkCapacityPoolMemory(b *testing.B) {
+	withSizes(b, "engines", []int{19, 76, 304}, func(b *testing.B, size int) {
+		programs := size * programsPerEngine
+		bytes := 0.0
+		for b.Loop() {
+			bytes = heap(func() any { return filledPool(b, size, programs) })
+		}
+		b.ReportMetric(bytes, "heap-B")
+		b.ReportMetric(bytes/float64(programs), "B/program")
+	})
+}
+
+func filledPool(b *testing.B, engines, programs int) *bvgate.Pool {
+	pool := &bvgate.Pool{}
+	pool.SetMembers([]bvgate.MemberShare{{Member: "piran", Weight: 1}})
+	for at := range engines {
+		pool.Report(1, bvgate.EndpointReport{Name: fmt.Sprintf("engine-%d", at), Slots: 64, CacheTokens: 1_000_000})
+	}
+	for at := range programs {
+		id := bvgate.RequestID(at + 1)
+		pool.Ask(1, bvgate.Request{
+			ID: id, Member: "piran", Program: fmt.Sprintf("p-%d", at),
+			PromptTokens: 2000, OutputTokens: 100, Fingerprint: uint64(id),
+		})
+		if len(pool.Tick(1)) != 1 {
+			b.Fatal("not granted")
+		}
+		pool.Used(1, id)
+		pool.Finish(1, bvgate.Finish{ID: id, PromptTokens: 2000, OutputTokens: 100, Pause: bvclock.Second})
+	}
+	return pool
+}
+
+// keeper drives a ledger with a store that takes everything at once.
+type keeper struct {
+	ledger  *bvledger.Ledger
+	version int64
+	lastID  bvledger.CallID
+	written int
+	writes  int
+}
+
+func newKeeper() *keeper {
+	return &keeper{ledger: bvledger.New("host-1/1")}
+}
+
+// turn carries one call of a program out and returns whether it was answered.
+func (keeper *keeper) turn(now bvclock.Time, program string, turn int, message []byte) bool {
+	keeper.lastID++
+	keeper.ledger.Submit(now, bvledger.Call{
+		ID: keeper.lastID, Key: bvledger.ProgramKey{Member: "piran", Program: program},
+		Request: fmt.Sprintf("r-%d", turn), Turn: turn, Digest: "d", Messages: message, Cost: 100,
+	})
+	answered := false
+	for effects := keeper.ledger.Tick(now); len(effects) > 0; effects = keeper.ledger.Tick(now) {
+		for _, effect := range effects {
+			answered = keeper.carryOut(now, effect, message) || answered
+		}
+	}
+	return answered
+}
+
+func (keeper *keeper) carryOut(now bvclock.Time, effect bvledger.Effect, message []byte) bool {
+	switch effect := effect.(type) {
+	case bvledger.Load:
+		rows := make([]bvplatform.Row, len(effect.Keys))
+		for at, key := range effect.Keys {
+			rows[at].Key = key
+		}
+		keeper.ledger.Loaded(now, effect.Key, rows, nil)
+	case bvledger.Commit:
+		keeper.version++
+		keeper.writes++
+		for _, put := range effect.Entry.Puts {
+			keeper.written += len(put.Key) + len(put.Value)
+		}
+		keeper.ledger.Committed(now, effect.Entry.ID, keeper.version, nil)
+	case bvledger.Start:
+		keeper.ledger.MayStart(now, effect.Call)
+		keeper.ledger.Finish(now, effect.Call, bvledger.Result{
+			Answer: message, Message: message, Spent: 100, Endpoint: "engine-1",
+		})
+	case bvledger.Answer:
+		return true
+	}
+	return false
+}
+
+// message is a JSON array of one message of about a size.
+func message(size int) []byte {
+	return []byte(fmt.Sprintf(`[{"role":"user","content":"%s"}]`, bytes.Repeat([]byte("a"), size)))
+}
+
+// BenchmarkCapacityLedgerTurn is the cost of one more turn of a program with a
+// history of some turns of 2,000 bytes, and what it writes. A turn's answer is
+// of the same size.
+func BenchmarkCapacityLedgerTurn(b *testing.B) {
+	withSizes(b, "turns", []int{10, 65, 260}, func(b *testing.B, size int) {
+		keeper := newKeeper()
+		content := message(2000)
+		next := 1
+		for ; next <= size; next++ {
+			require.True(b, keeper.turn(1, "p", next, content))
+		}
+		keeper.written, keeper.writes = 0, 0
+		turns := 0
+		b.ReportAllocs()
+		for b.Loop() {
+			if turns == size {
+				// A program stays near the size that is measured.
+				b.StopTimer()
+				keeper = newKeeper()
+				for next = 1; next <= size; next++ {
+					keeper.turn(1, "p", next, content)
+				}
+				keeper.written, keeper.writes, turns = 0, 0, 0
+				b.StartTimer()
+			}
+			keeper.turn(1, "p", next, content)
+			next++
+			turns++
+		}
+		b.ReportMetric(float64(keeper.written)/float64(max(turns, 1)), "written-B/turn")
+		b.ReportMetric(float64(keeper.writes)/float64(max(turns, 1)), "entries/turn")
+	})
+}
+
+// BenchmarkCapacityLedgerMemory is what a ledger keeps of its programs: 192
+// programs are a daemon's part of 140,000.
+func BenchmarkCapacityLedgerMemory(b *testing.B) {
+	const programs = 192
+	content := message(2000)
+	withSizes(b, "turns", []int{4, 16, 64}, func(b *testing.B, size int) {
+		kept := 0.0
+		for b.Loop() {
+			kept = heap(func() any {
+				keeper := newKeeper()
+				for program := range programs {
+					for turn := 1; turn <= size; turn++ {
+						if !keeper.turn(1, fmt.Sprintf("p-%d", program), turn, content) {
+							b.Fatal("not answered")
+						}
+					}
+				}
+				return keeper
+			})
+		}
+		b.ReportMetric(kept/programs, "B/program")
+	})
+}
+
+// BenchmarkCapacityPermitBytes is the payload of a permit between owner and
+// deciding host, without the frames of gRPC and TCP.
+func BenchmarkCapacityPermitBytes(b *testing.B) {
+	size := 0
+	for b.Loop() {
+		size = permitBytes()
+	}
+	b.ReportMetric(float64(size), "B/call")
+}
+
+func permitBytes() int {
+	ask := &bvpeer.PermitAsk{
+		Pool: "model-1/zone-07/shard-3", Member: "piran", Class: "booking",
+		Program: "0198f7c2-7e0a-7d1c-9f55-3a1d6c0b1f42", Priority: 1, Attained: 12345, PromptTokens: 40_000,
+		OutputTokens: 300, HistoryFrom: "engine-zone-07-0042", HistoryHeld: 39_000, Fingerprint: 1 << 60, DeadlineMs: 30_000,
+	}
+	events := []proto.Message{
+		&bvpeer.PermitEvent{Event: &bvpeer.PermitEvent_Ask{Ask: ask}},
+		&bvpeer.PermitDecision{Decision: &bvpeer.PermitDecision_Grant{Grant: &bvpeer.PermitGrant{
+			Endpoint: "engine-zone-07-0042", Address: "10.117.42.17:8000", LapseMs: 2000,
+		}}},
+		&bvpeer.PermitEvent{Event: &bvpeer.PermitEvent_Used{Used: &bvpeer.PermitUsed{}}},
+		&bvpeer.PermitEvent{Event: &bvpeer.PermitEvent_Finish{Finish: &bvpeer.PermitFinish{
+			PromptTokens: 40_000, CachedTokens: 39_000, OutputTokens: 300, PauseMs: 500,
+		}}},
+	}
+	total := 0
+	for _, event := range events {
+		total += proto.Size(event)
+	}
+	return total
+}
+
+func TestCapacityPermitIsSmall(t *testing.T) {
+	require.Less(t, permitBytes(), 400)
+}
