--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -20,8 +20,10 @@
 type member struct {
 	name       string
 	share      MemberShare
-	queue      queue
-	queued     int // all waiting requests, also those that are not in queue
+	queue      queue // of programs under way
+	starts     queue // of those that would begin
+	held       bool  // has only starts, which wait for memory
+	queued     int   // all waiting requests, also those that are not in queue
 	running    int
 	parkedWork Work // of requests that wait for one endpoint
 	// virtual is the work that was granted, divided by the weight. The member
@@ -29,6 +31,7 @@
 	virtual float64
 	index   int // in the heap of members, from 1; 0 when it may not be served
 	flow    flow
+	served  Work    // in all, for status
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
@@ -127,7 +130,7 @@
 }
 
 func (member *member) servable() bool {
-	return member.queue.len > 0 && !member.atConcurrency() && !member.atRate()
+	return member.lines() > 0 && !member.held && !member.atConcurrency() && !member.atRate()
 }
 
 func (member *member) atConcurrency() bool {
@@ -177,6 +180,7 @@
 func (pool *Pool) charge(now bvclock.Time, charged *member, work Work) {
 	charged.flow.add(now, work)
 	charged.virtual += float64(work) / charged.weight()
+	charged.served += work
 	pool.place(charged)
 }
 
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -23,6 +23,7 @@
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvtable"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -140,6 +141,13 @@
 // Run runs one call. Its events go to send; its error is a *bvverdict.Error.
 // When ctx ends, a call that has started goes on and its answer is kept.
 func (owner *Owner) Run(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error {
+	ctx, span := bvtrace.Start(ctx, "session", bvtrace.Program(call.GetMember(), call.GetProgram()))
+	err := owner.runSession(ctx, call, send)
+	span.End(err)
+	return err
+}
+
+func (owner *Owner) runSession(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error {
 	session, err := owner.open(ctx, call)
 	if err != nil {
 		return err
@@ -196,6 +204,13 @@
 	return owner.ledger.Programs() == 0
 }
 
+// Members counts the programs that this host owns by member.
+func (owner *Owner) Members() []bvledger.MemberCount {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	return owner.ledger.Members()
+}
+
 // Reclaim ends programs that nobody ends: rows are all head rows, and live
 // tells whether the owner of a row still runs.
 func (owner *Owner) Reclaim(rows []bvplatform.Row, live func(owner string) bool) {
@@ -270,6 +285,7 @@
 		}
 		session.deadline = deadlineOf(now, call)
 		owner.register(session)
+		session.enter("order")
 		owner.ledger.Submit(now, session.ledgerCall())
 	})
 	if declined {
