--- /dev/null
+++ b/bvexperiment/capacity_peer_test.go
@@ -0,0 +1,116 @@
+package bvexperiment_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvplatform"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+)
+
+const capacityModel = "model-1"
+
+// permitService is a peer that only decides.
+type permitService struct {
+	bvpeer.UnimplementedPeerServer
+	permits *bvpermit.Server
+}
+
+func (service *permitService) Permit(stream bvpeer.Peer_PermitServer) error {
+	return service.permits.Serve(stream)
+}
+
+func (service *permitService) Status(context.Context, *bvpeer.StatusRequest) (*bvpeer.StatusReply, error) {
+	return &bvpeer.StatusReply{}, nil
+}
+
+// startPeer returns the address of a peer that decides for some engines.
+func startPeer(b *testing.B, engines int) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	permits := bvpermit.NewServer(bvclock.Boot(), func(string, string, string) bool { return true })
+	endpoints := make([]bvplatform.Endpoint, engines)
+	for at := range endpoints {
+		endpoints[at] = bvplatform.Endpoint{
+			Name: fmt.Sprintf("engine-%d", at), Serves: capacityModel, Address: "127.0.0.1:1", Slots: 64, CacheTokens: 1_000_000,
+		}
+	}
+	permits.Update(endpoints, nil)
+	server := grpc.NewServer(bvpeer.ServerOptions(nil, nil)...)
+	bvpeer.RegisterPeerServer(server, &permitService{permits: permits})
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkCapacityPermit is a permit over gRPC on loopback from ask to finish.
+// The processor time is that of both hosts together.
+func BenchmarkCapacityPermit(b *testing.B) {
+	withSizes(b, "engines", []int{19, 76, 304}, func(b *testing.B, size int) {
+		decider := bvplatform.Host{Name: "decider", PeerAddress: startPeer(b, size), State: bvplatform.HostLive}
+		view := &bvhost.View{}
+		view.Update(1, []bvplatform.Host{decider})
+		peers := &bvpeer.Pool{}
+		defer peers.Close()
+		client := bvpermit.NewClient(bvclock.Boot(), view, peers, nil)
+		before := processorTime()
+		calls := 0
+		for b.Loop() {
+			calls++
+			permit, err := client.Acquire(context.Background(), &bvpeer.PermitAsk{
+				Pool: bvpermit.PoolName(bvplatform.Engine, capacityModel), Member: "piran",
+				Program: fmt.Sprintf("p-%d", calls%(size*programsPerEngine)), PromptTokens: 2000, OutputTokens: 100,
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			permit.Use()
+			permit.Finish(&bvpeer.PermitFinish{PromptTokens: 2000, OutputTokens: 100, PauseMs: 500})
+		}
+		used := processorTime() - before
+		b.ReportMetric(float64(used.Microseconds())/float64(calls), "cpu-us/call")
+	})
+}
+
+// BenchmarkCapacityConnections is what an idle connection keeps on the heap of
+// both hosts together.
+func BenchmarkCapacityConnections(b *testing.B) {
+	withSizes(b, "peers", []int{10, 50, 200}, func(b *testing.B, size int) {
+		addresses := make([]string, size)
+		for at := range addresses {
+			addresses[at] = startPeer(b, 1)
+		}
+		kept := 0.0
+		for b.Loop() {
+			peers := &bvpeer.Pool{}
+			kept = heap(func() any {
+				for _, address := range addresses {
+					peer, err := peers.Peer(address)
+					require.NoError(b, err)
+					_, err = peer.Status(context.Background(), &bvpeer.StatusRequest{})
+					require.NoError(b, err)
+				}
+				return peers
+			})
+			peers.Close()
+		}
+		b.ReportMetric(kept/float64(size), "B/connection")
+	})
+}
