--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -161,11 +161,12 @@
 	}, patience, poll)
 	require.Contains(t, body, `"retry_after_ms"`)
 	cluster.startEngine(1, "--instant")
+	var answer string
 	require.Eventually(t, func() bool {
-		status, answer := conversation.post(cluster.daemons[0], "next", false)
-		if status == http.StatusOK {
-			conversation.take("next", contentOf(t, answer))
-		}
+		var status int
+		status, answer = conversation.post(cluster.daemons[0], "next", false)
+		if status != http.StatusOK { t.Log(status, answer) }
 		return status == http.StatusOK
 	}, patience, poll)
+	conversation.take("next", contentOf(t, answer))
 }
--- a/bvprocess/process_test.go
+++ b/bvprocess/process_test.go
@@ -18,6 +18,9 @@
 // verdict but that of a process which never starts.
 const startLimit = 20 * time.Second
 
+// dumpTime is what a process gets to write its goroutines.
+const dumpTime = 500 * time.Millisecond
+
 // process is a child process.
 type process struct {
 	t       *testing.T
@@ -59,7 +62,13 @@
 	return process
 }
 
+// cleanUp ends the process. After a failure it leaves its goroutines in the
+// log, which show what it was waiting for.
 func (process *process) cleanUp(log *os.File) {
+	if process.t.Failed() {
+		process.signal(syscall.SIGQUIT)
+		time.Sleep(dumpTime)
+	}
 	process.kill()
 	if process.t.Failed() {
 		content, _ := os.ReadFile(log.Name())
