logs: one id through all hops, and nothing of any member in them

Cause: no line told what became of a request, and the few that there were (a release that was not confirmed, a list that could not be read) came again with each request or each second.

Change: entry, owner, permit's asker and decider each write a debug line with the trace id, which a request has whether or not spans are exported; it goes between hosts in the gRPC metadata field traceparent and to the caller in the header Bv-Trace. Errors are logged by verdict and code alone: reasons and causes can quote a caller. No line has a member's name, a program's id or a prompt. A host that is lost is one warning, not one a call; an outage of the lists is a line at its beginning and one at its end. What net/http writes by itself goes to the log (debug; panics error).

Ruled out: the caller's Bv-Request as the id in logs; callers choose it, so that it can hold anything.

--- a/bvcaller/api.go
+++ b/bvcaller/api.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	api := bvcaller.New(bvcaller.Parts{Entry: entry, Policy: policy, Ring: ring, BodyLimit: 16 << 20, Measure: counters})
+//	api := bvcaller.New(bvcaller.Parts{Entry: entry, Policy: policy, Ring: ring, BodyLimit: 16 << 20, Measure: counters, Log: log})
 //	server := &http.Server{Handler: api.Handler()}
 //
 // # Headers
@@ -18,12 +18,16 @@
 //	Bv-Deadline-Ms   how long the caller will wait
 //	Bv-Unrepeatable  true: the request runs at most once
 //	Bv-History       append (default): the body has only new messages; full: all
+//
+// Each answer bears Bv-Trace, the id by which its request stands in the log
+// lines of all hosts.
 package bvcaller
 
 import (
 	"context"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -54,6 +58,7 @@
 	Ring      *bvkey.Ring
 	BodyLimit int64 // in bytes
 	Measure   Measure
+	Log       logrus.FieldLogger
 	Tracers   trace.TracerProvider // nil: no spans
 }
 
@@ -64,6 +69,7 @@
 	ring      *bvkey.Ring
 	bodyLimit int64
 	measure   Measure
+	log       logrus.FieldLogger
 	tracers   trace.TracerProvider
 }
 
@@ -85,6 +91,7 @@
 		ring:      parts.Ring,
 		bodyLimit: parts.BodyLimit,
 		measure:   parts.Measure,
+		log:       parts.Log,
 		tracers:   tracers,
 	}
 }
--- a/bvcaller/failure.go
+++ b/bvcaller/failure.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -37,7 +38,7 @@
 // fail writes a typed error with its verdict. The cause stays out of it: it
 // can name another member's endpoint or program.
 func (api *API) fail(writer http.ResponseWriter, request *http.Request, err error) {
-	api.measure.Refused(memberOf(request), err)
+	api.refused(request, err)
 	verdict := bvverdict.From(err)
 	writer.Header().Set("Content-Type", "application/json")
 	if verdict.RetryAfter() > 0 {
@@ -51,6 +52,12 @@
 	_, _ = writer.Write(failureBody(verdict))
 }
 
+// refused counts and logs an error that a caller gets.
+func (api *API) refused(request *http.Request, err error) {
+	api.measure.Refused(memberOf(request), err)
+	bvtrace.LogEnd(bvtrace.Log(request.Context(), api.log), "caller was refused", err)
+}
+
 func failureBody(verdict *bvverdict.Error) []byte {
 	body, err := json.Marshal(struct {
 		Error any `json:"error"`
--- a/bvcaller/request.go
+++ b/bvcaller/request.go
@@ -12,6 +12,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvkey"
 	"balsamvalve.example/bvpeer"
+	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -25,6 +26,7 @@
 	headerDeadline     = "Bv-Deadline-Ms"
 	headerUnrepeatable = "Bv-Unrepeatable"
 	headerHistory      = "Bv-History"
+	headerTrace        = "Bv-Trace" // of an answer
 )
 
 // maxName bounds ids that callers choose, in bytes.
@@ -38,6 +40,7 @@
 // member lets only requests with a member's key through.
 func (api *API) member(next memberHandler) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(headerTrace, bvtrace.ID(request.Context()))
 		member, role, found := api.ring.Find(bearer(request))
 		if !found || role != bvkey.Caller {
 			api.fail(writer, request, bvverdict.Refuse(bvverdict.Unauthorized, "no member has this key"))
--- a/bvcaller/stream.go
+++ b/bvcaller/stream.go
@@ -73,7 +73,7 @@
 		api.fail(stream.writer, request, err)
 		return
 	}
-	api.measure.Refused(memberOf(request), err)
+	api.refused(request, err)
 	_ = stream.write(failureBody(bvverdict.From(err)))
 }
 
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -110,35 +110,40 @@
 
 func (daemon *Daemon) build() {
 	client := &bvendpoint.Client{Progress: daemon.settings.SilenceLimit()}
-	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client))
+	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client), daemon.log)
 	daemon.commits = newCommitLoop(daemon)
 	daemon.owner = bvowner.New(ownerName(daemon.view.Self()), bvowner.Parts{
 		Clock:     daemon.clock,
 		Store:     daemon.platform,
 		Committer: daemon.commits,
-		Permits:   bvpermit.NewClient(daemon.clock, daemon.view, daemon.peers, daemon.permits),
+		Permits:   bvpermit.NewClient(daemon.clock, daemon.view, daemon.peers, daemon.permits, daemon.log),
 		Endpoints: client,
 		Addresses: daemon.endpoints,
 		Rows:      daemon.table,
 		Log:       daemon.log,
 	})
-	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner, daemon.measures)
+	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner, daemon.measures, daemon.log)
 	api := bvcaller.New(bvcaller.Parts{
 		Entry:     daemon.entry,
 		Policy:    daemon.table,
 		Ring:      daemon.settings.Ring(),
 		BodyLimit: daemon.settings.BodyLimit(),
 		Measure:   daemon.measures,
+		Log:       daemon.log,
 		Tracers:   daemon.traces.Tracers(),
 	})
-	daemon.caller = newHTTPServer(api.Handler())
-	daemon.operator = newHTTPServer(daemon.operatorHandler())
+	daemon.caller = daemon.newHTTPServer(api.Handler())
+	daemon.operator = daemon.newHTTPServer(daemon.operatorHandler())
 	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials(), daemon.traces.Tracers())...)
 	bvpeer.RegisterPeerServer(daemon.peer, &peerService{daemon: daemon})
 }
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout.Std()}
+func (daemon *Daemon) newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout.Std(),
+		ErrorLog:          newServerLog(daemon.log),
+	}
 }
 
 // headerTimeout bounds how long a client may take to send its headers. Without
--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -13,21 +13,23 @@
 // follow keeps the lists of hosts and endpoints up to date. When the platform
 // is out, the last lists stay: what this host sees itself corrects them.
 func (daemon *Daemon) follow(ctx context.Context) {
+	hosts := outage{what: "platform's list of hosts"}
+	endpoints := outage{what: "platform's list of endpoints"}
+	own := outage{what: "platform's list of hosts, for this host's entry,"}
 	for ctx.Err() == nil {
-		daemon.announce(ctx)
-		daemon.followHosts(ctx)
-		daemon.followEndpoints(ctx)
+		own.note(daemon.log, daemon.announce(ctx))
+		hosts.note(daemon.log, daemon.followHosts(ctx))
+		endpoints.note(daemon.log, daemon.followEndpoints(ctx))
 		sleep(ctx, daemon.settings.PollInterval())
 	}
 }
 
-func (daemon *Daemon) followHosts(ctx context.Context) {
+func (daemon *Daemon) followHosts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Std())
 	defer cancel()
 	hosts, err := daemon.platform.Hosts(ctx)
 	if err != nil {
-		daemon.log.WithError(err).Warn("list of hosts could not be read")
-		return
+		return err
 	}
 	daemon.view.Update(daemon.clock.Now(), hosts)
 	daemon.measures.Set("hosts", int64(len(daemon.view.Hosts())))
@@ -37,19 +39,20 @@
 		addresses[host.PeerAddress] = true
 	}
 	daemon.peers.Retain(addresses)
+	return nil
 }
 
-func (daemon *Daemon) followEndpoints(ctx context.Context) {
+func (daemon *Daemon) followEndpoints(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Std())
 	defer cancel()
 	endpoints, err := daemon.platform.Endpoints(ctx)
 	if err != nil {
-		daemon.log.WithError(err).Warn("list of endpoints could not be read")
-		return
+		return err
 	}
 	daemon.endpoints.update(endpoints)
 	daemon.shareTable()
 	daemon.ready.Store(daemon.view.Self().State == bvplatform.HostLive)
+	return nil
 }
 
 // shareTable gives the decisions the endpoints and the shares in force.
--- a/bvdaemon/reclaim.go
+++ b/bvdaemon/reclaim.go
@@ -26,6 +26,9 @@
 			continue
 		}
 		rows, err := daemon.headRows(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			daemon.log.WithError(err).Warn("programs could not be scanned")
 			continue
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -68,7 +68,9 @@
 	daemon.ready.Store(false)
 	daemon.owner.Leave()
 	daemon.view.SetSelf(daemon.self(bvplatform.HostLeaving))
-	daemon.announce(limit)
+	if err := daemon.announce(limit); err != nil {
+		daemon.log.WithError(err).Warn("the stop could not be announced")
+	}
 	sleep(limit, leaveTime)
 	_ = daemon.caller.Shutdown(limit)
 	daemon.waitForCalls(limit)
@@ -123,10 +125,8 @@
 	}
 }
 
-func (daemon *Daemon) announce(ctx context.Context) {
+func (daemon *Daemon) announce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTime.Std())
 	defer cancel()
-	if err := daemon.platform.Announce(ctx, daemon.view.Self()); err != nil {
-		daemon.log.WithError(err).Warn("host could not be announced")
-	}
+	return daemon.platform.Announce(ctx, daemon.view.Self())
 }
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	entry := bventry.New(clock, view, peers, owner)
+//	entry := bventry.New(clock, view, peers, owner, counters, log)
 //	err := entry.Run(ctx, call, func(event *bvpeer.CallEvent) error {
 //		return forward(event)
 //	})
@@ -14,6 +14,8 @@
 	"errors"
 	"io"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvpeer"
@@ -43,6 +45,7 @@
 	peers *bvpeer.Pool
 	owner Owner
 	count Count
+	log   logrus.FieldLogger
 }
 
 // Count counts how often something happened.
@@ -51,8 +54,8 @@
 }
 
 // New returns an entry; owner is this host's own.
-func New(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, owner Owner, count Count) *Entry {
-	return &Entry{clock: clock, view: view, peers: peers, owner: owner, count: count}
+func New(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, owner Owner, count Count, log logrus.FieldLogger) *Entry {
+	return &Entry{clock: clock, view: view, peers: peers, owner: owner, count: count, log: log}
 }
 
 // Run carries a call to its owner and hands each token and the final answer
@@ -104,11 +107,12 @@
 		askContext, span := bvtrace.Start(ctx, "relay", bvtrace.Program(member, program), bvtrace.Host(host.Name))
 		err := ask(askContext, host)
 		span.End(err)
+		bvtrace.LogEnd(bvtrace.Log(askContext, entry.log).WithField("owner", host.Name), "owner asked", err)
 		if ctx.Err() != nil {
 			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
 		}
 		if lost := new(lostError); errors.As(err, &lost) {
-			entry.view.Distrust(entry.clock.Now(), host.Name)
+			entry.distrust(host)
 			entry.count.Add("lost_owners", 1)
 			loss = err
 			continue
@@ -125,6 +129,12 @@
 	return noOwner(loss)
 }
 
+func (entry *Entry) distrust(host bvplatform.Host) {
+	if entry.view.Distrust(entry.clock.Now(), host.Name) {
+		entry.log.WithField("host", host.Name).Warn("host was lost during a call")
+	}
+}
+
 func isNotOwner(err error) bool {
 	return err != nil && bvverdict.From(err).Code() == bvverdict.NotOwner
 }
--- a/bvhost/view.go
+++ b/bvhost/view.go
@@ -65,14 +65,17 @@
 }
 
 // Distrust notes that a host could not be reached. The list shows a dead host
-// for seconds; without this, each call in that time would try it first.
-func (view *View) Distrust(now bvclock.Time, name string) {
+// for seconds; without this, each call in that time would try it first. It
+// reports whether the host was trusted until now.
+func (view *View) Distrust(now bvclock.Time, name string) bool {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	if view.distrusted == nil {
 		view.distrusted = make(map[string]bvclock.Time)
 	}
+	until, found := view.distrusted[name]
 	view.distrusted[name] = now.Add(distrustTime)
+	return !found || now.After(until)
 }
 
 // Trust notes that a host answered.
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -144,6 +144,7 @@
 	ctx, span := bvtrace.Start(ctx, "session", bvtrace.Program(call.GetMember(), call.GetProgram()))
 	err := owner.runSession(ctx, call, send)
 	span.End(err)
+	bvtrace.LogEnd(bvtrace.Log(ctx, owner.parts.Log), "call ended", err)
 	return err
 }
 
--- a/bvowner/release.go
+++ b/bvowner/release.go
@@ -6,6 +6,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvledger"
 	"balsamvalve.example/bvpermit"
+	"balsamvalve.example/bvtrace"
 )
 
 // releaseTimeout bounds one order to one endpoint; the ledger repeats it.
@@ -47,8 +48,6 @@
 	}
 	owner.parts.Permits.EndProgram(ctx, bvpermit.PoolOf(endpoint), key.Member, key.Program)
 	err := owner.parts.Endpoints.Release(ctx, endpoint.Address, key.Member, key.Program)
-	if err != nil {
-		owner.parts.Log.WithError(err).WithField("endpoint", name).Warn("cache release not confirmed, will be repeated")
-	}
+	bvtrace.LogEnd(owner.parts.Log.WithField("endpoint", name), "cache release asked for", err)
 	return err == nil
 }
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvpeer"
@@ -25,11 +27,12 @@
 	view  *bvhost.View
 	peers *bvpeer.Pool
 	local *Server
+	log   logrus.FieldLogger
 }
 
 // NewClient returns a client; local decides for the pools of this host.
-func NewClient(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, local *Server) *Client {
-	return &Client{clock: clock, view: view, peers: peers, local: local}
+func NewClient(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, local *Server, log logrus.FieldLogger) *Client {
+	return &Client{clock: clock, view: view, peers: peers, local: local, log: log}
 }
 
 // Permit lets its holder make one call.
@@ -86,6 +89,11 @@
 	ctx, span := bvtrace.Start(ctx, "permit")
 	permit, err := client.acquire(ctx, ask)
 	span.End(err)
+	log := bvtrace.Log(ctx, client.log).WithField("pool", ask.GetPool())
+	if err == nil {
+		log = log.WithField("endpoint", permit.Endpoint())
+	}
+	bvtrace.LogEnd(log, "permit asked for", err)
 	return permit, err
 }
 
@@ -106,12 +114,18 @@
 		if ctx.Err() != nil {
 			return nil, bvverdict.Refuse(bvverdict.Canceled, "given up before a permit was granted").WithCause(ctx.Err())
 		}
-		client.view.Distrust(client.clock.Now(), host.Name)
+		client.distrust(host.Name)
 	}
 	return nil, bvverdict.Refuse(bvverdict.Overloaded, "no host that decides for %s could be reached", ask.GetPool()).
 		WithRetryAfter(retryAfterNoDecider)
 }
 
+func (client *Client) distrust(host string) {
+	if client.view.Distrust(client.clock.Now(), host) {
+		client.log.WithField("host", host).Warn("deciding host can't be reached")
+	}
+}
+
 // askHost asks one host; reached is false when the host gave no decision.
 func (client *Client) askHost(ctx context.Context, host bvplatform.Host, ask *bvpeer.PermitAsk) (permit *Permit, reached bool, err error) {
 	if host.Name == client.view.Self().Name {
--- a/bvpermit/line.go
+++ b/bvpermit/line.go
@@ -109,7 +109,7 @@
 		return remoteLine{}, false
 	}
 	client := permit.client
-	client.view.Distrust(client.clock.Now(), lost.host.Name)
+	client.distrust(lost.host.Name)
 	permit.line = client.adopt(context.Background(), permit.ask, permit.endpoint)
 	next, watched = permit.line.(remoteLine)
 	return next, watched
@@ -130,7 +130,7 @@
 		if err == nil {
 			return line
 		}
-		client.view.Distrust(client.clock.Now(), host.Name)
+		client.distrust(host.Name)
 	}
 	return noLine{}
 }
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -8,9 +8,9 @@
 //
 // # Usage
 //
-//	server := bvpermit.NewServer(clock, release)
+//	server := bvpermit.NewServer(clock, release, log)
 //	server.Update(endpoints, shares)
-//	client := bvpermit.NewClient(clock, view, peers, server)
+//	client := bvpermit.NewClient(clock, view, peers, server, log)
 //	permit, err := client.Acquire(ctx, ask)
 //	permit.Use()
 //	defer permit.Finish(outcome)
@@ -22,6 +22,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvpeer"
@@ -38,6 +40,7 @@
 type Server struct {
 	clock     bvclock.Clock
 	release   Release
+	log       logrus.FieldLogger
 	requests  atomic.Uint64
 	mutex     sync.Mutex
 	pools     map[string]*pool
@@ -46,8 +49,8 @@
 }
 
 // NewServer returns a server without endpoints.
-func NewServer(clock bvclock.Clock, release Release) *Server {
-	return &Server{clock: clock, release: release, pools: make(map[string]*pool)}
+func NewServer(clock bvclock.Clock, release Release, log logrus.FieldLogger) *Server {
+	return &Server{clock: clock, release: release, log: log, pools: make(map[string]*pool)}
 }
 
 // PoolOf names the pool that an endpoint belongs to: endpoints of one model or
@@ -147,6 +150,8 @@
 	select {
 	case decision := <-ticket.Decision():
 		granted := decision.GetGrant() != nil
+		bvtrace.LogEnd(bvtrace.Log(stream.Context(), server.log).WithField("endpoint", decision.GetGrant().GetEndpoint()),
+			"permit decided", errorOf(decision))
 		if err := stream.Send(decision); err != nil {
 			ticket.Finish(unused())
 			return false
@@ -159,6 +164,14 @@
 	}
 }
 
+// errorOf returns the refusal of a decision; nil if it is a grant.
+func errorOf(decision *bvpeer.PermitDecision) error {
+	if failure := decision.GetRefusal(); failure != nil {
+		return bvpeer.ErrorOf(failure)
+	}
+	return nil
+}
+
 // follow keeps a granted permit until its owner reports the end. When the
 // stream breaks without a report, the owner is gone, or has lost this host and
 // asks another one to adopt the call: either way the slot is given back here.
--- a/bvprocess/process_test.go
+++ b/bvprocess/process_test.go
@@ -24,6 +24,7 @@
 	name    string
 	command *exec.Cmd
 	line    string // its first line of output
+	log     string // path of what it wrote to stderr
 	exited  chan error
 }
 
@@ -39,7 +40,7 @@
 	output, err := command.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, command.Start())
-	process := &process{t: t, name: name, command: command, exited: make(chan error, 1)}
+	process := &process{t: t, name: name, command: command, log: log.Name(), exited: make(chan error, 1)}
 	lines := make(chan string, 1)
 	go func() {
 		reader := bufio.NewScanner(output)
