--- a/bvexperiment/scenario.go
+++ b/bvexperiment/scenario.go
@@ -103,6 +103,7 @@
 // Scenarios returns all scenarios in the order of the report.
 func Scenarios() []*Scenario {
 	return []*Scenario{
+		unloaded(),
 		usual("load-0.50", "both mixes at half of what the pool can do", 0.5),
 		usual(nameLoad80, "both mixes at load 0.8", 0.8),
 		usual("load-0.95", "both mixes at load 0.95", 0.95),
@@ -119,9 +120,26 @@
 		poison(),
 		weekly(),
 		endpointDecision(),
+		endpointDecisionInFlood(),
 	}
 }
 
+// unloaded has four times the engines for the programs of load 0.8: what is
+// left of the latency there no policy can take away.
+func unloaded() *Scenario {
+	const times = 4
+	scenario := usual(nameUnloaded, "the programs of load 0.8 before four times the engines", 0)
+	pool := scenario.pool
+	scenario.pool.engines *= times
+	scenario.programs = func(seed uint64) []*spec {
+		return byArrival(
+			piranMix().arrivals(seed, 0.4, pool, 0, scenario.end()),
+			brindleyMix().arrivals(seed, 0.4, pool, 0, scenario.end()),
+		)
+	}
+	return scenario
+}
+
 // backlog has both members ask for more than the whole pool, with weights 3
 // to 1.
 func backlog() *Scenario {
@@ -234,7 +252,18 @@
 
 // endpointDecision compares the ways to decide for an endpoint.
 func endpointDecision() *Scenario {
-	scenario := usual("endpoint-decision", "load 0.9, 13 hosts, reports 1 s late: who decides for an endpoint", 0.9)
+	scenario := usual("decision-0.90", "load 0.9, 13 hosts, reports 1 s late: who decides for an endpoint", 0.9)
+	scenario.reports = reports{every: 1 * bvclock.Second, lag: 1 * bvclock.Second}
+	scenario.contenders = decisionContenders()
+	return scenario
+}
+
+// endpointDecisionInFlood compares them where a rival asks for three times the
+// pool.
+func endpointDecisionInFlood() *Scenario {
+	scenario := flood()
+	scenario.name = "decision-flood"
+	scenario.about = "the flood with 13 hosts, reports 1 s late: who decides for an endpoint"
 	scenario.reports = reports{every: 1 * bvclock.Second, lag: 1 * bvclock.Second}
 	scenario.contenders = decisionContenders()
 	return scenario
--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -53,8 +53,11 @@
 	}
 	pool.calls[begun.request.ID] = begun
 	begun.grantedAt = now
+	begun.program.away = false
+	begun.program.history = max(begun.program.history, begun.memory)
+	pool.countMemory(begun.program)
 	pool.countRunning(begun.member, 1)
-	pool.charge(begun.member, begun.estimate)
+	pool.charge(now, begun.member, begun.estimate)
 	pool.attach(now, begun)
 	pool.remember(now, &begun.request)
 }
@@ -79,7 +82,7 @@
 		pool.pin(attached.site)
 	}
 	at.cache.pinned += attached.memory
-	at.cache.shrink(now, at.report.CacheTokens)
+	pool.shrink(now, at)
 	pool.seat(at)
 }
 
@@ -112,7 +115,7 @@
 	if site := detached.site; site != nil {
 		pool.unpin(now, site, held)
 	}
-	at.cache.shrink(now, at.report.CacheTokens)
+	pool.shrink(now, at)
 	pool.seat(at)
 }
 
@@ -159,7 +162,7 @@
 	}
 	found.lapsed = false
 	pool.countRunning(found.member, 1)
-	pool.charge(found.member, found.estimate)
+	pool.charge(now, found.member, found.estimate)
 	pool.attach(now, found)
 	return false
 }
@@ -172,7 +175,7 @@
 	}
 	call.lapsed = true
 	pool.countRunning(call.member, -1)
-	pool.charge(call.member, -call.estimate)
+	pool.charge(now, call.member, -call.estimate)
 	pool.detach(now, call, call.cached)
 	pool.setTimer(&call.timer, now.Add(lapsedKept), call)
 }
@@ -244,7 +247,7 @@
 	case Silent:
 		work = ended.estimate
 	}
-	pool.charge(ended.member, work-ended.estimate)
+	pool.charge(now, ended.member, work-ended.estimate)
 	if finish.Outcome != Succeeded || finish.OutputTokens == 0 {
 		return
 	}
@@ -283,6 +286,8 @@
 		}
 	}
 	here := ended.site
+	ended.program.away = finish.Pause > longPause
+	pool.countMemory(ended.program)
 	if here.pins == 0 && here.endpoint.cache.outlives(finish.Pause) {
 		here.endpoint.cache.remove(here)
 		here.tokens = 0
--- a/bvgate/member.go
+++ b/bvgate/member.go
@@ -20,15 +20,18 @@
 type member struct {
 	name       string
 	share      MemberShare
-	queue      queue
-	queued     int // all waiting requests, also those that are not in queue
+	queue      queue // of programs under way
+	starts     queue // of those that would begin
+	held       bool  // has only starts, which wait for memory
+	queued     int   // all waiting requests, also those that are not in queue
 	running    int
 	parkedWork Work // of requests that wait for one endpoint
 	// virtual is the work that was granted, divided by the weight. The member
 	// with the least goes first (start-time fair queueing).
 	virtual float64
+	index   int // in the heap of members, from 1; 0 when it may not be served
+	flow    flow
 	served  Work    // in all, for status
-	index   int     // in the heap of members, from 1; 0 when it may not be served
 	tokens  float64 // of the rate limit
 	refill  bvclock.Time
 	timer   timer // of the rate limit
@@ -127,7 +130,7 @@
 }
 
 func (member *member) servable() bool {
-	return member.queue.len > 0 && !member.atConcurrency() && !member.atRate()
+	return member.lines() > 0 && !member.held && !member.atConcurrency() && !member.atRate()
 }
 
 func (member *member) atConcurrency() bool {
@@ -140,11 +143,12 @@
 
 // enter counts a waiting request. A member that was idle resumes at most
 // idleClaim behind the others.
-func (pool *Pool) enter(entered *member) {
+func (pool *Pool) enter(now bvclock.Time, entered *member) {
 	entered.queued++
 	if entered.queued > 1 {
 		return
 	}
+	entered.flow = flow{since: now, at: now}
 	pool.backloggedWeight += entered.weight()
 	pool.backloggedRunning += entered.running
 	entered.virtual = max(entered.virtual, pool.virtual-pool.claim())
@@ -173,7 +177,8 @@
 }
 
 // charge adds work to what a member was granted; corrections may be negative.
-func (pool *Pool) charge(charged *member, work Work) {
+func (pool *Pool) charge(now bvclock.Time, charged *member, work Work) {
+	charged.flow.add(now, work)
 	charged.virtual += float64(work) / charged.weight()
 	charged.served += work
 	pool.place(charged)
