command line: completion of values and columns, an example for each command

Cause: demo, experiment and the stand-ins had no example, and the shell could not complete what a setting may be.

Change: settings with few values list them, for serve, check and settings; the columns are completed behind table set. Arguments that a command doesn't take are a mistake of use (exit code 2) everywhere.

--- a/bvcommand/check.go
+++ b/bvcommand/check.go
@@ -21,7 +21,7 @@
 		Args: noArguments,
 		RunE: runCheck,
 	}
-	bvsetting.AddFlags(check.Flags())
+	addSettings(check)
 	return check
 }
 
--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -48,8 +48,11 @@
 
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "balsamvalve",
-		Short:         "A scheduler for agent programs",
+		Use:   "balsamvalve",
+		Short: "A scheduler for agent programs",
+		Example: `  balsamvalve demo
+  balsamvalve serve --help
+  source <(balsamvalve completion bash)`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- a/bvcommand/demo.go
+++ b/bvcommand/demo.go
@@ -13,7 +13,9 @@
 	command := &cobra.Command{
 		Use:   "demo",
 		Short: "Run the whole system in one process and check its promises",
-		Args:  cobra.NoArgs,
+		Example: `  balsamvalve demo
+  balsamvalve demo --seed 7`,
+		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			report, err := bvdemo.Run(command.Context(), bvdemo.Config{Output: command.OutOrStdout(), Seed: seed})
 			if err != nil {
--- a/bvcommand/experiment.go
+++ b/bvcommand/experiment.go
@@ -20,7 +20,10 @@
 	command := &cobra.Command{
 		Use:   "experiment",
 		Short: "Measure the decisions against baselines, in virtual time",
-		Args:  cobra.NoArgs,
+		Example: `  balsamvalve experiment --list
+  balsamvalve experiment --seeds 5 --json
+  balsamvalve experiment --plot latency.svg`,
+		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return options.run(command.OutOrStdout())
 		},
--- a/bvcommand/load.go
+++ b/bvcommand/load.go
@@ -35,7 +35,7 @@
 		Short: "Send agent programs to running daemons and check the promises",
 		Example: `  balsamvalve load --address 127.0.0.1:8080,127.0.0.1:8081 \
     --key piran=KEY1 --key brindley=KEY2 --programs 200 --concurrency 20`,
-		Args: cobra.NoArgs,
+		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			config.Members = bvload.Members(flags.keys)
 			config.Deadline = bvclock.FromStd(flags.deadline)
--- a/bvcommand/serve.go
+++ b/bvcommand/serve.go
@@ -22,10 +22,10 @@
 request in flight is cut off. A second signal ends it at once.`,
 		Example: `  balsamvalve serve --platform-address 127.0.0.1:8090 --keys-file keys.txt
   BALSAMVALVE_ZONE=koper balsamvalve serve --keys-file keys.txt`,
-		Args: cobra.NoArgs,
+		Args: noArguments,
 		RunE: runServe,
 	}
-	bvsetting.AddFlags(command.Flags())
+	addSettings(command)
 	return command
 }
 
--- a/bvcommand/settings.go
+++ b/bvcommand/settings.go
@@ -21,7 +21,7 @@
 		Args: noArguments,
 		RunE: runSettings,
 	}
-	bvsetting.AddFlags(settings.Flags())
+	addSettings(settings)
 	return settings
 }
 
--- a/bvcommand/standin.go
+++ b/bvcommand/standin.go
@@ -32,6 +32,10 @@
 	command := &cobra.Command{
 		Use:   "standin",
 		Short: "Small stand-ins of the platform and of endpoints, for tests and demonstrations",
+		Example: `  balsamvalve standin platform --address 127.0.0.1:8090
+  balsamvalve standin engine --platform 127.0.0.1:8090 --model small`,
+		Args: noArguments,
+		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
 	command.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
 	return command
@@ -40,9 +44,10 @@
 func newStandinPlatform() *cobra.Command {
 	var address string
 	command := &cobra.Command{
-		Use:   "platform",
-		Short: "Serve tables, objects and lists over HTTP",
-		Args:  cobra.NoArgs,
+		Use:     "platform",
+		Short:   "Serve tables, objects and lists over HTTP",
+		Example: `  balsamvalve standin platform --address 127.0.0.1:8090`,
+		Args:    noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			server := standinServer{handler: &bvstandin.Platform{}, stdout: command.OutOrStdout()}
 			return server.run(address)
@@ -83,7 +88,9 @@
 	command := &cobra.Command{
 		Use:   "engine",
 		Short: "Serve a model engine that answers with digests",
-		Args:  cobra.NoArgs,
+		Example: `  balsamvalve standin engine --platform 127.0.0.1:8090 --name engine-1 --model small --slots 8
+  balsamvalve standin engine --platform 127.0.0.1:8090 --name engine-2 --vary --decode 150`,
+		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			config.Name, config.Zone, config.Fencing = flags.name, flags.zone, flags.fencing
 			config.LoadLag = bvclock.FromStd(loadLag)
@@ -124,9 +131,10 @@
 	var flags endpointFlags
 	var serves string
 	command := &cobra.Command{
-		Use:   "service",
-		Short: "Serve a plain service that counts its calls",
-		Args:  cobra.NoArgs,
+		Use:     "service",
+		Short:   "Serve a plain service that counts its calls",
+		Example: `  balsamvalve standin service --platform 127.0.0.1:8090 --service booking`,
+		Args:    noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
 			service := &bvstandin.Service{Name: flags.name, Serves: serves, Zone: flags.zone, Fencing: flags.fencing}
 			return flags.serve(service, command.OutOrStdout())
--- a/bvcommand/table.go
+++ b/bvcommand/table.go
@@ -100,7 +100,8 @@
 		Example: `  balsamvalve table set piran budget=5000 idle=15m
   balsamvalve table set brindley/quote priority=9 "models=small large"
   balsamvalve table set brindley/trial --remove`,
-		Args: arguments(cobra.MinimumNArgs(1)),
+		Args:              arguments(cobra.MinimumNArgs(1)),
+		ValidArgsFunction: completeCells,
 		RunE: func(command *cobra.Command, args []string) error {
 			cells, err := parseCells(bvtable.ParseRowName(args[0]), args[1:], remove)
 			if err != nil {
--- a/bvsetting/load.go
+++ b/bvsetting/load.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// Choices returns all values of a setting that has few, and nothing for
+// others.
+func Choices(name string) []string {
+	for _, setting := range settings {
+		if setting.name == name {
+			return setting.choices
+		}
+	}
+	return nil
+}
+
 // Load returns the settings that flags and environment give. The error is an
 // *Error that lists every bad setting with its reason.
 func Load(flags *pflag.FlagSet, lookupEnv func(string) (string, bool)) (Serve, error) {
--- a/bvsetting/setting.go
+++ b/bvsetting/setting.go
@@ -1,6 +1,7 @@
 package bvsetting
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 
@@ -17,6 +18,7 @@
 	name    string // of the flag
 	initial string
 	help    string
+	choices []string // all values, where they are few
 	apply   func(serve *Serve, text string) error
 }
 
@@ -36,6 +38,14 @@
 	}}
 }
 
+// among lists all values, for shell completion.
+func (setting setting) among(choices ...fmt.Stringer) setting {
+	for _, choice := range choices {
+		setting.choices = append(setting.choices, choice.String())
+	}
+	return setting
+}
+
 var settings = []setting{
 	define("host-name", "", "name of this host, unique among all hosts (default: the peer address)",
 		parseName, func(serve *Serve) *string { return &serve.hostName }),
@@ -52,11 +62,13 @@
 	define("keys-file", "", "file with a key a line: <member> <caller|operator|admin> <key>; or set BALSAMVALVE_KEYS",
 		parsePath, func(serve *Serve) *string { return &serve.keysFile }),
 	define("log-level", "info", "error, warn, info, debug or trace",
-		parseLogLevel, func(serve *Serve) *logrus.Level { return &serve.logLevel }),
+		parseLogLevel, func(serve *Serve) *logrus.Level { return &serve.logLevel }).
+		among(logrus.ErrorLevel, logrus.WarnLevel, logrus.InfoLevel, logrus.DebugLevel, logrus.TraceLevel),
 	define("log-format", "text", "text or json",
-		parseEnum(Text, JSON), func(serve *Serve) *LogFormat { return &serve.logFormat }),
+		parseEnum(Text, JSON), func(serve *Serve) *LogFormat { return &serve.logFormat }).among(Text, JSON),
 	define("trace-exporter", "off", "off, stdout or otlp",
-		parseEnum(TraceOff, TraceStdout, TraceOTLP), func(serve *Serve) *TraceExporter { return &serve.traceExporter }),
+		parseEnum(TraceOff, TraceStdout, TraceOTLP), func(serve *Serve) *TraceExporter { return &serve.traceExporter }).
+		among(TraceOff, TraceStdout, TraceOTLP),
 	define("trace-address", "127.0.0.1:4318", "IP:port of the OTLP collector's HTTP",
 		parseAddress, func(serve *Serve) *netip.AddrPort { return &serve.traceAddress }),
 	define("write-budget", "300", "writes a second to the platform, for all hosts together",
