metrics: latency of calls and programs, wasted cache, reruns

Cause: the two things that the users measure, program latency and wasted cache, were not among the variables, and two that were listed (platform_conflicts, resumed_streams) were never counted.

Change: call_latency, program_latency (programs that ran here whole, first call to last answer), permit_wait; prompt, cached and recomputed tokens; releases and those not confirmed; reruns. The listed ones are counted now. A program that was taken over is left out: its first call is not known, and measured from the takeover it would look fast.

Ruled out: the latency at the entry; a program's calls come in at any host.

--- a/bvdaemon/commit.go
+++ b/bvdaemon/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -97,6 +98,9 @@
 	defer cancel()
 	loop.daemon.measures.Add("platform_writes", 1)
 	version, err := loop.daemon.platform.Commit(ctx, transaction)
+	if conflict := new(bvplatform.ConflictError); errors.As(err, &conflict) {
+		loop.daemon.measures.Add("platform_conflicts", 1)
+	}
 	loop.do(func(now bvclock.Time) { loop.committer.Wrote(now, version, err) })
 }
 
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -121,6 +121,7 @@
 		Addresses: daemon.endpoints,
 		Rows:      daemon.table,
 		Log:       daemon.log,
+		Measure:   daemon.measures,
 	})
 	daemon.entry = bventry.New(daemon.clock, daemon.view, daemon.peers, daemon.owner, daemon.measures, daemon.log)
 	api := bvcaller.New(bvcaller.Parts{
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -8,17 +8,30 @@
 //
 // # Variables
 //
-//	answered              calls that got a complete answer
-//	refused               a map: errors by "verdict/code"
+// All are of this host, and of all members together, since it started.
+//
+//	answered              calls that came in here and got a complete answer
+//	refused               a map: errors of calls that came in here, by "verdict/code"
+//	call_latency          of calls run here, first arrival to kept answer
+//	program_latency       of programs that ran here whole, first call to last answer
+//	permit_wait           of calls run here, for an endpoint
 //	platform_writes       transactions sent to the platform
 //	platform_conflicts    transactions that another host's write had overtaken
 //	platform_unknown      transactions whose outcome had to be read back
 //	commit_entries        program entries in those transactions
-//	resumed_streams       streams taken over from a lost owner or connection
+//	prompt_tokens         of model calls run here, as the engines counted them
+//	cached_tokens         of those, which the engines had in their cache
+//	recomputed_tokens     of the programs' kept histories, which they had not (estimate)
+//	releases              orders to engines to drop an ended program's cache
+//	releases_failed       of those, which the engine did not confirm; they are repeated
+//	resumed_streams       streams taken over from a lost owner
+//	rerun_calls           tries after the first, because an endpoint gave no answer
 //	lost_owners           calls whose owner was lost on the way
 //	declined_calls        calls that had to ask another host for the owner
 //	table_version         version of the operators' table in force
 //	hosts                 hosts in this host's view
+//
+// A latency is an object with count, mean_ms, p50_ms, p95_ms, p99_ms, max_ms.
 package bvmeasure
 
 import (
@@ -28,6 +41,7 @@
 	"slices"
 	"sync"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -76,6 +90,25 @@
 	counters.Add("answered", 1)
 }
 
+// Observe adds a duration to a latency.
+func (counters *Counters) Observe(name string, duration bvclock.Duration) {
+	counters.latency(name).observe(duration)
+}
+
+func (counters *Counters) latency(name string) *latency {
+	if found, ok := counters.variables.Get(name).(*latency); ok {
+		return found
+	}
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	if found, ok := counters.variables.Get(name).(*latency); ok {
+		return found
+	}
+	added := newLatency()
+	counters.variables.Set(name, added)
+	return added
+}
+
 // Refused counts an error by its verdict and code; member is empty when the
 // caller's key was not known.
 func (counters *Counters) Refused(member string, err error) {
--- /dev/null
+++ b/bvmeasure/measure_test.go
@@ -0,0 +1,37 @@
+package bvmeasure
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvverdict"
+)
+
+func TestVariablesAreServedAsJSON(t *testing.T) {
+	counters := New()
+	counters.Answered()
+	counters.Refused("piran", bvverdict.Refuse(bvverdict.Overloaded, "full"))
+	for duration := bvclock.Millisecond; duration <= 100; duration++ {
+		counters.Observe("call_latency", duration)
+	}
+	counters.Observe("call_latency", 48*bvclock.Hour)
+	recorder := httptest.NewRecorder()
+	counters.ServeHTTP(recorder, nil)
+	var variables struct {
+		Answered int64
+		Refused  map[string]int64
+		Latency  map[string]float64 `json:"call_latency"`
+	}
+	require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &variables))
+	require.EqualValues(t, 1, variables.Answered)
+	require.Equal(t, map[string]int64{"not run/overloaded": 1}, variables.Refused)
+	require.InDelta(t, 51, variables.Latency["p50_ms"], 1)
+	require.InDelta(t, 101, variables.Latency["count"], 0)
+	require.InEpsilon(t, float64(bvclock.Hour), variables.Latency["max_ms"], 0.01)
+	require.NotContains(t, recorder.Body.String(), "piran", "everybody may read the variables")
+	require.Equal(t, map[string]int64{"not run/overloaded": 1}, counters.Refusals("piran"))
+}
--- a/bvowner/chat.go
+++ b/bvowner/chat.go
@@ -55,9 +55,19 @@
 		exposed := emitted && session.call.GetStreaming()
 		return result, !exposed && !session.call.GetUnrepeatable()
 	}
+	session.measureCache(start, answer)
 	return session.complete(result, model.GetModel(), answer), false
 }
 
+// measureCache counts what the engine had to compute again although an engine
+// had computed it for an earlier turn.
+func (session *session) measureCache(start bvledger.Start, answer bvendpoint.ChatResult) {
+	measure := session.owner.measure
+	measure.Add("prompt_tokens", int64(answer.PromptTokens))
+	measure.Add("cached_tokens", int64(answer.CachedTokens))
+	measure.Add("recomputed_tokens", max(tokensOf(start.History)-int64(answer.CachedTokens), 0))
+}
+
 // prompt is all that the engine is to see: the kept history and the new
 // messages, or just the messages where the caller sent the history with them
 // and the ledger found it to be the kept one.
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -64,11 +64,13 @@
 	Addresses Addresses
 	Rows      Rows
 	Log       logrus.FieldLogger
+	Measure   Measure // may be nil
 }
 
 // Owner runs programs. It is safe for concurrent use.
 type Owner struct {
 	parts    Parts
+	measure  Measure
 	mutex    sync.Mutex
 	ledger   *bvledger.Ledger
 	sessions map[bvledger.CallID]*session
@@ -76,12 +78,19 @@
 	timer    *time.Timer
 	leaving  bool
 	running  sync.WaitGroup
+
+	latencies latencies
 }
 
 // New returns an owner; incarnation names this process and no other.
 func New(incarnation string, parts Parts) *Owner {
+	measure := parts.Measure
+	if measure == nil {
+		measure = noMeasure{}
+	}
 	return &Owner{
 		parts:    parts,
+		measure:  measure,
 		ledger:   bvledger.New(incarnation),
 		sessions: make(map[bvledger.CallID]*session),
 	}
@@ -171,6 +180,9 @@
 	_, err := owner.ask(ctx, func(now bvclock.Time, id bvledger.CallID) {
 		owner.ledger.End(now, key, id)
 	})
+	if err == nil {
+		owner.programEnded(key)
+	}
 	return err
 }
 
@@ -284,6 +296,7 @@
 			declined = true
 			return
 		}
+		session.began = now
 		session.deadline = deadlineOf(now, call)
 		owner.register(session)
 		session.enter("order")
--- a/bvowner/release.go
+++ b/bvowner/release.go
@@ -16,6 +16,7 @@
 func (owner *Owner) release(released bvledger.Released) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout.Std())
 	defer cancel()
+	owner.programEnded(released.Key)
 	for _, name := range released.Endpoints {
 		done := false
 		if name == bvledger.AnyEndpoint {
@@ -48,6 +49,10 @@
 	}
 	owner.parts.Permits.EndProgram(ctx, bvpermit.PoolOf(endpoint), key.Member, key.Program)
 	err := owner.parts.Endpoints.Release(ctx, endpoint.Address, key.Member, key.Program)
+	owner.measure.Add("releases", 1)
+	if err != nil {
+		owner.measure.Add("releases_failed", 1)
+	}
 	bvtrace.LogEnd(owner.parts.Log.WithField("endpoint", name), "cache release asked for", err)
 	return err == nil
 }
--- a/bvowner/resume.go
+++ b/bvowner/resume.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return session.lostStream()
 	}
+	session.owner.measure.Add("resumed_streams", 1)
 	result := bvledger.Result{
 		Spent:    int64(answer.PromptTokens) + int64(answer.OutputTokens),
 		Endpoint: endpoint.Name,
--- a/bvowner/session.go
+++ b/bvowner/session.go
@@ -18,6 +18,7 @@
 	id       bvledger.CallID
 	call     *bvpeer.Call
 	row      bvtable.Row
+	began    bvclock.Time
 	deadline bvclock.Time
 	context  context.Context // of the run, which outlives the caller's
 
@@ -111,6 +112,7 @@
 }
 
 func (session *session) finish(finished *bvpeer.Finished) {
+	session.answered(finished.GetTurn(), finished.GetRepeated())
 	session.push(&bvpeer.CallEvent{Event: &bvpeer.CallEvent_Finished{Finished: finished}}, true, nil)
 	session.owner.unregister(session.id)
 }
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -63,6 +63,7 @@
 		}
 		ran = ran || result.Err.Verdict() != bvverdict.NotRun
 		if again && try+1 < triesPerCall && ctx.Err() == nil {
+			session.owner.measure.Add("rerun_calls", 1)
 			continue
 		}
 		if ran && result.Err.Verdict() == bvverdict.NotRun {
@@ -81,7 +82,9 @@
 // try makes one attempt; again says whether another one may help.
 func (session *session) try(ctx context.Context, start bvledger.Start, try int) (result bvledger.Result, again bool) {
 	ask := session.ask(start)
+	asked := session.owner.parts.Clock.Now()
 	permit, err := session.owner.parts.Permits.Acquire(ctx, ask)
+	session.owner.measure.Observe("permit_wait", session.owner.parts.Clock.Now().Sub(asked))
 	if err != nil {
 		return failed(bvverdict.From(err)), false
 	}
