--- a/bvstatus/print.go
+++ b/bvstatus/print.go
@@ -52,7 +52,10 @@
 	printer.line("")
 	writer := tabwriter.NewWriter(printer.output, 0, 0, gap, ' ', 0)
 	_, _ = fmt.Fprintln(writer, strings.ReplaceAll(header, " ", "\t"))
+	width := strings.Count(header, " ") + 1
 	for _, row := range rows {
+		// A row with fewer cells would end the alignment of the columns.
+		row = append(row, make([]string, width-len(row))...)
 		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
 	}
 	printer.err = writer.Flush()
@@ -106,7 +109,7 @@
 func (printer *printer) members(members []Member) {
 	var rows [][]string
 	for _, member := range members {
-		row := []string{short(member.Name, nameWidth), fmt.Sprintf("%.4g%%", member.Share)}
+		row := []string{short(member.Name, nameWidth), shareText(member.Share)}
 		if own := member.Own; own != nil {
 			row = append(row, fmt.Sprintf("%.0f", own.Work), fmt.Sprint(own.Queued), fmt.Sprint(own.Running),
 				fmt.Sprint(own.Programs), fmt.Sprint(sum(own.Refusals)))
@@ -121,6 +124,13 @@
 	}
 }
 
+func shareText(share float64) string {
+	if share == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g%%", share)
+}
+
 func sum(counts map[string]int64) int64 {
 	total := int64(0)
 	for _, count := range counts {
--- a/bvstatus/status.go
+++ b/bvstatus/status.go
@@ -45,7 +45,7 @@
 // Member is a member. Of rivals only the share is shown.
 type Member struct {
 	Name  string  `json:"name"`
-	Share float64 `json:"share"` // percent
+	Share float64 `json:"share"` // percent; 0 before the first table
 	Own   *Own    `json:"own,omitempty"`
 }
 
@@ -110,19 +110,25 @@
 
 func (status *Status) addOwn(reports []Report) {
 	slices.SortFunc(status.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	at := slices.IndexFunc(status.Members, func(member Member) bool { return member.Name == status.Member })
-	if at < 0 {
-		return
-	}
 	own := &Own{Refusals: make(map[string]int64)}
+	known := false
 	for _, report := range reports {
 		for _, member := range report.Members {
 			if member.Member == status.Member {
+				known = true
 				own.add(member)
 			}
 		}
 	}
-	status.Members[at].Own = own
+	at := slices.IndexFunc(status.Members, func(member Member) bool { return member.Name == status.Member })
+	switch {
+	case at >= 0:
+		status.Members[at].Own = own
+	case known:
+		// Before the first table, members with a key are served although no
+		// row gives them a share.
+		status.Members = append(status.Members, Member{Name: status.Member, Own: own})
+	}
 }
 
 func (own *Own) add(report MemberReport) {
--- a/bvstatus/status_test.go
+++ b/bvstatus/status_test.go
@@ -71,6 +71,7 @@
 	status := mergeFor("piran")
 	require.NoError(t, status.Print(&output))
 	require.Regexp(t, `host-3 +koper +live +\? +no answer`, output.String())
+	require.Regexp(t, `(?m)^bolts +40% *$\npiran +60% +120 +0 +1 +3 +3$`, output.String())
 	require.Regexp(t, `host-2 .*6 \(behind\)`, output.String())
 }
 
