--- a/bvexperiment/capacity_peer_test.go
+++ b/bvexperiment/capacity_peer_test.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
@@ -37,7 +39,7 @@
 func startPeer(b *testing.B, engines int) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
-	permits := bvpermit.NewServer(bvclock.Boot(), func(string, string, string) bool { return true })
+	permits := bvpermit.NewServer(bvclock.Boot(), func(string, string, string) bool { return true }, bvgate.Limits{}, logrus.New())
 	endpoints := make([]bvplatform.Endpoint, engines)
 	for at := range endpoints {
 		endpoints[at] = bvplatform.Endpoint{
@@ -69,7 +71,7 @@
 		view.Update(1, []bvplatform.Host{decider})
 		peers := &bvpeer.Pool{}
 		defer peers.Close()
-		client := bvpermit.NewClient(bvclock.Boot(), view, peers, nil)
+		client := bvpermit.NewClient(bvclock.Boot(), view, peers, nil, logrus.New())
 		before := processorTime()
 		calls := 0
 		for b.Loop() {
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -317,6 +317,7 @@
 		memory:   granted.PromptTokens + granted.OutputTokens,
 		expected: at.service,
 		alone:    at.alone,
+		repeated: granted.repeated,
 	}
 	begun.estimate = pool.cost.Work(granted.PromptTokens-at.cached, granted.OutputTokens) * begun.occupied()
 	at.endpoint.prefillUntil = max(at.endpoint.prefillUntil, float64(now)) + pool.cost.prefillTime(granted.PromptTokens-at.cached)
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -165,7 +165,6 @@
 	require.Eventually(t, func() bool {
 		var status int
 		status, answer = conversation.post(cluster.daemons[0], "next", false)
-		if status != http.StatusOK { t.Log(status, answer) }
 		return status == http.StatusOK
 	}, patience, poll)
 	conversation.take("next", contentOf(t, answer))
