--- a/bvledger/promise_test.go
+++ b/bvledger/promise_test.go
@@ -73,6 +73,7 @@
 	kept        map[string]string // durable turn rows
 	drawn       map[string]int64
 	broken      []string
+	steps       int
 	only        string // complaints that count; empty: all
 	effects     func([]bvledger.Effect) []bvledger.Effect
 }
@@ -584,6 +585,7 @@
 	for name, action := range actions {
 		actions[name] = func(t *rapid.T) {
 			action(t)
+			machine.steps++
 			for range rapid.IntRange(0, 6).Draw(t, "steps") {
 				machine.stepAll()
 			}
@@ -679,7 +681,14 @@
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	seed(t, "4")
 	explore(t, "1000")
-	rapid.Check(t, func(t *rapid.T) { promises(t, newMachine()) })
+	steps, runs := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newMachine()
+		promises(t, machine)
+		steps += machine.steps
+		runs++
+	})
+	t.Logf("%d actions in %d runs, each judged by every oracle", steps, runs)
 }
 
 // recorder takes the place of a test whose failure is expected.
