bvledger: an earlier read's answer is not taken for a program's state

A program may be dropped and opened again while a read of it is under way. The answer of that read has no head row; taken as the whole state it showed a program that doesn't exist, and a caller's End was refused as unknown.

Ruled out: numbers on Load (a change for all callers of Loaded). Change: the first rows of a program must include its head; a head older than the one that this host wrote is no sign of another owner.

--- a/bvledger/doubt.go
+++ b/bvledger/doubt.go
@@ -32,6 +32,6 @@
 		return false
 	}
 	return slices.ContainsFunc(rows, func(row bvplatform.Row) bool {
-		return row.Key == HeadKey(program.key) && row.Version != program.headVersion
+		return row.Key == HeadKey(program.key) && row.Version > program.headVersion
 	})
 }
--- a/bvledger/ledger.go
+++ b/bvledger/ledger.go
@@ -289,7 +289,7 @@
 // Loaded tells the outcome of a Load.
 func (ledger *Ledger) Loaded(now bvclock.Time, key ProgramKey, rows []bvplatform.Row, err error) {
 	program := ledger.programs[key]
-	if program == nil || !program.reloading {
+	if program == nil || !program.reloading || err == nil && program.belated(rows) {
 		return
 	}
 	program.reloading = false
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -8,6 +8,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -273,3 +274,19 @@
 	explore(t, "1")
 	rapid.Check(t, func(t *rapid.T) { promises(t, newMachine()) })
 }
+
+// A caller that ends its program hears that there is none. The program had
+// been dropped and opened again while a read of its account was under way;
+// that read's answer came first and was taken for the program's whole state.
+func TestBelatedRowsAreNotTakenForTheState(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(1, 1, reply("one"))
+	host.pump(1)
+	again := newHost("b", host.store)
+	again.ledger.End(2, lesson, 1)
+	again.ledger.Loaded(2, lesson, []bvplatform.Row{{Key: bvledger.AccountKey(lesson)}}, nil)
+	again.pump(2)
+	require.NotNil(t, again.outcomes[1].answer)
+}
--- a/bvledger/load.go
+++ b/bvledger/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"balsamvalve.example/bvplatform"
@@ -175,3 +176,12 @@
 	}
 	turn.waiters = nil
 }
+
+// belated reports whether the rows answer a Load of an earlier life of the
+// program on this host. Taken for the whole state, they would show a program
+// that doesn't exist.
+func (program *program) belated(rows []bvplatform.Row) bool {
+	return program.phase == phaseLoading && !slices.ContainsFunc(rows, func(row bvplatform.Row) bool {
+		return row.Key == HeadKey(program.key)
+	})
+}
