bvexperiment: endpoints serve by the grant's priority; Retry-After by place in line

Cause 1: every call bore its table row's priority at the engine, for the baselines too, which are meant to be first come first served, while bvgate's Grant.Priority was not passed on. Change 1: the grant's priority, 0 for baselines.

Cause 2: Retry-After was compared with the time from which half of the member's requests in a second were taken. Change 2: a refused request would have been taken when as many of its kind were taken after it as had been refused before it and still waited, and one more.

--- a/bvexperiment/experiment_test.go
+++ b/bvexperiment/experiment_test.go
@@ -178,14 +178,16 @@
 
 func TestRetryAfterIsComparedWithWhenRequestsWereTaken(t *testing.T) {
 	asks := []asked{
-		{member: piran, at: 0, refused: true, refusedAt: 2, wait: 8000},
-		{member: brindley, at: 500},
-		{member: piran, at: 1000, refused: true, refusedAt: 1002, wait: 8000},
-		{member: piran, at: 4002},
+		{call: 1, member: piran, at: 0, refused: true, refusedAt: 2, wait: 8002},
+		{call: 2, member: piran, at: 1000, refused: true, refusedAt: 1002, wait: 8000},
+		{call: 3, member: brindley, at: 1500},
+		{call: 1, member: piran, at: 4003},
+		{call: 4, member: piran, at: 5002},
 	}
 	var outcome Outcome
 	outcome.summarizeRefusals(asks)
 	require.Equal(t, 2, outcome.Refusals)
+	require.InDelta(t, 4000, outcome.RetryReal, 1, "each waits for those before it")
 	require.InDelta(t, 2, outcome.RetryAfter, 0.01)
 	require.InDelta(t, 2, outcome.RefusalDelay, 0)
 }
--- a/bvexperiment/outcome.go
+++ b/bvexperiment/outcome.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgate"
 )
 
 // Outcome is what one run came to. Times are in milliseconds.
@@ -137,20 +138,30 @@
 }
 
 func (outcome *Outcome) summarizeRefusals(asks []asked) {
-	var delays, factors, told, taken []float64
-	for at, asked := range asks {
-		if !asked.refused {
-			continue
+	var delays []float64
+	lines := make(map[lineKey]*line)
+	for _, asked := range asks {
+		if asked.refused {
+			outcome.Refusals++
+			delays = append(delays, float64(asked.refusedAt.Sub(asked.at)))
 		}
-		outcome.Refusals++
-		delays = append(delays, float64(asked.refusedAt.Sub(asked.at)))
-		if takenAt, ok := firstTaken(asks, at); ok && asked.wait > 0 {
-			factors = append(factors, factor(asked.wait, takenAt.Sub(asked.refusedAt)))
-			told = append(told, float64(asked.wait))
-			taken = append(taken, float64(takenAt.Sub(asked.refusedAt)))
+		key := lineKey{asked.member, asked.starts}
+		if lines[key] == nil {
+			lines[key] = &line{waiting: make(map[bvgate.RequestID]bool)}
 		}
+		lines[key].add(asked)
 	}
 	outcome.RefusalDelay = percentile(delays, 0.99)
+	var told, taken, factors []float64
+	for _, key := range sortedLines(lines) {
+		for _, refusal := range lines[key].refusals {
+			if at, ok := lines[key].takenAt(refusal); ok {
+				told = append(told, float64(refusal.wait))
+				taken = append(taken, float64(at.Sub(refusal.refusedAt)))
+				factors = append(factors, factor(refusal.wait, at.Sub(refusal.refusedAt)))
+			}
+		}
+	}
 	outcome.RetryAfter = percentile(factors, 0.50)
 	outcome.RetryTold = percentile(told, 0.50)
 	outcome.RetryReal = percentile(taken, 0.50)
@@ -163,36 +174,3 @@
 	b := float64(max(real, bvclock.Second))
 	return max(a, b) / min(a, b)
 }
-
-// firstTaken is the first time after a refusal from which on, for a second, at
-// least half of the same member's requests were taken.
-func firstTaken(asks []asked, refused int) (bvclock.Time, bool) {
-	member := asks[refused].member
-	for at := refused + 1; at < len(asks); at++ {
-		if asks[at].member != member || asks[at].refused || asks[at].at.Before(asks[refused].refusedAt) {
-			continue
-		}
-		if mostlyTaken(asks[at:], member, asks[at].at.Add(bvclock.Second)) {
-			return asks[at].at, true
-		}
-	}
-	return 0, false
-}
-
-func mostlyTaken(asks []asked, member string, until bvclock.Time) bool {
-	taken, refused := 0, 0
-	for _, asked := range asks {
-		if asked.at.After(until) {
-			break
-		}
-		if asked.member != member {
-			continue
-		}
-		if asked.refused {
-			refused++
-		} else {
-			taken++
-		}
-	}
-	return taken >= refused
-}
--- a/bvexperiment/program.go
+++ b/bvexperiment/program.go
@@ -64,7 +64,6 @@
 		model: bvmodel.Call{
 			ID: bvmodel.CallID(id), Salt: program.member, Prefix: program.key,
 			PromptTokens: prompt, PrefixTokens: program.history, OutputTokens: step.output,
-			Priority: program.priority,
 		},
 	}
 }
--- a/bvexperiment/records.go
+++ b/bvexperiment/records.go
@@ -20,8 +20,11 @@
 // asked is one request to the policy.
 type asked struct {
 	member    string
+	starts    bool // a program, and is not a later call of one
+	call      bvgate.RequestID
 	at        bvclock.Time
 	refused   bool
+	last      bool // the caller gave up then
 	refusedAt bvclock.Time
 	wait      bvclock.Duration // as told
 }
@@ -48,7 +51,7 @@
 
 func (records *records) ask(call *call, now bvclock.Time) {
 	call.record = len(records.asks)
-	records.asks = append(records.asks, asked{member: call.member, at: now})
+	records.asks = append(records.asks, asked{member: call.member, starts: call.at == 0, call: call.id, at: now})
 }
 
 func (records *records) refuse(call *call, now bvclock.Time, wait bvclock.Duration) {
@@ -58,6 +61,8 @@
 	record.wait = wait
 }
 
+func (records *records) giveUp(call *call) { records.asks[call.record].last = true }
+
 func (records *records) fail(*program) { records.failed++ }
 
 func (records *records) lose(spent bvmodel.Served) {
--- a/bvexperiment/simulation.go
+++ b/bvexperiment/simulation.go
@@ -219,6 +219,7 @@
 	}
 	call.sent = true
 	call.endpoint = endpoint
+	call.model.Priority = grant.Priority
 	endpoint.model.Submit(simulation.now, call.model)
 	endpoint.changed()
 }
@@ -238,6 +239,7 @@
 	simulation.records.refuse(call, simulation.now, wait)
 	call.refusals++
 	if wait <= 0 || call.refusals > maxReturns {
+		simulation.records.giveUp(call)
 		simulation.fail(call)
 		return
 	}
