bvgate: count only those that go before in the line for a warm endpoint

Cause: a rival's parked requests filled the line of an endpoint (one per slot), so that the victim's programs moved and prefilled their history again. Ruled out: no bound (a line of unknown length is searched for each slot). The change: the expected wait counts the parked requests that go before; each member parks as many as there are slots, all together four times that.

--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -15,6 +15,9 @@
 	// before it takes any endpoint.
 	parkPatience = 6
 	minPark      = 50 * bvclock.Millisecond
+	// parkedLimit bounds the parked requests of an endpoint, in its slots; of
+	// each member there are as many as slots at most.
+	parkedLimit = 4
 	// prefillHarm weighs the prefill of a call as harm to the others at its
 	// endpoint, which wait for it and whose prefixes it evicts. Without it the
 	// choice that ends this one call first is bad for all together.
@@ -91,8 +94,24 @@
 	if at.free() > 0 {
 		return weighed, true
 	}
-	weighed.wait = pool.slotTime(at) * float64(len(at.parked)+1)
-	return weighed, !queued.restless && len(at.parked) < at.report.Slots
+	ahead, own := at.line(queued)
+	weighed.wait = pool.slotTime(at) * float64(ahead+1)
+	fits := own < at.report.Slots && len(at.parked) < parkedLimit*at.report.Slots
+	return weighed, fits && !queued.restless
+}
+
+// line counts the parked requests that go before another one, and those of its
+// member.
+func (endpoint *endpoint) line(queued *request) (ahead, own int) {
+	for _, parked := range endpoint.parked {
+		if parked.precedes(queued) {
+			ahead++
+		}
+		if parked.member == queued.member {
+			own++
+		}
+	}
+	return ahead, own
 }
 
 // slotTime is the expected time until a slot of a full endpoint is free.
