bvgate: release programs that nobody asked for in an hour

Cause: a program whose owner and caller died is never ended: its cache stays until others push it out, and its row for good. Ruled out: forgetting the row alone (the memory stays held). The change: a program without a call for an hour is released like an ended one and forgotten when that is confirmed; one that comes back prefills again. Test: TestCacheOfALostProgramIsReleased.

--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -316,6 +316,7 @@
 		adopted.boot = pool.endpointOf(now, endpoint).boot
 	}
 	adopted.program.open++
+	pool.stopTimer(&adopted.program.timer)
 	pool.begin(now, adopted)
 	pool.setTimer(&adopted.timer, now.Add(callWindow), adopted)
 }
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -146,6 +146,7 @@
 	}
 	pool.waiting[queued.ID] = queued
 	queued.program.open++
+	pool.stopTimer(&queued.program.timer)
 	pool.countMemory(queued.program)
 	pool.enter(now, queued.member)
 	if queued.start {
--- a/bvgate/program.go
+++ b/bvgate/program.go
@@ -5,6 +5,9 @@
 // releaseInterval is how often a Release is repeated until it is confirmed.
 const releaseInterval = bvclock.Second
 
+// programKept is how long a program without calls is remembered.
+const programKept = bvclock.Hour
+
 type programKey struct {
 	member string
 	name   string
@@ -20,6 +23,16 @@
 	history int     // tokens, of its last call
 	memory  float64 // counted in pool.memory
 	sites   []*site
+	timer   timer // set while no call of it waits or runs
+}
+
+// ring releases a program that nobody asked for in a long time. Its owner and
+// caller may have died: it shows as cache that is held for good, and as a row
+// that never goes. If it comes back, its history is prefilled again.
+func (program *program) ring(pool *Pool, now bvclock.Time) {
+	for _, site := range program.sites {
+		pool.release(now, site)
+	}
 }
 
 // site is an endpoint that ran a program, and what it is thought to cache of
@@ -92,7 +105,11 @@
 
 func (pool *Pool) dropProgram(dropped *program) {
 	pool.countMemory(dropped)
+	if dropped.open == 0 && len(dropped.sites) > 0 && !dropped.ended {
+		pool.setTimer(&dropped.timer, pool.now.Add(programKept), dropped)
+	}
 	if dropped.open == 0 && len(dropped.sites) == 0 {
+		pool.stopTimer(&dropped.timer)
 		delete(pool.programs, dropped.key)
 	}
 }
--- a/bvgate/sharing_test.go
+++ b/bvgate/sharing_test.go
@@ -220,3 +220,18 @@
 	require.Zero(t, pool.Next())
 	require.Empty(t, pool.programs)
 }
+
+func TestCacheOfALostProgramIsReleased(t *testing.T) {
+	// A program's owner dies, and its caller never comes back, so that nobody
+	// ends it. Its cache was held until other programs pushed it out.
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "a", Slots: 1, CacheTokens: 1000})
+	pool.Ask(0, Request{ID: 1, Member: "m", Program: "p", PromptTokens: 10})
+	pool.Tick(0)
+	pool.Finish(1, Finish{ID: 1, PromptTokens: 10, OutputTokens: 5})
+	require.Empty(t, pool.Tick(1))
+	require.Equal(t, []Effect{Release{Endpoint: "a", Member: "m", Program: "p"}}, pool.Tick(pool.Next()))
+	pool.ReleaseDone(pool.now, "a", "m", "p")
+	require.Empty(t, pool.programs)
+	require.Zero(t, pool.Next())
+}
