--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -67,6 +67,7 @@
 	room              int       // cache of all open endpoints, in tokens
 	held              []*member // whose starts wait for memory
 	backloggedWeight  float64
+	activeWeight      float64 // of the members that wait or run
 	backloggedRunning int
 	runningTotal      int
 	work              average // of a call
@@ -145,6 +146,7 @@
 	}
 	pool.waiting[queued.ID] = queued
 	queued.program.open++
+	pool.stopTimer(&queued.program.timer)
 	pool.countMemory(queued.program)
 	pool.enter(now, queued.member)
 	if queued.start {
