--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -50,9 +50,6 @@
 		}
 	}
 	for _, at := range pool.free[:min(candidates, len(pool.free))] {
-		if pool.spare(now, at, queued.member) <= 0 {
-			continue
-		}
 		cold := pool.weigh(now, queued, at)
 		if best.endpoint == nil || cold.cost() < best.cost() {
 			best = cold
@@ -94,7 +91,7 @@
 		return choice{}, false
 	}
 	weighed := pool.weigh(now, queued, at)
-	if pool.spare(now, at, queued.member) > 0 {
+	if at.free() > 0 {
 		return weighed, true
 	}
 	ahead, own := at.line(queued)
@@ -167,7 +164,7 @@
 	for _, at := range woken {
 		at.waking = false
 		for at.free() > 0 {
-			parked := pool.firstParked(now, at)
+			parked := pool.firstParked(at)
 			if parked == nil {
 				break
 			}
@@ -188,10 +185,10 @@
 
 // firstParked returns the parked request that goes first, unless another
 // member's turn is due by more than its claim.
-func (pool *Pool) firstParked(now bvclock.Time, at *endpoint) *request {
+func (pool *Pool) firstParked(at *endpoint) *request {
 	var first *request
 	for _, parked := range at.parked {
-		if parked.member.atConcurrency() || parked.member.atRate() || pool.spare(now, at, parked.member) <= 0 {
+		if parked.member.atConcurrency() || parked.member.atRate() {
 			continue
 		}
 		if first == nil || parked.precedes(first) {
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -65,8 +65,7 @@
 	slots             int       // of all open endpoints
 	memory            float64   // that running calls and programs need, in tokens
 	room              int       // cache of all open endpoints, in tokens
-	held              []*member // that wait for memory or headroom
-	headroom          headroom
+	held              []*member // whose starts wait for memory
 	backloggedWeight  float64
 	activeWeight      float64 // of the members that wait or run
 	backloggedRunning int
@@ -254,7 +253,6 @@
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
 	pool.now = now
 	pool.ringTimers(now)
-	pool.countOwed(now)
 	pool.unhold()
 	for pool.serveSuspects(now) || pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
@@ -290,10 +288,6 @@
 			continue
 		}
 		best := pool.choose(now, first)
-		if best.endpoint == nil {
-			pool.hold(first.member)
-			continue
-		}
 		if best.wait > 0 {
 			pool.park(now, first, best)
 			continue
