--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -6,21 +6,37 @@
 // decisions by Tick; it knows no sockets and no clock, so the daemon, the
 // tests and the measurements run the same code.
 //
+// What a Pool does: members share engine work by weight; within a member the
+// row's priority, the program's attained service and its age decide; the
+// endpoint with the earliest expected finish is taken, with a program's cached
+// prefix and the harm of a prefill to others counted in. What can't be served
+// in time is refused at once. Calls in flight at a crash run alone until they
+// are cleared or refused. The caches of ended programs are released until that
+// is confirmed. docs/design/sharing-and-endpoint-choice.md gives the reasons.
+//
 // # Usage
 //
 //	pool := &bvgate.Pool{}
 //	pool.SetMembers(shares)
-//	pool.Report(now, bvgate.EndpointReport{Name: "engine-1", Slots: 16})
+//	pool.Report(now, bvgate.EndpointReport{Name: "engine-1", Slots: 16, CacheTokens: 200_000})
 //	pool.Ask(now, request)
 //	for _, effect := range pool.Tick(now) {
 //		switch effect := effect.(type) {
 //		case bvgate.Grant:
+//			// tell the owner, which calls effect.Endpoint with effect.Priority
 //		case bvgate.Refusal:
+//			// tell the owner
 //		case bvgate.Release:
+//			// tell the endpoint, and then pool.ReleaseDone
 //		}
 //	}
 //	pool.Used(now, request.ID)
-//	pool.Finish(now, bvgate.Finish{ID: request.ID, OutputTokens: 120})
+//	pool.Finish(now, bvgate.Finish{ID: request.ID, PromptTokens: 900, OutputTokens: 120, Pause: 300})
+//
+// Tick is called after each event and at the time that Next returns. A host
+// that begins to decide for a pool is told of running calls with Adopt, of
+// ended programs with EndProgramAt and of suspects with AddSuspects; waiting
+// requests are asked again.
 package bvgate
 
 import (
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -89,7 +89,10 @@
 	Alone bool
 	// Priority is to be passed to the endpoint; higher goes first.
 	Priority int
-	// Expires is when the permit lapses unless Used is reported before.
+	// Expires is when the permit lapses, on the pool's clock, unless Used is
+	// reported before. An owner on another host can't compare it: it begins
+	// the call within half of PermitWindow of its own clock, or gives the
+	// permit back with Finish and Unused.
 	Expires bvclock.Time
 }
 
