bvgate: forget the calls of others when reports stop

Cause: an endpoint whose last report showed calls of another host stayed full for good when no further report came: nothing was granted, so nothing changed. Found by reading; the state machine did not draw Running.

--- a/bvgate/endpoint.go
+++ b/bvgate/endpoint.go
@@ -42,14 +42,15 @@
 	speed        average // time of a call over its estimate
 	slots        int     // counted in pool.slots
 
-	room     int // counted in pool.room
-	pressure float64
-	index    int // in the heap of endpoints with a free slot, from 1
-	waking   bool
-	health   health
-	isolates *request // suspect for which the endpoint is emptied
-	alone    int      // suspects that run here: more than one after a late Used
-	timer    timer    // forgets a removed endpoint
+	room          int // counted in pool.room
+	pressure      float64
+	index         int // in the heap of endpoints with a free slot, from 1
+	waking        bool
+	health        health
+	isolates      *request // suspect for which the endpoint is emptied
+	alone         int      // suspects that run here: more than one after a late Used
+	timer         timer    // forgets a removed endpoint
+	externalTimer timer
 }
 
 func (endpoint *endpoint) name() string { return endpoint.report.Name }
@@ -193,6 +194,10 @@
 	pool.stopTimer(&found.timer)
 	found.report = report
 	found.countExternal(now)
+	pool.stopTimer(&found.externalTimer)
+	if found.external > 0 {
+		pool.setTimer(&found.externalTimer, now.Add(peakWindow), externalAlarm{found})
+	}
 	pool.shrink(now, found)
 	pool.seat(found)
 }
@@ -281,3 +286,12 @@
 	endpoint.countPeak(now)
 	endpoint.external = max(0, endpoint.report.Running-max(endpoint.peaks[0], endpoint.peaks[1]))
 }
+
+// externalAlarm forgets the calls of others when no report confirmed them for
+// a while. Otherwise an endpoint whose reports stop would stay full for good.
+type externalAlarm struct{ endpoint *endpoint }
+
+func (alarm externalAlarm) ring(pool *Pool, _ bvclock.Time) {
+	alarm.endpoint.external = 0
+	pool.seat(alarm.endpoint)
+}
--- a/bvgate/health_test.go
+++ b/bvgate/health_test.go
@@ -61,3 +61,15 @@
 	}
 	require.Equal(t, bvclock.Time(firstEject), engines.pool.Next())
 }
+
+func TestCallsOfOthersTakeSlotsUntilReportsStop(t *testing.T) {
+	// Two hosts decide for an endpoint for a while, since their lists differ.
+	// Its report shows calls that this one did not grant; later its reports
+	// stop, and it must not count as full for good.
+	pool := &Pool{}
+	pool.Report(0, EndpointReport{Name: "a", Slots: 2, Running: 2})
+	pool.Ask(0, Request{ID: 1, Member: "m"})
+	require.Empty(t, pool.Tick(0))
+	require.Equal(t, bvclock.Time(peakWindow), pool.Next())
+	require.Len(t, pool.Tick(bvclock.Time(peakWindow)), 1)
+}
--- a/bvgate/machine_test.go
+++ b/bvgate/machine_test.go
@@ -135,6 +135,7 @@
 		report = EndpointReport{Name: name, Incarnation: fmt.Sprint(machine.boots), CacheTokens: 3000 * machine.draw("cache", 3)}
 	}
 	report.Slots = 1 + machine.draw("slots", 4)
+	report.Running = machine.draw("running", 6)
 	report.Leaving = machine.draw("leaving", 5) == 0
 	if machine.zones {
 		report.Zone = "z"
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -61,7 +61,7 @@
 type EndpointReport struct {
 	Name        string
 	Incarnation string       // differs with each start of the endpoint
-	Slots       int          // calls that it batches at once
+	Slots       int          // calls that it batches at once; 0 takes none
 	CacheTokens int          // prefix cache size
 	Running     int          // calls as reported
 	ReportedAt  bvclock.Time // when the report was made, on this host's clock
