--- a/bvexperiment/capacity_peer_test.go
+++ b/bvexperiment/capacity_peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,11 +48,35 @@
 	permits.Update(endpoints, nil)
 	server := grpc.NewServer(bvpeer.ServerOptions(nil, nil)...)
 	bvpeer.RegisterPeerServer(server, &permitService{permits: permits})
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(countingListener{listener}) }()
 	b.Cleanup(server.Stop)
 	return listener.Addr().String()
 }
 
+// transferred counts the bytes of all connections, without TCP and IP.
+var transferred atomic.Int64
+
+type countingListener struct{ net.Listener }
+
+func (listener countingListener) Accept() (net.Conn, error) {
+	connection, err := listener.Listener.Accept()
+	return countingConnection{connection}, err
+}
+
+type countingConnection struct{ net.Conn }
+
+func (connection countingConnection) Read(buffer []byte) (int, error) {
+	count, err := connection.Conn.Read(buffer)
+	transferred.Add(int64(count))
+	return count, err
+}
+
+func (connection countingConnection) Write(buffer []byte) (int, error) {
+	count, err := connection.Conn.Write(buffer)
+	transferred.Add(int64(count))
+	return count, err
+}
+
 func processorTime() time.Duration {
 	var usage unix.Rusage
 	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
@@ -70,7 +95,7 @@
 		peers := &bvpeer.Pool{}
 		defer peers.Close()
 		client := bvpermit.NewClient(bvclock.Boot(), view, peers, nil)
-		before := processorTime()
+		before, bytes := processorTime(), transferred.Load()
 		calls := 0
 		for b.Loop() {
 			calls++
@@ -86,18 +111,20 @@
 		}
 		used := processorTime() - before
 		b.ReportMetric(float64(used.Microseconds())/float64(calls), "cpu-us/call")
+		b.ReportMetric(float64(transferred.Load()-bytes)/float64(calls), "wire-B/call")
 	})
 }
 
-// BenchmarkCapacityConnections is what an idle connection keeps on the heap of
-// both hosts together.
+// BenchmarkCapacityConnections is what an idle connection costs both hosts
+// together: heap, and what its keepalive pings take in a second.
 func BenchmarkCapacityConnections(b *testing.B) {
 	withSizes(b, "peers", []int{10, 50, 200}, func(b *testing.B, size int) {
 		addresses := make([]string, size)
 		for at := range addresses {
 			addresses[at] = startPeer(b, 1)
 		}
-		kept := 0.0
+		const idle = 8 * time.Second
+		kept, bytes, used := 0.0, 0.0, time.Duration(0)
 		for b.Loop() {
 			peers := &bvpeer.Pool{}
 			kept = heap(func() any {
@@ -109,8 +136,15 @@
 				}
 				return peers
 			})
+			before, sent := processorTime(), transferred.Load()
+			time.Sleep(idle)
+			used = processorTime() - before
+			bytes = float64(transferred.Load() - sent)
 			peers.Close()
 		}
-		b.ReportMetric(kept/float64(size), "B/connection")
+		perSecond := float64(size) * idle.Seconds()
+		b.ReportMetric(kept/float64(size), "heap-B/connection")
+		b.ReportMetric(bytes/perSecond, "wire-B/s/connection")
+		b.ReportMetric(float64(used.Microseconds())/perSecond, "cpu-us/s/connection")
 	})
 }
--- a/bvexperiment/capacity_test.go
+++ b/bvexperiment/capacity_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvcommit"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvledger"
@@ -208,6 +211,80 @@
 	})
 }
 
+// BenchmarkCapacityCommit is a group commit of entries of 2,000 bytes to a
+// store without latency.
+func BenchmarkCapacityCommit(b *testing.B) {
+	withSizes(b, "entries", []int{16, 64, 256}, func(b *testing.B, size int) {
+		committer := bvcommit.New("host-1", "1")
+		store := &bvplatform.Memory{}
+		versions := make([]int64, size)
+		value := make([]byte, 2000)
+		id, now := bvledger.EntryID(0), bvclock.Time(0)
+		b.ReportAllocs()
+		for b.Loop() {
+			for at := range versions {
+				id++
+				key := fmt.Sprintf("program/piran/p%d", at)
+				committer.Add(bvledger.Entry{
+					ID:     id,
+					Checks: []bvplatform.Check{{Key: key, Version: versions[at]}},
+					Puts:   []bvplatform.Put{{Key: key, Value: value}},
+				})
+			}
+			now++
+			done := 0
+			for effects := committer.Tick(now); len(effects) > 0; effects = committer.Tick(now) {
+				for _, effect := range effects {
+					switch effect := effect.(type) {
+					case bvcommit.Write:
+						version, err := store.Commit(context.Background(), effect.Transaction)
+						committer.Wrote(now, version, err)
+					case bvcommit.Done:
+						require.NoError(b, effect.Err)
+						versions[done] = effect.Version
+						done++
+					}
+				}
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size), "ns/entry")
+	})
+}
+
+// BenchmarkCapacityLists is the size of the platform's lists as JSON.
+func BenchmarkCapacityLists(b *testing.B) {
+	withSizes(b, "hosts", []int{13, 100, 730}, func(b *testing.B, size int) {
+		list := make([]bvplatform.Host, size)
+		for at := range list {
+			list[at] = bvplatform.Host{
+				Name: fmt.Sprintf("host-zone-07-%04d", at), PeerAddress: "10.117.42.17:7000", Zone: "zone-07",
+				Incarnation: "0198f7c2-7e0a-7d1c-9f55-3a1d6c0b1f42", State: bvplatform.HostLive,
+			}
+		}
+		reportJSON(b, list)
+	})
+	withSizes(b, "endpoints", []int{12, 400, 4200}, func(b *testing.B, size int) {
+		list := make([]bvplatform.Endpoint, size)
+		for at := range list {
+			list[at] = bvplatform.Endpoint{
+				Name: fmt.Sprintf("engine-zone-07-%04d", at), Serves: "model-1", Address: "10.117.42.17:8000", Zone: "zone-07",
+				Incarnation: "0198f7c2-7e0a-7d1c-9f55-3a1d6c0b1f42", Slots: 64, CacheTokens: 1_000_000,
+			}
+		}
+		reportJSON(b, list)
+	})
+}
+
+func reportJSON(b *testing.B, list any) {
+	size := 0
+	for b.Loop() {
+		content, err := json.Marshal(list)
+		require.NoError(b, err)
+		size = len(content)
+	}
+	b.ReportMetric(float64(size), "B/list")
+}
+
 // BenchmarkCapacityPermitBytes is the payload of a permit between owner and
 // deciding host, without the frames of gRPC and TCP.
 func BenchmarkCapacityPermitBytes(b *testing.B) {
