--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -74,6 +74,8 @@
 	suspects   []*request  // that wait for an endpoint to isolate
 	isolated   []*endpoint // that are emptied for a suspect
 
+	absence absence
+
 	order   uint64
 	effects []Effect
 
@@ -246,6 +248,9 @@
 // take removes a waiting request and leaves its program open.
 func (pool *Pool) take(queued *request) {
 	delete(pool.waiting, queued.ID)
+	if len(pool.waiting) == 0 {
+		pool.stopTimer(&pool.absence.timer)
+	}
 	pool.stopTimer(&queued.timer)
 	if queued.parkedAt != nil {
 		queued.parkedAt.unpark(queued)
@@ -269,6 +274,7 @@
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
 	pool.now = now
 	pool.ringTimers(now)
+	pool.refuseStranded(now)
 	pool.unhold()
 	for pool.serveSuspects(now) || pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
@@ -328,6 +334,7 @@
 		memory:   granted.PromptTokens + granted.OutputTokens,
 		expected: at.service,
 		alone:    at.alone,
+		repeated: granted.repeated,
 	}
 	begun.estimate = pool.cost.Work(granted.PromptTokens-at.cached, granted.OutputTokens) * begun.occupied()
 	at.endpoint.prefillUntil = max(at.endpoint.prefillUntil, float64(now)) + pool.cost.prefillTime(granted.PromptTokens-at.cached)
--- a/bvprocess/process_test.go
+++ b/bvprocess/process_test.go
@@ -18,12 +18,16 @@
 // verdict but that of a process which never starts.
 const startLimit = 20 * time.Second
 
+// dumpTime is what a process gets to write its goroutines.
+const dumpTime = 500 * time.Millisecond
+
 // process is a child process.
 type process struct {
 	t       *testing.T
 	name    string
 	command *exec.Cmd
 	line    string // its first line of output
+	log     string // path of what it wrote to stderr
 	exited  chan error
 }
 
@@ -39,7 +43,7 @@
 	output, err := command.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, command.Start())
-	process := &process{t: t, name: name, command: command, exited: make(chan error, 1)}
+	process := &process{t: t, name: name, command: command, log: log.Name(), exited: make(chan error, 1)}
 	lines := make(chan string, 1)
 	go func() {
 		reader := bufio.NewScanner(output)
@@ -59,7 +63,13 @@
 	return process
 }
 
+// cleanUp ends the process. After a failure it leaves its goroutines in the
+// log, which show what it was waiting for.
 func (process *process) cleanUp(log *os.File) {
+	if process.t.Failed() {
+		process.signal(syscall.SIGQUIT)
+		time.Sleep(dumpTime)
+	}
 	process.kill()
 	if process.t.Failed() {
 		content, _ := os.ReadFile(log.Name())
