status: a host tells the asking member's figures only

Cause: each host sent the figures of all members to the host that was asked, which left out the rivals'.

Change: StatusRequest names the member; hosts tell its figures and the endpoints on which something runs.

--- a/bvdaemon/status.go
+++ b/bvdaemon/status.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvstatus"
@@ -17,7 +15,9 @@
 	for _, host := range daemon.view.Hosts() {
 		listed = append(listed, bvstatus.Silent(host.Name, host.Zone, host.State.String()))
 	}
-	reports := bvstatus.Gather(ctx, listed, daemon.askStatus)
+	reports := bvstatus.Gather(ctx, listed, func(ctx context.Context, host string) (bvstatus.Report, error) {
+		return daemon.askStatus(ctx, host, member)
+	})
 	status := bvstatus.Merge(member, daemon.statusEndpoints(), daemon.statusMembers(), reports)
 	status.Host = daemon.Name()
 	status.Counters = daemon.measures.Numbers()
@@ -47,16 +47,16 @@
 	return members
 }
 
-func (daemon *Daemon) askStatus(ctx context.Context, name string) (bvstatus.Report, error) {
+func (daemon *Daemon) askStatus(ctx context.Context, name, member string) (bvstatus.Report, error) {
 	if name == daemon.Name() {
-		return daemon.report(), nil
+		return daemon.report(member), nil
 	}
 	var report bvstatus.Report
 	client, err := tablePeers{daemon: daemon}.client(name)
 	if err != nil {
 		return report, err
 	}
-	reply, err := client.Status(ctx, &bvpeer.StatusRequest{})
+	reply, err := client.Status(ctx, &bvpeer.StatusRequest{Member: member})
 	if err != nil {
 		return report, err
 	}
@@ -67,16 +67,16 @@
 }
 
 // Status implements bvpeer.PeerServer.
-func (service *peerService) Status(context.Context, *bvpeer.StatusRequest) (*bvpeer.StatusReply, error) {
-	encoded, err := json.Marshal(service.daemon.report())
+func (service *peerService) Status(_ context.Context, request *bvpeer.StatusRequest) (*bvpeer.StatusReply, error) {
+	encoded, err := json.Marshal(service.daemon.report(request.GetMember()))
 	if err != nil {
 		return nil, fmt.Errorf("daemon: encode status: %w", err)
 	}
 	return &bvpeer.StatusReply{Status: encoded}, nil
 }
 
-// report is what this host says of itself.
-func (daemon *Daemon) report() bvstatus.Report {
+// report is what this host says of itself and of a member.
+func (daemon *Daemon) report(member string) bvstatus.Report {
 	self := daemon.view.Self()
 	version, confirmed := daemon.table.follower.InForce()
 	_, refusing := daemon.table.follower.Current()
@@ -88,16 +88,18 @@
 		Confirmed: daemon.clock.Now().Sub(confirmed),
 		Refusing:  refusing != nil,
 	}
-	daemon.reportPools(&report)
-	daemon.reportMembers(&report)
+	daemon.reportPools(&report, member)
+	daemon.reportMember(&report, member)
 	return report
 }
 
-func (daemon *Daemon) reportPools(report *bvstatus.Report) {
-	members := memberReports{report: report}
+func (daemon *Daemon) reportPools(report *bvstatus.Report, member string) {
 	for _, pool := range daemon.permits.Status() {
 		decides := daemon.view.Candidates(daemon.clock.Now(), "pool/"+pool.Pool)[0].Name == report.Host
 		for _, endpoint := range pool.Endpoints {
+			if endpoint.Running == 0 && !endpoint.Ejected {
+				continue // nothing that the list of endpoints doesn't tell
+			}
 			report.Endpoints = append(report.Endpoints, bvstatus.EndpointReport{
 				Endpoint: endpoint.Name,
 				Running:  endpoint.Running,
@@ -106,38 +108,19 @@
 				Ejected: endpoint.Ejected && decides,
 			})
 		}
-		for _, member := range pool.Members {
-			entry := members.of(member.Member)
-			entry.Queued += member.Queued
-			entry.Running += member.Running
-			entry.Work += float64(member.Work)
+		for _, found := range pool.Members {
+			if found.Member != member {
+				continue
+			}
+			report.Member.Queued += found.Queued
+			report.Member.Running += found.Running
+			report.Member.Work += float64(found.Work)
 		}
 	}
 }
 
-func (daemon *Daemon) reportMembers(report *bvstatus.Report) {
-	members := memberReports{report: report}
-	for _, count := range daemon.owner.Members() {
-		members.of(count.Member).Programs = count.Programs
-	}
-	for _, member := range daemon.measures.RefusedMembers() {
-		members.of(member).Refusals = daemon.measures.Refusals(member)
-	}
-}
-
-// memberReports finds the entries of members in a report, or adds them.
-type memberReports struct {
-	report *bvstatus.Report
-}
-
-func (members memberReports) of(name string) *bvstatus.MemberReport {
-	at, found := slices.BinarySearchFunc(members.report.Members, name, compareMember)
-	if !found {
-		members.report.Members = slices.Insert(members.report.Members, at, bvstatus.MemberReport{Member: name})
-	}
-	return &members.report.Members[at]
-}
-
-func compareMember(member bvstatus.MemberReport, name string) int {
-	return strings.Compare(member.Member, name)
+func (daemon *Daemon) reportMember(report *bvstatus.Report, member string) {
+	report.Member.Programs = daemon.owner.Programs(member)
+	report.Member.Refusals = daemon.measures.Refusals(member)
+	report.Member.Known = report.Member.Programs > 0 || len(report.Member.Refusals) > 0
 }
--- a/bvledger/status.go
+++ b/bvledger/status.go
@@ -1,44 +1,21 @@
 package bvledger
 
-import (
-	"slices"
-	"strings"
-
-	"balsamvalve.example/bvclock"
-)
+import "balsamvalve.example/bvclock"
 
 // Programs returns how many programs this host holds.
 func (ledger *Ledger) Programs() int {
 	return len(ledger.programs)
 }
 
-// MemberCount is how much of a member this host holds.
-type MemberCount struct {
-	Member   string
-	Programs int
-	Running  int // calls that were started and have not ended
-}
-
-// Members counts the programs of each member, sorted by name.
-func (ledger *Ledger) Members() []MemberCount {
-	byName := make(map[string]*MemberCount)
-	for key, program := range ledger.programs {
-		count := byName[key.Member]
-		if count == nil {
-			count = &MemberCount{Member: key.Member}
-			byName[key.Member] = count
+// ProgramsOf returns how many programs of a member this host holds.
+func (ledger *Ledger) ProgramsOf(member string) int {
+	count := 0
+	for key := range ledger.programs {
+		if key.Member == member {
+			count++
 		}
-		count.Programs++
-		if program.isRunning() {
-			count.Running++
-		}
-	}
-	counts := make([]MemberCount, 0, len(byName))
-	for _, count := range byName {
-		counts = append(counts, *count)
 	}
-	slices.SortFunc(counts, func(a, b MemberCount) int { return strings.Compare(a.Member, b.Member) })
-	return counts
+	return count
 }
 
 // Calls returns how many calls have no outcome yet.
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -217,11 +217,11 @@
 	return owner.ledger.Programs() == 0
 }
 
-// Members counts the programs that this host owns by member.
-func (owner *Owner) Members() []bvledger.MemberCount {
+// Programs returns how many programs of a member this host holds.
+func (owner *Owner) Programs(member string) int {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	return owner.ledger.Members()
+	return owner.ledger.ProgramsOf(member)
 }
 
 // Reclaim ends programs that nobody ends: rows are all head rows, and live
--- a/bvstatus/report.go
+++ b/bvstatus/report.go
@@ -15,8 +15,8 @@
 
 import "balsamvalve.example/bvclock"
 
-// Report is what a host says of itself. It goes from host to host only, since
-// it shows all members.
+// Report is what a host says of itself, and of the one member whose operator
+// asks: no rival's figures leave the host.
 type Report struct {
 	Host      string           `json:"host"`
 	Zone      string           `json:"zone"`
@@ -24,7 +24,7 @@
 	Version   int64            `json:"version"`          // of the table in force
 	Confirmed bvclock.Duration `json:"confirmed_ago_ms"` // since somebody confirmed the version
 	Refusing  bool             `json:"refusing"`         // not confirmed for too long: takes no new work
-	Members   []MemberReport   `json:"members,omitempty"`
+	Member    MemberReport     `json:"member"`
 	Endpoints []EndpointReport `json:"endpoints,omitempty"`
 
 	silent bool // did not answer; only Host, Zone and State are known
@@ -32,7 +32,7 @@
 
 // MemberReport is what a host holds and decides for a member.
 type MemberReport struct {
-	Member   string           `json:"member"`
+	Known    bool             `json:"known,omitempty"` // the host has anything of it
 	Programs int              `json:"programs"`
 	Running  int              `json:"running"` // calls
 	Queued   int              `json:"queued"`  // calls
--- a/bvstatus/status.go
+++ b/bvstatus/status.go
@@ -113,12 +113,8 @@
 	own := &Own{Refusals: make(map[string]int64)}
 	known := false
 	for _, report := range reports {
-		for _, member := range report.Members {
-			if member.Member == status.Member {
-				known = true
-				own.add(member)
-			}
-		}
+		known = known || report.Member.Known
+		own.add(report.Member)
 	}
 	at := slices.IndexFunc(status.Members, func(member Member) bool { return member.Name == status.Member })
 	switch {
