--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -58,6 +58,8 @@
 	suspects   []*request  // that wait for an endpoint to isolate
 	isolated   []*endpoint // that are emptied for a suspect
 
+	absence absence
+
 	order   uint64
 	effects []Effect
 
@@ -67,6 +69,7 @@
 	room              int       // cache of all open endpoints, in tokens
 	held              []*member // whose starts wait for memory
 	backloggedWeight  float64
+	activeWeight      float64 // of the members that wait or run
 	backloggedRunning int
 	runningTotal      int
 	work              average // of a call
@@ -147,6 +150,9 @@
 	queued.program.open++
 	pool.countMemory(queued.program)
 	pool.enter(now, queued.member)
+	if queued.start {
+		queued.member.away.taken.add(now, 1)
+	}
 	queued.line().add(queued)
 	pool.place(queued.member)
 	queued.agesAt = now.Add(ageStep)
@@ -225,6 +231,9 @@
 // take removes a waiting request and leaves its program open.
 func (pool *Pool) take(queued *request) {
 	delete(pool.waiting, queued.ID)
+	if len(pool.waiting) == 0 {
+		pool.stopTimer(&pool.absence.timer)
+	}
 	pool.stopTimer(&queued.timer)
 	if queued.parkedAt != nil {
 		queued.parkedAt.unpark(queued)
@@ -248,6 +257,7 @@
 func (pool *Pool) Tick(now bvclock.Time) []Effect {
 	pool.now = now
 	pool.ringTimers(now)
+	pool.refuseStranded(now)
 	pool.unhold()
 	for pool.serveSuspects(now) || pool.serveWoken(now) || pool.serveQueue(now) {
 		continue
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	server := bvpermit.NewServer(clock, release, log)
+//	server := bvpermit.NewServer(clock, release, bvgate.Limits{}, log)
 //	server.Update(endpoints, shares)
 //	client := bvpermit.NewClient(clock, view, peers, server, log)
 //	permit, err := client.Acquire(ctx, ask)
@@ -40,6 +40,7 @@
 type Server struct {
 	clock     bvclock.Clock
 	release   Release
+	limits    bvgate.Limits
 	log       logrus.FieldLogger
 	requests  atomic.Uint64
 	mutex     sync.Mutex
@@ -49,8 +50,8 @@
 }
 
 // NewServer returns a server without endpoints.
-func NewServer(clock bvclock.Clock, release Release, log logrus.FieldLogger) *Server {
-	return &Server{clock: clock, release: release, log: log, pools: make(map[string]*pool)}
+func NewServer(clock bvclock.Clock, release Release, limits bvgate.Limits, log logrus.FieldLogger) *Server {
+	return &Server{clock: clock, release: release, limits: limits, log: log, pools: make(map[string]*pool)}
 }
 
 // PoolOf names the pool that an endpoint belongs to: endpoints of one model or
--- a/bvtls/tls.go
+++ b/bvtls/tls.go
@@ -10,7 +10,7 @@
 //	source, err := bvtls.New(bvtls.Files{Certificate: "c.pem", Key: "k.pem", Authority: "ca.pem"}, log)
 //	server := &http.Server{TLSConfig: source.Server(bvtls.AnyClient)}
 //	transport := &http.Transport{DialTLSContext: source.Dial}
-//	pool := bvpeer.NewPool(source.Credentials())
+//	pool := bvpeer.NewPool(source.Credentials(), tracers)
 package bvtls
 
 import (
