Owners pass on the grant's priority and say how often a call was sent

Cause: the pool orders prefills at the endpoint by the grant's priority and bounds repeats by their number; the daemon passed neither. A permit was used up to its lapse on another clock; now half of the window is for the way.

--- a/bvowner/chat.go
+++ b/bvowner/chat.go
@@ -31,7 +31,7 @@
 		Stream:    session.streamID(start, try),
 		Salt:      session.call.GetMember(),
 		Prefix:    session.call.GetProgram(),
-		Priority:  session.row.Priority,
+		Priority:  permit.Priority(),
 		Params:    model.GetParameters(),
 	}
 	session.emit(startedEvent(permit.Endpoint(), call.Stream))
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -82,6 +82,7 @@
 // try makes one attempt; again says whether another one may help.
 func (session *session) try(ctx context.Context, start bvledger.Start, try int) (result bvledger.Result, again bool) {
 	ask := session.ask(start)
+	ask.Attempt = int32(try)
 	asked := session.owner.parts.Clock.Now()
 	permit, err := session.owner.parts.Permits.Acquire(ctx, ask)
 	session.owner.measure.Observe("permit_wait", session.owner.parts.Clock.Now().Sub(asked))
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -41,6 +41,7 @@
 	ask      *bvpeer.PermitAsk
 	endpoint string
 	address  string
+	priority int
 	lapses   bvclock.Time
 	mutex    sync.Mutex
 	line     line
@@ -59,6 +60,9 @@
 // Address returns the IP and port of the endpoint to call.
 func (permit *Permit) Address() string { return permit.address }
 
+// Priority returns the priority that the endpoint is to give the call.
+func (permit *Permit) Priority() int { return permit.priority }
+
 // Valid reports whether the permit may still be used. A holder that was paused
 // past the lapse must ask again: its slot has been given to another call.
 func (permit *Permit) Valid() bool {
@@ -158,7 +162,8 @@
 		ask:      ask,
 		endpoint: grant.GetEndpoint(),
 		address:  grant.GetAddress(),
-		lapses:   client.clock.Now().Add(bvclock.Duration(grant.GetLapseMs())),
+		priority: int(grant.GetPriority()),
+		lapses:   client.clock.Now().Add(bvclock.Duration(grant.GetLapseMs()) / 2), // the rest is for the way there and back
 		line:     line,
 	}, nil
 }
--- a/bvpermit/pool.go
+++ b/bvpermit/pool.go
@@ -119,6 +119,7 @@
 		Endpoint: grant.Endpoint,
 		Address:  pool.addresses[grant.Endpoint],
 		LapseMs:  int64(grant.Expires.Sub(now)),
+		Priority: int32(grant.Priority),
 	}}}
 	return func() { ticket.deliver(decision) }
 }
@@ -176,6 +177,7 @@
 		HistoryHeld:  int(ask.GetHistoryHeld()),
 		Fingerprint:  ask.GetFingerprint(),
 		Unrepeatable: ask.GetUnrepeatable(),
+		Attempt:      int(ask.GetAttempt()),
 	}
 	if ask.GetDeadlineMs() > 0 {
 		request.Deadline = now.Add(bvclock.Duration(ask.GetDeadlineMs()))
