bvgate: try to serve programs with a warm cache earlier

Cause: a waiting program's history may be evicted before its turn comes. The change: within a level a request counts as older by thirty times the time that its cached prefix saves.

--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -29,7 +29,8 @@
 	level    int
 	agesAt   bvclock.Time
 	estimate Work
-	repeated bool    // was sent before
+	repeated bool // was sent before
+	age      float64
 	start    bool    // begins a program
 	bucket   *bucket // nil unless in the member's queue
 	index    int     // in the bucket
@@ -67,8 +68,8 @@
 }
 
 func (queued *request) older(other *request) bool {
-	if queued.program.firstAt != other.program.firstAt {
-		return queued.program.firstAt < other.program.firstAt
+	if queued.age != other.age {
+		return queued.age < other.age
 	}
 	return queued.order < other.order
 }
--- /dev/null
+++ b/bvgate/warm.go
@@ -0,0 +1,3 @@
+package bvgate
+
+const warmBonus = 30
