--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -152,7 +152,6 @@
 	queued.estimate = pool.cost.Work(asked.PromptTokens-queued.program.cachedTokens(), queued.OutputTokens)
 	queued.level = level(asked.Attained)
 	queued.start = queued.starts()
-	queued.age = float64(queued.program.firstAt) - warmBonus*pool.cost.prefillTime(queued.program.cachedTokens())
 	queued.repeated = pool.repeats(now, &asked)
 	return queued
 }
--- a/bvgate/queue.go
+++ b/bvgate/queue.go
@@ -29,8 +29,7 @@
 	level    int
 	agesAt   bvclock.Time
 	estimate Work
-	repeated bool // was sent before
-	age      float64
+	repeated bool    // was sent before
 	start    bool    // begins a program
 	bucket   *bucket // nil unless in the member's queue
 	index    int     // in the bucket
@@ -68,8 +67,8 @@
 }
 
 func (queued *request) older(other *request) bool {
-	if queued.age != other.age {
-		return queued.age < other.age
+	if queued.program.firstAt != other.program.firstAt {
+		return queued.program.firstAt < other.program.firstAt
 	}
 	return queued.order < other.order
 }
--- a/bvgate/warm.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package bvgate
-
-const warmBonus = 30
