bvledger: a stale owner adds no kept booking to its history

A long fuzz run (-rapid.seed=) saw an engine sent a later turn without the booking before it. A stale owner read the booking's record, which the new owner had answered together with the kept turn, and added it as a turn of its own; such a record has no messages.

Change: only a record whose turn could not be kept says so, carries the messages and is added. The focused test fails without the change.

--- a/bvledger/head.go
+++ b/bvledger/head.go
@@ -116,6 +116,7 @@
 	Owner    string    `json:"owner"`
 	Epoch    int64     `json:"epoch"`
 	Turn     int       `json:"turn"`
+	Unkept   bool      `json:"unkept,omitempty"` // answered, but its turn could not be added to the history
 	Messages []byte    `json:"messages,omitempty"`
 	Message  []byte    `json:"message,omitempty"`
 	Answer   []byte    `json:"answer,omitempty"`
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -290,3 +290,31 @@
 	again.pump(2)
 	require.NotNil(t, again.outcomes[1].answer)
 }
+
+// An engine is sent a later turn without the booking before it. A stale owner
+// found the booking answered in its record, which it did not have as a turn,
+// and added it: but the turn was kept by the new owner, and the record has no
+// messages (found with -rapid.seed=278570340).
+func TestStaleOwnerDoesNotAddAKeptBookingWithoutItsMessages(t *testing.T) {
+	store := &faults{}
+	stale := newHost("a", store)
+	stale.ledger.Submit(1, question(1, "r1", 1))
+	stale.pump(1)
+	stale.ledger.Finish(1, 1, bvledger.Result{Err: bvverdict.Refuse(bvverdict.Overloaded, "full")})
+	stale.pump(1)
+	fresh := newHost("b", store)
+	booking := question(1, "book", 1)
+	booking.Unrepeatable = true
+	fresh.ledger.Submit(2, booking)
+	fresh.pump(2)
+	fresh.ledger.Finish(2, 1, reply("booked"))
+	fresh.pump(2)
+
+	booking.ID = 2
+	stale.ledger.Submit(3, booking)
+	stale.ledger.Submit(3, question(3, "r2", 2))
+	stale.pump(3)
+	for _, start := range stale.started[1:] {
+		require.Equal(t, `["book","booked"]`, string(start.History))
+	}
+}
--- a/bvledger/once.go
+++ b/bvledger/once.go
@@ -89,9 +89,11 @@
 
 // adopt adds a turn whose answer a former owner could only write into the
 // record. It belongs after the turns that were kept when the record was
-// inserted, and nowhere else.
+// inserted, and nowhere else. A record whose turn was kept adds nothing: a
+// host that doesn't know that turn is outdated, and the record lacks the
+// turn's messages.
 func (program *program) adopt(request string, row onceRow) bool {
-	if row.State != onceAnswered || row.Turn != program.nextTurn() || program.head.State.Ended() {
+	if row.State != onceAnswered || !row.Unkept || row.Turn != program.nextTurn() || program.head.State.Ended() {
 		return false
 	}
 	if _, kept := program.requests[request]; kept {
@@ -132,7 +134,7 @@
 // when it was read because another call ran.
 func (program *program) past(row onceRow) bool {
 	if row.State == onceAnswered {
-		return row.Turn <= len(program.turns)
+		return !row.Unkept || row.Turn <= len(program.turns)
 	}
 	return row.State != onceInserted
 }
@@ -194,9 +196,11 @@
 func (ledger *Ledger) finishStray(now bvclock.Time, stray *stray, result Result) {
 	row := stray.row
 	row.State = onceAnswered
+	row.Unkept = true
 	row.Message = result.Message
 	row.Answer = result.Answer
 	if result.Err != nil {
+		row.Unkept = false
 		row.Messages = nil
 		row.Message = nil
 		row.Answer = nil
