--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -287,3 +287,36 @@
 	again.pump(2)
 	require.NotNil(t, again.outcomes[1].answer)
 }
+
+// An engine is sent a later turn without the booking before it. Host c was
+// about to send the booking when a took the program over; c gave it up, and b
+// took over in turn, ran it and kept it. Host a, now stale, reads the record
+// that it has as pending, answered, and added it as a turn: but the turn was
+// kept by b, and the record has no messages (found with
+// -rapid.seed=278570340).
+func TestStaleOwnerDoesNotAddAKeptBookingWithoutItsMessages(t *testing.T) {
+	store := &faults{}
+	booking := question(1, "book", 1)
+	booking.Unrepeatable = true
+	first := newHost("c", store)
+	first.ledger.Submit(1, booking)
+	first.pump(1)
+	stale := newHost("a", store)
+	stale.ledger.Submit(2, question(1, "r1", 1))
+	stale.pump(2)
+	stale.ledger.Finish(2, 1, bvledger.Result{Err: bvverdict.Refuse(bvverdict.Overloaded, "full")})
+	stale.pump(2)
+	first.ledger.Finish(3, 1, bvledger.Result{Err: bvverdict.Refuse(bvverdict.Overloaded, "full")})
+	first.pump(3)
+	fresh := newHost("b", store)
+	fresh.ledger.Submit(4, booking)
+	fresh.pump(4)
+	fresh.ledger.Finish(4, 1, reply("booked"))
+	fresh.pump(4)
+	requireAnswer(t, fresh, 1, "booked")
+
+	stale.ledger.Submit(5, question(2, "r2", 2))
+	stale.pump(5)
+	require.Len(t, stale.started, 1)
+	requireRefusal(t, stale, 2, bvverdict.NotRun, bvverdict.NotOwner)
+}
