--- a/bvexperiment/experiment_test.go
+++ b/bvexperiment/experiment_test.go
@@ -155,6 +155,7 @@
 	records, outcome := runOne(scenario, product())
 	require.Positive(t, records.crashLost)
 	require.Positive(t, outcome.Twice)
+	require.Zero(t, records.failed)
 }
 
 // The host that decides for the pool dies. For two seconds nobody is granted
