bvexperiment, bvmodel: split the two files that had grown large

Change: a program's life, the oracle, the engine's flow and what is read from it stand in files of their own.

--- a/bvexperiment/policy.go
+++ b/bvexperiment/policy.go
@@ -23,23 +23,6 @@
 	Next() bvclock.Time
 }
 
-// oracle knows what no policy of the product can know.
-type oracle interface {
-	// remaining returns the seconds of service that a program still needs.
-	remaining(program string) float64
-	// cached returns what an endpoint has cached for a program right now.
-	cached(endpoint, member, program string) int
-	// prefillSeconds is how long an endpoint takes to prefill tokens.
-	prefillSeconds(tokens int) float64
-	// freeMemory is the part of an endpoint's memory that holds nothing.
-	freeMemory(endpoint string) float64
-}
-
-// clairvoyantPolicy is a Policy that is told the future.
-type clairvoyantPolicy interface {
-	foresee(oracle oracle)
-}
-
 // baseline does what all baselines share: it keeps the list of endpoints and
 // sends each call at once.
 type baseline struct {
