--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -4,9 +4,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -259,3 +261,29 @@
 	host.pump(2)
 	requireRefusal(t, host, 3, bvverdict.NotRun, bvverdict.BudgetExceeded)
 }
+
+// The caller has the answer of a booking from its former host; the record
+// says so. The new owner read the record while another call held the turn,
+// and took the booking off its list, though that call then failed: the
+// program never went on (found with -rapid.seed=573640033).
+func TestAnsweredRecordStaysPendingWhileItsTurnIsHeld(t *testing.T) {
+	seed(t, "573640033")
+	explore(t, "1")
+	rapid.Check(t, func(t *rapid.T) { promises(t, newMachine()) })
+}
+
+// A caller that ends its program hears that there is none. The program had
+// been dropped and opened again while a read of its account was under way;
+// that read's answer came first and was taken for the program's whole state.
+func TestBelatedRowsAreNotTakenForTheState(t *testing.T) {
+	host := newHost("a", &faults{})
+	host.ledger.Submit(1, question(1, "r1", 1))
+	host.pump(1)
+	host.ledger.Finish(1, 1, reply("one"))
+	host.pump(1)
+	again := newHost("b", host.store)
+	again.ledger.End(2, lesson, 1)
+	again.ledger.Loaded(2, lesson, []bvplatform.Row{{Key: bvledger.AccountKey(lesson)}}, nil)
+	again.pump(2)
+	require.NotNil(t, again.outcomes[1].answer)
+}
