bvexperiment: owners say how often a call was sent

Cause: bvgate.Request.Attempt is passed on by the daemon's owners now. Change: a call that a crash cut off bears its number of repeats.

--- a/bvexperiment/life.go
+++ b/bvexperiment/life.go
@@ -30,6 +30,7 @@
 func (simulation *simulation) askAgain(call *call) {
 	call.sent = false
 	call.endpoint = nil
+	call.request.Attempt = call.repeats
 	simulation.records.ask(call, simulation.now)
 	simulation.tell(func() { simulation.policy.Ask(simulation.now, call.request) })
 }
