bvtrace: spans and lines that nobody wants cost nothing

Cause: with traces off and logs at error, each request still hashed its program's id several times and built the fields of four log lines.

Change: no span below one that is not recorded, attributes by methods of the span, and the level is asked before a line is put together.

--- a/bvcaller/failure.go
+++ b/bvcaller/failure.go
@@ -55,7 +55,7 @@
 // refused counts and logs an error that a caller gets.
 func (api *API) refused(request *http.Request, err error) {
 	api.measure.Refused(memberOf(request), err)
-	bvtrace.LogEnd(bvtrace.Log(request.Context(), api.log), "caller was refused", err)
+	bvtrace.LogHop(request.Context(), api.log, "caller was refused", err)
 }
 
 func failureBody(verdict *bvverdict.Error) []byte {
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -104,10 +104,12 @@
 	candidates := entry.view.Candidates(entry.clock.Now(), ProgramPlace(member, program))
 	var loss error
 	for _, host := range candidates[:min(len(candidates), hostsPerCall)] {
-		askContext, span := bvtrace.Start(ctx, "relay", bvtrace.Program(member, program), bvtrace.Host(host.Name))
+		askContext, span := bvtrace.Start(ctx, "relay")
+		span.SetProgram(member, program)
+		span.SetHost(host.Name)
 		err := ask(askContext, host)
 		span.End(err)
-		bvtrace.LogEnd(bvtrace.Log(askContext, entry.log).WithField("owner", host.Name), "owner asked", err)
+		bvtrace.LogHop(ctx, entry.log, "owner asked", err, "owner", host.Name)
 		if ctx.Err() != nil {
 			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
 		}
--- a/bvowner/chat.go
+++ b/bvowner/chat.go
@@ -36,7 +36,8 @@
 	}
 	session.emit(startedEvent(permit.Endpoint(), call.Stream))
 	emitted := false
-	ctx, span := bvtrace.Start(ctx, "endpoint", bvtrace.Endpoint(permit.Endpoint()))
+	ctx, span := bvtrace.Start(ctx, "endpoint")
+	span.SetEndpoint(permit.Endpoint())
 	answer, err := session.owner.parts.Endpoints.Chat(ctx, permit.Address(), call, func(offset int, text string) error {
 		emitted = true
 		session.emit(tokenEvent(offset, text))
--- a/bvowner/invoke.go
+++ b/bvowner/invoke.go
@@ -21,7 +21,8 @@
 	if service.GetContentType() != "" {
 		header.Set("Content-Type", service.GetContentType())
 	}
-	ctx, span := bvtrace.Start(ctx, "endpoint", bvtrace.Endpoint(permit.Endpoint()))
+	ctx, span := bvtrace.Start(ctx, "endpoint")
+	span.SetEndpoint(permit.Endpoint())
 	answer, err := session.owner.parts.Endpoints.Invoke(ctx, permit.Address(), bvendpoint.ServiceCall{
 		Path:         service.GetPath(),
 		Method:       service.GetMethod(),
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -150,10 +150,11 @@
 // Run runs one call. Its events go to send; its error is a *bvverdict.Error.
 // When ctx ends, a call that has started goes on and its answer is kept.
 func (owner *Owner) Run(ctx context.Context, call *bvpeer.Call, send func(*bvpeer.CallEvent) error) error {
-	ctx, span := bvtrace.Start(ctx, "session", bvtrace.Program(call.GetMember(), call.GetProgram()))
+	ctx, span := bvtrace.Start(ctx, "session")
+	span.SetProgram(call.GetMember(), call.GetProgram())
 	err := owner.runSession(ctx, call, send)
 	span.End(err)
-	bvtrace.LogEnd(bvtrace.Log(ctx, owner.parts.Log), "call ended", err)
+	bvtrace.LogHop(ctx, owner.parts.Log, "call ended", err)
 	return err
 }
 
--- a/bvowner/release.go
+++ b/bvowner/release.go
@@ -53,6 +53,6 @@
 	if err != nil {
 		owner.measure.Add("releases_failed", 1)
 	}
-	bvtrace.LogEnd(owner.parts.Log.WithField("endpoint", name), "cache release asked for", err)
+	bvtrace.LogHop(ctx, owner.parts.Log, "cache release asked for", err, "endpoint", name)
 	return err == nil
 }
--- a/bvowner/resume.go
+++ b/bvowner/resume.go
@@ -22,7 +22,8 @@
 	permit := session.owner.parts.Permits.Adopt(ctx, session.ask(start), endpoint.Name, endpoint.Address)
 	call := bvendpoint.ChatCall{Stream: position.GetStream(), Salt: session.call.GetMember(), Prefix: session.call.GetProgram()}
 	session.emit(startedEvent(endpoint.Name, call.Stream))
-	ctx, span := bvtrace.Start(ctx, "endpoint", bvtrace.Endpoint(endpoint.Name))
+	ctx, span := bvtrace.Start(ctx, "endpoint")
+	span.SetEndpoint(endpoint.Name)
 	answer, err := session.owner.parts.Endpoints.Resume(ctx, endpoint.Address, call, func(offset int, text string) error {
 		session.emit(tokenEvent(offset, text))
 		return nil
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -89,11 +89,11 @@
 	ctx, span := bvtrace.Start(ctx, "permit")
 	permit, err := client.acquire(ctx, ask)
 	span.End(err)
-	log := bvtrace.Log(ctx, client.log).WithField("pool", ask.GetPool())
+	endpoint := ""
 	if err == nil {
-		log = log.WithField("endpoint", permit.Endpoint())
+		endpoint = permit.Endpoint()
 	}
-	bvtrace.LogEnd(log, "permit asked for", err)
+	bvtrace.LogHop(ctx, client.log, "permit asked for", err, "pool", ask.GetPool(), "endpoint", endpoint)
 	return permit, err
 }
 
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -151,8 +151,8 @@
 	select {
 	case decision := <-ticket.Decision():
 		granted := decision.GetGrant() != nil
-		bvtrace.LogEnd(bvtrace.Log(stream.Context(), server.log).WithField("endpoint", decision.GetGrant().GetEndpoint()),
-			"permit decided", errorOf(decision))
+		bvtrace.LogHop(stream.Context(), server.log, "permit decided", errorOf(decision),
+			"endpoint", decision.GetGrant().GetEndpoint())
 		if err := stream.Send(decision); err != nil {
 			ticket.Finish(unused())
 			return false
--- a/bvtrace/provider.go
+++ b/bvtrace/provider.go
@@ -14,7 +14,8 @@
 //
 //	provider, err := bvtrace.New(ctx, bvtrace.Config{Exporter: bvsetting.TraceOTLP, Address: "10.0.0.9:4318", Host: "host-1"})
 //	defer provider.Shutdown(ctx)
-//	ctx, span := bvtrace.Start(ctx, "permit", bvtrace.Host("host-2"))
+//	ctx, span := bvtrace.Start(ctx, "permit")
+//	span.SetHost("host-2")
 //	permit, err := acquire(ctx)
 //	span.End(err)
 package bvtrace
--- a/bvtrace/span.go
+++ b/bvtrace/span.go
@@ -33,14 +33,46 @@
 	span trace.Span
 }
 
-// Start begins a span under the one in ctx, by the same provider. Without one
-// it records nothing.
-func Start(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, Span) {
-	tracer := trace.SpanFromContext(ctx).TracerProvider().Tracer(tracerName)
-	ctx, span := tracer.Start(ctx, name, trace.WithAttributes(attributes...))
+// Start begins a span under the one in ctx, by the same provider. Without one,
+// or where that is not recorded, it does nothing, so that it costs nothing.
+func Start(ctx context.Context, name string) (context.Context, Span) {
+	parent := trace.SpanFromContext(ctx)
+	if !parent.IsRecording() {
+		return ctx, Span{}
+	}
+	ctx, span := parent.TracerProvider().Tracer(tracerName).Start(ctx, name)
 	return ctx, Span{span}
 }
 
+// SetProgram names the program by a hash, which shows neither its id nor its
+// member.
+func (span Span) SetProgram(member, program string) {
+	if span.span != nil {
+		span.span.SetAttributes(attributeProgram.String(hashProgram(member, program)))
+	}
+}
+
+func hashProgram(member, program string) string {
+	digest := sha256.Sum256([]byte(member + "\x00" + program))
+	return hex.EncodeToString(digest[:programHash])
+}
+
+// SetHost names the host that is asked.
+func (span Span) SetHost(name string) {
+	span.set(attributeHost, name)
+}
+
+// SetEndpoint names the endpoint that is called.
+func (span Span) SetEndpoint(name string) {
+	span.set(attributeEndpoint, name)
+}
+
+func (span Span) set(key attribute.Key, value string) {
+	if span.span != nil {
+		span.span.SetAttributes(key.String(value))
+	}
+}
+
 // End ends the span. Of an error it keeps the verdict and the code only, since
 // the reason can hold a caller's text.
 func (span Span) End(err error) {
@@ -55,28 +87,6 @@
 	span.span.End()
 }
 
-// Program names a program by a hash.
-func Program(member, program string) attribute.KeyValue {
-	return attributeProgram.String(HashProgram(member, program))
-}
-
-// HashProgram returns a name for a program that shows neither its id nor its
-// member.
-func HashProgram(member, program string) string {
-	digest := sha256.Sum256([]byte(member + "\x00" + program))
-	return hex.EncodeToString(digest[:programHash])
-}
-
-// Host names the host that is asked.
-func Host(name string) attribute.KeyValue {
-	return attributeHost.String(name)
-}
-
-// Endpoint names the endpoint that is called.
-func Endpoint(name string) attribute.KeyValue {
-	return attributeEndpoint.String(name)
-}
-
 // ID returns the id of the trace in ctx; empty if there is none.
 func ID(ctx context.Context) string {
 	if id := trace.SpanContextFromContext(ctx).TraceID(); id.IsValid() {
