--- a/bvgate/call.go
+++ b/bvgate/call.go
@@ -32,6 +32,7 @@
 	lapsed    bool
 	alone     bool // is a suspect
 	blamed    bool // for a crash of its endpoint
+	repeated  bool // counted against the retry budget
 	cached    int
 	memory    int
 	estimate  Work
@@ -238,6 +239,7 @@
 	switch finish.Outcome {
 	case Unused, Refused:
 		work = 0
+		pool.refund(ended)
 	case Crashed:
 		// The members of innocent calls do not pay for the crash.
 		work = 0
@@ -316,6 +318,7 @@
 		adopted.boot = pool.endpointOf(now, endpoint).boot
 	}
 	adopted.program.open++
+	pool.stopTimer(&adopted.program.timer)
 	pool.begin(now, adopted)
 	pool.setTimer(&adopted.timer, now.Add(callWindow), adopted)
 }
--- a/bvgate/request.go
+++ b/bvgate/request.go
@@ -61,7 +61,7 @@
 type EndpointReport struct {
 	Name        string
 	Incarnation string       // differs with each start of the endpoint
-	Slots       int          // calls that it batches at once
+	Slots       int          // calls that it batches at once; 0 takes none
 	CacheTokens int          // prefix cache size
 	Running     int          // calls as reported
 	ReportedAt  bvclock.Time // when the report was made, on this host's clock
@@ -89,7 +89,10 @@
 	Alone bool
 	// Priority is to be passed to the endpoint; higher goes first.
 	Priority int
-	// Expires is when the permit lapses unless Used is reported before.
+	// Expires is when the permit lapses, on the pool's clock, unless Used is
+	// reported before. An owner on another host can't compare it: it begins
+	// the call within half of PermitWindow of its own clock, or gives the
+	// permit back with Finish and Unused.
 	Expires bvclock.Time
 }
 
--- a/bvgate/retry.go
+++ b/bvgate/retry.go
@@ -23,12 +23,31 @@
 
 // retries is a member's retry budget.
 type retries struct {
-	spent  Work // by repeated calls
-	earned Work // by first ones
+	spent  Work         // by repeated calls
+	earned Work         // by first ones
+	at     bvclock.Time // of the last recovery
 	failed map[uint64]bvclock.Time
 	order  []uint64 // fingerprints of failed, oldest first
 }
 
+// recovery is what the budget regains a millisecond without any first calls.
+func (pool *Pool) recovery() Work {
+	return pool.callWork() * retryCalls / Work(retryWindow)
+}
+
+// regain pays back with time what repeated calls have spent. A member whose
+// few callers all repeat what failed earns nothing by first calls: without
+// this its budget, once spent, would stay so after the cause is gone. Only the
+// time since the last first call counts.
+func (pool *Pool) regain(now bvclock.Time, of *member) {
+	retries := &of.retries
+	regained := pool.recovery() * Work(now.Sub(retries.at))
+	retries.at = now
+	if retries.spent > retries.earned {
+		retries.earned = min(retries.earned+regained, retries.spent)
+	}
+}
+
 // left is what repeated calls may still take.
 func (pool *Pool) retriesLeft(of *member) Work {
 	return pool.callWork()*retryCalls + of.retries.earned - of.retries.spent
@@ -37,6 +56,7 @@
 // earn adds the budget's part of a first call.
 func (pool *Pool) earn(of *member, work Work) {
 	of.retries.earned += retryPart * work
+	of.retries.at = max(of.retries.at, pool.now) // what first calls earn is enough
 	limit := of.retries.spent + retryPart*pool.rate()*Work(retryWindow)
 	of.retries.earned = min(of.retries.earned, limit)
 }
@@ -53,11 +73,15 @@
 
 // rejectRepetition returns why a repeated call is not queued, or nil.
 func (pool *Pool) rejectRepetition(now bvclock.Time, asked *request) *bvverdict.Error {
+	if !asked.repeated {
+		return nil
+	}
+	pool.regain(now, asked.member)
 	left := pool.retriesLeft(asked.member)
-	if !asked.repeated || asked.estimate <= left {
+	if asked.estimate <= left {
 		return nil
 	}
-	wait := float64(asked.estimate-left) / float64(retryPart*pool.memberRate(now, asked.member))
+	wait := float64((asked.estimate - left) / max(retryPart*pool.memberRate(now, asked.member), pool.recovery()))
 	return overloaded(bvclock.Duration(wait), "retry budget of member %s is spent", asked.Member)
 }
 
@@ -70,6 +94,13 @@
 	pool.earn(granted.member, work)
 }
 
+// refund gives back what a repeated call took that was not run after all.
+func (pool *Pool) refund(ended *call) {
+	if ended.repeated {
+		ended.member.retries.spent -= ended.estimate
+	}
+}
+
 // noteFailure remembers a call that may have to be repeated.
 func (pool *Pool) noteFailure(now bvclock.Time, failed *call) {
 	fingerprint := failed.request.Fingerprint
--- /dev/null
+++ b/bvgate/retry_test.go
@@ -0,0 +1,42 @@
+package bvgate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+)
+
+// A member's only caller repeats a call that fails each time, until the retry
+// budget is spent. Later the cause is gone, and the caller was still refused
+// for ever: nobody made first calls that would have earned a budget.
+func TestSpentRetryBudgetRecoversWithTime(t *testing.T) {
+	engines := newEngines(1, 4)
+	repeat := Request{Member: "m", Attained: 1, Fingerprint: 7, OutputTokens: 50, Attempt: 1}
+	refused := false
+	for range 200 {
+		refused = refused || !failOnce(engines, repeat)
+		engines.now += 100
+	}
+	require.True(t, refused, "the budget bounds repeats while the failure lasts")
+	engines.now = engines.now.Add(2 * bvclock.Minute)
+	engines.ask(repeat)
+	require.Empty(t, refusals(engines.tick()))
+}
+
+// failOnce asks for a call, has it canceled after it was sent, and reports
+// whether it was let through.
+func failOnce(engines *engines, request Request) bool {
+	id := engines.ask(request)
+	if len(refusals(engines.pool.Tick(engines.now))) > 0 {
+		return false
+	}
+	if engines.pool.calls[id] == nil {
+		engines.pool.Withdraw(engines.now, id)
+		return true
+	}
+	engines.pool.Used(engines.now, id)
+	engines.pool.Finish(engines.now, Finish{ID: id, Outcome: Canceled})
+	return true
+}
