--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -37,7 +37,7 @@
 
 // cluster is a set of processes that serve together.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *process
 	engines  []*process
 	services []*process
@@ -81,13 +81,19 @@
 }
 
 func (cluster *cluster) startDaemon(i int, further ...string) *process {
+	return cluster.startDaemonIn(i, nil, further...)
+}
+
+// startDaemonIn starts a daemon with further environment variables.
+func (cluster *cluster) startDaemonIn(i int, environment []string, further ...string) *process {
 	name := fmt.Sprintf("host-%d", i)
 	arguments := []string{
 		"serve", flag("host-name", name), flag("platform-address", cluster.platform.address()),
 		flag("caller-address", portZero()), flag("peer-address", portZero()), flag("operator-address", portZero()),
 		flag("poll-interval", "200ms"),
 	}
-	return start(cluster.t, name, []string{"BALSAMVALVE_KEYS=" + keyLines}, append(arguments, further...)...)
+	environment = append(environment, "BALSAMVALVE_KEYS="+keyLines)
+	return start(cluster.t, name, environment, append(arguments, further...)...)
 }
 
 // waitReady waits until every daemon sees the endpoints and the other hosts.
--- a/bvprocess/process_test.go
+++ b/bvprocess/process_test.go
@@ -23,7 +23,7 @@
 
 // process is a child process.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	command *exec.Cmd
 	line    string // its first line of output
@@ -32,7 +32,7 @@
 }
 
 // start starts the command with arguments and waits until it listens.
-func start(t *testing.T, name string, environment []string, arguments ...string) *process {
+func start(t testing.TB, name string, environment []string, arguments ...string) *process {
 	t.Helper()
 	command := exec.Command(os.Args[0], arguments...)
 	command.Env = append(os.Environ(), childVariable+"=1")
