--- a/bvcaller/api.go
+++ b/bvcaller/api.go
@@ -17,6 +17,8 @@
 //	Bv-Class         the row of the operators' table
 //	Bv-Deadline-Ms   how long the caller will wait
 //	Bv-Unrepeatable  true: the request runs at most once
+//	Bv-Resent        true: the request was sent before; a refusal then never
+//	                 says that it was not run
 //	Bv-History       append (default): the body has only new messages; full: all
 //
 // Each answer bears Bv-Trace, the id by which its request stands in the log
--- a/bvcaller/request.go
+++ b/bvcaller/request.go
@@ -26,6 +26,7 @@
 	headerDeadline     = "Bv-Deadline-Ms"
 	headerUnrepeatable = "Bv-Unrepeatable"
 	headerHistory      = "Bv-History"
+	headerResent       = "Bv-Resent"
 	headerTrace        = "Bv-Trace" // of an answer
 )
 
@@ -95,6 +96,9 @@
 	if err := readUnrepeatable(header, call); err != nil {
 		return nil, false, err
 	}
+	if err := readResent(header, call); err != nil {
+		return nil, false, err
+	}
 	single = call.Program == ""
 	if single {
 		call.Program = "single-" + newID()
@@ -154,6 +158,22 @@
 	return nil
 }
 
+// readResent takes in that the caller has sent the request before. A host that
+// knows nothing of the first sending could otherwise say of the second that it
+// was not run, and the caller would take that for both.
+func readResent(header http.Header, call *bvpeer.Call) error {
+	text := header.Get(headerResent)
+	if text == "" {
+		return nil
+	}
+	resent, err := strconv.ParseBool(text)
+	if err != nil {
+		return badRequest("%s must be true or false", headerResent)
+	}
+	call.Resent = resent
+	return nil
+}
+
 func badRequest(reason string, args ...any) error {
 	return bvverdict.Refuse(bvverdict.BadRequest, reason, args...)
 }
--- a/bvcommand/load.go
+++ b/bvcommand/load.go
@@ -7,12 +7,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvkey"
 	"balsamvalve.example/bvload"
 )
 
@@ -21,7 +23,7 @@
 
 // loadFlags are the flags of the load command that are no field of its config.
 type loadFlags struct {
-	keys     map[string]string
+	keysFile string
 	deadline time.Duration
 	jsonFile string
 	plotFile string
@@ -34,10 +36,14 @@
 		Use:   "load",
 		Short: "Send agent programs to running daemons and check the promises",
 		Example: `  balsamvalve load --address 127.0.0.1:8080,127.0.0.1:8081 \
-    --key piran=KEY1 --key brindley=KEY2 --programs 200 --concurrency 20`,
+    --keys-file keys --programs 200 --concurrency 20`,
 		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
-			config.Members = bvload.Members(flags.keys)
+			keys, err := flags.keys()
+			if err != nil {
+				return err
+			}
+			config.Members = bvload.Members(keys)
 			config.Deadline = bvclock.FromStd(flags.deadline)
 			config.Progress = func(progress bvload.Progress) { showProgress(command.ErrOrStderr(), progress) }
 			return flags.run(command, config)
@@ -48,9 +54,25 @@
 	return command
 }
 
+// keysVariable holds keys. They are never arguments, which every user of the
+// machine can read.
+const keysVariable = "BALSAMVALVE_KEYS"
+
+func (flags *loadFlags) keys() (map[string]string, error) {
+	if flags.keysFile == "" {
+		return bvkey.CallerKeys(strings.NewReader(os.Getenv(keysVariable)))
+	}
+	file, err := os.Open(flags.keysFile)
+	if err != nil {
+		return nil, usageError{fmt.Errorf("load: %w", err)}
+	}
+	defer func() { _ = file.Close() }()
+	return bvkey.CallerKeys(file)
+}
+
 func (flags *loadFlags) add(command *cobra.Command) {
 	set := command.Flags()
-	set.StringToStringVar(&flags.keys, "key", nil, "member=key of its callers")
+	set.StringVar(&flags.keysFile, "keys-file", "", "the daemons' keys file; or set "+keysVariable)
 	set.DurationVar(&flags.deadline, "deadline", 0, "of each request, its repeats included; 0: default")
 	set.StringVar(&flags.jsonFile, "json", "", "file that takes the report as JSON")
 	set.StringVar(&flags.plotFile, "plot", "", "file that takes the latencies as a plot (.svg or .png)")
@@ -71,7 +93,7 @@
 
 func (flags *loadFlags) run(command *cobra.Command, config bvload.Config) error {
 	if len(config.Addresses) == 0 || len(config.Members) == 0 {
-		return usageError{errors.New("load: --address and --key are needed; members are piran and brindley")}
+		return usageError{errors.New("load: --address and callers' keys are needed; members are piran and brindley")}
 	}
 	ctx, cancel := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
--- a/bvkey/ring.go
+++ b/bvkey/ring.go
@@ -85,6 +85,23 @@
 	return Read(file)
 }
 
+// CallerKeys reads keys like Read and returns the first caller's key of each
+// member, for a client that acts for several.
+func CallerKeys(source io.Reader) (map[string]string, error) {
+	var content strings.Builder
+	if _, err := Read(io.TeeReader(source, &content)); err != nil {
+		return nil, err
+	}
+	keys := make(map[string]string)
+	for line := range strings.Lines(content.String()) {
+		fields := strings.Fields(line)
+		if len(fields) == 3 && fields[1] == Caller.String() && keys[fields[0]] == "" {
+			keys[fields[0]] = fields[2]
+		}
+	}
+	return keys, nil
+}
+
 // Read reads keys, one a line. Errors give the number of the line and never
 // the key.
 func Read(source io.Reader) (*Ring, error) {
