--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(BIN)/staticcheck ./...
+	bash scripts/check-proofs.sh
 
 tools: $(BIN)/staticcheck
 
