Totals over all members need an admin key; the stop polls instead of a WaitGroup

Cause: /debug/vars showed totals to anybody on the operators' port; with two members an operator could subtract its own. The stop waited on a WaitGroup that calls could still enter, which the package forbids. An RPC that nobody calls is gone. Found in the read-through.

--- a/bvdaemon/operator.go
+++ b/bvdaemon/operator.go
@@ -12,7 +12,6 @@
 func (daemon *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", daemon.serveReady)
-	mux.Handle("GET /debug/vars", daemon.measures)
 	table := &bvoperator.Handler{
 		Editor: &bvtable.Editor{
 			Store:     daemon.platform,
@@ -25,6 +24,7 @@
 		Ring:   func() *bvkey.Ring { return daemon.settings.Ring() },
 		Status: daemon.status,
 	}
+	mux.HandleFunc("GET /debug/vars", table.AdminOnly(daemon.measures))
 	table.Register(mux)
 	return mux
 }
--- a/bvdaemon/peer.go
+++ b/bvdaemon/peer.go
@@ -49,8 +49,3 @@
 	service.daemon.permits.EndProgram(request.GetPool(), request.GetMember(), request.GetProgram())
 	return &bvpeer.ReportEndReply{}, nil
 }
-
-// Yield implements bvpeer.PeerServer.
-func (service *peerService) Yield(_ context.Context, request *bvpeer.YieldRequest) (*bvpeer.YieldReply, error) {
-	return &bvpeer.YieldReply{Busy: service.daemon.owner.Busy(request.GetMember(), request.GetProgram())}, nil
-}
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -83,15 +83,12 @@
 }
 
 func (daemon *Daemon) waitForCalls(limit context.Context) {
-	done := make(chan struct{})
-	go func() {
-		daemon.owner.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-limit.Done():
-		daemon.log.Warn("calls were still under way at the stop limit")
+	for !daemon.owner.Idle() {
+		if limit.Err() != nil {
+			daemon.log.Warn("calls were still under way at the stop limit")
+			return
+		}
+		sleep(limit, flushPoll)
 	}
 }
 
--- a/bvoperator/handler.go
+++ b/bvoperator/handler.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// AdminOnly lets only requests with an admin key through. It guards figures
+// that are totals over all members: with two of them, an operator could
+// subtract its own and see its rival's load.
+func (handler *Handler) AdminOnly(next http.Handler) http.HandlerFunc {
+	return handler.authorized(func(writer http.ResponseWriter, request *http.Request, actor bvtable.Actor) error {
+		if actor.Role != bvkey.Admin {
+			return bvverdict.Refuse(bvverdict.Forbidden, "a key of role %s has no access to totals over all members", actor.Role)
+		}
+		next.ServeHTTP(writer, request)
+		return nil
+	})
+}
+
 func (handler *Handler) actor(request *http.Request) (bvtable.Actor, error) {
 	key, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
 	if !found {
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -77,7 +77,6 @@
 	lastCall bvledger.CallID
 	timer    *time.Timer
 	leaving  bool
-	running  sync.WaitGroup
 
 	latencies latencies
 }
@@ -235,13 +234,7 @@
 // operators' table sets no idle time.
 const longestIdle = 24 * bvclock.Hour
 
-// Busy reports whether a program has calls under way here.
-func (owner *Owner) Busy(member, program string) bool {
-	owner.mutex.Lock()
-	defer owner.mutex.Unlock()
-	return owner.busy(member, program)
-}
-
+// busy reports whether a program has calls under way here.
 func (owner *Owner) busy(member, program string) bool {
 	for _, session := range owner.sessions {
 		if session.call.GetMember() == member && session.call.GetProgram() == program {
@@ -251,26 +244,23 @@
 	return false
 }
 
-// Wait returns when no call is under way.
-func (owner *Owner) Wait() {
-	owner.running.Wait()
+// Idle reports whether no call is under way.
+func (owner *Owner) Idle() bool {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	return len(owner.sessions) == 0
 }
 
 func (owner *Owner) register(session *session) {
 	owner.lastCall++
 	session.id = owner.lastCall
 	owner.sessions[session.id] = session
-	owner.running.Add(1)
 }
 
 func (owner *Owner) unregister(id bvledger.CallID) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	if _, found := owner.sessions[id]; !found {
-		return
-	}
 	delete(owner.sessions, id)
-	owner.running.Done()
 }
 
 func (owner *Owner) deliver(id bvledger.CallID, effect bvledger.Effect) {
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -132,10 +132,19 @@
 	}
 }
 
+// variables asks for a daemon's /debug/vars with a key.
+func (process *process) variables(key string) *http.Response {
+	request, err := http.NewRequest(http.MethodGet, "http://"+process.field("operators")+"/debug/vars", nil)
+	require.NoError(process.t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(process.t, err)
+	return response
+}
+
 // counter returns a variable of a daemon's /debug/vars.
 func (cluster *cluster) counter(daemon *process, name string) int {
-	response, err := http.Get("http://" + daemon.field("operators") + "/debug/vars")
-	require.NoError(cluster.t, err)
+	response := daemon.variables(adminKey)
 	defer func() { _ = response.Body.Close() }()
 	var variables map[string]json.RawMessage
 	require.NoError(cluster.t, json.NewDecoder(response.Body).Decode(&variables))
--- a/bvprocess/metrics_test.go
+++ b/bvprocess/metrics_test.go
@@ -18,8 +18,7 @@
 	}
 	conversation.end(daemon)
 	require.Eventually(t, func() bool { return cluster.counter(daemon, "releases") > 0 }, patience, poll)
-	response, err := http.Get("http://" + daemon.field("operators") + "/debug/vars")
-	require.NoError(t, err)
+	response := daemon.variables(adminKey)
 	defer func() { _ = response.Body.Close() }()
 	var variables struct {
 		Calls    struct{ Count int } `json:"call_latency"`
@@ -35,3 +34,12 @@
 	require.Positive(t, variables.Cached)
 	require.Greater(t, variables.Prompt, variables.Cached)
 }
+
+// With two members, totals over both tell each its rival's load.
+func TestOperatorsKeyDoesNotShowTotals(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 1})
+	response := cluster.daemons[0].variables(piranOperatorKey)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, http.StatusForbidden, response.StatusCode)
+}
