An endpoint off the list for a moment is not gone, nor one not seen yet

Cause, found in the read-through: a release order to an endpoint that the lagging list did not show counted as confirmed, so its memory stayed held. Change: gone is what a whole minute of lists was without; until then orders go to the last known address and are repeated.

--- a/bvdaemon/endpoint.go
+++ b/bvdaemon/endpoint.go
@@ -1,62 +1,90 @@
 package bvdaemon
 
 import (
+	"slices"
 	"sync"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
 )
 
-// endpointTable is the last list of endpoints.
+// forgetTime is how long an endpoint must be missing from the list before it
+// counts as gone, with all that it held.
+const forgetTime = bvclock.Minute
+
+// endpointTable is the last list of endpoints, and those that were on it a
+// moment ago. The zero value knows of none.
+//
+// It guards against the lag of the list: an endpoint that is missing for a
+// moment, or that a host which has just started has not seen yet, still holds
+// its memory. Taken for gone, its cache would never be released.
 type endpointTable struct {
-	mutex  sync.Mutex
-	byName map[string]bvplatform.Endpoint
-	listed []bvplatform.Endpoint
-	served map[string]bool // pools that any endpoint has served since this start
+	mutex   sync.Mutex
+	listed  []bvplatform.Endpoint
+	seen    map[string]sighting
+	served  map[string]bool // pools that any endpoint has served since this start
+	first   bvclock.Time    // of the lists
+	updated bvclock.Time    // time of the last list; stands still while lists can't be had
 }
 
-// list returns the endpoints as they were listed.
-func (table *endpointTable) list() []bvplatform.Endpoint {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	return table.listed
+// sighting is when an endpoint was last on the list.
+type sighting struct {
+	endpoint bvplatform.Endpoint
+	at       bvclock.Time
 }
 
-func (table *endpointTable) update(endpoints []bvplatform.Endpoint) {
-	byName := make(map[string]bvplatform.Endpoint, len(endpoints))
-	for _, endpoint := range endpoints {
-		byName[endpoint.Name] = endpoint
-	}
+// update takes over a new list.
+func (table *endpointTable) update(now bvclock.Time, endpoints []bvplatform.Endpoint) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.byName = byName
-	if table.served == nil {
+	if table.seen == nil {
+		table.seen = make(map[string]sighting)
 		table.served = make(map[string]bool)
+		table.first = now
 	}
+	table.listed = endpoints
+	table.updated = now
 	for _, endpoint := range endpoints {
+		table.seen[endpoint.Name] = sighting{endpoint: endpoint, at: now}
 		table.served[bvpermit.PoolOf(endpoint)] = true
 	}
-	table.listed = endpoints
+	for name, sighting := range table.seen {
+		if now.Sub(sighting.at) > forgetTime {
+			delete(table.seen, name)
+		}
+	}
 }
 
-// Endpoint returns the endpoint with a name.
+// list returns the endpoints as they were listed.
+func (table *endpointTable) list() []bvplatform.Endpoint {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.listed
+}
+
+// Endpoint returns the endpoint with a name, listed now or a moment ago.
 func (table *endpointTable) Endpoint(name string) (bvplatform.Endpoint, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	endpoint, found := table.byName[name]
-	return endpoint, found
+	sighting, found := table.seen[name]
+	return sighting.endpoint, found
 }
 
-// serves reports whether any endpoint serves the model or service.
-func (table *endpointTable) serves(kind bvplatform.EndpointKind, name string) bool {
+// Gone reports whether the lists of a whole forgetTime were without the
+// endpoint.
+func (table *endpointTable) Gone(name string) bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	for _, endpoint := range table.byName {
-		if endpoint.Kind == kind && endpoint.Serves == name {
-			return true
-		}
-	}
-	return false
+	_, found := table.seen[name]
+	return !found && table.seen != nil && table.updated.Sub(table.first) > forgetTime
+}
+
+// serves reports whether any listed endpoint serves the model or service.
+func (table *endpointTable) serves(kind bvplatform.EndpointKind, name string) bool {
+	return slices.ContainsFunc(table.list(), func(endpoint bvplatform.Endpoint) bool {
+		return endpoint.Kind == kind && endpoint.Serves == name
+	})
 }
 
 // hasServed reports whether any endpoint has served the model or service since
@@ -68,13 +96,16 @@
 	return table.served[bvpermit.PoolName(kind, name)]
 }
 
-// Engines returns the names of all model engines.
+// Engines returns the names of all model engines, listed now or a moment ago.
 func (table *endpointTable) Engines() []string {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
 	var names []string
-	for _, endpoint := range table.list() {
-		if endpoint.Kind == bvplatform.Engine {
-			names = append(names, endpoint.Name)
+	for name, sighting := range table.seen {
+		if sighting.endpoint.Kind == bvplatform.Engine {
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	daemon.endpoints.update(endpoints)
+	daemon.endpoints.update(daemon.clock.Now(), endpoints)
 	daemon.shareTable()
 	daemon.ready.Store(daemon.view.Self().State == bvplatform.HostLive)
 	return nil
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -52,6 +52,8 @@
 	Endpoint(name string) (bvplatform.Endpoint, bool)
 	// Engines returns the names of all model engines.
 	Engines() []string
+	// Gone reports whether an endpoint and all that it held is no more.
+	Gone(name string) bool
 }
 
 // Parts are what an owner works with.
--- a/bvowner/release.go
+++ b/bvowner/release.go
@@ -33,19 +33,23 @@
 // releaseEverywhere reports whether no endpoint holds anything of the program
 // any more.
 func (owner *Owner) releaseEverywhere(ctx context.Context, key bvledger.ProgramKey) bool {
+	engines := owner.parts.Addresses.Engines()
+	if len(engines) == 0 {
+		return owner.parts.Addresses.Gone(bvledger.AnyEndpoint) // or no list has come yet
+	}
 	all := true
-	for _, endpoint := range owner.parts.Addresses.Engines() {
+	for _, endpoint := range engines {
 		all = owner.releaseAt(ctx, key, endpoint) && all
 	}
 	return all
 }
 
 // releaseAt reports whether the endpoint holds nothing of the program any
-// more. An endpoint that is no longer listed has lost its memory.
+// more. One that is gone has lost its memory.
 func (owner *Owner) releaseAt(ctx context.Context, key bvledger.ProgramKey, name string) bool {
 	endpoint, found := owner.parts.Addresses.Endpoint(name)
 	if !found {
-		return true
+		return owner.parts.Addresses.Gone(name)
 	}
 	owner.parts.Permits.EndProgram(ctx, bvpermit.PoolOf(endpoint), key.Member, key.Program)
 	err := owner.parts.Endpoints.Release(ctx, endpoint.Address, key.Member, key.Program)
