--- a/scripts/check-proofs.sh
+++ b/scripts/check-proofs.sh
@@ -2,7 +2,7 @@
 # Fails when docs/PROOFS.md names a test that does not exist.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-known=$(git ls-files '*_test.go' | xargs grep -hoE '^func Test[A-Za-z0-9_]+' | sed 's/func //' | sort -u)
+known=$(git ls-files -co --exclude-standard '*_test.go' | xargs grep -hoE '^func Test[A-Za-z0-9_]+' | sed 's/func //' | sort -u)
 named=$(grep -oE '`Test[A-Za-z0-9_]+`' docs/PROOFS.md | tr -d '`' | sort -u)
 missing=$(comm -13 <(echo "$known") <(echo "$named"))
 if [ -n "$missing" ]; then
