--- a/bvdaemon/commit.go
+++ b/bvdaemon/commit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvcommit"
@@ -25,7 +24,7 @@
 	daemon    *Daemon
 	mutex     sync.Mutex
 	committer *bvcommit.Committer
-	timer     *time.Timer
+	alarm     bvclock.Alarm
 }
 
 func newCommitLoop(daemon *Daemon) *commitLoop {
@@ -80,17 +79,14 @@
 	}
 }
 
+// schedule arranges the tick that time alone calls for.
 func (loop *commitLoop) schedule(now bvclock.Time) {
-	if loop.timer != nil {
-		loop.timer.Stop()
-		loop.timer = nil
-	}
 	next, ok := loop.committer.Next()
 	if !ok {
+		loop.alarm.Clear()
 		return
 	}
-	delay := max(next.Sub(now), bvclock.Millisecond)
-	loop.timer = time.AfterFunc(delay.Std(), func() { loop.do(func(bvclock.Time) {}) })
+	loop.alarm.Set(now, next, func() { loop.do(func(bvclock.Time) {}) })
 }
 
 func (loop *commitLoop) write(transaction bvplatform.Transaction) {
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -77,7 +76,7 @@
 	ledger   *bvledger.Ledger
 	sessions map[bvledger.CallID]*session
 	lastCall bvledger.CallID
-	timer    *time.Timer
+	alarm    bvclock.Alarm
 	leaving  bool
 
 	latencies latencies
@@ -112,16 +111,12 @@
 
 // schedule arranges the tick that time alone calls for.
 func (owner *Owner) schedule(now bvclock.Time) {
-	if owner.timer != nil {
-		owner.timer.Stop()
-		owner.timer = nil
-	}
 	next, ok := owner.ledger.Next()
 	if !ok {
+		owner.alarm.Clear()
 		return
 	}
-	delay := max(next.Sub(now), bvclock.Millisecond)
-	owner.timer = time.AfterFunc(delay.Std(), func() { owner.do(func(bvclock.Time) {}) })
+	owner.alarm.Set(now, next, func() { owner.do(func(bvclock.Time) {}) })
 }
 
 func (owner *Owner) carryOut(effect bvledger.Effect) {
--- a/bvpermit/pool.go
+++ b/bvpermit/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
@@ -20,7 +19,7 @@
 	tickets   map[bvgate.RequestID]*Ticket
 	addresses map[string]string
 	work      workLog
-	timer     *time.Timer
+	alarm     bvclock.Alarm
 }
 
 func newPool(name string, server *Server) *pool {
@@ -82,16 +81,12 @@
 
 // schedule arranges the tick that time alone calls for.
 func (pool *pool) schedule(now bvclock.Time) {
-	if pool.timer != nil {
-		pool.timer.Stop()
-		pool.timer = nil
-	}
 	next := pool.decisions.Next()
 	if next == 0 {
+		pool.alarm.Clear()
 		return
 	}
-	delay := max(next.Sub(now), bvclock.Millisecond)
-	pool.timer = time.AfterFunc(delay.Std(), func() { pool.do(func(bvclock.Time) {}) })
+	pool.alarm.Set(now, next, func() { pool.do(func(bvclock.Time) {}) })
 }
 
 func (pool *pool) collect(now bvclock.Time, effects []bvgate.Effect) []func() {
