Completions bear their time; all tests run under the race detector

Cause: created was 0, which a client of the chat API may show; an unknown model was called an engine.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 FUZZ_TIME ?= 40s
 TIME ?= $(FUZZ_TIME)
-RACE_PACKAGES ?= ./bvdaemon/... ./bvprocess/... ./bvowner/... ./bvpermit/...
+RACE_PACKAGES ?= ./...
 
 .PHONY: all build demo test test-race fuzz measure bench format lint tools generate check clean
 
@@ -17,7 +17,7 @@
 test: ## everything that CI tests
 	$(GO) test ./...
 
-test-race: ## the tests that run daemons, under the race detector
+test-race: ## all tests under the race detector
 	$(GO) test -race $(RACE_PACKAGES)
 
 fuzz: ## explore fresh seeds for TIME
--- a/bvcaller/completion.go
+++ b/bvcaller/completion.go
@@ -1,13 +1,17 @@
 package bvcaller
 
-import "balsamvalve.example/bvanswer"
+import (
+	"time"
+
+	"balsamvalve.example/bvanswer"
+)
 
 // The shapes below are those of the OpenAI chat completions API.
 
 type completion struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
-	Created int64    `json:"created"`
+	Created int64    `json:"created"` // seconds since 1970, as the API has it
 	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage,omitempty"`
@@ -45,9 +49,10 @@
 func completionOf(request string, answer bvanswer.Model) completion {
 	reason := answer.FinishReason
 	return completion{
-		ID:     request,
-		Object: objectCompletion,
-		Model:  answer.Model,
+		ID:      request,
+		Object:  objectCompletion,
+		Created: time.Now().Unix(),
+		Model:   answer.Model,
 		Choices: []choice{{
 			Message:      &message{Role: roleAssistant, Content: answer.Text},
 			FinishReason: &reason,
@@ -69,6 +74,7 @@
 	return completion{
 		ID:      request,
 		Object:  objectChunk,
+		Created: time.Now().Unix(),
 		Model:   model,
 		Choices: []choice{{Delta: &message{Role: roleAssistant, Content: text}}},
 	}
@@ -79,6 +85,7 @@
 	return completion{
 		ID:      request,
 		Object:  objectChunk,
+		Created: time.Now().Unix(),
 		Model:   answer.Model,
 		Choices: []choice{{Delta: &message{}, FinishReason: &reason}},
 	}
--- a/bvcaller/stream.go
+++ b/bvcaller/stream.go
@@ -91,7 +91,9 @@
 		return err
 	}
 	if chat.includeUsage {
-		last := completion{ID: stream.request, Object: objectChunk, Model: answer.Model, Choices: []choice{}, Usage: usageOf(answer)}
+		last := lastChunkOf(stream.request, answer)
+		last.Choices = []choice{}
+		last.Usage = usageOf(answer)
 		if err := stream.chunk(last); err != nil {
 			return err
 		}
--- a/bvdaemon/table.go
+++ b/bvdaemon/table.go
@@ -70,16 +70,24 @@
 
 func (table *table) admitTarget(kind bvplatform.EndpointKind, name string, allowed []string, unknown bvverdict.Code) error {
 	if len(allowed) > 0 && !contains(allowed, name) {
-		return bvverdict.Refuse(bvverdict.Forbidden, "the operators' table does not allow %s %s", kind, name)
+		return bvverdict.Refuse(bvverdict.Forbidden, "the operators' table does not allow %s %s", wordFor(kind), name)
 	}
 	if table.daemon.endpoints.serves(kind, name) {
 		return nil
 	}
 	if table.daemon.endpoints.hasServed(kind, name) {
-		return bvverdict.Refuse(bvverdict.Overloaded, "no endpoint serves %s %s now", kind, name).
+		return bvverdict.Refuse(bvverdict.Overloaded, "no endpoint serves %s %s now", wordFor(kind), name).
 			WithRetryAfter(retryAfterNoEndpoint)
 	}
-	return bvverdict.Refuse(unknown, "no endpoint serves %s %s", kind, name)
+	return bvverdict.Refuse(unknown, "no endpoint serves %s %s", wordFor(kind), name)
+}
+
+// wordFor is what callers call that which endpoints of a kind serve.
+func wordFor(kind bvplatform.EndpointKind) string {
+	if kind == bvplatform.Engine {
+		return "model"
+	}
+	return kind.String()
 }
 
 // retryAfterNoEndpoint is told when all endpoints of a model or service have
