Deciding hosts tell the next ones of suspects

Cause: what a pool knows of poisonous requests died with its host. Ruled out: a durable row per suspect (a write per crash while many crash); the suspects of all pools to all hosts (730 of them). Change: each poll, the host that decides for a pool tells the two that would decide next.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -54,6 +54,7 @@
 	endpoints   *endpointTable
 	table       *table
 	permits     *bvpermit.Server
+	asker       *bvpermit.Client
 	owner       *bvowner.Owner
 	commits     *commitLoop
 	entry       *bventry.Entry
@@ -113,12 +114,13 @@
 	client := &bvendpoint.Client{Progress: daemon.settings.SilenceLimit()}
 	limits := bvgate.Limits{Queue: daemon.settings.QueueLimit()}
 	daemon.permits = bvpermit.NewServer(daemon.clock, releaseWith(client), limits, daemon.log)
+	daemon.asker = bvpermit.NewClient(daemon.clock, daemon.view, daemon.peers, daemon.permits, daemon.log)
 	daemon.commits = newCommitLoop(daemon)
 	daemon.owner = bvowner.New(ownerName(daemon.view.Self()), bvowner.Parts{
 		Clock:     daemon.clock,
 		Store:     daemon.platform,
 		Committer: daemon.commits,
-		Permits:   bvpermit.NewClient(daemon.clock, daemon.view, daemon.peers, daemon.permits, daemon.log),
+		Permits:   daemon.asker,
 		Endpoints: client,
 		Addresses: daemon.endpoints,
 		Rows:      daemon.table,
--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -20,6 +20,7 @@
 		own.note(daemon.log, daemon.announce(ctx))
 		hosts.note(daemon.log, daemon.followHosts(ctx))
 		endpoints.note(daemon.log, daemon.followEndpoints(ctx))
+		daemon.shareSuspects(ctx)
 		sleep(ctx, daemon.settings.PollInterval())
 	}
 }
@@ -55,6 +56,13 @@
 	return nil
 }
 
+// shareSuspects tells other hosts what this one knows of poisonous requests.
+func (daemon *Daemon) shareSuspects(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout.Std())
+	defer cancel()
+	daemon.measures.Add("suspects_told", int64(daemon.asker.ShareSuspects(ctx)))
+}
+
 // shareTable gives the decisions the endpoints and the shares in force.
 func (daemon *Daemon) shareTable() {
 	daemon.permits.Update(daemon.endpoints.list(), daemon.table.shares())
--- a/bvdaemon/peer.go
+++ b/bvdaemon/peer.go
@@ -49,3 +49,9 @@
 	service.daemon.permits.EndProgram(request.GetPool(), request.GetMember(), request.GetProgram())
 	return &bvpeer.ReportEndReply{}, nil
 }
+
+// ShareSuspects implements bvpeer.PeerServer.
+func (service *peerService) ShareSuspects(_ context.Context, told *bvpeer.Suspects) (*bvpeer.SuspectsReply, error) {
+	service.daemon.permits.AddSuspects(told)
+	return &bvpeer.SuspectsReply{}, nil
+}
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -28,6 +28,7 @@
 //	rerun_calls           tries after the first, because an endpoint gave no answer
 //	lost_owners           calls whose owner was lost on the way
 //	declined_calls        calls that had to ask another host for the owner
+//	suspects_told         hosts told of requests that may crash endpoints
 //	table_version         version of the operators' table in force
 //	hosts                 hosts in this host's view
 //
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -115,23 +115,48 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// programOwnedBy returns the name of a program that belongs to a daemon as
-// long as all daemons of the cluster are live.
-func (cluster *cluster) programOwnedBy(member, host string) string {
+// place returns the name of the host that a key belongs to as long as all
+// daemons of the cluster are live.
+func (cluster *cluster) place(key string) string {
 	view := &bvhost.View{}
 	var hosts []bvplatform.Host
 	for _, daemon := range cluster.daemons {
 		hosts = append(hosts, bvplatform.Host{Name: daemon.name})
 	}
 	view.Update(0, hosts)
+	return view.Candidates(0, key)[0].Name
+}
+
+// programOwnedBy returns the name of a program that belongs to a daemon.
+func (cluster *cluster) programOwnedBy(member, host string) string {
 	for i := 0; ; i++ {
 		program := fmt.Sprintf("program-%d", i)
-		if view.Candidates(0, bventry.ProgramPlace(member, program))[0].Name == host {
+		if cluster.place(bventry.ProgramPlace(member, program)) == host {
 			return program
 		}
 	}
 }
 
+// decider returns the daemon that decides for a pool.
+func (cluster *cluster) decider(pool string) *process {
+	name := cluster.place("pool/" + pool)
+	for _, daemon := range cluster.daemons {
+		if daemon.name == name {
+			return daemon
+		}
+	}
+	cluster.t.Fatalf("no daemon is named %s", name)
+	return nil
+}
+
+// other returns a daemon that is not the given one.
+func (cluster *cluster) other(daemon *process) *process {
+	if cluster.daemons[0] != daemon {
+		return cluster.daemons[0]
+	}
+	return cluster.daemons[1]
+}
+
 // variables asks for a daemon's /debug/vars with a key.
 func (process *process) variables(key string) *http.Response {
 	request, err := http.NewRequest(http.MethodGet, "http://"+process.field("operators")+"/debug/vars", nil)
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -113,14 +113,44 @@
 	status, body := poison.post(cluster.daemons[0], bvstandin.PoisonMarker, false)
 	require.Equal(t, http.StatusUnprocessableEntity, status, body)
 	require.True(t, strings.Contains(body, "poisonous"), body)
+	require.GreaterOrEqual(t, cluster.alive(), 2)
+	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
+}
+
+// A request has crashed two engines and is refused everywhere; then the host
+// that decided so loses power. The host that decides next must know of it, or
+// the request crashes two more engines.
+func TestPoisonIsRememberedWhenTheDecidingHostIsKilled(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
+	decider := cluster.decider("engine/m")
+	entry := cluster.other(decider)
+	poison := newConversation(t, piranKey, "poison")
+	poison.turn = 1
+	require.Eventually(t, func() bool {
+		status, _ := poison.post(entry, bvstandin.PoisonMarker, false)
+		return status == http.StatusUnprocessableEntity
+	}, patience, poll)
+	require.Eventually(t, func() bool { return cluster.counter(decider, "suspects_told") >= 2 }, patience, poll)
+	crashed := 4 - cluster.alive()
+	decider.kill()
+	require.Eventually(t, func() bool {
+		status, _ := poison.post(entry, bvstandin.PoisonMarker, false)
+		return status == http.StatusUnprocessableEntity
+	}, patience, poll)
+	require.Equal(t, crashed, 4-cluster.alive())
+}
+
+// alive returns how many engines answer.
+func (cluster *cluster) alive() int {
 	alive := 0
 	for _, engine := range cluster.engines {
-		if _, err := http.Get("http://" + engine.address() + "/load"); err == nil {
+		if response, err := http.Get("http://" + engine.address() + "/load"); err == nil {
+			_ = response.Body.Close()
 			alive++
 		}
 	}
-	require.GreaterOrEqual(t, alive, 2)
-	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
+	return alive
 }
 
 // The booking service hangs. The caller gets its final answer at its own
