--- a/bvpeer/pool.go
+++ b/bvpeer/pool.go
@@ -95,9 +95,10 @@
 		grpc.WithTransportCredentials(transport),
 		grpc.WithStatsHandler(otelgrpc.NewClientHandler(traceOptions(pool.tracers)...)),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-		// Without this, gRPC sends a call again by itself when it believes that
-		// the server has not seen it. A request that must not be repeated is
-		// sent by this project's own decision only.
+		// No retry by a service configuration. gRPC still sends a call again
+		// whose stream the server refused unprocessed, or of which nothing was
+		// written. That is harmless even for an unrepeatable request: an owner
+		// that does see a call twice takes the second for a repeat.
 		grpc.WithDisableRetry(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time:                pingInterval,
