An entry keeps the caller's deadline when the owner stalls

Cause, found in the read-through: the entry waited for its owner without a bound, as the call that hung for 70 s in one load under faults shows. Why that owner stalled is still open; this bounds what its caller sees. Ruled out: a shorter bound than the deadline (a long answer is no stall). Change: 500 ms beyond the deadline the entry answers 'may have run' with the time to come back. The two handlers that waited for whole answers in the same lines share one function.

--- a/bvcaller/chat.go
+++ b/bvcaller/chat.go
@@ -155,15 +155,20 @@
 	return nil
 }
 
-// whole answers with one body.
-func (api *API) whole(writer http.ResponseWriter, request *http.Request, call *bvpeer.Call) {
-	var finished *bvpeer.Finished
-	err := api.entry.Run(request.Context(), call, func(event *bvpeer.CallEvent) error {
+// run waits for the whole answer of a call.
+func (api *API) run(ctx context.Context, call *bvpeer.Call) (finished *bvpeer.Finished, err error) {
+	err = api.entry.Run(ctx, call, func(event *bvpeer.CallEvent) error {
 		if event.GetFinished() != nil {
 			finished = event.GetFinished()
 		}
 		return nil
 	})
+	return finished, err
+}
+
+// whole answers with one body.
+func (api *API) whole(writer http.ResponseWriter, request *http.Request, call *bvpeer.Call) {
+	finished, err := api.run(request.Context(), call)
 	if err != nil {
 		api.fail(writer, request, err)
 		return
--- a/bvcaller/service.go
+++ b/bvcaller/service.go
@@ -32,13 +32,7 @@
 	if single {
 		defer api.endSingle(request.Context(), call)
 	}
-	var finished *bvpeer.Finished
-	err = api.entry.Run(request.Context(), call, func(event *bvpeer.CallEvent) error {
-		if event.GetFinished() != nil {
-			finished = event.GetFinished()
-		}
-		return nil
-	})
+	finished, err := api.run(request.Context(), call)
 	if err != nil {
 		api.fail(writer, request, err)
 		return
--- a/bventry/entry.go
+++ b/bventry/entry.go
@@ -63,6 +63,8 @@
 // another one is safe for every call, because an owner commits its claim, and
 // the record of an unrepeatable request, before it sends anything.
 func (entry *Entry) Run(ctx context.Context, call *bvpeer.Call, emit func(*bvpeer.CallEvent) error) error {
+	ctx, cancel := withDeadline(ctx, call)
+	defer cancel()
 	relay := &relay{call: call, emit: emit}
 	return entry.eachOwner(ctx, call.GetMember(), call.GetProgram(), func(ctx context.Context, host bvplatform.Host) error {
 		err := entry.runAt(ctx, host, relay)
@@ -88,6 +90,29 @@
 	})
 }
 
+// deadlineGrace is what an owner gets beyond the caller's deadline to say
+// itself what became of the call; it knows more than the entry.
+const deadlineGrace = 500 * bvclock.Millisecond
+
+// withDeadline bounds a call by its caller's deadline. An owner whose host
+// stalls, but still answers pings, would otherwise keep the caller waiting for
+// as long as it stalls.
+func withDeadline(ctx context.Context, call *bvpeer.Call) (context.Context, context.CancelFunc) {
+	if call.GetDeadlineMs() <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, (bvclock.Duration(call.GetDeadlineMs()) + deadlineGrace).Std())
+}
+
+// ended says why a call was given up here. It may have run at its owner.
+func ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return bvverdict.New(bvverdict.MayHaveRun, bvverdict.DeadlinePassed, "the deadline passed before the owner answered").
+			WithRetryAfter(retryAfterNoOwner).WithCause(ctx.Err())
+	}
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
+}
+
 // ProgramPlace is the key by which the hosts that may own a program are ranked.
 func ProgramPlace(member, program string) string {
 	return "program/" + member + "/" + program
@@ -110,8 +135,8 @@
 		err := ask(askContext, host)
 		span.End(err)
 		bvtrace.LogHop(ctx, entry.log, "owner asked", err, "owner", host.Name)
-		if ctx.Err() != nil {
-			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller went away").WithCause(ctx.Err())
+		if err != nil && ctx.Err() != nil {
+			return ended(ctx)
 		}
 		if lost := new(lostError); errors.As(err, &lost) {
 			entry.distrust(host)
