A host without a confirmed table is not ready

Cause: TestOneTraceHasASpanForEachHop failed once under the race detector in a fresh clone (503 in place of 200): a host said that it was ready when it had the lists, and refused every call until its first look at the table was done. Ruled out: the trace, and the test, which waits for readiness as a balancer does. Change: ready means lists, a confirmed table, and not leaving.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -66,7 +66,7 @@
 	traces      *bvtrace.Provider
 	spans       trace.SpanExporter // of an embedding program; may be nil
 	measures    *bvmeasure.Counters
-	ready       atomic.Bool
+	ready       atomic.Bool // has the lists and is not leaving
 	stopped     chan struct{}
 }
 
@@ -203,8 +203,13 @@
 	return name
 }
 
-// Ready reports whether the host takes calls.
-func (daemon *Daemon) Ready() bool { return daemon.ready.Load() }
+// Ready reports whether the host takes calls: it has the lists, is not leaving,
+// and has a table in force that is confirmed. Without the last, the balancer
+// would send callers to a host that has just started and refuses them all.
+func (daemon *Daemon) Ready() bool {
+	_, err := daemon.table.follower.Current()
+	return err == nil && daemon.ready.Load()
+}
 
 // HostsSeen returns how many hosts this one knows of, itself included.
 func (daemon *Daemon) HostsSeen() int { return len(daemon.view.Hosts()) }
--- a/bvdaemon/operator.go
+++ b/bvdaemon/operator.go
@@ -30,7 +30,7 @@
 }
 
 func (daemon *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	if !daemon.ready.Load() {
+	if !daemon.Ready() {
 		http.Error(writer, "not ready", http.StatusServiceUnavailable)
 		return
 	}
