Budgets in blocks by host, conversations kept by turn

Change: bvbudget reserves blocks in the program's row before a turn is sent; bvhistory writes a turn before the end of its answer is handed on.

--- /dev/null
+++ b/bvbudget/tidy.go
@@ -0,0 +1,86 @@
+package bvbudget
+
+import (
+	"context"
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+
+	"balsamvalve.example/bvplatform"
+)
+
+// tidyWrites is how many accounts are tidied at once.
+const tidyWrites = 8
+
+// Tidy gives back what lies unspent and forgets programs that are long over.
+// It is called a few times a second.
+func (keeper *Keeper) Tidy(ctx context.Context) {
+	returns, forgotten := keeper.due()
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(tidyWrites)
+	for _, account := range returns {
+		group.Go(func() error { keeper.giveBack(ctx, account); return nil })
+	}
+	for _, account := range forgotten {
+		group.Go(func() error { keeper.remove(ctx, account); return nil })
+	}
+	_ = group.Wait() // the functions return no error
+}
+
+func (keeper *Keeper) due() (returns, forgotten []*account) {
+	now := keeper.clock.Now()
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	for program, account := range keeper.accounts {
+		paused := now.Sub(account.usedAt)
+		switch {
+		case !account.idle():
+		case paused > account.retain+forgetAfter:
+			delete(keeper.accounts, program)
+			forgotten = append(forgotten, account)
+		case paused > returnAfter && account.returnable(keeper.host):
+			returns = append(returns, account)
+		}
+	}
+	return returns, forgotten
+}
+
+// giveBack lowers this host's block to what was spent. A turn that comes
+// meanwhile waits for the account's turn.
+func (keeper *Keeper) giveBack(ctx context.Context, account *account) {
+	select {
+	case account.turn <- struct{}{}:
+		defer func() { <-account.turn }()
+	default:
+		return // a turn has come
+	}
+	keeper.mutex.Lock()
+	idle, spent := account.idle(), account.spent
+	if idle {
+		account.known = false // nothing is taken from the block meanwhile
+	}
+	keeper.mutex.Unlock()
+	if !idle {
+		return
+	}
+	err := keeper.write(ctx, account, spent)
+	var conflict *bvplatform.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		keeper.log.WithField("program", account.program).WithError(err).Debug("unspent tokens not given back")
+	}
+}
+
+// remove deletes a row that nobody has changed since this host last did.
+func (keeper *Keeper) remove(ctx context.Context, account *account) {
+	if !account.known || account.version == 0 {
+		return
+	}
+	_, err := keeper.store.Commit(ctx, bvplatform.Transaction{
+		Checks: []bvplatform.Check{{Key: account.key(), Version: account.version}},
+		Puts:   []bvplatform.Put{{Key: account.key()}},
+	})
+	var conflict *bvplatform.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		keeper.log.WithField("program", account.program).WithError(err).Debug("row not removed; the sweep finds it")
+	}
+}
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -84,7 +84,7 @@
 		settings:    settings,
 		log:         log,
 		clock:       bvclock.Boot(),
-		incarnation: newIncarnation(),
+		incarnation: bvhost.NewIncarnation(),
 		view:        &bvhost.View{},
 		endpoints:   &endpointTable{},
 		measures:    bvmeasure.New(),
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"strings"
 
+	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvverdict"
@@ -44,10 +46,15 @@
 	body    []byte
 	wish    bvdispatch.Request
 
-	sends   int  // endpoints it was sent to
-	runs    int  // of those, which may have run it
-	begun   bool // the answer's head is out
-	stream  events
+	sends  int  // endpoints it was sent to
+	runs   int  // of those, which may have run it
+	begun  bool // the answer's head is out
+	stream events
+
+	reservation *bvbudget.Reservation // nil for what spends no budget
+	chain       bvhistory.Chain       // of a conversation that is kept
+	input       []byte                // of its new turn
+
 	version int64 // of the desired state
 	at      string
 }
@@ -64,7 +71,12 @@
 	}
 }
 
-func (call *call) close() { call.cancel() }
+func (call *call) close() {
+	call.cancel()
+	if call.reservation != nil {
+		call.reservation.Close()
+	}
+}
 
 // serve does all for a request, up to its answer. An error is still to be told
 // to the caller.
@@ -83,6 +95,9 @@
 		OutputTokens: call.said.OutputTokens,
 		Affinity:     call.said.Affinity,
 	}
+	if err := call.prepareTurn(); err != nil {
+		return err
+	}
 	return call.forward()
 }
 
--- a/bvfront/event.go
+++ b/bvfront/event.go
@@ -11,8 +11,9 @@
 	pending []byte
 	lastID  string
 	count   int
-	data    [][]byte // of each event, where it is kept
-	keep    bool
+	fresh   int    // events that were not counted against the budget yet
+	keep    bool   // whether data is collected
+	data    []byte // of each event, each with a line feed behind it
 }
 
 var (
@@ -68,11 +69,13 @@
 		if value, found := bytes.CutPrefix(line, fieldData); found {
 			carries = true
 			if events.keep {
-				events.data = append(events.data, bytes.Clone(bytes.TrimPrefix(value, []byte{' '})))
+				events.data = append(events.data, bytes.TrimPrefix(value, []byte{' '})...)
+				events.data = append(events.data, '\n')
 			}
 		}
 	}
 	if carries {
 		events.count++
+		events.fresh++
 	}
 }
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -22,9 +22,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -62,6 +64,17 @@
 	Send(ctx context.Context, request *bvforward.Request) (*bvforward.Response, error)
 }
 
+// Budgets reserves what a program's turn may generate.
+type Budgets interface {
+	Reserve(ctx context.Context, turn bvbudget.Turn) (*bvbudget.Reservation, error)
+}
+
+// Histories keeps conversations.
+type Histories interface {
+	Chain(ctx context.Context, parent string) (bvhistory.Chain, error)
+	Add(ctx context.Context, chain bvhistory.Chain, said bvhistory.Said) error
+}
+
 // Counters count what is done.
 type Counters interface {
 	Add(name string, delta int64)
@@ -75,6 +88,8 @@
 	State      State
 	Dispatcher Dispatcher
 	Endpoints  Endpoints
+	Budgets    Budgets
+	Histories  Histories
 	Counters   Counters
 	Log        logrus.FieldLogger
 }
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -105,6 +105,9 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	if !call.spend() {
+		return errOverspent
+	}
 	if !call.begun {
 		call.writeHead(response, -1)
 		call.front.parts.Counters.Observe("first_event", call.front.parts.Clock.Now().Sub(call.arrived))
@@ -122,6 +125,9 @@
 	if len(call.stream.pending) > 0 {
 		return broken("the stream ended within an event", nil)
 	}
+	if err := call.keepTurn(); err != nil {
+		return err
+	}
 	if !call.begun {
 		call.writeHead(response, -1)
 	}
--- /dev/null
+++ b/bvfront/turn.go
@@ -0,0 +1,78 @@
+package bvfront
+
+import (
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+
+	"balsamvalve.example/bvbudget"
+	"balsamvalve.example/bvhistory"
+)
+
+// errOverspent ends a stream whose engine generated more than was asked for:
+// what is not reserved must not be handed on.
+var errOverspent = errors.New("the engine generated more than was reserved")
+
+// firstTurnParts is how many parts the prompt of a program's first turn has:
+// what it shares with others, and its own. Later turns add to them.
+const firstTurnParts = 2
+
+// prepareTurn reserves a turn's tokens and gets its conversation, both before
+// anything is sent.
+func (call *call) prepareTurn() error {
+	var group errgroup.Group
+	if call.said.HasBudget && call.service.Engine != nil && call.said.Program != "" {
+		group.Go(call.reserve)
+	}
+	if call.route.Retained {
+		group.Go(call.recall)
+	}
+	return group.Wait()
+}
+
+func (call *call) reserve() (err error) {
+	most := call.said.OutputTokens
+	if most <= 0 {
+		most = call.said.Budget
+	}
+	call.reservation, err = call.front.parts.Budgets.Reserve(call.ctx, bvbudget.Turn{
+		Program:   call.said.Program,
+		Budget:    call.said.Budget,
+		Most:      most,
+		Continues: call.said.Parent != "" || len(call.said.Prefix) > firstTurnParts,
+		Retain:    call.route.Retain,
+	})
+	return err
+}
+
+func (call *call) recall() (err error) {
+	call.input = call.body
+	call.stream.keep = true
+	call.chain, err = call.front.parts.Histories.Chain(call.ctx, call.said.Parent)
+	if err != nil {
+		return err
+	}
+	call.body = call.chain.Prompt(call.input)
+	return nil
+}
+
+// spend counts the events that are about to be handed on.
+func (call *call) spend() bool {
+	fresh := call.stream.fresh
+	call.stream.fresh = 0
+	return call.reservation == nil || call.reservation.Spend(fresh*call.service.Engine.EventTokens)
+}
+
+// keepTurn makes a turn of a conversation durable. The caller sees the end of
+// its answer only after it.
+func (call *call) keepTurn() error {
+	if !call.route.Retained {
+		return nil
+	}
+	return call.front.parts.Histories.Add(call.ctx, call.chain, bvhistory.Said{
+		ID:     call.said.ID,
+		Input:  call.input,
+		Output: call.stream.data,
+		Retain: call.route.Retain,
+	})
+}
--- /dev/null
+++ b/bvhistory/keeper.go
@@ -0,0 +1,283 @@
+// Package bvhistory keeps what was said in conversations whose callers name
+// their last turn instead of sending everything again. A turn is in the
+// platform's store before its caller sees the end of its answer, so any host
+// finds it from then on, whatever fails.
+//
+// A row holds one turn and the ids of those before it, so that a chain is read
+// side by side and nothing is stored twice. A conversation that goes on for
+// longer than half of the time for which turns are kept starts a new chain
+// with a copy of what was said, so that a row is never needed for longer than
+// one and a half times that.
+//
+// # Usage
+//
+//	keeper := bvhistory.NewKeeper(store, clock, log)
+//	chain, err := keeper.Chain(ctx, parent) // all turns up to the parent
+//	body := chain.Prompt(input)
+//	...
+//	err = keeper.Add(ctx, chain, bvhistory.Said{ID: id, Input: input, Output: output, Retain: retain})
+//
+// # Cost
+//
+// A turn costs one write, and no read on a host that has its chain at hand.
+package bvhistory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+const (
+	// shards is the number of parts that turns are spread over; a part takes
+	// 200 writes a second.
+	shards = 256
+	// cacheBytes is the most that is kept at hand. A conversation has some
+	// 35 KB, and a host of the users' sites has some tens under way.
+	cacheBytes = 6 << 20
+	// rowOverhead is what a turn costs in memory beside its texts.
+	rowOverhead = 200
+	// retryPause is the time between two tries of a write.
+	retryPause = 50 * bvclock.Millisecond
+	// comeBack is when to try again while the store can't be reached.
+	comeBack = 500 * bvclock.Millisecond
+	// expireMargin covers clocks that differ and rows written late.
+	expireMargin = 30
+)
+
+// Said is a turn that has ended.
+type Said struct {
+	ID     string
+	Input  []byte
+	Output []byte           // the data of each event, each with a line feed behind it
+	Retain bvclock.Duration // how long it is kept
+}
+
+// Keeper reads and writes turns. Make one with NewKeeper; it is safe for
+// concurrent use.
+type Keeper struct {
+	store    bvplatform.Store
+	rowBytes int
+	log      logrus.FieldLogger
+
+	mutex sync.Mutex
+	cache *simplelru.LRU[string, *Turn]
+	bytes int
+	reads int64
+}
+
+// NewKeeper returns a Keeper whose rows hold at most rowBytes each.
+func NewKeeper(store bvplatform.Store, rowBytes int, log logrus.FieldLogger) *Keeper {
+	keeper := &Keeper{store: store, rowBytes: rowBytes, log: log}
+	const unbounded = 1 << 30 // the bound is in bytes, see remember
+	keeper.cache, _ = simplelru.NewLRU(unbounded, func(_ string, turn *Turn) { keeper.bytes -= turn.size() })
+	return keeper
+}
+
+// Chain is a conversation so far, oldest turn first. The zero value is one that
+// begins.
+type Chain []*Turn
+
+// Prompt returns what the engine is to get: all that was said, and the input.
+func (chain Chain) Prompt(input []byte) []byte {
+	size := len(input)
+	for _, turn := range chain {
+		size += len(turn.Input) + len(turn.Output)
+	}
+	prompt := make([]byte, 0, size)
+	for _, turn := range chain {
+		prompt = append(prompt, turn.Input...)
+		prompt = append(prompt, turn.Output...)
+	}
+	return append(prompt, input...)
+}
+
+// Chain returns all turns up to the one that is named, or none for an empty
+// name. The error is a *bvverdict.Error: UnknownRequest only where the store
+// itself says that there is no such turn.
+func (keeper *Keeper) Chain(ctx context.Context, parent string) (Chain, error) {
+	if parent == "" {
+		return nil, nil
+	}
+	last, err := keeper.turn(ctx, parent)
+	if errors.Is(err, bvplatform.ErrNotFound) {
+		return nil, bvverdict.Refuse(bvverdict.UnknownRequest, "there is no turn %s", parent)
+	}
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	chain := make(Chain, len(last.Ancestors)+1)
+	chain[len(last.Ancestors)] = last
+	group, ctx := errgroup.WithContext(ctx)
+	for i, ancestor := range last.Ancestors {
+		if chain[i] = keeper.recall(ancestor); chain[i] != nil {
+			continue
+		}
+		group.Go(func() (err error) {
+			chain[i], err = keeper.turn(ctx, ancestor)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, unavailable(err)
+	}
+	return chain, nil
+}
+
+func unavailable(cause error) error {
+	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the conversation can't be read").
+		WithRetryAfter(comeBack).WithCause(cause)
+}
+
+// Add keeps a turn. It returns when the turn is durable, or when ctx ends, in
+// which case the caller must not be told that its turn is complete.
+func (keeper *Keeper) Add(ctx context.Context, chain Chain, said Said) error {
+	now := time.Now().Unix()
+	turn := newTurn(chain, said, now)
+	transaction := bvplatform.Transaction{Puts: keeper.rows(turn)}
+	for {
+		_, err := keeper.store.Commit(ctx, transaction)
+		if err == nil {
+			keeper.remember(turn)
+			return nil
+		}
+		if errors.Is(err, bvplatform.ErrRejected) || ctx.Err() != nil {
+			return bvverdict.New(bvverdict.Ran, bvverdict.PlatformUnavailable, "the turn can't be kept").WithCause(err)
+		}
+		// The same rows under a name that nobody else uses: writing them
+		// twice changes nothing, so an answer that was lost needs no look.
+		keeper.log.WithField("request", said.ID).WithError(err).Warn("turn not kept yet")
+		wait(ctx, retryPause)
+	}
+}
+
+func wait(ctx context.Context, duration bvclock.Duration) {
+	select {
+	case <-bvclock.After(duration):
+	case <-ctx.Done():
+	}
+}
+
+// newTurn links a turn to its chain, or copies the chain where its oldest turn
+// would have to be kept for too long.
+func newTurn(chain Chain, said Said, now int64) *Turn {
+	retain := int64(said.Retain / bvclock.Second)
+	turn := &Turn{ID: said.ID, Oldest: now, Expires: now + retain + retain/2 + expireMargin, Input: said.Input, Output: said.Output}
+	if len(chain) == 0 {
+		return turn
+	}
+	last := chain[len(chain)-1]
+	if now-last.Oldest > retain/2 {
+		turn.Input = chain.Prompt(said.Input)
+		return turn
+	}
+	turn.Oldest = last.Oldest
+	turn.Ancestors = make([]string, 0, len(chain))
+	for _, ancestor := range chain {
+		turn.Ancestors = append(turn.Ancestors, ancestor.ID)
+	}
+	return turn
+}
+
+func key(id string, piece int) string {
+	base := fmt.Sprintf("history/%02x/%s", xxhash.Sum64String(id)%shards, id)
+	if piece == 0 {
+		return base
+	}
+	return fmt.Sprintf("%s+%d", base, piece)
+}
+
+// base64Share is the part of a row that a value may fill, in case that a row's
+// limit counts the encoded bytes.
+const base64Share = 0.74
+
+// rows splits a turn into rows. The first one tells how many there are.
+func (keeper *Keeper) rows(turn *Turn) []bvplatform.Put {
+	encoded := turn.encode()
+	limit := max(int(float64(keeper.rowBytes)*base64Share), 1<<10)
+	count := (len(encoded) + limit - 1) / limit
+	puts := make([]bvplatform.Put, 0, count)
+	for piece := range count {
+		value := encoded[piece*limit : min((piece+1)*limit, len(encoded))]
+		if piece == 0 {
+			value = append([]byte{byte(count)}, value...)
+		}
+		puts = append(puts, bvplatform.Put{Key: key(turn.ID, piece), Value: value})
+	}
+	return puts
+}
+
+// turn returns a turn that is at hand, or reads it.
+func (keeper *Keeper) turn(ctx context.Context, id string) (*Turn, error) {
+	if found := keeper.recall(id); found != nil {
+		return found, nil
+	}
+	encoded, err := keeper.read(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	turn, err := decodeTurn(id, encoded)
+	if err != nil {
+		return nil, err
+	}
+	keeper.remember(turn)
+	return turn, nil
+}
+
+func (keeper *Keeper) read(ctx context.Context, id string) ([]byte, error) {
+	rows, err := keeper.store.Read(ctx, key(id, 0))
+	if err != nil {
+		return nil, err
+	}
+	if len(rows[0].Value) == 0 {
+		return nil, fmt.Errorf("turn %s: %w", id, bvplatform.ErrNotFound)
+	}
+	pieces, encoded := int(rows[0].Value[0]), rows[0].Value[1:]
+	if pieces == 1 {
+		return encoded, nil
+	}
+	keys := make([]string, 0, pieces)
+	for piece := 1; piece < pieces; piece++ {
+		keys = append(keys, key(id, piece))
+	}
+	rest, err := keeper.store.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range rest {
+		encoded = append(encoded, row.Value...)
+	}
+	return encoded, nil
+}
+
+func (keeper *Keeper) recall(id string) *Turn {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	found, _ := keeper.cache.Get(id)
+	return found
+}
+
+// remember keeps a turn at hand; those not used for longest yield.
+func (keeper *Keeper) remember(turn *Turn) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	if keeper.cache.Contains(turn.ID) {
+		return
+	}
+	keeper.cache.Add(turn.ID, turn)
+	keeper.bytes += turn.size()
+	for keeper.bytes > cacheBytes {
+		keeper.cache.RemoveOldest()
+	}
+}
--- a/bvdaemon/incarnation.go
+++ b/bvhost/incarnation.go
@@ -1,14 +1,14 @@
-package bvdaemon
+package bvhost
 
 import (
 	"crypto/rand"
 	"encoding/hex"
 )
 
-// newIncarnation names this start of the process. Two starts under one host
+// NewIncarnation names this start of the process. Two starts under one host
 // name must never be taken for each other: the second knows nothing of what
 // the first has claimed.
-func newIncarnation() string {
+func NewIncarnation() string {
 	var random [8]byte
 	_, _ = rand.Read(random[:])
 	return hex.EncodeToString(random[:])
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -17,6 +17,7 @@
 	Session      string           // one line of a program's turns
 	ProgramLeft  bvclock.Duration // until the whole program should be finished
 	Budget       int              // tokens that all turns of the program may generate
+	HasBudget    bool             // whether the client named a budget
 	Parent       string           // id of the turn that this one continues
 }
 
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// tidyBudgetsInterval is short beside the pause after which unspent tokens are
+// given back.
+const tidyBudgetsInterval = 200 * bvclock.Millisecond
+
+func (router *Router) tidyBudgets(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, tidyBudgetsInterval)
+		router.budgets.Tidy(ctx)
+	}
+}
+
 // pause waits, or returns early when ctx ends.
 func pause(ctx context.Context, duration bvclock.Duration) {
 	timer := bvclock.After(duration)
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -21,10 +21,13 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvfront"
+	"balsamvalve.example/bvhistory"
+	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
@@ -64,6 +67,8 @@
 	state       *state
 	desk        *bvdispatch.Desk
 	connections *bvforward.Connections
+	budgets     *bvbudget.Keeper
+	histories   *bvhistory.Keeper
 	counters    *bvmeasure.Counters
 	front       *bvfront.Front
 	server      *bvfront.Server
@@ -90,6 +95,8 @@
 		state:       &state{clock: clock},
 		desk:        bvdispatch.NewDesk(clock, xxhash.Sum64String(settings.Name)),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
+		budgets:     bvbudget.NewKeeper(parts.Platform, bvhost.NewIncarnation(), clock, log),
+		histories:   bvhistory.NewKeeper(parts.Platform, settings.RowBytes, log),
 		counters:    bvmeasure.New(),
 	}
 	if err := router.listen(); err != nil {
@@ -101,6 +108,8 @@
 		State:      router.state,
 		Dispatcher: router.desk,
 		Endpoints:  router.connections,
+		Budgets:    router.budgets,
+		Histories:  router.histories,
 		Counters:   router.counters,
 		Log:        log,
 	})
@@ -145,6 +154,7 @@
 	group.Go(func() error { router.followRoutes(background); return nil })
 	group.Go(func() error { router.followEndpoints(background); return nil })
 	group.Go(func() error { router.tidy(background); return nil })
+	group.Go(func() error { router.tidyBudgets(background); return nil })
 	group.Go(func() error { return router.server.Serve(router.callers) })
 	group.Go(func() error { return serveUntil(background, router.ready, router.parts.Ready(router.Ready)) })
 	group.Go(func() error { return serveUntil(background, router.metrics, router.counters) })
