Hosts tell each other of their calls and of what they placed

Ruled out: the engines' own word on their load alone (it comes with answers, about once a second). Change: bvgossip sends a digest of a few hundred bytes to each host ten times a second; a prompt that must be read costs its reading time for all calls that run beside it.

--- a/bvdispatch/cache.go
+++ b/bvdispatch/cache.go
@@ -1,74 +1,68 @@
 package bvdispatch
 
 import (
-	"container/list"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvroute"
 )
 
-// cache estimates which parts of prompts an endpoint has, from what this host
+// cache estimates which parts of prompts an endpoint has, from what the hosts
 // sent there. The least recently used parts yield, as at the endpoint. The zero
 // value is empty.
 type cache struct {
-	byID   map[string]*list.Element
-	recent list.List // of *cachedPart, last used in front
+	parts  *simplelru.LRU[uint64, int] // tokens by key
 	tokens int
 }
 
-type cachedPart struct {
-	id     string
-	tokens int
-	usedAt bvclock.Time
-}
-
 // cacheShare is the part of an endpoint's memory that this estimate fills: the
-// rest holds running calls and what other hosts sent.
-const cacheShare = 0.5
+// rest holds what running calls generate.
+const cacheShare = 0.8
+
+// unboundedParts stands for no bound: the bound is in tokens.
+const unboundedParts = 1 << 30
 
-// use notes a prompt that is sent.
-func (cache *cache) use(now bvclock.Time, prefix []bvroute.Part, room int) {
-	if cache.byID == nil {
-		cache.byID = make(map[string]*list.Element)
+// use notes a prompt that is sent, and returns the parts that are new there.
+func (cache *cache) use(prefix []bvroute.Part, room int) []bvroute.Part {
+	if cache.parts == nil {
+		cache.parts, _ = simplelru.NewLRU(unboundedParts, func(_ uint64, tokens int) { cache.tokens -= tokens })
 	}
+	var added []bvroute.Part
 	for i := len(prefix) - 1; i >= 0; i-- { // the first parts are wanted longest
-		cache.touch(now, prefix[i])
+		if cache.touch(prefix[i]) {
+			added = append(added, prefix[i])
+		}
 	}
 	limit := int(float64(room) * cacheShare)
-	for cache.tokens > limit && cache.recent.Len() > 0 {
-		cache.evict(cache.recent.Back())
+	for cache.tokens > limit && cache.parts.Len() > 0 {
+		cache.parts.RemoveOldest()
 	}
+	return added
 }
 
-func (cache *cache) touch(now bvclock.Time, part bvroute.Part) {
-	if found := cache.byID[part.ID]; found != nil {
-		cached := found.Value.(*cachedPart)
-		cache.tokens += part.Tokens - cached.tokens
-		cached.tokens, cached.usedAt = part.Tokens, now
-		cache.recent.MoveToFront(found)
-		return
+// touch notes the use of a part; it reports whether there is more of it now.
+func (cache *cache) touch(part bvroute.Part) bool {
+	had, found := cache.parts.Get(part.Key)
+	if found && had >= part.Tokens {
+		return false
 	}
-	cache.byID[part.ID] = cache.recent.PushFront(&cachedPart{id: part.ID, tokens: part.Tokens, usedAt: now})
-	cache.tokens += part.Tokens
-}
-
-func (cache *cache) evict(element *list.Element) {
-	cached := element.Value.(*cachedPart)
-	cache.tokens -= cached.tokens
-	delete(cache.byID, cached.id)
-	cache.recent.Remove(element)
+	cache.tokens += part.Tokens - had
+	cache.parts.Add(part.Key, part.Tokens) // replacing calls no eviction
+	return true
 }
 
 // cached returns how many tokens at the start of a prompt the endpoint has. A
 // part counts only if all parts before it are there.
 func (cache *cache) cached(prefix []bvroute.Part) int {
+	if cache.parts == nil {
+		return 0
+	}
 	tokens := 0
 	for _, part := range prefix {
-		found := cache.byID[part.ID]
-		if found == nil {
+		had, found := cache.parts.Peek(part.Key)
+		if !found {
 			break
 		}
-		tokens += min(part.Tokens, found.Value.(*cachedPart).tokens)
+		tokens += min(part.Tokens, had)
 	}
 	return tokens
 }
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -13,7 +13,7 @@
 	// an idle engine, counted twice: once for the call itself and once for
 	// those that run beside it. From the sheets' step times: 1.14 ms alone
 	// and 1.66 ms with 16 beside.
-	crowding = 0.9
+	crowding = 0.6
 	// defaultDuration stands for a call's duration before any was measured,
 	// in milliseconds.
 	defaultDuration = 200
@@ -60,7 +60,8 @@
 }
 
 // cost is the time that a call takes at an endpoint beyond the shortest
-// possible, in milliseconds, with the time that it costs the calls beside it.
+// possible, in milliseconds, with the time that it costs the calls beside it:
+// while an engine reads a prompt, all calls that run there stand still.
 func (pool *Pool) cost(now bvclock.Time, row *endpoint, request *Request) float64 {
 	duration := pool.duration.or(defaultDuration)
 	load, slots := row.load(now), row.slots()
@@ -69,5 +70,6 @@
 		cost += duration * (load - slots + 1) / slots
 	}
 	uncached := request.PromptTokens - row.cache.cached(request.Prefix)
-	return cost + float64(max(uncached, 0))/prefillRate
+	reading := float64(max(uncached, 0)) / prefillRate
+	return cost + reading*(1+min(load, slots))
 }
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -1,6 +1,7 @@
 package bvdispatch
 
 import (
+	"maps"
 	"sync"
 
 	"balsamvalve.example/bvclock"
@@ -14,10 +15,21 @@
 	clock bvclock.Clock
 	seed  uint64
 
-	mutex sync.Mutex
-	pools map[string]*Pool
+	mutex  sync.Mutex
+	pools  map[string]*Pool
+	placed []Placement // since the last look
 }
 
+// Placement is a part of a prompt that an endpoint was sent.
+type Placement struct {
+	Endpoint uint64 // hash of its name
+	Part     bvroute.Part
+}
+
+// maxPlaced bounds what is kept to tell other hosts; more than that in one
+// interval is not told.
+const maxPlaced = 512
+
 // NewDesk returns a Desk without pools.
 func NewDesk(clock bvclock.Clock, seed uint64) *Desk {
 	return &Desk{clock: clock, seed: seed, pools: make(map[string]*Pool)}
@@ -58,11 +70,55 @@
 	pool := desk.pool(service)
 	chosen, found := pool.Choose(now, request)
 	if found {
-		pool.Begin(now, chosen.Name, request)
+		desk.note(chosen.Name, pool.Begin(chosen.Name, request))
 	}
 	return chosen, found
 }
 
+func (desk *Desk) note(endpoint string, parts []bvroute.Part) {
+	for _, part := range parts {
+		if len(desk.placed) < maxPlaced {
+			desk.placed = append(desk.placed, Placement{Endpoint: HashName(endpoint), Part: part})
+		}
+	}
+}
+
+// Report returns this host's calls under way, by the hash of the endpoint's
+// name, and what was placed since the last report.
+func (desk *Desk) Report() (map[uint64]int, []Placement) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	running := make(map[uint64]int)
+	for _, pool := range desk.pools {
+		maps.Copy(running, pool.Running())
+	}
+	placed := desk.placed
+	desk.placed = nil
+	return running, placed
+}
+
+// SetPeerLoads takes over how many calls the other hosts have at each endpoint,
+// by the hash of its name.
+func (desk *Desk) SetPeerLoads(loads map[uint64]int) {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	for _, pool := range desk.pools {
+		pool.SetPeerLoads(now, loads)
+	}
+}
+
+// Place takes in what another host sent.
+func (desk *Desk) Place(placed []Placement) {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	for _, placement := range placed {
+		for _, pool := range desk.pools {
+			pool.Placed(placement.Endpoint, []bvroute.Part{placement.Part})
+		}
+	}
+}
+
 // Told takes in an endpoint's own word on its load.
 func (desk *Desk) Told(service, endpoint string, load bvroute.Load) {
 	now := desk.clock.Now()
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -13,14 +13,24 @@
 type endpoint struct {
 	entry   bvplatform.Endpoint
 	running int // calls of this host
-	others  int // calls of other hosts, as last told
+	hash    uint64
+	others  int // calls of other hosts, as the endpoint last told
 	toldAt  bvclock.Time
+	peers   int // calls of other hosts, as they told themselves
+	peersAt bvclock.Time
 	cache   cache
 	health  health
 }
 
+// peersFor is how long the other hosts' word on their calls is taken before the
+// endpoint's own. They tell it a few times a second.
+const peersFor = bvclock.Second
+
 // load is the estimated number of calls at the endpoint, from all hosts.
 func (endpoint *endpoint) load(now bvclock.Time) float64 {
+	if endpoint.peersAt != 0 && now.Sub(endpoint.peersAt) < peersFor {
+		return float64(endpoint.running + endpoint.peers)
+	}
 	age := now.Sub(endpoint.toldAt)
 	if age >= toldFor {
 		return float64(endpoint.running)
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -15,7 +15,7 @@
 //	pool := bvdispatch.NewPool(seed)
 //	pool.SetEndpoints(now, endpoints)
 //	chosen, found := pool.Choose(now, request)
-//	pool.Begin(now, chosen.Name, request)
+//	pool.Begin(chosen.Name, request)
 //	pool.End(now, chosen.Name, request, bvdispatch.Served, duration)
 package bvdispatch
 
@@ -24,6 +24,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
@@ -65,7 +67,7 @@
 	for _, entry := range listed {
 		row := pool.byName[entry.Name]
 		if row == nil {
-			row = &endpoint{}
+			row = &endpoint{hash: HashName(entry.Name)}
 		}
 		row.entry = entry
 		kept[entry.Name] = row
@@ -75,17 +77,51 @@
 	pool.rows, pool.byName = rows, kept
 }
 
+// HashName names an endpoint to other hosts.
+func HashName(name string) uint64 { return xxhash.Sum64String(name) }
+
 // Len returns how many endpoints are listed.
 func (pool *Pool) Len() int { return len(pool.rows) }
 
-// Begin notes that a call is sent to an endpoint.
-func (pool *Pool) Begin(now bvclock.Time, name string, request *Request) {
+// Begin notes that a call is sent to an endpoint. It returns the parts of its
+// prompt that are new there.
+func (pool *Pool) Begin(name string, request *Request) []bvroute.Part {
 	row := pool.byName[name]
 	if row == nil {
-		return
+		return nil
 	}
 	row.running++
-	row.cache.use(now, request.Prefix, row.entry.CacheTokens)
+	return row.cache.use(request.Prefix, row.entry.CacheTokens)
+}
+
+// SetPeerLoads takes over how many calls the other hosts have at the endpoints
+// together, by the hash of the endpoint's name.
+func (pool *Pool) SetPeerLoads(now bvclock.Time, loads map[uint64]int) {
+	for _, row := range pool.rows {
+		row.peers, row.peersAt = loads[row.hash], now
+	}
+}
+
+// Placed notes parts of prompts that another host sent to an endpoint.
+func (pool *Pool) Placed(endpoint uint64, parts []bvroute.Part) {
+	for _, row := range pool.rows {
+		if row.hash == endpoint {
+			row.cache.use(parts, row.entry.CacheTokens)
+			return
+		}
+	}
+}
+
+// Running returns this host's calls under way, by the hash of the endpoint's
+// name.
+func (pool *Pool) Running() map[uint64]int {
+	running := make(map[uint64]int)
+	for _, row := range pool.rows {
+		if row.running > 0 {
+			running[row.hash] = row.running
+		}
+	}
+	return running
 }
 
 // End notes how a call ended. The duration counts from its sending.
--- /dev/null
+++ b/bvgossip/gossip.go
@@ -0,0 +1,178 @@
+// Package bvgossip tells the hosts of each other's calls, a few times a second
+// and by datagrams: which endpoints are busy with whose calls, and which of
+// them have which parts of prompts. Nothing that must hold rests on it: a
+// datagram that is lost makes a decision worse, not wrong.
+//
+// # Usage
+//
+//	gossip := bvgossip.New(self, connection, clock, log)
+//	gossip.SetHosts(hosts) // as the platform's store lists them
+//	go gossip.Receive(handle)
+//	gossip.Send(digest) // every gossip.Interval()
+//
+// # Cost
+//
+// Each host sends a datagram of some hundred bytes to each other host. The
+// interval grows with their number, so that a host sends and receives at most
+// some 130 a second each.
+package bvgossip
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"balsamvalve.example/bvclock"
+)
+
+const (
+	// leastInterval is the time between two digests where there are few
+	// hosts: short beside a call, which takes some 300 ms.
+	leastInterval = 100 * bvclock.Millisecond
+	// perHost lengthens the interval by the number of hosts.
+	perHost = 8 * bvclock.Millisecond
+	// silentAfter is how long after its last digest a host's calls are no
+	// longer counted.
+	silentAfter = 1500 * bvclock.Millisecond
+	// trialInterval is the time between two digests to a silent host.
+	trialInterval = 2 * bvclock.Second
+	// datagramBytes is the most that one datagram holds.
+	datagramBytes = 32 << 10
+)
+
+// Gossip sends and receives digests. Make one with New.
+type Gossip struct {
+	self  string // incarnation
+	conn  *net.UDPConn
+	clock bvclock.Clock
+	log   logrus.FieldLogger
+
+	mutex sync.Mutex
+	hosts map[netip.AddrPort]*peer
+}
+
+// peer is another host's row.
+type peer struct {
+	digest  *Digest // last; nil before the first
+	heardAt bvclock.Time
+	triedAt bvclock.Time
+}
+
+// New returns a Gossip that sends from the given socket. Digests of the
+// process's own incarnation are ignored.
+func New(self string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger) *Gossip {
+	return &Gossip{self: self, conn: conn, clock: clock, log: log, hosts: make(map[netip.AddrPort]*peer)}
+}
+
+// SetHosts adds hosts that the platform's store lists.
+func (gossip *Gossip) SetHosts(addresses []netip.AddrPort) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	for _, address := range addresses {
+		gossip.peer(address)
+	}
+}
+
+func (gossip *Gossip) peer(address netip.AddrPort) *peer {
+	found := gossip.hosts[address]
+	if found == nil {
+		found = &peer{}
+		gossip.hosts[address] = found
+	}
+	return found
+}
+
+// Interval is the time to wait between two digests.
+func (gossip *Gossip) Interval() bvclock.Duration {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return max(leastInterval, bvclock.Duration(len(gossip.hosts))*perHost)
+}
+
+// Send sends a digest to all hosts. Hosts that are silent get one every few
+// seconds, in case that they are back.
+func (gossip *Gossip) Send(digest *Digest) {
+	encoded, err := proto.Marshal(digest)
+	if err != nil || len(encoded) > datagramBytes {
+		gossip.log.WithError(err).WithField("bytes", len(encoded)).Warn("digest can't be sent")
+		return
+	}
+	for _, address := range gossip.due() {
+		if _, err := gossip.conn.WriteToUDPAddrPort(encoded, address); err != nil {
+			gossip.log.WithError(err).Debug("digest not sent")
+		}
+	}
+}
+
+func (gossip *Gossip) due() []netip.AddrPort {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	due := make([]netip.AddrPort, 0, len(gossip.hosts))
+	for address, peer := range gossip.hosts {
+		if peer.silent(now) && now.Sub(peer.triedAt) < trialInterval {
+			continue
+		}
+		peer.triedAt = now
+		due = append(due, address)
+	}
+	return due
+}
+
+func (peer *peer) silent(now bvclock.Time) bool {
+	return peer.digest == nil || now.Sub(peer.heardAt) > silentAfter
+}
+
+// Receive hands on each digest of another host until the socket is closed.
+func (gossip *Gossip) Receive(handle func(*Digest)) error {
+	buffer := make([]byte, datagramBytes)
+	for {
+		count, _, err := gossip.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("gossip: %w", err)
+		}
+		digest := &Digest{}
+		if err := proto.Unmarshal(buffer[:count], digest); err != nil {
+			gossip.log.WithError(err).Debug("datagram is no digest")
+			continue
+		}
+		if gossip.note(digest) {
+			handle(digest)
+		}
+	}
+}
+
+// note keeps a digest; it reports whether it is of another host.
+func (gossip *Gossip) note(digest *Digest) bool {
+	address, err := netip.ParseAddrPort(digest.GetAddress())
+	if err != nil || digest.GetIncarnation() == gossip.self {
+		return false
+	}
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	peer := gossip.peer(address)
+	peer.digest, peer.heardAt = digest, gossip.clock.Now()
+	return true
+}
+
+// Heard returns the last digests of all hosts that are not silent.
+func (gossip *Gossip) Heard() []*Digest {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	digests := make([]*Digest, 0, len(gossip.hosts))
+	for _, peer := range gossip.hosts {
+		if !peer.silent(now) {
+			digests = append(digests, peer.digest)
+		}
+	}
+	return digests
+}
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -1,6 +1,10 @@
 package bvroute
 
-import "balsamvalve.example/bvclock"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"balsamvalve.example/bvclock"
+)
 
 // Call is what a client says of a request, besides method, path and body.
 type Call struct {
@@ -33,10 +37,13 @@
 
 // Part is a part of a prompt, which an engine may have cached.
 type Part struct {
-	ID     string
+	Key    uint64 // of its id
 	Tokens int
 }
 
+// PartKey returns the key of a part's id.
+func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Answer is what an endpoint says of its answer, besides status and body.
 type Answer struct {
 	ID         string // of the request that it answers
--- /dev/null
+++ b/bvrouter/gossip.go
@@ -0,0 +1,173 @@
+package bvrouter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvdispatch"
+	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+)
+
+const (
+	// hostsPrefix is where hosts list themselves in the platform's store.
+	hostsPrefix = "hosts//"
+	// hostsInterval is the time between two looks at that list. Hosts also
+	// learn of each other by the first digest.
+	hostsInterval = 10 * bvclock.Second
+	// firstHostsInterval is the same while few hosts have listed themselves:
+	// all start within a few tenths of a second.
+	firstHostsInterval = bvclock.Second
+	firstHostsLooks    = 4
+	// maxHosts bounds the list.
+	maxHosts = 2000
+)
+
+// hostRow is how a host lists itself.
+type hostRow struct {
+	Address string `json:"address"` // IP:port for digests and relayed calls
+	Zone    string `json:"zone"`
+}
+
+func (router *Router) openGossip() error {
+	address, err := netip.ParseAddrPort(router.settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("router: peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return fmt.Errorf("router: listen for other hosts: %w", err)
+	}
+	router.peerConn = conn
+	router.gossip = bvgossip.New(router.incarnation, conn, router.clock, router.log)
+	return nil
+}
+
+// followHosts lists this host and looks for others.
+func (router *Router) followHosts(ctx context.Context) {
+	lost := outage{what: "list of hosts", log: router.log}
+	listed := false
+	for look := 0; ctx.Err() == nil; look++ {
+		if !listed {
+			listed = router.listSelf(ctx) == nil
+		}
+		err := router.readHosts(ctx)
+		lost.note(ctx, err)
+		if look < firstHostsLooks || err != nil || !listed {
+			pause(ctx, firstHostsInterval)
+			continue
+		}
+		pause(ctx, hostsInterval)
+	}
+}
+
+func (router *Router) listSelf(ctx context.Context) error {
+	value, err := json.Marshal(hostRow{Address: router.settings.PeerAddress, Zone: router.settings.Zone})
+	if err != nil {
+		return err
+	}
+	_, err = router.parts.Platform.Commit(ctx, bvplatform.Transaction{
+		Puts: []bvplatform.Put{{Key: hostsPrefix + router.settings.Name, Value: value}},
+	})
+	return err
+}
+
+// unlistSelf takes this host off the list; it is best effort, since hosts that
+// died stay listed too.
+func (router *Router) unlistSelf(ctx context.Context) {
+	_, err := router.parts.Platform.Commit(ctx, bvplatform.Transaction{
+		Puts: []bvplatform.Put{{Key: hostsPrefix + router.settings.Name}},
+	})
+	if err != nil {
+		router.log.WithError(err).Debug("host stays listed")
+	}
+}
+
+func (router *Router) readHosts(ctx context.Context) error {
+	rows, err := router.parts.Platform.Scan(ctx, hostsPrefix, "", maxHosts)
+	if err != nil {
+		return err
+	}
+	addresses := make([]netip.AddrPort, 0, len(rows))
+	for _, row := range rows {
+		var host hostRow
+		if err := json.Unmarshal(row.Value, &host); err != nil {
+			router.log.WithError(err).WithField("row", row.Key).Warn("host's row can't be read")
+			continue
+		}
+		address, err := netip.ParseAddrPort(host.Address)
+		if err == nil && host.Address != router.settings.PeerAddress {
+			addresses = append(addresses, address)
+		}
+	}
+	router.gossip.SetHosts(addresses)
+	return nil
+}
+
+// tellHosts sends this host's digest and takes over what the others told.
+func (router *Router) tellHosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, router.gossip.Interval())
+		router.gossip.Send(router.digest())
+		router.desk.SetPeerLoads(router.peerLoads())
+	}
+}
+
+func (router *Router) digest() *bvgossip.Digest {
+	digest := &bvgossip.Digest{
+		Host:           router.settings.Name,
+		Incarnation:    router.incarnation,
+		Zone:           router.settings.Zone,
+		Address:        router.settings.PeerAddress,
+		Leaving:        router.leaving.Load(),
+		StoreReachable: router.state.Certain(),
+	}
+	if table := router.state.Current(); table != nil {
+		digest.StateVersion = table.Version()
+	}
+	running, placed := router.desk.Report()
+	for endpoint, count := range running {
+		digest.Loads = append(digest.Loads, &bvgossip.Load{Endpoint: endpoint, Running: uint32(count)})
+	}
+	for _, placement := range placed {
+		digest.Placements = append(digest.Placements, &bvgossip.Placement{
+			Endpoint: placement.Endpoint, Part: placement.Part.Key, Tokens: uint32(placement.Part.Tokens),
+		})
+	}
+	return digest
+}
+
+func (router *Router) peerLoads() map[uint64]int {
+	loads := make(map[uint64]int)
+	for _, digest := range router.gossip.Heard() {
+		for _, load := range digest.GetLoads() {
+			loads[load.GetEndpoint()] += int(load.GetRunning())
+		}
+	}
+	return loads
+}
+
+// hear takes in another host's digest.
+func (router *Router) hear(digest *bvgossip.Digest) {
+	placed := make([]bvdispatch.Placement, 0, len(digest.GetPlacements()))
+	for _, placement := range digest.GetPlacements() {
+		placed = append(placed, bvdispatch.Placement{
+			Endpoint: placement.GetEndpoint(),
+			Part:     bvroute.Part{Key: placement.GetPart(), Tokens: int(placement.GetTokens())},
+		})
+	}
+	router.desk.Place(placed)
+}
+
+func (router *Router) receive() error {
+	if err := router.gossip.Receive(router.hear); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -23,6 +23,7 @@
 	router.log.Info("leaving: no longer ready")
 	router.leaving.Store(true)
 	router.front.Leave()
+	router.unlistSelf(context.Background())
 	bvclock.Sleep(leaveTime)
 	_ = router.callers.Close() // an error would mean that it is closed already
 	limit := router.settings.Stop - leaveTime - stopMargin
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -26,6 +26,7 @@
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvfront"
+	"balsamvalve.example/bvgossip"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvmeasure"
@@ -73,6 +74,9 @@
 	front       *bvfront.Front
 	server      *bvfront.Server
 	leaving     atomic.Bool
+	incarnation string
+	gossip      *bvgossip.Gossip
+	peerConn    *net.UDPConn
 	callers     net.Listener
 	ready       net.Listener
 	metrics     net.Listener
@@ -87,7 +91,9 @@
 func New(settings bvsetting.Host, parts Parts, log logrus.FieldLogger) (*Router, error) {
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 	clock := bvclock.Boot()
+	incarnation := bvhost.NewIncarnation()
 	router := &Router{
+		incarnation: incarnation,
 		settings:    settings,
 		parts:       parts,
 		log:         log,
@@ -95,13 +101,16 @@
 		state:       &state{clock: clock},
 		desk:        bvdispatch.NewDesk(clock, xxhash.Sum64String(settings.Name)),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
-		budgets:     bvbudget.NewKeeper(parts.Platform, bvhost.NewIncarnation(), clock, log),
+		budgets:     bvbudget.NewKeeper(parts.Platform, incarnation, clock, log),
 		histories:   bvhistory.NewKeeper(parts.Platform, settings.RowBytes, log),
 		counters:    bvmeasure.New(),
 	}
 	if err := router.listen(); err != nil {
 		return nil, err
 	}
+	if err := router.openGossip(); err != nil {
+		return nil, err
+	}
 	router.front = bvfront.New(bvfront.Parts{
 		Clock:      clock,
 		Wire:       parts.Wire,
@@ -155,10 +164,14 @@
 	group.Go(func() error { router.followEndpoints(background); return nil })
 	group.Go(func() error { router.tidy(background); return nil })
 	group.Go(func() error { router.tidyBudgets(background); return nil })
+	group.Go(func() error { router.followHosts(background); return nil })
+	group.Go(func() error { router.tellHosts(background); return nil })
+	group.Go(router.receive)
 	group.Go(func() error { return router.server.Serve(router.callers) })
 	group.Go(func() error { return serveUntil(background, router.ready, router.parts.Ready(router.Ready)) })
 	group.Go(func() error { return serveUntil(background, router.metrics, router.counters) })
 	group.Go(func() error {
+		defer func() { _ = router.peerConn.Close() }() // the process ends
 		defer stop()
 		select {
 		case <-ctx.Done():
