--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -57,9 +57,10 @@
 )
 
 // Lenders are the other hosts. Ask waits a short time for a host to give up
-// tokens; they come by Keeper.Lent, also when they are late.
+// tokens; they come by Keeper.Lent, also when they are late. It reports false
+// at once for a host that is known to be silent.
 type Lenders interface {
-	Ask(ctx context.Context, host, program string, tokens int, partial bool)
+	Ask(ctx context.Context, host, program string, tokens int, partial bool) bool
 }
 
 // Turn is what is reserved for.
@@ -202,10 +203,10 @@
 func (keeper *Keeper) plan(account *account, turn Turn) (block int, fits bool) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	if block, fits = account.record.grow(turn.Budget, account.wanted-account.free); fits {
+	if block, fits = account.record.grow(turn.Budget, account.wanted-account.free, turn.Most); fits {
 		return block, true
 	}
-	return account.record.grow(turn.Budget, turn.Most-account.free)
+	return account.record.grow(turn.Budget, turn.Most-account.free, turn.Most)
 }
 
 func (keeper *Keeper) exceeded(account *account, turn Turn) error {
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -37,23 +37,23 @@
 	}
 }
 
-// borrow asks the hosts that hold tokens of the program: the first of them for
-// the whole turn, or all for what they can spare.
+// borrow asks the hosts that hold tokens of the program: the first one that
+// is not silent for the whole turn, or all for what they can spare.
 func (keeper *Keeper) borrow(ctx context.Context, account *account, turn Turn, partial bool) *Reservation {
 	keeper.mutex.Lock()
 	hosts, _ := keeper.holders.Get(xxhash.Sum64String(turn.Program))
 	keeper.mutex.Unlock()
-	if !partial {
-		hosts = hosts[:min(len(hosts), 1)]
-	}
 	for _, host := range hosts {
 		keeper.mutex.Lock()
 		need := turn.Most - account.free
 		keeper.mutex.Unlock()
-		keeper.lenders.Ask(ctx, host, turn.Program, need, partial)
+		asked := keeper.lenders.Ask(ctx, host, turn.Program, need, partial)
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
 			return reservation
 		}
+		if asked && !partial {
+			return nil
+		}
 	}
 	return nil
 }
--- a/bvbudget/record.go
+++ b/bvbudget/record.go
@@ -51,19 +51,25 @@
 	return changed
 }
 
-// blockShare is the part of what is left of a budget that a host reserves at
-// once, where that is more than it needs. Turns on all hosts then seldom wait
-// for a write, and a program goes on while the store is away. Programs spend
-// 0.25 to 0.4 of their budgets (measured over 740 of them), so what is lost
-// with a host leaves enough for the others.
-const blockShare = 0.5
+const (
+	// blockShare is the most of what is left of a budget that a host reserves
+	// beyond its need. What is lost with a host must leave enough for the
+	// others: programs spend 0.25 to 0.4 of their budgets (measured over 740).
+	blockShare = 0.5
+	// blockTurns is the same in turns at their most. A turn generates about
+	// half of its most, so a block of three lasts for five turns or six.
+	blockTurns = 3
+)
 
 // grow returns how much more a host may reserve, at least need tokens, or
-// false where the budget does not hold that.
-func (record Record) grow(budget, need int) (int, bool) {
+// false where the budget does not hold that. A host reserves more than it
+// needs so that turns on all hosts seldom wait for a write, and a program goes
+// on while the store is away.
+func (record Record) grow(budget, need, most int) (int, bool) {
 	left := budget - record.total()
 	if left < need {
 		return 0, false
 	}
-	return max(need, int(float64(left)*blockShare)), true
+	block := min(int(float64(left)*blockShare), blockTurns*most)
+	return max(need, block), true
 }
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -25,8 +25,12 @@
 }
 
 // Ask asks a host for tokens of a program's budget and waits for its answer a
-// short time. What it gives goes to the Handler's Lent, also when it is late.
-func (gossip *Gossip) Ask(ctx context.Context, host netip.AddrPort, program string, tokens int, partial bool) {
+// short time. What it gives goes to the Handler's Lent, also when it is late. A
+// host that is silent is not asked; Ask then reports false.
+func (gossip *Gossip) Ask(ctx context.Context, host netip.AddrPort, program string, tokens int, partial bool) bool {
+	if gossip.silent(host) {
+		return false
+	}
 	number := rand.Uint64()
 	asked := gossip.begin(number)
 	gossip.sendTo(host, &Datagram{Message: &Datagram_Ask{Ask: &Ask{
@@ -37,6 +41,15 @@
 	case <-bvclock.After(askPatience):
 	case <-ctx.Done():
 	}
+	return true
+}
+
+func (gossip *Gossip) silent(host netip.AddrPort) bool {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	found := gossip.hosts[host]
+	return found == nil || found.silent(now)
 }
 
 func (gossip *Gossip) begin(number uint64) *ask {
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -172,13 +172,13 @@
 type lenders struct{ *Router }
 
 // Ask implements bvbudget.Lenders.
-func (lenders lenders) Ask(ctx context.Context, host, program string, tokens int, partial bool) {
+func (lenders lenders) Ask(ctx context.Context, host, program string, tokens int, partial bool) bool {
 	address, err := netip.ParseAddrPort(host)
 	if err != nil {
 		lenders.log.WithError(err).Warn("another host's address can't be read")
-		return
+		return false
 	}
-	lenders.gossip.Ask(ctx, address, program, tokens, partial)
+	return lenders.gossip.Ask(ctx, address, program, tokens, partial)
 }
 
 // Hear implements bvgossip.Handler.
