--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -45,7 +45,7 @@
 	shards = 256
 	// maxTries bounds how often a reservation is tried again after another
 	// host's write came first.
-	maxTries = 6
+	maxTries = 8
 	// returnAfter is how long a program pauses before its unspent tokens are
 	// given back: half of what the users' sheets allow for settling.
 	returnAfter = 500 * bvclock.Millisecond
@@ -166,9 +166,13 @@
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
 			return reservation, nil
 		}
-		if err := keeper.read(ctx, account); err != nil {
+		read, err := keeper.read(ctx, account)
+		if err != nil {
 			return nil, unavailable(err)
 		}
+		if read {
+			continue // it may show tokens of this host's own
+		}
 		block, fits := keeper.plan(account, turn)
 		switch {
 		case !fits && !fresh:
@@ -181,7 +185,7 @@
 			}
 			return nil, keeper.exceeded(account, turn)
 		}
-		err := keeper.write(ctx, account, block)
+		err = keeper.write(ctx, account, block)
 		var conflict *bvplatform.ConflictError
 		if err != nil && !errors.As(err, &conflict) && !errors.Is(err, bvplatform.ErrUnknown) {
 			return nil, unavailable(err)
@@ -223,19 +227,19 @@
 	return fmt.Sprintf("budget/%02x/%s", xxhash.Sum64String(account.program)%shards, account.program)
 }
 
-// read gets the record where it is not known.
-func (keeper *Keeper) read(ctx context.Context, account *account) error {
+// read gets the record where it is not known; it reports whether it did.
+func (keeper *Keeper) read(ctx context.Context, account *account) (bool, error) {
 	keeper.mutex.Lock()
 	known := account.known
 	keeper.mutex.Unlock()
 	if known {
-		return nil
+		return false, nil
 	}
 	rows, err := keeper.store.Read(ctx, account.key())
 	if err != nil {
-		return err
+		return false, err
 	}
-	return keeper.learn(account, rows[0])
+	return true, keeper.learn(account, rows[0])
 }
 
 func (keeper *Keeper) forget(account *account) {
--- /dev/null
+++ b/bvbudget/promise_test.go
@@ -0,0 +1,360 @@
+package bvbudget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+// faultyStore is a store whose answers are lost, and whose writes may come
+// late, as the next draws say.
+type faultyStore struct {
+	bvplatform.Memory
+	mutex sync.Mutex
+	next  string
+	late  []bvplatform.Transaction
+}
+
+func (store *faultyStore) fault() string {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	fault := store.next
+	store.next = ""
+	return fault
+}
+
+func (store *faultyStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	switch store.fault() {
+	case "down":
+		return 0, bvplatform.ErrUnavailable
+	case "lost":
+		_, _ = store.Memory.Commit(ctx, transaction)
+		return 0, bvplatform.ErrUnknown
+	case "late":
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		store.late = append(store.late, transaction)
+		return 0, bvplatform.ErrUnknown
+	case "never":
+		return 0, bvplatform.ErrUnknown
+	}
+	version, err := store.Memory.Commit(ctx, transaction)
+	var conflict *bvplatform.ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Rows, _ = store.Memory.Read(ctx, conflict.Keys...)
+	}
+	return version, err
+}
+
+func (store *faultyStore) Read(ctx context.Context, keys ...string) ([]bvplatform.Row, error) {
+	if store.fault() == "down" {
+		return nil, bvplatform.ErrUnavailable
+	}
+	return store.Memory.Read(ctx, keys...)
+}
+
+// lossyLenders pass questions to the keepers of other hosts; answers may be
+// lost or late.
+type lossyLenders struct {
+	world *world
+	self  string
+}
+
+func (lenders lossyLenders) Ask(_ context.Context, host, program string, tokens int, partial bool) bool {
+	lender := lenders.world.keepers[host]
+	if lender == nil || host == lenders.self {
+		return false
+	}
+	lent := lender.Lend(program, tokens, partial)
+	switch lenders.world.lending {
+	case "lost":
+	case "late":
+		lenders.world.letters = append(lenders.world.letters, letter{lenders.self, program, lent})
+	default:
+		lenders.world.keepers[lenders.self].Lent(program, lent)
+	}
+	return true
+}
+
+type letter struct {
+	host, program string
+	tokens        int
+}
+
+// world is some hosts over one store, and the oracle: the tokens that callers
+// were handed.
+type world struct {
+	store   *faultyStore
+	clock   *bvclock.Manual
+	keepers map[string]*Keeper
+	lending string
+	letters []letter
+	open    []*Reservation
+	handed  map[string]int
+	starts  int
+}
+
+const (
+	testBudget = 1716
+	testMost   = 572
+	testEvent  = 22
+)
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
+
+func newWorld() *world {
+	world := &world{store: &faultyStore{}, clock: &bvclock.Manual{}, keepers: make(map[string]*Keeper), handed: make(map[string]int)}
+	for _, host := range []string{"a", "b", "c"} {
+		world.restart(host)
+	}
+	return world
+}
+
+// restart replaces a host's keeper: all that it knew is lost.
+func (world *world) restart(host string) {
+	world.starts++
+	incarnation := fmt.Sprintf("%s%d", host, world.starts)
+	world.keepers[host] = NewKeeper(world.store, lossyLenders{world, host}, incarnation, world.clock, quiet())
+}
+
+// tellHolders passes on which hosts hold which programs, as digests do.
+func (world *world) tellHolders() {
+	for host, keeper := range world.keepers {
+		begun := keeper.Begun()
+		for other, listener := range world.keepers {
+			if other != host {
+				listener.Holds(host, begun)
+			}
+		}
+	}
+}
+
+// carryOutLate carries out the writes that were held back, if their conditions
+// still hold.
+func (world *world) carryOutLate() {
+	for _, transaction := range world.store.late {
+		_, _ = world.store.Memory.Commit(context.Background(), transaction)
+	}
+	world.store.late = nil
+}
+
+// couldHand is what callers have of a program, and may get without another
+// write of the store.
+func (world *world) couldHand(program string) int {
+	tokens := world.handed[program]
+	for _, keeper := range world.keepers {
+		if account := keeper.accounts[program]; account != nil {
+			tokens += account.free + account.open
+		}
+	}
+	return tokens
+}
+
+func (world *world) reserve(host, program string, continues bool) error {
+	reservation, err := world.keepers[host].Reserve(context.Background(), Turn{
+		Program: program, Budget: testBudget, Most: testMost, Continues: continues, Retain: bvclock.Minute,
+	})
+	if err == nil {
+		world.open = append(world.open, reservation)
+	}
+	world.tellHolders()
+	return err
+}
+
+// Callers see more tokens than a program's budget. Hosts reserve side by side,
+// lend each other what they hold, die with what they know, and write to a store
+// that loses answers, carries writes out late or refuses them; somewhere a
+// block is counted twice.
+func TestBudgetIsNeverPassed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		world := newWorld()
+		hosts := rapid.SampledFrom([]string{"a", "a", "b", "b", "c"})
+		programs := rapid.SampledFrom([]string{"p", "p", "p", "q"})
+		rt.Repeat(map[string]func(*rapid.T){
+			"reserve": func(rt *rapid.T) {
+				world.store.next = rapid.SampledFrom([]string{"", "", "", "down", "lost", "late", "never"}).Draw(rt, "fault")
+				world.lending = rapid.SampledFrom([]string{"", "", "lost", "late"}).Draw(rt, "lending")
+				_ = world.reserve(hosts.Draw(rt, "host"), programs.Draw(rt, "program"), rapid.Bool().Draw(rt, "continues"))
+			},
+			"spend": func(rt *rapid.T) {
+				if len(world.open) == 0 {
+					return
+				}
+				reservation := world.open[rapid.IntRange(0, len(world.open)-1).Draw(rt, "turn")]
+				for range rapid.IntRange(1, 30).Draw(rt, "events") {
+					if reservation.Spend(testEvent) {
+						world.handed[reservation.account.program] += testEvent
+					}
+				}
+			},
+			"end": func(rt *rapid.T) {
+				if len(world.open) == 0 {
+					return
+				}
+				at := rapid.IntRange(0, len(world.open)-1).Draw(rt, "turn")
+				world.open[at].Close()
+				world.open = append(world.open[:at], world.open[at+1:]...)
+			},
+			"pause": func(rt *rapid.T) {
+				world.store.next = rapid.SampledFrom([]string{"", "down", "lost", "late", "never"}).Draw(rt, "fault")
+				world.clock.Advance(returnAfter + 1)
+				world.keepers[hosts.Draw(rt, "host")].Tidy(context.Background())
+			},
+			"late write": func(rt *rapid.T) {
+				world.carryOutLate()
+			},
+			"late answer": func(rt *rapid.T) {
+				for _, letter := range world.letters {
+					world.keepers[letter.host].Lent(letter.program, letter.tokens)
+				}
+				world.letters = nil
+			},
+			"die": func(rt *rapid.T) {
+				host := hosts.Draw(rt, "host")
+				kept := world.open[:0]
+				for _, reservation := range world.open {
+					if reservation.keeper != world.keepers[host] {
+						kept = append(kept, reservation)
+					}
+				}
+				world.open = kept
+				world.restart(host)
+			},
+			"": func(rt *rapid.T) {
+				for _, program := range []string{"p", "q"} {
+					if could := world.couldHand(program); could > testBudget {
+						rt.Fatalf("program %s can get %d tokens of a budget of %d", program, could, testBudget)
+					}
+				}
+			},
+		})
+	})
+}
+
+// The oracle above must notice a keeper that lends without giving up.
+func TestOracleCatchesALenderThatKeepsWhatItLends(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	generous := world.keepers["a"].accounts["p"]
+	for range 5 {
+		generous.free = testMost
+		require.NoError(t, world.reserve("b", "p", true))
+	}
+	for _, reservation := range world.open {
+		for reservation.Spend(testEvent) {
+			world.handed["p"] += testEvent
+		}
+	}
+	require.Greater(t, world.handed["p"], testBudget)
+}
+
+// A program without end is stopped, all hosts lose power, and it comes back:
+// the new processes know nothing, but the row does.
+func TestStoppedProgramIsRefusedAfterAllHostsRestarted(t *testing.T) {
+	world := newWorld()
+	for world.reserve("a", "p", false) == nil {
+		last := world.open[len(world.open)-1]
+		for last.Spend(testEvent) {
+			world.handed["p"] += testEvent
+		}
+		last.Close()
+	}
+	for host := range world.keepers {
+		world.restart(host)
+	}
+	err := world.reserve("b", "p", false)
+	require.Equal(t, bvverdict.BudgetExceeded, bvverdict.From(err).Code())
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+}
+
+// A program's second turn comes through another host while the store is away.
+// The first host holds a block, so the turn goes on.
+func TestTurnGoesOnThroughAnotherHostWhileTheStoreIsAway(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	world.open[0].Close()
+	world.store.next = "down"
+	require.NoError(t, world.reserve("b", "p", true))
+}
+
+// While the store is away nobody can tell what a program has spent. It is told
+// to come back, not that its budget is spent.
+func TestLostStoreIsNoSpentBudget(t *testing.T) {
+	world := newWorld()
+	world.store.next = "down"
+	err := bvverdict.From(world.reserve("a", "p", false))
+	require.Equal(t, bvverdict.PlatformUnavailable, err.Code())
+	require.Equal(t, bvverdict.NotRun, err.Verdict())
+	require.Positive(t, err.RetryAfter())
+}
+
+// What a host holds and does not need is given back when the program pauses,
+// so that the next host finds it.
+func TestUnspentTokensAreGivenBack(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	require.True(t, world.open[0].Spend(testEvent))
+	world.open[0].Close()
+	world.clock.Advance(returnAfter + 1)
+	world.keepers["a"].Tidy(context.Background())
+	world.restart("a")
+	for range 2 {
+		require.NoError(t, world.reserve("b", "p", true))
+	}
+}
+
+// A host gives tokens back, and the store's answer is lost. The row still shows
+// them as this host's, so it takes them for its own again; then the write is
+// carried out late, and another host reserves the same tokens.
+func TestTokensGivenBackInDoubtAreNotUsedAgain(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	world.open[0].Close()
+	world.clock.Advance(returnAfter + 1)
+	world.store.next = "late"
+	world.keepers["a"].Tidy(context.Background())
+	require.NotEmpty(t, world.store.late)
+	require.NoError(t, world.reserve("a", "p", true))
+	world.carryOutLate()
+	for range 4 {
+		_ = world.reserve("b", "p", true)
+	}
+	require.LessOrEqual(t, world.couldHand("p"), testBudget)
+}
+
+// An engine that generates more than it was asked for must not take a program
+// over its budget.
+func TestMoreThanReservedIsNotHandedOut(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	require.True(t, world.open[0].Spend(testMost))
+	require.False(t, world.open[0].Spend(testEvent))
+}
+
+// Rows of programs that are long over are removed, by the host that wrote them
+// last.
+func TestRowIsRemovedAfterItsTime(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	world.open[0].Close()
+	world.clock.Advance(bvclock.Minute + forgetAfter + 1)
+	world.keepers["a"].Tidy(context.Background())
+	rows, err := world.store.Memory.Scan(context.Background(), "budget/", "", 10)
+	require.NoError(t, err)
+	require.Empty(t, rows)
+	require.Zero(t, world.keepers["a"].Len())
+}
--- /dev/null
+++ b/bvhistory/history_test.go
@@ -0,0 +1,182 @@
+package bvhistory
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+// store loses the answers of the first commits, or of all reads.
+type store struct {
+	bvplatform.Memory
+	loseCommits int
+	down        bool
+}
+
+func (store *store) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	version, err := store.Memory.Commit(ctx, transaction)
+	if store.loseCommits > 0 {
+		store.loseCommits--
+		return 0, bvplatform.ErrUnknown
+	}
+	return version, err
+}
+
+func (store *store) Read(ctx context.Context, keys ...string) ([]bvplatform.Row, error) {
+	if store.down {
+		return nil, bvplatform.ErrUnavailable
+	}
+	return store.Memory.Read(ctx, keys...)
+}
+
+func newTestKeeper(store bvplatform.Store) *Keeper {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return NewKeeper(store, 4096, log)
+}
+
+func say(t *testing.T, keeper *Keeper, parent, id, input, output string) {
+	t.Helper()
+	chain, err := keeper.Chain(t.Context(), parent)
+	require.NoError(t, err)
+	said := Said{ID: id, Input: []byte(input), Output: []byte(output), Retain: bvclock.Minute}
+	require.NoError(t, keeper.Add(t.Context(), chain, said))
+}
+
+func TestPromptIsAllThatWasSaidAndTheNewInput(t *testing.T) {
+	keeper := newTestKeeper(&store{})
+	say(t, keeper, "", "t1", "hello ", "one\ntwo\n")
+	say(t, keeper, "t1", "t2", "again ", "three\n")
+	chain, err := keeper.Chain(t.Context(), "t2")
+	require.NoError(t, err)
+	require.Equal(t, "hello one\ntwo\nagain three\nmore", string(chain.Prompt([]byte("more"))))
+}
+
+// A turn's next one comes through another host, or after all hosts lost power:
+// what was said must be found in the store alone.
+func TestAnotherHostFindsTheConversation(t *testing.T) {
+	shared := &store{}
+	first := newTestKeeper(shared)
+	say(t, first, "", "t1", "a", "b\n")
+	say(t, first, "t1", "t2", "c", "d\n")
+	chain, err := newTestKeeper(shared).Chain(t.Context(), "t2")
+	require.NoError(t, err)
+	require.Equal(t, "ab\ncd\n", string(chain.Prompt(nil)))
+}
+
+func TestTwoTurnsMayContinueTheSameTurn(t *testing.T) {
+	keeper := newTestKeeper(&store{})
+	say(t, keeper, "", "t1", "a", "b\n")
+	say(t, keeper, "t1", "left", "l", "1\n")
+	say(t, keeper, "t1", "right", "r", "2\n")
+	chain, err := keeper.Chain(t.Context(), "right")
+	require.NoError(t, err)
+	require.Equal(t, "ab\nr2\n", string(chain.Prompt(nil)))
+}
+
+// Only the store can say that there is no such turn. A host that can't ask it
+// must not, or the caller would give its conversation up.
+func TestUnknownTurnIsSaidOnlyByTheStore(t *testing.T) {
+	shared := &store{}
+	_, err := newTestKeeper(shared).Chain(t.Context(), "nobody")
+	require.Equal(t, bvverdict.UnknownRequest, bvverdict.From(err).Code())
+	shared.down = true
+	_, err = newTestKeeper(shared).Chain(t.Context(), "nobody")
+	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code())
+	require.Positive(t, bvverdict.From(err).RetryAfter())
+}
+
+// The store's answer to the write is lost after the write took effect. The
+// turn is written again and stands once.
+func TestLostAnswerIsWrittenAgain(t *testing.T) {
+	shared := &store{loseCommits: 2}
+	say(t, newTestKeeper(shared), "", "t1", "a", "b\n")
+	chain, err := newTestKeeper(shared).Chain(t.Context(), "t1")
+	require.NoError(t, err)
+	require.Len(t, chain, 1)
+}
+
+// The caller gives up while the store does not answer: the turn must not be
+// reported as complete.
+func TestTurnThatCantBeKeptIsNoCompleteTurn(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	keeper := newTestKeeper(&store{loseCommits: 1000})
+	require.Error(t, keeper.Add(ctx, nil, Said{ID: "t1"}))
+}
+
+func TestLongTurnIsSplitIntoRows(t *testing.T) {
+	shared := &store{}
+	long := strings.Repeat("long text ", 3000)
+	say(t, newTestKeeper(shared), "", "t1", long, "end\n")
+	chain, err := newTestKeeper(shared).Chain(t.Context(), "t1")
+	require.NoError(t, err)
+	require.Equal(t, long+"end\n", string(chain.Prompt(nil)))
+}
+
+// A conversation lasts longer than its oldest row is kept. Later turns start a
+// new chain with a copy, so that no row is needed past its time.
+func TestLongConversationNeedsNoExpiredRow(t *testing.T) {
+	now := int64(1000)
+	said := Said{ID: "t", Input: []byte("x"), Output: []byte("y\n"), Retain: bvclock.Minute}
+	var chain Chain
+	for range 40 {
+		turn := newTurn(chain, said, now)
+		for _, ancestor := range chain[len(chain)-len(turn.Ancestors):] {
+			require.GreaterOrEqual(t, ancestor.Expires, now+60, "an ancestor lapses while the turn is kept")
+		}
+		if len(turn.Ancestors) == 0 {
+			require.Equal(t, string(chain.Prompt([]byte("x"))), string(turn.Input))
+			chain = nil
+		}
+		chain = append(chain, turn)
+		now += 7
+	}
+}
+
+func TestCacheStaysWithinItsBytes(t *testing.T) {
+	keeper := newTestKeeper(&store{})
+	for i := range 100 {
+		keeper.remember(&Turn{ID: string(rune('a' + i)), Input: make([]byte, 200_000)})
+	}
+	require.LessOrEqual(t, keeper.bytes, cacheBytes)
+	require.Positive(t, keeper.cache.Len())
+}
+
+func TestTurnIsReadAsItWasWritten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		turn := &Turn{
+			ID:        "t",
+			Ancestors: rapid.SliceOf(rapid.String()).Draw(rt, "ancestors"),
+			Oldest:    rapid.Int64().Draw(rt, "oldest"),
+			Expires:   rapid.Int64().Draw(rt, "expires"),
+			Input:     rapid.SliceOf(rapid.Byte()).Draw(rt, "input"),
+			Output:    rapid.SliceOf(rapid.Byte()).Draw(rt, "output"),
+		}
+		read, err := decodeTurn("t", turn.encode())
+		require.NoError(rt, err)
+		require.Equal(rt, len(turn.Ancestors), len(read.Ancestors))
+		for i := range turn.Ancestors {
+			require.Equal(rt, turn.Ancestors[i], read.Ancestors[i])
+		}
+		require.Equal(rt, string(turn.Input), string(read.Input))
+		require.Equal(rt, string(turn.Output), string(read.Output))
+		require.Equal(rt, turn.Expires, read.Expires)
+	})
+}
+
+func TestRowThatIsCutOffIsAnError(t *testing.T) {
+	encoded := (&Turn{ID: "t", Ancestors: []string{"a"}, Input: []byte("in"), Output: []byte("out")}).encode()
+	for length := range encoded {
+		_, err := decodeTurn("t", encoded[:length])
+		require.Error(t, err, "of %d bytes", length)
+	}
+}
