--- /dev/null
+++ b/bvdispatch/pool_test.go
@@ -0,0 +1,175 @@
+package bvdispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+)
+
+func engines(count int) []bvplatform.Endpoint {
+	listed := make([]bvplatform.Endpoint, count)
+	for i := range listed {
+		listed[i] = bvplatform.Endpoint{Name: fmt.Sprintf("e%d", i), Slots: 16, CacheTokens: 400_000}
+	}
+	return listed
+}
+
+func newTestPool(count int) *Pool {
+	pool := NewPool(1)
+	pool.SetEndpoints(engines(count))
+	return pool
+}
+
+func prompt(keys ...uint64) *Request {
+	request := &Request{}
+	for _, key := range keys {
+		request.Prefix = append(request.Prefix, bvroute.Part{Key: key, Tokens: 5000})
+		request.PromptTokens += 5000
+	}
+	return request
+}
+
+func TestCallsSpreadOverIdleEndpoints(t *testing.T) {
+	pool := newTestPool(4)
+	for range 40 {
+		chosen, found := pool.Choose(0, &Request{})
+		require.True(t, found)
+		pool.Begin(chosen.Name, &Request{})
+	}
+	for _, row := range pool.rows {
+		require.InDelta(t, 10, row.running, 1)
+	}
+}
+
+func TestCallGoesWhereItsPromptIsCached(t *testing.T) {
+	pool := newTestPool(4)
+	pool.Begin("e2", prompt(1, 2))
+	pool.End(0, "e2", Served, 300)
+	for range 20 {
+		chosen, _ := pool.Choose(0, prompt(1, 2, 3))
+		require.Equal(t, "e2", chosen.Name)
+	}
+}
+
+// A part counts only if all parts before it are there: engines read a prompt
+// from its start.
+func TestPartBehindAMissingOneIsNotCached(t *testing.T) {
+	pool := newTestPool(1)
+	pool.Begin("e0", prompt(2))
+	require.Zero(t, pool.rows[0].cache.cached(prompt(1, 2).Prefix))
+}
+
+// The engine with the cached prompt is full, and another one is idle: waiting
+// costs more than reading the prompt again.
+func TestCachedPromptDoesNotOutweighAFullEndpoint(t *testing.T) {
+	pool := newTestPool(2)
+	pool.duration.add(400)
+	pool.Begin("e0", prompt(1))
+	for range 30 {
+		pool.Begin("e0", &Request{})
+	}
+	chosen, _ := pool.Choose(0, prompt(1))
+	require.Equal(t, "e1", chosen.Name)
+}
+
+// Another host has filled an engine. Its digest says so before the engine's
+// own answers do.
+func TestOtherHostsCallsCount(t *testing.T) {
+	pool := newTestPool(2)
+	pool.SetPeerLoads(1, map[uint64]int{HashName("e0"): 12})
+	for range 8 {
+		chosen, _ := pool.Choose(1, &Request{})
+		require.Equal(t, "e1", chosen.Name)
+		pool.Begin(chosen.Name, &Request{})
+	}
+}
+
+// A program's first turn came through another host, which told where it put
+// the prompt.
+func TestPlacementOfAnotherHostIsUsed(t *testing.T) {
+	pool := newTestPool(4)
+	for _, part := range prompt(1, 2).Prefix {
+		pool.Placed(HashName("e3"), []bvroute.Part{part})
+	}
+	chosen, _ := pool.Choose(0, prompt(1, 2, 3))
+	require.Equal(t, "e3", chosen.Name)
+}
+
+func TestLeavingEndpointIsNotChosen(t *testing.T) {
+	listed := engines(2)
+	listed[0].State = bvplatform.HostLeaving
+	pool := NewPool(1)
+	pool.SetEndpoints(listed)
+	for range 10 {
+		chosen, found := pool.Choose(0, &Request{})
+		require.True(t, found)
+		require.Equal(t, "e1", chosen.Name)
+	}
+}
+
+// An engine accepts calls and answers none. It has the fewest calls under way,
+// so that without a judgement every next call would go there.
+func TestFailingEndpointIsLeftForAWhile(t *testing.T) {
+	pool := newTestPool(2)
+	for range 3 {
+		pool.Begin("e0", &Request{})
+		pool.End(0, "e0", Unreachable, 1)
+	}
+	for range 10 {
+		chosen, _ := pool.Choose(1, &Request{})
+		require.Equal(t, "e1", chosen.Name)
+	}
+	require.True(t, pool.byName["e0"].open(bvclock.Time(0).Add(lastAway+1)))
+}
+
+// All endpoints failed lately, say because this host was cut off. It must not
+// refuse everything: some endpoint is tried.
+func TestJudgementsNeverEmptyAPool(t *testing.T) {
+	pool := newTestPool(2)
+	for _, name := range []string{"e0", "e1"} {
+		for range 4 {
+			pool.Begin(name, &Request{})
+			pool.End(0, name, Unreachable, 1)
+		}
+	}
+	_, found := pool.Choose(1, &Request{})
+	require.True(t, found)
+}
+
+func TestAvoidedEndpointsAreNotChosenAgain(t *testing.T) {
+	pool := newTestPool(2)
+	_, found := pool.Choose(0, &Request{Avoid: map[string]bool{"e0": true, "e1": true}})
+	require.False(t, found)
+}
+
+func TestCacheEstimateStaysWithinTheEndpointsMemory(t *testing.T) {
+	var cache cache
+	for key := range uint64(100) {
+		cache.use(prompt(key).Prefix, 50_000)
+		require.LessOrEqual(t, cache.tokens, 50_000)
+	}
+	require.Equal(t, 5000, cache.cached(prompt(99).Prefix))
+	require.Zero(t, cache.cached(prompt(1).Prefix))
+}
+
+func TestMoreUrgentRouteAndRunningProgramGoFirst(t *testing.T) {
+	require.Less(t, Urgency(0, false), Urgency(1, true))
+	require.Less(t, Urgency(1, true), Urgency(1, false))
+	require.LessOrEqual(t, Urgency(50, false), lastUrgency)
+}
+
+// What is known of an endpoint stays when the list is read again; an entry
+// that left the list is forgotten.
+func TestNewListKeepsWhatIsKnown(t *testing.T) {
+	pool := newTestPool(2)
+	pool.Begin("e0", prompt(1))
+	pool.SetEndpoints(engines(1))
+	require.Equal(t, 1, pool.Len())
+	require.Equal(t, 1, pool.byName["e0"].running)
+	pool.End(0, "e1", Served, 1) // its call ends after it has gone
+}
--- /dev/null
+++ b/bvforward/send_test.go
@@ -0,0 +1,300 @@
+package bvforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvverdict"
+)
+
+// plainWire names the request an answer belongs to in the header Id.
+type plainWire struct{}
+
+func (plainWire) ReadAnswer(_ int, header http.Header) bvroute.Answer {
+	return bvroute.Answer{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+}
+
+// endpoint is a TCP server whose behaviour a test writes itself.
+type endpoint struct {
+	listener net.Listener
+	dials    atomic.Int64
+	requests atomic.Int64
+}
+
+// newEndpoint serves each connection with the given function, which gets the
+// requests one by one.
+func newEndpoint(t *testing.T, serve func(conn net.Conn, request *http.Request, number int) (more bool)) *endpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	endpoint := &endpoint{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			endpoint.dials.Add(1)
+			go endpoint.connection(conn, serve)
+		}
+	}()
+	return endpoint
+}
+
+func (endpoint *endpoint) connection(conn net.Conn, serve func(net.Conn, *http.Request, int) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !serve(conn, request, int(endpoint.requests.Add(1))) {
+			return
+		}
+	}
+}
+
+func (endpoint *endpoint) request(id string) *Request {
+	return &Request{
+		Endpoint: bvplatform.Endpoint{Name: "e", Address: endpoint.listener.Addr().String()},
+		ID:       id,
+		Method:   "GET",
+		Target:   "/x",
+		Host:     "h",
+		Header:   http.Header{},
+	}
+}
+
+func answerTo(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newConnections() *Connections {
+	return &Connections{Clock: bvclock.Boot(), Wire: plainWire{}}
+}
+
+func fetch(t *testing.T, connections *Connections, request *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	response, err := connections.Send(ctx, request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		answerTo(conn, fmt.Sprint(number), "body")
+		return true
+	})
+	connections := newConnections()
+	for i := range 3 {
+		body, err := fetch(t, connections, server.request(fmt.Sprint(i+1)))
+		require.NoError(t, err)
+		require.Equal(t, "body", body)
+	}
+	require.EqualValues(t, 1, server.dials.Load())
+}
+
+// A faulty endpoint sends a second answer to the request before, just where
+// the next one's answer is expected. Only its id tells; the caller must get
+// its own answer.
+func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		if number == 2 {
+			answerTo(conn, "1", "again")
+		}
+		answerTo(conn, fmt.Sprint(number), fmt.Sprint("body", number))
+		return true
+	})
+	connections := newConnections()
+	_, err := fetch(t, connections, server.request("1"))
+	require.NoError(t, err)
+	body, err := fetch(t, connections, server.request("2"))
+	require.NoError(t, err)
+	require.Equal(t, "body2", body)
+}
+
+// An endpoint sends bytes after a complete answer. They belong to no request:
+// the connection is not used again.
+func TestBytesAfterAnAnswerSpendTheConnection(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		answerTo(conn, fmt.Sprint(number), "body")
+		_, _ = io.WriteString(conn, "stray")
+		return true
+	})
+	connections := newConnections()
+	_, err := fetch(t, connections, server.request("1"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond) // until the stray bytes are there
+	body, err := fetch(t, connections, server.request("2"))
+	require.NoError(t, err)
+	require.Equal(t, "body", body)
+	require.EqualValues(t, 2, server.dials.Load())
+}
+
+// An endpoint closes an idle connection. A request that may run only once must
+// not be lost on it.
+func TestConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		answerTo(conn, fmt.Sprint(number), "body")
+		return false
+	})
+	connections := newConnections()
+	_, err := fetch(t, connections, server.request("1"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond) // until the close is there
+	_, err = fetch(t, connections, server.request("2"))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, server.dials.Load())
+}
+
+// A reused connection breaks after the request was sent. The standard client
+// would send a GET again by itself; here nobody does, and the error says that
+// the request may have run.
+func TestNothingIsSentTwiceWhenAConnectionBreaks(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		if number == 1 {
+			answerTo(conn, "1", "body")
+		}
+		return number == 1
+	})
+	connections := newConnections()
+	_, err := fetch(t, connections, server.request("1"))
+	require.NoError(t, err)
+	_, err = fetch(t, connections, server.request("2"))
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.EqualValues(t, 2, server.requests.Load())
+}
+
+func TestUnreachableEndpointHasNotRunIt(t *testing.T) {
+	server := newEndpoint(t, nil)
+	_ = server.listener.Close()
+	_, err := fetch(t, newConnections(), server.request("1"))
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+}
+
+// An endpoint answers before it has read a long body, and reads on later. What
+// is left of the body is still due on that connection, so it must not carry
+// another request.
+func TestEarlyAnswerToALongBodySpendsTheConnection(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, request *http.Request, number int) bool {
+		answerTo(conn, fmt.Sprint(number), "early")
+		if number == 1 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		return true
+	})
+	connections := newConnections()
+	long := server.request("1")
+	long.Method, long.Body = "POST", []byte(strings.Repeat("x", 32<<20))
+	body, err := fetch(t, connections, long)
+	require.NoError(t, err)
+	require.Equal(t, "early", body)
+	body, err = fetch(t, connections, server.request("2"))
+	require.NoError(t, err)
+	require.Equal(t, "early", body)
+	require.EqualValues(t, 2, server.dials.Load())
+}
+
+// An answer breaks off before its length. It must not look complete.
+func TestAnswerThatBreaksOffIsAnError(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
+		return false
+	})
+	_, err := fetch(t, newConnections(), server.request("1"))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestBytesThatAreNoAnswerAreAnError(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "garbage\r\n\r\n")
+		return false
+	})
+	_, err := fetch(t, newConnections(), server.request("1"))
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+}
+
+// The caller has gone. The endpoint must see its connection close, since that
+// is how it learns to stop its work.
+func TestCallerThatLeavesEndsTheEndpointsWork(t *testing.T) {
+	closed := make(chan error, 1)
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := conn.Read(make([]byte, 1))
+		closed <- err
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for server.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := newConnections().Send(ctx, server.request("1"))
+	require.Equal(t, bvverdict.Canceled, bvverdict.From(err).Code())
+	require.Error(t, <-closed)
+}
+
+func TestIdleConnectionsAreBoundedAndLapse(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		answerTo(conn, "1", "")
+		return true
+	})
+	clock := &bvclock.Manual{}
+	connections := &Connections{Clock: clock, Wire: plainWire{}}
+	var open []*Response
+	for range maxIdle + 3 {
+		response, err := connections.Send(t.Context(), server.request("1"))
+		require.NoError(t, err)
+		open = append(open, response)
+	}
+	for _, response := range open {
+		response.Close()
+	}
+	require.Len(t, connections.pools["e"].idle, maxIdle)
+	clock.Advance(defaultKeep)
+	connections.Expire()
+	require.Empty(t, connections.pools["e"].idle)
+}
+
+func TestTargetAndBodyArePassedOnAsTheyCame(t *testing.T) {
+	got := make(chan string, 1)
+	server := newEndpoint(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		body, _ := io.ReadAll(request.Body)
+		got <- request.Method + " " + request.RequestURI + " " + request.Host + " " + string(body)
+		answerTo(conn, "1", "")
+		return true
+	})
+	request := server.request("1")
+	request.Method, request.Target, request.Body = "POST", "//a/../b%2F?q=%20", []byte("body")
+	_, err := fetch(t, newConnections(), request)
+	require.NoError(t, err)
+	require.Equal(t, "POST //a/../b%2F?q=%20 h body", <-got)
+}
+
+func TestHopByHopHeadersAreDropped(t *testing.T) {
+	header := http.Header{"Connection": {"X-Mine, Id"}, "X-Mine": {"1"}, "Id": {"7"}, "Te": {"trailers"}, "Kept": {"1"}}
+	DropHopByHop(header, []string{"X-Mine", "Id"}, func(name string) bool { return name == "Id" })
+	require.Equal(t, http.Header{"Id": {"7"}, "Kept": {"1"}}, header)
+}
--- /dev/null
+++ b/bvfront/event_test.go
@@ -0,0 +1,60 @@
+package bvfront
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvverdict"
+)
+
+// However a stream is cut into reads, whole events come out, in order and each
+// once, and nothing of an event that is not whole.
+func TestWholeEventsComeOutHoweverTheStreamIsCut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(0, 8).Draw(rt, "events")
+		var stream, data strings.Builder
+		for i := range count {
+			word := rapid.StringMatching(`[a-z ]{0,12}`).Draw(rt, "word")
+			stream.WriteString("id: " + string(rune('a'+i)) + "\ndata: " + word + "\n\n")
+			data.WriteString(word + "\n")
+		}
+		whole := stream.String()
+		rest := whole + rapid.SampledFrom([]string{"", "id: z", "id: z\ndata: cut\n"}).Draw(rt, "tail")
+		splitter := events{keep: true}
+		var out strings.Builder
+		for len(rest) > 0 {
+			size := rapid.IntRange(1, len(rest)).Draw(rt, "read")
+			added := splitter.add([]byte(rest[:size]))
+			out.Write(added)
+			splitter.drop(len(added))
+			rest = rest[size:]
+		}
+		require.Equal(rt, whole, out.String())
+		require.Equal(rt, data.String(), string(splitter.data))
+		require.Equal(rt, count, splitter.count)
+	})
+}
+
+func TestCarriageReturnsEndLinesToo(t *testing.T) {
+	var splitter events
+	require.Equal(t, "id: 1\r\ndata: x\r\n\r\n", string(splitter.add([]byte("id: 1\r\ndata: x\r\n\r\nid"))))
+	require.Equal(t, "1", splitter.lastID)
+}
+
+// A status that promises that a request has not run is only given where it has
+// not, and the other way round a caller that may repeat is told so.
+func TestStatusPromisesNoMoreThanTheVerdict(t *testing.T) {
+	for code := bvverdict.Internal; code <= bvverdict.UnknownRoute; code++ {
+		for _, verdict := range []bvverdict.Verdict{bvverdict.MayHaveRun, bvverdict.Ran} {
+			given := status(bvverdict.New(verdict, code, "x"))
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, given, code)
+		}
+	}
+	require.Equal(t, http.StatusServiceUnavailable, status(bvverdict.Refuse(bvverdict.Overloaded, "x")))
+	require.Equal(t, http.StatusPaymentRequired, status(bvverdict.Refuse(bvverdict.BudgetExceeded, "x")))
+	require.Equal(t, http.StatusNotFound, status(bvverdict.Refuse(bvverdict.UnknownRoute, "x")))
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -36,15 +36,15 @@
 	Zone    string `json:"zone"`
 }
 
+// openGossip opens the port for datagrams, which has the number of the one for
+// relayed calls.
 func (router *Router) openGossip() error {
-	address, err := netip.ParseAddrPort(router.settings.PeerAddress)
-	if err != nil {
-		return fmt.Errorf("router: peer address: %w", err)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	address := router.peers.Addr().(*net.TCPAddr)
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: address.IP, Port: address.Port})
 	if err != nil {
 		return fmt.Errorf("router: listen for other hosts: %w", err)
 	}
+	router.settings.PeerAddress = address.String()
 	router.peerConn = conn
 	router.gossip = bvgossip.New(router.incarnation, conn, router.clock, router.log)
 	return nil
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -11,9 +11,12 @@
 	// leaveTime is how long a leaving host goes on accepting connections. The
 	// balancer asks every second and sends nobody after two misses.
 	leaveTime = 2500 * bvclock.Millisecond
+	// leaveShare is the most of the allowed time that this may take: what is
+	// in flight then needs the rest.
+	leaveShare = 0.35
 	// stopMargin is kept between the end of a graceful stop and the moment at
-	// which the process would be killed.
-	stopMargin = 500 * bvclock.Millisecond
+	// which the process would be killed, as a share of the allowed time.
+	stopMargin = 0.06
 )
 
 // leave stops without cutting off a request: first the balancer is told, and
@@ -24,9 +27,11 @@
 	router.leaving.Store(true)
 	router.front.Leave()
 	router.unlistSelf(context.Background())
-	bvclock.Sleep(leaveTime)
+	stop := float64(router.settings.Stop)
+	accepting := min(leaveTime, bvclock.Duration(stop*leaveShare))
+	bvclock.Sleep(accepting)
 	_ = router.callers.Close() // an error would mean that it is closed already
-	limit := router.settings.Stop - leaveTime - stopMargin
+	limit := router.settings.Stop - accepting - bvclock.Duration(stop*stopMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
 	if err := router.server.Shutdown(ctx); err != nil {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -151,6 +151,12 @@
 	return listener, nil
 }
 
+// CallerAddress returns the IP and port that callers use.
+func (router *Router) CallerAddress() string { return router.callers.Addr().String() }
+
+// Hosts returns how many other hosts are heard of.
+func (router *Router) Hosts() int { return len(router.gossip.Heard()) }
+
 // Ready reports whether callers should be sent here. A host that can't ask the
 // store, by itself or through another host, must refuse most programs, which
 // another host may serve.
