--- /dev/null
+++ b/bvdispatch/admission.go
@@ -0,0 +1,59 @@
+package bvdispatch
+
+import (
+	"balsamvalve.example/bvclock"
+)
+
+// Admission of new programs.
+//
+// It answers the load of a crowd that is larger than the engines can serve in
+// time. Without it nearly all programs are served and nearly all late: calls
+// crowd each other at the engines, each takes longer, so that more are under
+// way at once, and the crowding stays after the crowd has gone. A program is
+// turned away before its first turn, when nothing is lost yet; programs under
+// way go on.
+const (
+	// fullShare is the share of the engines' places that may be taken before
+	// new programs of the least urgent routes are turned away. Programs are
+	// in time if they take at most 1.4 to 1.7 times as long as on idle
+	// engines; with more than this share taken they take longer.
+	fullShare = 0.60
+	// urgentShare is added for the most urgent routes, whose programs then
+	// find room that less urgent ones have left.
+	urgentShare = 0.12
+	// leastReturn and mostReturn bound the time after which a refused caller
+	// should come back. It is drawn at random between them, so that a crowd
+	// does not return as one; callers come back for about 3 s in all.
+	leastReturn = 300 * bvclock.Millisecond
+	mostReturn  = 900 * bvclock.Millisecond
+)
+
+// Admit reports whether a new program of a route's priority may begin. If not,
+// it returns the time after which to come back.
+func (pool *Pool) Admit(now bvclock.Time, priority int) (bvclock.Duration, bool) {
+	limit := fullShare
+	if priority == 0 {
+		limit += urgentShare
+	}
+	if pool.share(now) < limit {
+		return 0, true
+	}
+	return leastReturn + bvclock.Duration(pool.random.Int64N(int64(mostReturn-leastReturn))), false
+}
+
+// share is the share of all places that are taken, at endpoints that may get
+// new calls. A pool without any is not full: what it can't serve is refused
+// when an endpoint is chosen.
+func (pool *Pool) share(now bvclock.Time) float64 {
+	load, slots := 0.0, 0.0
+	for _, row := range pool.rows {
+		if row.open(now) {
+			load += row.load(now)
+			slots += row.slots()
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return load / slots
+}
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -17,6 +17,12 @@
 	// defaultDuration stands for a call's duration before any was measured,
 	// in milliseconds.
 	defaultDuration = 200
+	// homeWeight is the most that an endpoint's place in the order of a prompt's
+	// first part counts, in milliseconds. All hosts have the same order, so
+	// prompts that begin alike meet at few endpoints, each of which then holds
+	// few such beginnings. It answers engines whose memory holds only some of
+	// them: spread evenly, each is read again and again.
+	homeWeight = 250
 	// noise breaks ties between endpoints, in milliseconds. Without it, hosts
 	// that know the same send to the same endpoint at once.
 	noise = 2
@@ -71,5 +77,16 @@
 	}
 	uncached := request.PromptTokens - row.cache.cached(request.Prefix)
 	reading := float64(max(uncached, 0)) / prefillRate
-	return cost + reading*(1+min(load, slots))
+	return cost + reading*(1+min(load, slots)) + homeWeight*row.home(request)
+}
+
+// home is the endpoint's place in the order of the prompt's first part, from 0
+// for the first to 1 for the last.
+func (endpoint *endpoint) home(request *Request) float64 {
+	if len(request.Prefix) == 0 {
+		return 0
+	}
+	mixed := (endpoint.hash ^ request.Prefix[0].Key) * 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
+	mixed ^= mixed >> 32
+	return float64(mixed*0x9e3779b97f4a7c15>>11) / (1 << 53)
 }
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -61,6 +61,15 @@
 	return found
 }
 
+// Admit reports whether a new program may begin at a service. If not, it returns
+// the time after which to come back.
+func (desk *Desk) Admit(service string, priority int) (bvclock.Duration, bool) {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.pool(service).Admit(now, priority)
+}
+
 // Choose returns the endpoint for a call and counts the call there. Each is to
 // be followed by an End.
 func (desk *Desk) Choose(service string, request *Request) (bvplatform.Endpoint, bool) {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -55,6 +55,7 @@
 
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
 type Dispatcher interface {
+	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	Told(service, endpoint string, load bvroute.Load)
 	End(service, endpoint string, outcome bvdispatch.Outcome, took bvclock.Duration)
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -7,6 +7,7 @@
 
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvhistory"
+	"balsamvalve.example/bvverdict"
 )
 
 // errOverspent ends a stream whose engine generated more than was asked for:
@@ -16,6 +17,9 @@
 // prepareTurn reserves a turn's tokens and gets its conversation, both before
 // anything is sent.
 func (call *call) prepareTurn() error {
+	if err := call.admit(); err != nil {
+		return err
+	}
 	var group errgroup.Group
 	if call.said.HasBudget && call.service.Engine != nil && call.said.Program != "" {
 		group.Go(call.reserve)
@@ -26,6 +30,20 @@
 	return group.Wait()
 }
 
+// admit turns a new program away where the engines can't serve it in time.
+func (call *call) admit() error {
+	if call.service.Engine == nil || call.said.Continues() {
+		return nil
+	}
+	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, call.route.Priority)
+	if admitted {
+		return nil
+	}
+	call.front.parts.Counters.Add("programs_turned_away", 1)
+	return bvverdict.Refuse(bvverdict.Overloaded, "the engines of %s can't serve another program in time", call.service.Name).
+		WithRetryAfter(comeBack)
+}
+
 func (call *call) reserve() (err error) {
 	most := call.said.OutputTokens
 	if most <= 0 {
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -35,7 +35,7 @@
 	// hosts: short beside a call, which takes some 300 ms.
 	leastInterval = 100 * bvclock.Millisecond
 	// perHost lengthens the interval by the number of hosts.
-	perHost = 8 * bvclock.Millisecond
+	perHost = 1 * bvclock.Millisecond
 	// silentAfter is how long after its last digest a host's calls are no
 	// longer counted.
 	silentAfter = 1500 * bvclock.Millisecond
