--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -5,9 +5,10 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvrouter"
 	"balsamvalve.example/platform"
 )
@@ -28,9 +29,9 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log := logrus.New()
-	log.SetOutput(command.OutOrStdout())
-	log.SetFormatter(&logrus.JSONFormatter{})
+	output := bvlog.NewBounded(command.OutOrStdout(), bvclock.Boot())
+	defer output.Close()
+	log := bvlog.New(output)
 	router, err := bvrouter.New(settings, bvrouter.Parts{
 		Platform: &platform.Store{Address: settings.StoreAddress},
 		Wire:     platform.Wire{},
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -75,17 +75,18 @@
 	if load >= slots {
 		cost += duration * (load - slots + 1) / slots
 	}
-	uncached := request.PromptTokens - row.cache.cached(request.Prefix)
-	reading := float64(max(uncached, 0)) / prefillRate
-	return cost + reading*(1+min(load, slots)) + homeWeight*row.home(request)
+	cached := row.cache.cached(request.Prefix)
+	reading := float64(max(request.PromptTokens-cached, 0)) / prefillRate
+	cost += reading * (1 + min(load, slots))
+	if len(request.Prefix) > 0 && cached <= request.Prefix[0].Tokens {
+		cost += homeWeight * row.home(request) // nothing of the conversation itself is here
+	}
+	return cost
 }
 
 // home is the endpoint's place in the order of the prompt's first part, from 0
 // for the first to 1 for the last.
 func (endpoint *endpoint) home(request *Request) float64 {
-	if len(request.Prefix) == 0 {
-		return 0
-	}
 	mixed := (endpoint.hash ^ request.Prefix[0].Key) * 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
 	mixed ^= mixed >> 32
 	return float64(mixed*0x9e3779b97f4a7c15>>11) / (1 << 53)
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -18,6 +18,8 @@
 	mutex  sync.Mutex
 	pools  map[string]*Pool
 	placed []Placement // since the last look
+
+	suspects Suspects
 }
 
 // Placement is a part of a prompt that an endpoint was sent.
@@ -137,9 +139,39 @@
 }
 
 // End notes how a call ended and how long it took since its sending.
-func (desk *Desk) End(service, endpoint string, outcome Outcome, took bvclock.Duration) {
+func (desk *Desk) End(service, endpoint string, request *Request, outcome Outcome, took bvclock.Duration) {
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	desk.pool(service).End(now, endpoint, outcome, took)
+	switch outcome {
+	case Broken:
+		desk.suspects.Broke(now, request.Content, HashName(endpoint))
+	case Unreachable, Wrong:
+		desk.suspects.Gone(now, HashName(endpoint))
+	}
+}
+
+// Poisonous reports whether a request has crashed too many endpoints.
+func (desk *Desk) Poisonous(content uint64) bool {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.suspects.Poisonous(now, content)
+}
+
+// Crashes returns the crashes to tell other hosts.
+func (desk *Desk) Crashes() []Crash {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.suspects.Recent(now)
+}
+
+// LearnCrash takes in a crash that another host saw.
+func (desk *Desk) LearnCrash(crash Crash) {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	desk.suspects.Learn(now, crash)
 }
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -39,6 +39,7 @@
 	OutputTokens int
 	Affinity     string          // object that the call concerns; may be empty
 	Avoid        map[string]bool // endpoints that must not be chosen again
+	Content      uint64          // what the request is known by when it comes again
 }
 
 // Pool decides for the endpoints of one service. It is not safe for
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
@@ -29,6 +32,8 @@
 	leastSend = 5 * bvclock.Millisecond
 	// soonAgain is when to come back after a refusal that passes quickly.
 	soonAgain = 100 * bvclock.Millisecond
+	// longAgain is when to come back with a request that crashes endpoints.
+	longAgain = bvclock.Minute
 )
 
 // call is one request of a caller while it is served.
@@ -98,6 +103,10 @@
 		PromptTokens: call.said.PromptTokens,
 		OutputTokens: call.said.OutputTokens,
 		Affinity:     call.said.Affinity,
+		Content:      call.content(),
+	}
+	if call.front.parts.Dispatcher.Poisonous(call.wish.Content) {
+		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longAgain)
 	}
 	if err := call.prepareTurn(); err != nil {
 		return err
@@ -105,6 +114,16 @@
 	return call.forward()
 }
 
+// content is what the request is known by when it comes again, through any
+// host: who sent it, where to, and its body. Its id differs each time.
+func (call *call) content() uint64 {
+	caller, _, _ := net.SplitHostPort(call.request.RemoteAddr) // empty where it can't be read
+	digest := xxhash.New()
+	_, _ = digest.WriteString(caller + " " + call.request.Method + " " + call.request.RequestURI + " ")
+	_, _ = digest.Write(call.body)
+	return digest.Sum64()
+}
+
 func (call *call) findRoute() error {
 	table := call.front.parts.State.Current()
 	if table == nil {
@@ -273,7 +292,7 @@
 
 func (call *call) ended(endpoint string, sentAt bvclock.Time, outcome bvdispatch.Outcome) {
 	took := call.front.parts.Clock.Now().Sub(sentAt)
-	call.front.parts.Dispatcher.End(call.service.Name, endpoint, outcome, took)
+	call.front.parts.Dispatcher.End(call.service.Name, endpoint, &call.wish, outcome, took)
 }
 
 // refused notes that an endpoint did not run the request.
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -14,9 +14,11 @@
 	call.log(err)
 	if err == nil {
 		call.front.parts.Counters.Add("answered", 1)
+		call.front.parts.Counters.Observe("request_latency", call.front.parts.Clock.Now().Sub(call.arrived))
 		return
 	}
 	call.front.parts.Counters.Add("failed", 1)
+	call.front.parts.Counters.Refused("", err) // nothing here names a member
 	if call.begun || call.request.Context().Err() != nil {
 		// An answer that ends early must not look complete: closing the
 		// connection is the only sign that HTTP has for it.
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -58,7 +58,8 @@
 	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	Told(service, endpoint string, load bvroute.Load)
-	End(service, endpoint string, outcome bvdispatch.Outcome, took bvclock.Duration)
+	End(service, endpoint string, request *bvdispatch.Request, outcome bvdispatch.Outcome, took bvclock.Duration)
+	Poisonous(content uint64) bool
 }
 
 // Endpoints sends a request to an endpoint, once.
@@ -80,6 +81,7 @@
 // Counters count what is done.
 type Counters interface {
 	Add(name string, delta int64)
+	Refused(member string, err error)
 	Observe(name string, duration bvclock.Duration)
 }
 
--- a/bvmeasure/latency.go
+++ b/bvmeasure/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -56,3 +57,16 @@
 	}
 	return string(encoded)
 }
+
+// lines returns the figures as "name value", in milliseconds but for the count.
+func (latency *latency) lines() []string {
+	latency.mutex.Lock()
+	defer latency.mutex.Unlock()
+	return []string{
+		fmt.Sprintf("count %d", latency.histogram.TotalCount()),
+		fmt.Sprintf("p50_ms %d", latency.histogram.ValueAtQuantile(50)),
+		fmt.Sprintf("p95_ms %d", latency.histogram.ValueAtQuantile(95)),
+		fmt.Sprintf("p99_ms %d", latency.histogram.ValueAtQuantile(99)),
+		fmt.Sprintf("max_ms %d", latency.histogram.Max()),
+	}
+}
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -32,11 +32,30 @@
 //	table_version         version of the operators' table in force
 //	hosts                 hosts in this host's view
 //
+// A routing daemon has these instead:
+//
+//	answered              requests that got a whole answer
+//	failed                requests that got none, or a refusal
+//	refused               a map: the same, by "verdict/code"
+//	first_event           of streams, from the request's arrival to the first event
+//	request_latency       of answered requests, from arrival to the last byte
+//	sends_again           sends after the first of a request
+//	programs_turned_away  programs refused before their first turn, for load
+//	desired_state_version version of the routes in force
+//	hosts_heard           other hosts whose digests come
+//	endpoints             endpoints on the list
+//	connections_opened    connections opened to endpoints
+//	budget_writes         transactions tried on programs' budgets
+//	budget_accounts       programs with an account here
+//	store_reachable       1 while the platform's store answers this host
+//
 // A latency is an object with count, mean_ms, p50_ms, p95_ms, p99_ms, max_ms.
 package bvmeasure
 
 import (
 	"expvar"
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"sync"
@@ -152,3 +171,29 @@
 	writer.Header().Set("Content-Type", "application/json")
 	_, _ = writer.Write([]byte(counters.variables.String()))
 }
+
+// Text serves the variables as lines of text, "name value", for collectors
+// that read no JSON. Latencies have a line for each of their figures.
+func (counters *Counters) Text() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		counters.variables.Do(func(variable expvar.KeyValue) { writeText(writer, variable) })
+	})
+}
+
+// writeText writes one variable. An error would mean that the collector has
+// gone.
+func writeText(writer io.Writer, variable expvar.KeyValue) {
+	switch value := variable.Value.(type) {
+	case *latency:
+		for _, line := range value.lines() {
+			_, _ = fmt.Fprintf(writer, "balsamvalve_%s_%s\n", variable.Key, line)
+		}
+	case *expvar.Map:
+		value.Do(func(entry expvar.KeyValue) {
+			_, _ = fmt.Fprintf(writer, "balsamvalve_%s{kind=%q} %s\n", variable.Key, entry.Key, entry.Value)
+		})
+	default:
+		_, _ = fmt.Fprintf(writer, "balsamvalve_%s %s\n", variable.Key, value)
+	}
+}
--- a/bvmeasure/measure_test.go
+++ b/bvmeasure/measure_test.go
@@ -35,3 +35,15 @@
 	require.NotContains(t, recorder.Body.String(), "piran", "everybody may read the variables")
 	require.Equal(t, map[string]int64{"not run/overloaded": 1}, counters.Refusals("piran"))
 }
+
+func TestVariablesAreServedAsText(t *testing.T) {
+	counters := New()
+	counters.Answered()
+	counters.Refused("", bvverdict.Refuse(bvverdict.Overloaded, "full"))
+	counters.Observe("first_event", 40)
+	recorder := httptest.NewRecorder()
+	counters.Text().ServeHTTP(recorder, nil)
+	require.Contains(t, recorder.Body.String(), "balsamvalve_answered 1\n")
+	require.Contains(t, recorder.Body.String(), `balsamvalve_refused{kind="not run/overloaded"} 1`)
+	require.Contains(t, recorder.Body.String(), "balsamvalve_first_event_p50_ms 40\n")
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -137,6 +137,9 @@
 	for endpoint, count := range running {
 		digest.Loads = append(digest.Loads, &bvgossip.Load{Endpoint: endpoint, Running: uint32(count)})
 	}
+	for _, crash := range router.desk.Crashes() {
+		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request, Endpoint: crash.Endpoint})
+	}
 	for _, placement := range placed {
 		digest.Placements = append(digest.Placements, &bvgossip.Placement{
 			Endpoint: placement.Endpoint, Part: placement.Part.Key, Tokens: uint32(placement.Part.Tokens),
@@ -191,6 +194,9 @@
 		})
 	}
 	handler.desk.Place(placed)
+	for _, crash := range digest.GetCrashes() {
+		handler.desk.LearnCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
+	}
 	handler.budgets.Holds(digest.GetAddress(), digest.GetPrograms())
 }
 
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -184,7 +184,7 @@
 	group.Go(func() error { return router.server.Serve(router.callers) })
 	group.Go(func() error { return serveUntil(background, router.ready, router.parts.Ready(router.Ready)) })
 	group.Go(func() error { return serveUntil(background, router.peers, router.relayHandler()) })
-	group.Go(func() error { return serveUntil(background, router.metrics, router.counters) })
+	group.Go(func() error { return serveUntil(background, router.metrics, router.metricsHandler()) })
 	group.Go(func() error {
 		defer func() { _ = router.peerConn.Close() }() // the process ends
 		defer stop()
@@ -201,6 +201,32 @@
 	return err
 }
 
+// metricsHandler serves the counters as text at any path.
+func (router *Router) metricsHandler() http.Handler {
+	text := router.counters.Text()
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		router.gauge()
+		text.ServeHTTP(writer, request)
+	})
+}
+
+// gauge sets what is a state rather than a count.
+func (router *Router) gauge() {
+	if table := router.state.Current(); table != nil {
+		router.counters.Set("desired_state_version", table.Version())
+	}
+	reachable := int64(0)
+	if router.reach.up() {
+		reachable = 1
+	}
+	router.counters.Set("store_reachable", reachable)
+	router.counters.Set("hosts_heard", int64(router.Hosts()))
+	router.counters.Set("endpoints", int64(len(router.state.endpoints())))
+	router.counters.Set("connections_opened", router.connections.Opened())
+	router.counters.Set("budget_writes", router.budgets.Writes())
+	router.counters.Set("budget_accounts", int64(router.budgets.Len()))
+}
+
 // serveUntil serves HTTP until ctx ends.
 func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: smallServerTimeout.Std()}
