--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -22,7 +22,7 @@
 	// prompts that begin alike meet at few endpoints, each of which then holds
 	// few such beginnings. It answers engines whose memory holds only some of
 	// them: spread evenly, each is read again and again.
-	homeWeight = 250
+	homeWeight = 600
 	// noise breaks ties between endpoints, in milliseconds. Without it, hosts
 	// that know the same send to the same endpoint at once.
 	noise = 2
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -278,7 +278,11 @@
 	}
 	call.runs++
 	err = call.relay(response)
-	call.ended(endpoint.Name, sentAt, outcomeOf(err))
+	outcome := outcomeOf(err)
+	if call.ctx.Err() != nil && outcome == bvdispatch.Broken {
+		outcome = bvdispatch.Withdrawn // it was answering when the time was over
+	}
+	call.ended(endpoint.Name, sentAt, outcome)
 	return err
 }
 
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -31,13 +31,13 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
 	if err != nil {
-		return broken("the answer broke off", err)
+		return call.broken("the answer broke off", err)
 	}
 	if len(body) > wholeBytes {
-		return broken("the answer has no length and is too large", nil)
+		return call.broken("the answer has no length and is too large", nil)
 	}
 	if response.Status < http.StatusMultipleChoices && !response.Answer.Sealed {
-		return broken("the answer is not authenticated", nil)
+		return call.broken("the answer is not authenticated", nil)
 	}
 	call.writeHead(response, int64(len(body)))
 	if _, err := call.writer.Write(body); err != nil {
@@ -46,8 +46,17 @@
 	return nil
 }
 
-func broken(reason string, cause error) error {
-	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed, "%s", reason).WithCause(cause)
+// broken is the error of an answer that ended early. Where the caller has left
+// or its time is over, that ended it, and it says nothing of the endpoint.
+func (call *call) broken(reason string, cause error) error {
+	code := bvverdict.EndpointFailed
+	switch {
+	case call.request.Context().Err() != nil:
+		code = bvverdict.Canceled
+	case call.ctx.Err() != nil:
+		code = bvverdict.EndpointTimeout
+	}
+	return bvverdict.New(bvverdict.MayHaveRun, code, "%s", reason).WithCause(cause)
 }
 
 func callerGone(cause error) error {
@@ -58,7 +67,7 @@
 func (call *call) relayLarge(response *bvforward.Response) error {
 	call.writeHead(response, response.Length)
 	if _, err := io.Copy(call.writer, response.Body); err != nil {
-		return broken("the answer broke off", err)
+		return call.broken("the answer broke off", err)
 	}
 	return nil
 }
@@ -94,7 +103,7 @@
 		case errors.Is(err, io.EOF):
 			return call.endStream(response)
 		case err != nil:
-			return broken("the stream broke off", err)
+			return call.broken("the stream broke off", err)
 		}
 	}
 }
@@ -124,7 +133,7 @@
 // of an event.
 func (call *call) endStream(response *bvforward.Response) error {
 	if len(call.stream.pending) > 0 {
-		return broken("the stream ended within an event", nil)
+		return call.broken("the stream ended within an event", nil)
 	}
 	if err := call.keepTurn(); err != nil {
 		return err
