SIGHUP and changed settings files reload the settings

Change: the settings file is read again on SIGHUP and when it changes; a bad one is told of and not taken over.

--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -1,10 +1,13 @@
 package bvcommand
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvclock"
@@ -25,7 +28,8 @@
 }
 
 func runRoute(command *cobra.Command, _ []string) error {
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return usageError{err}
 	}
@@ -42,5 +46,47 @@
 	}
 	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go followSettings(ctx, path, router, log)
 	return router.Run(ctx)
 }
+
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 2 * bvclock.Second
+
+// followSettings takes over the settings file when it changes or SIGHUP comes.
+// A file that can't be used is told of, and what is in force stays.
+func followSettings(ctx context.Context, path string, router *bvrouter.Router, log logrus.FieldLogger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	changed := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-bvclock.After(settingsInterval):
+			if modified(path).Equal(changed) {
+				continue
+			}
+		}
+		changed = modified(path)
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			log.WithError(err).Error("settings not taken over")
+			continue
+		}
+		router.Reload(settings)
+	}
+}
+
+// modified returns when a file was last changed; a file that can't be looked
+// at counts as never, and reading it tells why.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -27,11 +27,11 @@
 	router.leaving.Store(true)
 	router.front.Leave()
 	router.unlistSelf(context.Background())
-	stop := float64(router.settings.Stop)
+	stop := float64(router.current.Load().Stop)
 	accepting := min(leaveTime, bvclock.Duration(stop*leaveShare))
 	bvclock.Sleep(accepting)
 	_ = router.callers.Close() // an error would mean that it is closed already
-	limit := router.settings.Stop - accepting - bvclock.Duration(stop*stopMargin)
+	limit := bvclock.Duration(stop) - accepting - bvclock.Duration(stop*stopMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
 	if err := router.server.Shutdown(ctx); err != nil {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -61,7 +61,8 @@
 
 // Router is one host's daemon. Make one with New.
 type Router struct {
-	settings    bvsetting.Host
+	settings    bvsetting.Host                 // at the start
+	current     atomic.Pointer[bvsetting.Host] // as last reloaded
 	parts       Parts
 	log         logrus.FieldLogger
 	clock       bvclock.Clock
@@ -91,7 +92,7 @@
 
 // New opens the ports and puts the parts together.
 func New(settings bvsetting.Host, parts Parts, log logrus.FieldLogger) (*Router, error) {
-	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+	limitMemory(settings)
 	clock := bvclock.Boot()
 	incarnation := bvhost.NewIncarnation()
 	router := &Router{
@@ -105,6 +106,7 @@
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
 	}
+	router.current.Store(&settings)
 	if err := router.listen(); err != nil {
 		return nil, err
 	}
@@ -129,6 +131,20 @@
 	return router, nil
 }
 
+func limitMemory(settings bvsetting.Host) {
+	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
+}
+
+// Reload takes over new settings while the daemon runs: memory and the time for
+// a planned stop. Names and addresses stay until the next start.
+func (router *Router) Reload(settings bvsetting.Host) {
+	limitMemory(settings)
+	router.current.Store(&settings)
+	fixed := settings.CallerAddress == router.settings.CallerAddress && settings.StoreAddress == router.settings.StoreAddress
+	router.log.WithFields(logrus.Fields{"memory": settings.Memory, "stop": settings.Stop, "addresses_kept": fixed}).
+		Info("settings reloaded")
+}
+
 func (router *Router) listen() (err error) {
 	if router.callers, err = listen("callers", router.settings.CallerAddress); err != nil {
 		return err
