Store calls are given up by what they usually take; a lost store is tried again soon

Cause: with a third of the writes' answers lost, each lost one held its caller for 0.8 s, and two in a row made the host count the store as lost for up to a second. Change: a call may take six times the usual, at least 60 ms, doubling with each overrun up to 0.8 s; failures count only while nothing is answered; one call every 100 ms tries whether a lost store is back.

--- a/bvrouter/reach.go
+++ b/bvrouter/reach.go
@@ -16,6 +16,17 @@
 	// store answers in 4 to 9 ms; with answers sixty times as slow it is
 	// still within.
 	storePatience = 800 * bvclock.Millisecond
+	// leastPatience and patienceFactor bound a call by what calls usually take:
+	// a connection on which an answer was lost delivers nothing more, and the
+	// caller behind it waits for nothing. Each call in a row that ran out of
+	// time doubles the bound, up to storePatience, for a store that is slow.
+	leastPatience  = 60 * bvclock.Millisecond
+	patienceFactor = 6
+	// usualWeight is the weight of a new duration in the usual one.
+	usualWeight = 0.1
+	// trialInterval is the time between two calls that try whether a lost
+	// store is back.
+	trialInterval = 100 * bvclock.Millisecond
 	// suspectAfter is how long a call may be under way, with no other one
 	// answered since it began, before the store counts as lost: a store that
 	// is silent gives no error to count.
@@ -40,6 +51,9 @@
 	number   int64
 	clients  map[string]*bvplatform.Client
 	lost     bool
+	usual    float64 // duration of an answered call, in milliseconds
+	overruns int     // calls in a row that ran out of time
+	triedAt  bvclock.Time
 }
 
 func newReach(own Platform, clock bvclock.Clock, log logrus.FieldLogger, helpers func() []string) *reach {
@@ -81,35 +95,64 @@
 	return reach.up() || len(reach.helpers()) > 0
 }
 
-// track notes a call of this host's own, and calls it.
-func (reach *reach) track(call func() error) error {
+// track makes a call by this host's own way and learns from it. A call that
+// fails while others are answered says nothing of the store.
+func (reach *reach) track(ctx context.Context, call func(ctx context.Context) error) error {
+	begun := reach.clock.Now()
 	reach.mutex.Lock()
 	reach.number++
 	number := reach.number
-	reach.calls[number] = reach.clock.Now()
+	reach.calls[number] = begun
+	patience := reach.patience()
 	reach.mutex.Unlock()
-	err := call()
+	bounded, cancel := context.WithTimeout(ctx, patience.Std())
+	defer cancel()
+	err := call(bounded)
 	reach.mutex.Lock()
 	defer reach.mutex.Unlock()
 	delete(reach.calls, number)
+	now := reach.clock.Now()
 	var conflict *bvplatform.ConflictError
-	if err == nil || errors.As(err, &conflict) || errors.Is(err, bvplatform.ErrNotFound) {
-		reach.failures = 0
-		reach.answered = reach.clock.Now()
-		return err
-	}
-	if !errors.Is(err, context.Canceled) {
+	switch {
+	case err == nil, errors.As(err, &conflict), errors.Is(err, bvplatform.ErrNotFound):
+		reach.failures, reach.overruns = 0, 0
+		reach.answered = now
+		reach.usual += usualWeight * (float64(now.Sub(begun)) - reach.usual)
+	case ctx.Err() != nil:
+		// the caller gave up, for reasons of its own
+	case !reach.answered.After(begun):
 		reach.failures++
+		if bounded.Err() != nil {
+			reach.overruns++
+		}
 	}
 	return err
 }
 
+// patience is how long a call may take.
+func (reach *reach) patience() bvclock.Duration {
+	bound := max(leastPatience, bvclock.Duration(patienceFactor*reach.usual))
+	return min(bound<<min(reach.overruns, 8), storePatience)
+}
+
+// trial reports whether a lost store may be tried by one more call.
+func (reach *reach) trial() bool {
+	now := reach.clock.Now()
+	reach.mutex.Lock()
+	defer reach.mutex.Unlock()
+	if now.Sub(reach.triedAt) < trialInterval {
+		return false
+	}
+	reach.triedAt = now
+	return true
+}
+
 // do calls the store, by whatever way there is. A call that may have been
 // carried out is not repeated here.
 func (reach *reach) do(ctx context.Context, call func(ctx context.Context, store bvplatform.Store) error) error {
 	err := bvplatform.ErrUnavailable
-	if reach.up() {
-		err = reach.track(func() error { return call(ctx, reach.own) })
+	if reach.up() || reach.trial() {
+		err = reach.track(ctx, func(ctx context.Context) error { return call(ctx, reach.own) })
 		if !errors.Is(err, bvplatform.ErrUnavailable) {
 			return err
 		}
@@ -172,14 +215,14 @@
 func (reach *reach) Endpoints(ctx context.Context) (endpoints []bvplatform.Endpoint, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience.Std())
 	defer cancel()
-	err = reach.track(func() (err error) {
+	err = reach.track(ctx, func(ctx context.Context) (err error) {
 		endpoints, err = reach.own.Endpoints(ctx)
 		return err
 	})
 	return endpoints, err
 }
 
-// HelperEndpoints returns the list that another host goes by.
+// helperEndpoints returns the list that another host goes by.
 func (reach *reach) helperEndpoints(ctx context.Context) ([]bvplatform.Endpoint, error) {
 	err := error(bvplatform.ErrUnavailable)
 	for _, address := range reach.helpers() {
@@ -198,16 +241,16 @@
 // back and forth.
 type directStore struct{ reach *reach }
 
-func (store directStore) call(call func() error) error {
+func (store directStore) call(ctx context.Context, call func(ctx context.Context) error) error {
 	if !store.reach.up() {
 		return bvplatform.ErrUnavailable
 	}
-	return store.reach.track(call)
+	return store.reach.track(ctx, call)
 }
 
 // Commit implements bvplatform.Store.
 func (store directStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (version int64, err error) {
-	err = store.call(func() (err error) {
+	err = store.call(ctx, func(ctx context.Context) (err error) {
 		version, err = store.reach.own.Commit(ctx, transaction)
 		return err
 	})
@@ -216,7 +259,7 @@
 
 // Read implements bvplatform.Store.
 func (store directStore) Read(ctx context.Context, keys ...string) (rows []bvplatform.Row, err error) {
-	err = store.call(func() (err error) {
+	err = store.call(ctx, func(ctx context.Context) (err error) {
 		rows, err = store.reach.own.Read(ctx, keys...)
 		return err
 	})
@@ -225,7 +268,7 @@
 
 // Scan implements bvplatform.Store.
 func (store directStore) Scan(ctx context.Context, prefix, after string, limit int) (rows []bvplatform.Row, err error) {
-	err = store.call(func() (err error) {
+	err = store.call(ctx, func(ctx context.Context) (err error) {
 		rows, err = store.reach.own.Scan(ctx, prefix, after, limit)
 		return err
 	})
