--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -22,8 +22,9 @@
 		Short: "Run one host's daemon on the users' platform",
 		Long: `Run one host's daemon on the users' platform until SIGTERM or SIGINT, then stop
 gracefully. The settings come from the file that ` + platform.SettingsVariable + ` names.`,
-		Args: noArguments,
-		RunE: runRoute,
+		Example: "  " + platform.SettingsVariable + "=/etc/balsamvalve/node.toml balsamvalve route",
+		Args:    noArguments,
+		RunE:    runRoute,
 	}
 }
 
--- a/bvhistory/keeper.go
+++ b/bvhistory/keeper.go
@@ -74,7 +74,6 @@
 	mutex sync.Mutex
 	cache *simplelru.LRU[string, *Turn]
 	bytes int
-	reads int64
 }
 
 // NewKeeper returns a Keeper whose rows hold at most rowBytes each.
