--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -26,12 +26,13 @@
 	router.log.Info("leaving: no longer ready")
 	router.leaving.Store(true)
 	router.front.Leave()
-	router.unlistSelf(context.Background())
+	begun := router.clock.Now()
+	go router.unlistSelf(context.Background()) // the store may be away
 	stop := float64(router.current.Load().Stop)
 	accepting := min(leaveTime, bvclock.Duration(stop*leaveShare))
 	bvclock.Sleep(accepting)
 	_ = router.callers.Close() // an error would mean that it is closed already
-	limit := bvclock.Duration(stop) - accepting - bvclock.Duration(stop*stopMargin)
+	limit := bvclock.Duration(stop*(1-stopMargin)) - router.clock.Now().Sub(begun)
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
 	if err := router.server.Shutdown(ctx); err != nil {
