--- /dev/null
+++ b/bvdispatch/bench_test.go
@@ -0,0 +1,29 @@
+package bvdispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"balsamvalve.example/bvplatform"
+)
+
+// BenchmarkChoose is the cost of one decision, by the number of endpoints.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{12, 48, 400, 4200} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			pool := NewPool(1, "z")
+			listed := make([]bvplatform.Endpoint, count)
+			for i := range listed {
+				listed[i] = bvplatform.Endpoint{Name: fmt.Sprintf("e%04d", i), Slots: 16, CacheTokens: 250_000, Zone: "z"}
+			}
+			pool.SetEndpoints(listed)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				request := prompt(uint64(i%16), uint64(1000+i%500))
+				chosen, _ := pool.Choose(0, request)
+				pool.Begin(0, chosen.Name, request)
+				pool.End(0, chosen.Name, Served, 300)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bvgossip/gossip_test.go
@@ -0,0 +1,187 @@
+package bvgossip
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"balsamvalve.example/bvclock"
+)
+
+const patience = 10 * time.Second
+
+// host is a Gossip on a socket, with what its handler got.
+type host struct {
+	*Gossip
+	address netip.AddrPort
+
+	mutex sync.Mutex
+	heard []*Digest
+	lent  int
+	holds int // tokens that it can lend
+}
+
+func (host *host) Hear(digest *Digest) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.heard = append(host.heard, digest)
+}
+
+func (host *host) Lend(_ string, tokens int, partial bool) int {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	if host.holds < tokens && !partial {
+		return 0
+	}
+	lent := min(tokens, host.holds)
+	host.holds -= lent
+	return lent
+}
+
+func (host *host) Lent(_ string, tokens int) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.lent += tokens
+}
+
+func (host *host) hold(tokens int) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.holds = tokens
+}
+
+func (host *host) tokens() int {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	return host.lent
+}
+
+func newHost(t testing.TB, incarnation string, clock bvclock.Clock) *host {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	host := &host{Gossip: New(incarnation, conn, clock, log), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	ended := make(chan error, 1)
+	go func() { ended <- host.Receive(host) }()
+	t.Cleanup(func() {
+		_ = conn.Close()
+		require.NoError(t, <-ended)
+	})
+	return host
+}
+
+func (host *host) digest() *Digest {
+	return &Digest{Host: host.self, Incarnation: host.self, Address: host.address.String()}
+}
+
+// meet makes both hosts hear of each other.
+func meet(t testing.TB, a, b *host) {
+	a.SetHosts([]netip.AddrPort{b.address})
+	require.Eventually(t, func() bool {
+		a.Send(a.digest())
+		b.Send(b.digest())
+		return len(a.Heard()) == 1 && len(b.Heard()) == 1
+	}, patience, time.Millisecond)
+}
+
+// A new host knows the others from the platform's list; they learn of it by its
+// first digest.
+func TestHostsLearnOfEachOtherByDigests(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	meet(t, a, b)
+	require.Equal(t, "b", a.Heard()[0].GetHost())
+}
+
+// A host dies. Its calls stop counting soon, and it is asked for nothing.
+func TestSilentHostNoLongerCounts(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	meet(t, a, b)
+	clock.Advance(silentAfter + 1)
+	require.Empty(t, a.Heard())
+	require.False(t, a.Ask(t.Context(), b.address, "p", 10, false))
+}
+
+func TestTokensAreLent(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	meet(t, a, b)
+	b.hold(100)
+	require.True(t, a.Ask(t.Context(), b.address, "p", 60, false))
+	require.Eventually(t, func() bool { return a.tokens() == 60 }, patience, time.Millisecond)
+	require.True(t, a.Ask(t.Context(), b.address, "p", 60, true))
+	require.Eventually(t, func() bool { return a.tokens() == 100 }, patience, time.Millisecond)
+}
+
+// The network delivers an answer twice. The lender has given the tokens up
+// once, so they may be taken in once.
+func TestAnswerThatComesTwiceCountsOnce(t *testing.T) {
+	a := newHost(t, "a", bvclock.Boot())
+	a.begin(7)
+	answer := &Lend{Number: 7, Program: "p", Tokens: 50}
+	a.Gossip.lent(answer, a)
+	a.Gossip.lent(answer, a)
+	require.Equal(t, 50, a.tokens())
+}
+
+// The answer comes after the asker has gone to the store. The tokens are taken
+// in all the same, or they would be lost to the program.
+func TestLateAnswerIsTakenIn(t *testing.T) {
+	clock := &bvclock.Manual{}
+	a := newHost(t, "a", clock)
+	a.begin(7)
+	clock.Advance(askMemory)
+	a.begin(8)
+	a.Gossip.lent(&Lend{Number: 7, Program: "p", Tokens: 50}, a)
+	require.Equal(t, 50, a.tokens())
+}
+
+func TestOwnDigestsAndOtherBytesAreIgnored(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	_, err := b.conn.WriteToUDPAddrPort([]byte("no digest"), a.address)
+	require.NoError(t, err)
+	require.False(t, a.note(a.digest()))
+	meet(t, a, b)
+	require.Len(t, a.Heard(), 1)
+}
+
+// Many hosts must not drown each other in digests.
+func TestIntervalGrowsWithTheNumberOfHosts(t *testing.T) {
+	a := newHost(t, "a", bvclock.Boot())
+	require.Equal(t, leastInterval, a.Interval())
+	addresses := make([]netip.AddrPort, 730)
+	for i := range addresses {
+		addresses[i] = netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200+1))
+	}
+	a.SetHosts(addresses)
+	require.Equal(t, 730*perHost, a.Interval())
+}
+
+// BenchmarkDigest is the cost of one digest with the calls of a host of the
+// grown sites, sent to one host and taken in there.
+func BenchmarkDigest(b *testing.B) {
+	digest := &Digest{Host: "edge-piran-hall-1", Incarnation: "0123456789abcdef", Zone: "piran-hall", Address: "10.1.0.38:7380"}
+	for i := range uint64(8) {
+		digest.Loads = append(digest.Loads, &Load{Endpoint: i << 56, Running: 1})
+		digest.Placements = append(digest.Placements, &Placement{Endpoint: i << 56, Part: i << 40, Tokens: 840})
+	}
+	encoded, err := proto.Marshal(&Datagram{Message: &Datagram_Digest{Digest: digest}})
+	require.NoError(b, err)
+	for b.Loop() {
+		if _, err := proto.Marshal(&Datagram{Message: &Datagram_Digest{Digest: digest}}); err != nil {
+			b.Fatal(err)
+		}
+		if err := proto.Unmarshal(encoded, &Datagram{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(encoded)), "bytes/digest")
+}
