Bodies of callers are bounded in memory together; new programs are turned away above 0.85

Cause: a crowd of large bodies (4 MB allowed) would take a process of 144 MB over its limit. And 0.72 of the places turned away programs that could be served. Change: a fifth of the allowed memory holds bodies, taken as they come; the bound for new programs is 0.85 of the places, 0.95 for the most urgent routes.

--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -17,12 +17,13 @@
 	// new programs of the less urgent routes are turned away. Programs are in
 	// time if they take at most 1.4 to 1.7 times as long as on idle engines;
 	// with more than this share taken they take longer. With 0.60, 0.72 and
-	// no bound, the heaviest day of bcf-tipton-grown was worth 0.44, 0.57 and
-	// 0.20 (the last with worse placing, one play each).
-	fullShare = 0.72
+	// 0.85, the heaviest day of bcf-tipton-grown was worth 0.44, 0.52 and 0.58,
+	// that of obala-surf-grown 0.50, 0.42 and 0.47 (one play each, which vary
+	// by 0.1).
+	fullShare = 0.85
 	// urgentShare is added for the most urgent routes, whose programs then
 	// find room that less urgent ones have left.
-	urgentShare = 0.12
+	urgentShare = 0.10
 	// leastReturn and mostReturn bound the time after which a refused caller
 	// should come back. It is drawn at random between them, so that a crowd
 	// does not return as one; callers come back for about 3 s in all.
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -49,6 +49,7 @@
 	route   *bvroute.Route
 	service *bvroute.Service
 	body    []byte
+	held    int64 // bytes of memory taken for the body
 	wish    bvdispatch.Request
 
 	sends  int  // endpoints it was sent to
@@ -82,6 +83,7 @@
 
 func (call *call) close() {
 	call.cancel()
+	call.front.bodies.Add(-call.held)
 	if call.reservation != nil {
 		call.reservation.Close()
 	}
@@ -179,11 +181,13 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(call.writer, reader, limit)
 	}
-	body, err := readAll(reader, call.request.ContentLength)
+	body, err := readAll(&heldReader{source: reader, call: call}, call.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bvverdict.Refuse(bvverdict.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, errNoMemory):
+		return bvverdict.Refuse(bvverdict.Overloaded, "too many large bodies are held").WithRetryAfter(soonAgain)
 	case err != nil:
 		return bvverdict.Refuse(bvverdict.BadRequest, "the body can't be read").WithCause(err)
 	}
@@ -191,6 +195,24 @@
 	return nil
 }
 
+var errNoMemory = errors.New("no memory is left for bodies")
+
+// heldReader takes memory for a body as it comes: its length is not known
+// before, where it is sent in chunks.
+type heldReader struct {
+	source io.Reader
+	call   *call
+}
+
+func (reader *heldReader) Read(buffer []byte) (int, error) {
+	count, err := reader.source.Read(buffer)
+	if !reader.call.front.hold(int64(count)) {
+		return 0, errNoMemory
+	}
+	reader.call.held += int64(count)
+	return count, err
+}
+
 // readAll reads a body; its length, where it is known, saves growing.
 func readAll(reader io.Reader, length int64) ([]byte, error) {
 	if length <= 0 {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -96,12 +96,28 @@
 	Histories  Histories
 	Counters   Counters
 	Log        logrus.FieldLogger
+	// BodyMemory bounds the bytes of all bodies that are held at once; 0
+	// means no bound.
+	BodyMemory int64
 }
 
 // Front serves callers. Make one with New; it is safe for concurrent use.
 type Front struct {
 	parts   Parts
 	leaving atomic.Bool
+	bodies  atomic.Int64 // bytes of all bodies that are held
+}
+
+// hold takes memory for a body. It guards against a crowd of large bodies,
+// which would take the process over its memory and end it with all its
+// requests in flight.
+func (front *Front) hold(bytes int64) bool {
+	held := front.bodies.Add(bytes)
+	if front.parts.BodyMemory > 0 && held > front.parts.BodyMemory {
+		front.bodies.Add(-bytes)
+		return false
+	}
+	return true
 }
 
 // Leave makes each answer ask its caller to close the connection, so that
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -90,6 +90,10 @@
 // count too.
 const memoryShare = 0.7
 
+// bodyShare is the part of the allowed memory that callers' bodies may take: a
+// body has 17 KB as a rule and 4 MB at most on the users' sheets.
+const bodyShare = 0.2
+
 // New opens the ports and puts the parts together.
 func New(settings bvsetting.Host, parts Parts, log logrus.FieldLogger) (*Router, error) {
 	limitMemory(settings)
@@ -126,6 +130,7 @@
 		Histories:  router.histories,
 		Counters:   router.counters,
 		Log:        log,
+		BodyMemory: int64(float64(settings.Memory) * bodyShare),
 	})
 	router.server = bvfront.NewServer(router.front, newServerLog(log))
 	return router, nil
