Reading of the change: smaller files, one outage log, bounds taken from the settings

How often the lists are looked at, and when unspent tokens are given back, follows from the site's own bounds instead of constants. What stood twice (the outage line, net/http's log) stands once; fields that nothing used are gone.

--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -46,9 +46,12 @@
 	// maxTries bounds how often a reservation is tried again after another
 	// host's write came first.
 	maxTries = 8
-	// returnAfter is how long a program pauses before its unspent tokens are
-	// given back: half of what the users' sheets allow for settling.
-	returnAfter = 500 * bvclock.Millisecond
+	// defaultSettle is the time after which what a turn has spent must be
+	// settled, where nobody says (users' sheets: 1,000 ms).
+	defaultSettle = bvclock.Second
+	// returnShare is the part of it for which a program pauses before its
+	// unspent tokens are given back.
+	returnShare = 0.5
 	// forgetAfter is added to the time for which budgets are kept.
 	forgetAfter = 30 * bvclock.Second
 	// comeBack is when to try again while the store can't be reached. Outages
@@ -80,6 +83,7 @@
 	host    string
 	clock   bvclock.Clock
 	log     logrus.FieldLogger
+	settle  bvclock.Duration
 
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -93,12 +97,22 @@
 func NewKeeper(store bvplatform.Store, lenders Lenders, incarnation string, clock bvclock.Clock, log logrus.FieldLogger) *Keeper {
 	keeper := &Keeper{
 		store: store, lenders: lenders, host: incarnation, clock: clock, log: log,
-		accounts: make(map[string]*account),
+		settle: defaultSettle, accounts: make(map[string]*account),
 	}
 	keeper.holders, _ = simplelru.NewLRU[uint64, []string](maxHolders, nil)
 	return keeper
 }
 
+// SetSettle sets the time after which what a turn has spent must be settled. It
+// is called before the first turn.
+func (keeper *Keeper) SetSettle(settle bvclock.Duration) { keeper.settle = settle }
+
+// returnAfter is how long a program pauses before its unspent tokens are given
+// back.
+func (keeper *Keeper) returnAfter() bvclock.Duration {
+	return bvclock.Duration(float64(keeper.settle) * returnShare)
+}
+
 // Reserve sets aside what a turn may spend. The error is a *bvverdict.Error:
 // BudgetExceeded where the budget does not hold the turn, or a refusal while
 // the store can't be asked.
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -211,7 +211,7 @@
 			},
 			"pause": func(rt *rapid.T) {
 				world.store.next = rapid.SampledFrom([]string{"", "down", "lost", "late", "never"}).Draw(rt, "fault")
-				world.clock.Advance(returnAfter + 1)
+				world.clock.Advance(defaultSettle)
 				world.keepers[hosts.Draw(rt, "host")].Tidy(context.Background())
 			},
 			"late write": func(rt *rapid.T) {
@@ -309,7 +309,7 @@
 	require.NoError(t, world.reserve("a", "p", false))
 	require.True(t, world.open[0].Spend(testEvent))
 	world.open[0].Close()
-	world.clock.Advance(returnAfter + 1)
+	world.clock.Advance(defaultSettle)
 	world.keepers["a"].Tidy(context.Background())
 	world.restart("a")
 	for range 2 {
@@ -324,7 +324,7 @@
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
 	world.open[0].Close()
-	world.clock.Advance(returnAfter + 1)
+	world.clock.Advance(defaultSettle)
 	world.store.next = "late"
 	world.keepers["a"].Tidy(context.Background())
 	require.NotEmpty(t, world.store.late)
--- a/bvbudget/tidy.go
+++ b/bvbudget/tidy.go
@@ -41,7 +41,7 @@
 		case paused > account.retain+forgetAfter:
 			delete(keeper.accounts, program)
 			forgotten = append(forgotten, account)
-		case paused > returnAfter && account.returnable() > 0:
+		case paused > keeper.returnAfter() && account.returnable() > 0:
 			returns = append(returns, account)
 		}
 	}
--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -26,6 +26,7 @@
 	"balsamvalve.example/bventry"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvowner"
 	"balsamvalve.example/bvpeer"
@@ -147,7 +148,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout.Std(),
-		ErrorLog:          newServerLog(daemon.log),
+		ErrorLog:          bvlog.ForServer(daemon.log),
 	}
 }
 
--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -13,13 +14,13 @@
 // follow keeps the lists of hosts and endpoints up to date. When the platform
 // is out, the last lists stay: what this host sees itself corrects them.
 func (daemon *Daemon) follow(ctx context.Context) {
-	hosts := outage{what: "platform's list of hosts"}
-	endpoints := outage{what: "platform's list of endpoints"}
-	own := outage{what: "platform's list of hosts, for this host's entry,"}
+	hosts := bvlog.Outage{What: "platform's list of hosts", Log: daemon.log}
+	endpoints := bvlog.Outage{What: "platform's list of endpoints", Log: daemon.log}
+	own := bvlog.Outage{What: "platform's list of hosts, for this host's entry,", Log: daemon.log}
 	for ctx.Err() == nil {
-		own.note(daemon.log, daemon.announce(ctx))
-		hosts.note(daemon.log, daemon.followHosts(ctx))
-		endpoints.note(daemon.log, daemon.followEndpoints(ctx))
+		own.Note(daemon.announce(ctx))
+		hosts.Note(daemon.followHosts(ctx))
+		endpoints.Note(daemon.followEndpoints(ctx))
 		daemon.shareSuspects(ctx)
 		sleep(ctx, daemon.settings.PollInterval())
 	}
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -33,10 +33,8 @@
 
 // Request is what a decision needs to know of a call.
 type Request struct {
-	ID           string
 	Prefix       []bvroute.Part // of the prompt; empty for plain services
 	PromptTokens int
-	OutputTokens int
 	Object       uint64          // that the call concerns; 0: none, or it makes no difference
 	Avoid        map[string]bool // endpoints that must not be chosen again
 	Content      uint64          // what the request is known by when it comes again
--- a/bvforward/connection.go
+++ b/bvforward/connection.go
@@ -17,7 +17,6 @@
 	pool    *pool
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	used    bool         // carried a request before
 	idleAt  bvclock.Time // since when it is idle
 	keep    bvclock.Duration
 	written atomic.Bool // the request has been written whole
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -206,7 +206,6 @@
 // put keeps a connection for the next request.
 func (connections *Connections) put(connection *connection) {
 	connection.idleAt = connections.Clock.Now()
-	connection.used = true
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	if connection.pool.closed || len(connection.pool.idle) >= maxIdle {
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -205,6 +205,3 @@
 func (response *Response) Drain() {
 	_, _ = io.CopyN(io.Discard, response.Body, bufferBytes) // a longer rest costs the connection
 }
-
-// Reused reports whether the connection had carried a request before.
-func (response *Response) Reused() bool { return response.connection.used }
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -23,21 +23,18 @@
 // relay passes an endpoint's answer on. An error with call.begun set means that
 // the caller has a part of it.
 func (call *call) relay(response *bvforward.Response) error {
+	if response.Status < http.StatusMultipleChoices && !response.Answer.Sealed {
+		return call.broken("the answer is not authenticated", nil)
+	}
 	if call.route.Kind == bvroute.Stream && response.Status == http.StatusOK {
 		return call.relayStream(response)
 	}
-	if response.Length > wholeBytes {
-		return call.relayLarge(response)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes))
 	if err != nil {
 		return call.broken("the answer broke off", err)
 	}
-	if len(body) > wholeBytes {
-		return call.broken("the answer has no length and is too large", nil)
-	}
-	if response.Status < http.StatusMultipleChoices && !response.Answer.Sealed {
-		return call.broken("the answer is not authenticated", nil)
+	if len(body) == wholeBytes {
+		return call.relayLarge(response, body)
 	}
 	call.writeHead(response, int64(len(body)))
 	if _, err := call.writer.Write(body); err != nil {
@@ -46,6 +43,19 @@
 	return nil
 }
 
+// relayLarge passes on an answer of which the first part was read, while the
+// rest arrives.
+func (call *call) relayLarge(response *bvforward.Response, first []byte) error {
+	call.writeHead(response, response.Length)
+	if _, err := call.writer.Write(first); err != nil {
+		return callerGone(err)
+	}
+	if _, err := io.Copy(call.writer, response.Body); err != nil {
+		return call.broken("the answer broke off", err)
+	}
+	return nil
+}
+
 // broken is the error of an answer that ended early. Where the caller has left
 // or its time is over, that ended it, and it says nothing of the endpoint.
 func (call *call) broken(reason string, cause error) error {
@@ -63,15 +73,6 @@
 	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Canceled, "the caller has gone").WithCause(cause)
 }
 
-// relayLarge passes on an answer with a length while it arrives.
-func (call *call) relayLarge(response *bvforward.Response) error {
-	call.writeHead(response, response.Length)
-	if _, err := io.Copy(call.writer, response.Body); err != nil {
-		return call.broken("the answer broke off", err)
-	}
-	return nil
-}
-
 // writeHead passes on the head of an answer. A negative length is not told.
 func (call *call) writeHead(response *bvforward.Response, length int64) {
 	header := call.writer.Header()
@@ -96,8 +97,8 @@
 	buffer := make([]byte, relayBytes)
 	for {
 		count, err := response.Body.Read(buffer)
-		if written := call.passOn(response, call.stream.add(buffer[:count])); written != nil {
-			return callerGone(written)
+		if err := call.passOn(response, call.stream.add(buffer[:count])); err != nil {
+			return err
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -115,7 +116,7 @@
 		return nil
 	}
 	if !call.spend() {
-		return errOverspent
+		return call.broken("the engine generated more than was reserved", nil)
 	}
 	if !call.begun {
 		call.writeHead(response, -1)
@@ -123,10 +124,13 @@
 		call.front.parts.Counters.Observe("first_event", call.firstAt.Sub(call.arrived))
 	}
 	if _, err := call.writer.Write(whole); err != nil {
-		return err
+		return callerGone(err)
 	}
 	call.stream.drop(len(whole))
-	return http.NewResponseController(call.writer).Flush()
+	if err := http.NewResponseController(call.writer).Flush(); err != nil {
+		return callerGone(err)
+	}
+	return nil
 }
 
 // endStream ends the caller's stream, unless the engine stopped in the middle
--- /dev/null
+++ b/bvfront/send.go
@@ -0,0 +1,173 @@
+package bvfront
+
+import (
+	"net/http"
+	"strings"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvdispatch"
+	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvverdict"
+)
+
+const (
+	// maxSends is how many endpoints a request is offered to. Sends that an
+	// endpoint refused don't count as run, but each costs a few milliseconds.
+	maxSends = 4
+	// leastSend is the least time left for which a send makes sense: a call
+	// to an endpoint and back takes some milliseconds.
+	leastSend = 5 * bvclock.Millisecond
+)
+
+// forward offers the request to one endpoint after the other, as long as it
+// can't have run, or may run again.
+func (call *call) forward() error {
+	for {
+		if call.left() < leastSend {
+			return call.outOfTime()
+		}
+		endpoint, found := call.front.parts.Dispatcher.Choose(call.service.Name, &call.wish)
+		if !found {
+			return call.noEndpoint()
+		}
+		err := call.try(endpoint)
+		if err == nil || call.begun || !call.mayTryAgain(err) {
+			return err
+		}
+		call.avoid(endpoint.Name)
+		call.front.parts.Counters.Add("sends_again", 1)
+	}
+}
+
+func (call *call) avoid(endpoint string) {
+	if call.wish.Avoid == nil {
+		call.wish.Avoid = make(map[string]bool)
+	}
+	call.wish.Avoid[endpoint] = true
+}
+
+func (call *call) mayTryAgain(err error) bool {
+	if call.ctx.Err() != nil || call.sends >= maxSends {
+		return false
+	}
+	if bvverdict.Of(err) == bvverdict.NotRun {
+		return true
+	}
+	return call.route.MayRepeat() && call.runs < call.route.Attempts
+}
+
+func (call *call) outOfTime() error {
+	if call.runs == 0 {
+		return bvverdict.Refuse(bvverdict.DeadlinePassed, "no time is left to run the request").WithRetryAfter(soonAgain)
+	}
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointTimeout, "no answer in time")
+}
+
+// noEndpoint is a true refusal only while nothing was sent that may have run.
+func (call *call) noEndpoint() error {
+	if call.runs > 0 {
+		return bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed, "no other endpoint of %s", call.service.Name)
+	}
+	return bvverdict.Refuse(bvverdict.Overloaded, "no endpoint of %s takes the request", call.service.Name).WithRetryAfter(soonAgain)
+}
+
+// try sends the request to one endpoint and relays its answer.
+func (call *call) try(endpoint bvplatform.Endpoint) error {
+	call.sends++
+	call.at, call.sentAt = endpoint.Name, call.front.parts.Clock.Now()
+	response, err := call.front.parts.Endpoints.Send(call.ctx, call.outgoing(endpoint))
+	if err != nil {
+		call.ended(outcomeOf(err))
+		return call.settleRun(err)
+	}
+	defer response.Close()
+	if response.Answer.HasLoad {
+		call.load = response.Answer.Load
+		call.front.parts.Dispatcher.Told(call.service.Name, endpoint.Name, response.Answer.Load)
+	}
+	if response.Answer.NotRun {
+		response.Drain()
+		return call.refused(response.Status)
+	}
+	call.runs++
+	err = call.relay(response)
+	outcome := outcomeOf(err)
+	if call.ctx.Err() != nil && outcome == bvdispatch.Broken {
+		outcome = bvdispatch.Withdrawn // it was answering when the time was over
+	}
+	call.ended(outcome)
+	return err
+}
+
+// settleRun counts a send that may have run.
+func (call *call) settleRun(err error) error {
+	if bvverdict.Of(err) != bvverdict.NotRun {
+		call.runs++
+	}
+	return err
+}
+
+// ended tells the dispatcher how the last send ended.
+func (call *call) ended(outcome bvdispatch.Outcome) {
+	took := call.front.parts.Clock.Now().Sub(call.sentAt)
+	call.front.parts.Dispatcher.End(call.service.Name, call.at, &call.wish, outcome, took)
+}
+
+// refused notes that an endpoint did not run the request.
+func (call *call) refused(status int) error {
+	if status == http.StatusMisdirectedRequest {
+		call.ended(bvdispatch.Wrong)
+		return bvverdict.Refuse(bvverdict.EndpointFailed, "another endpoint has the address of %s", call.at).WithRetryAfter(soonAgain)
+	}
+	call.ended(bvdispatch.Full)
+	return bvverdict.Refuse(bvverdict.Overloaded, "endpoint %s is full (status %d)", call.at, status).WithRetryAfter(soonAgain)
+}
+
+func outcomeOf(err error) bvdispatch.Outcome {
+	switch {
+	case err == nil:
+		return bvdispatch.Served
+	case bvverdict.From(err).Code() == bvverdict.Canceled:
+		return bvdispatch.Withdrawn
+	case bvverdict.Of(err) == bvverdict.NotRun:
+		return bvdispatch.Unreachable
+	}
+	return bvdispatch.Broken
+}
+
+func (call *call) outgoing(endpoint bvplatform.Endpoint) *bvforward.Request {
+	header := call.request.Header
+	bvforward.DropHopByHop(header, connectionNames(header), call.front.parts.Wire.Protected)
+	call.front.parts.Wire.PrepareCall(header, endpoint.Name, call.left())
+	if call.service.Engine != nil {
+		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.route.Priority, call.said.Continues()))
+	}
+	return &bvforward.Request{
+		Endpoint: endpoint,
+		ID:       call.said.ID,
+		Method:   call.request.Method,
+		Target:   call.target(),
+		Host:     call.request.Host,
+		Header:   header,
+		Body:     call.body,
+	}
+}
+
+// connectionNames are the headers that the caller's Connection header names.
+func connectionNames(header http.Header) []string {
+	var names []string
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
+func (call *call) target() string {
+	if strings.HasPrefix(call.request.RequestURI, "/") {
+		return call.request.RequestURI
+	}
+	return call.request.URL.RequestURI() // the absolute form that proxies get
+}
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -1,8 +1,6 @@
 package bvfront
 
 import (
-	"errors"
-
 	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvbudget"
@@ -10,10 +8,6 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// errOverspent ends a stream whose engine generated more than was asked for:
-// what is not reserved must not be handed on.
-var errOverspent = errors.New("the engine generated more than was reserved")
-
 // prepareTurn reserves a turn's tokens and gets its conversation, both before
 // anything is sent.
 func (call *call) prepareTurn() error {
@@ -70,7 +64,8 @@
 	return nil
 }
 
-// spend counts the events that are about to be handed on.
+// spend counts the events that are about to be handed on. What is not reserved
+// must not be: an engine may generate more than it was asked for.
 func (call *call) spend() bool {
 	fresh := call.stream.fresh
 	call.stream.fresh = 0
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -6,31 +6,40 @@
 	"github.com/sirupsen/logrus"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
 
 const (
-	// routesWait is how long the platform holds a question for changes of the
-	// desired state. It bounds how long a connection can be silent unnoticed.
-	routesWait = 1000 * bvclock.Millisecond
-	// endpointsInterval is the time between two looks at the list of
-	// endpoints. A leaving one must get no calls 2 s after it said so.
-	endpointsInterval = 1000 * bvclock.Millisecond
+	// mostWait is the longest time between two looks at the list of endpoints,
+	// and for which the platform holds a question for changes of the desired
+	// state; it also bounds how long a connection can be silent unnoticed.
+	mostWait = 1000 * bvclock.Millisecond
+	// waitShare bounds the same by the time that the platform allows: a leaving
+	// endpoint must get no calls, and a new desired state be in force, within
+	// it.
+	waitShare = 0.5
 	// tidyInterval is the time between two looks at idle connections.
 	tidyInterval = 1000 * bvclock.Millisecond
 	// retryInterval is the pause after a failed call to the platform.
 	retryInterval = 200 * bvclock.Millisecond
 )
 
+// waitWithin returns the time between two looks for what must be known within a
+// bound.
+func waitWithin(bound bvclock.Duration) bvclock.Duration {
+	return min(mostWait, bvclock.Duration(float64(bound)*waitShare))
+}
+
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
-	lost := outage{what: "desired state", log: router.log}
+	lost := bvlog.Outage{What: "desired state", Log: router.log}
 	after := int64(0)
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
-		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, routesWait)
-		lost.note(ctx, err)
+		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, waitWithin(router.settings.Apply))
+		lost.Note(unlessEnded(ctx, err))
 		if err != nil {
 			router.borrowRoutes(ctx)
 			pause(ctx, retryInterval)
@@ -49,7 +58,7 @@
 }
 
 func (router *Router) apply(table *bvroute.Table) {
-	if router.state.apply(table) {
+	if router.state.replace(table) {
 		router.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Routes()}).Info("desired state in force")
 	}
 }
@@ -77,11 +86,11 @@
 
 // followEndpoints keeps the list of endpoints up to date.
 func (router *Router) followEndpoints(ctx context.Context) {
-	lost := outage{what: "list of endpoints", log: router.log}
+	lost := bvlog.Outage{What: "list of endpoints", Log: router.log}
 	roster := roster{}
 	for ctx.Err() == nil {
 		listed, err := router.reach.Endpoints(ctx)
-		lost.note(ctx, err)
+		lost.Note(unlessEnded(ctx, err))
 		if listed == nil && err != nil {
 			roster.missed()
 			if borrowed, err := router.reach.helperEndpoints(ctx); err == nil {
@@ -91,7 +100,7 @@
 			continue
 		}
 		router.setEndpoints(roster.update(router.clock.Now(), listed))
-		pause(ctx, endpointsInterval)
+		pause(ctx, waitWithin(router.settings.Drain))
 	}
 }
 
@@ -165,23 +174,10 @@
 	}
 }
 
-// outage tells the beginning and the end of a failure that is met again and
-// again: a line for each try would hide all others.
-type outage struct {
-	what    string
-	log     logrus.FieldLogger
-	failing bool
-}
-
-func (outage *outage) note(ctx context.Context, err error) {
+// unlessEnded drops the error of a call that the end of the process cut short.
+func unlessEnded(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		return
-	}
-	switch {
-	case err != nil && !outage.failing:
-		outage.log.WithError(err).Warn(outage.what + ": lost")
-	case err == nil && outage.failing:
-		outage.log.Info(outage.what + ": regained")
+		return nil
 	}
-	outage.failing = err != nil
+	return err
 }
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -12,6 +12,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -52,14 +53,14 @@
 
 // followHosts lists this host and looks for others.
 func (router *Router) followHosts(ctx context.Context) {
-	lost := outage{what: "list of hosts", log: router.log}
+	lost := bvlog.Outage{What: "list of hosts", Log: router.log}
 	listed := false
 	for look := 0; ctx.Err() == nil; look++ {
 		if !listed {
 			listed = router.listSelf(ctx) == nil
 		}
 		err := router.readHosts(ctx)
-		lost.note(ctx, err)
+		lost.Note(unlessEnded(ctx, err))
 		if look < firstHostsLooks || err != nil || !listed {
 			pause(ctx, firstHostsInterval)
 			continue
--- a/bvrouter/reach.go
+++ b/bvrouter/reach.go
@@ -75,12 +75,21 @@
 	lost := reach.failures >= lostAfter || reach.hanging(now)
 	if lost != reach.lost {
 		reach.lost = lost
-		reach.log.WithFields(logrus.Fields{"failures": reach.failures, "calls": len(reach.calls)}).
-			Warn(map[bool]string{true: "store: lost", false: "store: regained"}[lost])
+		reach.tell()
 	}
 	return !lost
 }
 
+// tell logs that the store was lost or regained, with what decided it.
+func (reach *reach) tell() {
+	entry := reach.log.WithFields(logrus.Fields{"failures": reach.failures, "calls": len(reach.calls)})
+	if reach.lost {
+		entry.Warn("store: lost")
+		return
+	}
+	entry.Info("store: regained")
+}
+
 func (reach *reach) hanging(now bvclock.Time) bool {
 	for _, begun := range reach.calls {
 		if now.Sub(begun) > suspectAfter && !reach.answered.After(begun) {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -29,6 +29,7 @@
 	"balsamvalve.example/bvgossip"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
@@ -105,7 +106,7 @@
 		parts:       parts,
 		log:         log,
 		clock:       clock,
-		state:       &state{clock: clock},
+		state:       &state{clock: clock, apply: settings.Apply},
 		desk:        bvdispatch.NewDesk(clock, xxhash.Sum64String(settings.Name), settings.Zone),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
@@ -119,6 +120,7 @@
 	}
 	router.reach = newReach(parts.Platform, clock, log, router.helpers)
 	router.budgets = bvbudget.NewKeeper(router.reach, lenders{router}, incarnation, clock, log)
+	router.budgets.SetSettle(settings.Settle)
 	router.histories = bvhistory.NewKeeper(router.reach, settings.RowBytes, log)
 	router.front = bvfront.New(bvfront.Parts{
 		Clock:      clock,
@@ -132,7 +134,7 @@
 		Log:        log,
 		BodyMemory: int64(float64(settings.Memory) * bodyShare),
 	})
-	router.server = bvfront.NewServer(router.front, newServerLog(log))
+	router.server = bvfront.NewServer(router.front, bvlog.ForServer(log))
 	return router, nil
 }
 
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -8,14 +8,15 @@
 	"balsamvalve.example/bvroute"
 )
 
-// certainFor is how long after the platform's last word a host may say that
-// something is not in the desired state. The bound within which a new version
-// must be in force is 2 s on the users' sheets.
-const certainFor = 1800 * bvclock.Millisecond
+// certainShare is the share of the bound within which a new version must be in
+// force, for which a host may still say after the platform's last word that
+// something is not in the desired state.
+const certainShare = 0.9
 
 // state is the desired state as far as this host knows it.
 type state struct {
 	clock   bvclock.Clock
+	apply   bvclock.Duration // bound within which a new version must be in force
 	table   atomic.Pointer[bvroute.Table]
 	heardAt atomic.Int64 // when the platform last said what is newest
 	listed  atomic.Pointer[[]bvplatform.Endpoint]
@@ -36,7 +37,7 @@
 // Certain implements bvfront.State.
 func (state *state) Certain() bool {
 	heard := bvclock.Time(state.heardAt.Load())
-	return heard != 0 && state.clock.Now().Sub(heard) < certainFor
+	return heard != 0 && float64(state.clock.Now().Sub(heard)) < certainShare*float64(state.apply)
 }
 
 // heard notes that the platform said what is newest, as of the given time.
@@ -44,9 +45,9 @@
 	state.heardAt.Store(int64(at))
 }
 
-// apply puts a newer version in force. An older one is ignored: a version that
+// replace puts a newer version in force. An older one is ignored: a version that
 // callers have seen the effect of is never gone back on.
-func (state *state) apply(table *bvroute.Table) bool {
+func (state *state) replace(table *bvroute.Table) bool {
 	current := state.table.Load()
 	if current != nil && table.Version() <= current.Version() {
 		return false
--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -18,14 +18,12 @@
 	MetricsAddress string // IP:port of counters and latencies
 	StoreAddress   string // IP:port of the platform's store
 	Memory         int64  // bytes that the process may use
-	Descriptors    int    // file descriptors that the process may use; 0: not said
 	RowBytes       int    // most bytes in one row of the store
 
-	Heartbeat bvclock.Duration // between two heartbeats of an endpoint
-	Drain     bvclock.Duration // within it, a leaving endpoint must get no more calls
-	Stop      bvclock.Duration // from SIGTERM until the process is killed
-	Apply     bvclock.Duration // within it, a new desired state must be in force
-	Settle    bvclock.Duration // after it, what a turn has spent must be settled
+	Drain  bvclock.Duration // within it, a leaving endpoint must get no more calls
+	Stop   bvclock.Duration // from SIGTERM until the process is killed
+	Apply  bvclock.Duration // within it, a new desired state must be in force
+	Settle bvclock.Duration // after it, what a turn has spent must be settled
 }
 
 // leastMemory is what the runtime needs with a few calls in flight; a smaller
@@ -60,7 +58,6 @@
 		name  string
 		value bvclock.Duration
 	}{
-		{"heartbeat", host.Heartbeat},
 		{"drain bound", host.Drain},
 		{"stop bound", host.Stop},
 		{"apply bound", host.Apply},
