Budgets are found wherever they lie: by record, by lender, and given up at a planned stop

A host that has just started has heard none, a program's next turn can come before they do, what was lent stood nowhere, and a planned stop took its host's blocks along. Ruled out: lost datagrams (loopback), dead hosts (the calm seconds). Change: hosts that the program's record names are asked too, lenders name whom they lent to, what is gathered counts with what the store still has, a question without an answer is a refusal (503) and no spent budget (402), and a planned stop gives back what is unspent. Test first: TestProgramCanSpendItsBudgetThroughAnyHost failed at its first draw; TestUnansweredQuestionIsNoSpentBudget, TestPlannedStopGivesUpWhatIsUnspent.

--- a/bvbudget/account.go
+++ b/bvbudget/account.go
@@ -56,8 +56,15 @@
 
 // returnable is how many unspent tokens lie here that another host may need.
 func (account *account) returnable() int {
-	left := account.budget - account.record.total()
-	if !account.known || account.doubt || !account.idle() || left >= scarceTurns*account.most {
+	if left := account.budget - account.record.total(); left >= scarceTurns*account.most {
+		return 0
+	}
+	return account.unspent()
+}
+
+// unspent is how many tokens lie here that can be taken off the record.
+func (account *account) unspent() int {
+	if !account.known || account.doubt || !account.idle() {
 		return 0
 	}
 	return min(account.free, account.credited)
--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -59,11 +59,14 @@
 	comeBack = bvclock.Second
 )
 
-// Lenders are the other hosts. Ask waits a short time for a host to give up
-// tokens; they come by Keeper.Lent, also when they are late. It reports false
-// at once for a host that is known to be silent.
+// Lenders are the other hosts.
 type Lenders interface {
-	Ask(ctx context.Context, host, program string, tokens int, partial bool) bool
+	// Ask waits a short time for a host to give up tokens; they come by
+	// Keeper.Lent, also when they are late. A host that is known to be silent
+	// is not asked.
+	Ask(ctx context.Context, host, program string, tokens int, partial bool) (asked, answered bool)
+	// Address returns where to ask an incarnation of a host, if it is heard.
+	Address(incarnation string) (host string, heard bool)
 }
 
 // Turn is what is reserved for.
@@ -172,10 +175,10 @@
 // the budget in the store, and last, bit by bit, from all hosts that hold some.
 // The caller holds the account's turn.
 func (keeper *Keeper) reserve(ctx context.Context, account *account, turn Turn) (*Reservation, error) {
-	if reservation := keeper.borrow(ctx, account, turn, false); reservation != nil {
+	if reservation, _ := keeper.borrow(ctx, account, turn, false); reservation != nil {
 		return reservation, nil
 	}
-	fresh := false
+	fresh, gathered := false, false
 	for range maxTries {
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
 			return reservation, nil
@@ -193,10 +196,17 @@
 			keeper.forget(account) // others may have given back since
 			fresh = true
 			continue
-		case !fits:
-			if reservation := keeper.borrow(ctx, account, turn, true); reservation != nil {
+		case !fits && !gathered:
+			reservation, sure := keeper.borrow(ctx, account, turn, true)
+			switch {
+			case reservation != nil:
 				return reservation, nil
+			case !sure:
+				return nil, unavailable(errUnanswered)
 			}
+			gathered = true
+			continue // what was gathered and what the store has may hold it together
+		case !fits:
 			return nil, keeper.exceeded(account, turn)
 		}
 		err = keeper.write(ctx, account, block)
@@ -211,6 +221,10 @@
 	return nil, unavailable(fmt.Errorf("gave up after %d tries", maxTries))
 }
 
+// errUnanswered means that a living host may hold enough tokens of the program.
+// That the budget is spent would end the program, and might be wrong.
+var errUnanswered = errors.New("a host that holds tokens of the program did not answer")
+
 func unavailable(cause error) error {
 	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the program's budget can't be reserved").
 		WithRetryAfter(comeBack).WithCause(cause)
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,8 +12,9 @@
 	// maxHolders bounds the programs of other hosts that are remembered; at
 	// the users' grown sites some 400 are under way at once.
 	maxHolders = 20_000
-	// hostsPerProgram bounds the hosts remembered for a program.
-	hostsPerProgram = 4
+	// hostsPerProgram bounds the hosts remembered for a program: its turns
+	// and sub-agents come through about as many at once.
+	hostsPerProgram = 8
 )
 
 // Begun returns the hashes of programs that this host has reserved tokens of
@@ -30,53 +32,101 @@
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	for _, program := range programs {
-		hosts, _ := keeper.holders.Get(program)
-		if len(hosts) < hostsPerProgram && !slices.Contains(hosts, host) {
-			keeper.holders.Add(program, append(slices.Clone(hosts), host))
-		}
+		keeper.noteHolder(program, host)
+	}
+}
+
+func (keeper *Keeper) noteHolder(program uint64, host string) {
+	hosts, _ := keeper.holders.Get(program)
+	if len(hosts) < hostsPerProgram && !slices.Contains(hosts, host) {
+		keeper.holders.Add(program, append(slices.Clone(hosts), host))
 	}
 }
 
 // borrow asks the hosts that hold tokens of the program: the first one that
-// is not silent for the whole turn, or all for what they can spare.
-func (keeper *Keeper) borrow(ctx context.Context, account *account, turn Turn, partial bool) *Reservation {
-	keeper.mutex.Lock()
-	hosts, _ := keeper.holders.Get(xxhash.Sum64String(turn.Program))
-	keeper.mutex.Unlock()
-	for _, host := range hosts {
+// is not silent for the whole turn, or all for what they can spare. It reports
+// whether all that were asked have answered.
+func (keeper *Keeper) borrow(ctx context.Context, account *account, turn Turn, partial bool) (reservation *Reservation, sure bool) {
+	sure = true
+	tried := make(map[string]bool)
+	for {
+		host, found := keeper.lenderOf(account, tried)
+		if !found {
+			return nil, sure
+		}
+		tried[host] = true
 		keeper.mutex.Lock()
 		need := turn.Most - account.free
 		keeper.mutex.Unlock()
-		asked := keeper.lenders.Ask(ctx, host, turn.Program, need, partial)
+		asked, answered := keeper.lenders.Ask(ctx, host, turn.Program, need, partial)
+		sure = sure && (answered || !asked)
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
-			return reservation
+			return reservation, sure
 		}
 		if asked && !partial {
-			return nil
+			return nil, sure
+		}
+	}
+}
+
+// lenderOf returns a host that may hold tokens of a program and was not tried
+// yet: one that told so, one that others told of, or one that its record names.
+// Digests alone are not enough: a program's next turn can come before they do,
+// and a host that has just started has heard none, so that a program was told
+// that its budget is spent while most of it lay unspent at other hosts.
+func (keeper *Keeper) lenderOf(account *account, tried map[string]bool) (host string, found bool) {
+	keeper.mutex.Lock()
+	told, _ := keeper.holders.Get(xxhash.Sum64String(account.program))
+	granted := slices.Sorted(maps.Keys(account.record.Granted))
+	keeper.mutex.Unlock()
+	for _, host := range told {
+		if !tried[host] {
+			return host, true
 		}
 	}
-	return nil
+	for _, incarnation := range granted {
+		host, heard := keeper.lenders.Address(incarnation)
+		if incarnation != keeper.host && heard && !tried[host] {
+			return host, true
+		}
+	}
+	return "", false
 }
 
 // Lend gives up tokens for another host: as many as it asks for, or none; with
-// partial, as many as there are up to that.
-func (keeper *Keeper) Lend(program string, tokens int, partial bool) int {
+// partial, as many as there are up to that. It also returns the other hosts
+// that may hold tokens of the program, as far as they are known here: no record
+// names those that hold only what was lent to them.
+func (keeper *Keeper) Lend(borrower, program string, tokens int, partial bool) (lent int, holders []string) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
+	hash := xxhash.Sum64String(program)
+	holders, _ = keeper.holders.Get(hash)
 	account := keeper.accounts[program]
 	if account == nil || account.free < tokens && !partial {
-		return 0
+		return 0, holders
 	}
-	lent := min(tokens, account.free)
+	lent = min(tokens, account.free)
 	account.free -= lent
-	return lent
+	if lent > 0 {
+		keeper.noteHolder(hash, borrower)
+	}
+	return lent, holders
 }
 
-// Lent takes in tokens that another host has given up.
-func (keeper *Keeper) Lent(program string, tokens int) {
+// Lent takes in tokens that another host has given up, and the hosts that it
+// named.
+func (keeper *Keeper) Lent(program string, tokens int, holders []string) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	if account := keeper.accounts[program]; account != nil {
-		account.free += tokens
+	hash := xxhash.Sum64String(program)
+	for _, holder := range holders {
+		keeper.noteHolder(hash, holder)
+	}
+	account := keeper.accounts[program]
+	if account == nil || tokens == 0 {
+		return
 	}
+	account.free += tokens
+	keeper.begun = append(keeper.begun, hash)
 }
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -70,20 +70,32 @@
 	self  string
 }
 
-func (lenders lossyLenders) Ask(_ context.Context, host, program string, tokens int, partial bool) bool {
+func (lenders lossyLenders) Ask(_ context.Context, host, program string, tokens int, partial bool) (asked, answered bool) {
 	lender := lenders.world.keepers[host]
 	if lender == nil || host == lenders.self {
-		return false
+		return false, false
 	}
-	lent := lender.Lend(program, tokens, partial)
+	lent, holders := lender.Lend(lenders.self, program, tokens, partial)
 	switch lenders.world.lending {
 	case "lost":
+		return true, false
 	case "late":
 		lenders.world.letters = append(lenders.world.letters, letter{lenders.self, program, lent})
-	default:
-		lenders.world.keepers[lenders.self].Lent(program, lent)
+		return true, false
 	}
-	return true
+	lenders.world.keepers[lenders.self].Lent(program, lent, holders)
+	return true, true
+}
+
+// Address implements Lenders: an incarnation of the world's is its host's name
+// and a number.
+func (lenders lossyLenders) Address(incarnation string) (string, bool) {
+	for host, keeper := range lenders.world.keepers {
+		if keeper.host == incarnation {
+			return host, true
+		}
+	}
+	return "", false
 }
 
 type letter struct {
@@ -219,7 +231,7 @@
 			},
 			"late answer": func(rt *rapid.T) {
 				for _, letter := range world.letters {
-					world.keepers[letter.host].Lent(letter.program, letter.tokens)
+					world.keepers[letter.host].Lent(letter.program, letter.tokens, nil)
 				}
 				world.letters = nil
 			},
@@ -302,6 +314,51 @@
 	require.Positive(t, err.RetryAfter())
 }
 
+// A program's turns come through any host, one after the other, and digests are
+// slower than its turns. What lies unspent at one host must be found by the
+// others, or the program ends with most of its budget unspent.
+func TestProgramCanSpendItsBudgetThroughAnyHost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		world := newWorld()
+		told := rapid.Bool().Draw(rt, "digests arrive")
+		spent := 0
+		for turn := range 30 {
+			host := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "host")
+			reservation, err := world.keepers[host].Reserve(context.Background(), Turn{
+				Program: "p", Budget: testBudget, Most: testMost, Continues: turn > 0, Retain: bvclock.Minute,
+			})
+			if told {
+				world.tellHolders()
+			}
+			if err != nil {
+				require.Equal(rt, bvverdict.BudgetExceeded, bvverdict.From(err).Code())
+				require.Greater(rt, spent+testMost, testBudget, "refused although the budget holds the turn")
+				return
+			}
+			for range rapid.IntRange(0, testMost/testEvent).Draw(rt, "events") {
+				require.True(rt, reservation.Spend(testEvent))
+				spent += testEvent
+			}
+			reservation.Close()
+		}
+	})
+}
+
+// The answer of a living host that holds the rest of a budget is lost. The
+// program is told to come back: that its budget is spent would end it.
+func TestUnansweredQuestionIsNoSpentBudget(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	require.NoError(t, world.reserve("b", "p", true))
+	for _, open := range world.open {
+		open.Close()
+	}
+	world.lending = "lost"
+	err := bvverdict.From(world.reserve("c", "p", true))
+	require.Equal(t, bvverdict.PlatformUnavailable, err.Code())
+	require.Positive(t, err.RetryAfter())
+}
+
 // What a host holds and does not need is given back when the program pauses,
 // so that the next host finds it.
 func TestUnspentTokensAreGivenBack(t *testing.T) {
@@ -317,6 +374,19 @@
 	}
 }
 
+// A host stops as planned while programs are under way. What it holds of their
+// budgets must not go with it: their next turns come through other hosts.
+func TestPlannedStopGivesUpWhatIsUnspent(t *testing.T) {
+	world := newWorld()
+	require.NoError(t, world.reserve("a", "p", false))
+	world.open[0].Close()
+	world.keepers["a"].GiveUp(context.Background())
+	world.restart("a")
+	for range testBudget / testMost {
+		require.NoError(t, world.reserve("b", "p", true))
+	}
+}
+
 // A host gives tokens back, and the store's answer is lost. The row still shows
 // them as this host's, so it takes them for its own again; then the write is
 // carried out late, and another host reserves the same tokens.
--- a/bvbudget/tidy.go
+++ b/bvbudget/tidy.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -22,7 +23,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(tidyWrites)
 	for _, account := range returns {
-		group.Go(func() error { keeper.giveBack(ctx, account); return nil })
+		group.Go(func() error { keeper.giveBack(ctx, account, account.returnable); return nil })
 	}
 	for _, account := range forgotten {
 		group.Go(func() error { keeper.remove(ctx, account); return nil })
@@ -48,9 +49,9 @@
 	return returns, forgotten
 }
 
-// giveBack lowers this host's block to what was spent. A turn that comes
-// meanwhile waits for the account's turn.
-func (keeper *Keeper) giveBack(ctx context.Context, account *account) {
+// giveBack lowers this host's block by what is not needed here. A turn that
+// comes meanwhile waits for the account's turn.
+func (keeper *Keeper) giveBack(ctx context.Context, account *account, spare func() int) {
 	select {
 	case account.turn <- struct{}{}:
 		defer func() { <-account.turn }()
@@ -58,7 +59,7 @@
 		return // a turn has come
 	}
 	keeper.mutex.Lock()
-	unspent := account.returnable()
+	unspent := spare()
 	keeper.mutex.Unlock()
 	if unspent == 0 {
 		return
@@ -70,6 +71,37 @@
 	}
 }
 
+// GiveUp gives back all that lies unspent here, before a planned stop: what a
+// host holds when it ends counts as spent, and programs whose next turns come
+// through other hosts would be told that their budgets are spent. It goes on
+// until ctx ends or all is given back.
+func (keeper *Keeper) GiveUp(ctx context.Context) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(tidyWrites)
+	for _, account := range keeper.recent() {
+		group.Go(func() error { keeper.giveBack(ctx, account, account.unspent); return nil })
+	}
+	_ = group.Wait() // the functions return no error
+}
+
+// underWay is how long after its last turn here a program may still have turns
+// elsewhere: the pauses of the users' programs are shorter by far.
+const underWay = 5 * bvclock.Second
+
+// recent returns the accounts of programs that may be under way.
+func (keeper *Keeper) recent() []*account {
+	now := keeper.clock.Now()
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	var recent []*account
+	for _, account := range keeper.accounts {
+		if now.Sub(account.usedAt) < underWay && account.unspent() > 0 {
+			recent = append(recent, account)
+		}
+	}
+	return recent
+}
+
 // remove deletes a row that nobody has changed since this host last did.
 func (keeper *Keeper) remove(ctx context.Context, account *account) {
 	if !account.known || account.version == 0 {
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -26,22 +26,36 @@
 
 // Ask asks a host for tokens of a program's budget and waits for its answer a
 // short time. What it gives goes to the Handler's Lent, also when it is late. A
-// host that is silent is not asked; Ask then reports false.
-func (gossip *Gossip) Ask(ctx context.Context, host netip.AddrPort, program string, tokens int, partial bool) bool {
+// host that is silent is not asked.
+func (gossip *Gossip) Ask(ctx context.Context, host netip.AddrPort, program string, tokens int, partial bool) (asked, answered bool) {
 	if gossip.silent(host) {
-		return false
+		return false, false
 	}
 	number := rand.Uint64()
-	asked := gossip.begin(number)
+	question := gossip.begin(number)
 	gossip.sendTo(host, &Datagram{Message: &Datagram_Ask{Ask: &Ask{
 		Number: number, Program: program, Tokens: uint32(tokens), Partial: partial,
 	}}})
 	select {
-	case <-asked.answered:
+	case <-question.answered:
+		return true, true
 	case <-bvclock.After(askPatience):
 	case <-ctx.Done():
 	}
-	return true
+	return true, false
+}
+
+// Address returns the address of a host's incarnation, if it is heard.
+func (gossip *Gossip) Address(incarnation string) (netip.AddrPort, bool) {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	for address, peer := range gossip.hosts {
+		if !peer.silent(now) && peer.digest.GetIncarnation() == incarnation {
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
 }
 
 func (gossip *Gossip) silent(host netip.AddrPort) bool {
@@ -75,8 +89,6 @@
 	if asked == nil {
 		return
 	}
-	if lend.GetTokens() > 0 {
-		handler.Lent(lend.GetProgram(), int(lend.GetTokens()))
-	}
+	handler.Lent(lend.GetProgram(), int(lend.GetTokens()), lend.GetHolders())
 	close(asked.answered)
 }
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -133,10 +133,11 @@
 type Handler interface {
 	// Hear takes in a digest.
 	Hear(digest *Digest)
-	// Lend gives up tokens of a program's budget for another host.
-	Lend(program string, tokens int, partial bool) int
+	// Lend gives up tokens of a program's budget for the host at an address. It
+	// also returns other hosts that may hold some.
+	Lend(host, program string, tokens int, partial bool) (lent int, holders []string)
 	// Lent takes in tokens that another host gave up.
-	Lent(program string, tokens int)
+	Lent(program string, tokens int, holders []string)
 }
 
 // Receive hands on what other hosts send until the socket is closed.
@@ -167,9 +168,9 @@
 		}
 	case *Datagram_Ask:
 		ask := message.Ask
-		tokens := handler.Lend(ask.GetProgram(), int(ask.GetTokens()), ask.GetPartial())
+		tokens, holders := handler.Lend(from.String(), ask.GetProgram(), int(ask.GetTokens()), ask.GetPartial())
 		gossip.sendTo(from, &Datagram{Message: &Datagram_Lend{Lend: &Lend{
-			Number: ask.GetNumber(), Program: ask.GetProgram(), Tokens: uint32(tokens),
+			Number: ask.GetNumber(), Program: ask.GetProgram(), Tokens: uint32(tokens), Holders: holders,
 		}}})
 	case *Datagram_Lend:
 		gossip.lent(message.Lend, handler)
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -34,18 +34,18 @@
 	host.heard = append(host.heard, digest)
 }
 
-func (host *host) Lend(_ string, tokens int, partial bool) int {
+func (host *host) Lend(_, _ string, tokens int, partial bool) (int, []string) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	if host.holds < tokens && !partial {
-		return 0
+		return 0, nil
 	}
 	lent := min(tokens, host.holds)
 	host.holds -= lent
-	return lent
+	return lent, nil
 }
 
-func (host *host) Lent(_ string, tokens int) {
+func (host *host) Lent(_ string, tokens int, _ []string) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	host.lent += tokens
@@ -108,16 +108,22 @@
 	meet(t, a, b)
 	clock.Advance(silentAfter + 1)
 	require.Empty(t, a.Heard())
-	require.False(t, a.Ask(t.Context(), b.address, "p", 10, false))
+	asked, answered := a.Ask(t.Context(), b.address, "p", 10, false)
+	require.False(t, asked)
+	require.False(t, answered)
+	_, heard := a.Address("b")
+	require.False(t, heard)
 }
 
 func TestTokensAreLent(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	meet(t, a, b)
 	b.hold(100)
-	require.True(t, a.Ask(t.Context(), b.address, "p", 60, false))
+	asked, _ := a.Ask(t.Context(), b.address, "p", 60, false)
+	require.True(t, asked)
 	require.Eventually(t, func() bool { return a.tokens() == 60 }, patience, time.Millisecond)
-	require.True(t, a.Ask(t.Context(), b.address, "p", 60, true))
+	asked, _ = a.Ask(t.Context(), b.address, "p", 60, true)
+	require.True(t, asked)
 	require.Eventually(t, func() bool { return a.tokens() == 100 }, patience, time.Millisecond)
 }
 
@@ -153,6 +159,15 @@
 	require.Len(t, a.Heard(), 1)
 }
 
+// A program's row names an incarnation, which must be found at its address.
+func TestIncarnationThatIsHeardHasAnAddress(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	meet(t, a, b)
+	address, heard := a.Address("b")
+	require.True(t, heard)
+	require.Equal(t, b.address, address)
+}
+
 // Many hosts must not drown each other in digests.
 func TestIntervalGrowsWithTheNumberOfHosts(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -163,28 +163,34 @@
 type peerHandler struct{ *Router }
 
 // Lend implements bvgossip.Handler.
-func (handler peerHandler) Lend(program string, tokens int, partial bool) int {
-	return handler.budgets.Lend(program, tokens, partial)
+func (handler peerHandler) Lend(host, program string, tokens int, partial bool) (int, []string) {
+	return handler.budgets.Lend(host, program, tokens, partial)
 }
 
 // Lent implements bvgossip.Handler.
-func (handler peerHandler) Lent(program string, tokens int) {
-	handler.budgets.Lent(program, tokens)
+func (handler peerHandler) Lent(program string, tokens int, holders []string) {
+	handler.budgets.Lent(program, tokens, holders)
 }
 
 // lenders asks other hosts for tokens of a program's budget.
 type lenders struct{ *Router }
 
 // Ask implements bvbudget.Lenders.
-func (lenders lenders) Ask(ctx context.Context, host, program string, tokens int, partial bool) bool {
+func (lenders lenders) Ask(ctx context.Context, host, program string, tokens int, partial bool) (asked, answered bool) {
 	address, err := netip.ParseAddrPort(host)
 	if err != nil {
 		lenders.log.WithError(err).Warn("another host's address can't be read")
-		return false
+		return false, false
 	}
 	return lenders.gossip.Ask(ctx, address, program, tokens, partial)
 }
 
+// Address implements bvbudget.Lenders.
+func (lenders lenders) Address(incarnation string) (string, bool) {
+	address, heard := lenders.gossip.Address(incarnation)
+	return address.String(), heard
+}
+
 // Hear implements bvgossip.Handler.
 func (handler peerHandler) Hear(digest *bvgossip.Digest) {
 	placed := make([]bvdispatch.Placement, 0, len(digest.GetPlacements()))
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -17,6 +17,10 @@
 	// stopMargin is kept between the end of a graceful stop and the moment at
 	// which the process would be killed, as a share of the allowed time.
 	stopMargin = 0.06
+	// giveUpTime bounds how long a leaving host gives back budgets. A write
+	// takes 5 to 13 ms, eight are under way at once, and a host of the users'
+	// sites has some tens of programs.
+	giveUpTime = 500 * bvclock.Millisecond
 )
 
 // leave stops without cutting off a request: first the balancer is told, and
@@ -38,5 +42,8 @@
 	if err := router.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("router: requests were cut off after %v: %w", limit, err)
 	}
+	giving, cancel := context.WithTimeout(ctx, giveUpTime.Std())
+	defer cancel()
+	router.budgets.GiveUp(giving)
 	return nil
 }
