--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -12,9 +12,10 @@
 //
 // # Cost
 //
-// Each host sends a datagram of some hundred bytes to each other host. The
-// interval grows with their number, so that a host sends and receives at most
-// some 130 a second each.
+// Each host sends a datagram of some hundred bytes to each other host, less
+// often to those in other availability zones. The intervals grow with their
+// number: with 79 hosts in five zones, a host sends and receives some 310 a
+// second each.
 package bvgossip
 
 import (
@@ -34,6 +35,10 @@
 	// leastInterval is the time between two digests where there are few
 	// hosts: short beside a call, which takes some 300 ms.
 	leastInterval = 100 * bvclock.Millisecond
+	// farInterval is the time between two digests to hosts in other availability
+	// zones. Calls stay in their zone as a rule, so those hosts are sent few of
+	// the calls that are told, and bytes between zones are dear.
+	farInterval = 400 * bvclock.Millisecond
 	// perHost lengthens the interval by the number of hosts.
 	perHost = 1 * bvclock.Millisecond
 	// silentAfter is how long after its last digest a host's calls are no
@@ -48,6 +53,7 @@
 // Gossip sends and receives digests. Make one with New.
 type Gossip struct {
 	self  string // incarnation
+	zone  string // availability zone of this host
 	conn  *net.UDPConn
 	clock bvclock.Clock
 	log   logrus.FieldLogger
@@ -55,6 +61,11 @@
 	mutex sync.Mutex
 	hosts map[netip.AddrPort]*peer
 	asks  map[uint64]*ask
+	farAt bvclock.Time // last digest to other zones
+
+	// What other zones are not told yet; Send's alone.
+	placements []*Placement
+	programs   []uint64
 }
 
 // peer is another host's row.
@@ -64,10 +75,13 @@
 	triedAt bvclock.Time
 }
 
-// New returns a Gossip that sends from the given socket. Digests of the
-// process's own incarnation are ignored.
-func New(self string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger) *Gossip {
-	return &Gossip{self: self, conn: conn, clock: clock, log: log, hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*ask)}
+// New returns a Gossip that sends from the given socket, for a host in an
+// availability zone. Digests of the process's own incarnation are ignored.
+func New(self, zone string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger) *Gossip {
+	return &Gossip{
+		self: self, zone: zone, conn: conn, clock: clock, log: log,
+		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*ask),
+	}
 }
 
 // SetHosts adds hosts that the platform's store lists.
@@ -95,34 +109,60 @@
 	return max(leastInterval, bvclock.Duration(len(gossip.hosts))*perHost)
 }
 
-// Send sends a digest to all hosts. Hosts that are silent get one every few
-// seconds, in case that they are back.
+// Send sends a digest to the hosts of this availability zone, and, when it is
+// time, one with all that happened since the last to those of other zones. Hosts
+// that are silent get one every few seconds, in case that they are back. It is
+// not safe for concurrent use.
 func (gossip *Gossip) Send(digest *Digest) {
+	near, far := gossip.due()
+	gossip.sendAll(digest, near)
+	gossip.placements = append(gossip.placements, digest.Placements...)
+	gossip.programs = append(gossip.programs, digest.Programs...)
+	if far == nil {
+		return
+	}
+	digest.Placements, digest.Programs = gossip.placements, gossip.programs
+	gossip.sendAll(digest, far)
+	gossip.placements, gossip.programs = nil, nil
+}
+
+func (gossip *Gossip) sendAll(digest *Digest, addresses []netip.AddrPort) {
 	encoded, err := proto.Marshal(&Datagram{Message: &Datagram_Digest{Digest: digest}})
 	if err != nil || len(encoded) > datagramBytes {
 		gossip.log.WithError(err).WithField("bytes", len(encoded)).Warn("digest can't be sent")
 		return
 	}
-	for _, address := range gossip.due() {
+	for _, address := range addresses {
 		if _, err := gossip.conn.WriteToUDPAddrPort(encoded, address); err != nil {
 			gossip.log.WithError(err).Debug("digest not sent")
 		}
 	}
 }
 
-func (gossip *Gossip) due() []netip.AddrPort {
+// due returns the hosts that are to get a digest now. Those of other zones are
+// nil until it is their time.
+func (gossip *Gossip) due() (near, far []netip.AddrPort) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	due := make([]netip.AddrPort, 0, len(gossip.hosts))
+	farDue := now.Sub(gossip.farAt) >= farInterval
+	if farDue {
+		gossip.farAt, far = now, []netip.AddrPort{}
+	}
 	for address, peer := range gossip.hosts {
-		if peer.silent(now) && now.Sub(peer.triedAt) < trialInterval {
+		switch {
+		case peer.silent(now) && now.Sub(peer.triedAt) < trialInterval:
+			continue
+		case peer.digest == nil || peer.digest.GetZone() == gossip.zone:
+			near = append(near, address)
+		case farDue:
+			far = append(far, address)
+		default:
 			continue
 		}
 		peer.triedAt = now
-		due = append(due, address)
 	}
-	return due
+	return near, far
 }
 
 func (peer *peer) silent(now bvclock.Time) bool {
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +58,12 @@
 	host.holds = tokens
 }
 
+func (host *host) digests() []*Digest {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	return slices.Clone(host.heard)
+}
+
 func (host *host) tokens() int {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -68,7 +75,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	host := &host{Gossip: New(incarnation, conn, clock, log), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	host := &host{Gossip: New(incarnation, "z", conn, clock, log), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan error, 1)
 	go func() { ended <- host.Receive(host) }()
 	t.Cleanup(func() {
@@ -79,7 +86,7 @@
 }
 
 func (host *host) digest() *Digest {
-	return &Digest{Host: host.self, Incarnation: host.self, Address: host.address.String()}
+	return &Digest{Host: host.self, Incarnation: host.self, Address: host.address.String(), Zone: host.zone}
 }
 
 // meet makes both hosts hear of each other, by one digest each: none is under
@@ -168,6 +175,25 @@
 	require.Equal(t, b.address, address)
 }
 
+// Hosts of other zones get fewer digests. What happened between two of them must
+// still reach them, or they would place prompts where they are not cached.
+func TestOtherZonesAreToldLessOftenAndNothingIsLost(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	b.zone = "other"
+	meet(t, a, b)
+	for part := range uint64(4) {
+		clock.Advance(farInterval / 4)
+		digest := a.digest()
+		digest.Placements = []*Placement{{Endpoint: 1, Part: part, Tokens: 10}}
+		a.Send(digest)
+	}
+	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, patience, time.Millisecond)
+	require.Len(t, b.digests()[1].GetPlacements(), 4)
+	require.Empty(t, a.placements)
+}
+
 // Many hosts must not drown each other in digests.
 func TestIntervalGrowsWithTheNumberOfHosts(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -48,6 +48,8 @@
 //	budget_writes         transactions tried on programs' budgets
 //	budget_accounts       programs with an account here
 //	rows_swept            expired rows removed that other hosts had left behind
+//	store_calls           a map: calls to the platform's store by this host's own
+//	                      way, by "what table"
 //	store_reachable       1 while the platform's store answers this host
 //
 // A latency is an object with count, mean_ms, p50_ms, p95_ms, p99_ms, max_ms.
@@ -110,6 +112,26 @@
 	counters.Add("answered", 1)
 }
 
+// Count adds one to a counter that is kept by kind.
+func (counters *Counters) Count(name, kind string) {
+	found, ok := counters.variables.Get(name).(*expvar.Map)
+	if !ok {
+		found = counters.newMap(name)
+	}
+	found.Add(kind, 1)
+}
+
+func (counters *Counters) newMap(name string) *expvar.Map {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	if found, ok := counters.variables.Get(name).(*expvar.Map); ok {
+		return found
+	}
+	added := new(expvar.Map).Init()
+	counters.variables.Set(name, added)
+	return added
+}
+
 // Observe adds a duration to a latency.
 func (counters *Counters) Observe(name string, duration bvclock.Duration) {
 	counters.latency(name).observe(duration)
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -38,6 +38,7 @@
 	after := int64(0)
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
+		router.countStoreCall("await routes")
 		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, waitWithin(router.settings.Apply))
 		lost.Note(unlessEnded(ctx, err))
 		if err != nil {
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -47,7 +47,7 @@
 	}
 	router.settings.PeerAddress = address.String()
 	router.peerConn = conn
-	router.gossip = bvgossip.New(router.incarnation, conn, router.clock, router.log)
+	router.gossip = bvgossip.New(router.incarnation, router.settings.Zone, conn, router.clock, router.log)
 	return nil
 }
 
--- a/bvrouter/reach.go
+++ b/bvrouter/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,7 @@
 	clock   bvclock.Clock
 	log     logrus.FieldLogger
 	helpers func() []string // addresses of hosts that reach the store
+	count   func(kind string)
 
 	mutex    sync.Mutex
 	failures int // in a row
@@ -56,8 +58,9 @@
 	triedAt  bvclock.Time
 }
 
-func newReach(own Platform, clock bvclock.Clock, log logrus.FieldLogger, helpers func() []string) *reach {
+func newReach(own Platform, clock bvclock.Clock, log logrus.FieldLogger, helpers func() []string, count func(kind string)) *reach {
 	return &reach{
+		count:   count,
 		own:     own,
 		clock:   clock,
 		log:     log,
@@ -106,7 +109,8 @@
 
 // track makes a call by this host's own way and learns from it. A call that
 // fails while others are answered says nothing of the store.
-func (reach *reach) track(ctx context.Context, call func(ctx context.Context) error) error {
+func (reach *reach) track(ctx context.Context, kind string, call func(ctx context.Context) error) error {
+	reach.count(kind)
 	begun := reach.clock.Now()
 	reach.mutex.Lock()
 	reach.number++
@@ -138,6 +142,24 @@
 	return err
 }
 
+// kindOf names a call by what it does and the table of its first key.
+func kindOf(call string, keys ...string) string {
+	if len(keys) == 0 {
+		return call
+	}
+	table, _, _ := strings.Cut(keys[0], "/")
+	return call + " " + table
+}
+
+// putKeys returns the keys that a transaction writes.
+func putKeys(transaction bvplatform.Transaction) []string {
+	keys := make([]string, 0, len(transaction.Puts))
+	for _, put := range transaction.Puts {
+		keys = append(keys, put.Key)
+	}
+	return keys
+}
+
 // patience is how long a call may take.
 func (reach *reach) patience() bvclock.Duration {
 	bound := max(leastPatience, bvclock.Duration(patienceFactor*reach.usual))
@@ -158,10 +180,10 @@
 
 // do calls the store, by whatever way there is. A call that may have been
 // carried out is not repeated here.
-func (reach *reach) do(ctx context.Context, call func(ctx context.Context, store bvplatform.Store) error) error {
+func (reach *reach) do(ctx context.Context, kind string, call func(ctx context.Context, store bvplatform.Store) error) error {
 	err := bvplatform.ErrUnavailable
 	if reach.up() || reach.trial() {
-		err = reach.track(ctx, func(ctx context.Context) error { return call(ctx, reach.own) })
+		err = reach.track(ctx, kind, func(ctx context.Context) error { return call(ctx, reach.own) })
 		if !errors.Is(err, bvplatform.ErrUnavailable) {
 			return err
 		}
@@ -190,7 +212,7 @@
 func (reach *reach) Commit(ctx context.Context, transaction bvplatform.Transaction) (version int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience.Std())
 	defer cancel()
-	err = reach.do(ctx, func(ctx context.Context, store bvplatform.Store) (err error) {
+	err = reach.do(ctx, kindOf("commit", putKeys(transaction)...), func(ctx context.Context, store bvplatform.Store) (err error) {
 		version, err = store.Commit(ctx, transaction)
 		return err
 	})
@@ -201,7 +223,7 @@
 func (reach *reach) Read(ctx context.Context, keys ...string) (rows []bvplatform.Row, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience.Std())
 	defer cancel()
-	err = reach.do(ctx, func(ctx context.Context, store bvplatform.Store) (err error) {
+	err = reach.do(ctx, kindOf("read", keys...), func(ctx context.Context, store bvplatform.Store) (err error) {
 		rows, err = store.Read(ctx, keys...)
 		return err
 	})
@@ -212,7 +234,7 @@
 func (reach *reach) Scan(ctx context.Context, prefix, after string, limit int) (rows []bvplatform.Row, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience.Std())
 	defer cancel()
-	err = reach.do(ctx, func(ctx context.Context, store bvplatform.Store) (err error) {
+	err = reach.do(ctx, kindOf("scan", prefix), func(ctx context.Context, store bvplatform.Store) (err error) {
 		rows, err = store.Scan(ctx, prefix, after, limit)
 		return err
 	})
@@ -224,7 +246,7 @@
 func (reach *reach) Endpoints(ctx context.Context) (endpoints []bvplatform.Endpoint, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience.Std())
 	defer cancel()
-	err = reach.track(ctx, func(ctx context.Context) (err error) {
+	err = reach.track(ctx, "list endpoints", func(ctx context.Context) (err error) {
 		endpoints, err = reach.own.Endpoints(ctx)
 		return err
 	})
@@ -250,16 +272,16 @@
 // back and forth.
 type directStore struct{ reach *reach }
 
-func (store directStore) call(ctx context.Context, call func(ctx context.Context) error) error {
+func (store directStore) call(ctx context.Context, kind string, call func(ctx context.Context) error) error {
 	if !store.reach.up() {
 		return bvplatform.ErrUnavailable
 	}
-	return store.reach.track(ctx, call)
+	return store.reach.track(ctx, kind, call)
 }
 
 // Commit implements bvplatform.Store.
 func (store directStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (version int64, err error) {
-	err = store.call(ctx, func(ctx context.Context) (err error) {
+	err = store.call(ctx, kindOf("commit", putKeys(transaction)...), func(ctx context.Context) (err error) {
 		version, err = store.reach.own.Commit(ctx, transaction)
 		return err
 	})
@@ -268,7 +290,7 @@
 
 // Read implements bvplatform.Store.
 func (store directStore) Read(ctx context.Context, keys ...string) (rows []bvplatform.Row, err error) {
-	err = store.call(ctx, func(ctx context.Context) (err error) {
+	err = store.call(ctx, kindOf("read", keys...), func(ctx context.Context) (err error) {
 		rows, err = store.reach.own.Read(ctx, keys...)
 		return err
 	})
@@ -277,7 +299,7 @@
 
 // Scan implements bvplatform.Store.
 func (store directStore) Scan(ctx context.Context, prefix, after string, limit int) (rows []bvplatform.Row, err error) {
-	err = store.call(ctx, func(ctx context.Context) (err error) {
+	err = store.call(ctx, kindOf("scan", prefix), func(ctx context.Context) (err error) {
 		rows, err = store.reach.own.Scan(ctx, prefix, after, limit)
 		return err
 	})
--- a/bvrouter/reach_test.go
+++ b/bvrouter/reach_test.go
@@ -39,7 +39,7 @@
 }
 
 func newTestReach(own Platform, clock bvclock.Clock, helpers ...string) *reach {
-	return newReach(own, clock, quiet(), func() []string { return helpers })
+	return newReach(own, clock, quiet(), func() []string { return helpers }, func(string) {})
 }
 
 // The store turns this host away and serves another one. The call goes through
@@ -93,7 +93,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = reach.track(context.Background(), func(context.Context) error { <-hang; return nil })
+		_ = reach.track(context.Background(), "read", func(context.Context) error { <-hang; return nil })
 	}()
 	require.Eventually(t, func() bool {
 		reach.mutex.Lock()
@@ -133,9 +133,9 @@
 	clock.Advance(1)
 	reach := newTestReach(&switchedPlatform{}, clock)
 	for range 20 {
-		err := reach.track(t.Context(), func(ctx context.Context) error {
+		err := reach.track(t.Context(), "read", func(ctx context.Context) error {
 			clock.Advance(1)
-			require.NoError(t, reach.track(ctx, func(context.Context) error { return nil }))
+			require.NoError(t, reach.track(ctx, "read", func(context.Context) error { return nil }))
 			clock.Advance(leastPatience)
 			return bvplatform.ErrUnknown
 		})
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -118,7 +118,7 @@
 	if err := router.openGossip(); err != nil {
 		return nil, err
 	}
-	router.reach = newReach(parts.Platform, clock, log, router.helpers)
+	router.reach = newReach(parts.Platform, clock, log, router.helpers, router.countStoreCall)
 	router.budgets = bvbudget.NewKeeper(router.reach, lenders{router}, incarnation, clock, log)
 	router.budgets.SetSettle(settings.Settle)
 	router.histories = bvhistory.NewKeeper(router.reach, settings.RowBytes, log)
@@ -234,6 +234,8 @@
 	})
 }
 
+func (router *Router) countStoreCall(kind string) { router.counters.Count("store_calls", kind) }
+
 // gauge sets what is a state rather than a count.
 func (router *Router) gauge() {
 	if table := router.state.Current(); table != nil {
