--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -36,7 +36,6 @@
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	best, lowest := (*endpoint)(nil), 0.0
-	pool.findFirstHomes(now, request)
 	for _, row := range pool.rows {
 		if !row.open(now) || request.Avoid[row.entry.Name] {
 			continue
@@ -93,7 +92,7 @@
 	reading := float64(max(request.PromptTokens-cached, 0)) / prefillRate
 	cost += reading * (1 + min(load, slots))
 	if len(request.Prefix) > 0 && cached <= request.Prefix[0].Tokens {
-		cost += pool.homeWeight(row) * (row.home(request) - pool.firstHomes[row.zone]) // nothing of the conversation itself is here
+		cost += pool.homeWeight(row) * row.home(request) // nothing of the conversation itself is here
 	}
 	return cost
 }
--- a/bvdispatch/home.go
+++ b/bvdispatch/home.go
@@ -9,9 +9,7 @@
 // evenly, each beginning is read again and again. So all hosts order the
 // endpoints by the beginning, in the same way and without a word between them,
 // and a new conversation goes to one that is early in the order unless that is
-// much more loaded. Each availability zone has an order of its own, so that a
-// beginning has a place in each and prompts need not leave their zone: in one
-// order for all zones, most did, at 17 KB and more a turn.
+// much more loaded.
 const (
 	// fullHomeWeight is the most that the place in the order counts, in
 	// milliseconds. Measured on the grown site with 233,774 tokens an engine
@@ -69,22 +67,6 @@
 	return fullHomeWeight * min(max((share-scarceFrom)/(scarceTo-scarceFrom), 0), 1)
 }
 
-// findFirstHomes notes how early in the order the first open endpoint of each
-// availability zone is, from where the others of the zone are counted.
-func (pool *Pool) findFirstHomes(now bvclock.Time, request *Request) {
-	if len(request.Prefix) == 0 {
-		return
-	}
-	for zone := range pool.firstHomes {
-		pool.firstHomes[zone] = 1
-	}
-	for _, row := range pool.rows {
-		if row.open(now) {
-			pool.firstHomes[row.zone] = min(pool.firstHomes[row.zone], row.home(request))
-		}
-	}
-}
-
 // home is the endpoint's place in the order of the prompt's first part, from 0
 // for the first to 1 for the last.
 func (endpoint *endpoint) home(request *Request) float64 {
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -49,8 +49,6 @@
 	duration average // of a call, in milliseconds
 	zone     string  // availability zone of this host
 
-	firstHomes []float64 // by availability zone, of the prompt that is being placed
-
 	beginnings      map[uint64]beginning // first parts of prompts, by key
 	beginningTokens int
 }
@@ -71,7 +69,6 @@
 // is known of those that stay is kept.
 func (pool *Pool) SetEndpoints(listed []bvplatform.Endpoint) {
 	kept := make(map[string]*endpoint, len(listed))
-	zones := make(map[string]int)
 	rows := make([]*endpoint, 0, len(listed))
 	for _, entry := range listed {
 		row := pool.byName[entry.Name]
@@ -79,16 +76,11 @@
 			row = &endpoint{hash: HashName(entry.Name)}
 		}
 		row.entry = entry
-		if _, known := zones[entry.Zone]; !known {
-			zones[entry.Zone] = len(zones)
-		}
-		row.zone = zones[entry.Zone]
 		kept[entry.Name] = row
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b *endpoint) int { return strings.Compare(a.entry.Name, b.entry.Name) })
 	pool.rows, pool.byName = rows, kept
-	pool.firstHomes = make([]float64, len(zones))
 }
 
 // HashName names an endpoint to other hosts.
