--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -36,8 +36,10 @@
 	// hosts: short beside a call, which takes some 300 ms.
 	leastInterval = 100 * bvclock.Millisecond
 	// farInterval is the time between two digests to hosts in other availability
-	// zones. Calls stay in their zone as a rule, so those hosts are sent few of
-	// the calls that are told, and bytes between zones are dear.
+	// zones while endpoints are little loaded: bytes between zones are dear, and
+	// decisions then depend little on what other zones do. On the calm day of
+	// bcf-tipton-grown it saved 0.17 of 0.53 GB between zones. In a crowd, the
+	// heaviest day of obala-surf-grown was worth 0.33 with it and 0.45 without.
 	farInterval = 400 * bvclock.Millisecond
 	// perHost lengthens the interval by the number of hosts.
 	perHost = 1 * bvclock.Millisecond
@@ -110,11 +112,11 @@
 }
 
 // Send sends a digest to the hosts of this availability zone, and, when it is
-// time, one with all that happened since the last to those of other zones. Hosts
-// that are silent get one every few seconds, in case that they are back. It is
+// time, one with all that happened since the last to those of other zones; in a
+// crowd it always is. Hosts that are silent get one every few seconds, in case that they are back. It is
 // not safe for concurrent use.
-func (gossip *Gossip) Send(digest *Digest) {
-	near, far := gossip.due()
+func (gossip *Gossip) Send(digest *Digest, crowded bool) {
+	near, far := gossip.due(crowded)
 	gossip.sendAll(digest, near)
 	gossip.placements = append(gossip.placements, digest.Placements...)
 	gossip.programs = append(gossip.programs, digest.Programs...)
@@ -141,11 +143,11 @@
 
 // due returns the hosts that are to get a digest now. Those of other zones are
 // nil until it is their time.
-func (gossip *Gossip) due() (near, far []netip.AddrPort) {
+func (gossip *Gossip) due(crowded bool) (near, far []netip.AddrPort) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	farDue := now.Sub(gossip.farAt) >= farInterval
+	farDue := crowded || now.Sub(gossip.farAt) >= farInterval
 	if farDue {
 		gossip.farAt, far = now, []netip.AddrPort{}
 	}
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -93,9 +93,9 @@
 // way afterwards.
 func meet(t testing.TB, a, b *host) {
 	a.SetHosts([]netip.AddrPort{b.address})
-	a.Send(a.digest())
+	a.Send(a.digest(), false)
 	require.Eventually(t, func() bool { return len(b.Heard()) == 1 }, patience, time.Millisecond)
-	b.Send(b.digest())
+	b.Send(b.digest(), false)
 	require.Eventually(t, func() bool { return len(a.Heard()) == 1 }, patience, time.Millisecond)
 }
 
@@ -187,11 +187,13 @@
 		clock.Advance(farInterval / 4)
 		digest := a.digest()
 		digest.Placements = []*Placement{{Endpoint: 1, Part: part, Tokens: 10}}
-		a.Send(digest)
+		a.Send(digest, false)
 	}
 	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, patience, time.Millisecond)
 	require.Len(t, b.digests()[1].GetPlacements(), 4)
 	require.Empty(t, a.placements)
+	a.Send(a.digest(), true) // in a crowd, at once
+	require.Eventually(t, func() bool { return len(b.digests()) == 3 }, patience, time.Millisecond)
 }
 
 // Many hosts must not drown each other in digests.
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -116,7 +116,7 @@
 func (router *Router) tellHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, router.gossip.Interval())
-		router.gossip.Send(router.digest())
+		router.gossip.Send(router.digest(), router.desk.Crowded())
 		router.desk.SetPeerLoads(router.peerLoads())
 	}
 }
