In a crowd each decision looks at a few engines; their own word counts where it is above

All hosts see the same idle engine for a tenth of a second. Test first: TestCrowdDoesNotFallOnOneIdleEndpoint (100 of 100 calls at one engine). The turn's line now tells what the decision went by.

--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -35,9 +35,23 @@
 // Choose returns the endpoint at which the call is expected to cost least, or
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
+	best := pool.cheapest(now, request, pool.newSample(now, request))
+	if best == nil {
+		best = pool.cheapest(now, request, sample{all: true}) // none was drawn
+	}
+	if best == nil {
+		return pool.lastResort(request)
+	}
+	request.Cached, request.Load = best.cache.cached(request.Prefix), best.load(now)
+	return best.entry, true
+}
+
+// cheapest returns the endpoint of a sample at which the call costs least, or
+// nil if none of them may be called.
+func (pool *Pool) cheapest(now bvclock.Time, request *Request, sample sample) *endpoint {
 	best, lowest := (*endpoint)(nil), 0.0
 	for _, row := range pool.rows {
-		if !row.open(now) || request.Avoid[row.entry.Name] {
+		if !row.open(now) || request.Avoid[row.entry.Name] || !sample.has(row) {
 			continue
 		}
 		cost := pool.cost(now, row, request)
@@ -48,10 +62,7 @@
 			best, lowest = row, cost
 		}
 	}
-	if best == nil {
-		return pool.lastResort(request)
-	}
-	return best.entry, true
+	return best
 }
 
 // lastResort returns any endpoint that is not leaving, although it failed
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -28,14 +28,20 @@
 
 // load is the estimated number of calls at the endpoint, from all hosts.
 func (endpoint *endpoint) load(now bvclock.Time) float64 {
+	told := float64(endpoint.running) + float64(endpoint.others)*endpoint.faith(now)
 	if endpoint.peersAt != 0 && now.Sub(endpoint.peersAt) < peersFor {
-		return float64(endpoint.running + endpoint.peers)
+		return max(told, float64(endpoint.running+endpoint.peers))
 	}
+	return told
+}
+
+// faith is how much the endpoint's last word still counts, from 1 to 0.
+func (endpoint *endpoint) faith(now bvclock.Time) float64 {
 	age := now.Sub(endpoint.toldAt)
 	if age >= toldFor {
-		return float64(endpoint.running)
+		return 0
 	}
-	return float64(endpoint.running) + float64(endpoint.others)*(1-float64(age)/float64(toldFor))
+	return 1 - float64(age)/float64(toldFor)
 }
 
 func (endpoint *endpoint) slots() float64 {
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -38,6 +38,10 @@
 	Object       uint64          // that the call concerns; 0: none, or it makes no difference
 	Avoid        map[string]bool // endpoints that must not be chosen again
 	Content      uint64          // what the request is known by when it comes again
+
+	// Set by Choose, for the log: what the decision went by.
+	Cached int     // tokens of the prompt that the chosen endpoint is thought to have
+	Load   float64 // calls that it is thought to have, from all hosts
 }
 
 // Pool decides for the endpoints of one service. It is not safe for
--- /dev/null
+++ b/bvdispatch/sample_test.go
@@ -0,0 +1,73 @@
+package bvdispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Forty engines are well filled, and the calls of one have just ended. All of
+// eighty hosts know that, and nothing of what the others send meanwhile. Without
+// a sample, the next hundred calls all go there and wait for each other.
+func TestCrowdDoesNotFallOnOneIdleEndpoint(t *testing.T) {
+	const hosts, calls = 80, 100
+	pools := make([]*Pool, hosts)
+	loads := make(map[uint64]int)
+	listed := engines(40)
+	for i := range listed {
+		loads[HashName(listed[i].Name)] = 12
+	}
+	loads[HashName(listed[17].Name)] = 1
+	for i := range pools {
+		pools[i] = NewPool(uint64(i), "")
+		pools[i].SetEndpoints(listed)
+		pools[i].SetPeerLoads(1, loads)
+	}
+	reached := make(map[string]int)
+	for i := range calls {
+		pool, request := pools[i%hosts], prompt(uint64(i%5), uint64(1000+i))
+		chosen, found := pool.Choose(1, request)
+		require.True(t, found)
+		pool.Begin(1, chosen.Name, request)
+		reached[chosen.Name]++
+	}
+	require.Positive(t, reached[listed[17].Name])
+	for name, count := range reached {
+		require.Less(t, count, 30, name)
+	}
+}
+
+// In a crowd too, a conversation goes on where it is cached.
+func TestCrowdDoesNotMoveConversations(t *testing.T) {
+	pool := newTestPool(40)
+	loads := make(map[uint64]int)
+	for _, row := range pool.rows {
+		loads[row.hash] = 12
+	}
+	pool.SetPeerLoads(1, loads)
+	for session := range uint64(30) {
+		request := prompt(session%5, 1000+session)
+		first, _ := pool.Choose(1, request)
+		pool.Begin(1, first.Name, request)
+		next, _ := pool.Choose(1, request)
+		require.Equal(t, first.Name, next.Name)
+	}
+}
+
+// Now and then a sample is empty. The call must then go where it costs least,
+// not to any endpoint.
+func TestEmptySampleIsNoBadChoice(t *testing.T) {
+	pool := newTestPool(5)
+	loads := make(map[uint64]int)
+	for i, row := range pool.rows {
+		loads[row.hash] = 40 - 5*i
+	}
+	pool.SetPeerLoads(1, loads)
+	reached := make(map[string]int)
+	for range 1000 {
+		chosen, found := pool.Choose(1, &Request{})
+		require.True(t, found)
+		reached[chosen.Name]++
+	}
+	require.Less(t, reached["e0"], reached["e4"]/3)
+}
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -82,6 +82,10 @@
 		fields["sent_ms"] = int64(call.sentAt.Sub(call.arrived))
 		fields["load"] = fmt.Sprintf("%d+%d/%d", call.load.Running, call.load.Waiting, call.load.Slots)
 	}
+	if call.service != nil && call.service.Engine != nil && call.sends > 0 {
+		fields["prompt"], fields["cached"] = call.wish.PromptTokens, call.wish.Cached
+		fields["load_thought"] = int(call.wish.Load)
+	}
 	if call.stream.count > 0 {
 		fields["first_ms"] = int64(call.firstAt.Sub(call.arrived))
 		fields["events"] = call.stream.count
