A store that is away in part is not lost; turns may stand in three parts

Change: a failed call makes a trial due at once, whose answer shows that the store is there; a turn that its part does not take is written to a second and third. Tests first: TestStoreThatIsAwayInPartIsNotLost, TestTurnIsKeptWhileItsPartOfTheStoreIsAway, TestTurnIsNotUnknownWhileOneOfItsPlacesIsAway.

--- a/bvhistory/history_test.go
+++ b/bvhistory/history_test.go
@@ -95,6 +95,52 @@
 	require.Positive(t, bvverdict.From(err).RetryAfter())
 }
 
+// partlyAway is a store of which some parts answer nothing.
+type partlyAway struct {
+	store
+	away map[string]bool // by part
+}
+
+func (store *partlyAway) has(key string) bool {
+	return !store.away[strings.Split(key, "/")[1]]
+}
+
+func (store *partlyAway) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	if !store.has(transaction.Puts[0].Key) {
+		return 0, bvplatform.ErrUnknown
+	}
+	return store.store.Commit(ctx, transaction)
+}
+
+func (store *partlyAway) Read(ctx context.Context, keys ...string) ([]bvplatform.Row, error) {
+	if !store.has(keys[0]) {
+		return nil, bvplatform.ErrUnavailable
+	}
+	return store.store.Read(ctx, keys...)
+}
+
+// A part of the store is away when a turn ends, and back when the next one comes
+// through another host. The turn must be kept meanwhile, and found afterwards.
+func TestTurnIsKeptWhileItsPartOfTheStoreIsAway(t *testing.T) {
+	shared := &partlyAway{away: map[string]bool{strings.Split(key("t1", 0, 0), "/")[1]: true}}
+	say(t, newTestKeeper(shared), "", "t1", "a", "b\n")
+	chain, err := newTestKeeper(shared).Chain(t.Context(), "t1")
+	require.NoError(t, err, "while the part is still away")
+	require.Equal(t, "ab\n", string(chain.Prompt(nil)))
+	shared.away = nil
+	_, err = newTestKeeper(shared).Chain(t.Context(), "t1")
+	require.NoError(t, err, "when the part is back")
+}
+
+// One of the places of a turn can't be read: nobody can say that there is none.
+func TestTurnIsNotUnknownWhileOneOfItsPlacesIsAway(t *testing.T) {
+	for place := range places {
+		shared := &partlyAway{away: map[string]bool{strings.Split(key("t1", place, 0), "/")[1]: true}}
+		_, err := newTestKeeper(shared).Chain(t.Context(), "t1")
+		require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code())
+	}
+}
+
 // The store's answer to the write is lost after the write took effect. The
 // turn is written again and stands once.
 func TestLostAnswerIsWrittenAgain(t *testing.T) {
@@ -189,7 +235,7 @@
 	gone := &Turn{ID: "gone", Expires: 1, Input: make([]byte, 10_000)}
 	kept := newTurn(nil, Said{ID: "kept", Retain: bvclock.Minute}, time.Now().Unix())
 	for _, turn := range []*Turn{gone, kept} {
-		_, err := shared.Memory.Commit(t.Context(), bvplatform.Transaction{Puts: keeper.rows(turn)})
+		_, err := shared.Memory.Commit(t.Context(), bvplatform.Transaction{Puts: keeper.rows(turn, 0)})
 		require.NoError(t, err)
 	}
 	removed := 0
--- a/bvhistory/keeper.go
+++ b/bvhistory/keeper.go
@@ -45,6 +45,11 @@
 	// shards is the number of parts that turns are spread over; a part takes
 	// 200 writes a second.
 	shards = 256
+	// places is in how many parts a turn may stand: it is written to the first
+	// that takes it. Where a fifth of the store's parts are away, as was seen, a
+	// conversation of nine turns is kept with one part in one case of eight, with
+	// two in two of three, and with three in 11 of 12.
+	places = 3
 	// cacheBytes is the most that is kept at hand. A conversation has some
 	// 35 KB, and a host of the users' sites has some tens under way.
 	cacheBytes = 6 << 20
@@ -146,9 +151,8 @@
 func (keeper *Keeper) Add(ctx context.Context, chain Chain, said Said) error {
 	now := time.Now().Unix()
 	turn := newTurn(chain, said, now)
-	transaction := bvplatform.Transaction{Puts: keeper.rows(turn)}
-	for {
-		_, err := keeper.store.Commit(ctx, transaction)
+	for try := 0; ; try++ {
+		_, err := keeper.store.Commit(ctx, bvplatform.Transaction{Puts: keeper.rows(turn, try%places)})
 		if err == nil {
 			keeper.remember(turn)
 			return nil
@@ -157,7 +161,8 @@
 			return bvverdict.New(bvverdict.Ran, bvverdict.PlatformUnavailable, "the turn can't be kept").WithCause(err)
 		}
 		// The same rows under a name that nobody else uses: writing them
-		// twice changes nothing, so an answer that was lost needs no look.
+		// twice changes nothing, so an answer that was lost needs no look,
+		// and the next try may go to another part.
 		keeper.log.WithField("request", said.ID).WithError(err).Warn("turn not kept yet")
 		wait(ctx, retryPause)
 	}
@@ -191,14 +196,19 @@
 	return turn
 }
 
-func key(id string, piece int) string {
-	base := fmt.Sprintf("history/%02x/%s", xxhash.Sum64String(id)%shards, id)
+// key is where a piece of a turn stands, in one of its places.
+func key(id string, place, piece int) string {
+	part := (xxhash.Sum64String(id) >> (placeBits * place)) % shards
+	base := fmt.Sprintf("history/%02x/%s", part, id)
 	if piece == 0 {
 		return base
 	}
 	return fmt.Sprintf("%s+%d", base, piece)
 }
 
+// placeBits is how many bits of a turn's hash choose its part in one place.
+const placeBits = 8
+
 // base64Share is the part of a row that a value may fill, in case that a row's
 // limit counts the encoded bytes.
 const base64Share = 0.74
@@ -207,8 +217,8 @@
 // byte, and when they expire, in eight.
 const headBytes = 9
 
-// rows splits a turn into rows.
-func (keeper *Keeper) rows(turn *Turn) []bvplatform.Put {
+// rows splits a turn into the rows of one of its places.
+func (keeper *Keeper) rows(turn *Turn, place int) []bvplatform.Put {
 	encoded := turn.encode()
 	limit := max(int(float64(keeper.rowBytes)*base64Share), 1<<10)
 	count := (len(encoded) + limit - 1) / limit
@@ -216,7 +226,7 @@
 	for piece := range count {
 		value := binary.BigEndian.AppendUint64([]byte{byte(count)}, uint64(turn.Expires))
 		value = append(value, encoded[piece*limit:min((piece+1)*limit, len(encoded))]...)
-		puts = append(puts, bvplatform.Put{Key: key(turn.ID, piece), Value: value})
+		puts = append(puts, bvplatform.Put{Key: key(turn.ID, place, piece), Value: value})
 	}
 	return puts
 }
@@ -238,8 +248,27 @@
 	return turn, nil
 }
 
+// read looks for a turn in its places. That there is no such turn is sure only
+// if all of them were read.
 func (keeper *Keeper) read(ctx context.Context, id string) ([]byte, error) {
-	rows, err := keeper.store.Read(ctx, key(id, 0))
+	var unsure error
+	for place := range places {
+		encoded, err := keeper.readPlace(ctx, id, place)
+		if err == nil {
+			return encoded, nil
+		}
+		if !errors.Is(err, bvplatform.ErrNotFound) {
+			unsure = err
+		}
+	}
+	if unsure != nil {
+		return nil, unsure
+	}
+	return nil, fmt.Errorf("turn %s: %w", id, bvplatform.ErrNotFound)
+}
+
+func (keeper *Keeper) readPlace(ctx context.Context, id string, place int) ([]byte, error) {
+	rows, err := keeper.store.Read(ctx, key(id, place, 0))
 	if err != nil {
 		return nil, err
 	}
@@ -252,7 +281,7 @@
 	}
 	keys := make([]string, 0, pieces)
 	for piece := 1; piece < pieces; piece++ {
-		keys = append(keys, key(id, piece))
+		keys = append(keys, key(id, place, piece))
 	}
 	rest, err := keeper.store.Read(ctx, keys...)
 	if err != nil {
--- a/bvrouter/reach.go
+++ b/bvrouter/reach.go
@@ -57,6 +57,8 @@
 	lost     bool
 	usual    float64 // duration of an answered call, in milliseconds
 	overruns int     // calls in a row that ran out of time
+
+	doubts chan struct{} // holds one while a trial is due
 }
 
 func newReach(own Platform, clock bvclock.Clock, log logrus.FieldLogger, helpers func() []string, count func(kind string)) *reach {
@@ -67,6 +69,7 @@
 		log:     log,
 		helpers: helpers,
 		calls:   make(map[int64]bvclock.Time),
+		doubts:  make(chan struct{}, 1),
 		clients: make(map[string]*bvplatform.Client),
 	}
 }
@@ -143,6 +146,23 @@
 	return err
 }
 
+func (reach *reach) failing() bool {
+	reach.mutex.Lock()
+	defer reach.mutex.Unlock()
+	return reach.failures > 0
+}
+
+// doubt makes the next trial due at once after a failed call. Where only some
+// parts of the store are away, two calls for such parts in a row would make it
+// count as lost, for calls that it would answer too; the trial's answer shows
+// that it is not.
+func (reach *reach) doubt() {
+	select {
+	case reach.doubts <- struct{}{}:
+	default: // one is due already
+	}
+}
+
 // kindOf names a call by what it does and the table of its first key.
 func kindOf(call string, keys ...string) string {
 	if len(keys) == 0 {
@@ -167,13 +187,19 @@
 	return min(bound<<min(reach.overruns, 8), storePatience)
 }
 
-// watch tries a lost store again and again until ctx ends. Trials overlap, so
-// that one which hangs does not hide that the store is back.
+// watch tries the store after a failed call, and a lost one again and again,
+// until ctx ends. Trials overlap, so that one which hangs does not hide that the
+// store is back.
 func (reach *reach) watch(ctx context.Context, key string) {
 	for ctx.Err() == nil {
-		pause(ctx, trialInterval)
-		if !reach.up() {
+		select {
+		case <-reach.doubts:
 			go reach.try(ctx, key)
+		case <-bvclock.After(trialInterval):
+			if !reach.up() {
+				go reach.try(ctx, key)
+			}
+		case <-ctx.Done():
 		}
 	}
 }
@@ -195,6 +221,9 @@
 	err := bvplatform.ErrUnavailable
 	if reach.up() {
 		err = reach.track(ctx, kind, func(ctx context.Context) error { return call(ctx, reach.own) })
+		if reach.failing() {
+			reach.doubt()
+		}
 		if !errors.Is(err, bvplatform.ErrUnavailable) {
 			return err
 		}
--- a/bvrouter/reach_test.go
+++ b/bvrouter/reach_test.go
@@ -120,6 +120,21 @@
 	require.ErrorIs(t, err, bvplatform.ErrUnknown)
 }
 
+// Some parts of the store are away and the others are served. Calls for the lost
+// parts come in a row now and then; they must not make all calls fail.
+func TestStoreThatIsAwayInPartIsNotLost(t *testing.T) {
+	own := &switchedPlatform{}
+	reach := newTestReach(own, bvclock.Boot())
+	go reach.watch(t.Context(), "hosts//a")
+	for range 20 {
+		err := reach.do(t.Context(), "read", func(context.Context, bvplatform.Store) error { return bvplatform.ErrUnavailable })
+		require.ErrorIs(t, err, bvplatform.ErrUnavailable)
+		require.Eventually(t, func() bool { return !reach.failing() }, 10*bvclock.Second.Std(), bvclock.Millisecond.Std(),
+			"the host tries a part that is served")
+		require.True(t, reach.up())
+	}
+}
+
 // A lost connection is not a failed check: a conflict is the store's answer.
 func TestConflictIsAnAnswer(t *testing.T) {
 	reach := newTestReach(&switchedPlatform{}, bvclock.Boot())
