--- a/bvhistory/history_test.go
+++ b/bvhistory/history_test.go
@@ -244,7 +244,7 @@
 		require.NoError(t, err)
 		removed += count
 	}
-	require.Equal(t, len(keeper.rows(gone)), removed)
+	require.Equal(t, len(keeper.rows(gone, 0)), removed)
 	_, err := newTestKeeper(shared).Chain(t.Context(), "kept")
 	require.NoError(t, err)
 }
