Endpoints are judged by how calls end there, by the hosts of a zone together

Cause: an engine that fails two calls of five, hangs or is eight times as slow kept its share: failures were counted in a row and by one host alone, errors and hangs of the engine's own didn't count, and slowness not at all. Change: each call's end makes a report (ended, failed, pace); digests carry them within a zone; a judgement fades in 3 s and makes an endpoint dearer, never closed.

--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -96,6 +96,7 @@
 	if load >= slots {
 		cost += duration * (load - slots + 1) / slots
 	}
+	cost += row.seen.cost(now, pool.pace.or(0), duration)
 	if request.Object != 0 {
 		cost += objectWeight * row.place(request.Object)
 	}
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -152,13 +152,37 @@
 	desk.pool(service).Told(now, endpoint, load)
 }
 
-// End notes how a call ended and how long it took since its sending.
-func (desk *Desk) End(service, endpoint string, request *Request, outcome Outcome, took bvclock.Duration) {
+// Untold returns how this host's calls ended since the last look, by the hash of
+// the endpoint's name.
+func (desk *Desk) Untold() map[uint64]Report {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	untold := make(map[uint64]Report)
+	for _, pool := range desk.pools {
+		maps.Copy(untold, pool.Untold())
+	}
+	return untold
+}
+
+// Seen takes in how another host's calls ended.
+func (desk *Desk) Seen(reports map[uint64]Report) {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	for endpoint, report := range reports {
+		for _, pool := range desk.pools {
+			pool.Seen(now, endpoint, report)
+		}
+	}
+}
+
+// End notes how a call ended.
+func (desk *Desk) End(service, endpoint string, request *Request, result Result) {
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	desk.pool(service).End(now, endpoint, outcome, took)
-	switch outcome {
+	desk.pool(service).End(now, endpoint, result)
+	switch result.Outcome {
 	case Broken:
 		desk.suspects.Broke(now, request.Content, HashName(endpoint))
 	case Unreachable, Wrong:
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -20,6 +20,8 @@
 	peersAt bvclock.Time
 	cache   cache
 	health  health
+	seen    judgement
+	untold  Report // own calls, since other hosts were told
 }
 
 // peersFor is how long the other hosts' word on their calls is taken before the
--- a/bvdispatch/health.go
+++ b/bvdispatch/health.go
@@ -18,6 +18,15 @@
 	Wrong                      // wrong instance
 )
 
+// Result is how a call at an endpoint ended.
+type Result struct {
+	Outcome Outcome
+	Took    bvclock.Duration // since its sending
+	Begun   bool             // an answer began
+	Erred   bool             // the answer is an error of the endpoint's own
+	Pace    bvclock.Duration // for an event, or for a whole answer without events; 0: not known
+}
+
 const (
 	// firstAway is how long an endpoint gets no calls after its first
 	// failure; it doubles with each further one. Endpoints that crash are
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -16,7 +16,7 @@
 //	pool.SetEndpoints(now, endpoints)
 //	chosen, found := pool.Choose(now, request)
 //	pool.Begin(now, chosen.Name, request)
-//	pool.End(now, chosen.Name, request, bvdispatch.Served, duration)
+//	pool.End(now, chosen.Name, bvdispatch.Result{Outcome: bvdispatch.Served, Took: duration})
 package bvdispatch
 
 import (
@@ -51,6 +51,7 @@
 	byName   map[string]*endpoint
 	random   *rand.Rand
 	duration average // of a call, in milliseconds
+	pace     average // of calls, in milliseconds for an event or answer
 	zone     string  // availability zone of this host
 
 	beginnings      map[uint64]beginning // first parts of prompts, by key
@@ -135,17 +136,47 @@
 	return running
 }
 
-// End notes how a call ended. The duration counts from its sending.
-func (pool *Pool) End(now bvclock.Time, name string, outcome Outcome, took bvclock.Duration) {
+// End notes how a call ended.
+func (pool *Pool) End(now bvclock.Time, name string, result Result) {
 	row := pool.byName[name]
 	if row == nil {
 		return
 	}
 	row.running = max(row.running-1, 0)
-	row.health.judge(now, outcome)
-	if outcome == Served {
-		pool.duration.add(float64(took))
+	row.health.judge(now, result.Outcome)
+	report := reportOf(result)
+	row.seen.add(now, report)
+	row.untold.add(report)
+	if result.Outcome != Served {
+		return
+	}
+	pool.duration.add(float64(result.Took))
+	if result.Pace > 0 {
+		pool.pace.add(float64(result.Pace))
+	}
+}
+
+// Seen takes in another host's report, by the hash of the endpoint's name.
+func (pool *Pool) Seen(now bvclock.Time, endpoint uint64, report Report) {
+	for _, row := range pool.rows {
+		if row.hash == endpoint {
+			row.seen.add(now, report)
+			return
+		}
+	}
+}
+
+// Untold returns how this host's calls ended since the last look, by the hash of
+// the endpoint's name.
+func (pool *Pool) Untold() map[uint64]Report {
+	untold := make(map[uint64]Report)
+	for _, row := range pool.rows {
+		if row.untold != (Report{}) {
+			untold[row.hash] = row.untold
+			row.untold = Report{}
+		}
 	}
+	return untold
 }
 
 // Told takes in an endpoint's own word on its load.
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -42,10 +42,13 @@
 	held    int64 // bytes of memory taken for the body
 	wish    bvdispatch.Request
 
-	sends  int  // endpoints it was sent to
-	runs   int  // of those, which may have run it
-	begun  bool // the answer's head is out
-	stream events
+	sends int  // endpoints it was sent to
+	runs  int  // of those, which may have run it
+	begun bool // the answer's head is out
+
+	answered bool // the last send got the head of an answer
+	erred    bool // and it is an error of the endpoint's own
+	stream   events
 
 	sentAt  bvclock.Time // of the last send
 	firstAt bvclock.Time // of the first event that was handed on
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -58,7 +58,7 @@
 	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	Told(service, endpoint string, load bvroute.Load)
-	End(service, endpoint string, request *bvdispatch.Request, outcome bvdispatch.Outcome, took bvclock.Duration)
+	End(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
 	Poisonous(content uint64) bool
 }
 
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -75,6 +75,7 @@
 // try sends the request to one endpoint and relays its answer.
 func (call *call) try(endpoint bvplatform.Endpoint) error {
 	call.sends++
+	call.answered, call.erred = false, false
 	call.at, call.sentAt = endpoint.Name, call.front.parts.Clock.Now()
 	response, err := call.front.parts.Endpoints.Send(call.ctx, call.outgoing(endpoint))
 	if err != nil {
@@ -91,6 +92,7 @@
 		return call.refused(response.Status)
 	}
 	call.runs++
+	call.answered, call.erred = true, response.Status >= http.StatusInternalServerError
 	err = call.relay(response)
 	outcome := outcomeOf(err)
 	if call.ctx.Err() != nil && outcome == bvdispatch.Broken {
@@ -110,8 +112,15 @@
 
 // ended tells the dispatcher how the last send ended.
 func (call *call) ended(outcome bvdispatch.Outcome) {
-	took := call.front.parts.Clock.Now().Sub(call.sentAt)
-	call.front.parts.Dispatcher.End(call.service.Name, call.at, &call.wish, outcome, took)
+	now := call.front.parts.Clock.Now()
+	result := bvdispatch.Result{Outcome: outcome, Took: now.Sub(call.sentAt), Begun: call.answered, Erred: call.erred}
+	switch {
+	case call.service.Engine == nil:
+		result.Pace = result.Took
+	case call.stream.count > 1:
+		result.Pace = now.Sub(call.firstAt) / bvclock.Duration(call.stream.count-1)
+	}
+	call.front.parts.Dispatcher.End(call.service.Name, call.at, &call.wish, result)
 }
 
 // refused notes that an endpoint did not run the request.
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -123,7 +123,7 @@
 	if far == nil {
 		return
 	}
-	digest.Placements, digest.Programs = gossip.placements, gossip.programs
+	digest.Placements, digest.Programs, digest.Outcomes = gossip.placements, gossip.programs, nil
 	gossip.sendAll(digest, far)
 	gossip.placements, gossip.programs = nil, nil
 }
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -138,6 +138,12 @@
 	for endpoint, count := range running {
 		digest.Loads = append(digest.Loads, &bvgossip.Load{Endpoint: endpoint, Running: uint32(count)})
 	}
+	for endpoint, report := range router.desk.Untold() {
+		digest.Outcomes = append(digest.Outcomes, &bvgossip.Outcome{
+			Endpoint: endpoint, Ended: uint32(report.Ended), Failed: uint32(report.Failed),
+			Paced: uint32(report.Paced), Pace: uint32(report.Pace),
+		})
+	}
 	for _, crash := range router.desk.Crashes() {
 		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request, Endpoint: crash.Endpoint})
 	}
@@ -201,6 +207,13 @@
 		})
 	}
 	handler.desk.Place(placed)
+	seen := make(map[uint64]bvdispatch.Report, len(digest.GetOutcomes()))
+	for _, outcome := range digest.GetOutcomes() {
+		seen[outcome.GetEndpoint()] = bvdispatch.Report{
+			Ended: int(outcome.GetEnded()), Failed: int(outcome.GetFailed()), Paced: int(outcome.GetPaced()), Pace: int(outcome.GetPace()),
+		}
+	}
+	handler.desk.Seen(seen)
 	for _, crash := range digest.GetCrashes() {
 		handler.desk.LearnCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
 	}
