A host that has just started says of no budget that it is spent

The record named two living hosts of which the new process had not heard yet, and took them for dead. Change: for 3 s after its start a host refuses (503) in place of that where the record names a host that it hasn't heard. TestStoppedProgramIsRefusedAfterAllHosts- Restarted asks for the refusal first and for 402 after these 3 s. Test first: TestHostThatHasJustStartedSaysOfNoBudgetThatItIsSpent. One way of asking another host by HTTP in place of two.

--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -87,6 +87,7 @@
 	clock   bvclock.Clock
 	log     logrus.FieldLogger
 	settle  bvclock.Duration
+	started bvclock.Time
 
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -100,7 +101,7 @@
 func NewKeeper(store bvplatform.Store, lenders Lenders, incarnation string, clock bvclock.Clock, log logrus.FieldLogger) *Keeper {
 	keeper := &Keeper{
 		store: store, lenders: lenders, host: incarnation, clock: clock, log: log,
-		settle: defaultSettle, accounts: make(map[string]*account),
+		settle: defaultSettle, started: clock.Now(), accounts: make(map[string]*account),
 	}
 	keeper.holders, _ = simplelru.NewLRU[uint64, []string](maxHolders, nil)
 	return keeper
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"balsamvalve.example/bvclock"
 )
 
 const (
@@ -60,7 +62,7 @@
 	for {
 		host, found := keeper.lenderOf(account, tried)
 		if !found {
-			return nil, sure
+			return nil, sure && !keeper.mayBeUnheard(account)
 		}
 		tried[host] = true
 		keeper.mutex.Lock()
@@ -77,6 +79,28 @@
 	}
 }
 
+// acquaintance is how long after its start a host may not have heard of all
+// others: it reads their list each second at first, and digests come ten times a
+// second, some of them lost.
+const acquaintance = 3 * bvclock.Second
+
+// mayBeUnheard reports whether the program's record names a host that this one
+// may only not have heard of yet. A host that has just started can't tell it
+// from a dead one, and would tell the program that its budget is spent while
+// most of it lies unspent there.
+func (keeper *Keeper) mayBeUnheard(account *account) bool {
+	if keeper.clock.Now().Sub(keeper.started) >= acquaintance {
+		return false
+	}
+	keeper.mutex.Lock()
+	granted := slices.Collect(maps.Keys(account.record.Granted))
+	keeper.mutex.Unlock()
+	return slices.ContainsFunc(granted, func(incarnation string) bool {
+		_, heard := keeper.lenders.Address(incarnation)
+		return incarnation != keeper.host && !heard
+	})
+}
+
 // lenderOf returns a host that may hold tokens of a program and was not tried
 // yet: one that told so, one that others told of, or one that its record names.
 // Digests alone are not enough: a program's next turn can come before they do,
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -72,7 +72,7 @@
 
 func (lenders lossyLenders) Ask(_ context.Context, host, program string, tokens int, partial bool) (asked, answered bool) {
 	lender := lenders.world.keepers[host]
-	if lender == nil || host == lenders.self {
+	if lender == nil || host == lenders.self || lenders.world.deaf {
 		return false, false
 	}
 	lent, holders := lender.Lend(lenders.self, program, tokens, partial)
@@ -91,7 +91,7 @@
 // and a number.
 func (lenders lossyLenders) Address(incarnation string) (string, bool) {
 	for host, keeper := range lenders.world.keepers {
-		if keeper.host == incarnation {
+		if keeper.host == incarnation && !lenders.world.deaf {
 			return host, true
 		}
 	}
@@ -110,6 +110,7 @@
 	clock   *bvclock.Manual
 	keepers map[string]*Keeper
 	lending string
+	deaf    bool // no host has heard of another
 	letters []letter
 	open    []*Reservation
 	handed  map[string]int
@@ -289,10 +290,32 @@
 		world.restart(host)
 	}
 	err := world.reserve("b", "p", false)
+	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code(), "another host may not have been heard yet")
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+	world.clock.Advance(acquaintance)
+	err = world.reserve("b", "p", false)
 	require.Equal(t, bvverdict.BudgetExceeded, bvverdict.From(err).Code())
 	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
 }
 
+// A host has just started and heard nobody. A program whose budget lies unspent at
+// the others comes to it, and must not be told that it is spent.
+func TestHostThatHasJustStartedSaysOfNoBudgetThatItIsSpent(t *testing.T) {
+	world := newWorld()
+	for _, host := range []string{"a", "b"} {
+		require.NoError(t, world.reserve(host, "p", host == "b"))
+	}
+	world.restart("c")
+	world.deaf = true
+	err := world.reserve("c", "p", true)
+	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code())
+	world.deaf = false
+	for _, open := range world.open {
+		open.Close()
+	}
+	require.NoError(t, world.reserve("c", "p", true))
+}
+
 // A program's second turn comes through another host while the store is away.
 // The first host holds a block, so the turn goes on.
 func TestTurnGoesOnThroughAnotherHostWhileTheStoreIsAway(t *testing.T) {
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -68,11 +68,9 @@
 	return nil
 }
 
-// fetchConversation returns nil where the host does not have it.
-func fetchConversation(ctx context.Context, address, turn string) (bvhistory.Chain, error) {
-	ctx, cancel := context.WithTimeout(ctx, conversationPatience.Std())
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/conversations/"+url.PathEscape(turn), nil)
+// get asks another host; the caller closes the answer's body.
+func get(ctx context.Context, address, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
@@ -80,6 +78,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
+	return response, nil
+}
+
+// fetchConversation returns nil where the host does not have it.
+func fetchConversation(ctx context.Context, address, turn string) (bvhistory.Chain, error) {
+	ctx, cancel := context.WithTimeout(ctx, conversationPatience.Std())
+	defer cancel()
+	response, err := get(ctx, address, "/conversations/"+url.PathEscape(turn))
+	if err != nil {
+		return nil, err
+	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode == http.StatusNotFound {
 		return nil, nil
@@ -115,13 +124,9 @@
 func fetchRoutes(ctx context.Context, address string) (*bvroute.Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Std())
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/routes", nil)
-	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := get(ctx, address, "/routes")
 	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
