--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 TIME ?= $(FUZZ_TIME)
 RACE_PACKAGES ?= ./...
 
-.PHONY: all build demo test test-race fuzz measure bench format lint tools generate check clean
+SEED ?= 1000
+SEEDS ?= 10
+SOAK ?= -soak.length 12s -soak.hosts 4 -soak.callers 6
+
+.PHONY: all build demo test test-race fuzz soak measure bench format lint tools generate check clean
 
 all: build
 
@@ -23,6 +27,10 @@
 fuzz: ## explore fresh seeds for TIME
 	bash scripts/fuzz.sh $(TIME)
 
+soak: build ## routing daemons as processes under faults: SEEDS seeds from SEED on, reports into out/soak
+	$(GO) test ./platform -run '^TestSoak$$' -v -timeout 0 -soak.binary $(BIN)/balsamvalve \
+		-soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.report $(CURDIR)/out/soak $(SOAK)
+
 measure: build ## the decisions against their baselines, in virtual time
 	$(BIN)/balsamvalve experiment
 
