--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -108,3 +108,39 @@
 		}
 	}
 }
+
+// Granted is what a grantor knows of one program, for the next process of its
+// host.
+type Granted struct {
+	Program string           `json:"program"`
+	Left    int              `json:"left"`   // tokens not granted yet
+	Idle    bvclock.Duration `json:"idle"`   // since the last grant, in milliseconds
+	Retain  bvclock.Duration `json:"retain"` // how long the program may pause, in milliseconds
+}
+
+// Granted returns all grants of programs that are not over. It is called when
+// this host grants nothing more.
+func (keeper *Keeper) Granted() []Granted {
+	now := keeper.clock.Now()
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.forgetGrants(now)
+	granted := make([]Granted, 0, len(keeper.grants))
+	for program, grant := range keeper.grants {
+		granted = append(granted, Granted{
+			Program: program, Left: grant.left, Idle: now.Sub(grant.usedAt), Retain: grant.retain,
+		})
+	}
+	return granted
+}
+
+// Inherit takes over the grants of this host's last process, before this one
+// grants anything.
+func (keeper *Keeper) Inherit(granted []Granted) {
+	now := keeper.clock.Now()
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	for _, known := range granted {
+		keeper.grants[known.Program] = &grant{left: known.Left, usedAt: now.Add(-known.Idle), retain: known.Retain}
+	}
+}
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -144,6 +144,29 @@
 	world.keepers[host] = NewKeeper(world.store, lossyLenders{world, host}, incarnation, world.clock, quiet())
 }
 
+// spendAndEnd hands events of an open turn to its caller and ends it.
+func (world *world) spendAndEnd(at, events int) {
+	reservation := world.open[at]
+	for range events {
+		if reservation.Spend(testEvent) {
+			world.handed[reservation.account.program] += testEvent
+		}
+	}
+	reservation.Close()
+	world.open = append(world.open[:at], world.open[at+1:]...)
+}
+
+// dropTurnsOf forgets the turns under way on a host, which is about to end.
+func (world *world) dropTurnsOf(host string) {
+	kept := world.open[:0]
+	for _, reservation := range world.open {
+		if reservation.keeper != world.keepers[host] {
+			kept = append(kept, reservation)
+		}
+	}
+	world.open = kept
+}
+
 // tellHolders passes on which hosts hold which programs, as digests do.
 func (world *world) tellHolders() {
 	for host, keeper := range world.keepers {
@@ -238,13 +261,7 @@
 			},
 			"die": func(rt *rapid.T) {
 				host := hosts.Draw(rt, "host")
-				kept := world.open[:0]
-				for _, reservation := range world.open {
-					if reservation.keeper != world.keepers[host] {
-						kept = append(kept, reservation)
-					}
-				}
-				world.open = kept
+				world.dropTurnsOf(host)
 				world.restart(host)
 			},
 			"": func(rt *rapid.T) {
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -12,7 +12,9 @@
 // to do with what the store records.
 //
 // Only when the whole system starts for the first time is there nobody before:
-// hosts wait then until all of them have read the same list.
+// hosts wait then until all of them have read the same list. A host that stops as
+// planned hands over what it has granted, and its next process goes on from
+// there.
 //
 // # Usage
 //
@@ -23,6 +25,7 @@
 package bvlease
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +41,23 @@
 	// it was stopped, beyond the time for which its route keeps turns. The
 	// longest of the users' sheets take 20 s.
 	LongestProgram = bvclock.Minute
+	// longestRetain is the longest time of a route that keeps turns for which
+	// grants are made (users' sheets: a minute at most).
+	longestRetain = 5 * bvclock.Minute
+	// longestTakeover is how long a new holder waits: until the one before it has
+	// surely stopped granting, and no program that it granted for can come back.
+	longestTakeover = leaseTime + LongestProgram + longestRetain + readGap
+	// readGap is the longest time between two readings in which a former host
+	// that was back and left again is not noticed; the list is read each 10 s.
+	readGap = 15 * bvclock.Second
+	// blindGap is the time between two readings after which this host begins
+	// anew. A host that was never seen here needs longestTakeover before its
+	// first grant.
+	blindGap = 2 * bvclock.Minute
+	// HandoverTime is how old what a process left behind may be for the next one of
+	// its host to go on from there: restarts take a second or two, and others wait
+	// for longestTakeover.
+	HandoverTime = leaseTime
 	// firstListed is how soon after its start a host must be listed to take part
 	// in the first list. All hosts start within 0.3 s of each other.
 	firstListed = 3 * bvclock.Second
@@ -71,12 +91,13 @@
 	first   bool // the whole system started for the first time
 	started bvclock.Time
 
-	mutex   sync.Mutex
-	wrote   bvclock.Time // when this host's row was written; 0: not yet
-	asked   bvclock.Time // when the last reading of the list began; 0: not yet
-	rows    []row
-	formers []former
-	stopped bool
+	mutex     sync.Mutex
+	wrote     bvclock.Time // when this host's row was written; 0: not yet
+	asked     bvclock.Time // when the last reading of the list began; 0: not yet
+	rows      []row
+	formers   []former
+	succeeded bool // this host goes on from what its last process handed over
+	stopped   bool
 }
 
 // New returns the view of a host that knows no list yet.
@@ -92,11 +113,30 @@
 }
 
 // Stop ends all grants of this host. It is called before the host takes itself
-// off the list.
-func (leases *Leases) Stop() {
+// off the list. It returns the names of the hosts on the list, and whether the
+// next process of this host may go on from here: only if nobody else's grants are
+// to be waited for.
+func (leases *Leases) Stop(now bvclock.Time) (names []string, heritable bool) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.stopped = true
+	for _, row := range leases.rows {
+		names = append(names, row.Name)
+	}
+	leases.dropFormers(now)
+	return names, leases.wrote != 0 && leases.confirmed(now) && leases.alone(now) && len(leases.formers) == 0
+}
+
+// Succeed notes that this host goes on from where its last process stopped, which
+// knew the named hosts. It is called before the first list is taken over, soon
+// after that stop: before another host may take its programs over.
+func (leases *Leases) Succeed(names []string) {
+	leases.mutex.Lock()
+	defer leases.mutex.Unlock()
+	leases.succeeded = true
+	for _, name := range names {
+		leases.rows = append(leases.rows, row{Host: Host{Name: name}, seed: xxhash.Sum64String(name)})
+	}
 }
 
 // Listed takes over the list. Asked is when its reading began, before which
@@ -104,18 +144,56 @@
 func (leases *Leases) Listed(asked, now bvclock.Time, hosts []Host) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
-	names := make(map[string]bool, len(hosts))
+	listed := make(map[uint64]bool, len(hosts))
 	rows := make([]row, 0, len(hosts))
 	for _, host := range hosts {
-		names[host.Name] = true
-		rows = append(rows, row{Host: host, seed: xxhash.Sum64String(host.Name)})
+		seed := xxhash.Sum64String(host.Name)
+		listed[seed] = true
+		rows = append(rows, row{Host: host, seed: seed})
 	}
+	leases.noteGap(asked, now)
 	for _, before := range leases.rows {
-		if !names[before.Name] {
+		if !listed[before.seed] {
 			leases.formers = append(leases.formers, former{seed: before.seed, gone: now})
 		}
 	}
 	leases.rows, leases.asked = rows, asked
+	leases.formers = slices.DeleteFunc(leases.formers, func(former former) bool { return listed[former.seed] })
+	leases.dropFormers(now)
+}
+
+// noteGap guards against what happened unseen since the last reading. A former
+// host may have been back, granted and left again: its time begins anew. After a
+// long gap this may be true of a host that was never seen here, so that this one
+// begins as if it had just been listed.
+func (leases *Leases) noteGap(asked, now bvclock.Time) {
+	if leases.asked == 0 {
+		return
+	}
+	gap := asked.Sub(leases.asked)
+	if gap > readGap {
+		for i := range leases.formers {
+			leases.formers[i].gone = now
+		}
+	}
+	if gap > blindGap {
+		leases.first, leases.succeeded, leases.wrote = false, false, now
+	}
+}
+
+// dropFormers forgets those whose time is over.
+func (leases *Leases) dropFormers(now bvclock.Time) {
+	leases.formers = slices.DeleteFunc(leases.formers, func(former former) bool {
+		return now.Sub(former.gone) >= longestTakeover
+	})
+}
+
+// Shows reports whether the last list that was read has this host's row; it may
+// have been removed by a write of an earlier process that came late.
+func (leases *Leases) Shows() bool {
+	leases.mutex.Lock()
+	defer leases.mutex.Unlock()
+	return slices.ContainsFunc(leases.rows, func(row row) bool { return row.Incarnation == leases.self.Incarnation })
 }
 
 // Confirmed reports whether the list was read lately enough to go by it.
@@ -161,33 +239,26 @@
 func (leases *Leases) MayGrant(now bvclock.Time, program string, retain bvclock.Duration) bool {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
-	if leases.stopped || leases.wrote == 0 || !leases.confirmed(now) {
+	if retain > longestRetain || leases.stopped || leases.wrote == 0 || !leases.confirmed(now) || !leases.alone(now) {
 		return false
 	}
 	best, highest := leases.holder(program)
-	if best == nil || best.Incarnation != leases.self.Incarnation {
-		return false
-	}
-	takeover := leaseTime + LongestProgram + retain
-	return leases.alone(now, takeover) && !leases.followsFormer(now, program, highest, takeover)
+	return best != nil && best.Incarnation == leases.self.Incarnation && !leases.followsFormer(now, program, highest)
 }
 
-// alone reports whether no host can have been the holder before this one was
-// listed, or its time is over.
-func (leases *Leases) alone(now bvclock.Time, takeover bvclock.Duration) bool {
-	if now.Sub(leases.wrote) >= takeover {
+// alone reports whether no host can have granted for this one's programs before
+// it was listed, or those programs are over.
+func (leases *Leases) alone(now bvclock.Time) bool {
+	if leases.succeeded || now.Sub(leases.wrote) >= longestTakeover {
 		return true
 	}
 	return leases.first && leases.wrote.Sub(leases.started) <= firstListed && leases.asked.Sub(leases.started) >= firstRead
 }
 
-// followsFormer reports whether a host that is no longer listed was the holder,
-// and may still be granting, or its programs be under way.
-func (leases *Leases) followsFormer(now bvclock.Time, program string, own uint64, takeover bvclock.Duration) bool {
-	for _, former := range leases.formers {
-		if weight(former.seed, program) > own && now.Sub(former.gone) < takeover {
-			return true
-		}
-	}
-	return false
+// followsFormer reports whether a host that is no longer listed was the program's
+// holder, and may still be granting, or its programs be under way.
+func (leases *Leases) followsFormer(now bvclock.Time, program string, own uint64) bool {
+	return slices.ContainsFunc(leases.formers, func(former former) bool {
+		return weight(former.seed, program) > own && now.Sub(former.gone) < longestTakeover
+	})
 }
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -66,6 +66,7 @@
 		}
 		err := router.readHosts(ctx)
 		lost.Note(unlessEnded(ctx, err))
+		listed = listed && (err != nil || router.leases.Shows())
 		if look < firstHostsLooks || err != nil || !listed {
 			pause(ctx, firstHostsInterval)
 			continue
@@ -74,33 +75,6 @@
 	}
 }
 
-func (router *Router) listSelf(ctx context.Context) error {
-	value, err := json.Marshal(hostRow{
-		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation,
-	})
-	if err != nil {
-		return err
-	}
-	_, err = router.reach.Commit(ctx, bvplatform.Transaction{
-		Puts: []bvplatform.Put{{Key: hostsPrefix + router.settings.Name, Value: value}},
-	})
-	if err == nil {
-		router.leases.Wrote(router.clock.Now())
-	}
-	return err
-}
-
-// unlistSelf takes this host off the list; it is best effort, since hosts that
-// died stay listed too.
-func (router *Router) unlistSelf(ctx context.Context) {
-	_, err := router.reach.Commit(ctx, bvplatform.Transaction{
-		Puts: []bvplatform.Put{{Key: hostsPrefix + router.settings.Name}},
-	})
-	if err != nil {
-		router.log.WithError(err).Debug("host stays listed")
-	}
-}
-
 // readHosts reads the list of hosts and hands it on.
 func (router *Router) readHosts(ctx context.Context) error {
 	asked := router.clock.Now()
--- /dev/null
+++ b/bvrouter/handover.go
@@ -0,0 +1,124 @@
+package bvrouter
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"balsamvalve.example/bvbudget"
+	"balsamvalve.example/bvlease"
+	"balsamvalve.example/bvplatform"
+)
+
+// handoversPrefix is where hosts that stop as planned leave what they granted.
+const handoversPrefix = "handovers//"
+
+const (
+	// handoverShare is the part of a row that a handover may fill, in case that
+	// the limit counts the encoded bytes. A program takes some 70 bytes, and a
+	// host of the users' sites granted for some 250 in the last two minutes.
+	handoverShare = 0.7
+	// clockSkew is the most by which the time of day of two processes may differ
+	// for a handover to be taken up: hosts' clocks differ by 5 s at most.
+	clockSkew = 5 * time.Second
+)
+
+// handover is what the next process of a host needs to go on granting. While a
+// host is away its programs' grants belong to nobody, so that they are as they
+// were left.
+type handover struct {
+	Stopped time.Time          `json:"stopped"`
+	Hosts   []string           `json:"hosts"` // on the list that was gone by
+	Granted []bvbudget.Granted `json:"granted"`
+}
+
+// retire stops granting, and takes this host off the list. With the same
+// transaction it leaves what it granted, if the next process may go on from it.
+//
+// Without that, hosts that are restarted in turn would leave no grantor behind,
+// and programs could not begin in an outage of the store that follows.
+func (router *Router) retire(ctx context.Context) {
+	names, heritable := router.leases.Stop(router.clock.Now())
+	version := router.listedVersion.Load()
+	if version == 0 {
+		return // never listed
+	}
+	// The condition keeps a write that is carried out late from taking the next
+	// process off the list.
+	key := hostsPrefix + router.settings.Name
+	transaction := bvplatform.Transaction{
+		Checks: []bvplatform.Check{{Key: key, Version: version}},
+		Puts:   []bvplatform.Put{{Key: key}},
+	}
+	if heritable {
+		transaction.Puts = append(transaction.Puts, router.leftBehind(names)...)
+	}
+	if _, err := router.reach.Commit(ctx, transaction); err != nil {
+		router.log.WithError(err).Info("host stays listed, and hands nothing over")
+		return
+	}
+	router.log.WithField("granting", heritable).Info("host is off the list")
+}
+
+// leftBehind is the row of a handover, if it fits into one.
+func (router *Router) leftBehind(names []string) []bvplatform.Put {
+	encoded, err := json.Marshal(handover{Stopped: time.Now(), Hosts: names, Granted: router.budgets.Granted()})
+	if err != nil || len(encoded) > int(handoverShare*float64(router.settings.RowBytes)) {
+		router.log.WithError(err).WithField("bytes", len(encoded)).Warn("grants are too many to be handed over")
+		return nil
+	}
+	return []bvplatform.Put{{Key: handoversPrefix + router.settings.Name, Value: encoded}}
+}
+
+// listSelf lists this host, and goes on from what its last process left behind.
+// Taking it up removes it, so that a process that dies leaves nothing.
+func (router *Router) listSelf(ctx context.Context) error {
+	key := handoversPrefix + router.settings.Name
+	rows, err := router.reach.Read(ctx, key)
+	if err != nil {
+		return err
+	}
+	left, usable := router.usable(rows[0])
+	transaction := bvplatform.Transaction{
+		Checks: []bvplatform.Check{{Key: key, Version: rows[0].Version}},
+		Puts:   []bvplatform.Put{router.ownRow()},
+	}
+	if rows[0].Version != 0 {
+		transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: key})
+	}
+	version, err := router.reach.Commit(ctx, transaction)
+	if err != nil {
+		return err
+	}
+	router.listedVersion.Store(version)
+	if usable && !router.succeeded {
+		router.budgets.Inherit(left.Granted)
+		router.leases.Succeed(left.Hosts)
+	}
+	router.succeeded = true // what is found later is not of the last process
+	router.leases.Wrote(router.clock.Now())
+	router.log.WithField("inherited", usable).Info("host is listed")
+	return nil
+}
+
+// usable decodes a handover and reports whether this process may go on from it.
+func (router *Router) usable(row bvplatform.Row) (handover, bool) {
+	if row.Version == 0 {
+		return handover{}, false
+	}
+	var left handover
+	if err := json.Unmarshal(row.Value, &left); err != nil {
+		router.log.WithError(err).Warn("handover can't be read")
+		return handover{}, false
+	}
+	age := time.Since(left.Stopped)
+	return left, age > -clockSkew && age+clockSkew < bvlease.HandoverTime.Std()
+}
+
+// ownRow is this host's row in the list.
+func (router *Router) ownRow() bvplatform.Put {
+	encoded, _ := json.Marshal(hostRow{ // strings always encode
+		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation,
+	})
+	return bvplatform.Put{Key: hostsPrefix + router.settings.Name, Value: encoded}
+}
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -21,6 +21,8 @@
 	// takes 5 to 13 ms, eight are under way at once, and a host of the users'
 	// sites has some tens of programs.
 	giveUpTime = 500 * bvclock.Millisecond
+	// retireTime bounds the one write after that.
+	retireTime = 300 * bvclock.Millisecond
 )
 
 // leave stops without cutting off a request: first the balancer is told, and
@@ -31,8 +33,6 @@
 	router.leaving.Store(true)
 	router.front.Leave()
 	begun := router.clock.Now()
-	router.leases.Stop()
-	go router.unlistSelf(context.Background()) // the store may be away
 	stop := float64(router.current.Load().Stop)
 	accepting := min(leaveTime, bvclock.Duration(stop*leaveShare))
 	bvclock.Sleep(accepting)
@@ -43,8 +43,14 @@
 	if err := router.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("router: requests were cut off after %v: %w", limit, err)
 	}
-	giving, cancel := context.WithTimeout(ctx, giveUpTime.Std())
-	defer cancel()
-	router.budgets.GiveUp(giving)
+	within(ctx, giveUpTime, router.budgets.GiveUp)
+	within(ctx, retireTime, router.retire)
 	return nil
 }
+
+// within calls a function with a bound on its time.
+func within(ctx context.Context, limit bvclock.Duration, call func(ctx context.Context)) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Std())
+	defer cancel()
+	call(ctx)
+}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -86,6 +86,9 @@
 	server      *bvfront.Server
 	leaving     atomic.Bool
 
+	listedVersion atomic.Int64 // of this host's row
+	succeeded     bool         // followHosts' alone: a handover was looked for
+
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
 
 	incarnation string
