--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -46,12 +46,16 @@
 	return half(turn.Budget, turn.Most)
 }
 
-// grant gives out tokens of a program's first half if this host is its grantor.
-// The caller holds the mutex.
-func (keeper *Keeper) grant(want Want) int {
+// grant gives out tokens of a program's first half if this host may. Withheld
+// means that it is the grantor and may not. The caller holds the mutex.
+func (keeper *Keeper) grant(want Want) (tokens int, withheld bool) {
 	now := keeper.clock.Now()
-	if keeper.grantors == nil || !keeper.grantors.MayGrant(now, want.Program, want.Retain) {
-		return 0
+	if keeper.grantors == nil {
+		return 0, false
+	}
+	if !keeper.grantors.MayGrant(now, want.Program, want.Retain) {
+		holder, found := keeper.grantors.Holder(want.Program)
+		return 0, found && holder.Incarnation == keeper.host
 	}
 	found := keeper.grants[want.Program]
 	if found == nil {
@@ -59,24 +63,28 @@
 		keeper.grants[want.Program] = found
 	}
 	found.usedAt, found.retain = now, max(found.retain, want.Retain)
-	given := block(found.left, want.Tokens, want.Most)
+	tokens = block(found.left, want.Tokens, want.Most)
 	if found.left < want.Tokens {
-		given = 0
+		tokens = 0
 		if want.Partial {
-			given = found.left
+			tokens = found.left
 		}
 	}
-	found.left -= given
-	return given
+	found.left -= tokens
+	return tokens, false
 }
 
 // grantHere grants for a turn of this host's own.
-func (keeper *Keeper) grantHere(account *account, turn Turn, partial bool) {
+func (keeper *Keeper) grantHere(account *account, turn Turn, partial bool) (withheld bool) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	if need := turn.Most - account.free; need > 0 {
-		account.free += keeper.grant(turn.want(need, partial))
+	need := turn.Most - account.free
+	if need <= 0 {
+		return false
 	}
+	tokens, withheld := keeper.grant(turn.want(need, partial))
+	account.free += tokens
+	return withheld
 }
 
 // want is what a turn needs of another host.
--- a/bvbudget/half_test.go
+++ b/bvbudget/half_test.go
@@ -169,6 +169,26 @@
 	require.LessOrEqual(t, world.handed["p"], testBudget+testMost)
 }
 
+// A program's grantor dies and comes back, and the row's half is spent. Nobody
+// can tell whether the other half is: the program is not told that its budget is
+// spent, but to come back.
+func TestLostHalfIsNoSpentBudget(t *testing.T) {
+	world, grantor := newHalvesWorld()
+	world.clock.Advance(acquaintance)
+	grantor.again("a", false)
+	world.clock.Advance(acquaintance)
+	for _, host := range []string{"a", "b"} {
+		var err error
+		for err == nil {
+			if err = world.reserve(host, "p", false); err == nil {
+				world.spendAndEnd(0, testMost/testEvent)
+			}
+		}
+		require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code(), "through host %s", host)
+	}
+	require.Equal(t, half(testBudget, testMost)/testMost*testMost, world.handed["p"])
+}
+
 // A program is over for so long that it can't come back. Its grantor forgets it.
 func TestGrantorForgetsProgramsThatAreOver(t *testing.T) {
 	world, _ := newHalvesWorld()
--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -77,7 +77,7 @@
 type Lenders interface {
 	// Ask waits a short time for a host to give up tokens; they come by
 	// Keeper.Lent, also when they are late. A host that is known to be silent
-	// is not asked.
+	// is not asked; one that withholds tokens counts as not having answered.
 	Ask(ctx context.Context, host string, want Want) (asked, answered bool)
 	// Address returns where to ask an incarnation of a host, if it is heard.
 	Address(incarnation string) (host string, heard bool)
@@ -93,6 +93,15 @@
 	Retain  bvclock.Duration // how long the budget is kept after the last turn
 }
 
+// Given is the answer to a Want.
+type Given struct {
+	Tokens  int
+	Holders []string // addresses of other hosts that may hold some
+	// Withheld: this host is the program's grantor and can't tell what was
+	// granted before it started, so that it can neither grant nor deny the rest.
+	Withheld bool
+}
+
 // Turn is what is reserved for.
 type Turn struct {
 	Program   string
@@ -257,9 +266,10 @@
 	return nil, unavailable(cause)
 }
 
-// errUnanswered means that a living host may hold enough tokens of the program.
-// That the budget is spent would end the program, and might be wrong.
-var errUnanswered = errors.New("a host that holds tokens of the program did not answer")
+// errUnanswered means that enough tokens of the program may be left: a living
+// host that holds some did not answer, or the program's grantor is lost or can't
+// tell. That the budget is spent would end the program, and might be wrong.
+var errUnanswered = errors.New("a host that has tokens of the program did not answer")
 
 func unavailable(cause error) error {
 	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the program's budget can't be reserved").
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -61,11 +61,12 @@
 // some of the program: a whole turn from one of the first, or, with partial, all
 // that they can spare. It reports whether all that were asked have answered.
 func (keeper *Keeper) borrow(ctx context.Context, account *account, turn Turn, partial bool) (reservation *Reservation, sure bool) {
-	keeper.grantHere(account, turn, partial)
+	withheld := keeper.grantHere(account, turn, partial)
 	if reservation := keeper.takeFree(account, turn); reservation != nil {
 		return reservation, true
 	}
-	sure = true
+	sure = !withheld
+	grantor, _ := keeper.grantor(account.program)
 	tried := make(map[string]bool)
 	for asks := 0; partial || asks < wholeAsks; {
 		host, found := keeper.lenderOf(account, tried)
@@ -77,7 +78,7 @@
 		need := turn.Most - account.free
 		keeper.mutex.Unlock()
 		asked, answered := keeper.lenders.Ask(ctx, host, turn.want(need, partial))
-		sure = sure && (answered || !asked)
+		sure = sure && (answered || !asked && host != grantor)
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
 			return reservation, sure
 		}
@@ -145,23 +146,24 @@
 
 // Lend gives up tokens for another host: at least as many as it asks for, or
 // none; with partial, as many as there are up to that. They come from what this
-// host holds, or from what it may grant. It also returns the other hosts that may
+// host holds, or from what it may grant. The answer names the other hosts that may
 // hold tokens of the program, as far as they are known here: no record names
 // those that hold only what was lent to them.
-func (keeper *Keeper) Lend(borrower string, want Want) (lent int, holders []string) {
+func (keeper *Keeper) Lend(borrower string, want Want) Given {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	hash := xxhash.Sum64String(want.Program)
-	holders, _ = keeper.holders.Get(hash)
-	lent = keeper.lendFree(want)
-	if lent < want.Tokens {
-		want.Tokens -= lent
-		lent += keeper.grant(want)
+	given := Given{Tokens: keeper.lendFree(want)}
+	given.Holders, _ = keeper.holders.Get(hash)
+	if given.Tokens < want.Tokens {
+		want.Tokens -= given.Tokens
+		granted, withheld := keeper.grant(want)
+		given.Tokens, given.Withheld = given.Tokens+granted, withheld
 	}
-	if lent > 0 {
+	if given.Tokens > 0 {
 		keeper.noteHolder(hash, borrower)
 	}
-	return lent, holders
+	return given
 }
 
 // lendFree gives up what this host holds of a program's budget.
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -75,16 +75,16 @@
 	if lender == nil || host == lenders.self || lenders.world.deaf {
 		return false, false
 	}
-	lent, holders := lender.Lend(lenders.self, want)
+	given := lender.Lend(lenders.self, want)
 	switch lenders.world.lending {
 	case "lost":
 		return true, false
 	case "late":
-		lenders.world.letters = append(lenders.world.letters, letter{lenders.self, want.Program, lent})
+		lenders.world.letters = append(lenders.world.letters, letter{lenders.self, want.Program, given.Tokens})
 		return true, false
 	}
-	lenders.world.keepers[lenders.self].Lent(want.Program, lent, holders)
-	return true, true
+	lenders.world.keepers[lenders.self].Lent(want.Program, given.Tokens, given.Holders)
+	return true, !given.Withheld
 }
 
 // Address implements Lenders: an incarnation of the world's is its host's name
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -20,13 +20,14 @@
 
 // question is an Ask under way.
 type question struct {
-	answered chan struct{}
+	answered chan *Lend // holds one
 	askedAt  bvclock.Time
 }
 
 // Ask asks a host for tokens of a program's budget and waits for its answer a
 // short time. What it gives goes to the Handler's Lent, also when it is late. A
-// host that is silent is not asked. It sets the question's number.
+// host that is silent is not asked, and one that withholds some has not answered
+// the question whether there is more. Ask sets the question's number.
 func (gossip *Gossip) Ask(ctx context.Context, host netip.AddrPort, ask *Ask) (asked, answered bool) {
 	if gossip.silent(host) {
 		return false, false
@@ -35,8 +36,8 @@
 	question := gossip.begin(ask.Number)
 	gossip.sendTo(host, &Datagram{Message: &Datagram_Ask{Ask: ask}})
 	select {
-	case <-question.answered:
-		return true, true
+	case lend := <-question.answered:
+		return true, !lend.GetWithheld()
 	case <-bvclock.After(askPatience):
 	case <-ctx.Done():
 	}
@@ -73,7 +74,7 @@
 			delete(gossip.asks, other)
 		}
 	}
-	begun := &question{answered: make(chan struct{}), askedAt: now}
+	begun := &question{answered: make(chan *Lend, 1), askedAt: now}
 	gossip.asks[number] = begun
 	return begun
 }
@@ -88,5 +89,5 @@
 		return
 	}
 	handler.Lent(lend.GetProgram(), int(lend.GetTokens()), lend.GetHolders())
-	close(asked.answered)
+	asked.answered <- lend
 }
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -175,9 +175,9 @@
 type Handler interface {
 	// Hear takes in a digest.
 	Hear(digest *Digest)
-	// Lend gives up tokens of a program's budget for the host at an address. It
-	// also returns other hosts that may hold some.
-	Lend(host string, ask *Ask) (lent int, holders []string)
+	// Lend gives up tokens of a program's budget for the host at an address. The
+	// answer's number and program are set by the caller.
+	Lend(host string, ask *Ask) *Lend
 	// Lent takes in tokens that another host gave up.
 	Lent(program string, tokens int, holders []string)
 }
@@ -210,10 +210,9 @@
 		}
 	case *Datagram_Ask:
 		ask := message.Ask
-		tokens, holders := handler.Lend(from.String(), ask)
-		gossip.sendTo(from, &Datagram{Message: &Datagram_Lend{Lend: &Lend{
-			Number: ask.GetNumber(), Program: ask.GetProgram(), Tokens: uint32(tokens), Holders: holders,
-		}}})
+		lend := handler.Lend(from.String(), ask)
+		lend.Number, lend.Program = ask.GetNumber(), ask.GetProgram()
+		gossip.sendTo(from, &Datagram{Message: &Datagram_Lend{Lend: lend}})
 	case *Datagram_Lend:
 		gossip.lent(message.Lend, handler)
 	}
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -27,6 +27,8 @@
 	heard []*Digest
 	lent  int
 	holds int // tokens that it can lend
+	// withholds: it may have more, but can't say so
+	withholds bool
 }
 
 func (host *host) Hear(digest *Digest) {
@@ -35,16 +37,16 @@
 	host.heard = append(host.heard, digest)
 }
 
-func (host *host) Lend(_ string, ask *Ask) (int, []string) {
+func (host *host) Lend(_ string, ask *Ask) *Lend {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	tokens := int(ask.GetTokens())
 	if host.holds < tokens && !ask.GetPartial() {
-		return 0, nil
+		return &Lend{Withheld: host.withholds}
 	}
 	lent := min(tokens, host.holds)
 	host.holds -= lent
-	return lent, nil
+	return &Lend{Tokens: uint32(lent)}
 }
 
 func (host *host) Lent(_ string, tokens int, _ []string) {
@@ -229,3 +231,17 @@
 	}
 	b.ReportMetric(float64(len(encoded)), "bytes/digest")
 }
+
+// A program's grantor has been restarted and can't tell what was granted before.
+// Whoever asks must not take its answer for a no.
+func TestHostThatWithholdsHasNotAnswered(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	meet(t, a, b)
+	b.mutex.Lock()
+	b.withholds = true
+	b.mutex.Unlock()
+	require.Eventually(t, func() bool {
+		asked, answered := a.Ask(t.Context(), b.address, &Ask{Program: "p", Tokens: 10})
+		return asked && !answered
+	}, patience, time.Millisecond)
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -179,8 +179,8 @@
 type peerHandler struct{ *Router }
 
 // Lend implements bvgossip.Handler.
-func (handler peerHandler) Lend(host string, ask *bvgossip.Ask) (int, []string) {
-	return handler.budgets.Lend(host, bvbudget.Want{
+func (handler peerHandler) Lend(host string, ask *bvgossip.Ask) *bvgossip.Lend {
+	given := handler.budgets.Lend(host, bvbudget.Want{
 		Program: ask.GetProgram(),
 		Tokens:  int(ask.GetTokens()),
 		Partial: ask.GetPartial(),
@@ -188,6 +188,7 @@
 		Most:    int(ask.GetMost()),
 		Retain:  bvclock.Duration(ask.GetRetain()),
 	})
+	return &bvgossip.Lend{Tokens: uint32(given.Tokens), Holders: given.Holders, Withheld: given.Withheld}
 }
 
 // Lent implements bvgossip.Handler.
