--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// ZoneOf returns the availability zone of an endpoint by the hash of its name, or
+// "" where it is not listed.
+func (desk *Desk) ZoneOf(endpoint uint64) string {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	for _, pool := range desk.pools {
+		if row := pool.byHash[endpoint]; row != nil {
+			return row.entry.Zone
+		}
+	}
+	return ""
+}
+
 // Told takes in an endpoint's own word on its load.
 func (desk *Desk) Told(service, endpoint string, load bvroute.Load) {
 	now := desk.clock.Now()
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -50,7 +50,7 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	for address, peer := range gossip.hosts {
-		if !peer.silent(now) && peer.digest.GetIncarnation() == incarnation {
+		if !gossip.isSilent(now, peer) && peer.digest.GetIncarnation() == incarnation {
 			return address, true
 		}
 	}
@@ -62,7 +62,7 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	found := gossip.hosts[host]
-	return found == nil || found.silent(now)
+	return found == nil || gossip.isSilent(now, found)
 }
 
 func (gossip *Gossip) begin(number uint64) *question {
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -21,6 +21,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -41,11 +42,20 @@
 	// bcf-tipton-grown it saved 0.17 of 0.53 GB between zones. In a crowd, the
 	// heaviest day of obala-surf-grown was worth 0.33 with it and 0.45 without.
 	farInterval = 400 * bvclock.Millisecond
+	// farPerHost lengthens that by the number of hosts, and fullHosts is up to how
+	// many hosts those of other zones are told of calls at all endpoints, and not
+	// only at those of their own zone, which they mostly use. With 300 hosts, all
+	// that each told all others took most of 349 KB a second and host.
+	farPerHost = 4 * bvclock.Millisecond
+	fullHosts  = 120
 	// perHost lengthens the interval by the number of hosts.
 	perHost = 1 * bvclock.Millisecond
 	// silentAfter is how long after its last digest a host's calls are no
 	// longer counted.
 	silentAfter = 1500 * bvclock.Millisecond
+	// silentPauses is the same for a host in another availability zone, in pauses
+	// between its digests: one or two of them may be lost.
+	silentPauses = 3
 	// trialInterval is the time between two digests to a silent host.
 	trialInterval = 2 * bvclock.Second
 	// datagramBytes is the most that one datagram holds.
@@ -65,6 +75,9 @@
 	asks  map[uint64]*question
 	farAt bvclock.Time // last digest to other zones
 
+	// zoneOf returns the availability zone of an endpoint, by the hash of its name.
+	zoneOf func(endpoint uint64) string
+
 	// What other zones are not told yet; Send's alone.
 	placements []*Placement
 	programs   []uint64
@@ -78,21 +91,43 @@
 }
 
 // New returns a Gossip that sends from the given socket, for a host in an
-// availability zone. Digests of the process's own incarnation are ignored.
-func New(self, zone string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger) *Gossip {
+// availability zone. Digests of the process's own incarnation are ignored. ZoneOf
+// returns the availability zone of an endpoint, by the hash of its name.
+func New(
+	self, zone string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger, zoneOf func(endpoint uint64) string,
+) *Gossip {
 	return &Gossip{
-		self: self, zone: zone, conn: conn, clock: clock, log: log,
+		self: self, zone: zone, conn: conn, clock: clock, log: log, zoneOf: zoneOf,
 		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*question),
 	}
 }
 
-// SetHosts adds hosts that the platform's store lists.
+// SetHosts takes over the hosts that the platform's store lists. One that is
+// neither listed nor heard any more is forgotten: hosts are replaced all the time,
+// and each would get a digest every few seconds for ever.
 func (gossip *Gossip) SetHosts(addresses []netip.AddrPort) {
+	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
+	listed := make(map[netip.AddrPort]bool, len(addresses))
 	for _, address := range addresses {
+		listed[address] = true
 		gossip.peer(address)
 	}
+	maps.DeleteFunc(gossip.hosts, func(address netip.AddrPort, peer *peer) bool {
+		return !listed[address] && gossip.isSilent(now, peer)
+	})
+}
+
+// SilentFor returns for how long nothing was heard of a host, at most since the
+// given time.
+func (gossip *Gossip) SilentFor(address netip.AddrPort, since bvclock.Time) bvclock.Duration {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	if found := gossip.hosts[address]; found != nil {
+		since = max(since, found.heardAt)
+	}
+	return gossip.clock.Now().Sub(since)
 }
 
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
@@ -124,10 +159,42 @@
 		return
 	}
 	digest.Placements, digest.Programs, digest.Outcomes = gossip.placements, gossip.programs, nil
-	gossip.sendAll(digest, far)
+	for zone, addresses := range far {
+		gossip.sendAll(gossip.digestFor(digest, zone), addresses)
+	}
 	gossip.placements, gossip.programs = nil, nil
 }
 
+// digestFor leaves out of a digest what hosts of another availability zone have
+// little use for, where there are many hosts.
+func (gossip *Gossip) digestFor(digest *Digest, zone string) *Digest {
+	if gossip.size() <= fullHosts {
+		return digest
+	}
+	short := &Digest{
+		Host: digest.GetHost(), Incarnation: digest.GetIncarnation(), Zone: digest.GetZone(), Address: digest.GetAddress(),
+		StateVersion: digest.GetStateVersion(), StoreReachable: digest.GetStoreReachable(), Leaving: digest.GetLeaving(),
+		Programs: digest.GetPrograms(), Crashes: digest.GetCrashes(),
+	}
+	for _, load := range digest.GetLoads() {
+		if gossip.zoneOf(load.GetEndpoint()) == zone {
+			short.Loads = append(short.Loads, load)
+		}
+	}
+	for _, placement := range digest.GetPlacements() {
+		if gossip.zoneOf(placement.GetEndpoint()) == zone {
+			short.Placements = append(short.Placements, placement)
+		}
+	}
+	return short
+}
+
+func (gossip *Gossip) size() int {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return len(gossip.hosts)
+}
+
 func (gossip *Gossip) sendAll(digest *Digest, addresses []netip.AddrPort) {
 	encoded, err := proto.Marshal(&Datagram{Message: &Datagram_Digest{Digest: digest}})
 	if err != nil || len(encoded) > datagramBytes {
@@ -141,24 +208,25 @@
 	}
 }
 
-// due returns the hosts that are to get a digest now. Those of other zones are
-// nil until it is their time.
-func (gossip *Gossip) due(crowded bool) (near, far []netip.AddrPort) {
+// due returns the hosts that are to get a digest now, those of other availability
+// zones by zone, and nil until it is their time.
+func (gossip *Gossip) due(crowded bool) (near []netip.AddrPort, far map[string][]netip.AddrPort) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	farDue := crowded || now.Sub(gossip.farAt) >= farInterval
+	farDue := crowded || now.Sub(gossip.farAt) >= gossip.farPause()
 	if farDue {
-		gossip.farAt, far = now, []netip.AddrPort{}
+		gossip.farAt, far = now, make(map[string][]netip.AddrPort)
 	}
 	for address, peer := range gossip.hosts {
+		zone := peer.digest.GetZone()
 		switch {
-		case peer.silent(now) && now.Sub(peer.triedAt) < trialInterval:
+		case gossip.isSilent(now, peer) && now.Sub(peer.triedAt) < trialInterval:
 			continue
-		case peer.digest == nil || peer.digest.GetZone() == gossip.zone:
+		case peer.digest == nil || zone == gossip.zone:
 			near = append(near, address)
 		case farDue:
-			far = append(far, address)
+			far[zone] = append(far[zone], address)
 		default:
 			continue
 		}
@@ -167,8 +235,23 @@
 	return near, far
 }
 
-func (peer *peer) silent(now bvclock.Time) bool {
-	return peer.digest == nil || now.Sub(peer.heardAt) > silentAfter
+// farPause is the time between two digests to other availability zones outside
+// crowds.
+func (gossip *Gossip) farPause() bvclock.Duration {
+	return max(farInterval, bvclock.Duration(len(gossip.hosts))*farPerHost)
+}
+
+// isSilent reports whether a host has missed its digests. The caller holds the
+// mutex.
+func (gossip *Gossip) isSilent(now bvclock.Time, peer *peer) bool {
+	if peer.digest == nil {
+		return true
+	}
+	limit := silentAfter
+	if peer.digest.GetZone() != gossip.zone {
+		limit = max(limit, silentPauses*gossip.farPause())
+	}
+	return now.Sub(peer.heardAt) > limit
 }
 
 // Handler takes in what other hosts send.
@@ -255,7 +338,7 @@
 		}
 		peer := gossip.hosts[address]
 		switch {
-		case peer == nil || peer.silent(now):
+		case peer == nil || gossip.isSilent(now, peer):
 		case peer.digest.GetZone() == gossip.zone:
 			near = append(near, host)
 		default:
@@ -272,7 +355,7 @@
 	defer gossip.mutex.Unlock()
 	digests := make([]*Digest, 0, len(gossip.hosts))
 	for _, peer := range gossip.hosts {
-		if !peer.silent(now) {
+		if !gossip.isSilent(now, peer) {
 			digests = append(digests, peer.digest)
 		}
 	}
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -78,7 +78,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	host := &host{Gossip: New(incarnation, "z", conn, clock, log), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	host := &host{Gossip: New(incarnation, "z", conn, clock, log, func(uint64) string { return "z" }), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan error, 1)
 	go func() { ended <- host.Receive(host) }()
 	t.Cleanup(func() {
@@ -199,6 +199,72 @@
 	require.Eventually(t, func() bool { return len(b.digests()) == 3 }, patience, time.Millisecond)
 }
 
+// Where there are hundreds of hosts, what each tells those of other zones of calls
+// at its own zone's endpoints is most of all bytes, and of little use there. What
+// concerns the other zone's endpoints is still told.
+func TestManyHostsTellOtherZonesOfTheirEndpointsOnly(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	a.zoneOf = func(endpoint uint64) string { return map[uint64]string{1: "z", 2: "other"}[endpoint] }
+	b.zone = "other"
+	meet(t, a, b)
+	a.mutex.Lock()
+	for i := range fullHosts {
+		a.peer(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 9, byte(i)}), 9)).triedAt = clock.Now()
+	}
+	a.mutex.Unlock()
+	clock.Advance(a.farPause())
+	digest := a.digest()
+	for endpoint := range uint64(3) {
+		digest.Loads = append(digest.Loads, &Load{Endpoint: endpoint, Running: 1})
+		digest.Placements = append(digest.Placements, &Placement{Endpoint: endpoint, Part: 7, Tokens: 10})
+	}
+	a.Send(digest, false)
+	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, patience, time.Millisecond)
+	last := b.digests()[1]
+	require.Len(t, last.GetLoads(), 1)
+	require.Equal(t, uint64(2), last.GetLoads()[0].GetEndpoint())
+	require.Len(t, last.GetPlacements(), 1)
+	require.Equal(t, "a", last.GetIncarnation())
+}
+
+// A host in another zone is told of less often where there are many. It must not
+// be taken for dead between two of its digests.
+func TestHostsOfOtherZonesAreGivenLongerWhereThereAreMany(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	b.zone = "other"
+	meet(t, a, b)
+	a.mutex.Lock()
+	for i := range 600 {
+		a.peer(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i / 250), byte(i % 250)}), 9))
+	}
+	a.mutex.Unlock()
+	clock.Advance(a.farPause() + bvclock.Second)
+	require.Greater(t, a.farPause()+bvclock.Second, silentAfter)
+	require.Len(t, a.Heard(), 1)
+}
+
+// Some hundred hosts are replaced a day. Those that are gone must not be counted
+// and called for ever; one that is only not listed yet must stay.
+func TestReplacedHostsAreForgotten(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	meet(t, a, b)
+	a.SetHosts(nil)
+	require.Len(t, a.Heard(), 1, "b is heard, though not listed")
+	require.Less(t, a.SilentFor(b.address, 0), bvclock.Second)
+	clock.Advance(bvclock.Minute)
+	require.Equal(t, bvclock.Minute, a.SilentFor(b.address, 0))
+	a.SetHosts([]netip.AddrPort{b.address})
+	require.Equal(t, 1, a.size())
+	a.SetHosts(nil)
+	require.Zero(t, a.size())
+}
+
 // Many hosts must not drown each other in digests.
 func TestIntervalGrowsWithTheNumberOfHosts(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
@@ -52,7 +54,7 @@
 	}
 	router.settings.PeerAddress = address.String()
 	router.peerConn = conn
-	router.gossip = bvgossip.New(router.incarnation, router.settings.Zone, conn, router.clock, router.log)
+	router.gossip = bvgossip.New(router.incarnation, router.settings.Zone, conn, router.clock, router.log, router.desk.ZoneOf)
 	return nil
 }
 
@@ -98,6 +100,7 @@
 		})
 		if host.Address != router.settings.PeerAddress {
 			addresses = append(addresses, address)
+			router.unlistDead(ctx, row, address)
 		}
 	}
 	router.gossip.SetHosts(addresses)
@@ -105,6 +108,24 @@
 	return nil
 }
 
+// deadAfter is how long a host may be silent before it is taken off the list. One
+// that was only cut off lists itself again once it has read the list.
+const deadAfter = 10 * bvclock.Minute
+
+// unlistDead takes a host off the list that was not heard for long. Hosts that die
+// for good don't do so themselves, and their programs would have no grantor.
+func (router *Router) unlistDead(ctx context.Context, row bvplatform.Row, address netip.AddrPort) {
+	silent := router.gossip.SilentFor(address, router.started)
+	if silent < deadAfter {
+		return
+	}
+	_, err := router.reach.Commit(ctx, bvplatform.Transaction{
+		Checks: []bvplatform.Check{{Key: row.Key, Version: row.Version}},
+		Puts:   []bvplatform.Put{{Key: row.Key}},
+	})
+	router.log.WithError(err).WithFields(logrus.Fields{"row": row.Key, "silent_ms": int64(silent)}).Info("silent host taken off the list")
+}
+
 // scanHosts reads the list whole, page by page. A host that is listed while the
 // pages are read may be missing, as it may have been listed just after.
 func (router *Router) scanHosts(ctx context.Context) (rows []bvplatform.Row, err error) {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -74,6 +74,7 @@
 	parts       Parts
 	log         logrus.FieldLogger
 	clock       bvclock.Clock
+	started     bvclock.Time
 	state       *state
 	reach       *reach
 	desk        *bvdispatch.Desk
@@ -120,6 +121,7 @@
 		parts:       parts,
 		log:         log,
 		clock:       clock,
+		started:     clock.Now(),
 		state:       &state{clock: clock, apply: settings.Apply},
 		desk:        bvdispatch.NewDesk(clock, xxhash.Sum64String(settings.Name), settings.Zone),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
@@ -137,7 +139,7 @@
 	router.budgets.SetSettle(settings.Settle)
 	router.leases = bvlease.New(bvlease.Host{
 		Name: settings.Name, Incarnation: incarnation, Address: router.settings.PeerAddress,
-	}, settings.FirstStart, clock.Now())
+	}, settings.FirstStart, router.started)
 	router.budgets.SetGrantors(router.leases)
 	router.histories = bvhistory.NewKeeper(router.reach, peers{router}, settings.RowBytes, log)
 	router.front = bvfront.New(bvfront.Parts{
