--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -239,6 +239,7 @@
 			case reservation != nil:
 				return reservation, nil
 			case !sure:
+				keeper.tell(account, turn, "budget is not known to be spent")
 				return nil, unavailable(errUnanswered)
 			}
 			gathered = true
@@ -289,13 +290,20 @@
 }
 
 func (keeper *Keeper) exceeded(account *account, turn Turn) error {
+	keeper.tell(account, turn, "budget is spent")
+	return bvverdict.Refuse(bvverdict.BudgetExceeded, "the program's budget of %d tokens does not hold another turn", turn.Budget)
+}
+
+// tell logs what was decided about a budget, and what decided it.
+func (keeper *Keeper) tell(account *account, turn Turn, decision string) {
+	grantor, _ := keeper.grantor(turn.Program)
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	keeper.log.WithFields(logrus.Fields{
-		"program": turn.Program, "budget": turn.Budget, "reserved": account.record.total(),
+		"program": turn.Program, "budget": turn.Budget, "stored": account.budget, "reserved": account.record.total(),
 		"reserved_here": account.credited, "free_here": account.free, "most": turn.Most, "row_version": account.version,
-	}).Info("budget is spent")
-	return bvverdict.Refuse(bvverdict.BudgetExceeded, "the program's budget of %d tokens does not hold another turn", turn.Budget)
+		"grantor": grantor,
+	}).Info(decision)
 }
 
 func (account *account) key() string {
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -112,30 +112,41 @@
 	leases.wrote = now
 }
 
+// Known is what a host knows of the others, by the seeds of their names.
+type Known struct {
+	Listed []uint64 `json:"listed"`
+	Former []uint64 `json:"former"` // no longer listed, and still to be waited for
+}
+
 // Stop ends all grants of this host. It is called before the host takes itself
-// off the list. It returns the names of the hosts on the list, and whether the
-// next process of this host may go on from here: only if nobody else's grants are
-// to be waited for.
-func (leases *Leases) Stop(now bvclock.Time) (names []string, heritable bool) {
+// off the list. It returns what the next process of this host needs to go on from
+// here, and whether it may: not if this one still had to wait itself.
+func (leases *Leases) Stop(now bvclock.Time) (known Known, heritable bool) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.stopped = true
+	leases.dropFormers(now)
 	for _, row := range leases.rows {
-		names = append(names, row.Name)
+		known.Listed = append(known.Listed, row.seed)
 	}
-	leases.dropFormers(now)
-	return names, leases.wrote != 0 && leases.confirmed(now) && leases.alone(now) && len(leases.formers) == 0
+	for _, former := range leases.formers {
+		known.Former = append(known.Former, former.seed)
+	}
+	return known, leases.wrote != 0 && leases.confirmed(now) && leases.alone(now)
 }
 
-// Succeed notes that this host goes on from where its last process stopped, which
-// knew the named hosts. It is called before the first list is taken over, soon
-// after that stop: before another host may take its programs over.
-func (leases *Leases) Succeed(names []string) {
+// Succeed notes that this host goes on from where its last process stopped. It is
+// called before the first list is taken over, soon after that stop: before
+// another host may take its programs over.
+func (leases *Leases) Succeed(now bvclock.Time, known Known) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.succeeded = true
-	for _, name := range names {
-		leases.rows = append(leases.rows, row{Host: Host{Name: name}, seed: xxhash.Sum64String(name)})
+	for _, seed := range known.Listed {
+		leases.rows = append(leases.rows, row{seed: seed})
+	}
+	for _, seed := range known.Former {
+		leases.formers = append(leases.formers, former{seed: seed, gone: now})
 	}
 }
 
--- a/bvlease/lease_test.go
+++ b/bvlease/lease_test.go
@@ -28,7 +28,7 @@
 
 // handover is what a planned stop leaves in the store.
 type handover struct {
-	names   []string
+	known   Known
 	at      bvclock.Time
 	lineage string
 }
@@ -82,7 +82,7 @@
 	if left, found := world.handovers[name]; found {
 		delete(world.handovers, name)
 		if world.now.Sub(left.at) < HandoverTime {
-			process.leases.Succeed(left.names)
+			process.leases.Succeed(world.now, left.known)
 			process.lineage = left.lineage
 		}
 	}
@@ -93,9 +93,9 @@
 // stop is a planned stop.
 func (world *world) stop(name string) {
 	process := world.processes[name]
-	names, heritable := process.leases.Stop(world.now)
+	known, heritable := process.leases.Stop(world.now)
 	if heritable {
-		world.handovers[name] = handover{names: names, at: world.now, lineage: process.lineage}
+		world.handovers[name] = handover{known: known, at: world.now, lineage: process.lineage}
 	}
 	if world.listed[name].Incarnation == process.self.Incarnation {
 		delete(world.listed, name)
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -28,7 +28,7 @@
 // were left.
 type handover struct {
 	Stopped time.Time          `json:"stopped"`
-	Hosts   []string           `json:"hosts"` // on the list that was gone by
+	Known   bvlease.Known      `json:"known"` // hosts
 	Granted []bvbudget.Granted `json:"granted"`
 }
 
@@ -38,7 +38,7 @@
 // Without that, hosts that are restarted in turn would leave no grantor behind,
 // and programs could not begin in an outage of the store that follows.
 func (router *Router) retire(ctx context.Context) {
-	names, heritable := router.leases.Stop(router.clock.Now())
+	known, heritable := router.leases.Stop(router.clock.Now())
 	version := router.listedVersion.Load()
 	if version == 0 {
 		return // never listed
@@ -51,7 +51,7 @@
 		Puts:   []bvplatform.Put{{Key: key}},
 	}
 	if heritable {
-		transaction.Puts = append(transaction.Puts, router.leftBehind(names)...)
+		transaction.Puts = append(transaction.Puts, router.leftBehind(known)...)
 	}
 	if _, err := router.reach.Commit(ctx, transaction); err != nil {
 		router.log.WithError(err).Info("host stays listed, and hands nothing over")
@@ -61,8 +61,8 @@
 }
 
 // leftBehind is the row of a handover, if it fits into one.
-func (router *Router) leftBehind(names []string) []bvplatform.Put {
-	encoded, err := json.Marshal(handover{Stopped: time.Now(), Hosts: names, Granted: router.budgets.Granted()})
+func (router *Router) leftBehind(known bvlease.Known) []bvplatform.Put {
+	encoded, err := json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.Granted()})
 	if err != nil || len(encoded) > int(handoverShare*float64(router.settings.RowBytes)) {
 		router.log.WithError(err).WithField("bytes", len(encoded)).Warn("grants are too many to be handed over")
 		return nil
@@ -93,7 +93,7 @@
 	router.listedVersion.Store(version)
 	if usable && !router.succeeded {
 		router.budgets.Inherit(left.Granted)
-		router.leases.Succeed(left.Hosts)
+		router.leases.Succeed(router.clock.Now(), left.Known)
 	}
 	router.succeeded = true // what is found later is not of the last process
 	router.leases.Wrote(router.clock.Now())
