--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -47,7 +47,8 @@
 }
 
 // grant gives out tokens of a program's first half if this host may. Withheld
-// means that it is the grantor and may not. The caller holds the mutex.
+// means that it is the grantor and may not, or that there is none. The caller
+// holds the mutex.
 func (keeper *Keeper) grant(want Want) (tokens int, withheld bool) {
 	now := keeper.clock.Now()
 	if keeper.grantors == nil {
@@ -55,7 +56,7 @@
 	}
 	if !keeper.grantors.MayGrant(now, want.Program, want.Retain) {
 		holder, found := keeper.grantors.Holder(want.Program)
-		return 0, found && holder.Incarnation == keeper.host
+		return 0, !found || holder.Incarnation == keeper.host
 	}
 	found := keeper.grants[want.Program]
 	if found == nil {
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -46,11 +46,20 @@
 
 // Address returns the address of a host's incarnation, if it is heard.
 func (gossip *Gossip) Address(incarnation string) (netip.AddrPort, bool) {
+	return gossip.find(func(digest *Digest) bool { return digest.GetIncarnation() == incarnation })
+}
+
+// AddressOf returns the address of a host by its name, if it is heard.
+func (gossip *Gossip) AddressOf(host string) (netip.AddrPort, bool) {
+	return gossip.find(func(digest *Digest) bool { return digest.GetHost() == host })
+}
+
+func (gossip *Gossip) find(is func(digest *Digest) bool) (netip.AddrPort, bool) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	for address, peer := range gossip.hosts {
-		if !gossip.isSilent(now, peer) && peer.digest.GetIncarnation() == incarnation {
+		if !gossip.isSilent(now, peer) && is(peer.digest) {
 			return address, true
 		}
 	}
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -1,8 +1,8 @@
 // Package bvlease decides which host alone may grant a share of a program's
 // budget from its memory, without asking the platform's store first.
 //
-// Every host lists itself in the store, and each program belongs to one of the
-// listed hosts by rendezvous hashing over their names. Hosts read the list at
+// Hosts list themselves in the store as grantors, and each program belongs to one
+// of these by rendezvous hashing over their names. Hosts read the list at
 // different times and go on while the store is away, so two of them can take
 // themselves for a program's holder. Two rules keep their grants apart: a host
 // grants only for leaseTime after it last read the list, and one that has become
@@ -66,7 +66,7 @@
 	firstRead = 4 * bvclock.Second
 )
 
-// Host is a row of the list.
+// Host is a row of the list of grantors.
 type Host struct {
 	Name        string
 	Incarnation string // differs with each start of the process
@@ -199,14 +199,6 @@
 	})
 }
 
-// Shows reports whether the last list that was read has this host's row; it may
-// have been removed by a write of an earlier process that came late.
-func (leases *Leases) Shows() bool {
-	leases.mutex.Lock()
-	defer leases.mutex.Unlock()
-	return slices.ContainsFunc(leases.rows, func(row row) bool { return row.Incarnation == leases.self.Incarnation })
-}
-
 // Confirmed reports whether the list was read lately enough to go by it.
 func (leases *Leases) Confirmed(now bvclock.Time) bool {
 	leases.mutex.Lock()
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -42,6 +42,7 @@
 	Address     string `json:"address"` // IP:port for digests and relayed calls
 	Zone        string `json:"zone"`
 	Incarnation string `json:"incarnation"` // differs with each start of the process
+	Grantor     bool   `json:"grantor"`     // has a part of all programs to grant for
 }
 
 // openGossip opens the port for datagrams, which has the number of the one for
@@ -61,15 +62,13 @@
 // followHosts lists this host and looks for others.
 func (router *Router) followHosts(ctx context.Context) {
 	lost := bvlog.Outage{What: "list of hosts", Log: router.log}
-	listed := false
 	for look := 0; ctx.Err() == nil; look++ {
-		if !listed {
-			listed = router.listSelf(ctx) == nil
+		if router.mustList() {
+			lost.Note(unlessEnded(ctx, router.listSelf(ctx)))
 		}
 		err := router.readHosts(ctx)
 		lost.Note(unlessEnded(ctx, err))
-		listed = listed && (err != nil || router.leases.Shows())
-		if look < firstHostsLooks || err != nil || !listed {
+		if look < firstHostsLooks || err != nil || !router.shown {
 			pause(ctx, firstHostsInterval)
 			continue
 		}
@@ -77,6 +76,13 @@
 	}
 }
 
+// mustList reports whether this host is to be listed, or listed anew: its row may
+// have been removed while it was cut off, or it has become old enough to grant.
+func (router *Router) mustList() bool {
+	becomesGrantor := !router.listedAsGrantor && router.clock.Now().Sub(router.started) > newcomerTime
+	return !router.leaving.Load() && (!router.shown || becomesGrantor)
+}
+
 // readHosts reads the list of hosts and hands it on.
 func (router *Router) readHosts(ctx context.Context) error {
 	asked := router.clock.Now()
@@ -86,6 +92,7 @@
 	}
 	addresses := make([]netip.AddrPort, 0, len(rows))
 	hosts := make([]bvlease.Host, 0, len(rows))
+	shown := false
 	for _, row := range rows {
 		var host hostRow
 		if err := json.Unmarshal(row.Value, &host); err != nil {
@@ -95,14 +102,18 @@
 		if err != nil {
 			return fmt.Errorf("router: row %s of the list of hosts: %w", row.Key, err)
 		}
-		hosts = append(hosts, bvlease.Host{
-			Name: strings.TrimPrefix(row.Key, hostsPrefix), Incarnation: host.Incarnation, Address: host.Address,
-		})
+		if host.Grantor {
+			hosts = append(hosts, bvlease.Host{
+				Name: strings.TrimPrefix(row.Key, hostsPrefix), Incarnation: host.Incarnation, Address: host.Address,
+			})
+		}
+		shown = shown || host.Incarnation == router.incarnation
 		if host.Address != router.settings.PeerAddress {
 			addresses = append(addresses, address)
 			router.unlistDead(ctx, row, address)
 		}
 	}
+	router.shown = shown
 	router.gossip.SetHosts(addresses)
 	router.leases.Listed(asked, router.clock.Now(), hosts)
 	return nil
@@ -243,6 +254,24 @@
 	return address.String(), heard
 }
 
+// grantors tells which host grants for a program, and where it is now: after a
+// restart it may have another address than on the list that was last read.
+type grantors struct{ *Router }
+
+// Holder implements bvbudget.Grantors.
+func (grantors grantors) Holder(program string) (bvlease.Host, bool) {
+	holder, found := grantors.leases.Holder(program)
+	if address, heard := grantors.gossip.AddressOf(holder.Name); found && heard {
+		holder.Address = address.String()
+	}
+	return holder, found
+}
+
+// MayGrant implements bvbudget.Grantors.
+func (grantors grantors) MayGrant(now bvclock.Time, program string, retain bvclock.Duration) bool {
+	return grantors.leases.MayGrant(now, program, retain)
+}
+
 // Hear implements bvgossip.Handler.
 func (handler peerHandler) Hear(digest *bvgossip.Digest) {
 	placed := make([]bvdispatch.Placement, 0, len(digest.GetPlacements()))
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvbudget"
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlease"
 	"balsamvalve.example/bvplatform"
 )
@@ -79,9 +82,10 @@
 		return err
 	}
 	left, usable := router.usable(rows[0])
+	grantor := usable || router.settings.FirstStart || router.clock.Now().Sub(router.started) > newcomerTime
 	transaction := bvplatform.Transaction{
 		Checks: []bvplatform.Check{{Key: key, Version: rows[0].Version}},
-		Puts:   []bvplatform.Put{router.ownRow()},
+		Puts:   []bvplatform.Put{router.ownRow(grantor)},
 	}
 	if rows[0].Version != 0 {
 		transaction.Puts = append(transaction.Puts, bvplatform.Put{Key: key})
@@ -91,19 +95,28 @@
 		return err
 	}
 	router.listedVersion.Store(version)
-	if usable && !router.succeeded {
+	router.listedAsGrantor = grantor
+	if usable {
 		router.budgets.Inherit(left.Granted)
 		router.leases.Succeed(router.clock.Now(), left.Known)
 	}
-	router.succeeded = true // what is found later is not of the last process
-	router.leases.Wrote(router.clock.Now())
-	router.log.WithField("inherited", usable).Info("host is listed")
+	if grantor {
+		router.leases.Wrote(router.clock.Now())
+	}
+	router.log.WithFields(logrus.Fields{"grantor": grantor, "inherited": usable}).Info("host is listed")
 	return nil
 }
 
+// newcomerTime is how long a host runs before it becomes a grantor, unless it was
+// there from the first start or goes on from its last process. A new grantor's
+// programs have none for some minutes, so that hosts which come and go should not
+// become one.
+const newcomerTime = 10 * bvclock.Minute
+
 // usable decodes a handover and reports whether this process may go on from it.
+// Only what is found at the first look is of the last process.
 func (router *Router) usable(row bvplatform.Row) (handover, bool) {
-	if row.Version == 0 {
+	if row.Version == 0 || router.listedVersion.Load() != 0 {
 		return handover{}, false
 	}
 	var left handover
@@ -116,9 +129,9 @@
 }
 
 // ownRow is this host's row in the list.
-func (router *Router) ownRow() bvplatform.Put {
-	encoded, _ := json.Marshal(hostRow{ // strings always encode
-		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation,
+func (router *Router) ownRow(grantor bool) bvplatform.Put {
+	encoded, _ := json.Marshal(hostRow{ // texts always encode
+		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation, Grantor: grantor,
 	})
 	return bvplatform.Put{Key: hostsPrefix + router.settings.Name, Value: encoded}
 }
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -88,7 +88,10 @@
 	leaving     atomic.Bool
 
 	listedVersion atomic.Int64 // of this host's row
-	succeeded     bool         // followHosts' alone: a handover was looked for
+
+	// followHosts' alone.
+	shown           bool // the last list that was read has this host's row
+	listedAsGrantor bool
 
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
 
@@ -140,7 +143,7 @@
 	router.leases = bvlease.New(bvlease.Host{
 		Name: settings.Name, Incarnation: incarnation, Address: router.settings.PeerAddress,
 	}, settings.FirstStart, router.started)
-	router.budgets.SetGrantors(router.leases)
+	router.budgets.SetGrantors(grantors{router})
 	router.histories = bvhistory.NewKeeper(router.reach, peers{router}, settings.RowBytes, log)
 	router.front = bvfront.New(bvfront.Parts{
 		Clock:      clock,
@@ -201,6 +204,15 @@
 // Hosts returns how many other hosts are heard of.
 func (router *Router) Hosts() int { return len(router.gossip.Heard()) }
 
+// Grants reports whether this host may grant tokens of a program from memory.
+func (router *Router) Grants(program string) bool {
+	return router.leases.MayGrant(router.clock.Now(), program, 0)
+}
+
+// StoreServing reports whether the platform's store can be asked, from here or
+// through another host.
+func (router *Router) StoreServing() bool { return router.reach.Serving() }
+
 // Ready reports whether callers should be sent here. A host that can't ask the
 // store, by itself or through another host, can still begin programs while other
 // hosts are heard that grant their budgets; one that is cut off from all of them
