--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -46,9 +46,10 @@
 	return half(turn.Budget, turn.Most)
 }
 
-// grant gives out tokens of a program's first half if this host may. Withheld
-// means that it is the grantor and may not, or that there is none. The caller
-// holds the mutex.
+// grant gives out tokens of a program's first half if this host may. For what
+// withheld means, see Given. Hosts that have just started read lists that are not
+// complete yet, and each names another grantor; whoever is asked in its place must
+// not deny what the right one has. The caller holds the mutex.
 func (keeper *Keeper) grant(want Want) (tokens int, withheld bool) {
 	now := keeper.clock.Now()
 	if keeper.grantors == nil {
@@ -56,7 +57,7 @@
 	}
 	if !keeper.grantors.MayGrant(now, want.Program, want.Retain) {
 		holder, found := keeper.grantors.Holder(want.Program)
-		return 0, !found || holder.Incarnation == keeper.host
+		return 0, want.Grantor || !found || holder.Incarnation == keeper.host
 	}
 	found := keeper.grants[want.Program]
 	if found == nil {
--- a/bvbudget/half_test.go
+++ b/bvbudget/half_test.go
@@ -189,6 +189,17 @@
 	require.Equal(t, half(testBudget, testMost)/testMost*testMost, world.handed["p"])
 }
 
+// All hosts have just started, and one has read a list without the program's
+// grantor. It asks the wrong host, whose answer must not count as a no: the program
+// was told that its budget is spent while it had spent half.
+func TestHostThatIsWronglyTakenForTheGrantorDeniesNothing(t *testing.T) {
+	world, _ := newHalvesWorld()
+	want := Want{Program: "p", Tokens: testMost, Budget: testBudget, Most: testMost, Partial: true}
+	require.Equal(t, Given{}, world.keepers["b"].Lend("c", want))
+	want.Grantor = true
+	require.Equal(t, Given{Withheld: true}, world.keepers["b"].Lend("c", want))
+}
+
 // A program is over for so long that it can't come back. Its grantor forgets it.
 func TestGrantorForgetsProgramsThatAreOver(t *testing.T) {
 	world, _ := newHalvesWorld()
--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -91,14 +91,16 @@
 	Budget  int              // tokens of the whole program
 	Most    int              // tokens that the turn may generate
 	Retain  bvclock.Duration // how long the budget is kept after the last turn
+	Grantor bool             // the asker takes this host for the program's grantor
 }
 
 // Given is the answer to a Want.
 type Given struct {
 	Tokens  int
 	Holders []string // addresses of other hosts that may hold some
-	// Withheld: this host is the program's grantor and can't tell what was
-	// granted before it started, so that it can neither grant nor deny the rest.
+	// Withheld: there may be more, which this host can neither grant nor deny. It
+	// is the program's grantor and can't tell what was granted before it started,
+	// or it knows of none, or of another one than the asker does.
 	Withheld bool
 }
 
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -77,7 +77,9 @@
 		keeper.mutex.Lock()
 		need := turn.Most - account.free
 		keeper.mutex.Unlock()
-		asked, answered := keeper.lenders.Ask(ctx, host, turn.want(need, partial))
+		want := turn.want(need, partial)
+		want.Grantor = host == grantor
+		asked, answered := keeper.lenders.Ask(ctx, host, want)
 		sure = sure && (answered || !asked && host != grantor)
 		if reservation := keeper.takeFree(account, turn); reservation != nil {
 			return reservation, sure
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -219,6 +219,7 @@
 		Budget:  int(ask.GetBudget()),
 		Most:    int(ask.GetMost()),
 		Retain:  bvclock.Duration(ask.GetRetain()),
+		Grantor: ask.GetGrantor(),
 	})
 	return &bvgossip.Lend{Tokens: uint32(given.Tokens), Holders: given.Holders, Withheld: given.Withheld}
 }
@@ -245,6 +246,7 @@
 		Budget:  uint32(want.Budget),
 		Most:    uint32(want.Most),
 		Retain:  int64(want.Retain),
+		Grantor: want.Grantor,
 	})
 }
 
