A host takes its row in the list for written where the answer was lost

Cause: on the grown sites, 69 of 80 hosts never granted anything: all of them list themselves in one part of the store at once, which takes 400 ms for that, and each gave its write up after 60 ms. Ruled out: lost datagrams (the hosts asked had answered, and withheld). Change: a host that finds its row on the list it reads takes it for written, and goes on from a handover that it took up with that write.

--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -107,13 +107,16 @@
 				Name: strings.TrimPrefix(row.Key, hostsPrefix), Incarnation: host.Incarnation, Address: host.Address,
 			})
 		}
-		shown = shown || host.Incarnation == router.incarnation
+		if host.Incarnation == router.incarnation {
+			shown = true
+			router.noteListed(row.Version, host.Grantor)
+		}
 		if host.Address != router.settings.PeerAddress {
 			addresses = append(addresses, address)
 			router.unlistDead(ctx, row, address)
 		}
 	}
-	router.shown = shown
+	router.shown = shown // noteListed compares with the look before
 	router.gossip.SetHosts(addresses)
 	router.leases.Listed(asked, router.clock.Now(), hosts)
 	return nil
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -81,8 +81,10 @@
 	if err != nil {
 		return err
 	}
-	left, usable := router.usable(rows[0])
-	grantor := usable || router.settings.FirstStart || router.clock.Now().Sub(router.started) > newcomerTime
+	if left, usable := router.usable(rows[0]); usable {
+		router.inheritance = &left
+	}
+	grantor := router.inheritance != nil || router.settings.FirstStart || router.clock.Now().Sub(router.started) > newcomerTime
 	transaction := bvplatform.Transaction{
 		Checks: []bvplatform.Check{{Key: key, Version: rows[0].Version}},
 		Puts:   []bvplatform.Put{router.ownRow(grantor)},
@@ -94,17 +96,29 @@
 	if err != nil {
 		return err
 	}
-	router.listedVersion.Store(version)
+	router.noteListed(version, grantor)
+	return nil
+}
+
+// noteListed notes that this host's row is in the list, as the answer to its
+// writing told, or the list itself where that answer was lost: when many hosts
+// start at once, the store takes longer than it usually does.
+func (router *Router) noteListed(version int64, grantor bool) {
+	known := router.listedVersion.Swap(version)
+	if version == known || router.shown && grantor == router.listedAsGrantor {
+		return // the same row, or the same written again by a call that came late
+	}
 	router.listedAsGrantor = grantor
-	if usable {
-		router.budgets.Inherit(left.Granted)
-		router.leases.Succeed(router.clock.Now(), left.Known)
+	inherited := router.inheritance != nil && grantor
+	if inherited {
+		router.budgets.Inherit(router.inheritance.Granted)
+		router.leases.Succeed(router.clock.Now(), router.inheritance.Known)
 	}
+	router.inheritance = nil
 	if grantor {
 		router.leases.Wrote(router.clock.Now())
 	}
-	router.log.WithFields(logrus.Fields{"grantor": grantor, "inherited": usable}).Info("host is listed")
-	return nil
+	router.log.WithFields(logrus.Fields{"grantor": grantor, "inherited": inherited}).Info("host is listed")
 }
 
 // newcomerTime is how long a host runs before it becomes a grantor, unless it was
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -92,6 +92,7 @@
 	// followHosts' alone.
 	shown           bool // the last list that was read has this host's row
 	listedAsGrantor bool
+	inheritance     *handover // of the last process, until this host is listed
 
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
 
