--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -97,16 +97,17 @@
 	}
 }
 
-// grantor returns the address of another host that may grant for a program.
-func (keeper *Keeper) grantor(program string) (address string, found bool) {
+// grantor returns the address of another host that may grant for a program, or ""
+// where there is none.
+func (keeper *Keeper) grantor(program string) string {
 	if keeper.grantors == nil {
-		return "", false
+		return ""
 	}
 	holder, found := keeper.grantors.Holder(program)
 	if !found || holder.Incarnation == keeper.host {
-		return "", false
+		return ""
 	}
-	return holder.Address, true
+	return holder.Address
 }
 
 // Grants returns how many programs this host has granted for.
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -66,10 +66,10 @@
 		return reservation, true
 	}
 	sure = !withheld
-	grantor, _ := keeper.grantor(account.program)
+	grantor := keeper.grantor(account.program)
 	tried := make(map[string]bool)
 	for asks := 0; partial || asks < wholeAsks; {
-		host, found := keeper.lenderOf(account, tried)
+		host, found := keeper.lenderOf(account, grantor, tried)
 		if !found {
 			return nil, sure && !keeper.mayBeUnheard(account)
 		}
@@ -124,8 +124,8 @@
 // Digests alone are not enough: a program's next turn can come before they do,
 // and a host that has just started has heard none, so that a program was told
 // that its budget is spent while most of it lay unspent at other hosts.
-func (keeper *Keeper) lenderOf(account *account, tried map[string]bool) (host string, found bool) {
-	if grantor, found := keeper.grantor(account.program); found && !tried[grantor] {
+func (keeper *Keeper) lenderOf(account *account, grantor string, tried map[string]bool) (host string, found bool) {
+	if grantor != "" && !tried[grantor] {
 		return grantor, true
 	}
 	keeper.mutex.Lock()
--- a/bvbudget/reserve.go
+++ b/bvbudget/reserve.go
@@ -123,7 +123,7 @@
 
 // tell logs what was decided about a budget, and what decided it.
 func (keeper *Keeper) tell(account *account, turn Turn, decision string) {
-	grantor, _ := keeper.grantor(turn.Program)
+	grantor := keeper.grantor(turn.Program)
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	keeper.log.WithFields(logrus.Fields{
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -136,16 +136,13 @@
 }
 
 // Succeed notes that this host goes on from where its last process stopped. It is
-// called before the first list is taken over, soon after that stop: before
-// another host may take its programs over.
+// called soon after that stop, before another host may take its programs over.
+// All hosts that were known then are waited for until the next list shows them.
 func (leases *Leases) Succeed(now bvclock.Time, known Known) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.succeeded = true
-	for _, seed := range known.Listed {
-		leases.rows = append(leases.rows, row{seed: seed})
-	}
-	for _, seed := range known.Former {
+	for _, seed := range slices.Concat(known.Listed, known.Former) {
 		leases.formers = append(leases.formers, former{seed: seed, gone: now})
 	}
 }
@@ -223,18 +220,23 @@
 }
 
 func (leases *Leases) holder(program string) (best *row, highest uint64) {
+	key := xxhash.Sum64String(program)
 	for i := range leases.rows {
-		if weight := weight(leases.rows[i].seed, program); best == nil || weight > highest {
+		if weight := weight(leases.rows[i].seed, key); best == nil || weight > highest {
 			best, highest = &leases.rows[i], weight
 		}
 	}
 	return best, highest
 }
 
-func weight(seed uint64, program string) uint64 {
-	digest := xxhash.NewWithSeed(seed)
-	_, _ = digest.WriteString(program)
-	return digest.Sum64()
+// weight mixes the hashes of a host's name and of a program. All hosts must
+// compute the same.
+func weight(seed, key uint64) uint64 {
+	const golden = 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
+	mixed := (seed ^ key) * golden
+	mixed ^= mixed >> 32
+	mixed *= golden
+	return mixed ^ mixed>>29
 }
 
 // MayGrant reports whether this host alone may grant for a program now, whose
@@ -261,7 +263,8 @@
 // followsFormer reports whether a host that is no longer listed was the program's
 // holder, and may still be granting, or its programs be under way.
 func (leases *Leases) followsFormer(now bvclock.Time, program string, own uint64) bool {
+	key := xxhash.Sum64String(program)
 	return slices.ContainsFunc(leases.formers, func(former former) bool {
-		return weight(former.seed, program) > own && now.Sub(former.gone) < longestTakeover
+		return weight(former.seed, key) > own && now.Sub(former.gone) < longestTakeover
 	})
 }
--- a/bvlease/lease_test.go
+++ b/bvlease/lease_test.go
@@ -238,6 +238,42 @@
 	require.Len(t, world.holders(), 200)
 }
 
+// Programs are spread evenly over the grantors, or one of them would be asked by
+// all others.
+func TestProgramsAreSpreadEvenly(t *testing.T) {
+	leases := New(Host{Name: "edge-0"}, true, 1)
+	var hosts []Host
+	for i := range 13 {
+		hosts = append(hosts, Host{Name: fmt.Sprint("edge-piran-hall-", i), Incarnation: fmt.Sprint(i)})
+	}
+	leases.Listed(1, 1, hosts)
+	counts := make(map[string]int)
+	for i := range 13_000 {
+		holder, _ := leases.Holder(fmt.Sprintf("%x", i*7919))
+		counts[holder.Name]++
+	}
+	require.Len(t, counts, 13)
+	for name, count := range counts {
+		require.InDelta(t, 1000, count, 150, name)
+	}
+}
+
+// A host goes on from what its last process left. One that was known then and is
+// not listed any more is still waited for.
+func TestSuccessorWaitsForHostsThatLeftMeanwhile(t *testing.T) {
+	world := newWorld("a", "b")
+	before := world.holders()
+	world.stop("a")
+	world.stop("b")
+	world.start("a", false)
+	world.list("a")
+	world.ask("a")
+	world.answer("a")
+	for program, holder := range before {
+		require.Equal(t, holder == "a", world.mayGrant("a", program), program)
+	}
+}
+
 // The store is away for twenty seconds. Hosts go on with the list that they have.
 func TestHostsGrantWhileTheListCannotBeRead(t *testing.T) {
 	world := newWorld("a", "b", "c")
