--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -26,6 +26,7 @@
 // # Usage
 //
 //	keeper := bvbudget.NewKeeper(store, lenders, incarnation, clock, log)
+//	keeper.SetGrantors(grantors) // without it, the store records whole budgets
 //	reservation, err := keeper.Reserve(ctx, bvbudget.Turn{Program: id, Budget: 4576, Most: 572})
 //	defer reservation.Close()
 //	reservation.Spend(22) // for each event, before it is handed on
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -26,9 +26,9 @@
 	clockSkew = 5 * time.Second
 )
 
-// handover is what the next process of a host needs to go on granting. While a
-// host is away its programs' grants belong to nobody, so that they are as they
-// were left.
+// handover is what the next process of a host needs to go on granting. Nobody
+// else grants for its programs while the host is away, so that all is still true
+// when the next process takes it up.
 type handover struct {
 	Stopped time.Time          `json:"stopped"`
 	Known   bvlease.Known      `json:"known"` // hosts
