While the store is away, callers are sent away for a third of their time or their turns are held

In an outage's first 2 s turns are run at once, also new ones; then a caller with its whole time is sent away for a third of it, and run when it is back; after 12 s nothing is begun.

--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -55,8 +55,8 @@
 
 // Store is the platform's store, as far as it decides what can be served.
 type Store interface {
-	// Serving reports whether it can be asked.
-	Serving() bool
+	// AwayFor returns for how long it could not be asked; 0: it can be.
+	AwayFor() bvclock.Duration
 }
 
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -4,7 +4,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvbudget"
-	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvverdict"
 )
@@ -42,17 +41,23 @@
 		WithRetryAfter(comeBack)
 }
 
-// keepAgain is when to come back with a conversation while the store is away.
-const keepAgain = bvclock.Second
-
-// admitKept turns a new conversation away that can't be kept: its answer could
-// not be ended while the store is away, and the engine's work would be lost. One
-// that is under way goes on, since the store may be back when its turn ends.
+// admitKept decides on a turn that can't be kept now, since the store is away.
 func (call *call) admitKept() error {
-	if !call.route.Retained || call.said.Continues() || call.front.parts.Store.Serving() {
+	if !call.route.Retained {
+		return nil
+	}
+	away := call.front.parts.Store.AwayFor()
+	if away == 0 {
 		return nil
 	}
-	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the conversation can't be kept").WithRetryAfter(keepAgain)
+	comeBack, run := holdTurn(away, call.left(), call.route.Timeout)
+	if run {
+		call.front.parts.Counters.Add("turns_held", 1)
+		return nil
+	}
+	call.front.parts.Counters.Add("turns_sent_away", 1)
+	return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the turn can't be kept; the store has been away for %s", away).
+		WithRetryAfter(comeBack)
 }
 
 func (call *call) reserve() (err error) {
--- a/bvrouter/reach.go
+++ b/bvrouter/reach.go
@@ -55,6 +55,7 @@
 	number   int64
 	clients  map[string]*bvplatform.Client
 	lost     bool
+	lostAt   bvclock.Time
 	usual    float64 // duration of an answered call, in milliseconds
 	overruns int     // calls in a row that ran out of time
 
@@ -81,7 +82,7 @@
 	defer reach.mutex.Unlock()
 	lost := reach.failures >= lostAfter || reach.hanging(now)
 	if lost != reach.lost {
-		reach.lost = lost
+		reach.lost, reach.lostAt = lost, now
 		reach.tell()
 	}
 	return !lost
@@ -111,6 +112,18 @@
 	return reach.up() || len(reach.helpers()) > 0
 }
 
+// AwayFor returns for how long the store could not be asked, by any way; 0 where it
+// can be. It is at least a millisecond from the first look on.
+func (reach *reach) AwayFor() bvclock.Duration {
+	if reach.Serving() {
+		return 0
+	}
+	now := reach.clock.Now()
+	reach.mutex.Lock()
+	defer reach.mutex.Unlock()
+	return max(now.Sub(reach.lostAt), 1)
+}
+
 // track makes a call by this host's own way and learns from it. A call that
 // fails while others are answered says nothing of the store.
 func (reach *reach) track(ctx context.Context, kind string, call func(ctx context.Context) error) error {
