How fast engines read prompts is learnt from the calls

Hypothesis: the constant of the first users' engines (336 tokens a ms) makes turns leave engines that have their conversation, where engines read 110.

Change: bvdispatch/reading.go, the weighted median of slopes between calls that read much and calls that read little; 150 until known; on the metrics address (tokens_read_per_ms).

--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// prefillRate is how many prompt tokens an engine reads in a millisecond
-	// (users' sheets: 336).
-	prefillRate = 336
 	// crowding is how much longer a call takes, with all slots taken, than on
 	// an idle engine, counted twice: once for the call itself and once for
 	// those that run beside it. From the sheets' step times: 1.14 ms alone
@@ -36,9 +33,10 @@
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.noteHeld(request)
-	best := pool.cheapest(now, request, pool.newSample(now, request))
+	moment := moment{now: now, share: pool.share(now)}
+	best := pool.cheapest(moment, request, pool.newSample(moment, request))
 	if best == nil {
-		best = pool.cheapest(now, request, sample{all: true}) // none was drawn
+		best = pool.cheapest(moment, request, sample{all: true}) // none was drawn
 	}
 	if best == nil {
 		return pool.lastResort(request)
@@ -47,15 +45,21 @@
 	return best.entry, true
 }
 
+// moment is what a decision knows of the whole pool.
+type moment struct {
+	now   bvclock.Time
+	share float64 // of the places that are taken
+}
+
 // cheapest returns the endpoint of a sample at which the call costs least, or
 // nil if none of them may be called.
-func (pool *Pool) cheapest(now bvclock.Time, request *Request, sample sample) *endpoint {
+func (pool *Pool) cheapest(moment moment, request *Request, sample sample) *endpoint {
 	best, lowest := (*endpoint)(nil), 0.0
 	for _, row := range pool.rows {
-		if !row.open(now) || request.Avoid[row.entry.Name] || !sample.has(row) {
+		if !row.open(moment.now) || request.Avoid[row.entry.Name] || !sample.has(row) {
 			continue
 		}
-		cost := pool.cost(now, row, request)
+		cost := pool.cost(moment, row, request)
 		if request.Object == 0 {
 			cost += noise * pool.random.Float64() // the order of an object breaks ties by itself
 		}
@@ -87,9 +91,9 @@
 // cost is the time that a call takes at an endpoint beyond the shortest
 // possible, in milliseconds, with the time that it costs the calls beside it:
 // while an engine reads a prompt, all calls that run there stand still.
-func (pool *Pool) cost(now bvclock.Time, row *endpoint, request *Request) float64 {
+func (pool *Pool) cost(moment moment, row *endpoint, request *Request) float64 {
 	duration := pool.duration.or(defaultDuration)
-	load, slots := row.load(now), row.slots()
+	load, slots := row.load(moment.now), row.slots()
 	cost := crowding * duration * load / slots
 	if row.entry.Zone != pool.zone {
 		cost += zoneCost
@@ -97,13 +101,13 @@
 	if load >= slots {
 		cost += duration * (load - slots + 1) / slots
 	}
-	cost += row.seen.cost(now, pool.pace.or(0), duration)
+	cost += row.seen.cost(moment.now, pool.pace.or(0), duration)
 	if request.Object != 0 {
 		cost += objectWeight * row.place(request.Object)
 	}
 	cached := row.cache.cached(request.Prefix)
-	reading := float64(max(request.PromptTokens-cached, 0)) / prefillRate
-	cost += reading * (1 + min(load, slots))
+	beside := min(load, slots)
+	cost += pool.reading.time(max(request.PromptTokens-cached, 0)) * (1 + beside)
 	if len(request.Prefix) > 0 && cached <= request.Prefix[0].Tokens {
 		cost += pool.homeWeight(row) * row.home(request) // nothing of the conversation itself is here
 	}
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -75,6 +75,20 @@
 	return desk.pool(service).Admit(now, priority)
 }
 
+// ReadingRates returns how many prompt tokens the engines of each service read in a
+// millisecond, as far as this host has learnt.
+func (desk *Desk) ReadingRates() map[string]float64 {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	rates := make(map[string]float64)
+	for service, pool := range desk.pools {
+		if pool.reading.count > 0 {
+			rates[service] = pool.ReadingRate()
+		}
+	}
+	return rates
+}
+
 // Crowded reports whether the endpoints of any service have little room left.
 func (desk *Desk) Crowded() bool {
 	now := desk.clock.Now()
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -61,7 +61,8 @@
 	random   *rand.Rand
 	duration average // of a call, in milliseconds
 	pace     average // of calls, in milliseconds for an event or answer
-	zone     string  // availability zone of this host
+	reading  reading
+	zone     string // availability zone of this host
 
 	beginnings      map[uint64]beginning // first parts of prompts, by key
 	beginningTokens int
@@ -183,8 +184,15 @@
 	if result.Pace > 0 {
 		pool.pace.add(float64(result.Pace))
 	}
+	if result.First > 0 {
+		pool.reading.add(result.Read, result.First)
+	}
 }
 
+// ReadingRate returns how many prompt tokens the engines read in a millisecond, as
+// far as this host has learnt.
+func (pool *Pool) ReadingRate() float64 { return pool.reading.tokensPerMillisecond() }
+
 // Seen takes in another host's report, by the hash of the endpoint's ID.
 func (pool *Pool) Seen(now bvclock.Time, endpoint uint64, report Report) {
 	if row := pool.byHash[endpoint]; row != nil {
--- a/bvdispatch/sample.go
+++ b/bvdispatch/sample.go
@@ -1,7 +1,5 @@
 package bvdispatch
 
-import "balsamvalve.example/bvclock"
-
 // Hosts decide by themselves, on what they heard of each other up to a tenth of
 // a second ago. In a crowd, an engine whose calls have just ended looks best to
 // all of them at once: 40 calls of 25 hosts were seen to reach one engine of
@@ -27,15 +25,15 @@
 
 // newSample prepares the drawing for a request. Calls that concern one object
 // spread by it.
-func (pool *Pool) newSample(now bvclock.Time, request *Request) sample {
+func (pool *Pool) newSample(moment moment, request *Request) sample {
 	sample := sample{pool: pool, request: request}
-	if request.Object != 0 || !pool.Crowded(now) {
+	if request.Object != 0 || moment.share < crowdedShare {
 		sample.all = true
 		return sample
 	}
 	cached, open := 0, 0
 	for _, row := range pool.rows {
-		if !row.open(now) || request.Avoid[row.entry.Name] {
+		if !row.open(moment.now) || request.Avoid[row.entry.Name] {
 			continue
 		}
 		open++
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -120,6 +120,9 @@
 	case call.stream.count > 1:
 		result.Pace = now.Sub(call.firstAt) / bvclock.Duration(call.stream.count-1)
 	}
+	if call.stream.count > 0 && call.load.Waiting == 0 { // else it waited for a place
+		result.Read, result.First = max(call.wish.PromptTokens-call.wish.Cached, 0), call.firstAt.Sub(call.sentAt)
+	}
 	call.front.parts.Dispatcher.End(call.service.Name, call.at.ID(), &call.wish, result)
 }
 
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -114,12 +114,20 @@
 }
 
 // Count adds one to a counter that is kept by kind.
-func (counters *Counters) Count(name, kind string) {
-	found, ok := counters.variables.Get(name).(*expvar.Map)
-	if !ok {
-		found = counters.newMap(name)
+func (counters *Counters) Count(name, kind string) { counters.kinds(name).Add(kind, 1) }
+
+// SetKind sets a variable that is kept by kind.
+func (counters *Counters) SetKind(name, kind string, value int64) {
+	number := new(expvar.Int)
+	number.Set(value)
+	counters.kinds(name).Set(kind, number)
+}
+
+func (counters *Counters) kinds(name string) *expvar.Map {
+	if found, ok := counters.variables.Get(name).(*expvar.Map); ok {
+		return found
 	}
-	found.Add(kind, 1)
+	return counters.newMap(name)
 }
 
 func (counters *Counters) newMap(name string) *expvar.Map {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -294,6 +294,9 @@
 	router.counters.Set("budget_writes", router.budgets.Writes())
 	router.counters.Set("budget_accounts", int64(router.budgets.Len()))
 	router.counters.Set("grants", int64(router.budgets.Grants()))
+	for service, rate := range router.desk.ReadingRates() {
+		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
+	}
 }
 
 // serveUntil serves HTTP until ctx ends.
