--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -58,6 +58,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(newServe())
+	root.AddCommand(newExplain())
 	root.AddCommand(newRoute())
 	root.AddCommand(newDemo())
 	root.AddCommand(newCheck())
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -51,9 +51,10 @@
 	erred    bool // and it is an error of the endpoint's own
 	stream   events
 
-	sentAt  bvclock.Time // of the last send
-	firstAt bvclock.Time // of the first event that was handed on
-	load    bvroute.Load // as the endpoint told it with its answer
+	sentAt  bvclock.Time     // of the last send
+	firstAt bvclock.Time     // of the first event that was handed on
+	keptFor bvclock.Duration // how long it took to keep the turn
+	load    bvroute.Load     // as the endpoint told it with its answer
 
 	reservation *bvbudget.Reservation // nil for what spends no budget
 	chain       bvhistory.Chain       // of a conversation that is kept
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -89,6 +89,9 @@
 	if call.stream.count > 0 {
 		fields["first_ms"] = int64(call.firstAt.Sub(call.arrived))
 		fields["events"] = call.stream.count
+		if call.keptFor > 0 {
+			fields["kept_ms"] = int64(call.keptFor)
+		}
 	}
 	entry := call.front.parts.Log.WithFields(fields)
 	if err != nil {
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -103,6 +103,8 @@
 	if !call.route.Retained {
 		return nil
 	}
+	began := call.front.parts.Clock.Now()
+	defer func() { call.keptFor = call.front.parts.Clock.Now().Sub(began) }()
 	return call.front.parts.Histories.Add(call.ctx, call.chain, bvhistory.Said{
 		ID:     call.said.ID,
 		Input:  call.input,
--- a/bvlog/bounded.go
+++ b/bvlog/bounded.go
@@ -28,6 +28,10 @@
 	linesPerSecond = 400
 )
 
+// timeFormat is that of RFC 3339 with milliseconds, in which decisions are told
+// apart.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Bounded is a writer that never blocks. Make one with NewBounded.
 type Bounded struct {
 	clock bvclock.Clock
@@ -110,6 +114,6 @@
 func New(output io.Writer) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(output)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return log
 }
