--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -198,12 +198,11 @@
 // Untold returns how this host's calls ended since the last look, by the hash of
 // the endpoint's ID.
 func (desk *Desk) Untold() map[uint64]Report {
-	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	untold := make(map[uint64]Report)
 	for _, pool := range desk.pools {
-		maps.Copy(untold, pool.Untold(now))
+		maps.Copy(untold, pool.Untold())
 	}
 	return untold
 }
@@ -223,19 +222,12 @@
 	}
 }
 
-// Began notes that an endpoint has begun to answer a call.
-func (desk *Desk) Began(service, endpoint string, request *Request) {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	desk.pool(service).Began(endpoint, request)
-}
-
 // End notes how a call ended.
 func (desk *Desk) End(service, endpoint string, request *Request, result Result) {
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	desk.pool(service).End(now, endpoint, request, result)
+	desk.pool(service).End(now, endpoint, result)
 	switch result.Outcome {
 	case Broken:
 		desk.suspects.Broke(now, request.Content, HashID(endpoint))
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -21,37 +21,7 @@
 	cache   cache
 	health  health
 	seen    judgement
-	untold  Report          // own calls, since other hosts were told
-	waits   map[uint64]wait // own calls without an answer, by ticket
-}
-
-// wait is a call that has no answer yet.
-type wait struct {
-	since bvclock.Time
-	told  bool // it counts as failed
-}
-
-func (endpoint *endpoint) wait(ticket uint64, now bvclock.Time) {
-	if endpoint.waits == nil {
-		endpoint.waits = make(map[uint64]wait)
-	}
-	endpoint.waits[ticket] = wait{since: now}
-}
-
-// tellHung counts calls as failed that have no answer after hungAfter, without
-// waiting for their callers to give up, which takes them two seconds and more. An
-// engine that takes calls and answers none has the shortest queue, and until it is
-// judged each host of the zone sends it more.
-func (endpoint *endpoint) tellHung(now bvclock.Time) {
-	for ticket, call := range endpoint.waits {
-		if call.told || now.Sub(call.since) <= hungAfter {
-			continue
-		}
-		endpoint.waits[ticket] = wait{since: call.since, told: true}
-		report := Report{Ended: 1, Failed: 1}
-		endpoint.seen.add(now, report)
-		endpoint.untold.add(report)
-	}
+	untold  Report // own calls, since other hosts were told
 }
 
 // peersFor is how long the other hosts' word on their calls is taken before the
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -16,7 +16,7 @@
 //	pool.SetEndpoints(now, endpoints)
 //	chosen, found := pool.Choose(now, request)
 //	pool.Begin(now, chosen.ID(), request)
-//	pool.End(now, chosen.ID(), request, bvdispatch.Result{Outcome: bvdispatch.Served, Took: duration})
+//	pool.End(now, chosen.ID(), bvdispatch.Result{Outcome: bvdispatch.Served, Took: duration})
 package bvdispatch
 
 import (
@@ -41,8 +41,6 @@
 	Content      uint64          // what the request is known by when it comes again
 	Held         Held            // where the turn before ran
 
-	ticket uint64 // of the call at its endpoint, set by Begin
-
 	// Set by Choose, for the log: what the decision went by.
 	Cached int     // tokens of the prompt that the chosen endpoint is thought to have
 	Load   float64 // calls that it is thought to have, from all hosts
@@ -67,7 +65,6 @@
 	reading  reading
 	zone     string // availability zone of this host
 	without  bvmechanism.Set
-	tickets  uint64 // given to calls
 
 	beginnings      map[uint64]beginning // first parts of prompts, by key
 	beginningTokens int
@@ -144,9 +141,6 @@
 		return nil
 	}
 	row.running++
-	pool.tickets++
-	request.ticket = pool.tickets
-	row.wait(request.ticket, now)
 	return row.cache.use(request.Prefix, row.entry.CacheTokens)
 }
 
@@ -177,15 +171,8 @@
 	return running
 }
 
-// Began notes that an endpoint has begun to answer a call.
-func (pool *Pool) Began(id string, request *Request) {
-	if row := pool.byID[id]; row != nil {
-		delete(row.waits, request.ticket)
-	}
-}
-
 // End notes how a call ended.
-func (pool *Pool) End(now bvclock.Time, id string, request *Request, result Result) {
+func (pool *Pool) End(now bvclock.Time, id string, result Result) {
 	row := pool.byID[id]
 	if row == nil {
 		return
@@ -193,10 +180,6 @@
 	row.running = max(row.running-1, 0)
 	row.health.judge(now, result.Outcome)
 	report := reportOf(result)
-	if row.waits[request.ticket].told {
-		report = Report{} // it counts as failed already
-	}
-	delete(row.waits, request.ticket)
 	row.seen.add(now, report)
 	row.untold.add(report)
 	if result.Outcome != Served {
@@ -229,10 +212,9 @@
 
 // Untold returns how this host's calls ended since the last look, by the hash of
 // the endpoint's ID.
-func (pool *Pool) Untold(now bvclock.Time) map[uint64]Report {
+func (pool *Pool) Untold() map[uint64]Report {
 	untold := make(map[uint64]Report)
 	for _, row := range pool.rows {
-		row.tellHung(now)
 		if row.untold != (Report{}) {
 			untold[row.hash] = row.untold
 			row.untold = Report{}
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -65,7 +65,6 @@
 	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	Told(service, endpoint string, load bvroute.Load)
-	Began(service, endpoint string, request *bvdispatch.Request)
 	End(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
 	Poisonous(content uint64) bool
 }
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -84,7 +84,6 @@
 		return call.settleRun(err)
 	}
 	defer response.Close()
-	call.front.parts.Dispatcher.Began(call.service.Name, endpoint.ID(), &call.wish)
 	if response.Answer.HasLoad {
 		call.load = response.Answer.Load
 		call.front.parts.Dispatcher.Told(call.service.Name, endpoint.ID(), response.Answer.Load)
