--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -27,20 +27,7 @@
 	if call.route.Retained {
 		group.Go(call.recall)
 	}
-	return call.askedBackLater(group.Wait())
-}
-
-// askedBackLater lets the caller of a turn that waits for the store come back as
-// late as it heeds. Outages last seconds, also those of some of the store's parts,
-// and a caller that comes back sooner has used up its tries before they are over:
-// with 0.5 s after three seconds, with a third of its time after five.
-func (call *call) askedBackLater(err error) error {
-	refusal := bvverdict.From(err)
-	if err == nil || refusal.Code() != bvverdict.PlatformUnavailable || refusal.Verdict() != bvverdict.NotRun {
-		return err
-	}
-	wait := bvclock.Duration(waitShare * float64(call.left()))
-	return refusal.WithRetryAfter(max(wait, refusal.RetryAfter()))
+	return group.Wait()
 }
 
 // admit turns a new program away where the engines can't serve it in time.
