--- a/bvdispatch/pool_test.go
+++ b/bvdispatch/pool_test.go
@@ -207,6 +207,7 @@
 	}
 	loads[HashID("e6")] = 0
 	pool.SetPeerLoads(1, loads)
+	pool.reading.rate = 110 // as these engines', once it is learnt
 	request := prompt(1, 2)
 	request.Prefix[1].Tokens, request.PromptTokens = 1500, 7100
 	pool.Placed(HashID("e1"), request.Prefix)
