--- a/bvbudget/reserve.go
+++ b/bvbudget/reserve.go
@@ -32,8 +32,7 @@
 			continue // it may show tokens of this host's own
 		}
 		if block, fits := keeper.plan(account, turn); fits {
-			err = keeper.reserveBlock(ctx, account, block)
-			search.fresh = search.fresh || keeper.knows(account) // where another host's write came first
+			search.fresh, err = keeper.reserveBlock(ctx, account, block)
 		} else {
 			reservation, err := keeper.search(ctx, account, turn, &search)
 			if reservation != nil || err != nil {
@@ -51,14 +50,18 @@
 }
 
 // reserveBlock tries to reserve a block in the row. That another host's write came
-// first, or that the answer was lost, is no error: the next look at the row tells.
-func (keeper *Keeper) reserveBlock(ctx context.Context, account *account, block int) error {
-	err := keeper.write(ctx, account, block)
+// first is no error: the row is known then as it is. Nor is it that the answer was
+// lost: the next look at the row tells.
+func (keeper *Keeper) reserveBlock(ctx context.Context, account *account, block int) (fresh bool, err error) {
+	err = keeper.write(ctx, account, block)
 	var conflict *bvplatform.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, bvplatform.ErrUnknown) {
-		return nil
+	if errors.As(err, &conflict) {
+		return true, nil
 	}
-	return err
+	if errors.Is(err, bvplatform.ErrUnknown) {
+		return false, nil
+	}
+	return false, err
 }
 
 // search is how far a turn has looked for tokens that the row does not hold.
--- a/bvbudget/row.go
+++ b/bvbudget/row.go
@@ -31,13 +31,6 @@
 	return true, keeper.learn(account, rows[0])
 }
 
-// knows reports whether the record is known as the store has it.
-func (keeper *Keeper) knows(account *account) bool {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return account.known
-}
-
 func (keeper *Keeper) forget(account *account) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -149,9 +149,6 @@
 // SetPeerLoads takes over how many calls the other hosts have at each endpoint,
 // by the hash of its ID.
 func (desk *Desk) SetPeerLoads(loads map[uint64]int) {
-	if desk.without.Has(bvmechanism.Digests) {
-		return
-	}
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
@@ -162,9 +159,6 @@
 
 // Place takes in what another host sent.
 func (desk *Desk) Place(placed []Placement) {
-	if desk.without.Has(bvmechanism.Digests) {
-		return
-	}
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	for _, placement := range placed {
@@ -209,9 +203,6 @@
 
 // Seen takes in how another host's calls ended.
 func (desk *Desk) Seen(reports map[uint64]Report) {
-	if desk.without.Has(bvmechanism.Digests) {
-		return
-	}
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
--- a/bvexplain/row.go
+++ b/bvexplain/row.go
@@ -80,8 +80,9 @@
 }
 
 // sampleSize is how many values a sample keeps: the 95th percentile of so many is
-// off by some two percent of rank.
-const sampleSize = 500
+// off by some two percent of rank. A day's seconds take 100 MB with it; a histogram
+// for each would take twenty times as much.
+const sampleSize = 150
 
 // sample keeps some of many values, each with the same chance.
 type sample struct {
--- a/bvplatform/endpoint.go
+++ b/bvplatform/endpoint.go
@@ -57,7 +57,8 @@
 	Endpoints(ctx context.Context) ([]Endpoint, error)
 }
 
-// EndpointChanges is what changed on a list of endpoints since an earlier look.
+// EndpointChanges is what changed on a list of endpoints since an earlier look. A name
+// is in one of its lists only: what was said of it last.
 type EndpointChanges struct {
 	Whole  bool       // Listed is the whole list: the changes since are not known
 	Listed []Endpoint // new, or not as before
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -76,6 +76,9 @@
 
 func (router *Router) peerLoads() map[uint64]int {
 	loads := make(map[uint64]int)
+	if router.settings.Without.Has(bvmechanism.Digests) {
+		return loads
+	}
 	for _, digest := range router.gossip.Heard() {
 		for _, load := range digest.GetLoads() {
 			loads[load.GetEndpoint()] += int(load.GetRunning())
@@ -153,6 +156,17 @@
 
 // Hear implements bvgossip.Handler.
 func (handler peerHandler) Hear(digest *bvgossip.Digest) {
+	if !handler.settings.Without.Has(bvmechanism.Digests) {
+		handler.hearCalls(digest)
+	}
+	for _, crash := range digest.GetCrashes() {
+		handler.desk.LearnCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
+	}
+	handler.budgets.Holds(digest.GetAddress(), digest.GetPrograms())
+}
+
+// hearCalls takes in where another host's prompts are, and how its calls ended.
+func (handler peerHandler) hearCalls(digest *bvgossip.Digest) {
 	placed := make([]bvdispatch.Placement, 0, len(digest.GetPlacements()))
 	for _, placement := range digest.GetPlacements() {
 		placed = append(placed, bvdispatch.Placement{
@@ -168,10 +182,6 @@
 		}
 	}
 	handler.desk.Seen(seen)
-	for _, crash := range digest.GetCrashes() {
-		handler.desk.LearnCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
-	}
-	handler.budgets.Holds(digest.GetAddress(), digest.GetPrograms())
 }
 
 // maxHelpers is how many hosts are tried with one call to the store.
--- a/bvrouter/roster.go
+++ b/bvrouter/roster.go
@@ -64,7 +64,7 @@
 		roster.listed = make(map[string]bvplatform.Endpoint, len(changes.Listed))
 	}
 	for _, endpoint := range changes.Listed {
-		if roster.newest(endpoint) {
+		if roster.noteStart(endpoint) {
 			roster.listed[endpoint.Name] = endpoint
 			continue
 		}
@@ -81,9 +81,9 @@
 	}
 }
 
-// newest notes an endpoint's start; it reports false for an entry that is older
+// noteStart notes an endpoint's start; it reports false for an entry that is older
 // than another one of its name, or that tells no start where others did.
-func (roster *roster) newest(endpoint bvplatform.Endpoint) bool {
+func (roster *roster) noteStart(endpoint bvplatform.Endpoint) bool {
 	if endpoint.Started.Before(roster.starts[endpoint.Name]) {
 		return false
 	}
@@ -105,7 +105,7 @@
 func (roster *roster) borrow(endpoints []bvplatform.Endpoint) []bvplatform.Endpoint {
 	result := make([]bvplatform.Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
-		if !roster.newest(endpoint) {
+		if !roster.noteStart(endpoint) {
 			newer, found := roster.listed[endpoint.Name]
 			if !found {
 				continue
