Hosts know how full engines are: totals of other zones, trackers of calls, a fleet in virtual time

Cause: with more than 120 hosts, hosts of other zones are told only of calls at their own zone's engines, so a host knew a sixth of the calls at five sixths of the engines. Full engines looked idle to it, the service looked half empty (nearly nothing was refused, and the crowded ways to decide were not used), and calls waited at some engines while others stood free. Besides, digests are 0.3 to 1.2 s old and a call takes 0.36 s. Ruled out in virtual time (bvfleet): the order in which calls wait, where conversations are cached (known or not makes no difference there), the share of places from which programs are turned away.

Change: each zone's hosts add up the calls at their engines, and each host is told the sums by a few hosts of each zone. Each engine has a tracker, a host that is told of each call at once; in a crowd, a decision asks the trackers of five engines first.

--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -33,9 +33,8 @@
 }
 
 // half is how many tokens each half has. The two may pass the budget together by
-// one turn at its most, which the users' pages allow: with half of the budget
-// only, three programs in ten would need both halves, and with this one in a
-// hundred.
+// one turn at its most, which is allowed; with half of the budget only, many more
+// programs would need both halves.
 func half(budget, most int) int { return (budget + most) / 2 }
 
 // stored is the part of a budget that the program's row holds.
--- a/bvbudget/keeper.go
+++ b/bvbudget/keeper.go
@@ -20,8 +20,7 @@
 //
 // Without grantors, the row holds the whole budget, and it is never passed.
 //
-// Of 1,511 programs of the users' calm days, 1.5% needed more than one half:
-// about as many as loop without end.
+// Few programs need more than one half: mostly those that loop without end.
 //
 // # Usage
 //
@@ -58,7 +57,7 @@
 	// host's write came first.
 	maxTries = 8
 	// defaultSettle is the time after which what a turn has spent must be
-	// settled, where nobody says (users' sheets: 1,000 ms).
+	// settled, where nobody says.
 	defaultSettle = bvclock.Second
 	// returnShare is the part of it for which a program pauses before its
 	// unspent tokens are given back.
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	// maxHolders bounds the programs of other hosts that are remembered; at
-	// the users' grown sites some 400 are under way at once.
+	// maxHolders bounds the programs of other hosts that are remembered.
 	maxHolders = 20_000
 	// hostsPerProgram bounds the hosts remembered for a program: its turns
 	// and sub-agents come through about as many at once.
--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -17,13 +17,7 @@
 	// fullShare is how many calls there may be, as a share of the engines'
 	// places, before new programs of the less urgent routes are turned away.
 	// Spread evenly, a fifth more calls than places wait little more than for
-	// their prompts to be read. On the heaviest day of obala-surf-grown, a crowd
-	// of six seconds, 0.85, 0.95, 1.05, 1.2, 1.5 and 2.0 were worth 0.54, 0.59, 0.61,
-	// 0.69, 0.76 and 0.70; on that of bcf-tipton-grown 0.85, 1.05, 1.2 and 1.5 were
-	// worth 0.79, 0.81, 0.83 and 0.85 (one play each, which vary by some 0.03).
-	// In a crowd that stays, more than 1.2 makes most programs late: at 1.2, 1.3
-	// and 1.5, 857, 663 and 254 of 1,200 are in time (the load of this package's
-	// tests, 1.3 times what the engines can serve).
+	// their prompts to be read; in a crowd that stays, more make most programs late.
 	fullShare = 1.2
 	// urgentShare is added for the most urgent routes, whose programs then
 	// find room that less urgent ones have left.
--- a/bvdispatch/cache.go
+++ b/bvdispatch/cache.go
@@ -69,9 +69,8 @@
 }
 
 // noteHeld takes in where the turn before ran. The next one comes some tens of
-// milliseconds later, through any host, and digests take longer: with 64 hosts,
-// two in five turns of the users' calm day went to engines that had nothing of the
-// conversation, and read 3,350 tokens where 825 were new.
+// milliseconds later, through any host, and digests take longer: without this, turns
+// go to engines that have nothing of the conversation and read it all again.
 func (pool *Pool) noteHeld(request *Request) {
 	row := pool.byHash[request.Held.Endpoint]
 	if row != nil && !pool.without.Has(bvmechanism.Held) {
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -9,21 +9,19 @@
 const (
 	// crowding is how much longer a call takes, with all slots taken, than on
 	// an idle engine, counted twice: once for the call itself and once for
-	// those that run beside it. From the sheets' step times: 1.14 ms alone
-	// and 1.66 ms with 16 beside.
+	// those that run beside it.
 	crowding = 0.6
 	// defaultDuration stands for a call's duration before any was measured,
 	// in milliseconds.
 	defaultDuration = 200
 	// zoneCost is what an endpoint in another availability zone costs, in
-	// milliseconds: 1 ms for the way, and more since bytes between zones are
-	// dear to operators: about what one call more at an endpoint costs. Against
-	// 8 ms it moved the calm day of bcf-tipton from 0.939 to 0.945.
+	// milliseconds: a little for the way, and more since operators pay for bytes
+	// between zones: about what one call more at an endpoint costs.
 	zoneCost = 24
 	// objectWeight is the most that an endpoint's place in the order of a call's
-	// object counts, in milliseconds. An endpoint that had the object lately
-	// takes half of the time for it (users' sheets: 104 ms), so that the calls
-	// that concern it should meet; three calls more at one endpoint outweigh it.
+	// object counts, in milliseconds. An endpoint that had the object lately is
+	// faster, so that the calls that concern it should meet; three calls more at one
+	// endpoint outweigh it.
 	objectWeight = 20
 	// noise breaks ties between endpoints, in milliseconds. Without it, hosts
 	// that know the same send to the same endpoint at once.
@@ -35,7 +33,7 @@
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.noteHeld(request)
 	moment := moment{now: now, share: pool.share(now)}
-	best := pool.cheapest(moment, request, pool.newSample(moment, request))
+	best := pool.cheapest(moment, request, pool.drawn(moment, request))
 	if best == nil {
 		best = pool.cheapest(moment, request, sample{all: true}) // none was drawn
 	}
@@ -95,10 +93,8 @@
 //
 // Those beside it are at least as many as the engines have on average: one that
 // is idle now will not be so a moment later, and what it reads again there takes its
-// time from all. Counted by the calls that are there at the moment, two in five
-// turns of a calm day of 64 hosts left the engine that had their conversation for
-// an idle one, and 1,700 tokens a turn were read in place of 980; on the crowded day
-// 0.77 of the worth was earned in place of 0.72, on the calm one 0.926 and 0.907.
+// time from all. Counted by the calls that are there at the moment, conversations
+// leave the engines that have them for any that is idle.
 func (pool *Pool) cost(moment moment, row *endpoint, request *Request) float64 {
 	duration := pool.duration.or(defaultDuration)
 	load, slots := row.load(moment.now), row.slots()
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -24,8 +24,23 @@
 	placed []Placement // since the last look
 
 	suspects Suspects
+	trackers Trackers // nil: none
 }
 
+// Trackers are the hosts that count the calls at endpoints. Endpoints go by the hashes
+// of their IDs.
+type Trackers interface {
+	// Counts asks how many calls the other hosts have at endpoints now. Endpoints of
+	// which it is not known are missing.
+	Counts(endpoints []uint64) map[uint64]int
+	// Used tells how many calls this host has at an endpoint now.
+	Used(endpoint uint64, running int)
+}
+
+// SetTrackers lets decisions in a crowd ask trackers. It is called before the first
+// call.
+func (desk *Desk) SetTrackers(trackers Trackers) { desk.trackers = trackers }
+
 // Placement is a part of a prompt that an endpoint was sent.
 type Placement struct {
 	Endpoint uint64 // hash of its ID
@@ -113,15 +128,60 @@
 // Choose returns the endpoint for a call and counts the call there. Each is to
 // be followed by an End.
 func (desk *Desk) Choose(service string, request *Request) (bvplatform.Endpoint, bool) {
+	counts := desk.countsFor(service, request)
+	chosen, running, found := desk.begin(service, request, counts)
+	if found {
+		desk.tell(HashID(chosen.ID()), running)
+	}
+	return chosen, found
+}
+
+// countsFor asks the trackers of the endpoints that look best for a call, where calls
+// crowd each other. It returns nil where nothing was asked.
+func (desk *Desk) countsFor(service string, request *Request) map[uint64]int {
+	if desk.trackers == nil || desk.without.Has(bvmechanism.Probes) {
+		return nil
+	}
+	shortlist := desk.shortlist(service, request)
+	if len(shortlist) < 2 {
+		return nil // there is no choice
+	}
+	return desk.trackers.Counts(shortlist)
+}
+
+func (desk *Desk) shortlist(service string, request *Request) []uint64 {
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	pool := desk.pool(service)
+	if !pool.Crowded(now) {
+		return nil
+	}
+	return pool.Shortlist(now, request)
+}
+
+// begin decides by what trackers told, and counts the call. It returns how many calls
+// this host has at the chosen endpoint with it.
+func (desk *Desk) begin(service string, request *Request, counts map[uint64]int) (bvplatform.Endpoint, int, bool) {
+	now := desk.clock.Now()
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	pool := desk.pool(service)
+	request.Among = counts
 	chosen, found := pool.Choose(now, request)
-	if found {
-		desk.note(chosen.ID(), pool.Begin(now, chosen.ID(), request))
+	if !found {
+		return chosen, 0, false
+	}
+	desk.note(chosen.ID(), pool.Begin(now, chosen.ID(), request))
+	return chosen, pool.RunningAt(HashID(chosen.ID())), true
+}
+
+// tell tells an endpoint's tracker of this host's calls there. It must not be called
+// with the lock held: the trackers ask this desk in turn.
+func (desk *Desk) tell(endpoint uint64, running int) {
+	if desk.trackers != nil && !desk.without.Has(bvmechanism.Probes) {
+		desk.trackers.Used(endpoint, running)
 	}
-	return chosen, found
 }
 
 func (desk *Desk) note(endpoint string, parts []bvroute.Part) {
@@ -181,6 +241,19 @@
 	return ""
 }
 
+// Running returns how many calls of this host are under way at an endpoint, by the
+// hash of its ID.
+func (desk *Desk) Running(endpoint uint64) int {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	for _, pool := range desk.pools {
+		if running := pool.RunningAt(endpoint); running > 0 {
+			return running
+		}
+	}
+	return 0
+}
+
 // Told takes in an endpoint's own word on its load.
 func (desk *Desk) Told(service, endpoint string, load bvroute.Load) {
 	now := desk.clock.Now()
@@ -215,16 +288,24 @@
 
 // End notes how a call ended.
 func (desk *Desk) End(service, endpoint string, request *Request, result Result) {
+	hash := HashID(endpoint)
+	desk.tell(hash, desk.end(service, endpoint, hash, request, result))
+}
+
+// end returns how many calls this host has left at the endpoint.
+func (desk *Desk) end(service, endpoint string, hash uint64, request *Request, result Result) int {
 	now := desk.clock.Now()
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
-	desk.pool(service).End(now, endpoint, result)
+	pool := desk.pool(service)
+	pool.End(now, endpoint, result)
 	switch result.Outcome {
 	case Broken:
-		desk.suspects.Broke(now, request.Content, HashID(endpoint))
+		desk.suspects.Broke(now, request.Content, hash)
 	case Unreachable, Wrong:
-		desk.suspects.Gone(now, HashID(endpoint))
+		desk.suspects.Gone(now, hash)
 	}
+	return pool.RunningAt(hash)
 }
 
 // Poisonous reports whether a request has crashed too many endpoints.
--- a/bvdispatch/home.go
+++ b/bvdispatch/home.go
@@ -15,10 +15,8 @@
 // much more loaded.
 const (
 	// fullHomeWeight is the most that the place in the order counts, in
-	// milliseconds. Measured on the grown site with 233,774 tokens an engine
-	// and 16 beginnings of 12,600: 43 million of 105 million prompt tokens
-	// were beginnings read again at 0 ms, and 9 of 54 at 600 ms, with digests
-	// six times as frequent besides; 1,500 ms was no better than 250.
+	// milliseconds: some times what reading a beginning takes, as a call that goes
+	// elsewhere also drives another beginning out of that engine's memory.
 	fullHomeWeight = 600
 	// scarceFrom and scarceTo bound the share of an endpoint's memory that all
 	// beginnings seen here together take, between which the order counts more and
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -40,6 +40,9 @@
 	Avoid        map[string]bool // endpoints that must not be chosen again
 	Content      uint64          // what the request is known by when it comes again
 	Held         Held            // where the turn before ran
+	// Among are the endpoints to choose from, by the hashes of their IDs, with the
+	// calls that the other hosts have there now. Nil: all.
+	Among map[uint64]int
 
 	// Set by Choose, for the log: what the decision went by.
 	Cached int     // tokens of the prompt that the chosen endpoint is thought to have
@@ -171,6 +174,15 @@
 	return running
 }
 
+// RunningAt returns how many calls of this host are under way at an endpoint, by the
+// hash of its ID.
+func (pool *Pool) RunningAt(endpoint uint64) int {
+	if row := pool.byHash[endpoint]; row != nil {
+		return row.running
+	}
+	return 0
+}
+
 // End notes how a call ended.
 func (pool *Pool) End(now bvclock.Time, id string, result Result) {
 	row := pool.byID[id]
--- a/bvdispatch/reading.go
+++ b/bvdispatch/reading.go
@@ -9,15 +9,11 @@
 
 // How fast the engines of a service read prompts is learnt from the calls that this
 // host sends there: the time from sending to the first event grows by it with each
-// token that is not cached. One user's engines read 336 tokens in a millisecond and
-// another one's 110; with the first figure on the second's engines, conversations
-// left engines that had them too easily: the crowded days with 13 and 64 hosts earned
-// 0.886 and 0.627 of their worth, in place of 0.905 and 0.698 with about the second.
+// token that is not cached. Engines differ by some times; taken for faster than they
+// are, conversations leave the engines that have them too easily.
 const (
-	// readingSamples are the calls that the estimate goes by. A host of the users'
-	// sites has as many in half a minute; with a quarter of them, the estimate is
-	// off by a factor of four now and then, where engines read 336 tokens in a
-	// millisecond and other calls take 12 at random.
+	// readingSamples are the calls that the estimate goes by. With few of them, chance
+	// delays of fast engines put it off by some times.
 	readingSamples = 512
 	// readingEvery is the number of calls between two estimates.
 	readingEvery = 32
@@ -25,10 +21,9 @@
 	// fewer take less time than other calls' chance delays.
 	leastSpread = 256
 	// startRate is what is taken, in tokens a millisecond, until there is an
-	// estimate: that of the fastest engines of the users. A host that has just
-	// started knows of few prompts where they are cached; with 150, its calls crowd
-	// at the engines that it knows, and the day on which all hosts of obala-surf are
-	// restarted in turn earned 0.72 in place of 0.76 (means of two seeds).
+	// estimate: that of fast engines. A host that has just started knows of few
+	// prompts where they are cached; if reading weighs much, its calls crowd at the
+	// engines that it knows.
 	startRate = 336
 	// leastRate and mostRate bound the estimate, in tokens a millisecond.
 	leastRate = 1
--- a/bvdispatch/sample.go
+++ b/bvdispatch/sample.go
@@ -4,8 +4,7 @@
 
 // Hosts decide by themselves, on what they heard of each other up to a tenth of
 // a second ago. In a crowd, an engine whose calls have just ended looks best to
-// all of them at once: 40 calls of 25 hosts were seen to reach one engine of
-// twelve places within 130 ms, and to wait there for a second. So in a crowd each
+// all of them at once, and their calls wait there for each other. So in a crowd each
 // decision looks at a few endpoints only, drawn at random beside those that have
 // the conversation, and the rest of a tenth of a second's calls go elsewhere.
 const (
@@ -23,6 +22,7 @@
 	cached  float64 // share of those that have the prompt's first part
 	others  float64 // share of the others
 	first   *endpoint
+	among   map[uint64]int // the only ones, where not nil
 }
 
 // newSample prepares the drawing for a request. Calls that concern one object
@@ -56,6 +56,10 @@
 // that have more of the prompt than its first part, and at the first one in the
 // order of the first part.
 func (sample *sample) has(row *endpoint) bool {
+	if sample.among != nil {
+		_, found := sample.among[row.hash]
+		return found
+	}
 	if sample.all || row == sample.first {
 		return true
 	}
--- /dev/null
+++ b/bvdispatch/shortlist.go
@@ -0,0 +1,63 @@
+package bvdispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"balsamvalve.example/bvclock"
+)
+
+// In a crowd, what hosts know of each other's calls is some tenths of a second old,
+// which is as long as a call takes. Decisions on it send calls to engines that others
+// have just filled, and move conversations away from engines that have room again. So
+// a decision first draws up a short list by what is known, is told how many calls
+// these endpoints have now, and then chooses among them.
+
+// shortlisted is how many endpoints are asked about. With three, most calls find one
+// with room when a third of all places is free; each more is a datagram and its answer.
+const shortlisted = 5
+
+// Shortlist returns the endpoints at which the call is expected to cost least, by the
+// hashes of their IDs.
+func (pool *Pool) Shortlist(now bvclock.Time, request *Request) []uint64 {
+	pool.noteHeld(request)
+	moment := moment{now: now, share: pool.share(now)}
+	type candidate struct {
+		endpoint *endpoint
+		cost     float64
+	}
+	var candidates []candidate
+	sample := pool.newSample(moment, request)
+	for _, row := range pool.rows {
+		if row.open(now) && !request.Avoid[row.entry.Name] && sample.has(row) {
+			candidates = append(candidates, candidate{row, pool.cost(moment, row, request)})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	var hashes []uint64
+	for _, candidate := range candidates[:min(shortlisted, len(candidates))] {
+		hashes = append(hashes, candidate.endpoint.hash)
+	}
+	return hashes
+}
+
+// drawn returns the endpoints that a decision looks at: those that it was told of, or
+// a sample.
+func (pool *Pool) drawn(moment moment, request *Request) sample {
+	if len(request.Among) == 0 {
+		return pool.newSample(moment, request)
+	}
+	for endpoint, count := range request.Among {
+		if row := pool.byHash[endpoint]; row != nil {
+			row.setPeers(moment.now, count)
+		}
+	}
+	return sample{among: request.Among}
+}
+
+// setPeers takes in how many calls the other hosts have at the endpoint now. That is
+// newer than what the endpoint itself last told.
+func (endpoint *endpoint) setPeers(now bvclock.Time, count int) {
+	endpoint.peers, endpoint.peersAt = count, now
+	endpoint.others = 0
+}
--- /dev/null
+++ b/bvdispatch/shortlist_test.go
@@ -0,0 +1,134 @@
+package bvdispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvmechanism"
+)
+
+// fakeTrackers answer with fixed counts and note what they are told.
+type fakeTrackers struct {
+	counts map[uint64]int
+	asked  [][]uint64
+	used   map[uint64]int
+}
+
+func (trackers *fakeTrackers) Counts(endpoints []uint64) map[uint64]int {
+	trackers.asked = append(trackers.asked, endpoints)
+	counts := make(map[uint64]int)
+	for _, endpoint := range endpoints {
+		if count, found := trackers.counts[endpoint]; found {
+			counts[endpoint] = count
+		}
+	}
+	return counts
+}
+
+func (trackers *fakeTrackers) Used(endpoint uint64, running int) {
+	if trackers.used == nil {
+		trackers.used = make(map[uint64]int)
+	}
+	trackers.used[endpoint] = running
+}
+
+// crowdedDesk is a desk with engines that are thought to have ten of sixteen slots
+// taken each.
+func crowdedDesk(trackers Trackers) *Desk {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	desk := NewDesk(clock, 1, "")
+	listed := engines(5)
+	loads := make(map[uint64]int)
+	for i := range listed {
+		listed[i].Serves = "model"
+		loads[HashID(listed[i].ID())] = 10
+	}
+	desk.SetTrackers(trackers)
+	desk.SetEndpoints(listed)
+	desk.SetPeerLoads(loads)
+	return desk
+}
+
+// By digests all engines are as full as each other. Others have just filled all but
+// one; the call must go to that one.
+func TestCallInACrowdGoesWhereTrackersTellOfRoom(t *testing.T) {
+	trackers := &fakeTrackers{counts: make(map[uint64]int)}
+	for _, engine := range engines(5) {
+		trackers.counts[HashID(engine.ID())] = 16
+	}
+	trackers.counts[HashID("e3")] = 2
+	desk := crowdedDesk(trackers)
+	for range 5 {
+		chosen, found := desk.Choose("model", prompt(1, 2))
+		require.True(t, found)
+		require.Equal(t, "e3", chosen.Name)
+	}
+	require.Equal(t, 5, trackers.used[HashID("e3")])
+	desk.End("model", "e3", prompt(1, 2), Result{Outcome: Served, Took: 300})
+	require.Equal(t, 4, trackers.used[HashID("e3")])
+}
+
+// All trackers are cut off. Calls go by what digests told.
+func TestCallIsSentThoughNoTrackerAnswers(t *testing.T) {
+	desk := crowdedDesk(&fakeTrackers{})
+	reached := make(map[string]bool)
+	for range 20 {
+		chosen, found := desk.Choose("model", &Request{})
+		require.True(t, found)
+		reached[chosen.Name] = true
+	}
+	require.Greater(t, len(reached), 1)
+}
+
+// An answer that was on its way while the endpoint left must not send a call there,
+// nor to an endpoint that refused the call before.
+func TestTrackersWordDoesNotOpenAnEndpoint(t *testing.T) {
+	pool := newTestPool(3)
+	request := prompt(1, 2)
+	request.Avoid = map[string]bool{"e0": true}
+	request.Among = map[uint64]int{HashID("e0"): 0, HashID("gone"): 0}
+	chosen, found := pool.Choose(1, request)
+	require.True(t, found)
+	require.NotEqual(t, "e0", chosen.Name)
+}
+
+// While engines have room, what digests tell is good enough, and asking would only
+// cost time.
+func TestNobodyIsAskedWithoutACrowd(t *testing.T) {
+	trackers := &fakeTrackers{}
+	desk := crowdedDesk(trackers)
+	desk.SetPeerLoads(nil)
+	_, found := desk.Choose("model", prompt(1, 2))
+	require.True(t, found)
+	require.Empty(t, trackers.asked)
+}
+
+func TestWithoutProbesNobodyIsAskedOrTold(t *testing.T) {
+	trackers := &fakeTrackers{}
+	desk := crowdedDesk(trackers)
+	desk.Without(bvmechanism.Set(0).With(bvmechanism.Probes))
+	_, found := desk.Choose("model", prompt(1, 2))
+	require.True(t, found)
+	require.Empty(t, trackers.asked)
+	require.Empty(t, trackers.used)
+}
+
+// The engine that has the conversation is always asked about, however full it was
+// thought to be.
+func TestEngineWithTheConversationIsShortlisted(t *testing.T) {
+	pool := newTestPool(40)
+	loads := make(map[uint64]int)
+	for _, row := range pool.rows {
+		loads[row.hash] = 12
+	}
+	pool.SetPeerLoads(1, loads)
+	pool.Begin(1, "e7", prompt(1, 2))
+	for range 50 {
+		shortlist := pool.Shortlist(1, prompt(1, 2, 3))
+		require.LessOrEqual(t, len(shortlist), shortlisted)
+		require.Contains(t, shortlist, HashID("e7"))
+	}
+}
--- /dev/null
+++ b/bvfleet/play_test.go
@@ -0,0 +1,69 @@
+package bvfleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvmechanism"
+)
+
+func TestTwoPlaysOfOneLoadAreTheSame(t *testing.T) {
+	load := Crowded(30)
+	load.Totals, load.Trackers = true, true
+	require.Equal(t, Play(load), Play(load))
+}
+
+func TestCalmLoadIsServedInTime(t *testing.T) {
+	load := Crowded(30)
+	load.Totals, load.Crowds = true, nil
+	result := Play(load)
+	require.Greater(t, result.ShareInTime(), 0.98)
+	require.Zero(t, result.Refusals)
+}
+
+// A crowd comes that the engines can just serve. Hosts hear of the calls at other
+// zones' engines only what their own zone's hosts do there, a sixth: full engines look
+// idle to them, calls wait there while other engines stand free, and one program in
+// three is late for ten seconds, though nobody is refused. Told of all calls, and in
+// the crowd of the calls of this moment, hosts serve nearly all in time.
+func TestCrowdIsServedInTimeByHostsThatKnowTheEnginesLoad(t *testing.T) {
+	load := Crowded(150)
+	blind := Play(load)
+	load.Totals = true
+	told := Play(load)
+	load.Trackers = true
+	asked := Play(load)
+	require.Less(t, blind.ShareInTime(), 0.9)
+	require.Greater(t, told.ShareInTime(), blind.ShareInTime()+0.05)
+	require.Greater(t, asked.ShareInTime(), 0.98)
+	require.Less(t, asked.ShareWaited(), told.ShareWaited())
+	require.Less(t, asked.Read/asked.Sent, blind.Read/blind.Sent, "conversations stay where they are cached")
+}
+
+// Digests come a third less often than a call takes: as where hundreds of hosts tell
+// each other. Trackers make up for it.
+func TestTrackersMakeUpForOldDigests(t *testing.T) {
+	load := Crowded(60)
+	load.Totals, load.DigestEvery = true, 600
+	without := Play(load)
+	load.Trackers = true
+	with := Play(load)
+	require.Greater(t, with.ShareInTime(), without.ShareInTime()+0.05)
+	require.Greater(t, with.ShareInTime(), 0.97)
+}
+
+// More come than the engines can ever serve. Programs that are under way are carried
+// through, and others are sent away at once.
+func TestOfACrowdThatIsTooLargeSomeAreSentAway(t *testing.T) {
+	load := Crowded(60)
+	load.Totals, load.Trackers = true, true
+	load.Crowds[0].Factor = 3.5
+	with := Play(load)
+	load.Without = load.Without.With(bvmechanism.Admission)
+	without := Play(load)
+	require.Positive(t, with.Refusals)
+	require.Zero(t, without.Refusals)
+	t.Log(with)
+	t.Log(without)
+}
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -1,21 +1,23 @@
 // Package bvgossip tells the hosts of each other's calls, a few times a second
 // and by datagrams: which endpoints are busy with whose calls, and which of
-// them have which parts of prompts. Nothing that must hold rests on it: a
-// datagram that is lost makes a decision worse, not wrong.
+// them have which parts of prompts. Each endpoint also has a tracker, a host that is
+// told of each call there at once and answers others how many there are. Nothing that
+// must hold rests on it: a datagram that is lost makes a decision worse, not wrong.
 //
 // # Usage
 //
 //	gossip := bvgossip.New(self, connection, clock, log)
 //	gossip.SetHosts(hosts) // as the platform's store lists them
 //	go gossip.Receive(handle)
-//	gossip.Send(digest) // every gossip.Interval()
+//	gossip.Send(digest, crowded) // every gossip.Interval()
+//	loads := gossip.PeerLoads(digest)
+//	counts := gossip.Counts(endpoints) // of this moment
 //
 // # Cost
 //
 // Each host sends a datagram of some hundred bytes to each other host, less
-// often to those in other availability zones. The intervals grow with their
-// number: with 79 hosts in five zones, a host sends and receives some 310 a
-// second each.
+// often to those in other availability zones. The intervals grow with the number of
+// hosts. In a crowd, a call costs a dozen datagrams more for the trackers of calls.
 package bvgossip
 
 import (
@@ -37,15 +39,12 @@
 	// hosts: short beside a call, which takes some 300 ms.
 	leastInterval = 100 * bvclock.Millisecond
 	// farInterval is the time between two digests to hosts in other availability
-	// zones while endpoints are little loaded: bytes between zones are dear, and
-	// decisions then depend little on what other zones do. On the calm day of
-	// bcf-tipton-grown it saved 0.17 of 0.53 GB between zones. In a crowd, the
-	// heaviest day of obala-surf-grown was worth 0.33 with it and 0.45 without.
+	// zones while endpoints are little loaded: operators pay for bytes between zones,
+	// and decisions then depend little on what other zones do.
 	farInterval = 400 * bvclock.Millisecond
 	// farPerHost lengthens that by the number of hosts, and fullHosts is up to how
 	// many hosts those of other zones are told of calls at all endpoints, and not
-	// only at those of their own zone, which they mostly use. With 300 hosts, all
-	// that each told all others took most of 349 KB a second and host.
+	// only at those of their own zone: beyond, that would be most of all bytes.
 	farPerHost = 4 * bvclock.Millisecond
 	fullHosts  = 120
 	// perHost lengthens the interval by the number of hosts.
@@ -74,9 +73,15 @@
 	hosts map[netip.AddrPort]*peer
 	asks  map[uint64]*question
 	farAt bvclock.Time // last digest to other zones
+	zones map[string]zoneTotals
 
-	// zoneOf returns the availability zone of an endpoint, by the hash of its ID.
-	zoneOf func(endpoint uint64) string
+	address    netip.AddrPort // of this host
+	tracker    tracker
+	trackers   trackers
+	probes     map[uint64]*probe
+	mutedUntil map[netip.AddrPort]bvclock.Time
+
+	endpoints Endpoints
 
 	// What other zones are not told yet; Send's alone.
 	placements []*Placement
@@ -90,15 +95,24 @@
 	triedAt bvclock.Time
 }
 
+// Endpoints are the endpoints as this host knows them, by the hashes of their IDs.
+type Endpoints interface {
+	// ZoneOf returns an endpoint's availability zone, or "" where it is not listed.
+	ZoneOf(endpoint uint64) string
+	// Running returns how many calls of this host are under way at an endpoint.
+	Running(endpoint uint64) int
+}
+
 // New returns a Gossip that sends from the given socket, for a host in an
-// availability zone. Digests of the process's own incarnation are ignored. ZoneOf
-// returns the availability zone of an endpoint, by the hash of its ID.
+// availability zone. Digests of the process's own incarnation are ignored.
 func New(
-	self, zone string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger, zoneOf func(endpoint uint64) string,
+	self, zone string, conn *net.UDPConn, clock bvclock.Clock, log logrus.FieldLogger, endpoints Endpoints,
 ) *Gossip {
 	return &Gossip{
-		self: self, zone: zone, conn: conn, clock: clock, log: log, zoneOf: zoneOf,
-		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*question),
+		self: self, zone: zone, conn: conn, clock: clock, log: log, endpoints: endpoints,
+		address: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		probes:  make(map[uint64]*probe), mutedUntil: make(map[netip.AddrPort]bvclock.Time),
+		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*question), zones: make(map[string]zoneTotals),
 	}
 }
 
@@ -151,7 +165,9 @@
 // crowd it always is. Hosts that are silent get one every few seconds, in case that they are back. It is
 // not safe for concurrent use.
 func (gossip *Gossip) Send(digest *Digest, crowded bool) {
+	gossip.setTrackers()
 	near, far := gossip.due(crowded)
+	totals := gossip.totals(digest)
 	gossip.sendAll(digest, near)
 	gossip.placements = append(gossip.placements, digest.Placements...)
 	gossip.programs = append(gossip.programs, digest.Programs...)
@@ -159,8 +175,14 @@
 		return
 	}
 	digest.Placements, digest.Programs, digest.Outcomes = gossip.placements, gossip.programs, nil
+	share := gossip.totalsShare()
 	for zone, addresses := range far {
-		gossip.sendAll(gossip.digestFor(digest, zone), addresses)
+		short := gossip.digestFor(digest, zone)
+		told, rest := split(addresses, share)
+		gossip.sendAll(short, rest)
+		short.Totals = totals
+		gossip.sendAll(short, told)
+		short.Totals = nil
 	}
 	gossip.placements, gossip.programs = nil, nil
 }
@@ -177,12 +199,12 @@
 		Programs: digest.GetPrograms(), Crashes: digest.GetCrashes(),
 	}
 	for _, load := range digest.GetLoads() {
-		if gossip.zoneOf(load.GetEndpoint()) == zone {
+		if gossip.endpoints.ZoneOf(load.GetEndpoint()) == zone {
 			short.Loads = append(short.Loads, load)
 		}
 	}
 	for _, placement := range digest.GetPlacements() {
-		if gossip.zoneOf(placement.GetEndpoint()) == zone {
+		if gossip.endpoints.ZoneOf(placement.GetEndpoint()) == zone {
 			short.Placements = append(short.Placements, placement)
 		}
 	}
@@ -298,6 +320,12 @@
 		gossip.sendTo(from, &Datagram{Message: &Datagram_Lend{Lend: lend}})
 	case *Datagram_Lend:
 		gossip.lent(message.Lend, handler)
+	case *Datagram_Probe:
+		gossip.answerProbe(from, message.Probe)
+	case *Datagram_Counts:
+		gossip.takeCounts(from, message.Counts)
+	case *Datagram_Use:
+		gossip.noteUse(from, message.Use)
 	}
 }
 
@@ -321,6 +349,8 @@
 	defer gossip.mutex.Unlock()
 	peer := gossip.peer(address)
 	peer.digest, peer.heardAt = digest, gossip.clock.Now()
+	gossip.noteTotals(peer.heardAt, digest)
+	gossip.tracker.noteAll(peer.heardAt, address, digest.GetLoads())
 	return true
 }
 
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -31,6 +31,12 @@
 	withholds bool
 }
 
+// fakeEndpoints are the availability zones of endpoints. This host has no calls there.
+type fakeEndpoints map[uint64]string
+
+func (endpoints fakeEndpoints) ZoneOf(endpoint uint64) string { return endpoints[endpoint] }
+func (endpoints fakeEndpoints) Running(uint64) int            { return 0 }
+
 func (host *host) Hear(digest *Digest) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -78,7 +84,7 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	host := &host{Gossip: New(incarnation, "z", conn, clock, log, func(uint64) string { return "z" }), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	host := &host{Gossip: New(incarnation, "z", conn, clock, log, fakeEndpoints{}), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan error, 1)
 	go func() { ended <- host.Receive(host) }()
 	t.Cleanup(func() {
@@ -206,7 +212,7 @@
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
 	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
-	a.zoneOf = func(endpoint uint64) string { return map[uint64]string{1: "z", 2: "other"}[endpoint] }
+	a.endpoints = fakeEndpoints{1: "z", 2: "other"}
 	b.zone = "other"
 	meet(t, a, b)
 	a.mutex.Lock()
@@ -277,8 +283,8 @@
 	require.Equal(t, 730*perHost, a.Interval())
 }
 
-// BenchmarkDigest is the cost of one digest with the calls of a host of the
-// grown sites, sent to one host and taken in there.
+// BenchmarkDigest is the cost of one digest with eight calls and as many
+// placements, sent to one host and taken in there.
 func BenchmarkDigest(b *testing.B) {
 	digest := &Digest{Host: "edge-piran-hall-1", Incarnation: "0123456789abcdef", Zone: "piran-hall", Address: "10.1.0.38:7380"}
 	for i := range uint64(8) {
--- /dev/null
+++ b/bvgossip/probe_test.go
@@ -0,0 +1,173 @@
+package bvgossip
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvclock"
+)
+
+// busy are endpoints of one availability zone, with this host's calls there.
+type busy map[uint64]int
+
+func (busy) ZoneOf(uint64) string             { return "z" }
+func (busy busy) Running(endpoint uint64) int { return busy[endpoint] }
+
+// endpointTrackedBy returns an endpoint that a host is the tracker of.
+func endpointTrackedBy(t testing.TB, host, asker *host) uint64 {
+	asker.setTrackers()
+	for endpoint := range uint64(1000) {
+		asker.mutex.Lock()
+		tracker, found := asker.trackers.of("z", endpoint)
+		asker.mutex.Unlock()
+		if found && tracker == host.address {
+			return endpoint
+		}
+	}
+	require.Fail(t, "the host tracks nothing")
+	return 0
+}
+
+// Two hosts send calls to an engine, and a third one that tracks it has some of its
+// own. Whoever asks is told of all calls but his own, before any digest tells of them.
+func TestTrackerTellsOfCallsAtOnce(t *testing.T) {
+	a, b, c := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot()), newHost(t, "c", bvclock.Boot())
+	meet(t, a, c)
+	b.SetHosts([]netip.AddrPort{c.address})
+	b.Send(b.digest(), false)
+	require.Eventually(t, func() bool { return len(c.Heard()) == 2 }, patience, time.Millisecond)
+	endpoint := endpointTrackedBy(t, c, a)
+	for _, host := range []*host{a, b, c} {
+		host.Gossip.endpoints = busy{}
+	}
+	c.Gossip.endpoints = busy{endpoint: 4}
+	b.mutex.Lock()
+	b.trackers = a.trackers // c has not answered b yet
+	b.mutex.Unlock()
+	a.Used(endpoint, 2)
+	b.Used(endpoint, 3)
+	requireCount(t, a, endpoint, 7)
+	b.Used(endpoint, 1)
+	requireCount(t, a, endpoint, 5)
+	b.Used(endpoint, 0)
+	requireCount(t, a, endpoint, 4)
+}
+
+// requireCount asks until a host is told the count. Trackers that answer late, on a
+// machine that is busy, are asked again at once.
+func requireCount(t testing.TB, asker *host, endpoint uint64, want int) {
+	require.Eventually(t, func() bool {
+		asker.mutex.Lock()
+		clear(asker.mutedUntil)
+		asker.mutex.Unlock()
+		return asker.Counts([]uint64{endpoint})[endpoint] == want
+	}, patience, time.Millisecond)
+}
+
+// The tracker is frozen. A call must not wait for it again and again.
+func TestTrackerThatDoesNotAnswerIsNotAskedForAWhile(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	meet(t, a, b)
+	endpoint := endpointTrackedBy(t, b, a)
+	a.Gossip.endpoints = busy{}
+	a.mutex.Lock()
+	a.mutedUntil[b.address] = clock.Now().Add(mutedFor)
+	a.mutex.Unlock()
+	require.Empty(t, a.trackersOf([]uint64{endpoint}, map[uint64]int{}))
+	clock.Advance(mutedFor)
+	require.Len(t, a.trackersOf([]uint64{endpoint}, map[uint64]int{}), 1)
+}
+
+// The datagram that told of a call's end is lost. The next digest has the host's calls
+// as they are.
+func TestDigestMendsWhatALostDatagramLeft(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	meet(t, a, b)
+	a.mutex.Lock()
+	a.tracker.note(a.clock.Now(), b.address, 7, 3)
+	a.mutex.Unlock()
+	digest := b.digest()
+	digest.Loads = []*Load{{Endpoint: 8, Running: 1}}
+	require.True(t, a.note(digest))
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	require.Zero(t, a.tracker.count(7, a.address, 0))
+	require.Equal(t, 1, a.tracker.count(8, a.address, 0))
+}
+
+// Hosts that know the same hosts agree on the tracker of each endpoint, and the
+// endpoints are spread over the hosts.
+func TestHostsAgreeOnTrackers(t *testing.T) {
+	here, there := make(trackers), make(trackers)
+	for i := range 20 {
+		here.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380))
+		there.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(19 - i)}), 7380))
+	}
+	tracked := make(map[netip.AddrPort]int)
+	for endpoint := range uint64(400) {
+		a, found := here.of("z", endpoint)
+		require.True(t, found)
+		b, _ := there.of("z", endpoint)
+		require.Equal(t, a, b)
+		tracked[a]++
+	}
+	require.Len(t, tracked, 20)
+	_, found := here.of("other", 1)
+	require.False(t, found)
+}
+
+// Any series of what hosts say, each of an endpoint or of all, leaves the counts that
+// a table of the last words gives.
+func TestCountsAreThoseOfTheLastWords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type word struct {
+			running int
+			at      bvclock.Time
+		}
+		var tracked tracker
+		said := make(map[netip.AddrPort]map[uint64]word)
+		hosts := make([]netip.AddrPort, 4)
+		for i := range hosts {
+			hosts[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380)
+			said[hosts[i]] = make(map[uint64]word)
+		}
+		now := bvclock.Time(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += bvclock.Time(rapid.IntRange(0, 500).Draw(t, "pause"))
+			host := rapid.SampledFrom(hosts).Draw(t, "host")
+			if rapid.Bool().Draw(t, "digest") {
+				said[host] = make(map[uint64]word)
+				var loads []*Load
+				for endpoint := range uint64(3) {
+					if running := rapid.IntRange(0, 2).Draw(t, "running"); running > 0 {
+						loads = append(loads, &Load{Endpoint: endpoint, Running: uint32(running)})
+						said[host][endpoint] = word{running, now}
+					}
+				}
+				tracked.noteAll(now, host, loads)
+			} else {
+				endpoint := uint64(rapid.IntRange(0, 2).Draw(t, "endpoint"))
+				running := rapid.IntRange(0, 5).Draw(t, "running")
+				tracked.note(now, host, endpoint, running)
+				said[host][endpoint] = word{running, now}
+			}
+			but := rapid.SampledFrom(hosts).Draw(t, "but")
+			since := now - bvclock.Time(rapid.IntRange(0, 2000).Draw(t, "since"))
+			for endpoint := range uint64(3) {
+				want := 0
+				for host, words := range said {
+					if word := words[endpoint]; host != but && !word.at.Before(since) {
+						want += word.running
+					}
+				}
+				require.Equal(t, want, tracked.count(endpoint, but, since))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/bvgossip/totals_test.go
@@ -0,0 +1,84 @@
+package bvgossip
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+)
+
+// zoned are endpoints whose availability zone is told by their number.
+type zoned struct{}
+
+func (zoned) ZoneOf(endpoint uint64) string { return []string{"z", "other"}[endpoint%2] }
+func (zoned) Running(uint64) int            { return 0 }
+
+// crowdOf makes a host that knows many others.
+func crowdOf(t *testing.T, clock bvclock.Clock) *host {
+	host := newHost(t, "a", clock)
+	host.Gossip.endpoints = zoned{}
+	addresses := make([]netip.AddrPort, fullHosts+1)
+	for i := range addresses {
+		addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 9, byte(i)}), 9)
+	}
+	host.SetHosts(addresses)
+	return host
+}
+
+// Six of the calls at an engine of another zone are of that zone's hosts, which tell
+// this host nothing of them. Their zone's totals do, so that the engine does not look
+// idle from here.
+func TestCallsOfOtherZonesHostsAreKnownByTheirTotals(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	host := crowdOf(t, clock)
+	own := host.digest()
+	own.Loads = []*Load{{Endpoint: 1, Running: 2}}
+	require.True(t, host.note(&Digest{Address: "127.9.9.1:9", Incarnation: "mate", Zone: "z", Loads: []*Load{{Endpoint: 1, Running: 1}}}))
+	require.Equal(t, map[uint64]int{1: 1}, host.PeerLoads(own))
+	require.True(t, host.note(&Digest{Address: "127.9.9.2:9", Incarnation: "far", Zone: "other", Totals: []*Load{{Endpoint: 1, Running: 9}}}))
+	require.Equal(t, map[uint64]int{1: 7}, host.PeerLoads(own), "nine, of which two are this host's")
+	clock.Advance(silentAfter + 1)
+	require.Empty(t, host.PeerLoads(own))
+}
+
+func TestTotalsAreOfTheZonesOwnEndpoints(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	host := crowdOf(t, clock)
+	own := host.digest()
+	own.Loads = []*Load{{Endpoint: 2, Running: 2}, {Endpoint: 1, Running: 5}}
+	require.True(t, host.note(&Digest{Address: "127.9.9.1:9", Incarnation: "mate", Zone: "z", Loads: []*Load{{Endpoint: 2, Running: 3}}}))
+	totals := host.totals(own)
+	require.Len(t, totals, 1)
+	require.Equal(t, uint64(2), totals[0].GetEndpoint())
+	require.Equal(t, uint32(5), totals[0].GetRunning())
+}
+
+// Where each host tells all others of all its calls, adding them up again would be
+// of no use.
+func TestFewHostsTellNoTotals(t *testing.T) {
+	host := newHost(t, "a", bvclock.Boot())
+	own := host.digest()
+	own.Loads = []*Load{{Endpoint: 2, Running: 2}}
+	require.Nil(t, host.totals(own))
+}
+
+// Each host is to hear of the totals of a zone some times in each pause, whatever the
+// number of that zone's hosts.
+func TestShareOfHostsThatAreToldTotals(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	host := crowdOf(t, clock)
+	require.Equal(t, 1.0, host.totalsShare())
+	for i := range byte(29) {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 9, i}), 9).String()
+		require.True(t, host.note(&Digest{Address: address, Incarnation: address, Zone: "z"}))
+	}
+	require.InDelta(t, totalsCopies/30.0, host.totalsShare(), 1e-9)
+	drawn, rest := split(make([]netip.AddrPort, 1000), host.totalsShare())
+	require.InDelta(t, 100, len(drawn), 50)
+	require.Equal(t, 1000, len(drawn)+len(rest))
+}
--- a/bvhistory/keeper.go
+++ b/bvhistory/keeper.go
@@ -52,7 +52,7 @@
 	// two in two of three, and with three in 11 of 12.
 	places = 3
 	// cacheBytes is the most that is kept at hand. A conversation has some
-	// 35 KB, and a host of the users' sites has some tens under way.
+	// 35 KB, and a host has some tens under way.
 	cacheBytes = 6 << 20
 	// rowOverhead is what a turn costs in memory beside its texts.
 	rowOverhead = 200
@@ -106,8 +106,7 @@
 // itself says that there is no such turn.
 //
 // A program's turns come through several hosts, and its conversation has a row
-// for each turn. Asking a host that has it at hand saves these reads: they were a
-// third of all calls to the store on the calm day of bcf-tipton-grown. What
+// for each turn. Asking a host that has it at hand saves these reads. What
 // another host has is as good as the row, since hosts hold only turns that are in
 // the store, and a turn never changes.
 func (keeper *Keeper) Chain(ctx context.Context, program, parent string) (Chain, error) {
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -38,11 +38,10 @@
 	// read each 10 s, and outages of the store were seen to last up to 10 s.
 	leaseTime = 30 * bvclock.Second
 	// LongestProgram is how long a program may be under way, or come back after
-	// it was stopped, beyond the time for which its route keeps turns. The
-	// longest of the users' sheets take 20 s.
+	// it was stopped, beyond the time for which its route keeps turns.
 	LongestProgram = bvclock.Minute
 	// longestRetain is the longest time of a route that keeps turns for which
-	// grants are made (users' sheets: a minute at most).
+	// grants are made.
 	longestRetain = 5 * bvclock.Minute
 	// longestTakeover is how long a new holder waits: until the one before it has
 	// surely stopped granting, and no program that it granted for can come back.
--- a/bvlog/bounded.go
+++ b/bvlog/bounded.go
@@ -23,8 +23,7 @@
 	// queuedLines is how many lines may wait for a reader that is slow: some
 	// seconds of a busy host's.
 	queuedLines = 2048
-	// linesPerSecond bounds the volume. A host of the users' sites writes
-	// some 50 lines a second on its busiest day; a line has some 300 bytes.
+	// linesPerSecond bounds the volume, well above what callers' requests make.
 	linesPerSecond = 400
 )
 
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -37,6 +37,7 @@
 	Average                        // average
 	ReadingRate                    // rate
 	Holding                        // holding
+	Probes                         // probes
 	last
 )
 
@@ -57,6 +58,7 @@
 	Average:       "reading a prompt weighs by the calls that engines have on average",
 	ReadingRate:   "how fast engines read prompts is learnt",
 	Holding:       "while the store is away, turns are run and their ends held",
+	Probes:        "in a crowd, a decision asks how many calls a few endpoints have now",
 }
 
 // Purpose returns what the mechanism does, in one line.
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -23,12 +23,13 @@
 	_ = x[Average-12]
 	_ = x[ReadingRate-13]
 	_ = x[Holding-14]
-	_ = x[last-15]
+	_ = x[Probes-15]
+	_ = x[last-16]
 }
 
-const _Mechanism_name = "homesdigestssamplesjudgementadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdinglast"
+const _Mechanism_name = "homesdigestssamplesjudgementadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobeslast"
 
-var _Mechanism_index = [...]uint8{0, 5, 12, 19, 28, 37, 42, 49, 55, 61, 74, 81, 85, 92, 96, 103, 107}
+var _Mechanism_index = [...]uint8{0, 5, 12, 19, 28, 37, 42, 49, 55, 61, 74, 81, 85, 92, 96, 103, 109, 113}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -27,7 +27,8 @@
 	}
 	router.settings.PeerAddress = address.String()
 	router.peerConn = conn
-	router.gossip = bvgossip.New(router.incarnation, router.settings.Zone, conn, router.clock, router.log, router.desk.ZoneOf)
+	router.gossip = bvgossip.New(router.incarnation, router.settings.Zone, conn, router.clock, router.log, router.desk)
+	router.desk.SetTrackers(router.gossip)
 	return nil
 }
 
@@ -35,8 +36,9 @@
 func (router *Router) tellHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, router.gossip.Interval())
-		router.gossip.Send(router.digest(), router.desk.Crowded())
-		router.desk.SetPeerLoads(router.peerLoads())
+		digest := router.digest()
+		router.gossip.Send(digest, router.desk.Crowded())
+		router.desk.SetPeerLoads(router.peerLoads(digest))
 	}
 }
 
@@ -74,17 +76,13 @@
 	return digest
 }
 
-func (router *Router) peerLoads() map[uint64]int {
-	loads := make(map[uint64]int)
+// peerLoads returns the calls of the other hosts, as they told; own is this host's
+// last digest.
+func (router *Router) peerLoads(own *bvgossip.Digest) map[uint64]int {
 	if router.settings.Without.Has(bvmechanism.Digests) {
-		return loads
+		return make(map[uint64]int)
 	}
-	for _, digest := range router.gossip.Heard() {
-		for _, load := range digest.GetLoads() {
-			loads[load.GetEndpoint()] += int(load.GetRunning())
-		}
-	}
-	return loads
+	return router.gossip.PeerLoads(own)
 }
 
 // peerHandler takes in what other hosts send.
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -18,8 +18,7 @@
 
 const (
 	// handoverShare is the part of a row that a handover may fill, in case that
-	// the limit counts the encoded bytes. A program takes some 70 bytes, and a
-	// host of the users' sites granted for some 250 in the last two minutes.
+	// the limit counts the encoded bytes. A program takes some 70 bytes.
 	handoverShare = 0.7
 	// clockSkew is the most by which the time of day of two processes may differ
 	// for a handover to be taken up: hosts' clocks differ by 5 s at most.
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -112,7 +112,7 @@
 const memoryShare = 0.7
 
 // bodyShare is the part of the allowed memory that callers' bodies may take: a
-// body has 17 KB as a rule and 4 MB at most on the users' sheets.
+// body has 17 KB as a rule and 4 MB at most.
 const bodyShare = 0.2
 
 // New opens the ports and puts the parts together.
