A conversation's next turn finds its engine through any host

A turn comes 60 to 250 ms after the last one, digests tell of prompts after 295 ms and, of other zones' engines, not at all. Ruled out: too little memory (the engines had most prompts), load (the same share moved in calm seconds).

Change: each conversation has a tracker, a host of any zone, that is told at a turn's end which engine has it; a host that does not know a conversation asks it.

--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -35,6 +35,10 @@
 	Counts(endpoints []uint64) map[uint64]int
 	// Used tells how many calls this host has at an endpoint now.
 	Used(endpoint uint64, running int)
+	// Holder asks which endpoint has a conversation, and how many tokens of it.
+	Holder(conversation uint64) (endpoint uint64, tokens int, found bool)
+	// Holds tells which endpoint has a conversation.
+	Holds(conversation, endpoint uint64, tokens int)
 }
 
 // SetTrackers lets decisions in a crowd ask trackers. It is called before the first
@@ -128,6 +132,7 @@
 // Choose returns the endpoint for a call and counts the call there. Each is to
 // be followed by an End.
 func (desk *Desk) Choose(service string, request *Request) (bvplatform.Endpoint, bool) {
+	desk.findHolder(service, request)
 	counts := desk.countsFor(service, request)
 	chosen, running, found := desk.begin(service, request, counts)
 	if found {
@@ -136,6 +141,25 @@
 	return chosen, found
 }
 
+// findHolder asks which endpoint has the conversation, where nobody told this host.
+func (desk *Desk) findHolder(service string, request *Request) {
+	if desk.trackers == nil || desk.without.Has(bvmechanism.Holders) || !request.Continues || request.Conversation == 0 {
+		return
+	}
+	if request.Held != (Held{}) || desk.knows(service, request) {
+		return
+	}
+	if endpoint, tokens, found := desk.trackers.Holder(request.Conversation); found {
+		request.Held = Held{Endpoint: endpoint, Tokens: tokens}
+	}
+}
+
+func (desk *Desk) knows(service string, request *Request) bool {
+	desk.mutex.Lock()
+	defer desk.mutex.Unlock()
+	return desk.pool(service).Knows(request)
+}
+
 // countsFor asks the trackers of the endpoints that look best for a call, where calls
 // crowd each other. It returns nil where nothing was asked.
 func (desk *Desk) countsFor(service string, request *Request) map[uint64]int {
@@ -290,6 +314,9 @@
 func (desk *Desk) End(service, endpoint string, request *Request, result Result) {
 	hash := HashID(endpoint)
 	desk.tell(hash, desk.end(service, endpoint, hash, request, result))
+	if result.Outcome == Served && request.Conversation != 0 && desk.trackers != nil && !desk.without.Has(bvmechanism.Holders) {
+		desk.trackers.Holds(request.Conversation, hash, request.PromptTokens+result.Made)
+	}
 }
 
 // end returns how many calls this host has left at the endpoint.
--- a/bvdispatch/health.go
+++ b/bvdispatch/health.go
@@ -25,6 +25,7 @@
 	Begun   bool             // an answer began
 	Erred   bool             // the answer is an error of the endpoint's own
 	Pace    bvclock.Duration // for an event, or for a whole answer without events; 0: not known
+	Made    int              // tokens that were generated
 	Read    int              // prompt tokens that were thought not to be cached
 	First   bvclock.Duration // from the sending to the first event; 0: none, or the call waited
 }
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -14,6 +14,21 @@
 	counts map[uint64]int
 	asked  [][]uint64
 	used   map[uint64]int
+	held   map[uint64]Held
+	wanted []uint64
+}
+
+func (trackers *fakeTrackers) Holder(conversation uint64) (endpoint uint64, tokens int, found bool) {
+	trackers.wanted = append(trackers.wanted, conversation)
+	held, found := trackers.held[conversation]
+	return held.Endpoint, held.Tokens, found
+}
+
+func (trackers *fakeTrackers) Holds(conversation, endpoint uint64, tokens int) {
+	if trackers.held == nil {
+		trackers.held = make(map[uint64]Held)
+	}
+	trackers.held[conversation] = Held{Endpoint: endpoint, Tokens: tokens}
 }
 
 func (trackers *fakeTrackers) Counts(endpoints []uint64) map[uint64]int {
@@ -132,3 +147,35 @@
 		require.Contains(t, shortlist, HashID("e7"))
 	}
 }
+
+// The turn before ran through another host a moment ago, and no digest has told of it.
+// The conversation goes on at its engine.
+func TestTurnFollowsItsConversationThroughAnotherHost(t *testing.T) {
+	trackers := &fakeTrackers{}
+	here, there := crowdedDesk(trackers), crowdedDesk(trackers)
+	for conversation := uint64(1); conversation < 30; conversation++ {
+		first := prompt(conversation%3, 1000+conversation)
+		first.Conversation = conversation
+		chosen, _ := here.Choose("model", first)
+		here.End("model", chosen.Name, first, Result{Outcome: Served, Took: 300, Made: 200})
+		next := prompt(conversation%3, 1000+conversation, 2000+conversation)
+		next.Conversation, next.Continues = conversation, true
+		followed, _ := there.Choose("model", next)
+		require.Equal(t, chosen.Name, followed.Name)
+		there.End("model", followed.Name, next, Result{Outcome: Served, Took: 300})
+	}
+	require.Len(t, trackers.wanted, 29)
+}
+
+// What this host knows itself costs no question, and neither does a first turn.
+func TestHolderIsAskedForOnlyWhereItIsNotKnown(t *testing.T) {
+	trackers := &fakeTrackers{}
+	desk := crowdedDesk(trackers)
+	for turn := uint64(0); turn < 4; turn++ {
+		request := prompt([]uint64{1, 2, 3, 4, 5}[:2+turn]...)
+		request.Conversation, request.Continues = 7, turn > 0
+		chosen, _ := desk.Choose("model", request)
+		desk.End("model", chosen.Name, request, Result{Outcome: Served, Took: 300})
+	}
+	require.Empty(t, trackers.wanted)
+}
--- a/bvfleet/load.go
+++ b/bvfleet/load.go
@@ -43,7 +43,8 @@
 	// Totals: digests tell of the calls of all hosts at all engines. Without, hosts
 	// hear of other zones' engines only what their own zone's hosts do there.
 	Totals bool
-	// Trackers tell how many calls an engine has, whenever they are asked.
+	// Trackers tell how many calls an engine has, and where a conversation is, whenever
+	// they are asked.
 	Trackers bool
 	Without  bvmechanism.Set
 }
@@ -111,7 +112,7 @@
 		Crowds:      []Crowd{{From: 3 * bvclock.Second, For: 5 * bvclock.Second, Factor: 1.6}},
 		Length:      12 * bvclock.Second,
 		Seed:        1,
-		Wanders:     0.2,
+		Wanders:     0.55,
 		DigestEvery: max(100, bvclock.Duration(hosts)),
 	}
 }
--- a/bvfleet/play.go
+++ b/bvfleet/play.go
@@ -146,6 +146,9 @@
 		}
 	}
 	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.tokens}
+	if play.load.Trackers && program.at > 0 {
+		request.Held = program.held
+	}
 	if play.load.Trackers && host.pool.Crowded(play.now) {
 		request.Among = play.counts(host, host.pool.Shortlist(play.now, request))
 	}
@@ -196,6 +199,7 @@
 // end notes a turn's end and plans the next one.
 func (play *play) end(call *call) {
 	program := call.program
+	program.held = bvdispatch.Held{Endpoint: call.engine.hash, Tokens: program.tokens}
 	play.leave(call, bvdispatch.Served)
 	program.tries, program.sends = 0, 0
 	pause := program.turns[program.at].pause
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -114,7 +114,7 @@
 // ended tells the dispatcher how the last send ended.
 func (call *call) ended(outcome bvdispatch.Outcome) {
 	now := call.front.parts.Clock.Now()
-	result := bvdispatch.Result{Outcome: outcome, Took: now.Sub(call.sentAt), Begun: call.answered, Erred: call.erred}
+	result := bvdispatch.Result{Outcome: outcome, Took: now.Sub(call.sentAt), Begun: call.answered, Erred: call.erred, Made: call.generated()}
 	switch {
 	case call.service.Engine == nil:
 		result.Pace = result.Took
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -78,7 +78,8 @@
 	address    netip.AddrPort // of this host
 	tracker    tracker
 	trackers   trackers
-	probes     map[uint64]*probe
+	holdings   holdings
+	probes     map[uint64]*probing
 	mutedUntil map[netip.AddrPort]bvclock.Time
 
 	endpoints Endpoints
@@ -111,7 +112,7 @@
 	return &Gossip{
 		self: self, zone: zone, conn: conn, clock: clock, log: log, endpoints: endpoints,
 		address: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
-		probes:  make(map[uint64]*probe), mutedUntil: make(map[netip.AddrPort]bvclock.Time),
+		probes:  make(map[uint64]*probing), mutedUntil: make(map[netip.AddrPort]bvclock.Time),
 		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*question), zones: make(map[string]zoneTotals),
 	}
 }
@@ -326,6 +327,8 @@
 		gossip.takeCounts(from, message.Counts)
 	case *Datagram_Use:
 		gossip.noteUse(from, message.Use)
+	case *Datagram_Holding:
+		gossip.noteHolding(message.Holding)
 	}
 }
 
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -80,11 +80,15 @@
 }
 
 func newHost(t testing.TB, incarnation string, clock bvclock.Clock) *host {
+	return newHostWith(t, incarnation, clock, fakeEndpoints{})
+}
+
+func newHostWith(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints) *host {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	host := &host{Gossip: New(incarnation, "z", conn, clock, log, fakeEndpoints{}), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	host := &host{Gossip: New(incarnation, "z", conn, clock, log, endpoints), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan error, 1)
 	go func() { ended <- host.Receive(host) }()
 	t.Cleanup(func() {
@@ -211,8 +215,7 @@
 func TestManyHostsTellOtherZonesOfTheirEndpointsOnly(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
-	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
-	a.endpoints = fakeEndpoints{1: "z", 2: "other"}
+	a, b := newHostWith(t, "a", clock, fakeEndpoints{1: "z", 2: "other"}), newHost(t, "b", clock)
 	b.zone = "other"
 	meet(t, a, b)
 	a.mutex.Lock()
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -22,15 +22,15 @@
 	mutedFor = bvclock.Second
 )
 
-// probe is a question to some trackers under way.
-type probe struct {
+// probing is a question to some trackers that is under way.
+type probing struct {
 	answers chan answer // has room for all
 }
 
 // answer is what one tracker said.
 type answer struct {
-	from  netip.AddrPort
-	loads []*Load
+	from   netip.AddrPort
+	counts *Counts
 }
 
 // Used tells an endpoint's tracker how many calls this host has there now.
@@ -48,40 +48,47 @@
 // waits a short time; endpoints whose trackers did not answer are missing.
 func (gossip *Gossip) Counts(endpoints []uint64) map[uint64]int {
 	counts := make(map[uint64]int, len(endpoints))
-	asked := gossip.trackersOf(endpoints, counts)
-	if len(asked) == 0 {
-		return counts
+	gossip.ask(gossip.probesFor(endpoints, counts), func(answer *Counts) {
+		for _, load := range answer.GetLoads() {
+			counts[load.GetEndpoint()] = int(load.GetRunning())
+		}
+	})
+	return counts
+}
+
+// ask sends probes to trackers and takes in their answers, for a short time.
+func (gossip *Gossip) ask(probes map[netip.AddrPort]*Probe, take func(answer *Counts)) {
+	if len(probes) == 0 {
+		return
 	}
 	number := rand.Uint64()
-	probe := gossip.beginProbe(number, len(asked))
+	begun := gossip.beginProbe(number, len(probes))
 	defer gossip.endProbe(number)
-	for tracker, tracked := range asked {
-		gossip.sendTo(tracker, &Datagram{Message: &Datagram_Probe{Probe: &Probe{Number: number, Endpoints: tracked}}})
+	for tracker, probe := range probes {
+		probe.Number = number
+		gossip.sendTo(tracker, &Datagram{Message: &Datagram_Probe{Probe: probe}})
 	}
 	timeout := bvclock.After(probePatience)
-	for len(asked) > 0 {
+	for len(probes) > 0 {
 		select {
-		case answer := <-probe.answers:
-			delete(asked, answer.from)
-			for _, load := range answer.loads {
-				counts[load.GetEndpoint()] = int(load.GetRunning())
-			}
+		case answer := <-begun.answers:
+			delete(probes, answer.from)
+			take(answer.counts)
 		case <-timeout:
-			gossip.mute(asked)
-			return counts
+			gossip.mute(probes)
+			return
 		}
 	}
-	return counts
 }
 
-// trackersOf returns which other hosts are to be asked for which endpoints. It counts
+// probesFor returns which other hosts are to be asked for which endpoints. It counts
 // the calls at those that this host tracks itself.
-func (gossip *Gossip) trackersOf(endpoints []uint64, counts map[uint64]int) map[netip.AddrPort][]uint64 {
+func (gossip *Gossip) probesFor(endpoints []uint64, counts map[uint64]int) map[netip.AddrPort]*Probe {
 	zones := make([]string, len(endpoints))
 	for i, endpoint := range endpoints {
 		zones[i] = gossip.endpoints.ZoneOf(endpoint)
 	}
-	asked := make(map[netip.AddrPort][]uint64)
+	probes := make(map[netip.AddrPort]*Probe)
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
@@ -91,11 +98,13 @@
 		case !found || now.Before(gossip.mutedUntil[tracker]):
 		case tracker == gossip.address:
 			counts[endpoint] = gossip.tracker.count(endpoint, gossip.address, gossip.usesSince(now))
+		case probes[tracker] == nil:
+			probes[tracker] = &Probe{Endpoints: []uint64{endpoint}}
 		default:
-			asked[tracker] = append(asked[tracker], endpoint)
+			probes[tracker].Endpoints = append(probes[tracker].Endpoints, endpoint)
 		}
 	}
-	return asked
+	return probes
 }
 
 // usesSince is the time since which a host must have said of its calls; the caller
@@ -104,8 +113,8 @@
 	return now.Add(-max(silentAfter, silentPauses*gossip.farPause()))
 }
 
-func (gossip *Gossip) beginProbe(number uint64, trackers int) *probe {
-	begun := &probe{answers: make(chan answer, trackers)}
+func (gossip *Gossip) beginProbe(number uint64, trackers int) *probing {
+	begun := &probing{answers: make(chan answer, trackers)}
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	gossip.probes[number] = begun
@@ -120,7 +129,7 @@
 
 // mute notes trackers that did not answer. Without it each call would wait for them
 // while they are frozen or cut off, until they count as silent.
-func (gossip *Gossip) mute(trackers map[netip.AddrPort][]uint64) {
+func (gossip *Gossip) mute(trackers map[netip.AddrPort]*Probe) {
 	until := gossip.clock.Now().Add(mutedFor)
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
@@ -138,6 +147,7 @@
 		running := gossip.tracker.count(endpoint, from, since)
 		counts.Loads = append(counts.Loads, &Load{Endpoint: endpoint, Running: uint32(running)})
 	}
+	counts.Holding, _ = gossip.holdings.find(asked.GetConversation())
 	gossip.mutex.Unlock()
 	for _, load := range counts.GetLoads() {
 		load.Running += uint32(gossip.endpoints.Running(load.GetEndpoint()))
@@ -157,12 +167,12 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	delete(gossip.mutedUntil, from)
-	probe := gossip.probes[counts.GetNumber()]
-	if probe == nil {
+	begun := gossip.probes[counts.GetNumber()]
+	if begun == nil {
 		return // it gave up
 	}
 	select {
-	case probe.answers <- answer{from, counts.GetLoads()}:
+	case begun.answers <- answer{from, counts}:
 	default: // an answer that came twice
 	}
 }
@@ -174,9 +184,11 @@
 	defer gossip.mutex.Unlock()
 	gossip.trackers = make(trackers)
 	gossip.trackers.add(gossip.zone, gossip.address)
+	gossip.trackers.add(allZones, gossip.address)
 	for address, peer := range gossip.hosts {
 		if !gossip.isSilent(now, peer) && !peer.digest.GetLeaving() {
 			gossip.trackers.add(peer.digest.GetZone(), address)
+			gossip.trackers.add(allZones, address)
 		}
 	}
 	for address, until := range gossip.mutedUntil {
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -11,11 +11,11 @@
 	"balsamvalve.example/bvclock"
 )
 
-// busy are endpoints of one availability zone, with this host's calls there.
-type busy map[uint64]int
+// busy are endpoints of one availability zone, with as many calls of this host at each.
+type busy int
 
-func (busy) ZoneOf(uint64) string             { return "z" }
-func (busy busy) Running(endpoint uint64) int { return busy[endpoint] }
+func (busy) ZoneOf(uint64) string    { return "z" }
+func (busy busy) Running(uint64) int { return int(busy) }
 
 // endpointTrackedBy returns an endpoint that a host is the tracker of.
 func endpointTrackedBy(t testing.TB, host, asker *host) uint64 {
@@ -35,16 +35,14 @@
 // Two hosts send calls to an engine, and a third one that tracks it has some of its
 // own. Whoever asks is told of all calls but his own, before any digest tells of them.
 func TestTrackerTellsOfCallsAtOnce(t *testing.T) {
-	a, b, c := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot()), newHost(t, "c", bvclock.Boot())
+	a := newHostWith(t, "a", bvclock.Boot(), busy(0))
+	b := newHostWith(t, "b", bvclock.Boot(), busy(0))
+	c := newHostWith(t, "c", bvclock.Boot(), busy(4))
 	meet(t, a, c)
 	b.SetHosts([]netip.AddrPort{c.address})
 	b.Send(b.digest(), false)
 	require.Eventually(t, func() bool { return len(c.Heard()) == 2 }, patience, time.Millisecond)
 	endpoint := endpointTrackedBy(t, c, a)
-	for _, host := range []*host{a, b, c} {
-		host.Gossip.endpoints = busy{}
-	}
-	c.Gossip.endpoints = busy{endpoint: 4}
 	b.mutex.Lock()
 	b.trackers = a.trackers // c has not answered b yet
 	b.mutex.Unlock()
@@ -72,16 +70,15 @@
 func TestTrackerThatDoesNotAnswerIsNotAskedForAWhile(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
-	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
+	a, b := newHostWith(t, "a", clock, busy(0)), newHost(t, "b", clock)
 	meet(t, a, b)
 	endpoint := endpointTrackedBy(t, b, a)
-	a.Gossip.endpoints = busy{}
 	a.mutex.Lock()
 	a.mutedUntil[b.address] = clock.Now().Add(mutedFor)
 	a.mutex.Unlock()
-	require.Empty(t, a.trackersOf([]uint64{endpoint}, map[uint64]int{}))
+	require.Empty(t, a.probesFor([]uint64{endpoint}, map[uint64]int{}))
 	clock.Advance(mutedFor)
-	require.Len(t, a.trackersOf([]uint64{endpoint}, map[uint64]int{}), 1)
+	require.Len(t, a.probesFor([]uint64{endpoint}, map[uint64]int{}), 1)
 }
 
 // The datagram that told of a call's end is lost. The next digest has the host's calls
--- a/bvgossip/totals_test.go
+++ b/bvgossip/totals_test.go
@@ -17,8 +17,7 @@
 
 // crowdOf makes a host that knows many others.
 func crowdOf(t *testing.T, clock bvclock.Clock) *host {
-	host := newHost(t, "a", clock)
-	host.Gossip.endpoints = zoned{}
+	host := newHostWith(t, "a", clock, zoned{})
 	addresses := make([]netip.AddrPort, fullHosts+1)
 	for i := range addresses {
 		addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 9, byte(i)}), 9)
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -87,7 +87,7 @@
 // trackers tells which host tracks an endpoint: the first in an order of the hosts of
 // the endpoint's availability zone that differs with each endpoint. Hosts that know
 // the same hosts agree on it without a word.
-type trackers map[string][]candidate // by zone
+type trackers map[string][]candidate // by zone, and those of all zones under allZones
 
 func (trackers trackers) add(zone string, address netip.AddrPort) {
 	trackers[zone] = append(trackers[zone], candidate{address, xxhash.Sum64String(address.String())})
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -38,6 +38,7 @@
 	ReadingRate                    // rate
 	Holding                        // holding
 	Probes                         // probes
+	Holders                        // holders
 	last
 )
 
@@ -59,6 +60,7 @@
 	ReadingRate:   "how fast engines read prompts is learnt",
 	Holding:       "while the store is away, turns are run and their ends held",
 	Probes:        "in a crowd, a decision asks how many calls a few endpoints have now",
+	Holders:       "a host is asked which endpoint has a conversation that is not known here",
 }
 
 // Purpose returns what the mechanism does, in one line.
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -24,12 +24,13 @@
 	_ = x[ReadingRate-13]
 	_ = x[Holding-14]
 	_ = x[Probes-15]
-	_ = x[last-16]
+	_ = x[Holders-16]
+	_ = x[last-17]
 }
 
-const _Mechanism_name = "homesdigestssamplesjudgementadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobeslast"
+const _Mechanism_name = "homesdigestssamplesjudgementadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholderslast"
 
-var _Mechanism_index = [...]uint8{0, 5, 12, 19, 28, 37, 42, 49, 55, 61, 74, 81, 85, 92, 96, 103, 109, 113}
+var _Mechanism_index = [...]uint8{0, 5, 12, 19, 28, 37, 42, 49, 55, 61, 74, 81, 85, 92, 96, 103, 109, 116, 120}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
