Decisions ask trackers from a tenth of the places on, not from half

Not looked at: trackers that did not answer; no line told of them.

The log tells how many engines were asked about, the metrics how many trackers did not answer.

--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -41,7 +41,7 @@
 	Holds(conversation, endpoint uint64, tokens int)
 }
 
-// SetTrackers lets decisions in a crowd ask trackers. It is called before the first
+// SetTrackers lets decisions ask trackers. It is called before the first
 // call.
 func (desk *Desk) SetTrackers(trackers Trackers) { desk.trackers = trackers }
 
@@ -160,8 +160,7 @@
 	return desk.pool(service).Knows(request)
 }
 
-// countsFor asks the trackers of the endpoints that look best for a call, where calls
-// crowd each other. It returns nil where nothing was asked.
+// countsFor asks the trackers of the endpoints that look best for a call. It returns nil where nothing was asked.
 func (desk *Desk) countsFor(service string, request *Request) map[uint64]int {
 	if desk.trackers == nil || desk.without.Has(bvmechanism.Probes) {
 		return nil
@@ -178,7 +177,7 @@
 	desk.mutex.Lock()
 	defer desk.mutex.Unlock()
 	pool := desk.pool(service)
-	if !pool.Crowded(now) {
+	if !pool.Asks(now) {
 		return nil
 	}
 	return pool.Shortlist(now, request)
--- a/bvdispatch/shortlist.go
+++ b/bvdispatch/shortlist.go
@@ -7,11 +7,19 @@
 	"balsamvalve.example/bvclock"
 )
 
-// In a crowd, what hosts know of each other's calls is some tenths of a second old,
-// which is as long as a call takes. Decisions on it send calls to engines that others
-// have just filled, and move conversations away from engines that have room again. So
-// a decision first draws up a short list by what is known, is told how many calls
-// these endpoints have now, and then chooses among them.
+// What hosts know of each other's calls is some tenths of a second old, which is as
+// long as a call takes. Decisions on it send calls to engines that others have just
+// filled, and move conversations away from engines that have room again; also where
+// half of all places are free, some engines then have a queue. So a decision first
+// draws up a short list by what is known, is told how many calls these endpoints have
+// now, and then chooses among them.
+
+// askedShare is the share of the places of a service's endpoints from which decisions
+// ask. Below, nearly all endpoints are idle.
+const askedShare = 0.1
+
+// Asks reports whether a decision should be told how many calls endpoints have now.
+func (pool *Pool) Asks(now bvclock.Time) bool { return pool.share(now) >= askedShare }
 
 // shortlisted is how many endpoints are asked about. With three, most calls find one
 // with room when a third of all places is free; each more is a datagram and its answer.
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -67,6 +67,21 @@
 	return desk
 }
 
+// A quarter of the places is taken. Hosts that go by digests alone would send some
+// calls to engines that others have just filled.
+func TestTrackersAreAskedLongBeforeACrowd(t *testing.T) {
+	trackers := &fakeTrackers{}
+	desk := crowdedDesk(trackers)
+	loads := make(map[uint64]int)
+	for _, engine := range engines(5) {
+		loads[HashID(engine.ID())] = 4
+	}
+	desk.SetPeerLoads(loads)
+	_, found := desk.Choose("model", prompt(1, 2))
+	require.True(t, found)
+	require.Len(t, trackers.asked, 1)
+}
+
 // By digests all engines are as full as each other. Others have just filled all but
 // one; the call must go to that one.
 func TestCallInACrowdGoesWhereTrackersTellOfRoom(t *testing.T) {
@@ -110,9 +125,8 @@
 	require.NotEqual(t, "e0", chosen.Name)
 }
 
-// While engines have room, what digests tell is good enough, and asking would only
-// cost time.
-func TestNobodyIsAskedWithoutACrowd(t *testing.T) {
+// While nearly all engines are idle, any will do, and asking would only cost time.
+func TestNobodyIsAskedWhileEnginesAreIdle(t *testing.T) {
 	trackers := &fakeTrackers{}
 	desk := crowdedDesk(trackers)
 	desk.SetPeerLoads(nil)
--- a/bvfleet/play.go
+++ b/bvfleet/play.go
@@ -149,7 +149,7 @@
 	if play.load.Trackers && program.at > 0 {
 		request.Held = program.held
 	}
-	if play.load.Trackers && host.pool.Crowded(play.now) {
+	if play.load.Trackers && host.pool.Asks(play.now) {
 		request.Among = play.counts(host, host.pool.Shortlist(play.now, request))
 	}
 	chosen, found := host.pool.Choose(play.now, request)
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -85,6 +85,7 @@
 	if call.service != nil && call.service.Engine != nil && call.sends > 0 {
 		fields["prompt"], fields["cached"] = call.wish.PromptTokens, call.wish.Cached
 		fields["load_thought"] = int(call.wish.Load)
+		fields["asked"] = len(call.wish.Among)
 	}
 	if call.stream.count > 0 {
 		fields["first_ms"] = int64(call.firstAt.Sub(call.arrived))
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -17,7 +17,8 @@
 //
 // Each host sends a datagram of some hundred bytes to each other host, less
 // often to those in other availability zones. The intervals grow with the number of
-// hosts. In a crowd, a call costs a dozen datagrams more for the trackers of calls.
+// hosts. A call costs some fifteen datagrams more for trackers, however many hosts
+// there are.
 package bvgossip
 
 import (
@@ -80,6 +81,8 @@
 	trackers   trackers
 	holdings   holdings
 	probes     map[uint64]*probing
+	asked      int64 // trackers, since the start
+	unanswered int64
 	mutedUntil map[netip.AddrPort]bvclock.Time
 
 	endpoints Endpoints
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -8,11 +8,10 @@
 )
 
 // Digests tell of calls some tenths of a second late, which is as long as a call
-// takes: in a crowd, hosts then send to engines that others have just filled, calls
-// wait there while other engines stand free, and conversations leave the engines that
-// have them. So each endpoint has a tracker, a host of its availability zone that is
-// told of each call at once, and a host that decides in a crowd asks the trackers of a
-// few endpoints first. A call costs a few datagrams for that, however many hosts there
+// takes: hosts then send to engines that others have just filled, calls wait there
+// while other engines stand free, and conversations leave the engines that have them.
+// So each endpoint has a tracker, a host of its availability zone that is told of each
+// call at once, and a host that decides asks the trackers of a few endpoints first. A call costs a few datagrams for that, however many hosts there
 // are. A tracker that is lost, or a datagram, only leaves what the digests said.
 
 const (
@@ -118,6 +117,7 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	gossip.probes[number] = begun
+	gossip.asked += int64(trackers)
 	return begun
 }
 
@@ -133,11 +133,20 @@
 	until := gossip.clock.Now().Add(mutedFor)
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
+	gossip.unanswered += int64(len(trackers))
 	for tracker := range trackers {
 		gossip.mutedUntil[tracker] = until
 	}
 }
 
+// Asked returns how many trackers were asked since the start, and how many of them did
+// not answer in time.
+func (gossip *Gossip) Asked() (asked, unanswered int64) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	return gossip.asked, gossip.unanswered
+}
+
 // answerProbe tells a host what is counted here.
 func (gossip *Gossip) answerProbe(from netip.AddrPort, asked *Probe) {
 	counts := &Counts{Number: asked.GetNumber()}
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -53,6 +53,8 @@
 	requireCount(t, a, endpoint, 5)
 	b.Used(endpoint, 0)
 	requireCount(t, a, endpoint, 4)
+	asked, unanswered := a.Asked()
+	require.GreaterOrEqual(t, asked-unanswered, int64(3))
 }
 
 // requireCount asks until a host is told the count. Trackers that answer late, on a
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -59,7 +59,7 @@
 	Average:       "reading a prompt weighs by the calls that engines have on average",
 	ReadingRate:   "how fast engines read prompts is learnt",
 	Holding:       "while the store is away, turns are run and their ends held",
-	Probes:        "in a crowd, a decision asks how many calls a few endpoints have now",
+	Probes:        "a decision asks how many calls a few endpoints have now",
 	Holders:       "a host is asked which endpoint has a conversation that is not known here",
 }
 
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -300,6 +300,9 @@
 	router.counters.Set("budget_writes", router.budgets.Writes())
 	router.counters.Set("budget_accounts", int64(router.budgets.Len()))
 	router.counters.Set("grants", int64(router.budgets.Grants()))
+	asked, unanswered := router.gossip.Asked()
+	router.counters.Set("trackers_asked", asked)
+	router.counters.Set("trackers_unanswered", unanswered)
 	for service, rate := range router.desk.ReadingRates() {
 		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
 	}
