Programs have trackers: their turns find their engine, and are not turned away in a crowd

A later turn was told from a first one by the number of its prompt's parts.

Change: a program's tracker is asked for each turn, and its answer tells both where the conversation is and that the program is under way; that decides on admission and on the call's rank too. Sub-agents' first turns go where their program's last turn was.

--- a/bvdispatch/cache.go
+++ b/bvdispatch/cache.go
@@ -78,25 +78,6 @@
 	}
 }
 
-// Knows reports whether some endpoint is known to have all of a prompt but its last
-// part, which is new.
-func (pool *Pool) Knows(request *Request) bool {
-	if len(request.Prefix) == 0 {
-		return false
-	}
-	before := request.Prefix[:len(request.Prefix)-1]
-	wanted := 0
-	for _, part := range before {
-		wanted += part.Tokens
-	}
-	for _, row := range pool.rows {
-		if row.cache.cached(before) >= wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // head returns the parts that begin a prompt, up to a number of tokens.
 func head(prefix []bvroute.Part, tokens int) []bvroute.Part {
 	var parts []bvroute.Part
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -35,10 +35,11 @@
 	Counts(endpoints []uint64) map[uint64]int
 	// Used tells how many calls this host has at an endpoint now.
 	Used(endpoint uint64, running int)
-	// Holder asks which endpoint has a conversation, and how many tokens of it.
-	Holder(conversation uint64) (endpoint uint64, tokens int, found bool)
+	// Holder asks which endpoint has a conversation of a program, and how many tokens of
+	// it. A conversation that is not known is where the program's last turn was.
+	Holder(program, conversation uint64) (endpoint uint64, tokens int, found bool)
 	// Holds tells which endpoint has a conversation.
-	Holds(conversation, endpoint uint64, tokens int)
+	Holds(program, conversation, endpoint uint64, tokens int)
 }
 
 // SetTrackers lets decisions ask trackers. It is called before the first
@@ -132,7 +133,7 @@
 // Choose returns the endpoint for a call and counts the call there. Each is to
 // be followed by an End.
 func (desk *Desk) Choose(service string, request *Request) (bvplatform.Endpoint, bool) {
-	desk.findHolder(service, request)
+	desk.findHolder(request)
 	counts := desk.countsFor(service, request)
 	chosen, running, found := desk.begin(service, request, counts)
 	if found {
@@ -141,23 +142,26 @@
 	return chosen, found
 }
 
-// findHolder asks which endpoint has the conversation, where nobody told this host.
-func (desk *Desk) findHolder(service string, request *Request) {
-	if desk.trackers == nil || desk.without.Has(bvmechanism.Holders) || !request.Continues || request.Conversation == 0 {
-		return
-	}
-	if request.Held != (Held{}) || desk.knows(service, request) {
+// UnderWay reports whether a turn's program had turns before this one, through whatever
+// host, as far as its tracker knows.
+func (desk *Desk) UnderWay(request *Request) bool {
+	desk.findHolder(request)
+	return request.Held != (Held{})
+}
+
+// findHolder asks which endpoint has the conversation, unless that is known.
+func (desk *Desk) findHolder(request *Request) {
+	if !desk.tracks(request) || request.Held != (Held{}) {
 		return
 	}
-	if endpoint, tokens, found := desk.trackers.Holder(request.Conversation); found {
+	if endpoint, tokens, found := desk.trackers.Holder(request.Program, request.Conversation); found {
 		request.Held = Held{Endpoint: endpoint, Tokens: tokens}
 	}
 }
 
-func (desk *Desk) knows(service string, request *Request) bool {
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	return desk.pool(service).Knows(request)
+// tracks reports whether the request's program has a tracker.
+func (desk *Desk) tracks(request *Request) bool {
+	return desk.trackers != nil && request.Program != 0 && !desk.without.Has(bvmechanism.Holders)
 }
 
 // countsFor asks the trackers of the endpoints that look best for a call. It returns nil where nothing was asked.
@@ -313,8 +317,8 @@
 func (desk *Desk) End(service, endpoint string, request *Request, result Result) {
 	hash := HashID(endpoint)
 	desk.tell(hash, desk.end(service, endpoint, hash, request, result))
-	if result.Outcome == Served && request.Conversation != 0 && desk.trackers != nil && !desk.without.Has(bvmechanism.Holders) {
-		desk.trackers.Holds(request.Conversation, hash, request.PromptTokens+result.Made)
+	if result.Outcome == Served && desk.tracks(request) {
+		desk.trackers.Holds(request.Program, request.Conversation, hash, request.PromptTokens+result.Made)
 	}
 }
 
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -40,8 +40,8 @@
 	Avoid        map[string]bool // endpoints that must not be chosen again
 	Content      uint64          // what the request is known by when it comes again
 	Held         Held            // where the turn before ran
-	Conversation uint64          // that the turn belongs to; 0: none
-	Continues    bool            // the conversation had turns before
+	Program      uint64          // that the turn belongs to; 0: none
+	Conversation uint64          // the line of its turns
 	// Among are the endpoints to choose from, by the hashes of their IDs, with the
 	// calls that the other hosts have there now. Nil: all.
 	Among map[uint64]int
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -18,13 +18,13 @@
 	wanted []uint64
 }
 
-func (trackers *fakeTrackers) Holder(conversation uint64) (endpoint uint64, tokens int, found bool) {
+func (trackers *fakeTrackers) Holder(_, conversation uint64) (endpoint uint64, tokens int, found bool) {
 	trackers.wanted = append(trackers.wanted, conversation)
 	held, found := trackers.held[conversation]
 	return held.Endpoint, held.Tokens, found
 }
 
-func (trackers *fakeTrackers) Holds(conversation, endpoint uint64, tokens int) {
+func (trackers *fakeTrackers) Holds(_, conversation, endpoint uint64, tokens int) {
 	if trackers.held == nil {
 		trackers.held = make(map[uint64]Held)
 	}
@@ -169,27 +169,24 @@
 	here, there := crowdedDesk(trackers), crowdedDesk(trackers)
 	for conversation := uint64(1); conversation < 30; conversation++ {
 		first := prompt(conversation%3, 1000+conversation)
-		first.Conversation = conversation
+		first.Program, first.Conversation = conversation, conversation
 		chosen, _ := here.Choose("model", first)
 		here.End("model", chosen.Name, first, Result{Outcome: Served, Took: 300, Made: 200})
+		require.False(t, there.UnderWay(&Request{Program: 1000, Conversation: 1000}))
 		next := prompt(conversation%3, 1000+conversation, 2000+conversation)
-		next.Conversation, next.Continues = conversation, true
+		next.Program, next.Conversation = conversation, conversation
+		require.True(t, there.UnderWay(next))
 		followed, _ := there.Choose("model", next)
 		require.Equal(t, chosen.Name, followed.Name)
 		there.End("model", followed.Name, next, Result{Outcome: Served, Took: 300})
 	}
-	require.Len(t, trackers.wanted, 29)
 }
 
-// What this host knows itself costs no question, and neither does a first turn.
-func TestHolderIsAskedForOnlyWhereItIsNotKnown(t *testing.T) {
+// Calls of plain services belong to no conversation that an engine has.
+func TestCallsOfServicesAskForNoHolder(t *testing.T) {
 	trackers := &fakeTrackers{}
 	desk := crowdedDesk(trackers)
-	for turn := uint64(0); turn < 4; turn++ {
-		request := prompt([]uint64{1, 2, 3, 4, 5}[:2+turn]...)
-		request.Conversation, request.Continues = 7, turn > 0
-		chosen, _ := desk.Choose("model", request)
-		desk.End("model", chosen.Name, request, Result{Outcome: Served, Took: 300})
-	}
+	_, found := desk.Choose("model", &Request{})
+	require.True(t, found)
 	require.Empty(t, trackers.wanted)
 }
--- /dev/null
+++ b/bvfront/admit_test.go
@@ -0,0 +1,48 @@
+package bvfront
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvdispatch"
+	"balsamvalve.example/bvmeasure"
+	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvverdict"
+)
+
+// fullDispatcher has no room for new programs.
+type fullDispatcher struct {
+	Dispatcher
+	underWay uint64 // the program that had turns before
+}
+
+func (fullDispatcher) Admit(string, int) (bvclock.Duration, bool) { return bvclock.Second, false }
+
+func (dispatcher fullDispatcher) UnderWay(request *bvdispatch.Request) bool {
+	return request.Program == dispatcher.underWay
+}
+
+func turnOf(program uint64) *call {
+	return &call{
+		front:   New(Parts{Dispatcher: fullDispatcher{underWay: 7}, Counters: bvmeasure.New()}),
+		request: &http.Request{},
+		route:   &bvroute.Route{},
+		service: &bvroute.Service{Name: "model", Engine: &bvroute.Engine{}},
+		wish:    bvdispatch.Request{Program: program},
+	}
+}
+
+// In a crowd, new programs are turned away so that those under way can end in time. The
+// prompt of a later turn looks like that of a first one: its last part has grown, through
+// whatever host it came before. A program whose turns are refused is lost, with all that
+// it was served.
+func TestTurnsOfProgramsUnderWayAreNotTurnedAway(t *testing.T) {
+	require.NoError(t, turnOf(7).admit())
+	err := turnOf(8).admit()
+	require.Equal(t, bvverdict.Overloaded, bvverdict.From(err).Code())
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+	require.Equal(t, bvclock.Second, bvverdict.From(err).RetryAfter())
+}
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -101,8 +101,10 @@
 		PromptTokens: call.said.PromptTokens,
 		Object:       call.object(),
 		Content:      call.content(),
-		Conversation: call.conversation(),
-		Continues:    call.said.Continues(),
+	}
+	if call.service.Engine != nil && call.said.Program != "" {
+		call.wish.Program = bvroute.Draw(call.said.Program)
+		call.wish.Conversation = bvroute.Draw(call.said.Program + " " + call.said.Session)
 	}
 	if call.front.parts.Dispatcher.Poisonous(call.wish.Content) {
 		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longAgain)
@@ -122,15 +124,6 @@
 	return bvroute.Draw(call.said.Affinity)
 }
 
-// conversation is the line of turns that the request belongs to, where engines keep
-// what was said before.
-func (call *call) conversation() uint64 {
-	if call.service.Engine == nil || call.said.Program == "" {
-		return 0
-	}
-	return bvroute.Draw(call.said.Program + " " + call.said.Session)
-}
-
 // content is what the request is known by when it comes again, through any
 // host: who sent it, where to, and its body. Its id differs each time.
 func (call *call) content() uint64 {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -63,6 +63,8 @@
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
 type Dispatcher interface {
 	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
+	// UnderWay reports whether the request's program had turns before this one.
+	UnderWay(request *bvdispatch.Request) bool
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	Told(service, endpoint string, load bvroute.Load)
 	End(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -149,12 +149,17 @@
 	return bvdispatch.Broken
 }
 
+// continues reports whether the request's program is under way.
+func (call *call) continues() bool {
+	return call.said.Continues() || call.wish.Held != (bvdispatch.Held{})
+}
+
 func (call *call) outgoing(endpoint bvplatform.Endpoint) *bvforward.Request {
 	header := call.request.Header
 	bvforward.DropHopByHop(header, connectionNames(header), call.front.parts.Wire.Protected)
 	call.front.parts.Wire.PrepareCall(header, endpoint.Name, call.left())
 	if call.service.Engine != nil && !call.front.parts.Without.Has(bvmechanism.Ranks) {
-		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.route.Priority, call.said.Continues()))
+		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.route.Priority, call.continues()))
 	}
 	return &bvforward.Request{
 		Endpoint: endpoint,
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, call.route.Priority)
-	if admitted {
+	if admitted || call.front.parts.Dispatcher.UnderWay(&call.wish) {
 		return nil
 	}
 	call.front.parts.Counters.Add("programs_turned_away", 1)
--- a/bvgossip/holding.go
+++ b/bvgossip/holding.go
@@ -6,12 +6,13 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// A conversation's next turn may come through any host, some tens of milliseconds after
-// the last one, and through a host that has just started. Digests tell of prompts too
-// late for that, and those of other zones little: the turn then goes to an engine that
-// has nothing of the conversation and reads all of it again. So each conversation has a
-// tracker too, a host of any zone, that is told which engine has it when a turn ends.
-// Whoever gets a turn of a conversation that he does not know asks it.
+// A program's next turn may come through any host, some tens of milliseconds after the
+// last one, and through a host that has just started. Digests tell of prompts too late
+// for that, and those of other zones little: the turn then goes to an engine that has
+// nothing of the conversation and reads all of it again. So each program has a tracker
+// too, a host of any zone, that is told which engine has a conversation when a turn of
+// it ends. Whoever gets a turn asks it, and learns by the same answer whether the program
+// is under way or new, which its prompt does not tell.
 
 const (
 	// allZones stands for the hosts of all zones among the trackers.
@@ -23,28 +24,38 @@
 
 // holdings are the conversations that this host tracks. The zero value is empty.
 type holdings struct {
-	byConversation *simplelru.LRU[uint64, *Holding]
+	conversations *simplelru.LRU[uint64, *Holding]
+	programs      *simplelru.LRU[uint64, *Holding] // the last told of any of its conversations
 }
 
 func (holdings *holdings) note(holding *Holding) {
-	if holdings.byConversation == nil {
-		holdings.byConversation, _ = simplelru.NewLRU[uint64, *Holding](mostHoldings, nil)
+	if holdings.conversations == nil {
+		holdings.conversations, _ = simplelru.NewLRU[uint64, *Holding](mostHoldings, nil)
+		holdings.programs, _ = simplelru.NewLRU[uint64, *Holding](mostHoldings, nil)
 	}
-	holdings.byConversation.Add(holding.GetConversation(), holding)
+	holdings.conversations.Add(holding.GetConversation(), holding)
+	holdings.programs.Add(holding.GetProgram(), holding)
 }
 
-func (holdings *holdings) find(conversation uint64) (*Holding, bool) {
-	if holdings.byConversation == nil {
-		return nil, false
+// find returns where a conversation is. One that is not known may be a sub-agent's, whose
+// prompt begins with what was said before in the program.
+func (holdings *holdings) find(program, conversation uint64) *Holding {
+	if holdings.conversations == nil {
+		return nil
 	}
-	return holdings.byConversation.Get(conversation)
+	if holding, found := holdings.conversations.Get(conversation); found {
+		return holding
+	}
+	holding, _ := holdings.programs.Get(program)
+	return holding
 }
 
-// Holds tells a conversation's tracker which endpoint has it, and how many tokens of it.
-func (gossip *Gossip) Holds(conversation, endpoint uint64, tokens int) {
-	holding := &Holding{Conversation: conversation, Endpoint: endpoint, Tokens: uint32(tokens)}
+// Holds tells a program's tracker which endpoint has a conversation, and how many tokens
+// of it.
+func (gossip *Gossip) Holds(program, conversation, endpoint uint64, tokens int) {
+	holding := &Holding{Program: program, Conversation: conversation, Endpoint: endpoint, Tokens: uint32(tokens)}
 	gossip.mutex.Lock()
-	tracker, found := gossip.trackers.of(allZones, conversation)
+	tracker, found := gossip.trackers.of(allZones, program)
 	if found && tracker == gossip.address {
 		gossip.holdings.note(holding)
 	}
@@ -54,30 +65,29 @@
 	}
 }
 
-// Holder asks a conversation's tracker which endpoint has it, and how many tokens of it.
-// It waits a short time.
-func (gossip *Gossip) Holder(conversation uint64) (endpoint uint64, tokens int, found bool) {
-	holding, tracker := gossip.holdingHere(conversation)
+// Holder asks a program's tracker which endpoint has a conversation, and how many tokens
+// of it. It waits a short time.
+func (gossip *Gossip) Holder(program, conversation uint64) (endpoint uint64, tokens int, found bool) {
+	holding, tracker := gossip.holdingHere(program, conversation)
 	if tracker.IsValid() {
-		probes := map[netip.AddrPort]*Probe{tracker: {Conversation: conversation}}
+		probes := map[netip.AddrPort]*Probe{tracker: {Program: program, Conversation: conversation}}
 		gossip.ask(probes, func(answer *Counts) { holding = answer.GetHolding() })
 	}
 	return holding.GetEndpoint(), int(holding.GetTokens()), holding != nil
 }
 
-// holdingHere returns what this host knows as the conversation's tracker, or which other
-// host to ask.
-func (gossip *Gossip) holdingHere(conversation uint64) (*Holding, netip.AddrPort) {
+// holdingHere returns what this host knows as the program's tracker, or which other host
+// to ask.
+func (gossip *Gossip) holdingHere(program, conversation uint64) (*Holding, netip.AddrPort) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	tracker, found := gossip.trackers.of(allZones, conversation)
+	tracker, found := gossip.trackers.of(allZones, program)
 	switch {
 	case !found || now.Before(gossip.mutedUntil[tracker]):
 		return nil, netip.AddrPort{}
 	case tracker == gossip.address:
-		holding, _ := gossip.holdings.find(conversation)
-		return holding, netip.AddrPort{}
+		return gossip.holdings.find(program, conversation), netip.AddrPort{}
 	}
 	return nil, tracker
 }
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -9,15 +9,15 @@
 	"balsamvalve.example/bvclock"
 )
 
-// conversationTrackedBy returns a conversation that a host is the tracker of.
-func conversationTrackedBy(t testing.TB, host, asker *host) uint64 {
+// programTrackedBy returns a program that a host is the tracker of.
+func programTrackedBy(t testing.TB, host, asker *host) uint64 {
 	asker.setTrackers()
-	for conversation := range uint64(1000) {
+	for program := uint64(1); program < 1000; program++ {
 		asker.mutex.Lock()
-		tracker, found := asker.trackers.of(allZones, conversation)
+		tracker, found := asker.trackers.of(allZones, program)
 		asker.mutex.Unlock()
 		if found && tracker == host.address {
-			return conversation
+			return program
 		}
 	}
 	require.Fail(t, "the host tracks nothing")
@@ -30,15 +30,15 @@
 	b.zone = "other" // conversations wander between zones
 	meet(t, a, b)
 	for _, tracker := range []*host{a, b} {
-		conversation := conversationTrackedBy(t, tracker, a)
+		program := programTrackedBy(t, tracker, a)
 		b.setTrackers()
-		a.Holds(conversation, 42, 17_000)
+		a.Holds(program, 70, 42, 17_000)
 		for _, asker := range []*host{a, b} {
 			require.Eventually(t, func() bool {
 				asker.mutex.Lock()
 				clear(asker.mutedUntil)
 				asker.mutex.Unlock()
-				endpoint, tokens, found := asker.Holder(conversation)
+				endpoint, tokens, found := asker.Holder(program, 70)
 				return found && endpoint == 42 && tokens == 17_000
 			}, patience, time.Millisecond)
 		}
@@ -47,10 +47,10 @@
 
 func TestHolderOfAnUnknownConversationIsNotFound(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
-	_, _, found := a.Holder(7) // before the first digest
+	_, _, found := a.Holder(7, 70) // before the first digest
 	require.False(t, found)
 	a.setTrackers()
-	_, _, found = a.Holder(7)
+	_, _, found = a.Holder(7, 70)
 	require.False(t, found)
 }
 
@@ -58,9 +58,20 @@
 func TestHoldingsAreBounded(t *testing.T) {
 	var held holdings
 	for conversation := range uint64(mostHoldings + 10) {
-		held.note(&Holding{Conversation: conversation})
+		held.note(&Holding{Program: conversation, Conversation: conversation})
 	}
-	require.Equal(t, mostHoldings, held.byConversation.Len())
-	_, found := held.find(0)
-	require.False(t, found)
+	require.Equal(t, mostHoldings, held.conversations.Len())
+	require.Equal(t, mostHoldings, held.programs.Len())
+	require.Nil(t, held.find(0, 0))
+}
+
+// A sub-agent's first turn begins with what its parent said. It is to go where that is.
+func TestSubAgentsFirstTurnIsFoundByItsProgram(t *testing.T) {
+	var held holdings
+	held.note(&Holding{Program: 1, Conversation: 10, Endpoint: 5})
+	require.Equal(t, uint64(5), held.find(1, 11).GetEndpoint())
+	held.note(&Holding{Program: 1, Conversation: 11, Endpoint: 6})
+	require.Equal(t, uint64(5), held.find(1, 10).GetEndpoint())
+	require.Equal(t, uint64(6), held.find(1, 12).GetEndpoint())
+	require.Nil(t, held.find(2, 20))
 }
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -156,7 +156,9 @@
 		running := gossip.tracker.count(endpoint, from, since)
 		counts.Loads = append(counts.Loads, &Load{Endpoint: endpoint, Running: uint32(running)})
 	}
-	counts.Holding, _ = gossip.holdings.find(asked.GetConversation())
+	if asked.GetProgram() != 0 {
+		counts.Holding = gossip.holdings.find(asked.GetProgram(), asked.GetConversation())
+	}
 	gossip.mutex.Unlock()
 	for _, load := range counts.GetLoads() {
 		load.Running += uint32(gossip.endpoints.Running(load.GetEndpoint()))
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -60,7 +60,7 @@
 	ReadingRate:   "how fast engines read prompts is learnt",
 	Holding:       "while the store is away, turns are run and their ends held",
 	Probes:        "a decision asks how many calls a few endpoints have now",
-	Holders:       "a host is asked which endpoint has a conversation that is not known here",
+	Holders:       "a host is asked which endpoint has a conversation, and whether its program is under way",
 }
 
 // Purpose returns what the mechanism does, in one line.
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -25,12 +25,12 @@
 	Parent       string           // id of the turn that this one continues
 }
 
-// firstTurnParts is how many parts the prompt of a program's first turn has:
-// what it shares with others, and its own. Later turns add to them.
+// firstTurnParts is how many parts the prompt of a program's first turn has: what it
+// shares with others, and its own, which grows with later turns. Sub-agents add to them.
 const firstTurnParts = 2
 
-// Continues reports whether the program had turns before this one, as far as
-// its prompt shows it.
+// Continues reports whether the prompt shows that the program had turns before this
+// one. It does for sub-agents, and not for later turns of a program's own line.
 func (call *Call) Continues() bool {
 	return call.Parent != "" || len(call.Prefix) > firstTurnParts
 }
