--- a/bvdispatch/bench_test.go
+++ b/bvdispatch/bench_test.go
@@ -27,3 +27,21 @@
 		})
 	}
 }
+
+// BenchmarkShortlist is the cost of drawing up a short list, by the number of endpoints.
+func BenchmarkShortlist(b *testing.B) {
+	for _, count := range []int{128, 4200} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			pool := NewPool(1, "z")
+			listed := make([]bvplatform.Endpoint, count)
+			for i := range listed {
+				listed[i] = bvplatform.Endpoint{Name: fmt.Sprintf("e%04d", i), Slots: 6, CacheTokens: 175_000, Zone: "z"}
+			}
+			pool.SetEndpoints(listed)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				pool.Shortlist(0, prompt(uint64(i%16), uint64(1000+i%500)))
+			}
+		})
+	}
+}
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -1,11 +1,13 @@
 package bvgossip
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"balsamvalve.example/bvclock"
@@ -170,3 +172,47 @@
 		}
 	})
 }
+
+// BenchmarkProbe is what a question about one endpoint costs its tracker, by the number of
+// hosts that have calls there: reading it, counting, and writing the answer.
+func BenchmarkProbe(b *testing.B) {
+	for _, hosts := range []int{6, 60} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			var tracked tracker
+			for i := range hosts {
+				tracked.note(1, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380), 7, 1)
+			}
+			asker := netip.MustParseAddrPort("10.0.0.1:7380")
+			asked, err := proto.Marshal(&Datagram{Message: &Datagram_Probe{Probe: &Probe{Number: 1 << 60, Endpoints: []uint64{7 << 56}}}})
+			require.NoError(b, err)
+			var answer []byte
+			for b.Loop() {
+				if err := proto.Unmarshal(asked, &Datagram{}); err != nil {
+					b.Fatal(err)
+				}
+				load := &Load{Endpoint: 7 << 56, Running: uint32(tracked.count(7, asker, 0))}
+				answer, err = proto.Marshal(&Datagram{Message: &Datagram_Counts{Counts: &Counts{Number: 1 << 60, Loads: []*Load{load}}}})
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(asked)+len(answer)), "bytes/probe")
+		})
+	}
+}
+
+// BenchmarkTrackers is the cost of finding an endpoint's tracker among the hosts of its
+// zone.
+func BenchmarkTrackers(b *testing.B) {
+	for _, hosts := range []int{49, 730} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			known := make(trackers)
+			for i := range hosts {
+				known.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380))
+			}
+			for i := uint64(0); b.Loop(); i++ {
+				known.of("z", i)
+			}
+		})
+	}
+}
