--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -48,8 +48,8 @@
 	// keepMargin is taken off the endpoint's own idle timeout, for the way
 	// and for timers that fire late.
 	keepMargin = 300 * bvclock.Millisecond
-	// maxIdle is the most idle connections kept to one endpoint. An endpoint
-	// takes 110 to 530 from all hosts together, and there are up to 80 hosts.
+	// maxIdle is the most idle connections kept to one endpoint, which bounds those of
+	// all hosts together.
 	maxIdle = 6
 )
 
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -11,8 +11,9 @@
 // takes: hosts then send to engines that others have just filled, calls wait there
 // while other engines stand free, and conversations leave the engines that have them.
 // So each endpoint has a tracker, a host of its availability zone that is told of each
-// call at once, and a host that decides asks the trackers of a few endpoints first. A call costs a few datagrams for that, however many hosts there
-// are. A tracker that is lost, or a datagram, only leaves what the digests said.
+// call at once, and a host that decides asks the trackers of a few endpoints first. A
+// call costs a few datagrams for that, however many hosts there are. A tracker that is
+// lost, or a datagram, only leaves what the digests said.
 
 const (
 	// probePatience bounds the wait for trackers. They answer in 1 to 2 ms.
--- /dev/null
+++ b/bvrouter/metrics.go
@@ -0,0 +1,40 @@
+package bvrouter
+
+import (
+	"net/http"
+)
+
+// metricsHandler serves the counters as text at any path.
+func (router *Router) metricsHandler() http.Handler {
+	text := router.counters.Text()
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		router.gauge()
+		text.ServeHTTP(writer, request)
+	})
+}
+
+func (router *Router) countStoreCall(kind string) { router.counters.Count("store_calls", kind) }
+
+// gauge sets what is a state rather than a count.
+func (router *Router) gauge() {
+	if table := router.state.Current(); table != nil {
+		router.counters.Set("desired_state_version", table.Version())
+	}
+	reachable := int64(0)
+	if router.reach.up() {
+		reachable = 1
+	}
+	router.counters.Set("store_reachable", reachable)
+	router.counters.Set("hosts_heard", int64(router.Hosts()))
+	router.counters.Set("endpoints", int64(len(router.state.endpoints())))
+	router.counters.Set("connections_opened", router.connections.Opened())
+	router.counters.Set("budget_writes", router.budgets.Writes())
+	router.counters.Set("budget_accounts", int64(router.budgets.Len()))
+	router.counters.Set("grants", int64(router.budgets.Grants()))
+	asked, unanswered := router.gossip.Asked()
+	router.counters.Set("trackers_asked", asked)
+	router.counters.Set("trackers_unanswered", unanswered)
+	for service, rate := range router.desk.ReadingRates() {
+		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
+	}
+}
