--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -42,8 +42,7 @@
 	Holds(program, conversation, endpoint uint64, tokens int)
 }
 
-// SetTrackers lets decisions ask trackers. It is called before the first
-// call.
+// SetTrackers lets decisions ask trackers. It is called before the first call.
 func (desk *Desk) SetTrackers(trackers Trackers) { desk.trackers = trackers }
 
 // Placement is a part of a prompt that an endpoint was sent.
@@ -164,7 +163,8 @@
 	return desk.trackers != nil && request.Program != 0 && !desk.without.Has(bvmechanism.Holders)
 }
 
-// countsFor asks the trackers of the endpoints that look best for a call. It returns nil where nothing was asked.
+// countsFor asks the trackers of the endpoints that look best for a call. It returns
+// nil where nothing was asked.
 func (desk *Desk) countsFor(service string, request *Request) map[uint64]int {
 	if desk.trackers == nil || desk.without.Has(bvmechanism.Probes) {
 		return nil
