--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -68,5 +68,6 @@
 	root.AddCommand(newTable())
 	root.AddCommand(newStatus())
 	root.AddCommand(newExperiment())
+	root.AddCommand(newFleet())
 	return root
 }
