Totals count until the next ones are due; one rendezvous weight, one question a request

The weight of rendezvous hashing stood in bvlease, bvdispatch and bvgossip: now in bvhost. Totals are added up only when other zones are told, and by one function with the hosts' own loads. A new program's tracker is asked once a request, not at its admission and at each send.

--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -148,11 +148,12 @@
 	return request.Held != (Held{})
 }
 
-// findHolder asks which endpoint has the conversation, unless that is known.
+// findHolder asks which endpoint has the conversation, once, unless that is known.
 func (desk *Desk) findHolder(request *Request) {
-	if !desk.tracks(request) || request.Held != (Held{}) {
+	if !desk.tracks(request) || request.sought || request.Held != (Held{}) {
 		return
 	}
+	request.sought = true
 	if endpoint, tokens, found := desk.trackers.Holder(request.Program, request.Conversation); found {
 		request.Held = Held{Endpoint: endpoint, Tokens: tokens}
 	}
--- a/bvdispatch/home.go
+++ b/bvdispatch/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvhost"
 	"balsamvalve.example/bvmechanism"
 )
 
@@ -76,7 +77,5 @@
 
 // place is the endpoint's place in the order of a key, from 0 to 1.
 func (endpoint *endpoint) place(key uint64) float64 {
-	mixed := (endpoint.hash ^ key) * 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
-	mixed ^= mixed >> 32
-	return float64(mixed*0x9e3779b97f4a7c15>>11) / (1 << 53)
+	return float64(bvhost.Weight(endpoint.hash, key)>>11) / (1 << 53)
 }
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -42,6 +42,7 @@
 	Held         Held            // where the turn before ran
 	Program      uint64          // that the turn belongs to; 0: none
 	Conversation uint64          // the line of its turns
+	sought       bool            // its tracker was asked
 	// Among are the endpoints to choose from, by the hashes of their IDs, with the
 	// calls that the other hosts have there now. Nil: all.
 	Among map[uint64]int
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -182,6 +182,21 @@
 	}
 }
 
+// A new program's turn is admitted, sent, refused by a full endpoint and sent elsewhere:
+// its tracker, which knows nothing, is asked once.
+func TestTrackerOfANewProgramIsAskedOnce(t *testing.T) {
+	trackers := &fakeTrackers{}
+	desk := crowdedDesk(trackers)
+	request := prompt(1, 2)
+	request.Program, request.Conversation = 7, 7
+	require.False(t, desk.UnderWay(request))
+	for range 2 {
+		_, found := desk.Choose("model", request)
+		require.True(t, found)
+	}
+	require.Len(t, trackers.wanted, 1)
+}
+
 // Calls of plain services belong to no conversation that an engine has.
 func TestCallsOfServicesAskForNoHolder(t *testing.T) {
 	trackers := &fakeTrackers{}
--- a/bvfleet/load.go
+++ b/bvfleet/load.go
@@ -6,7 +6,8 @@
 // calls, read prompts between the tokens of calls that run, keep parts of prompts in a
 // bounded memory and admit calls by urgency. All is drawn from a seed and moves in
 // steps of a millisecond, so that two plays of one load are the same. Networks, the
-// platform and failures are not played.
+// platform and failures are not played. The engines are not those of bvmodel, whose
+// caches hold one prefix for each program: here many programs' prompts begin alike.
 //
 // # Usage
 //
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -76,7 +76,7 @@
 	farAt bvclock.Time // last digest to other zones
 	zones map[string]zoneTotals
 
-	address    netip.AddrPort // of this host
+	own        candidate // this host
 	tracker    tracker
 	trackers   trackers
 	holdings   holdings
@@ -94,6 +94,7 @@
 
 // peer is another host's row.
 type peer struct {
+	candidate
 	digest  *Digest // last; nil before the first
 	heardAt bvclock.Time
 	triedAt bvclock.Time
@@ -114,8 +115,8 @@
 ) *Gossip {
 	return &Gossip{
 		self: self, zone: zone, conn: conn, clock: clock, log: log, endpoints: endpoints,
-		address: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
-		probes:  make(map[uint64]*probing), mutedUntil: make(map[netip.AddrPort]bvclock.Time),
+		own:    newCandidate(conn.LocalAddr().(*net.UDPAddr).AddrPort()),
+		probes: make(map[uint64]*probing), mutedUntil: make(map[netip.AddrPort]bvclock.Time),
 		hosts: make(map[netip.AddrPort]*peer), asks: make(map[uint64]*question), zones: make(map[string]zoneTotals),
 	}
 }
@@ -151,7 +152,7 @@
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
 	found := gossip.hosts[address]
 	if found == nil {
-		found = &peer{}
+		found = &peer{candidate: newCandidate(address)}
 		gossip.hosts[address] = found
 	}
 	return found
@@ -171,13 +172,13 @@
 func (gossip *Gossip) Send(digest *Digest, crowded bool) {
 	gossip.setTrackers()
 	near, far := gossip.due(crowded)
-	totals := gossip.totals(digest)
 	gossip.sendAll(digest, near)
 	gossip.placements = append(gossip.placements, digest.Placements...)
 	gossip.programs = append(gossip.programs, digest.Programs...)
 	if far == nil {
 		return
 	}
+	totals := gossip.totals(digest)
 	digest.Placements, digest.Programs, digest.Outcomes = gossip.placements, gossip.programs, nil
 	share := gossip.totalsShare()
 	for zone, addresses := range far {
--- a/bvgossip/holding.go
+++ b/bvgossip/holding.go
@@ -14,13 +14,9 @@
 // it ends. Whoever gets a turn asks it, and learns by the same answer whether the program
 // is under way or new, which its prompt does not tell.
 
-const (
-	// allZones stands for the hosts of all zones among the trackers.
-	allZones = ""
-	// mostHoldings bounds the conversations that a host tracks: some times those that
-	// are under way for each host. The one that was not used for longest is forgotten.
-	mostHoldings = 8192
-)
+// mostHoldings bounds the conversations that a host tracks: some times those that are
+// under way for each host. The one that was not used for longest is forgotten.
+const mostHoldings = 8192
 
 // holdings are the conversations that this host tracks. The zero value is empty.
 type holdings struct {
@@ -55,12 +51,12 @@
 func (gossip *Gossip) Holds(program, conversation, endpoint uint64, tokens int) {
 	holding := &Holding{Program: program, Conversation: conversation, Endpoint: endpoint, Tokens: uint32(tokens)}
 	gossip.mutex.Lock()
-	tracker, found := gossip.trackers.of(allZones, program)
-	if found && tracker == gossip.address {
+	tracker, found := gossip.trackers.ofProgram(program)
+	if found && tracker == gossip.own.address {
 		gossip.holdings.note(holding)
 	}
 	gossip.mutex.Unlock()
-	if found && tracker != gossip.address {
+	if found && tracker != gossip.own.address {
 		gossip.sendTo(tracker, &Datagram{Message: &Datagram_Holding{Holding: holding}})
 	}
 }
@@ -82,11 +78,11 @@
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	tracker, found := gossip.trackers.of(allZones, program)
+	tracker, found := gossip.trackers.ofProgram(program)
 	switch {
 	case !found || now.Before(gossip.mutedUntil[tracker]):
 		return nil, netip.AddrPort{}
-	case tracker == gossip.address:
+	case tracker == gossip.own.address:
 		return gossip.holdings.find(program, conversation), netip.AddrPort{}
 	}
 	return nil, tracker
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -9,28 +9,13 @@
 	"balsamvalve.example/bvclock"
 )
 
-// programTrackedBy returns a program that a host is the tracker of.
-func programTrackedBy(t testing.TB, host, asker *host) uint64 {
-	asker.setTrackers()
-	for program := uint64(1); program < 1000; program++ {
-		asker.mutex.Lock()
-		tracker, found := asker.trackers.of(allZones, program)
-		asker.mutex.Unlock()
-		if found && tracker == host.address {
-			return program
-		}
-	}
-	require.Fail(t, "the host tracks nothing")
-	return 0
-}
-
 // A turn ends through one host, and the next one comes through another before any digest.
 func TestHolderOfAConversationIsKnownAtOnce(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	b.zone = "other" // conversations wander between zones
 	meet(t, a, b)
 	for _, tracker := range []*host{a, b} {
-		program := programTrackedBy(t, tracker, a)
+		program := trackedBy(t, tracker, a, (*trackers).ofProgram)
 		b.setTrackers()
 		a.Holds(program, 70, 42, 17_000)
 		for _, asker := range []*host{a, b} {
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -37,9 +37,9 @@
 func (gossip *Gossip) Used(endpoint uint64, running int) {
 	zone := gossip.endpoints.ZoneOf(endpoint)
 	gossip.mutex.Lock()
-	tracker, found := gossip.trackers.of(zone, endpoint)
+	tracker, found := gossip.trackers.ofEndpoint(zone, endpoint)
 	gossip.mutex.Unlock()
-	if found && tracker != gossip.address {
+	if found && tracker != gossip.own.address {
 		gossip.sendTo(tracker, &Datagram{Message: &Datagram_Use{Use: &Load{Endpoint: endpoint, Running: uint32(running)}}})
 	}
 }
@@ -93,11 +93,11 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	for i, endpoint := range endpoints {
-		tracker, found := gossip.trackers.of(zones[i], endpoint)
+		tracker, found := gossip.trackers.ofEndpoint(zones[i], endpoint)
 		switch {
 		case !found || now.Before(gossip.mutedUntil[tracker]):
-		case tracker == gossip.address:
-			counts[endpoint] = gossip.tracker.count(endpoint, gossip.address, gossip.usesSince(now))
+		case tracker == gossip.own.address:
+			counts[endpoint] = gossip.tracker.count(endpoint, gossip.own.address, gossip.toldSince(now))
 		case probes[tracker] == nil:
 			probes[tracker] = &Probe{Endpoints: []uint64{endpoint}}
 		default:
@@ -107,9 +107,9 @@
 	return probes
 }
 
-// usesSince is the time since which a host must have said of its calls; the caller
-// holds the mutex.
-func (gossip *Gossip) usesSince(now bvclock.Time) bvclock.Time {
+// toldSince is the time since which hosts of any zone must have told of calls for these
+// to count: some pauses between their digests. The caller holds the mutex.
+func (gossip *Gossip) toldSince(now bvclock.Time) bvclock.Time {
 	return now.Add(-max(silentAfter, silentPauses*gossip.farPause()))
 }
 
@@ -152,7 +152,7 @@
 func (gossip *Gossip) answerProbe(from netip.AddrPort, asked *Probe) {
 	counts := &Counts{Number: asked.GetNumber()}
 	gossip.mutex.Lock()
-	since := gossip.usesSince(gossip.clock.Now())
+	since := gossip.toldSince(gossip.clock.Now())
 	for _, endpoint := range asked.GetEndpoints() {
 		running := gossip.tracker.count(endpoint, from, since)
 		counts.Loads = append(counts.Loads, &Load{Endpoint: endpoint, Running: uint32(running)})
@@ -194,13 +194,11 @@
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	gossip.trackers = make(trackers)
-	gossip.trackers.add(gossip.zone, gossip.address)
-	gossip.trackers.add(allZones, gossip.address)
-	for address, peer := range gossip.hosts {
+	gossip.trackers = trackers{}
+	gossip.trackers.add(gossip.zone, gossip.own)
+	for _, peer := range gossip.hosts {
 		if !gossip.isSilent(now, peer) && !peer.digest.GetLeaving() {
-			gossip.trackers.add(peer.digest.GetZone(), address)
-			gossip.trackers.add(allZones, address)
+			gossip.trackers.add(peer.digest.GetZone(), peer.candidate)
 		}
 	}
 	for address, until := range gossip.mutedUntil {
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -19,21 +19,26 @@
 func (busy) ZoneOf(uint64) string    { return "z" }
 func (busy busy) Running(uint64) int { return int(busy) }
 
-// endpointTrackedBy returns an endpoint that a host is the tracker of.
-func endpointTrackedBy(t testing.TB, host, asker *host) uint64 {
+// trackedBy returns a key that an asker takes a host for the tracker of.
+func trackedBy(t testing.TB, host, asker *host, of func(*trackers, uint64) (netip.AddrPort, bool)) uint64 {
 	asker.setTrackers()
-	for endpoint := range uint64(1000) {
-		asker.mutex.Lock()
-		tracker, found := asker.trackers.of("z", endpoint)
-		asker.mutex.Unlock()
-		if found && tracker == host.address {
-			return endpoint
+	asker.mutex.Lock()
+	defer asker.mutex.Unlock()
+	for key := uint64(1); key < 1000; key++ {
+		if tracker, found := of(&asker.trackers, key); found && tracker == host.address {
+			return key
 		}
 	}
 	require.Fail(t, "the host tracks nothing")
 	return 0
 }
 
+func endpointTrackedBy(t testing.TB, host, asker *host) uint64 {
+	return trackedBy(t, host, asker, func(trackers *trackers, key uint64) (netip.AddrPort, bool) {
+		return trackers.ofEndpoint("z", key)
+	})
+}
+
 // Two hosts send calls to an engine, and a third one that tracks it has some of its
 // own. Whoever asks is told of all calls but his own, before any digest tells of them.
 func TestTrackerTellsOfCallsAtOnce(t *testing.T) {
@@ -105,21 +110,21 @@
 // Hosts that know the same hosts agree on the tracker of each endpoint, and the
 // endpoints are spread over the hosts.
 func TestHostsAgreeOnTrackers(t *testing.T) {
-	here, there := make(trackers), make(trackers)
+	var here, there trackers
 	for i := range 20 {
-		here.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380))
-		there.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(19 - i)}), 7380))
+		here.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380)))
+		there.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(19 - i)}), 7380)))
 	}
 	tracked := make(map[netip.AddrPort]int)
 	for endpoint := range uint64(400) {
-		a, found := here.of("z", endpoint)
+		a, found := here.ofEndpoint("z", endpoint)
 		require.True(t, found)
-		b, _ := there.of("z", endpoint)
+		b, _ := there.ofEndpoint("z", endpoint)
 		require.Equal(t, a, b)
 		tracked[a]++
 	}
 	require.Len(t, tracked, 20)
-	_, found := here.of("other", 1)
+	_, found := here.ofEndpoint("other", 1)
 	require.False(t, found)
 }
 
@@ -206,12 +211,12 @@
 func BenchmarkTrackers(b *testing.B) {
 	for _, hosts := range []int{49, 730} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
-			known := make(trackers)
+			var known trackers
 			for i := range hosts {
-				known.add("z", netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380))
+				known.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380)))
 			}
 			for i := uint64(0); b.Loop(); i++ {
-				known.of("z", i)
+				known.ofEndpoint("z", i)
 			}
 		})
 	}
--- a/bvgossip/totals.go
+++ b/bvgossip/totals.go
@@ -32,21 +32,26 @@
 	if gossip.size() <= fullHosts {
 		return nil
 	}
-	sums := make(map[uint64]uint32)
-	for _, digest := range append(gossip.Heard(), own) {
-		for _, load := range digest.GetLoads() {
-			sums[load.GetEndpoint()] += load.GetRunning()
-		}
-	}
 	var totals []*Load
-	for endpoint, running := range sums {
+	for endpoint, running := range sum(append(gossip.Heard(), own)) {
 		if gossip.endpoints.ZoneOf(endpoint) == gossip.zone {
-			totals = append(totals, &Load{Endpoint: endpoint, Running: running})
+			totals = append(totals, &Load{Endpoint: endpoint, Running: uint32(running)})
 		}
 	}
 	return totals
 }
 
+// sum adds up the calls that digests tell of, by endpoint.
+func sum(digests []*Digest) map[uint64]int {
+	sums := make(map[uint64]int)
+	for _, digest := range digests {
+		for _, load := range digest.GetLoads() {
+			sums[load.GetEndpoint()] += int(load.GetRunning())
+		}
+	}
+	return sums
+}
+
 // totalsShare is the share of the hosts of another zone that this host tells its
 // zone's totals.
 func (gossip *Gossip) totalsShare() float64 {
@@ -83,21 +88,12 @@
 // PeerLoads returns the calls of the other hosts at each endpoint, as far as they
 // told. Own is this host's last digest, whose calls other zones' totals contain.
 func (gossip *Gossip) PeerLoads(own *Digest) map[uint64]int {
-	loads := make(map[uint64]int)
-	for _, digest := range gossip.Heard() {
-		for _, load := range digest.GetLoads() {
-			loads[load.GetEndpoint()] += int(load.GetRunning())
-		}
-	}
-	told := make(map[uint64]int, len(own.GetLoads()))
-	for _, load := range own.GetLoads() {
-		told[load.GetEndpoint()] = int(load.GetRunning())
-	}
-	now := gossip.clock.Now()
+	loads, told := sum(gossip.Heard()), sum([]*Digest{own})
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
+	since := gossip.toldSince(gossip.clock.Now())
 	for _, zone := range gossip.zones {
-		if now.Sub(zone.heardAt) > silentAfter {
+		if zone.heardAt.Before(since) {
 			continue
 		}
 		for _, load := range zone.loads {
--- a/bvgossip/totals_test.go
+++ b/bvgossip/totals_test.go
@@ -43,6 +43,22 @@
 	require.Empty(t, host.PeerLoads(own))
 }
 
+// With 730 hosts, other zones are told each three seconds. Until the next totals come,
+// the last ones count; else their engines would look idle half of the time.
+func TestTotalsCountUntilTheNextOnesAreDue(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	host := crowdOf(t, clock)
+	addresses := make([]netip.AddrPort, 730)
+	for i := range addresses {
+		addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i / 250), byte(i % 250)}), 9)
+	}
+	host.SetHosts(addresses)
+	require.True(t, host.note(&Digest{Address: "127.9.1.2:9", Incarnation: "far", Zone: "other", Totals: []*Load{{Endpoint: 1, Running: 9}}}))
+	clock.Advance(host.farPause() + bvclock.Second)
+	require.Equal(t, map[uint64]int{1: 9}, host.PeerLoads(host.digest()))
+}
+
 func TestTotalsAreOfTheZonesOwnEndpoints(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvhost"
 )
 
 // tracker counts the calls of all hosts at endpoints. A host says how many it has at
@@ -78,38 +78,51 @@
 	return count
 }
 
-// candidate is a host that may track endpoints.
+// candidate is a host that may track endpoints and programs.
 type candidate struct {
 	address netip.AddrPort
 	hash    uint64
 }
 
-// trackers tells which host tracks an endpoint: the first in an order of the hosts of
-// the endpoint's availability zone that differs with each endpoint. Hosts that know
-// the same hosts agree on it without a word.
-type trackers map[string][]candidate // by zone, and those of all zones under allZones
+func newCandidate(address netip.AddrPort) candidate {
+	return candidate{address, xxhash.Sum64String(address.String())}
+}
 
-func (trackers trackers) add(zone string, address netip.AddrPort) {
-	trackers[zone] = append(trackers[zone], candidate{address, xxhash.Sum64String(address.String())})
+// trackers are the hosts that may track endpoints and programs. Each endpoint and
+// program has an order of its own of them; the first tracks it. Hosts that know the
+// same hosts agree on it without a word. The zero value has none.
+type trackers struct {
+	all    []candidate
+	byZone map[string][]candidate
 }
 
-// of returns the tracker of an endpoint, or false where no host of its zone is known.
-func (trackers trackers) of(zone string, endpoint uint64) (netip.AddrPort, bool) {
-	if len(trackers[zone]) == 0 {
-		return netip.AddrPort{}, false
+// add notes a host of a zone.
+func (trackers *trackers) add(zone string, host candidate) {
+	if trackers.byZone == nil {
+		trackers.byZone = make(map[string][]candidate)
 	}
-	first := slices.MaxFunc(trackers[zone], func(a, b candidate) int {
-		if weight(a, endpoint) < weight(b, endpoint) {
-			return -1
-		}
-		return 1
-	})
-	return first.address, true
+	trackers.byZone[zone] = append(trackers.byZone[zone], host)
+	trackers.all = append(trackers.all, host)
+}
+
+// ofEndpoint returns the tracker of an endpoint of a zone, or false where no host of
+// that zone is known.
+func (trackers *trackers) ofEndpoint(zone string, endpoint uint64) (netip.AddrPort, bool) {
+	return first(trackers.byZone[zone], endpoint)
 }
 
-// weight is a host's place in an endpoint's order of hosts.
-func weight(candidate candidate, endpoint uint64) uint64 {
-	mixed := (candidate.hash ^ endpoint) * 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
-	mixed ^= mixed >> 32
-	return mixed * 0x9e3779b97f4a7c15
+// ofProgram returns the tracker of a program, or false where no host is known.
+func (trackers *trackers) ofProgram(program uint64) (netip.AddrPort, bool) {
+	return first(trackers.all, program)
+}
+
+// first returns the first of some hosts in a key's order of them.
+func first(hosts []candidate, key uint64) (address netip.AddrPort, found bool) {
+	highest := uint64(0)
+	for _, host := range hosts {
+		if weight := bvhost.Weight(host.hash, key); !found || weight > highest {
+			address, highest, found = host.address, weight, true
+		}
+	}
+	return address, found
 }
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -31,6 +31,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvhost"
 )
 
 const (
@@ -221,23 +222,13 @@
 func (leases *Leases) holder(program string) (best *row, highest uint64) {
 	key := xxhash.Sum64String(program)
 	for i := range leases.rows {
-		if weight := weight(leases.rows[i].seed, key); best == nil || weight > highest {
+		if weight := bvhost.Weight(leases.rows[i].seed, key); best == nil || weight > highest {
 			best, highest = &leases.rows[i], weight
 		}
 	}
 	return best, highest
 }
 
-// weight mixes the hashes of a host's name and of a program. All hosts must
-// compute the same.
-func weight(seed, key uint64) uint64 {
-	const golden = 0x9e3779b97f4a7c15 // 2^64 over the golden ratio
-	mixed := (seed ^ key) * golden
-	mixed ^= mixed >> 32
-	mixed *= golden
-	return mixed ^ mixed>>29
-}
-
 // MayGrant reports whether this host alone may grant for a program now, whose
 // route keeps turns for the given time.
 func (leases *Leases) MayGrant(now bvclock.Time, program string, retain bvclock.Duration) bool {
@@ -264,6 +255,6 @@
 func (leases *Leases) followsFormer(now bvclock.Time, program string, own uint64) bool {
 	key := xxhash.Sum64String(program)
 	return slices.ContainsFunc(leases.formers, func(former former) bool {
-		return weight(former.seed, key) > own && now.Sub(former.gone) < longestTakeover
+		return bvhost.Weight(former.seed, key) > own && now.Sub(former.gone) < longestTakeover
 	})
 }
