Workspaces on the platform: keys, revocation under partition, usage caps over all hosts, ids of their own

Keys: kept as digests, looked up in the version in force; the key is replaced by the workspace's name towards endpoints; 401 only where no newer version can say otherwise, else 503. Revocation: a host knows how long ago the store confirmed its version, on a clock that counts suspensions, and refuses keys beyond the bound; while the store does not answer it, another host confirms: the age is of a moment after the question, so that it is never lessened on the way. Caps: bvquota, a copy of each bucket on each host, fed by totals in digests; near the cap, and beyond a host's part unheard, the workspace's allocator is asked, with the asker's own count. Ids of programs and turns are scoped by workspace.

Ruled out before building: a fixed split (80 hosts see a tenth of a request a second of a small workspace each), freshness by digests alone (a datagram that waited in a frozen host's socket looks younger than it is), an owner that leases slices (needs its own fencing at each change of the owner).

--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -40,9 +40,13 @@
 
 	route   *bvroute.Route
 	service *bvroute.Service
-	body    []byte
-	held    int64 // bytes of memory taken for the body
-	wish    bvdispatch.Request
+
+	keyed     bool               // the desired state asks for keys
+	workspace *bvroute.Workspace // of the key; nil where none is needed
+
+	body []byte
+	held int64 // bytes of memory taken for the body
+	wish bvdispatch.Request
 
 	sends int  // endpoints it was sent to
 	runs  int  // of those, which may have run it
@@ -92,9 +96,16 @@
 	if err := call.findRoute(); err != nil {
 		return err
 	}
+	if err := call.authorize(); err != nil {
+		return err
+	}
 	if err := call.readBody(); err != nil {
 		return err
 	}
+	// Reading the body may take long, and the key be taken away meanwhile.
+	if err := call.authorize(); err != nil {
+		return err
+	}
 	call.ctx, call.cancel = context.WithTimeout(call.ctx, call.left().Std())
 	call.wish = bvdispatch.Request{
 		Prefix:       call.said.Prefix,
@@ -103,8 +114,9 @@
 		Content:      call.content(),
 	}
 	if call.service.Engine != nil && call.said.Program != "" {
-		call.wish.Program = bvroute.Draw(call.said.Program)
-		call.wish.Conversation = bvroute.Draw(call.said.Program + " " + call.said.Session)
+		program := call.scoped(call.said.Program)
+		call.wish.Program = bvroute.Draw(program)
+		call.wish.Conversation = bvroute.Draw(program + " " + call.said.Session)
 	}
 	if call.front.parts.Dispatcher.Poisonous(call.wish.Content) {
 		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longAgain)
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -18,7 +18,7 @@
 		return
 	}
 	call.front.parts.Counters.Add("failed", 1)
-	call.front.parts.Counters.Refused("", err) // nothing here names a member
+	call.front.parts.Counters.Refused(call.workspaceName(), err)
 	if call.begun || call.request.Context().Err() != nil {
 		// An answer that ends early must not look complete: closing the
 		// connection is the only sign that HTTP has for it.
@@ -48,6 +48,10 @@
 		return http.StatusBadGateway
 	}
 	switch err.Code() {
+	case bvverdict.Unauthorized:
+		return http.StatusUnauthorized
+	case bvverdict.LimitExceeded:
+		return http.StatusTooManyRequests
 	case bvverdict.UnknownRoute, bvverdict.UnknownRequest:
 		return http.StatusNotFound
 	case bvverdict.BudgetExceeded:
@@ -74,6 +78,9 @@
 	if call.route != nil {
 		fields["route"] = call.route.Name
 	}
+	if call.workspace != nil {
+		fields["workspace"] = call.workspace.Name
+	}
 	if call.said.Program != "" {
 		fields["program"] = call.said.Program
 	}
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -10,9 +10,9 @@
 // # What callers are told
 //
 // 503 and 429 mean that the request has not run and never will; they come with
-// the time after which coming back can help. 502, 504 and a broken connection
-// promise nothing. 404 means that no route, or no earlier turn, has the name
-// that was asked for; a host that can't be sure says 503.
+// the time after which coming back can help; 429 is for a workspace beyond its usage cap. 502, 504 and a broken connection
+// promise nothing. 401 means that no workspace holds the key, 404 that no route, or
+// no earlier turn, has the name that was asked for; a host that can't be sure says 503.
 package bvfront
 
 import (
@@ -29,12 +29,18 @@
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
 )
 
 // Wire reads and writes the headers that callers and endpoints use.
 type Wire interface {
 	ReadCall(header http.Header) bvroute.Call
+	// Key returns the API key that a caller shows, or "".
+	Key(header http.Header) string
+	// SetWorkspace puts the name of the workspace in place of the caller's key; an
+	// empty name only removes what the caller sent.
+	SetWorkspace(header http.Header, name string)
 	PrepareCall(header http.Header, endpoint string, left bvclock.Duration)
 	// Protected reports whether a header concerns more than one connection,
 	// whatever the Connection header says.
@@ -52,6 +58,9 @@
 	// Certain reports whether there can't be a newer version that has been
 	// in force for longer than its bound allows.
 	Certain() bool
+	// KeysConfirmed reports whether a key of the current version can't have been
+	// taken away for longer than its bound allows.
+	KeysConfirmed() bool
 }
 
 // Store is the platform's store, as far as it decides what can be served.
@@ -87,6 +96,13 @@
 	Add(ctx context.Context, chain bvhistory.Chain, said bvhistory.Said) error
 }
 
+// Quotas holds workspaces to their usage caps.
+type Quotas interface {
+	// Take decides on one request of a workspace. Ask means that it could not be
+	// decided now.
+	Take(workspace string) bvquota.Decision
+}
+
 // Counters count what is done.
 type Counters interface {
 	Add(name string, delta int64)
@@ -102,6 +118,7 @@
 	Store      Store
 	Dispatcher Dispatcher
 	Endpoints  Endpoints
+	Quotas     Quotas
 	Budgets    Budgets
 	Histories  Histories
 	Counters   Counters
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -158,8 +158,11 @@
 	header := call.request.Header
 	bvforward.DropHopByHop(header, connectionNames(header), call.front.parts.Wire.Protected)
 	call.front.parts.Wire.PrepareCall(header, endpoint.Name, call.left())
+	if call.keyed {
+		call.front.parts.Wire.SetWorkspace(header, call.workspaceName())
+	}
 	if call.service.Engine != nil && !call.front.parts.Without.Has(bvmechanism.Ranks) {
-		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.route.Priority, call.continues()))
+		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.priority(), call.continues()))
 	}
 	return &bvforward.Request{
 		Endpoint: endpoint,
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -11,8 +11,8 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// prepareTurn reserves a turn's tokens and gets its conversation, both before
-// anything is sent.
+// prepareTurn decides whether the request may run now, reserves a turn's tokens and
+// gets its conversation, all before anything is sent.
 func (call *call) prepareTurn() error {
 	if err := call.admit(); err != nil {
 		return err
@@ -20,6 +20,9 @@
 	if err := call.admitKept(); err != nil {
 		return err
 	}
+	if err := call.takeQuota(); err != nil {
+		return err
+	}
 	var group errgroup.Group
 	if call.said.HasBudget && call.service.Engine != nil && call.said.Program != "" {
 		group.Go(call.reserve)
@@ -35,7 +38,7 @@
 	if call.service.Engine == nil || call.said.Continues() {
 		return nil
 	}
-	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, call.route.Priority)
+	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, call.priority())
 	if admitted || call.front.parts.Dispatcher.UnderWay(&call.wish) {
 		return nil
 	}
@@ -72,7 +75,7 @@
 		most = call.said.Budget
 	}
 	call.reservation, err = call.front.parts.Budgets.Reserve(call.ctx, bvbudget.Turn{
-		Program:   call.said.Program,
+		Program:   call.scoped(call.said.Program),
 		Budget:    call.said.Budget,
 		Most:      most,
 		Continues: call.said.Continues(),
@@ -84,7 +87,7 @@
 func (call *call) recall() (err error) {
 	call.input = call.body
 	call.stream.keep = true
-	call.chain, err = call.front.parts.Histories.Chain(call.ctx, call.said.Program, call.said.Parent)
+	call.chain, err = call.front.parts.Histories.Chain(call.ctx, call.scoped(call.said.Program), call.scoped(call.said.Parent))
 	if err != nil {
 		return err
 	}
@@ -111,7 +114,7 @@
 	began := call.front.parts.Clock.Now()
 	defer func() { call.keptFor = call.front.parts.Clock.Now().Sub(began) }()
 	return call.front.parts.Histories.Add(call.ctx, call.chain, bvhistory.Said{
-		ID:     call.said.ID,
+		ID:     call.scoped(call.said.ID),
 		Input:  call.input,
 		Output: call.stream.data,
 		Retain: call.route.Retain,
--- /dev/null
+++ b/bvfront/workspace.go
@@ -0,0 +1,86 @@
+package bvfront
+
+import (
+	"net/url"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvquota"
+	"balsamvalve.example/bvverdict"
+)
+
+// confirmRetry is when to come back to a host that can't confirm keys: it asks again
+// several times a second.
+const confirmRetry = 300 * bvclock.Millisecond
+
+// authorize finds the workspace that holds the caller's key. It judges by the newest
+// desired state at the moment of the call.
+func (call *call) authorize() error {
+	table := call.front.parts.State.Current()
+	if !table.NeedsKeys() {
+		return nil
+	}
+	call.keyed = true
+	if call.route.Open {
+		return nil
+	}
+	workspace, found := table.WorkspaceByKey(call.front.parts.Wire.Key(call.request.Header))
+	if !found {
+		return call.unknownKey()
+	}
+	if !call.front.parts.State.KeysConfirmed() {
+		call.front.parts.Counters.Add("keys_unconfirmed", 1)
+		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be confirmed").WithRetryAfter(confirmRetry)
+	}
+	call.workspace = workspace
+	return nil
+}
+
+// unknownKey tells that nobody holds the key only where no newer version can say
+// otherwise.
+func (call *call) unknownKey() error {
+	if !call.front.parts.State.Certain() {
+		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be checked").WithRetryAfter(confirmRetry)
+	}
+	call.front.parts.Counters.Add("keys_unknown", 1)
+	return bvverdict.Refuse(bvverdict.Unauthorized, "no workspace holds the key")
+}
+
+// takeQuota counts the request against its workspace's usage cap.
+func (call *call) takeQuota() error {
+	if call.workspace == nil || !call.workspace.Capped() {
+		return nil
+	}
+	decision := call.front.parts.Quotas.Take(call.workspace.Name)
+	switch decision.Outcome {
+	case bvquota.Granted:
+		return nil
+	case bvquota.Refused:
+		call.front.parts.Counters.Add("quota_refused", 1)
+		return bvverdict.Refuse(bvverdict.LimitExceeded, "workspace %s is beyond its usage cap", call.workspace.Name).
+			WithRetryAfter(decision.Wait)
+	}
+	call.front.parts.Counters.Add("quota_undecided", 1)
+	return bvverdict.Refuse(bvverdict.Overloaded, "the usage cap of workspace %s can't be checked", call.workspace.Name).
+		WithRetryAfter(decision.Wait)
+}
+
+// workspaceName returns the name of the caller's workspace, or "" where there is none.
+func (call *call) workspaceName() string {
+	if call.workspace == nil {
+		return ""
+	}
+	return call.workspace.Name
+}
+
+// scoped returns the name by which an id that a caller chose is known in the system.
+// Workspaces choose ids on their own, and one must not reach another one's programs
+// and turns by their ids.
+func (call *call) scoped(id string) string {
+	if !call.keyed || id == "" {
+		return id
+	}
+	return "@" + url.PathEscape(call.workspaceName()) + "/" + id
+}
+
+// priority returns the rank of the request.
+func (call *call) priority() int { return call.workspace.Rank(call.route) }
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -28,6 +28,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
@@ -76,7 +77,8 @@
 	farAt bvclock.Time // last digest to other zones
 	zones map[string]zoneTotals
 
-	own        candidate // this host
+	own        candidate   // this host
+	settled    atomic.Bool // this host may allocate usage caps
 	tracker    tracker
 	trackers   trackers
 	holdings   holdings
@@ -288,6 +290,8 @@
 	// Lend gives up tokens of a program's budget for the host at an address. The
 	// answer's number and program are set by the caller.
 	Lend(host string, ask *Ask) *Lend
+	// Claim decides on a request of another host that nears a usage cap.
+	Grant(claim *Claim) *Claimed
 	// Lent takes in tokens that another host gave up.
 	Lent(program string, tokens int, holders []string)
 }
@@ -326,7 +330,7 @@
 	case *Datagram_Lend:
 		gossip.lent(message.Lend, handler)
 	case *Datagram_Probe:
-		gossip.answerProbe(from, message.Probe)
+		gossip.answerProbe(from, message.Probe, handler)
 	case *Datagram_Counts:
 		gossip.takeCounts(from, message.Counts)
 	case *Datagram_Use:
@@ -361,6 +365,20 @@
 	return true
 }
 
+// Size returns how many other hosts are listed or heard, how many of them are heard,
+// and within which time their digests come.
+func (gossip *Gossip) Size() (known, heard int, lag bvclock.Duration) {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	for _, peer := range gossip.hosts {
+		if !gossip.isSilent(now, peer) {
+			heard++
+		}
+	}
+	return len(gossip.hosts), heard, gossip.farPause()
+}
+
 // Nearest returns those of some hosts that are heard, the ones in this host's
 // availability zone first.
 func (gossip *Gossip) Nearest(hosts []string) []string {
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -27,6 +27,7 @@
 	heard []*Digest
 	lent  int
 	holds int // tokens that it can lend
+	grant bool
 	// withholds: it may have more, but can't say so
 	withholds bool
 }
@@ -61,6 +62,12 @@
 	host.lent += tokens
 }
 
+func (host *host) Grant(claim *Claim) *Claimed {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	return &Claimed{Granted: host.grant, Wait: claim.GetCount()}
+}
+
 func (host *host) hold(tokens int) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -48,7 +48,7 @@
 // waits a short time; endpoints whose trackers did not answer are missing.
 func (gossip *Gossip) Counts(endpoints []uint64) map[uint64]int {
 	counts := make(map[uint64]int, len(endpoints))
-	gossip.ask(gossip.probesFor(endpoints, counts), func(answer *Counts) {
+	gossip.ask(gossip.probesFor(endpoints, counts), probePatience, func(answer *Counts) {
 		for _, load := range answer.GetLoads() {
 			counts[load.GetEndpoint()] = int(load.GetRunning())
 		}
@@ -57,7 +57,7 @@
 }
 
 // ask sends probes to trackers and takes in their answers, for a short time.
-func (gossip *Gossip) ask(probes map[netip.AddrPort]*Probe, take func(answer *Counts)) {
+func (gossip *Gossip) ask(probes map[netip.AddrPort]*Probe, limit bvclock.Duration, take func(answer *Counts)) {
 	if len(probes) == 0 {
 		return
 	}
@@ -68,7 +68,7 @@
 		probe.Number = number
 		gossip.sendTo(tracker, &Datagram{Message: &Datagram_Probe{Probe: probe}})
 	}
-	timeout := bvclock.After(probePatience)
+	timeout := bvclock.After(limit)
 	for len(probes) > 0 {
 		select {
 		case answer := <-begun.answers:
@@ -149,8 +149,11 @@
 }
 
 // answerProbe tells a host what is counted here.
-func (gossip *Gossip) answerProbe(from netip.AddrPort, asked *Probe) {
+func (gossip *Gossip) answerProbe(from netip.AddrPort, asked *Probe, handler Handler) {
 	counts := &Counts{Number: asked.GetNumber()}
+	if claim := asked.GetClaim(); claim != nil {
+		counts.Claimed = handler.Grant(claim)
+	}
 	gossip.mutex.Lock()
 	since := gossip.toldSince(gossip.clock.Now())
 	for _, endpoint := range asked.GetEndpoints() {
@@ -195,10 +198,10 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	gossip.trackers = trackers{}
-	gossip.trackers.add(gossip.zone, gossip.own)
+	gossip.trackers.add(gossip.zone, gossip.own, gossip.settled.Load())
 	for _, peer := range gossip.hosts {
 		if !gossip.isSilent(now, peer) && !peer.digest.GetLeaving() {
-			gossip.trackers.add(peer.digest.GetZone(), peer.candidate)
+			gossip.trackers.add(peer.digest.GetZone(), peer.candidate, peer.digest.GetSettled())
 		}
 	}
 	for address, until := range gossip.mutedUntil {
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -112,8 +112,8 @@
 func TestHostsAgreeOnTrackers(t *testing.T) {
 	var here, there trackers
 	for i := range 20 {
-		here.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380)))
-		there.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(19 - i)}), 7380)))
+		here.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7380)), true)
+		there.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(19 - i)}), 7380)), true)
 	}
 	tracked := make(map[netip.AddrPort]int)
 	for endpoint := range uint64(400) {
@@ -213,7 +213,7 @@
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			var known trackers
 			for i := range hosts {
-				known.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380)))
+				known.add("z", newCandidate(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380)), true)
 			}
 			for i := uint64(0); b.Loop(); i++ {
 				known.ofEndpoint("z", i)
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -1,7 +1,9 @@
 package bvgossip
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -92,12 +94,16 @@
 // program has an order of its own of them; the first tracks it. Hosts that know the
 // same hosts agree on it without a word. The zero value has none.
 type trackers struct {
-	all    []candidate
-	byZone map[string][]candidate
+	all     []candidate
+	settled []candidate // that may allocate usage caps
+	byZone  map[string][]candidate
 }
 
 // add notes a host of a zone.
-func (trackers *trackers) add(zone string, host candidate) {
+func (trackers *trackers) add(zone string, host candidate, settled bool) {
+	if settled {
+		trackers.settled = append(trackers.settled, host)
+	}
 	if trackers.byZone == nil {
 		trackers.byZone = make(map[string][]candidate)
 	}
@@ -116,6 +122,25 @@
 	return first(trackers.all, program)
 }
 
+// ofWorkspace returns the first hosts in a workspace's order of those that may allocate
+// its usage cap: all, where none is settled.
+func (trackers *trackers) ofWorkspace(workspace uint32, most int) []netip.AddrPort {
+	hosts := trackers.settled
+	if len(hosts) == 0 {
+		hosts = trackers.all
+	}
+	hosts = slices.Clone(hosts)
+	key := uint64(workspace)
+	slices.SortFunc(hosts, func(a, b candidate) int {
+		return cmp.Compare(bvhost.Weight(b.hash, key), bvhost.Weight(a.hash, key))
+	})
+	var addresses []netip.AddrPort
+	for _, host := range hosts[:min(len(hosts), most)] {
+		addresses = append(addresses, host.address)
+	}
+	return addresses
+}
+
 // first returns the first of some hosts in a key's order of them.
 func first(hosts []candidate, key uint64) (address netip.AddrPort, found bool) {
 	highest := uint64(0)
--- a/bvroute/route.go
+++ b/bvroute/route.go
@@ -1,11 +1,11 @@
 // Package bvroute is the part of the desired state that says which request
-// goes where: routes by host name and path, the services behind them, and the
-// limits of what a client may send. A Table is one version of it and never
+// goes where and who may send it: routes by host name and path, the services
+// behind them, workspaces with their keys, and the limits of what a client may send. A Table is one version of it and never
 // changes; a newer version is another Table.
 //
 // # Usage
 //
-//	table, err := bvroute.NewTable(version, routes, services, limits)
+//	table, err := bvroute.NewTable(bvroute.Rows{Version: version, Routes: routes, Services: services, Limits: limits})
 //	route, found := table.Match("ficu95.example", "/lohu930/2f")
 //	service := route.Service(bvroute.Draw(programID))
 //
@@ -37,6 +37,7 @@
 	Retain    bvclock.Duration // how long turns and budgets are kept
 	Sticky    bool             // endpoints answer faster what they had before
 	Resumable bool             // a stream may go on at another endpoint after its last event
+	Open      bool             // requests need no key
 	Gap       bvclock.Duration // longest pause between two events of a stream that is on time
 }
 
--- a/bvroute/table.go
+++ b/bvroute/table.go
@@ -6,29 +6,48 @@
 	"strings"
 )
 
-// Table is one version of the routes, services and limits. It is never changed
-// once it is made, so many goroutines may read it.
+// Table is one version of the routes, services, workspaces and limits. It is never
+// changed once it is made, so many goroutines may read it.
 type Table struct {
-	version  int64
-	byHost   map[string][]*Route // longest prefix first
-	services map[string]*Service
-	limits   Limits
+	version    int64
+	byHost     map[string][]*Route // longest prefix first
+	services   map[string]*Service
+	limits     Limits
+	workspaces *workspaces // nil where requests need no key
+}
+
+// Rows is a Table as rows.
+type Rows struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	// NeedKeys is set where requests need the key of a workspace.
+	NeedKeys   bool
+	Workspaces []Workspace
 }
 
 // NewTable returns a version of the desired state, or an error that names the
 // first row that can't be used.
-func NewTable(version int64, routes []Route, services []Service, limits Limits) (*Table, error) {
+func NewTable(rows Rows) (*Table, error) {
 	table := &Table{
-		version:  version,
+		version:  rows.Version,
 		byHost:   make(map[string][]*Route),
-		services: make(map[string]*Service, len(services)),
-		limits:   limits,
+		services: make(map[string]*Service, len(rows.Services)),
+		limits:   rows.Limits,
 	}
-	for i := range services {
-		table.services[services[i].Name] = &services[i]
+	if rows.NeedKeys {
+		workspaces, err := newWorkspaces(rows.Workspaces)
+		if err != nil {
+			return nil, err
+		}
+		table.workspaces = workspaces
+	}
+	for i := range rows.Services {
+		table.services[rows.Services[i].Name] = &rows.Services[i]
 	}
-	for i := range routes {
-		if err := table.add(&routes[i]); err != nil {
+	for i := range rows.Routes {
+		if err := table.add(&rows.Routes[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -52,17 +71,9 @@
 	return nil
 }
 
-// Rows is a Table as rows, for passing it on.
-type Rows struct {
-	Version  int64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
-}
-
 // Rows returns the table's rows.
 func (table *Table) Rows() Rows {
-	rows := Rows{Version: table.version, Limits: table.limits}
+	rows := Rows{Version: table.version, Limits: table.limits, NeedKeys: table.NeedsKeys(), Workspaces: table.Workspaces()}
 	for _, routes := range table.byHost {
 		for _, route := range routes {
 			rows.Routes = append(rows.Routes, *route)
@@ -77,6 +88,28 @@
 // Version returns the version, which rises with each change.
 func (table *Table) Version() int64 { return table.version }
 
+// NeedsKeys reports whether requests need the key of a workspace.
+func (table *Table) NeedsKeys() bool { return table.workspaces != nil }
+
+// WorkspaceByKey returns the workspace that holds an API key.
+func (table *Table) WorkspaceByKey(key string) (*Workspace, bool) { return table.workspaces.find(key) }
+
+// Workspaces returns all workspaces. They must not be changed.
+func (table *Table) Workspaces() []Workspace {
+	if table.workspaces == nil {
+		return nil
+	}
+	return table.workspaces.rows
+}
+
+// SharedKeys returns how many keys more than one workspace lists.
+func (table *Table) SharedKeys() int {
+	if table.workspaces == nil {
+		return 0
+	}
+	return table.workspaces.shared
+}
+
 // Limits returns the bounds of what a client may send.
 func (table *Table) Limits() Limits { return table.limits }
 
--- a/bvroute/table_test.go
+++ b/bvroute/table_test.go
@@ -8,7 +8,7 @@
 
 func newTestTable(t *testing.T, routes ...Route) *Table {
 	t.Helper()
-	table, err := NewTable(1, routes, []Service{{Name: "a"}, {Name: "b"}}, Limits{})
+	table, err := NewTable(Rows{Version: 1, Routes: routes, Services: []Service{{Name: "a"}, {Name: "b"}}})
 	require.NoError(t, err)
 	return table
 }
@@ -38,12 +38,12 @@
 }
 
 func TestPrefixWithoutSlashIsRefused(t *testing.T) {
-	_, err := NewTable(1, []Route{{Name: "r", Prefix: "/x"}}, nil, Limits{})
+	_, err := NewTable(Rows{Version: 1, Routes: []Route{{Name: "r", Prefix: "/x"}}})
 	require.ErrorContains(t, err, "route r")
 }
 
 func TestRouteToUnknownServiceIsRefused(t *testing.T) {
-	_, err := NewTable(1, []Route{{Name: "r", Prefix: "/", Targets: []Target{{Service: "nobody", Weight: 1}}}}, nil, Limits{})
+	_, err := NewTable(Rows{Version: 1, Routes: []Route{{Name: "r", Prefix: "/", Targets: []Target{{Service: "nobody", Weight: 1}}}}})
 	require.ErrorContains(t, err, "nobody")
 }
 
@@ -76,7 +76,7 @@
 		Route{Name: "short", Host: "h", Prefix: "/x/", Targets: []Target{{Service: "a", Weight: 1}}},
 		Route{Name: "long", Host: "h", Prefix: "/x/y/"})
 	rows := table.Rows()
-	again, err := NewTable(rows.Version, rows.Routes, rows.Services, rows.Limits)
+	again, err := NewTable(rows)
 	require.NoError(t, err)
 	require.Equal(t, table, again)
 }
--- /dev/null
+++ b/bvrouter/confirm.go
@@ -0,0 +1,118 @@
+package bvrouter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+)
+
+const (
+	// confirmInterval is the time between two looks at the age of the desired state.
+	confirmInterval = 200 * bvclock.Millisecond
+	// lateAnswer is how much longer than the wait for a change an answer of the
+	// store takes before another host is asked.
+	lateAnswer = 300 * bvclock.Millisecond
+)
+
+// keepConfirmed has the desired state confirmed by another host while the store does
+// not answer this one. A silent store holds this host's own question for seconds, and
+// keys must be refused before it ends.
+func (router *Router) keepConfirmed(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, confirmInterval)
+		age, known := router.state.Age()
+		if !known || age > waitWithin(router.settings.Apply)+lateAnswer {
+			router.borrowRoutes(ctx)
+		}
+	}
+}
+
+// borrowRoutes takes the desired state, and how long ago the store confirmed it,
+// from a host that reaches the store.
+func (router *Router) borrowRoutes(ctx context.Context) {
+	router.borrowMutex.Lock()
+	defer router.borrowMutex.Unlock()
+	for _, address := range router.helpers() {
+		asked := router.clock.Now()
+		confirmed, err := fetchRoutes(ctx, address, router.version())
+		if err != nil {
+			router.log.WithError(err).Debug("desired state not read from another host")
+			continue
+		}
+		if confirmed.table != nil {
+			router.apply(confirmed.table)
+		}
+		// The other host's age is of a moment after the question, so that time spent
+		// on the way, or suspended, makes the state older here and never younger.
+		router.state.heard(asked.Add(-confirmed.age))
+		return
+	}
+}
+
+// version returns the version in force here, or 0 before the first.
+func (router *Router) version() int64 {
+	if table := router.state.Current(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// confirmedState is a desired state as another host knows it.
+type confirmedState struct {
+	age   bvclock.Duration // since the store confirmed it
+	table *bvroute.Table   // nil where it is no newer than what the asker has
+}
+
+// relayRoutes gives the desired state that is in force here, unless the asker has
+// it, and how long ago the store confirmed it.
+func (router *Router) relayRoutes(writer http.ResponseWriter, request *http.Request) {
+	table := router.state.Current()
+	age, known := router.state.Age()
+	if table == nil || !known {
+		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
+		return
+	}
+	answer := struct {
+		Age  bvclock.Duration
+		Rows *bvroute.Rows `json:",omitempty"`
+	}{Age: age}
+	after, err := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
+	if err != nil || after < table.Version() {
+		rows := table.Rows()
+		answer.Rows = &rows
+	}
+	bvplatform.WriteAnswer(writer, answer, nil)
+}
+
+// fetchRoutes reads from another host the desired state, if it is newer than a
+// version, and its age.
+func fetchRoutes(ctx context.Context, address string, after int64) (confirmedState, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Std())
+	defer cancel()
+	response, err := get(ctx, address, "/routes?after="+strconv.FormatInt(after, 10))
+	if err != nil {
+		return confirmedState{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return confirmedState{}, fmt.Errorf("relay: status %d", response.StatusCode)
+	}
+	var answer struct {
+		Age  bvclock.Duration
+		Rows *bvroute.Rows
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return confirmedState{}, fmt.Errorf("relay: routes can't be read: %w", err)
+	}
+	confirmed := confirmedState{age: answer.Age}
+	if answer.Rows != nil {
+		confirmed.table, err = bvroute.NewTable(*answer.Rows)
+	}
+	return confirmed, err
+}
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -51,40 +51,25 @@
 			continue
 		}
 		after = next
-		router.state.heard(asked)
 		if table != nil {
 			router.apply(table)
 		}
+		router.state.heard(asked)
 	}
 }
 
 func (router *Router) apply(table *bvroute.Table) {
 	if router.state.replace(table) {
+		router.setCaps(table)
 		router.endpointsMutex.Lock()
 		defer router.endpointsMutex.Unlock()
 		router.spreadEndpoints()
-		router.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Routes()}).Info("desired state in force")
-	}
-}
-
-// borrowRoutes asks a host that reaches the store, if one has told of a newer
-// version than is in force here.
-func (router *Router) borrowRoutes(ctx context.Context) {
-	version := int64(0)
-	if table := router.state.Current(); table != nil {
-		version = table.Version()
-	}
-	for _, digest := range router.gossip.Heard() {
-		if !digest.GetStoreReachable() || digest.GetStateVersion() <= version {
-			continue
-		}
-		table, err := fetchRoutes(ctx, digest.GetAddress())
-		if err != nil {
-			router.log.WithError(err).Debug("desired state not read from another host")
-			continue
+		router.log.WithFields(logrus.Fields{
+			"version": table.Version(), "routes": table.Routes(), "workspaces": len(table.Workspaces()),
+		}).Info("desired state in force")
+		if shared := table.SharedKeys(); shared > 0 {
+			router.log.WithField("keys", shared).Warn("keys are listed by several workspaces; the first one holds them")
 		}
-		router.apply(table)
-		return
 	}
 }
 
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -54,6 +54,7 @@
 	if table := router.state.Current(); table != nil {
 		digest.StateVersion = table.Version()
 	}
+	router.tellUses(digest)
 	digest.Programs = router.budgets.Begun()
 	running, placed := router.desk.Report()
 	for endpoint, count := range running {
@@ -157,6 +158,7 @@
 	if !handler.settings.Without.Has(bvmechanism.Digests) {
 		handler.hearCalls(digest)
 	}
+	handler.hearUses(digest)
 	for _, crash := range digest.GetCrashes() {
 		handler.desk.LearnCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
 	}
--- /dev/null
+++ b/bvrouter/quota.go
@@ -0,0 +1,97 @@
+package bvrouter
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvquota"
+	"balsamvalve.example/bvroute"
+)
+
+// unansweredWait is when to come back with a request whose allocator does not answer:
+// its successor is asked by then.
+const unansweredWait = 300 * bvclock.Millisecond
+
+// quotas holds workspaces to their usage caps.
+type quotas struct{ *Router }
+
+// Take implements bvfront.Quotas.
+func (quotas quotas) Take(workspace string) bvquota.Decision {
+	decision := quotas.limiter.Take(workspace)
+	if decision.Outcome != bvquota.Ask {
+		return decision
+	}
+	return quotas.claim(workspace)
+}
+
+// claim asks the allocator of a workspace, or the next one where it is silent.
+func (quotas quotas) claim(workspace string) bvquota.Decision {
+	use := quotas.limiter.OwnUse(workspace)
+	for _, allocator := range quotas.gossip.Allocators(use.Workspace) {
+		if quotas.gossip.IsSelf(allocator) {
+			return quotas.limiter.TakeHere(workspace)
+		}
+		quotas.counters.Add("quota_claims", 1)
+		claimed := quotas.gossip.Claim(allocator, &bvgossip.Claim{
+			Host: xxhash.Sum64String(quotas.incarnation), Workspace: use.Workspace, Count: use.Count, Recent: use.Recent,
+		})
+		switch {
+		case claimed == nil:
+			quotas.counters.Add("quota_claims_unanswered", 1)
+		case claimed.GetGranted():
+			quotas.limiter.Granted(workspace)
+			return bvquota.Decision{}
+		default:
+			return bvquota.Decision{Outcome: bvquota.Refused, Wait: bvclock.Duration(claimed.GetWait())}
+		}
+	}
+	return bvquota.Decision{Outcome: bvquota.Ask, Wait: unansweredWait}
+}
+
+// Grant implements bvgossip.Handler.
+func (handler peerHandler) Grant(claim *bvgossip.Claim) *bvgossip.Claimed {
+	decision := handler.limiter.Claim(claim.GetHost(), bvquota.Use{
+		Workspace: claim.GetWorkspace(), Count: claim.GetCount(), Recent: claim.GetRecent(),
+	})
+	return &bvgossip.Claimed{Granted: decision.Outcome == bvquota.Granted, Wait: uint32(decision.Wait)}
+}
+
+// setCaps takes over the usage caps of the desired state.
+func (router *Router) setCaps(table *bvroute.Table) {
+	var caps []bvquota.Cap
+	for _, workspace := range table.Workspaces() {
+		if workspace.Capped() {
+			caps = append(caps, bvquota.Cap{Workspace: workspace.Name, Rate: workspace.Rate, Burst: workspace.Burst})
+		}
+	}
+	router.limiter.SetCaps(caps)
+}
+
+// tellUses adds to a digest what this host has run of workspaces with a cap.
+func (router *Router) tellUses(digest *bvgossip.Digest) {
+	listed, heard, lag := router.gossip.Size()
+	router.limiter.SetHosts(listed+1, heard+1, lag)
+	if router.clock.Now().Sub(router.started) > router.settings.QuotaWindow {
+		router.gossip.SetSettled()
+		digest.Settled = true
+	}
+	for _, use := range router.limiter.Uses() {
+		digest.UsedWorkspaces = append(digest.UsedWorkspaces, use.Workspace)
+		digest.UsedCounts = append(digest.UsedCounts, use.Count)
+		digest.UsedRecent = append(digest.UsedRecent, use.Recent)
+	}
+}
+
+// hearUses takes in what another host has run of workspaces with a cap.
+func (handler peerHandler) hearUses(digest *bvgossip.Digest) {
+	workspaces, counts, recent := digest.GetUsedWorkspaces(), digest.GetUsedCounts(), digest.GetUsedRecent()
+	if len(workspaces) == 0 || len(counts) != len(workspaces) || len(recent) != len(workspaces) {
+		return
+	}
+	uses := make([]bvquota.Use, len(workspaces))
+	for i := range workspaces {
+		uses[i] = bvquota.Use{Workspace: workspaces[i], Count: counts[i], Recent: recent[i]}
+	}
+	handler.limiter.Hear(xxhash.Sum64String(digest.GetIncarnation()), uses)
+}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +11,6 @@
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
-	"balsamvalve.example/bvroute"
 )
 
 // relayTimeout bounds a call through another host. The other host's own call
@@ -118,32 +116,3 @@
 	endpoints := router.state.endpoints()
 	bvplatform.WriteAnswer(writer, struct{ Endpoints []bvplatform.Endpoint }{endpoints}, nil)
 }
-
-// relayRoutes gives the desired state that is in force here.
-func (router *Router) relayRoutes(writer http.ResponseWriter, _ *http.Request) {
-	table := router.state.Current()
-	if table == nil || !router.reach.up() {
-		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
-		return
-	}
-	bvplatform.WriteAnswer(writer, table.Rows(), nil)
-}
-
-// fetchRoutes reads the desired state from another host.
-func fetchRoutes(ctx context.Context, address string) (*bvroute.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Std())
-	defer cancel()
-	response, err := get(ctx, address, "/routes")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("relay: status %d", response.StatusCode)
-	}
-	var rows bvroute.Rows
-	if err := json.NewDecoder(response.Body).Decode(&rows); err != nil {
-		return nil, fmt.Errorf("relay: routes can't be read: %w", err)
-	}
-	return bvroute.NewTable(rows.Version, rows.Routes, rows.Services, rows.Limits)
-}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -35,6 +35,7 @@
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsetting"
 )
@@ -83,6 +84,7 @@
 	budgets     *bvbudget.Keeper
 	histories   *bvhistory.Keeper
 	leases      *bvlease.Leases
+	limiter     *bvquota.Limiter
 	counters    *bvmeasure.Counters
 	front       *bvfront.Front
 	server      *bvfront.Server
@@ -95,6 +97,7 @@
 	listedAsGrantor bool
 	inheritance     *handover // of the last process, until this host is listed
 
+	borrowMutex    sync.Mutex // held while the desired state is read from another host
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
 
 	incarnation string
@@ -127,11 +130,14 @@
 		log:         log,
 		clock:       clock,
 		started:     clock.Now(),
-		state:       &state{clock: clock, apply: settings.Apply},
+		state:       &state{clock: clock, apply: settings.Apply, revoke: settings.Revoke},
 		desk:        bvdispatch.NewDesk(clock, xxhash.Sum64String(settings.Name), settings.Zone),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
 	}
+	router.limiter = bvquota.New(clock, bvquota.Bounds{
+		Window: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack,
+	})
 	router.current.Store(&settings)
 	if err := router.listen(); err != nil {
 		return nil, err
@@ -158,6 +164,7 @@
 		Store:      router.reach,
 		Dispatcher: router.desk,
 		Endpoints:  router.connections,
+		Quotas:     quotas{router},
 		Budgets:    router.budgets,
 		Histories:  router.histories,
 		Counters:   router.counters,
@@ -245,6 +252,7 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { router.followRoutes(background); return nil })
+	group.Go(func() error { router.keepConfirmed(background); return nil })
 	group.Go(func() error { router.followEndpoints(background); return nil })
 	group.Go(func() error { router.reach.watch(background, hostsPrefix+router.settings.Name); return nil })
 	group.Go(func() error { router.tidy(background); return nil })
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -13,10 +13,15 @@
 // something is not in the desired state.
 const certainShare = 0.9
 
+// revokeMargin is kept between the age at which keys are no longer gone by and the
+// bound, for clocks that run at different rates.
+const revokeMargin = 100 * bvclock.Millisecond
+
 // state is the desired state as far as this host knows it.
 type state struct {
 	clock   bvclock.Clock
 	apply   bvclock.Duration // bound within which a new version must be in force
+	revoke  bvclock.Duration // bound within which a key that was taken away must be refused; 0: none
 	table   atomic.Pointer[bvroute.Table]
 	heardAt atomic.Int64 // when the platform last said what is newest
 	listed  atomic.Pointer[[]bvplatform.Endpoint]
@@ -36,13 +41,35 @@
 
 // Certain implements bvfront.State.
 func (state *state) Certain() bool {
+	age, known := state.Age()
+	return known && float64(age) < certainShare*float64(state.apply)
+}
+
+// KeysConfirmed implements bvfront.State.
+func (state *state) KeysConfirmed() bool {
+	if state.revoke == 0 {
+		return true
+	}
+	age, known := state.Age()
+	return known && age < state.revoke-revokeMargin
+}
+
+// Age returns the time since the store was asked for the newest version and said
+// that it is the one in force here. It counts suspensions, and is not known before
+// the first answer.
+func (state *state) Age() (age bvclock.Duration, known bool) {
 	heard := bvclock.Time(state.heardAt.Load())
-	return heard != 0 && float64(state.clock.Now().Sub(heard)) < certainShare*float64(state.apply)
+	return state.clock.Now().Sub(heard), heard != 0
 }
 
 // heard notes that the platform said what is newest, as of the given time.
 func (state *state) heard(at bvclock.Time) {
-	state.heardAt.Store(int64(at))
+	for {
+		known := state.heardAt.Load()
+		if int64(at) <= known || state.heardAt.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
 }
 
 // replace puts a newer version in force. An older one is ignored: a version that
--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -27,6 +27,16 @@
 	Apply  bvclock.Duration // within it, a new desired state must be in force
 	Settle bvclock.Duration // after it, what a turn has spent must be settled
 
+	// Revoke is the time after which a key that was taken away must be refused, by
+	// hosts that can't ask the store too; 0: no bound for those.
+	Revoke bvclock.Duration
+	// QuotaWindow is the time over which workspaces' requests are compared with
+	// their usage caps. Over any such time, QuotaOver as a share of the cap and
+	// QuotaSlack requests may be run beyond it.
+	QuotaWindow bvclock.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
+
 	Without bvmechanism.Set // switched off, for experiments
 }
 
@@ -54,6 +64,9 @@
 	if host.Memory < leastMemory {
 		return fmt.Errorf("memory: %d bytes are under the least that works, %d", host.Memory, leastMemory)
 	}
+	if host.Revoke < 0 || host.QuotaWindow < 0 || host.QuotaOver < 0 || host.QuotaSlack < 0 {
+		return fmt.Errorf("bounds of keys and usage caps: one is negative")
+	}
 	return host.checkBounds()
 }
 
