--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -98,9 +98,8 @@
 
 // Quotas holds workspaces to their usage caps.
 type Quotas interface {
-	// Take decides on one request of a workspace. Ask means that it could not be
-	// decided now.
-	Take(workspace string) bvquota.Decision
+	// Take decides on a request. Ask means that it could not be decided now.
+	Take(request bvquota.Request) bvquota.Decision
 }
 
 // Counters count what is done.
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -20,9 +20,6 @@
 	if err := call.admitKept(); err != nil {
 		return err
 	}
-	if err := call.takeQuota(); err != nil {
-		return err
-	}
 	var group errgroup.Group
 	if call.said.HasBudget && call.service.Engine != nil && call.said.Program != "" {
 		group.Go(call.reserve)
@@ -30,7 +27,11 @@
 	if call.route.Retained {
 		group.Go(call.recall)
 	}
-	return group.Wait()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	// Last, since what is refused before does not count against the cap.
+	return call.takeQuota()
 }
 
 // admit turns a new program away where the engines can't serve it in time.
--- a/bvfront/workspace.go
+++ b/bvfront/workspace.go
@@ -50,7 +50,10 @@
 	if call.workspace == nil || !call.workspace.Capped() {
 		return nil
 	}
-	decision := call.front.parts.Quotas.Take(call.workspace.Name)
+	decision := call.front.parts.Quotas.Take(bvquota.Request{Workspace: call.workspace.Name, Fresh: call.mayBeFirst()})
+	if decision.Outcome == bvquota.Refused && call.mayBeFirst() && call.front.parts.Dispatcher.UnderWay(&call.wish) {
+		decision = call.front.parts.Quotas.Take(bvquota.Request{Workspace: call.workspace.Name})
+	}
 	switch decision.Outcome {
 	case bvquota.Granted:
 		return nil
@@ -64,6 +67,12 @@
 		WithRetryAfter(decision.Wait)
 }
 
+// mayBeFirst reports whether the request may be the first one of its program, as far as
+// the request itself shows.
+func (call *call) mayBeFirst() bool {
+	return call.service.Engine != nil && call.said.Program != "" && !call.said.Continues()
+}
+
 // workspaceName returns the name of the caller's workspace, or "" where there is none.
 func (call *call) workspaceName() string {
 	if call.workspace == nil {
--- a/bvquota/account.go
+++ b/bvquota/account.go
@@ -10,8 +10,14 @@
 // account is this host's copy of the bucket of one workspace.
 type account struct {
 	cap      Cap
-	level    float64 // requests that the bucket holds; below 0 where hosts ran more
+	size     float64 // requests that the bucket holds at most
+	level    float64 // that it holds; below 0 where hosts ran more
 	filledAt bvclock.Time
+	start    float64 // what the bucket holds at first, until it is added
+	spilled  float64 // what it gained lately while it was full
+	// part is a bucket for this group of hosts' part of the cap, which bounds what it
+	// grants while most hosts are not heard.
+	part float64
 
 	average float64 // of the requests a second, as of rateAt
 	rateAt  bvclock.Time
@@ -27,17 +33,46 @@
 	at    bvclock.Time
 }
 
-func newAccount(now bvclock.Time, limit Cap, level float64) *account {
-	return &account{cap: limit, level: min(level, limit.Burst), filledAt: now, rateAt: now, told: make(map[uint64]told)}
+// newAccount returns a bucket that is empty but for what it holds at the start. Until
+// its workspace's rate is learnt, it counts as the cap's.
+func newAccount(now bvclock.Time, limit Cap, start float64) *account {
+	return &account{
+		cap: limit, start: start, filledAt: now, average: limit.Rate, rateAt: now, told: make(map[uint64]told),
+	}
 }
 
-// fill adds what the bucket has gained since it was last looked at, of the given share
-// of the cap.
+// fill adds what the bucket has gained since it was last looked at. The share is the part
+// of the cap that this group of hosts may take. What the bucket holds at the start comes
+// once most hosts are heard: it is meant for all of them.
 func (account *account) fill(now bvclock.Time, share float64) {
-	gained := account.cap.Rate * share * seconds(now.Sub(account.filledAt))
-	// A bucket of less than one request would never grant any.
-	account.level = min(account.level+max(gained, 0), max(account.cap.Burst*share, 1))
+	gained := account.cap.Rate * max(seconds(now.Sub(account.filledAt)), 0)
 	account.filledAt = now
+	account.level += gained
+	if share == 1 {
+		account.level += account.start
+		account.start = 0
+	}
+	if over := account.level - account.size; over > 0 {
+		account.spilled = min(account.spilled+over, account.cap.Rate*seconds(spillWindow))
+		account.level = account.size
+	}
+	if share == 1 {
+		account.part = account.size
+		return
+	}
+	// A bucket of less than one request would never grant any.
+	account.part = min(account.part+gained*share, max(account.size*share, 1))
+}
+
+// available returns how many requests may be granted.
+func (account *account) available() float64 { return min(account.level, account.part) }
+
+// needed is what the bucket must hold for a request.
+func (account *account) needed(fresh bool, share float64) float64 {
+	if fresh {
+		return max(newShare*account.size*share, 1)
+	}
+	return 1
 }
 
 // spend takes requests from the bucket.
@@ -55,6 +90,7 @@
 // take counts a request of this host.
 func (account *account) take(now bvclock.Time) {
 	account.spend(now, 1)
+	account.part--
 	account.count++
 	account.own = append(account.ownRecent(now), now)
 }
@@ -81,9 +117,10 @@
 	return Use{Workspace: HashWorkspace(account.cap.Workspace), Count: account.count, Recent: uint32(len(account.own))}
 }
 
-// hear takes in what another host told. Of a host that is heard for the first time,
-// only its last requests are known not to be counted yet.
-func (account *account) hear(now bvclock.Time, host uint64, use Use) {
+// hear takes in what another host told, and for how long nothing had come from it beyond
+// what is usual. Of a host that is heard for the first time, only its last requests are
+// known not to be counted yet.
+func (account *account) hear(now bvclock.Time, host uint64, use Use, late bvclock.Duration) {
 	before, known := account.told[host]
 	if !known {
 		before.count = use.Count - use.Recent
@@ -93,18 +130,29 @@
 		return // an older message, or a grant whose answer was lost
 	}
 	account.spend(now, uint32(fresh))
+	account.level += account.unspill(float64(fresh), late)
 	account.told[host] = told{use.Count, now}
 }
 
+// unspill returns what the bucket would have gained, had it been known in time that it was
+// not full. Without it, a host that was cut off for some seconds would take all that the
+// others ran meanwhile from the bucket at once, and refuse for as long.
+func (account *account) unspill(requests float64, late bvclock.Duration) float64 {
+	found := min(requests, account.spilled, account.cap.Rate*seconds(late))
+	account.spilled -= found
+	return found
+}
+
 // grant counts a request of another host before that host tells of it.
 func (account *account) grant(now bvclock.Time, host uint64) {
 	account.spend(now, 1)
+	account.part--
 	account.told[host] = told{account.told[host].count + 1, now}
 }
 
-// wait is the time until the bucket holds a request, and a random part more.
-func (account *account) wait(share float64) bvclock.Duration {
-	missing := max(1-account.level, 0)
+// wait is the time until the bucket holds enough for a request, and a random part more.
+func (account *account) wait(fresh bool, share float64) bvclock.Duration {
+	missing := max(account.needed(fresh, share)-account.available(), 0)
 	return bvclock.Duration(missing/(account.cap.Rate*share)*float64(bvclock.Second)) + spread()
 }
 
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -11,7 +11,7 @@
 //
 //	limiter := bvquota.New(clock, bvquota.Bounds{Window: window, Over: 0.1, Slack: 20})
 //	limiter.SetCaps(caps)
-//	decision := limiter.Take("piran")
+//	decision := limiter.Take(bvquota.Request{Workspace: "piran"})
 //	switch decision.Outcome {
 //	case bvquota.Ask:
 //		// ask the allocator; its limiter answers with Claim
@@ -24,13 +24,14 @@
 //
 // # Invariants
 //
-// No copy holds more than the burst. A host that has just started begins with a part
-// of the bounds' slack, so that a loss of all hosts grants nothing twice. Hosts that
+// No copy holds more than the burst and a part of the bounds' slack. A host that has
+// just started begins with another part of it, so that a loss of all hosts grants nothing twice. Hosts that
 // hear less than half of the others take only their share of the rate. A lost message
 // makes a copy wrong until the next one, since counts are totals since a host's start.
 package bvquota
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -52,8 +53,15 @@
 	// last told.
 	forgetAfter = bvclock.Minute
 	// startShare is the part of the bounds' slack that a bucket holds at the start
-	// of a host.
-	startShare = 0.5
+	// of a host; marginShare, the part by which a bucket is larger than the burst, for
+	// requests that come unevenly. The rest is for what hosts hear of late.
+	startShare  = 0.35
+	marginShare = 0.35
+	// newShare is the part of a bucket that is kept for programs under way: a program
+	// that is refused midway has spent its requests in vain.
+	newShare = 0.5
+	// spillWindow bounds what is remembered of what a full bucket would have gained.
+	spillWindow = 10 * bvclock.Second
 	// returnSpread is the time over which the return of refused callers is spread,
 	// so that those of a workspace don't come back as one.
 	returnSpread = 400 * bvclock.Millisecond
@@ -71,6 +79,7 @@
 
 // Bounds say how exactly caps must be kept.
 type Bounds struct {
+	Unused bool             // no host has run anything yet: buckets are full at the start
 	Window bvclock.Duration // over any such time, requests are compared with the cap
 	Over   float64          // share of the cap that may be run beyond it
 	Slack  float64          // requests that may be run beyond that
@@ -112,17 +121,20 @@
 	mutex    sync.Mutex
 	accounts map[string]*account
 	byHash   map[uint32]*account
-	hosts    int              // listed, this one included
-	share    float64          // of the caps that this group of hosts may take
-	lag      bvclock.Duration // within which the other hosts' requests are heard of
+	hosts    int                     // heard, this one included; 0: not known yet
+	share    float64                 // of the caps that this group of hosts may take
+	lag      bvclock.Duration        // within which the other hosts' requests are heard of
+	heardAt  map[uint64]bvclock.Time // other hosts
 	tidiedAt bvclock.Time
 }
 
-// New returns a Limiter without caps.
+// New returns a Limiter without caps. Until SetHosts is called, it can grant nothing by
+// itself.
 func New(clock bvclock.Clock, bounds Bounds) *Limiter {
 	return &Limiter{
-		clock: clock, bounds: bounds, hosts: 1, share: 1,
+		clock: clock, bounds: bounds, lag: bounds.Window,
 		accounts: make(map[string]*account), byHash: make(map[uint32]*account),
+		heardAt: make(map[uint64]bvclock.Time),
 	}
 }
 
@@ -137,20 +149,36 @@
 	for _, limit := range caps {
 		found := limiter.accounts[limit.Workspace]
 		if found == nil {
-			found = newAccount(now, limit, limiter.startLevel(limit))
+			found = newAccount(now, limit, limiter.start(limit))
+		} else {
+			found.fill(now, limiter.share)
 		}
+		found.cap, found.size = limit, limiter.size(limit)
+		found.part = found.size
 		found.fill(now, limiter.share)
-		found.cap = limit
 		accounts[limit.Workspace] = found
 		byHash[HashWorkspace(limit.Workspace)] = found
 	}
 	limiter.accounts, limiter.byHash = accounts, byHash
 }
 
-// startLevel is what a bucket holds before anything is known of its workspace.
-func (limiter *Limiter) startLevel(limit Cap) float64 {
+// size is how much a bucket holds.
+func (limiter *Limiter) size(limit Cap) float64 {
+	return limit.Burst + marginShare*limiter.slack(limit)
+}
+
+// start is what a bucket holds when this host starts.
+func (limiter *Limiter) start(limit Cap) float64 {
+	if limiter.bounds.Unused {
+		return limiter.size(limit)
+	}
+	return startShare * limiter.slack(limit)
+}
+
+// slack is how many requests may be run beyond a cap in a window.
+func (limiter *Limiter) slack(limit Cap) float64 {
 	whole := limit.Rate*seconds(limiter.bounds.Window) + limit.Burst
-	return startShare * (limiter.bounds.Slack + limiter.bounds.Over*whole)
+	return limiter.bounds.Slack + limiter.bounds.Over*whole
 }
 
 // SetHosts takes over how many hosts are listed and heard, this one included, and
@@ -164,19 +192,29 @@
 	}
 }
 
-// Take decides on a request of a workspace. A workspace without a cap is granted all.
-func (limiter *Limiter) Take(workspace string) Decision {
+// Request is what a limiter decides on.
+type Request struct {
+	Workspace string
+	// Fresh marks the first request of a program. It is refused while the bucket holds
+	// little, since many more requests follow it.
+	Fresh bool
+}
+
+// Take decides on a request. A workspace without a cap is granted all.
+func (limiter *Limiter) Take(request Request) Decision {
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	account := limiter.accounts[workspace]
+	account := limiter.accounts[request.Workspace]
 	if account == nil {
 		return Decision{}
 	}
 	account.fill(now, limiter.share)
 	switch {
-	case account.level < 1:
-		return Decision{Outcome: Refused, Wait: account.wait(limiter.share)}
+	case limiter.hosts == 0:
+		return Decision{Outcome: Ask}
+	case account.available() < account.needed(request.Fresh, limiter.share):
+		return Decision{Outcome: Refused, Wait: account.wait(request.Fresh, limiter.share)}
 	case limiter.mustAsk(now, account):
 		return Decision{Outcome: Ask}
 	}
@@ -188,11 +226,11 @@
 // other hosts are heard of late, and all of them may take what is left at once.
 func (limiter *Limiter) mustAsk(now bvclock.Time, account *account) bool {
 	unheard := account.rate(now) * seconds(limiter.lag)
-	if account.level < 1+unheard {
+	if account.available() < 1+unheard {
 		return true
 	}
 	own := account.ownSince(now.Add(-limiter.lag))
-	return float64(own) >= max(1, account.cap.Burst/float64(limiter.hosts))
+	return float64(own) >= max(1, account.size/float64(limiter.hosts))
 }
 
 // Granted notes that the allocator granted a request of this host.
@@ -220,7 +258,7 @@
 
 // Claim decides, as the allocator, on a request of another host, which tells what it
 // has run so far.
-func (limiter *Limiter) Claim(host uint64, use Use) Decision {
+func (limiter *Limiter) Claim(host uint64, use Use, fresh bool) Decision {
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
@@ -229,26 +267,26 @@
 		return Decision{Outcome: Refused, Wait: returnSpread} // a version of the desired state that this host lacks
 	}
 	account.fill(now, limiter.share)
-	account.hear(now, host, use)
-	if account.level < 1 {
-		return Decision{Outcome: Refused, Wait: account.wait(limiter.share)}
+	account.hear(now, host, use, 0)
+	if account.available() < account.needed(fresh, limiter.share) {
+		return Decision{Outcome: Refused, Wait: account.wait(fresh, limiter.share)}
 	}
 	account.grant(now, host)
 	return Decision{}
 }
 
 // TakeHere decides on a request of this host where it is the allocator itself.
-func (limiter *Limiter) TakeHere(workspace string) Decision {
+func (limiter *Limiter) TakeHere(request Request) Decision {
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	account := limiter.accounts[workspace]
+	account := limiter.accounts[request.Workspace]
 	if account == nil {
 		return Decision{}
 	}
 	account.fill(now, limiter.share)
-	if account.level < 1 {
-		return Decision{Outcome: Refused, Wait: account.wait(limiter.share)}
+	if account.available() < account.needed(request.Fresh, limiter.share) {
+		return Decision{Outcome: Refused, Wait: account.wait(request.Fresh, limiter.share)}
 	}
 	account.take(now)
 	return Decision{}
@@ -269,25 +307,38 @@
 	return uses
 }
 
-// Hear takes in what another host told.
+// Hear takes in what another host told; it is to be called for each digest, also for one
+// that tells of no request.
 func (limiter *Limiter) Hear(host uint64, uses []Use) {
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
+	late := limiter.lateness(now, host)
+	limiter.heardAt[host] = now
 	for _, use := range uses {
 		if account := limiter.byHash[use.Workspace]; account != nil {
 			account.fill(now, limiter.share)
-			account.hear(now, host, use)
+			account.hear(now, host, use, late)
 		}
 	}
 }
 
+// lateness is for how long nothing has come from a host beyond what is usual.
+func (limiter *Limiter) lateness(now bvclock.Time, host uint64) bvclock.Duration {
+	heardAt, known := limiter.heardAt[host]
+	if !known {
+		return 0
+	}
+	return max(now.Sub(heardAt)-2*limiter.lag, 0)
+}
+
 // tidy forgets hosts that have told nothing of a workspace for long.
 func (limiter *Limiter) tidy(now bvclock.Time) {
 	if now.Sub(limiter.tidiedAt) < forgetAfter {
 		return
 	}
 	limiter.tidiedAt = now
+	maps.DeleteFunc(limiter.heardAt, func(_ uint64, at bvclock.Time) bool { return now.Sub(at) > forgetAfter })
 	for _, account := range limiter.accounts {
 		account.forget(now.Add(-forgetAfter))
 	}
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -99,6 +99,7 @@
 	}
 	router.shown = shown // noteListed compares with the look before
 	router.gossip.SetHosts(addresses)
+	router.hostsKnown.Store(true)
 	router.leases.Listed(asked, router.clock.Now(), hosts)
 	return nil
 }
--- a/bvrouter/quota.go
+++ b/bvrouter/quota.go
@@ -17,30 +17,31 @@
 type quotas struct{ *Router }
 
 // Take implements bvfront.Quotas.
-func (quotas quotas) Take(workspace string) bvquota.Decision {
-	decision := quotas.limiter.Take(workspace)
+func (quotas quotas) Take(request bvquota.Request) bvquota.Decision {
+	decision := quotas.limiter.Take(request)
 	if decision.Outcome != bvquota.Ask {
 		return decision
 	}
-	return quotas.claim(workspace)
+	return quotas.claim(request)
 }
 
 // claim asks the allocator of a workspace, or the next one where it is silent.
-func (quotas quotas) claim(workspace string) bvquota.Decision {
-	use := quotas.limiter.OwnUse(workspace)
+func (quotas quotas) claim(request bvquota.Request) bvquota.Decision {
+	use := quotas.limiter.OwnUse(request.Workspace)
 	for _, allocator := range quotas.gossip.Allocators(use.Workspace) {
 		if quotas.gossip.IsSelf(allocator) {
-			return quotas.limiter.TakeHere(workspace)
+			return quotas.limiter.TakeHere(request)
 		}
 		quotas.counters.Add("quota_claims", 1)
 		claimed := quotas.gossip.Claim(allocator, &bvgossip.Claim{
 			Host: xxhash.Sum64String(quotas.incarnation), Workspace: use.Workspace, Count: use.Count, Recent: use.Recent,
+			Fresh: request.Fresh,
 		})
 		switch {
 		case claimed == nil:
 			quotas.counters.Add("quota_claims_unanswered", 1)
 		case claimed.GetGranted():
-			quotas.limiter.Granted(workspace)
+			quotas.limiter.Granted(request.Workspace)
 			return bvquota.Decision{}
 		default:
 			return bvquota.Decision{Outcome: bvquota.Refused, Wait: bvclock.Duration(claimed.GetWait())}
@@ -53,7 +54,7 @@
 func (handler peerHandler) Grant(claim *bvgossip.Claim) *bvgossip.Claimed {
 	decision := handler.limiter.Claim(claim.GetHost(), bvquota.Use{
 		Workspace: claim.GetWorkspace(), Count: claim.GetCount(), Recent: claim.GetRecent(),
-	})
+	}, claim.GetFresh())
 	return &bvgossip.Claimed{Granted: decision.Outcome == bvquota.Granted, Wait: uint32(decision.Wait)}
 }
 
@@ -70,8 +71,10 @@
 
 // tellUses adds to a digest what this host has run of workspaces with a cap.
 func (router *Router) tellUses(digest *bvgossip.Digest) {
-	listed, heard, lag := router.gossip.Size()
-	router.limiter.SetHosts(listed+1, heard+1, lag)
+	if router.hostsKnown.Load() {
+		others, heard, lag := router.gossip.Size()
+		router.limiter.SetHosts(others+1, heard+1, lag)
+	}
 	if router.clock.Now().Sub(router.started) > router.settings.QuotaWindow {
 		router.gossip.SetSettled()
 		digest.Settled = true
@@ -86,7 +89,7 @@
 // hearUses takes in what another host has run of workspaces with a cap.
 func (handler peerHandler) hearUses(digest *bvgossip.Digest) {
 	workspaces, counts, recent := digest.GetUsedWorkspaces(), digest.GetUsedCounts(), digest.GetUsedRecent()
-	if len(workspaces) == 0 || len(counts) != len(workspaces) || len(recent) != len(workspaces) {
+	if len(counts) != len(workspaces) || len(recent) != len(workspaces) {
 		return
 	}
 	uses := make([]bvquota.Use, len(workspaces))
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -91,6 +91,7 @@
 	leaving     atomic.Bool
 
 	listedVersion atomic.Int64 // of this host's row
+	hostsKnown    atomic.Bool  // the list of hosts was read
 
 	// followHosts' alone.
 	shown           bool // the last list that was read has this host's row
@@ -136,7 +137,7 @@
 		counters:    bvmeasure.New(),
 	}
 	router.limiter = bvquota.New(clock, bvquota.Bounds{
-		Window: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack,
+		Unused: settings.FirstStart, Window: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack,
 	})
 	router.current.Store(&settings)
 	if err := router.listen(); err != nil {
