--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -29,14 +29,6 @@
 	mostReturn  = 900 * bvclock.Millisecond
 )
 
-// crowdedShare is the share of the places of a service's endpoints from which
-// hosts tell each other more often: from about here on, calls wait for each
-// other, and who knows only his own sends to engines that others have filled.
-const crowdedShare = 0.5
-
-// Crowded reports whether the endpoints of a service have little room left.
-func (pool *Pool) Crowded(now bvclock.Time) bool { return pool.share(now) >= crowdedShare }
-
 // Admit reports whether a new program of a route's priority may begin. If not,
 // it returns the time after which to come back.
 func (pool *Pool) Admit(now bvclock.Time, priority int) (bvclock.Duration, bool) {
--- a/bvdispatch/desk.go
+++ b/bvdispatch/desk.go
@@ -116,19 +116,6 @@
 	return rates
 }
 
-// Crowded reports whether the endpoints of any service have little room left.
-func (desk *Desk) Crowded() bool {
-	now := desk.clock.Now()
-	desk.mutex.Lock()
-	defer desk.mutex.Unlock()
-	for _, pool := range desk.pools {
-		if pool.Crowded(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // Choose returns the endpoint for a call and counts the call there. Each is to
 // be followed by an End.
 func (desk *Desk) Choose(service string, request *Request) (bvplatform.Endpoint, bool) {
--- a/bvdispatch/sample.go
+++ b/bvdispatch/sample.go
@@ -12,8 +12,14 @@
 	// have the prompt's first part; sampleAll, of all.
 	sampleCached = 4
 	sampleAll    = 3
+	// crowdedShare is the share of the places of a service's endpoints from which
+	// samples are drawn: from about here on, calls wait for each other.
+	crowdedShare = 0.5
 )
 
+// crowded reports whether the endpoints have little room left.
+func (moment moment) crowded() bool { return moment.share >= crowdedShare }
+
 // sample draws the endpoints that a decision looks at.
 type sample struct {
 	pool    *Pool
@@ -29,7 +35,7 @@
 // spread by it.
 func (pool *Pool) newSample(moment moment, request *Request) sample {
 	sample := sample{pool: pool, request: request}
-	if request.Object != 0 || moment.share < crowdedShare || pool.without.Has(bvmechanism.Samples) {
+	if request.Object != 0 || !moment.crowded() || pool.without.Has(bvmechanism.Samples) {
 		sample.all = true
 		return sample
 	}
--- a/bvdispatch/sample_test.go
+++ b/bvdispatch/sample_test.go
@@ -71,3 +71,14 @@
 	}
 	require.Less(t, reached["e0"], reached["e4"]/3)
 }
+
+// Samples are drawn once the endpoints fill up.
+func TestPoolIsCrowdedWhenHalfOfItsPlacesAreTaken(t *testing.T) {
+	pool := newTestPool(1)
+	for range 7 {
+		pool.Begin(0, "e0", &Request{})
+	}
+	require.False(t, moment{share: pool.share(0)}.crowded())
+	pool.Begin(0, "e0", &Request{})
+	require.True(t, moment{share: pool.share(0)}.crowded())
+}
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -9,7 +9,7 @@
 //	gossip := bvgossip.New(self, connection, clock, log)
 //	gossip.SetHosts(hosts) // as the platform's store lists them
 //	go gossip.Receive(handle)
-//	gossip.Send(digest, crowded) // every gossip.Interval()
+//	gossip.Send(digest) // every gossip.Interval()
 //	loads := gossip.PeerLoads(digest)
 //	counts := gossip.Counts(endpoints) // of this moment
 //
@@ -41,8 +41,8 @@
 	// hosts: short beside a call, which takes some 300 ms.
 	leastInterval = 100 * bvclock.Millisecond
 	// farInterval is the time between two digests to hosts in other availability
-	// zones while endpoints are little loaded: operators pay for bytes between zones,
-	// and decisions then depend little on what other zones do.
+	// zones: operators pay for bytes between zones, and trackers tell of the calls
+	// there that a decision depends on.
 	farInterval = 400 * bvclock.Millisecond
 	// farPerHost lengthens that by the number of hosts, and fullHosts is up to how
 	// many hosts those of other zones are told of calls at all endpoints, and not
@@ -168,12 +168,12 @@
 }
 
 // Send sends a digest to the hosts of this availability zone, and, when it is
-// time, one with all that happened since the last to those of other zones; in a
-// crowd it always is. Hosts that are silent get one every few seconds, in case that they are back. It is
+// time, one with all that happened since the last to those of other zones. Hosts
+// that are silent get one every few seconds, in case that they are back. It is
 // not safe for concurrent use.
-func (gossip *Gossip) Send(digest *Digest, crowded bool) {
+func (gossip *Gossip) Send(digest *Digest) {
 	gossip.setTrackers()
-	near, far := gossip.due(crowded)
+	near, far := gossip.due()
 	gossip.sendAll(digest, near)
 	gossip.placements = append(gossip.placements, digest.Placements...)
 	gossip.programs = append(gossip.programs, digest.Programs...)
@@ -239,11 +239,11 @@
 
 // due returns the hosts that are to get a digest now, those of other availability
 // zones by zone, and nil until it is their time.
-func (gossip *Gossip) due(crowded bool) (near []netip.AddrPort, far map[string][]netip.AddrPort) {
+func (gossip *Gossip) due() (near []netip.AddrPort, far map[string][]netip.AddrPort) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	farDue := crowded || now.Sub(gossip.farAt) >= gossip.farPause()
+	farDue := now.Sub(gossip.farAt) >= gossip.farPause()
 	if farDue {
 		gossip.farAt, far = now, make(map[string][]netip.AddrPort)
 	}
@@ -264,8 +264,7 @@
 	return near, far
 }
 
-// farPause is the time between two digests to other availability zones outside
-// crowds.
+// farPause is the time between two digests to other availability zones.
 func (gossip *Gossip) farPause() bvclock.Duration {
 	return max(farInterval, bvclock.Duration(len(gossip.hosts))*farPerHost)
 }
--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -18,21 +18,35 @@
 	// lateAnswer is how much longer than the wait for a change an answer of the
 	// store takes before another host is asked.
 	lateAnswer = 300 * bvclock.Millisecond
+	// borrowShare is the part of the bound on keys that were taken away after which
+	// another host is asked at the latest.
+	borrowShare = 0.7
 )
 
 // keepConfirmed has the desired state confirmed by another host while the store does
 // not answer this one. A silent store holds this host's own question for seconds, and
 // keys must be refused before it ends.
 func (router *Router) keepConfirmed(ctx context.Context) {
+	limit := confirmWithin(router.settings.Apply, router.settings.Revoke)
 	for ctx.Err() == nil {
 		pause(ctx, confirmInterval)
-		age, known := router.state.Age()
-		if !known || age > waitWithin(router.settings.Apply)+lateAnswer {
+		if age, known := router.state.Age(); !known || age > limit {
 			router.borrowRoutes(ctx)
 		}
 	}
 }
 
+// confirmWithin returns the age of the desired state from which another host is asked.
+// While the store answers, the state is as old as one wait for a change when the answer
+// comes, and as two before the next one.
+func confirmWithin(apply, revoke bvclock.Duration) bvclock.Duration {
+	limit := 2*waitWithin(apply) + lateAnswer
+	if revoke > 0 {
+		limit = min(limit, bvclock.Duration(borrowShare*float64(revoke)))
+	}
+	return limit
+}
+
 // borrowRoutes takes the desired state, and how long ago the store confirmed it,
 // from a host that reaches the store.
 func (router *Router) borrowRoutes(ctx context.Context) {
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -27,3 +27,36 @@
 	clock.Advance(1900)
 	require.False(t, state.Certain())
 }
+
+// Guards against hosts that ask each other all the time while the store answers them.
+func TestOtherHostsAreAskedOnlyWhenTheStoreIsLate(t *testing.T) {
+	require.Equal(t, 3300*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 5*bvclock.Second))
+	require.Equal(t, 3300*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 0))
+	require.Equal(t, 1400*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 2*bvclock.Second))
+}
+
+// Guards against keys that are gone by after a suspension, with the age of before it.
+func TestKeysAreConfirmedForLessThanTheirBound(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(1)
+	state := &state{clock: clock, apply: 3 * bvclock.Second, revoke: 5 * bvclock.Second}
+	require.False(t, state.KeysConfirmed())
+	state.heard(clock.Now())
+	clock.Advance(4500)
+	require.True(t, state.KeysConfirmed())
+	clock.Advance(500)
+	require.False(t, state.KeysConfirmed())
+}
+
+// Guards against an older confirmation that comes late, through another host, and takes
+// the place of a newer one.
+func TestConfirmationsNeverGoBack(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(10_000)
+	state := &state{clock: clock}
+	state.heard(9000)
+	state.heard(8000)
+	age, known := state.Age()
+	require.True(t, known)
+	require.Equal(t, bvclock.Second, age)
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -37,7 +37,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, router.gossip.Interval())
 		digest := router.digest()
-		router.gossip.Send(digest, router.desk.Crowded())
+		router.gossip.Send(digest)
 		router.desk.SetPeerLoads(router.peerLoads(digest))
 	}
 }
