--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -64,10 +64,29 @@
 	if host.Memory < leastMemory {
 		return fmt.Errorf("memory: %d bytes are under the least that works, %d", host.Memory, leastMemory)
 	}
-	if host.Revoke < 0 || host.QuotaWindow < 0 || host.QuotaOver < 0 || host.QuotaSlack < 0 {
-		return fmt.Errorf("bounds of keys and usage caps: one is negative")
+	if err := host.checkBounds(); err != nil {
+		return err
 	}
-	return host.checkBounds()
+	return host.checkCaps()
+}
+
+// checkCaps checks the bounds of keys and usage caps, which may be missing.
+func (host *Host) checkCaps() error {
+	bounds := []struct {
+		name  string
+		value float64
+	}{
+		{"revocation bound", float64(host.Revoke)},
+		{"quota window", float64(host.QuotaWindow)},
+		{"quota share", host.QuotaOver},
+		{"quota slack", host.QuotaSlack},
+	}
+	for _, bound := range bounds {
+		if bound.value < 0 {
+			return fmt.Errorf("%s: %g is negative", bound.name, bound.value)
+		}
+	}
+	return nil
 }
 
 func (host *Host) checkBounds() error {
