Requests within reach of a cap are held for up to 0.25 s

Hypothesis: a workspace whose requests come unevenly is sent away for less time than coming back takes; a request refused twice ends its program.

--- a/bvfleet/caps.go
+++ b/bvfleet/caps.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvquota"
@@ -203,12 +204,12 @@
 	host := play.hosts[play.random.IntN(len(play.hosts))]
 	request := bvquota.Request{Workspace: play.caps[workspace].Workspace}
 	wanted := play.single.TakeHere(request).Outcome == bvquota.Granted
-	granted := play.decide(host, request)
+	decision := play.decide(host, request)
 	play.result.Requests++
 	switch {
-	case granted:
+	case decision.Outcome == bvquota.Granted:
 		play.result.Run++
-		play.ran[workspace] = append(play.ran[workspace], now)
+		play.ran[workspace] = append(play.ran[workspace], now.Add(decision.Wait))
 		if !wanted {
 			play.result.RunAbove++
 		}
@@ -217,24 +218,24 @@
 	}
 }
 
-func (play *capPlay) decide(host *capHost, request bvquota.Request) bool {
+func (play *capPlay) decide(host *capHost, request bvquota.Request) bvquota.Decision {
 	decision := bvquota.Decision{Outcome: bvquota.Ask}
 	if play.way != CentralCaps {
 		decision = host.limiter.Take(request)
 	}
 	if decision.Outcome != bvquota.Ask {
-		return decision.Outcome == bvquota.Granted
+		return decision
 	}
 	allocator := play.hosts[int(bvquota.HashWorkspace(request.Workspace))%len(play.hosts)]
 	if play.way == SplitCaps || play.way == ToldCaps || allocator == host {
-		return host.limiter.TakeHere(request).Outcome == bvquota.Granted
+		return host.limiter.TakeHere(request)
 	}
 	play.result.Asks++
-	if allocator.limiter.Claim(host.id, host.limiter.OwnUse(request.Workspace), false).Outcome != bvquota.Granted {
-		return false
+	decision = allocator.limiter.Claim(host.id, host.limiter.OwnUse(request.Workspace), false)
+	if decision.Outcome == bvquota.Granted {
+		host.limiter.Granted(request.Workspace)
 	}
-	host.limiter.Granted(request.Workspace)
-	return true
+	return decision
 }
 
 // tell sends what each host ran to all others, each host at its own moment.
@@ -266,6 +267,7 @@
 func (play *capPlay) worstWindow() float64 {
 	worst := 0.0
 	for workspace, ran := range play.ran {
+		slices.Sort(ran)
 		limit := play.caps[workspace]
 		whole := limit.Rate*float64(capBounds.Window)/float64(bvclock.Second) + limit.Burst
 		allowed := whole*(1+capBounds.Over) + capBounds.Slack
--- a/bvfront/workspace.go
+++ b/bvfront/workspace.go
@@ -56,7 +56,7 @@
 	}
 	switch decision.Outcome {
 	case bvquota.Granted:
-		return nil
+		return call.hold(decision.Wait)
 	case bvquota.Refused:
 		call.front.parts.Counters.Add("quota_refused", 1)
 		return bvverdict.Refuse(bvverdict.LimitExceeded, "workspace %s is beyond its usage cap", call.workspace.Name).
@@ -67,6 +67,20 @@
 		WithRetryAfter(decision.Wait)
 }
 
+// hold waits until a request within the cap may run.
+func (call *call) hold(wait bvclock.Duration) error {
+	if wait == 0 {
+		return nil
+	}
+	call.front.parts.Counters.Add("quota_held", 1)
+	select {
+	case <-bvclock.After(wait):
+		return nil
+	case <-call.ctx.Done():
+		return call.outOfTime()
+	}
+}
+
 // mayBeFirst reports whether the request may be the first one of its program, as far as
 // the request itself shows.
 func (call *call) mayBeFirst() bool {
--- a/bvquota/account.go
+++ b/bvquota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -66,12 +67,27 @@
 // available returns how many requests may be granted.
 func (account *account) available() float64 { return min(account.level, account.part) }
 
-// needed is what the bucket must hold for a request.
+// needed is what the bucket must hold for a request. For one of a program under way it may
+// lack what it gains while the request is held.
 func (account *account) needed(fresh bool, share float64) float64 {
 	if fresh {
 		return max(newShare*account.size*share, 1)
 	}
-	return 1
+	return 1 - account.gain(share)*float64(holdTime)
+}
+
+// gain is what the bucket gains in a millisecond.
+func (account *account) gain(share float64) float64 {
+	return account.cap.Rate * share / float64(bvclock.Second)
+}
+
+// hold is the time until the bucket holds a request.
+func (account *account) hold(share float64) bvclock.Duration {
+	missing := 1 - account.available()
+	if missing <= 0 {
+		return 0
+	}
+	return bvclock.Duration(math.Ceil(missing / account.gain(share)))
 }
 
 // spend takes requests from the bucket.
@@ -152,7 +168,7 @@
 // wait is the time until the bucket holds enough for a request, and a random part more.
 func (account *account) wait(fresh bool, share float64) bvclock.Duration {
 	missing := max(account.needed(fresh, share)-account.available(), 0)
-	gain := account.cap.Rate * share / float64(bvclock.Second)
+	gain := account.gain(share)
 	if missing >= gain*float64(mostWait) {
 		return mostWait + spread()
 	}
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -65,6 +65,9 @@
 	spillWindow = 10 * bvclock.Second
 	// mostWait is the longest time after which a refused caller is told to come back.
 	mostWait = 5 * bvclock.Second
+	// holdTime is the longest time for which a granted request may have to wait for the
+	// bucket: less than a caller would need to come back.
+	holdTime = 250 * bvclock.Millisecond
 	// returnSpread is the time over which the return of refused callers is spread,
 	// so that those of a workspace don't come back as one.
 	returnSpread = 400 * bvclock.Millisecond
@@ -104,7 +107,8 @@
 // Decision is the answer to a request.
 type Decision struct {
 	Outcome Outcome
-	// Wait is the time after which a refused request may find the bucket filled.
+	// Wait is the time after which a granted request may run, and a refused one may find
+	// the bucket filled.
 	Wait bvclock.Duration
 }
 
@@ -281,8 +285,9 @@
 	if account.available() < account.needed(fresh, limiter.share) {
 		return Decision{Outcome: Refused, Wait: account.wait(fresh, limiter.share)}
 	}
+	decision := Decision{Wait: account.hold(limiter.share)}
 	account.grant(now, host)
-	return Decision{}
+	return decision
 }
 
 // TakeHere decides on a request of this host where it is the allocator itself.
@@ -298,8 +303,9 @@
 	if account.available() < account.needed(request.Fresh, limiter.share) {
 		return Decision{Outcome: Refused, Wait: account.wait(request.Fresh, limiter.share)}
 	}
+	decision := Decision{Wait: account.hold(limiter.share)}
 	account.take(now)
-	return Decision{}
+	return decision
 }
 
 // Uses returns what this host has run lately, to be told to the others.
--- a/bvrouter/quota.go
+++ b/bvrouter/quota.go
@@ -42,7 +42,7 @@
 			quotas.counters.Add("quota_claims_unanswered", 1)
 		case claimed.GetGranted():
 			quotas.limiter.Granted(request.Workspace)
-			return bvquota.Decision{}
+			return bvquota.Decision{Wait: bvclock.Duration(claimed.GetWait())}
 		default:
 			return bvquota.Decision{Outcome: bvquota.Refused, Wait: bvclock.Duration(claimed.GetWait())}
 		}
