Digests to the own zone go out half as often where there are many hosts

Hypothesis: since trackers tell of calls at once, digests matter less; a host reads one from each other host of its zone in each interval. Hosts of the own zone count as silent after three intervals at least: at 730 hosts an interval is as long as the old bound.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -49,13 +49,13 @@
 	// only at those of their own zone: beyond, that would be most of all bytes.
 	farPerHost = 4 * bvclock.Millisecond
 	fullHosts  = 120
-	// perHost lengthens the interval by the number of hosts.
-	perHost = 1 * bvclock.Millisecond
+	// perHost lengthens the interval by the number of hosts, so that a host has not
+	// more to read the more there are. Decisions ask trackers for what is newer.
+	perHost = 2 * bvclock.Millisecond
 	// silentAfter is how long after its last digest a host's calls are no
-	// longer counted.
-	silentAfter = 1500 * bvclock.Millisecond
-	// silentPauses is the same for a host in another availability zone, in pauses
-	// between its digests: one or two of them may be lost.
+	// longer counted, and silentPauses the least, in pauses between its digests: one or
+	// two of them may be lost.
+	silentAfter  = 1500 * bvclock.Millisecond
 	silentPauses = 3
 	// trialInterval is the time between two digests to a silent host.
 	trialInterval = 2 * bvclock.Second
@@ -164,6 +164,12 @@
 func (gossip *Gossip) Interval() bvclock.Duration {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
+	return gossip.nearPause()
+}
+
+// nearPause is the time between two digests to this host's availability zone. The caller
+// holds the mutex.
+func (gossip *Gossip) nearPause() bvclock.Duration {
 	return max(leastInterval, bvclock.Duration(len(gossip.hosts))*perHost)
 }
 
@@ -275,11 +281,11 @@
 	if peer.digest == nil {
 		return true
 	}
-	limit := silentAfter
+	pause := gossip.nearPause()
 	if peer.digest.GetZone() != gossip.zone {
-		limit = max(limit, silentPauses*gossip.farPause())
+		pause = gossip.farPause()
 	}
-	return now.Sub(peer.heardAt) > limit
+	return now.Sub(peer.heardAt) > max(silentAfter, silentPauses*pause)
 }
 
 // Handler takes in what other hosts send.
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -333,3 +333,19 @@
 		return asked && !answered
 	}, patience, time.Millisecond)
 }
+
+// Guards against hosts that take each other for silent between two digests, where there
+// are many.
+func TestHostsAreNotSilentBetweenTwoDigests(t *testing.T) {
+	clock := &bvclock.Manual{}
+	gossip := newHost(t, "a", clock).Gossip
+	for i := range 730 {
+		gossip.hosts[netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7380)] = &peer{}
+	}
+	near, far := &peer{digest: &Digest{Zone: gossip.zone}}, &peer{digest: &Digest{Zone: "other"}}
+	clock.Advance(2 * gossip.Interval())
+	require.False(t, gossip.isSilent(clock.Now(), near))
+	clock.Advance(2 * gossip.Interval())
+	require.True(t, gossip.isSilent(clock.Now(), near))
+	require.False(t, gossip.isSilent(clock.Now(), far))
+}
--- a/bvquota/promise_test.go
+++ b/bvquota/promise_test.go
@@ -13,13 +13,12 @@
 // network is some hosts whose messages are late, lost or cut off. Their clock is one, as
 // suspended time counts.
 type network struct {
-	clock     *bvclock.Manual
-	cap       Cap
-	hosts     []*networkHost
-	mail      []message
-	ran       []bvclock.Time // requests that ran
-	lastStart bvclock.Time
-	next      uint64
+	clock *bvclock.Manual
+	cap   Cap
+	hosts []*networkHost
+	mail  []message
+	ran   []bvclock.Time // requests that ran
+	next  uint64
 }
 
 type networkHost struct {
