--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -47,7 +47,7 @@
 	// farPerHost lengthens that by the number of hosts, and fullHosts is up to how
 	// many hosts those of other zones are told of calls at all endpoints, and not
 	// only at those of their own zone: beyond, that would be most of all bytes.
-	farPerHost = 4 * bvclock.Millisecond
+	farPerHost = 6 * bvclock.Millisecond
 	fullHosts  = 120
 	// perHost lengthens the interval by the number of hosts, so that a host has not
 	// more to read the more there are. Decisions ask trackers for what is newer.
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -221,3 +221,20 @@
 		})
 	}
 }
+
+// Guards against calls that go on counting at a tracker after their host has ended them.
+func TestCallsThatAreNotRepeatedHaveEnded(t *testing.T) {
+	host := netip.MustParseAddrPort("10.0.0.1:7380")
+	var tracked tracker
+	tracked.noteAll(1, host, []*Load{{Endpoint: 1, Running: 2}, {Endpoint: 2, Running: 1}})
+	tracked.noteAll(2, host, []*Load{{Endpoint: 2, Running: 3}})
+	require.Zero(t, tracked.count(1, netip.AddrPort{}, 0))
+	require.Equal(t, 3, tracked.count(2, netip.AddrPort{}, 0))
+	tracked.note(3, host, 4, 1)
+	tracked.noteAll(3, host, []*Load{{Endpoint: 2, Running: 3}, {Endpoint: 3, Running: 1}})
+	require.Zero(t, tracked.count(4, netip.AddrPort{}, 0))
+	require.Equal(t, 1, tracked.count(3, netip.AddrPort{}, 0))
+	tracked.noteAll(4, host, nil)
+	require.Empty(t, tracked.uses)
+	require.Empty(t, tracked.byHost)
+}
--- a/bvgossip/totals_test.go
+++ b/bvgossip/totals_test.go
@@ -39,7 +39,7 @@
 	require.Equal(t, map[uint64]int{1: 1}, host.PeerLoads(own))
 	require.True(t, host.note(&Digest{Address: "127.9.9.2:9", Incarnation: "far", Zone: "other", Totals: []*Load{{Endpoint: 1, Running: 9}}}))
 	require.Equal(t, map[uint64]int{1: 7}, host.PeerLoads(own), "nine, of which two are this host's")
-	clock.Advance(silentAfter + 1)
+	clock.Advance(max(silentAfter, silentPauses*host.farPause()) + 1)
 	require.Empty(t, host.PeerLoads(own))
 }
 
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -60,12 +60,25 @@
 // noteAll takes in all calls of a host. What it said before and does not repeat has
 // ended.
 func (tracker *tracker) noteAll(now bvclock.Time, host netip.AddrPort, loads []*Load) {
-	for endpoint := range tracker.byHost[host] {
-		tracker.drop(host, endpoint)
-	}
+	before := len(tracker.byHost[host])
 	for _, load := range loads {
+		if tracker.byHost[host][load.GetEndpoint()] {
+			before--
+		}
 		tracker.note(now, host, load.GetEndpoint(), int(load.GetRunning()))
 	}
+	if before == 0 {
+		return // all that it said before is repeated
+	}
+	for endpoint := range tracker.byHost[host] {
+		if tracker.uses[endpoint][host].saidAt != now || !isTold(loads, endpoint) {
+			tracker.drop(host, endpoint)
+		}
+	}
+}
+
+func isTold(loads []*Load, endpoint uint64) bool {
+	return slices.ContainsFunc(loads, func(load *Load) bool { return load.GetEndpoint() == endpoint })
 }
 
 // count adds up the calls at an endpoint of all hosts but one. A host that has said
