--- a/bvdispatch/home.go
+++ b/bvdispatch/affinity.go
@@ -18,7 +18,7 @@
 	// fullHomeWeight is the most that the place in the order counts, in
 	// milliseconds: some times what reading a beginning takes, as a call that goes
 	// elsewhere also drives another beginning out of that engine's memory.
-	fullHomeWeight = 600
+	fullAffinityWeight = 600
 	// scarceFrom and scarceTo bound the share of an endpoint's memory that all
 	// beginnings seen here together take, between which the order counts more and
 	// more. A host sees only some of them.
@@ -61,17 +61,17 @@
 
 // homeWeight is what the order counts at an endpoint, by how scarce its memory
 // is.
-func (pool *Pool) homeWeight(row *endpoint) float64 {
-	if row.entry.CacheTokens <= 0 || pool.without.Has(bvmechanism.Homes) {
+func (pool *Pool) affinityWeight(row *endpoint) float64 {
+	if row.entry.CacheTokens <= 0 || pool.without.Has(bvmechanism.Affinity) {
 		return 0
 	}
 	share := float64(pool.beginningTokens) / float64(row.entry.CacheTokens)
-	return fullHomeWeight * min(max((share-scarceFrom)/(scarceTo-scarceFrom), 0), 1)
+	return fullAffinityWeight * min(max((share-scarceFrom)/(scarceTo-scarceFrom), 0), 1)
 }
 
 // home is the endpoint's place in the order of the prompt's first part, from 0
 // for the first to 1 for the last.
-func (endpoint *endpoint) home(request *Request) float64 {
+func (endpoint *endpoint) affinity(request *Request) float64 {
 	return endpoint.place(request.Prefix[0].Key)
 }
 
--- a/bvdispatch/home_test.go
+++ b/bvdispatch/affinity_test.go
@@ -95,8 +95,8 @@
 	for key := range uint64(80) {
 		pool.noteBeginning(0, prompt(key))
 	}
-	require.Positive(t, pool.homeWeight(pool.rows[0]))
+	require.Positive(t, pool.affinityWeight(pool.rows[0]))
 	pool.noteBeginning(bvclock.Time(beginningKept)+1, prompt(500))
 	require.Equal(t, 5000, pool.beginningTokens)
-	require.Zero(t, pool.homeWeight(pool.rows[0]))
+	require.Zero(t, pool.affinityWeight(pool.rows[0]))
 }
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -29,10 +29,10 @@
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.noteHeld(request)
-	moment := moment{now: now, share: pool.share(now)}
-	best := pool.cheapest(moment, request, pool.drawn(moment, request))
+	snapshot := snapshot{now: now, share: pool.share(now)}
+	best := pool.cheapest(snapshot, request, pool.drawn(snapshot, request))
 	if best == nil {
-		best = pool.cheapest(moment, request, sample{all: true}) // none was drawn
+		best = pool.cheapest(snapshot, request, sample{all: true}) // none was drawn
 	}
 	if best == nil {
 		return pool.lastResort(request)
@@ -41,21 +41,21 @@
 	return best.entry, true
 }
 
-// moment is what a decision knows of the whole pool.
-type moment struct {
+// snapshot is what a decision knows of the whole pool.
+type snapshot struct {
 	now   bvclock.Time
 	share float64 // of the places that are taken
 }
 
 // cheapest returns the endpoint of a sample at which the call costs least, or
 // nil if none of them may be called.
-func (pool *Pool) cheapest(moment moment, request *Request, sample sample) *endpoint {
+func (pool *Pool) cheapest(snapshot snapshot, request *Request, sample sample) *endpoint {
 	best, lowest := (*endpoint)(nil), 0.0
 	for _, row := range pool.rows {
-		if !row.open(moment.now) || request.Avoid[row.entry.Name] || !sample.has(row) {
+		if !row.open(snapshot.now) || request.Avoid[row.entry.Name] || !sample.has(row) {
 			continue
 		}
-		cost := pool.cost(moment, row, request)
+		cost := pool.cost(snapshot, row, request)
 		if request.Object == 0 {
 			cost += noise * pool.random.Float64() // the order of an object breaks ties by itself
 		}
@@ -67,7 +67,7 @@
 }
 
 // lastResort returns any endpoint that is not leaving, although it failed
-// lately: judgements on health must never empty a pool.
+// lately: outlier detection must never empty a pool.
 func (pool *Pool) lastResort(request *Request) (bvplatform.Endpoint, bool) {
 	var best *endpoint
 	for _, row := range pool.rows {
@@ -92,9 +92,9 @@
 // is idle now will not be so a moment later, and what it reads again there takes its
 // time from all. Counted by the calls that are there at the moment, conversations
 // leave the engines that have them for any that is idle.
-func (pool *Pool) cost(moment moment, row *endpoint, request *Request) float64 {
+func (pool *Pool) cost(snapshot snapshot, row *endpoint, request *Request) float64 {
 	duration := pool.duration.or(defaultDuration)
-	load, slots := row.load(moment.now), row.slots()
+	load, slots := row.load(snapshot.now), row.slots()
 	cost := crowding * duration * load / slots
 	if row.entry.Zone != pool.zone {
 		cost += zoneCost
@@ -102,8 +102,8 @@
 	if load >= slots {
 		cost += duration * (load - slots + 1) / slots
 	}
-	if !pool.without.Has(bvmechanism.Judgement) {
-		cost += row.seen.cost(moment.now, pool.pace.or(0), duration)
+	if !pool.without.Has(bvmechanism.Outliers) {
+		cost += row.seen.cost(snapshot.now, pool.pace.or(0), duration)
 	}
 	if request.Object != 0 {
 		cost += objectWeight * row.place(request.Object)
@@ -111,11 +111,11 @@
 	cached := row.cache.cached(request.Prefix)
 	beside := min(load, slots)
 	if !pool.without.Has(bvmechanism.Average) {
-		beside = max(beside, moment.share*slots)
+		beside = max(beside, snapshot.share*slots)
 	}
 	cost += float64(max(request.PromptTokens-cached, 0)) / pool.ReadingRate() * (1 + beside)
 	if len(request.Prefix) > 0 && cached <= request.Prefix[0].Tokens {
-		cost += pool.homeWeight(row) * row.home(request) // nothing of the conversation itself is here
+		cost += pool.affinityWeight(row) * row.affinity(request) // nothing of the conversation itself is here
 	}
 	return cost
 }
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -20,7 +20,7 @@
 	peersAt bvclock.Time
 	cache   cache
 	health  health
-	seen    judgement
+	seen    outlierStats
 	untold  Report // own calls, since other hosts were told
 }
 
--- a/bvdispatch/judgement.go
+++ b/bvdispatch/outlier.go
@@ -12,12 +12,12 @@
 // only. An outlier is not ejected: it costs more, so that it still gets a call now and
 // then and can recover.
 const (
-	// judgementLife is the time constant of the decay of what was seen: short beside
+	// outlierDecay is the time constant of the decay of what was seen: short beside
 	// faults, and long beside the time between two calls of a zone to an endpoint.
-	judgementLife = 3 * bvclock.Second
-	// doubtCalls are added to the calls that were seen, so that one failure
+	outlierDecay = 3 * bvclock.Second
+	// priorCalls are added to the calls that were seen, so that one failure
 	// among few calls says little.
-	doubtCalls = 4
+	priorCalls = 4
 	// failureCost is the cost of a call that fails, in milliseconds: it is made again
 	// from its start, after a pause.
 	failureCost = 1000
@@ -44,41 +44,41 @@
 	report.Pace += other.Pace
 }
 
-// judgement is what reports of this zone's hosts say of an endpoint. The zero
-// value is no judgement.
-type judgement struct {
+// outlierStats is what reports of this zone's hosts say of an endpoint. The zero
+// value is no outlierStats.
+type outlierStats struct {
 	ended, failed, paced, pace float64
 	at                         bvclock.Time
 }
 
-func (judgement *judgement) fade(now bvclock.Time) {
-	left := math.Exp(-float64(now.Sub(judgement.at)) / float64(judgementLife))
-	judgement.ended *= left
-	judgement.failed *= left
-	judgement.paced *= left
-	judgement.pace *= left
-	judgement.at = now
+func (stats *outlierStats) fade(now bvclock.Time) {
+	left := math.Exp(-float64(now.Sub(stats.at)) / float64(outlierDecay))
+	stats.ended *= left
+	stats.failed *= left
+	stats.paced *= left
+	stats.pace *= left
+	stats.at = now
 }
 
-func (judgement *judgement) add(now bvclock.Time, report Report) {
-	judgement.fade(now)
-	judgement.ended += float64(report.Ended)
-	judgement.failed += float64(report.Failed)
-	judgement.paced += float64(report.Paced)
-	judgement.pace += float64(report.Pace)
+func (stats *outlierStats) add(now bvclock.Time, report Report) {
+	stats.fade(now)
+	stats.ended += float64(report.Ended)
+	stats.failed += float64(report.Failed)
+	stats.paced += float64(report.Paced)
+	stats.pace += float64(report.Pace)
 }
 
 // cost is what a call is expected to cost there beyond what it costs elsewhere,
 // in milliseconds. Pace and duration are the service's means.
-func (judgement judgement) cost(now bvclock.Time, pace, duration float64) float64 {
-	if judgement.ended == 0 {
+func (stats outlierStats) cost(now bvclock.Time, pace, duration float64) float64 {
+	if stats.ended == 0 {
 		return 0
 	}
-	judgement.fade(now)
-	cost := failureCost * judgement.failed / (judgement.ended + doubtCalls)
-	if judgement.paced > 0 && pace > 0 {
-		trust := judgement.paced / (judgement.paced + doubtCalls)
-		if ratio := judgement.pace / judgement.paced / pace; ratio > slowRatio {
+	stats.fade(now)
+	cost := failureCost * stats.failed / (stats.ended + priorCalls)
+	if stats.paced > 0 && pace > 0 {
+		trust := stats.paced / (stats.paced + priorCalls)
+		if ratio := stats.pace / stats.paced / pace; ratio > slowRatio {
 			cost += trust * (ratio - 1) * duration
 		}
 	}
--- a/bvdispatch/pool_test.go
+++ b/bvdispatch/pool_test.go
@@ -113,7 +113,7 @@
 }
 
 // An engine accepts calls and answers none. It has the fewest calls under way,
-// so that without a judgement every next call would go there.
+// so that without outlier detection every next call would go there.
 func TestFailingEndpointIsLeftForAWhile(t *testing.T) {
 	pool := newTestPool(2)
 	for range 3 {
--- a/bvdispatch/sample.go
+++ b/bvdispatch/sample.go
@@ -18,7 +18,7 @@
 )
 
 // crowded reports whether the endpoints have little room left.
-func (moment moment) crowded() bool { return moment.share >= crowdedShare }
+func (snapshot snapshot) crowded() bool { return snapshot.share >= crowdedShare }
 
 // sample draws the endpoints that a decision looks at.
 type sample struct {
@@ -33,22 +33,22 @@
 
 // newSample prepares the drawing for a request. Calls that concern one object
 // spread by it.
-func (pool *Pool) newSample(moment moment, request *Request) sample {
+func (pool *Pool) newSample(snapshot snapshot, request *Request) sample {
 	sample := sample{pool: pool, request: request}
-	if request.Object != 0 || !moment.crowded() || pool.without.Has(bvmechanism.Samples) {
+	if request.Object != 0 || !snapshot.crowded() || pool.without.Has(bvmechanism.Samples) {
 		sample.all = true
 		return sample
 	}
 	cached, open := 0, 0
 	for _, row := range pool.rows {
-		if !row.open(moment.now) || request.Avoid[row.entry.Name] {
+		if !row.open(snapshot.now) || request.Avoid[row.entry.Name] {
 			continue
 		}
 		open++
 		if row.cache.cached(request.Prefix) > 0 {
 			cached++
 		}
-		if len(request.Prefix) > 0 && (sample.first == nil || row.home(request) < sample.first.home(request)) {
+		if len(request.Prefix) > 0 && (sample.first == nil || row.affinity(request) < sample.first.affinity(request)) {
 			sample.first = row
 		}
 	}
--- a/bvdispatch/sample_test.go
+++ b/bvdispatch/sample_test.go
@@ -78,7 +78,7 @@
 	for range 7 {
 		pool.Begin(0, "e0", &Request{})
 	}
-	require.False(t, moment{share: pool.share(0)}.crowded())
+	require.False(t, snapshot{share: pool.share(0)}.crowded())
 	pool.Begin(0, "e0", &Request{})
-	require.True(t, moment{share: pool.share(0)}.crowded())
+	require.True(t, snapshot{share: pool.share(0)}.crowded())
 }
--- a/bvdispatch/shortlist.go
+++ b/bvdispatch/shortlist.go
@@ -29,16 +29,16 @@
 // hashes of their IDs.
 func (pool *Pool) Shortlist(now bvclock.Time, request *Request) []uint64 {
 	pool.noteHeld(request)
-	moment := moment{now: now, share: pool.share(now)}
+	snapshot := snapshot{now: now, share: pool.share(now)}
 	type candidate struct {
 		endpoint *endpoint
 		cost     float64
 	}
 	var candidates []candidate
-	sample := pool.newSample(moment, request)
+	sample := pool.newSample(snapshot, request)
 	for _, row := range pool.rows {
 		if row.open(now) && !request.Avoid[row.entry.Name] && sample.has(row) {
-			candidates = append(candidates, candidate{row, pool.cost(moment, row, request)})
+			candidates = append(candidates, candidate{row, pool.cost(snapshot, row, request)})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
@@ -51,13 +51,13 @@
 
 // drawn returns the endpoints that a decision looks at: those that it was told of, or
 // a sample.
-func (pool *Pool) drawn(moment moment, request *Request) sample {
+func (pool *Pool) drawn(snapshot snapshot, request *Request) sample {
 	if len(request.Among) == 0 {
-		return pool.newSample(moment, request)
+		return pool.newSample(snapshot, request)
 	}
 	for endpoint, count := range request.Among {
 		if row := pool.byHash[endpoint]; row != nil {
-			row.setPeers(moment.now, count)
+			row.setPeers(snapshot.now, count)
 		}
 	}
 	return sample{among: request.Among}
--- a/bvhistory/history_test.go
+++ b/bvhistory/history_test.go
@@ -44,11 +44,11 @@
 
 func (noPeers) Chain(context.Context, string, string) Chain { return nil }
 
-// fewPeers are other hosts that answer with a keeper's turns, as they travel.
-type fewPeers struct{ keeper *Keeper }
+// fewPeers are other hosts that answer with a store's turns, as they travel.
+type fewPeers struct{ store *Store }
 
 func (peers fewPeers) Chain(_ context.Context, _, turn string) Chain {
-	chain, err := DecodeChain(peers.keeper.Recall(turn).Encode())
+	chain, err := DecodeChain(peers.store.Recall(turn).Encode())
 	if err != nil {
 		return nil
 	}
@@ -59,11 +59,11 @@
 // its turns has them at hand.
 func TestConversationIsTakenFromAnotherHost(t *testing.T) {
 	shared := &store{}
-	first := newTestKeeper(shared)
+	first := newTestStore(shared)
 	say(t, first, "", "t1", "a", "b\n")
 	say(t, first, "t1", "t2", "c", "d\n")
 	shared.down = true
-	second := newTestKeeper(shared)
+	second := newTestStore(shared)
 	second.peers = fewPeers{first}
 	chain, err := second.Chain(t.Context(), "p", "t2")
 	require.NoError(t, err)
@@ -86,25 +86,25 @@
 	require.Error(t, err)
 }
 
-func newTestKeeper(store bvplatform.Store) *Keeper {
+func newTestStore(store bvplatform.Store) *Store {
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	return NewKeeper(store, noPeers{}, 4096, log)
+	return NewStore(store, noPeers{}, 4096, log)
 }
 
-func say(t *testing.T, keeper *Keeper, parent, id, input, output string) {
+func say(t *testing.T, store *Store, parent, id, input, output string) {
 	t.Helper()
-	chain, err := keeper.Chain(t.Context(), "p", parent)
+	chain, err := store.Chain(t.Context(), "p", parent)
 	require.NoError(t, err)
 	said := Said{ID: id, Input: []byte(input), Output: []byte(output), Retain: bvclock.Minute}
-	require.NoError(t, keeper.Add(t.Context(), chain, said))
+	require.NoError(t, store.Add(t.Context(), chain, said))
 }
 
 func TestPromptIsAllThatWasSaidAndTheNewInput(t *testing.T) {
-	keeper := newTestKeeper(&store{})
-	say(t, keeper, "", "t1", "hello ", "one\ntwo\n")
-	say(t, keeper, "t1", "t2", "again ", "three\n")
-	chain, err := keeper.Chain(t.Context(), "p", "t2")
+	store := newTestStore(&store{})
+	say(t, store, "", "t1", "hello ", "one\ntwo\n")
+	say(t, store, "t1", "t2", "again ", "three\n")
+	chain, err := store.Chain(t.Context(), "p", "t2")
 	require.NoError(t, err)
 	require.Equal(t, "hello one\ntwo\nagain three\nmore", string(chain.Prompt([]byte("more"))))
 }
@@ -113,20 +113,20 @@
 // what was said must be found in the store alone.
 func TestAnotherHostFindsTheConversation(t *testing.T) {
 	shared := &store{}
-	first := newTestKeeper(shared)
+	first := newTestStore(shared)
 	say(t, first, "", "t1", "a", "b\n")
 	say(t, first, "t1", "t2", "c", "d\n")
-	chain, err := newTestKeeper(shared).Chain(t.Context(), "p", "t2")
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", "t2")
 	require.NoError(t, err)
 	require.Equal(t, "ab\ncd\n", string(chain.Prompt(nil)))
 }
 
 func TestTwoTurnsMayContinueTheSameTurn(t *testing.T) {
-	keeper := newTestKeeper(&store{})
-	say(t, keeper, "", "t1", "a", "b\n")
-	say(t, keeper, "t1", "left", "l", "1\n")
-	say(t, keeper, "t1", "right", "r", "2\n")
-	chain, err := keeper.Chain(t.Context(), "p", "right")
+	store := newTestStore(&store{})
+	say(t, store, "", "t1", "a", "b\n")
+	say(t, store, "t1", "left", "l", "1\n")
+	say(t, store, "t1", "right", "r", "2\n")
+	chain, err := store.Chain(t.Context(), "p", "right")
 	require.NoError(t, err)
 	require.Equal(t, "ab\nr2\n", string(chain.Prompt(nil)))
 }
@@ -135,10 +135,10 @@
 // must not, or the caller would give its conversation up.
 func TestUnknownTurnIsSaidOnlyByTheStore(t *testing.T) {
 	shared := &store{}
-	_, err := newTestKeeper(shared).Chain(t.Context(), "p", "nobody")
+	_, err := newTestStore(shared).Chain(t.Context(), "p", "nobody")
 	require.Equal(t, bvverdict.UnknownRequest, bvverdict.From(err).Code())
 	shared.down = true
-	_, err = newTestKeeper(shared).Chain(t.Context(), "p", "nobody")
+	_, err = newTestStore(shared).Chain(t.Context(), "p", "nobody")
 	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code())
 	require.Positive(t, bvverdict.From(err).RetryAfter())
 }
@@ -171,12 +171,12 @@
 // through another host. The turn must be kept meanwhile, and found afterwards.
 func TestTurnIsKeptWhileItsPartOfTheStoreIsAway(t *testing.T) {
 	shared := &partlyAway{away: map[string]bool{strings.Split(key("t1", 0, 0), "/")[1]: true}}
-	say(t, newTestKeeper(shared), "", "t1", "a", "b\n")
-	chain, err := newTestKeeper(shared).Chain(t.Context(), "p", "t1")
+	say(t, newTestStore(shared), "", "t1", "a", "b\n")
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", "t1")
 	require.NoError(t, err, "while the part is still away")
 	require.Equal(t, "ab\n", string(chain.Prompt(nil)))
 	shared.away = nil
-	_, err = newTestKeeper(shared).Chain(t.Context(), "p", "t1")
+	_, err = newTestStore(shared).Chain(t.Context(), "p", "t1")
 	require.NoError(t, err, "when the part is back")
 }
 
@@ -184,7 +184,7 @@
 func TestTurnIsNotUnknownWhileOneOfItsPlacesIsAway(t *testing.T) {
 	for place := range places {
 		shared := &partlyAway{away: map[string]bool{strings.Split(key("t1", place, 0), "/")[1]: true}}
-		_, err := newTestKeeper(shared).Chain(t.Context(), "p", "t1")
+		_, err := newTestStore(shared).Chain(t.Context(), "p", "t1")
 		require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code())
 	}
 }
@@ -193,8 +193,8 @@
 // turn is written again and stands once.
 func TestLostAnswerIsWrittenAgain(t *testing.T) {
 	shared := &store{loseCommits: 2}
-	say(t, newTestKeeper(shared), "", "t1", "a", "b\n")
-	chain, err := newTestKeeper(shared).Chain(t.Context(), "p", "t1")
+	say(t, newTestStore(shared), "", "t1", "a", "b\n")
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", "t1")
 	require.NoError(t, err)
 	require.Len(t, chain, 1)
 }
@@ -204,15 +204,15 @@
 func TestTurnThatCantBeKeptIsNoCompleteTurn(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	keeper := newTestKeeper(&store{loseCommits: 1000})
-	require.Error(t, keeper.Add(ctx, nil, Said{ID: "t1"}))
+	store := newTestStore(&store{loseCommits: 1000})
+	require.Error(t, store.Add(ctx, nil, Said{ID: "t1"}))
 }
 
 func TestLongTurnIsSplitIntoRows(t *testing.T) {
 	shared := &store{}
 	long := strings.Repeat("long text ", 3000)
-	say(t, newTestKeeper(shared), "", "t1", long, "end\n")
-	chain, err := newTestKeeper(shared).Chain(t.Context(), "p", "t1")
+	say(t, newTestStore(shared), "", "t1", long, "end\n")
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", "t1")
 	require.NoError(t, err)
 	require.Equal(t, long+"end\n", string(chain.Prompt(nil)))
 }
@@ -238,12 +238,12 @@
 }
 
 func TestCacheStaysWithinItsBytes(t *testing.T) {
-	keeper := newTestKeeper(&store{})
+	store := newTestStore(&store{})
 	for i := range 100 {
-		keeper.remember(&Turn{ID: string(rune('a' + i)), Input: make([]byte, 200_000)})
+		store.remember(&Turn{ID: string(rune('a' + i)), Input: make([]byte, 200_000)})
 	}
-	require.LessOrEqual(t, keeper.bytes, cacheBytes)
-	require.Positive(t, keeper.cache.Len())
+	require.LessOrEqual(t, store.bytes, cacheBytes)
+	require.Positive(t, store.cache.Len())
 }
 
 func TestTurnIsReadAsItWasWritten(t *testing.T) {
@@ -285,21 +285,21 @@
 // Turns are swept when nothing can need them any more, with all their rows.
 func TestExpiredTurnIsSweptWhole(t *testing.T) {
 	shared := &store{}
-	keeper := newTestKeeper(shared)
+	store := newTestStore(shared)
 	gone := &Turn{ID: "gone", Expires: 1, Input: make([]byte, 10_000)}
 	kept := newTurn(nil, Said{ID: "kept", Retain: bvclock.Minute}, time.Now().Unix())
 	for _, turn := range []*Turn{gone, kept} {
-		_, err := shared.Memory.Commit(t.Context(), bvplatform.Transaction{Puts: keeper.rows(turn, 0)})
+		_, err := shared.Memory.Commit(t.Context(), bvplatform.Transaction{Puts: store.rows(turn, 0)})
 		require.NoError(t, err)
 	}
 	removed := 0
 	for range 40 * shards { // parts are drawn at random
-		count, err := keeper.Sweep(t.Context())
+		count, err := store.Sweep(t.Context())
 		require.NoError(t, err)
 		removed += count
 	}
-	require.Equal(t, len(keeper.rows(gone, 0)), removed)
-	_, err := newTestKeeper(shared).Chain(t.Context(), "p", "kept")
+	require.Equal(t, len(store.rows(gone, 0)), removed)
+	_, err := newTestStore(shared).Chain(t.Context(), "p", "kept")
 	require.NoError(t, err)
 }
 
@@ -311,8 +311,8 @@
 	var lines bytes.Buffer
 	log := logrus.New()
 	log.SetOutput(&lines)
-	keeper := NewKeeper(&store{loseCommits: 5}, noPeers{}, 1<<16, log)
-	require.NoError(t, keeper.Add(t.Context(), nil, Said{ID: "t1", Retain: bvclock.Minute}))
+	store := NewStore(&store{loseCommits: 5}, noPeers{}, 1<<16, log)
+	require.NoError(t, store.Add(t.Context(), nil, Said{ID: "t1", Retain: bvclock.Minute}))
 	require.Equal(t, 1, strings.Count(lines.String(), "turn not kept yet"))
 	require.Equal(t, 1, strings.Count(lines.String(), "turn kept after all"))
 }
--- a/bvhistory/row.go
+++ b/bvhistory/row.go
@@ -33,9 +33,9 @@
 const headBytes = 9
 
 // rows splits a turn into the rows of one of its places.
-func (keeper *Keeper) rows(turn *Turn, place int) []bvplatform.Put {
+func (store *Store) rows(turn *Turn, place int) []bvplatform.Put {
 	encoded := turn.encode()
-	limit := max(int(float64(keeper.rowBytes)*base64Share), 1<<10)
+	limit := max(int(float64(store.rowBytes)*base64Share), 1<<10)
 	count := (len(encoded) + limit - 1) / limit
 	puts := make([]bvplatform.Put, 0, count)
 	for piece := range count {
@@ -47,11 +47,11 @@
 }
 
 // turn returns a turn that is at hand, or reads it.
-func (keeper *Keeper) turn(ctx context.Context, id string) (*Turn, error) {
-	if found := keeper.recall(id); found != nil {
+func (store *Store) turn(ctx context.Context, id string) (*Turn, error) {
+	if found := store.recall(id); found != nil {
 		return found, nil
 	}
-	encoded, err := keeper.read(ctx, id)
+	encoded, err := store.read(ctx, id)
 	if err != nil {
 		return nil, err
 	}
@@ -59,16 +59,16 @@
 	if err != nil {
 		return nil, err
 	}
-	keeper.remember(turn)
+	store.remember(turn)
 	return turn, nil
 }
 
 // read looks for a turn in its places. That there is no such turn is sure only
 // if all of them were read.
-func (keeper *Keeper) read(ctx context.Context, id string) ([]byte, error) {
+func (store *Store) read(ctx context.Context, id string) ([]byte, error) {
 	var unsure error
 	for place := range places {
-		encoded, err := keeper.readPlace(ctx, id, place)
+		encoded, err := store.readPlace(ctx, id, place)
 		if err == nil {
 			return encoded, nil
 		}
@@ -82,8 +82,8 @@
 	return nil, fmt.Errorf("turn %s: %w", id, bvplatform.ErrNotFound)
 }
 
-func (keeper *Keeper) readPlace(ctx context.Context, id string, place int) ([]byte, error) {
-	rows, err := keeper.store.Read(ctx, key(id, place, 0))
+func (store *Store) readPlace(ctx context.Context, id string, place int) ([]byte, error) {
+	rows, err := store.durable.Read(ctx, key(id, place, 0))
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +98,7 @@
 	for piece := 1; piece < pieces; piece++ {
 		keys = append(keys, key(id, place, piece))
 	}
-	rest, err := keeper.store.Read(ctx, keys...)
+	rest, err := store.durable.Read(ctx, keys...)
 	if err != nil {
 		return nil, err
 	}
--- a/bvhistory/keeper.go
+++ b/bvhistory/store.go
@@ -11,11 +11,11 @@
 //
 // # Usage
 //
-//	keeper := bvhistory.NewKeeper(store, peers, rowBytes, log)
-//	chain, err := keeper.Chain(ctx, program, parent) // all turns up to the parent
+//	store := bvhistory.NewStore(platform, peers, rowBytes, log)
+//	chain, err := store.Chain(ctx, program, parent) // all turns up to the parent
 //	body := chain.Prompt(input)
 //	...
-//	err = keeper.Add(ctx, chain, bvhistory.Said{ID: id, Input: input, Output: output, Retain: retain})
+//	err = store.Add(ctx, chain, bvhistory.Said{ID: id, Input: input, Output: output, Retain: retain})
 //
 // # Cost
 //
@@ -78,10 +78,10 @@
 	Chain(ctx context.Context, program, turn string) Chain
 }
 
-// Keeper reads and writes turns. Make one with NewKeeper; it is safe for
+// Store reads and writes turns. Make one with NewStore; it is safe for
 // concurrent use.
-type Keeper struct {
-	store    bvplatform.Store
+type Store struct {
+	durable  bvplatform.Store
 	peers    Peers
 	rowBytes int
 	log      logrus.FieldLogger
@@ -91,12 +91,12 @@
 	bytes int
 }
 
-// NewKeeper returns a Keeper whose rows hold at most rowBytes each.
-func NewKeeper(store bvplatform.Store, peers Peers, rowBytes int, log logrus.FieldLogger) *Keeper {
-	keeper := &Keeper{store: store, peers: peers, rowBytes: rowBytes, log: log}
+// NewStore returns a Store whose rows hold at most rowBytes each.
+func NewStore(durable bvplatform.Store, peers Peers, rowBytes int, log logrus.FieldLogger) *Store {
+	store := &Store{durable: durable, peers: peers, rowBytes: rowBytes, log: log}
 	const unbounded = 1 << 30 // the bound is in bytes, see remember
-	keeper.cache, _ = simplelru.NewLRU(unbounded, func(_ string, turn *Turn) { keeper.bytes -= turn.size() })
-	return keeper
+	store.cache, _ = simplelru.NewLRU(unbounded, func(_ string, turn *Turn) { store.bytes -= turn.size() })
+	return store
 }
 
 // Chain returns all turns up to the one that is named, or none for an empty
@@ -107,32 +107,32 @@
 // for each turn. Asking a host that has it at hand saves these reads. What
 // another host has is as good as the row, since hosts hold only turns that are in
 // the store, and a turn never changes.
-func (keeper *Keeper) Chain(ctx context.Context, program, parent string) (Chain, error) {
+func (store *Store) Chain(ctx context.Context, program, parent string) (Chain, error) {
 	if parent == "" {
 		return nil, nil
 	}
-	if chain := keeper.Recall(parent); chain != nil {
+	if chain := store.Recall(parent); chain != nil {
 		return chain, nil
 	}
-	if chain := keeper.peers.Chain(ctx, program, parent); chain.endsWith(parent) {
+	if chain := store.peers.Chain(ctx, program, parent); chain.endsWith(parent) {
 		for _, turn := range chain {
-			keeper.remember(turn)
+			store.remember(turn)
 		}
 		return chain, nil
 	}
-	return keeper.load(ctx, parent)
+	return store.load(ctx, parent)
 }
 
 // Recall returns all turns up to the one that is named if they are at hand, else
 // nil.
-func (keeper *Keeper) Recall(parent string) Chain {
-	last := keeper.recall(parent)
+func (store *Store) Recall(parent string) Chain {
+	last := store.recall(parent)
 	if last == nil {
 		return nil
 	}
 	chain := make(Chain, 0, len(last.Ancestors)+1)
 	for _, ancestor := range last.Ancestors {
-		turn := keeper.recall(ancestor)
+		turn := store.recall(ancestor)
 		if turn == nil {
 			return nil
 		}
@@ -142,8 +142,8 @@
 }
 
 // load reads from the store what is not at hand.
-func (keeper *Keeper) load(ctx context.Context, parent string) (Chain, error) {
-	last, err := keeper.turn(ctx, parent)
+func (store *Store) load(ctx context.Context, parent string) (Chain, error) {
+	last, err := store.turn(ctx, parent)
 	if errors.Is(err, bvplatform.ErrNotFound) {
 		return nil, bvverdict.Refuse(bvverdict.UnknownRequest, "there is no turn %s", parent)
 	}
@@ -154,11 +154,11 @@
 	chain[len(last.Ancestors)] = last
 	group, ctx := errgroup.WithContext(ctx)
 	for i, ancestor := range last.Ancestors {
-		if chain[i] = keeper.recall(ancestor); chain[i] != nil {
+		if chain[i] = store.recall(ancestor); chain[i] != nil {
 			continue
 		}
 		group.Go(func() (err error) {
-			chain[i], err = keeper.turn(ctx, ancestor)
+			chain[i], err = store.turn(ctx, ancestor)
 			return err
 		})
 	}
@@ -175,15 +175,15 @@
 
 // Add keeps a turn. It returns when the turn is durable, or when ctx ends, in
 // which case the caller must not be told that its turn is complete.
-func (keeper *Keeper) Add(ctx context.Context, chain Chain, said Said) error {
+func (store *Store) Add(ctx context.Context, chain Chain, said Said) error {
 	now := time.Now().Unix()
 	turn := newTurn(chain, said, now)
 	for try := 0; ; try++ {
-		_, err := keeper.store.Commit(ctx, bvplatform.Transaction{Puts: keeper.rows(turn, try%places)})
+		_, err := store.durable.Commit(ctx, bvplatform.Transaction{Puts: store.rows(turn, try%places)})
 		if err == nil {
-			keeper.remember(turn)
+			store.remember(turn)
 			if try > 0 {
-				keeper.log.WithFields(logrus.Fields{"request": said.ID, "tries": try + 1}).Info("turn kept after all")
+				store.log.WithFields(logrus.Fields{"request": said.ID, "tries": try + 1}).Info("turn kept after all")
 			}
 			return nil
 		}
@@ -194,7 +194,7 @@
 		// twice changes nothing, so an answer that was lost needs no look,
 		// and the next try may go to another part.
 		if try == 0 { // once a turn: there is a try each 20 ms, for seconds
-			keeper.log.WithField("request", said.ID).WithError(err).Warn("turn not kept yet")
+			store.log.WithField("request", said.ID).WithError(err).Warn("turn not kept yet")
 		}
 		wait(ctx, retryPause)
 	}
@@ -229,31 +229,31 @@
 }
 
 // Sweep removes expired turns, in a part that is drawn at random.
-func (keeper *Keeper) Sweep(ctx context.Context) (int, error) {
+func (store *Store) Sweep(ctx context.Context) (int, error) {
 	now := uint64(time.Now().Unix())
 	prefix := fmt.Sprintf("history/%02x/", rand.IntN(shards))
-	return bvplatform.Sweep(ctx, keeper.store, prefix, func(row bvplatform.Row) bool {
+	return bvplatform.Sweep(ctx, store.durable, prefix, func(row bvplatform.Row) bool {
 		return len(row.Value) >= headBytes && binary.BigEndian.Uint64(row.Value[1:]) < now
 	})
 }
 
-func (keeper *Keeper) recall(id string) *Turn {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	found, _ := keeper.cache.Get(id)
+func (store *Store) recall(id string) *Turn {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	found, _ := store.cache.Get(id)
 	return found
 }
 
 // remember keeps a turn at hand; those not used for longest yield.
-func (keeper *Keeper) remember(turn *Turn) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	if keeper.cache.Contains(turn.ID) {
+func (store *Store) remember(turn *Turn) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.cache.Contains(turn.ID) {
 		return
 	}
-	keeper.cache.Add(turn.ID, turn)
-	keeper.bytes += turn.size()
-	for keeper.bytes > cacheBytes {
-		keeper.cache.RemoveOldest()
+	store.cache.Add(turn.ID, turn)
+	store.bytes += turn.size()
+	for store.bytes > cacheBytes {
+		store.cache.RemoveOldest()
 	}
 }
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -4,8 +4,8 @@
 //
 // # Usage
 //
-//	without, err := bvmechanism.Parse("homes,samples")
-//	if without.Has(bvmechanism.Homes) {
+//	without, err := bvmechanism.Parse("affinity,samples")
+//	if without.Has(bvmechanism.Affinity) {
 //		return 0
 //	}
 package bvmechanism
@@ -22,10 +22,10 @@
 
 // The mechanisms.
 const (
-	Homes         Mechanism = iota // homes
+	Affinity      Mechanism = iota // affinity
 	Digests                        // digests
 	Samples                        // samples
-	Judgement                      // judgement
+	Outliers                       // outliers
 	Admission                      // admission
 	Ranks                          // ranks
 	Lending                        // lending
@@ -44,10 +44,10 @@
 
 // What each of them does, for the command line's help.
 var purposes = [last]string{
-	Homes:         "prompts that begin alike meet at few endpoints where memory is scarce",
-	Digests:       "hosts tell each other of their calls, prompts and judgements",
+	Affinity:      "prompts that begin alike meet at few endpoints where memory is scarce",
+	Digests:       "hosts tell each other of their calls, prompts and how calls ended",
 	Samples:       "in a crowd, a decision looks at a few endpoints only",
-	Judgement:     "endpoints are judged by how calls end there",
+	Outliers:      "endpoints are judged by how calls end there",
 	Admission:     "new programs are turned away in a crowd",
 	Ranks:         "calls wait at engines by their route's priority, programs under way first",
 	Lending:       "hosts give up unspent tokens of a program's budget to each other",
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -8,10 +8,10 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[Homes-0]
+	_ = x[Affinity-0]
 	_ = x[Digests-1]
 	_ = x[Samples-2]
-	_ = x[Judgement-3]
+	_ = x[Outliers-3]
 	_ = x[Admission-4]
 	_ = x[Ranks-5]
 	_ = x[Lending-6]
@@ -28,9 +28,9 @@
 	_ = x[last-17]
 }
 
-const _Mechanism_name = "homesdigestssamplesjudgementadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholderslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholderslast"
 
-var _Mechanism_index = [...]uint8{0, 5, 12, 19, 28, 37, 42, 49, 55, 61, 74, 81, 85, 92, 96, 103, 109, 116, 120}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 122}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/bvmechanism/mechanism_test.go
+++ b/bvmechanism/mechanism_test.go
@@ -7,10 +7,10 @@
 )
 
 func TestNamedMechanismsAreInTheSet(t *testing.T) {
-	set, err := Parse("homes, average")
+	set, err := Parse("affinity, average")
 	require.NoError(t, err)
 	for _, mechanism := range All() {
-		require.Equal(t, mechanism == Homes || mechanism == Average, set.Has(mechanism), mechanism)
+		require.Equal(t, mechanism == Affinity || mechanism == Average, set.Has(mechanism), mechanism)
 	}
 }
 
@@ -22,7 +22,7 @@
 
 // A name that is misspelt must not pass for an experiment that shows no difference.
 func TestUnknownNameIsAnError(t *testing.T) {
-	_, err := Parse("homes,smaples")
+	_, err := Parse("affinity,smaples")
 	require.ErrorContains(t, err, `"smaples"`)
 }
 
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -82,7 +82,7 @@
 	dispatcher  *bvdispatch.Dispatcher
 	connections *bvforward.Connections
 	budgets     *bvbudget.Keeper
-	histories   *bvhistory.Keeper
+	histories   *bvhistory.Store
 	leases      *bvlease.Leases
 	limiter     *bvquota.Limiter
 	counters    *bvmeasure.Counters
@@ -156,7 +156,7 @@
 	}
 	router.budgets.SetLending(!settings.Without.Has(bvmechanism.Lending))
 	router.dispatcher.Without(settings.Without)
-	router.histories = bvhistory.NewKeeper(router.store, peers{router}, settings.RowBytes, log)
+	router.histories = bvhistory.NewStore(router.store, peers{router}, settings.RowBytes, log)
 	router.front = bvfront.New(bvfront.Parts{
 		Clock:      clock,
 		Wire:       parts.Wire,
