--- a/bvbudget/account.go
+++ b/bvbudget/account.go
@@ -13,7 +13,7 @@
 	program string
 	turn    chan struct{} // held by who reads or writes the record
 
-	// Below, guarded by the keeper's mutex.
+	// Below, guarded by the allocator's mutex.
 	record   Record
 	version  int64 // of the record; 0: absent
 	known    bool  // the record was read or written
--- a/bvbudget/keeper.go
+++ b/bvbudget/allocator.go
@@ -24,9 +24,9 @@
 //
 // # Usage
 //
-//	keeper := bvbudget.NewKeeper(store, lenders, incarnation, clock, log)
-//	keeper.SetGrantors(grantors) // without it, the store records whole budgets
-//	reservation, err := keeper.Reserve(ctx, bvbudget.Turn{Program: id, Budget: 4576, Most: 572})
+//	allocator := bvbudget.NewAllocator(store, lenders, incarnation, clock, log)
+//	allocator.SetGrantors(grantors) // without it, the store records whole budgets
+//	reservation, err := allocator.Reserve(ctx, bvbudget.Turn{Program: id, Budget: 4576, Most: 572})
 //	defer reservation.Close()
 //	reservation.Spend(22) // for each event, before it is handed on
 //
@@ -72,7 +72,7 @@
 // Lenders are the other hosts.
 type Lenders interface {
 	// Ask waits a short time for a host to give up tokens; they come by
-	// Keeper.Lent, also when they are late. A host that is known to be silent
+	// Allocator.Lent, also when they are late. A host that is known to be silent
 	// is not asked; one that withholds tokens counts as not having answered.
 	Ask(ctx context.Context, host string, want Want) (asked, answered bool)
 	// Address returns where to ask an incarnation of a host, if it is heard.
@@ -109,9 +109,9 @@
 	Retain    bvclock.Duration // how long the budget is kept after the last turn
 }
 
-// Keeper holds the accounts of all programs that this host has turns of. Make
-// one with NewKeeper; it is safe for concurrent use.
-type Keeper struct {
+// Allocator holds the accounts of all programs that this host has turns of. Make
+// one with NewAllocator; it is safe for concurrent use.
+type Allocator struct {
 	store    bvplatform.Store
 	lenders  Lenders
 	grantors Grantors // nil: none
@@ -130,39 +130,39 @@
 	writes   int64
 }
 
-// NewKeeper returns a Keeper. The incarnation must differ with each start of
+// NewAllocator returns an Allocator. The incarnation must differ with each start of
 // the process: what an earlier one reserved counts as spent.
-func NewKeeper(store bvplatform.Store, lenders Lenders, incarnation string, clock bvclock.Clock, log logrus.FieldLogger) *Keeper {
-	keeper := &Keeper{
+func NewAllocator(store bvplatform.Store, lenders Lenders, incarnation string, clock bvclock.Clock, log logrus.FieldLogger) *Allocator {
+	allocator := &Allocator{
 		store: store, lenders: lenders, host: incarnation, clock: clock, log: log,
 		settle: defaultSettle, started: clock.Now(), accounts: make(map[string]*account),
 		grants: make(map[string]*grant),
 	}
-	keeper.holders, _ = simplelru.NewLRU[uint64, []string](maxHolders, nil)
-	return keeper
+	allocator.holders, _ = simplelru.NewLRU[uint64, []string](maxHolders, nil)
+	return allocator
 }
 
 // SetSettle sets the time after which what a turn has spent must be settled. It
 // is called before the first turn.
-func (keeper *Keeper) SetSettle(settle bvclock.Duration) { keeper.settle = settle }
+func (allocator *Allocator) SetSettle(settle bvclock.Duration) { allocator.settle = settle }
 
 // SetLending tells whether this host gives up what it holds to other hosts; it does
 // unless an experiment says otherwise.
-func (keeper *Keeper) SetLending(lending bool) { keeper.keeps = !lending }
+func (allocator *Allocator) SetLending(lending bool) { allocator.keeps = !lending }
 
 // returnAfter is how long a program pauses before its unspent tokens are given
 // back.
-func (keeper *Keeper) returnAfter() bvclock.Duration {
-	return bvclock.Duration(float64(keeper.settle) * returnShare)
+func (allocator *Allocator) returnAfter() bvclock.Duration {
+	return bvclock.Duration(float64(allocator.settle) * returnShare)
 }
 
 // Reserve sets aside what a turn may spend. The error is a *bvverdict.Error:
 // BudgetExceeded where the budget does not hold the turn, or a refusal while
 // the store can't be asked.
-func (keeper *Keeper) Reserve(ctx context.Context, turn Turn) (*Reservation, error) {
-	account := keeper.open(turn)
-	defer keeper.unwant(account, turn.Most)
-	if reservation := keeper.takeFree(account, turn); reservation != nil {
+func (allocator *Allocator) Reserve(ctx context.Context, turn Turn) (*Reservation, error) {
+	account := allocator.open(turn)
+	defer allocator.unwant(account, turn.Most)
+	if reservation := allocator.takeFree(account, turn); reservation != nil {
 		return reservation, nil
 	}
 	select {
@@ -171,58 +171,58 @@
 	case <-ctx.Done():
 		return nil, bvverdict.Refuse(bvverdict.DeadlinePassed, "no time is left to reserve the budget").WithRetryAfter(retryAfter)
 	}
-	return keeper.reserve(ctx, account, turn)
+	return allocator.reserve(ctx, account, turn)
 }
 
 // open returns the program's account and counts the turn as waiting.
-func (keeper *Keeper) open(turn Turn) *account {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	found := keeper.accounts[turn.Program]
+func (allocator *Allocator) open(turn Turn) *account {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	found := allocator.accounts[turn.Program]
 	if found == nil {
 		// There is no row yet, as a rule: the grantor has tokens left. Where there is
 		// one, the first write says so and shows it, for as many calls as reading it.
 		// With a reading first, a day of 11,700 turns took 3,300 calls to the store
 		// more.
 		found = &account{program: turn.Program, turn: make(chan struct{}, 1), known: true}
-		keeper.accounts[turn.Program] = found
+		allocator.accounts[turn.Program] = found
 	}
 	found.wanted += turn.Most
 	found.most = turn.Most
-	found.budget = keeper.stored(turn)
+	found.budget = allocator.stored(turn)
 	found.retain = max(found.retain, turn.Retain)
-	found.usedAt = keeper.clock.Now()
+	found.usedAt = allocator.clock.Now()
 	return found
 }
 
-func (keeper *Keeper) unwant(account *account, most int) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) unwant(account *account, most int) {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	account.wanted -= most
 }
 
 // takeFree reserves from what this host has already, or returns nil.
-func (keeper *Keeper) takeFree(account *account, turn Turn) *Reservation {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) takeFree(account *account, turn Turn) *Reservation {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	if account.free < turn.Most {
 		return nil
 	}
 	account.free -= turn.Most
 	account.open += turn.Most
-	return &Reservation{keeper: keeper, account: account, left: turn.Most}
+	return &Reservation{allocator: allocator, account: account, left: turn.Most}
 }
 
 // Writes returns how many writes were tried so far.
-func (keeper *Keeper) Writes() int64 {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.writes
+func (allocator *Allocator) Writes() int64 {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return allocator.writes
 }
 
 // Len returns how many programs have an account here.
-func (keeper *Keeper) Len() int {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return len(keeper.accounts)
+func (allocator *Allocator) Len() int {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return len(allocator.accounts)
 }
--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -18,7 +18,7 @@
 
 // SetGrantors lets programs' first halves be granted from memory. It is called
 // before the first turn, on all hosts or on none.
-func (keeper *Keeper) SetGrantors(grantors Grantors) { keeper.grantors = grantors }
+func (allocator *Allocator) SetGrantors(grantors Grantors) { allocator.grantors = grantors }
 
 // grant is the first half of a program's budget, at its grantor.
 type grant struct {
@@ -38,8 +38,8 @@
 func half(budget, most int) int { return (budget + most) / 2 }
 
 // stored is the part of a budget that the program's row holds.
-func (keeper *Keeper) stored(turn Turn) int {
-	if keeper.grantors == nil {
+func (allocator *Allocator) stored(turn Turn) int {
+	if allocator.grantors == nil {
 		return turn.Budget
 	}
 	return half(turn.Budget, turn.Most)
@@ -49,19 +49,19 @@
 // withheld means, see Given. Hosts that have just started read lists that are not
 // complete yet, and each names another grantor; whoever is asked in its place must
 // not deny what the right one has. The caller holds the mutex.
-func (keeper *Keeper) grant(want Want) (tokens int, withheld bool) {
-	now := keeper.clock.Now()
-	if keeper.grantors == nil {
+func (allocator *Allocator) grant(want Want) (tokens int, withheld bool) {
+	now := allocator.clock.Now()
+	if allocator.grantors == nil {
 		return 0, false
 	}
-	if !keeper.grantors.MayGrant(now, want.Program, want.Retain) {
-		holder, found := keeper.grantors.Holder(want.Program)
-		return 0, want.Grantor || !found || holder.Incarnation == keeper.host
+	if !allocator.grantors.MayGrant(now, want.Program, want.Retain) {
+		holder, found := allocator.grantors.Holder(want.Program)
+		return 0, want.Grantor || !found || holder.Incarnation == allocator.host
 	}
-	found := keeper.grants[want.Program]
+	found := allocator.grants[want.Program]
 	if found == nil {
 		found = &grant{left: half(want.Budget, want.Most)}
-		keeper.grants[want.Program] = found
+		allocator.grants[want.Program] = found
 	}
 	found.usedAt, found.retain = now, max(found.retain, want.Retain)
 	tokens = block(found.left, want.Tokens, want.Most)
@@ -76,14 +76,14 @@
 }
 
 // grantHere grants for a turn of this host's own.
-func (keeper *Keeper) grantHere(account *account, turn Turn, partial bool) (withheld bool) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) grantHere(account *account, turn Turn, partial bool) (withheld bool) {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	need := turn.Most - account.free
 	if need <= 0 {
 		return false
 	}
-	tokens, withheld := keeper.grant(turn.want(need, partial))
+	tokens, withheld := allocator.grant(turn.want(need, partial))
 	account.free += tokens
 	return withheld
 }
@@ -98,30 +98,30 @@
 
 // grantor returns the address of another host that may grant for a program, or ""
 // where there is none.
-func (keeper *Keeper) grantor(program string) string {
-	if keeper.grantors == nil {
+func (allocator *Allocator) grantor(program string) string {
+	if allocator.grantors == nil {
 		return ""
 	}
-	holder, found := keeper.grantors.Holder(program)
-	if !found || holder.Incarnation == keeper.host {
+	holder, found := allocator.grantors.Holder(program)
+	if !found || holder.Incarnation == allocator.host {
 		return ""
 	}
 	return holder.Address
 }
 
 // Grants returns how many programs this host has granted for.
-func (keeper *Keeper) Grants() int {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return len(keeper.grants)
+func (allocator *Allocator) Grants() int {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return len(allocator.grants)
 }
 
 // forgetGrants drops the grants of programs that are over. The caller holds the
 // mutex.
-func (keeper *Keeper) forgetGrants(now bvclock.Time) {
-	for program, grant := range keeper.grants {
+func (allocator *Allocator) forgetGrants(now bvclock.Time) {
+	for program, grant := range allocator.grants {
 		if grant.over(now) {
-			delete(keeper.grants, program)
+			delete(allocator.grants, program)
 		}
 	}
 }
@@ -137,13 +137,13 @@
 
 // Granted returns all grants of programs that are not over. It is called when
 // this host grants nothing more.
-func (keeper *Keeper) Granted() []Granted {
-	now := keeper.clock.Now()
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	keeper.forgetGrants(now)
-	granted := make([]Granted, 0, len(keeper.grants))
-	for program, grant := range keeper.grants {
+func (allocator *Allocator) Granted() []Granted {
+	now := allocator.clock.Now()
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	allocator.forgetGrants(now)
+	granted := make([]Granted, 0, len(allocator.grants))
+	for program, grant := range allocator.grants {
 		granted = append(granted, Granted{
 			Program: program, Left: grant.left, Idle: now.Sub(grant.usedAt), Retain: grant.retain,
 		})
@@ -153,11 +153,11 @@
 
 // Inherit takes over the grants of this host's last process, before this one
 // grants anything.
-func (keeper *Keeper) Inherit(granted []Granted) {
-	now := keeper.clock.Now()
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) Inherit(granted []Granted) {
+	now := allocator.clock.Now()
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	for _, known := range granted {
-		keeper.grants[known.Program] = &grant{left: known.Left, usedAt: now.Add(-known.Idle), retain: known.Retain}
+		allocator.grants[known.Program] = &grant{left: known.Left, usedAt: now.Add(-known.Idle), retain: known.Retain}
 	}
 }
--- a/bvbudget/half_test.go
+++ b/bvbudget/half_test.go
@@ -21,7 +21,7 @@
 }
 
 func (grantor *oneGrantor) Holder(string) (bvlease.Host, bool) {
-	return bvlease.Host{Name: "a", Incarnation: grantor.world.keepers["a"].host, Address: "a"}, true
+	return bvlease.Host{Name: "a", Incarnation: grantor.world.allocators["a"].host, Address: "a"}, true
 }
 
 func (grantor *oneGrantor) MayGrant(bvclock.Time, string, bvclock.Duration) bool { return false }
@@ -38,18 +38,18 @@
 
 func newHalvesWorld() (*world, *oneGrantor) {
 	world := newWorld()
-	grantor := &oneGrantor{world: world, incarnation: world.keepers["a"].host}
-	for _, keeper := range world.keepers {
-		keeper.SetGrantors(grantorAt{grantor, keeper.host})
+	grantor := &oneGrantor{world: world, incarnation: world.allocators["a"].host}
+	for _, allocator := range world.allocators {
+		allocator.SetGrantors(grantorAt{grantor, allocator.host})
 	}
 	return world, grantor
 }
 
 // again restarts a host; with handover, what it granted goes with it.
 func (grantor *oneGrantor) again(host string, handover bool) {
-	before := grantor.world.keepers[host]
+	before := grantor.world.allocators[host]
 	grantor.world.restart(host)
-	next := grantor.world.keepers[host]
+	next := grantor.world.allocators[host]
 	next.SetGrantors(grantorAt{grantor, next.host})
 	if handover && before.host == grantor.incarnation {
 		next.Inherit(before.Granted())
@@ -80,12 +80,12 @@
 			},
 			"pause": func(rt *rapid.T) {
 				world.clock.Advance(defaultSettle)
-				world.keepers[hosts.Draw(rt, "host")].Tidy(context.Background())
+				world.allocators[hosts.Draw(rt, "host")].Tidy(context.Background())
 			},
 			"late": func(rt *rapid.T) {
 				world.carryOutLate()
 				for _, letter := range world.letters {
-					world.keepers[letter.host].Lent(letter.program, letter.tokens, nil)
+					world.allocators[letter.host].Lent(letter.program, letter.tokens, nil)
 				}
 				world.letters = nil
 			},
@@ -112,7 +112,7 @@
 		for world.reserve("b", "p", true) == nil {
 			world.spendAndEnd(len(world.open)-1, testMost/testEvent)
 		}
-		clear(world.keepers["a"].grants)
+		clear(world.allocators["a"].grants)
 	}
 	require.Greater(t, world.couldHand("p"), testBudget+testMost)
 }
@@ -146,9 +146,9 @@
 func TestGrantsGoOnAfterAPlannedRestart(t *testing.T) {
 	world, grantor := newHalvesWorld()
 	require.NoError(t, world.reserve("b", "p", false))
-	left := world.keepers["a"].grants["p"].left
+	left := world.allocators["a"].grants["p"].left
 	grantor.again("a", true)
-	require.Equal(t, left, world.keepers["a"].grants["p"].left)
+	require.Equal(t, left, world.allocators["a"].grants["p"].left)
 	require.NoError(t, world.reserve("c", "q", false))
 }
 
@@ -195,17 +195,17 @@
 func TestHostThatIsWronglyTakenForTheGrantorDeniesNothing(t *testing.T) {
 	world, _ := newHalvesWorld()
 	want := Want{Program: "p", Tokens: testMost, Budget: testBudget, Most: testMost, Partial: true}
-	require.Equal(t, Given{}, world.keepers["b"].Lend("c", want))
+	require.Equal(t, Given{}, world.allocators["b"].Lend("c", want))
 	want.Grantor = true
-	require.Equal(t, Given{Withheld: true}, world.keepers["b"].Lend("c", want))
+	require.Equal(t, Given{Withheld: true}, world.allocators["b"].Lend("c", want))
 }
 
 // A program is over for so long that it can't come back. Its grantor forgets it.
 func TestGrantorForgetsProgramsThatAreOver(t *testing.T) {
 	world, _ := newHalvesWorld()
 	require.NoError(t, world.reserve("b", "p", false))
-	require.Len(t, world.keepers["a"].grants, 1)
+	require.Len(t, world.allocators["a"].grants, 1)
 	world.clock.Advance(bvclock.Minute + bvlease.LongestProgram + 1)
-	world.keepers["a"].Tidy(context.Background())
-	require.Empty(t, world.keepers["a"].grants)
+	world.allocators["a"].Tidy(context.Background())
+	require.Empty(t, world.allocators["a"].grants)
 }
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -20,35 +20,35 @@
 
 // Begun returns the hashes of programs that this host has reserved tokens of
 // since the last call, for telling other hosts.
-func (keeper *Keeper) Begun() []uint64 {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	begun := keeper.begun
-	keeper.begun = nil
+func (allocator *Allocator) Begun() []uint64 {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	begun := allocator.begun
+	allocator.begun = nil
 	return begun
 }
 
 // Holds notes that another host has reserved tokens of programs.
-func (keeper *Keeper) Holds(host string, programs []uint64) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) Holds(host string, programs []uint64) {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	for _, program := range programs {
-		keeper.noteHolder(program, host)
+		allocator.noteHolder(program, host)
 	}
 }
 
 // Holders returns the addresses of hosts that had turns of a program.
-func (keeper *Keeper) Holders(program string) []string {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	hosts, _ := keeper.holders.Get(xxhash.Sum64String(program))
+func (allocator *Allocator) Holders(program string) []string {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	hosts, _ := allocator.holders.Get(xxhash.Sum64String(program))
 	return hosts
 }
 
-func (keeper *Keeper) noteHolder(program uint64, host string) {
-	hosts, _ := keeper.holders.Get(program)
+func (allocator *Allocator) noteHolder(program uint64, host string) {
+	hosts, _ := allocator.holders.Get(program)
 	if len(hosts) < hostsPerProgram && !slices.Contains(hosts, host) {
-		keeper.holders.Add(program, append(slices.Clone(hosts), host))
+		allocator.holders.Add(program, append(slices.Clone(hosts), host))
 	}
 }
 
@@ -59,28 +59,28 @@
 // borrow gets tokens from this host's own grants and from the hosts that may have
 // some of the program: a whole turn from one of the first, or, with partial, all
 // that they can spare. It reports whether all that were asked have answered.
-func (keeper *Keeper) borrow(ctx context.Context, account *account, turn Turn, partial bool) (reservation *Reservation, sure bool) {
-	withheld := keeper.grantHere(account, turn, partial)
-	if reservation := keeper.takeFree(account, turn); reservation != nil {
+func (allocator *Allocator) borrow(ctx context.Context, account *account, turn Turn, partial bool) (reservation *Reservation, sure bool) {
+	withheld := allocator.grantHere(account, turn, partial)
+	if reservation := allocator.takeFree(account, turn); reservation != nil {
 		return reservation, true
 	}
 	sure = !withheld
-	grantor := keeper.grantor(account.program)
+	grantor := allocator.grantor(account.program)
 	tried := make(map[string]bool)
 	for asks := 0; partial || asks < wholeAsks; {
-		host, found := keeper.lenderOf(account, grantor, tried)
+		host, found := allocator.lenderOf(account, grantor, tried)
 		if !found {
-			return nil, sure && !keeper.mayBeUnheard(account)
+			return nil, sure && !allocator.mayBeUnheard(account)
 		}
 		tried[host] = true
-		keeper.mutex.Lock()
+		allocator.mutex.Lock()
 		need := turn.Most - account.free
-		keeper.mutex.Unlock()
+		allocator.mutex.Unlock()
 		want := turn.want(need, partial)
 		want.Grantor = host == grantor
-		asked, answered := keeper.lenders.Ask(ctx, host, want)
+		asked, answered := allocator.lenders.Ask(ctx, host, want)
 		sure = sure && (answered || !asked && host != grantor)
-		if reservation := keeper.takeFree(account, turn); reservation != nil {
+		if reservation := allocator.takeFree(account, turn); reservation != nil {
 			return reservation, sure
 		}
 		if asked {
@@ -99,21 +99,21 @@
 // may only not have heard of yet. A host that has just started can't tell it
 // from a dead one, and would tell the program that its budget is spent while
 // most of it lies unspent there.
-func (keeper *Keeper) mayBeUnheard(account *account) bool {
-	if keeper.clock.Now().Sub(keeper.started) >= acquaintance {
+func (allocator *Allocator) mayBeUnheard(account *account) bool {
+	if allocator.clock.Now().Sub(allocator.started) >= acquaintance {
 		return false
 	}
-	keeper.mutex.Lock()
+	allocator.mutex.Lock()
 	granted := slices.Collect(maps.Keys(account.record.Granted))
-	keeper.mutex.Unlock()
-	if keeper.grantors != nil {
-		if holder, found := keeper.grantors.Holder(account.program); found {
+	allocator.mutex.Unlock()
+	if allocator.grantors != nil {
+		if holder, found := allocator.grantors.Holder(account.program); found {
 			granted = append(granted, holder.Incarnation)
 		}
 	}
 	return slices.ContainsFunc(granted, func(incarnation string) bool {
-		_, heard := keeper.lenders.Address(incarnation)
-		return incarnation != keeper.host && !heard
+		_, heard := allocator.lenders.Address(incarnation)
+		return incarnation != allocator.host && !heard
 	})
 }
 
@@ -123,22 +123,22 @@
 // Digests alone are not enough: a program's next turn can come before they do,
 // and a host that has just started has heard none, so that a program was told
 // that its budget is spent while most of it lay unspent at other hosts.
-func (keeper *Keeper) lenderOf(account *account, grantor string, tried map[string]bool) (host string, found bool) {
+func (allocator *Allocator) lenderOf(account *account, grantor string, tried map[string]bool) (host string, found bool) {
 	if grantor != "" && !tried[grantor] {
 		return grantor, true
 	}
-	keeper.mutex.Lock()
-	told, _ := keeper.holders.Get(xxhash.Sum64String(account.program))
+	allocator.mutex.Lock()
+	told, _ := allocator.holders.Get(xxhash.Sum64String(account.program))
 	granted := slices.Sorted(maps.Keys(account.record.Granted))
-	keeper.mutex.Unlock()
+	allocator.mutex.Unlock()
 	for _, host := range told {
 		if !tried[host] {
 			return host, true
 		}
 	}
 	for _, incarnation := range granted {
-		host, heard := keeper.lenders.Address(incarnation)
-		if incarnation != keeper.host && heard && !tried[host] {
+		host, heard := allocator.lenders.Address(incarnation)
+		if incarnation != allocator.host && heard && !tried[host] {
 			return host, true
 		}
 	}
@@ -150,27 +150,27 @@
 // host holds, or from what it may grant. The answer names the other hosts that may
 // hold tokens of the program, as far as they are known here: no record names
 // those that hold only what was lent to them.
-func (keeper *Keeper) Lend(borrower string, want Want) Given {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) Lend(borrower string, want Want) Given {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	hash := xxhash.Sum64String(want.Program)
-	given := Given{Tokens: keeper.lendFree(want)}
-	given.Holders, _ = keeper.holders.Get(hash)
+	given := Given{Tokens: allocator.lendFree(want)}
+	given.Holders, _ = allocator.holders.Get(hash)
 	if given.Tokens < want.Tokens {
 		want.Tokens -= given.Tokens
-		granted, withheld := keeper.grant(want)
+		granted, withheld := allocator.grant(want)
 		given.Tokens, given.Withheld = given.Tokens+granted, withheld
 	}
 	if given.Tokens > 0 {
-		keeper.noteHolder(hash, borrower)
+		allocator.noteHolder(hash, borrower)
 	}
 	return given
 }
 
 // lendFree gives up what this host holds of a program's budget.
-func (keeper *Keeper) lendFree(want Want) int {
-	account := keeper.accounts[want.Program]
-	if account == nil || keeper.keeps || account.free < want.Tokens && !want.Partial {
+func (allocator *Allocator) lendFree(want Want) int {
+	account := allocator.accounts[want.Program]
+	if account == nil || allocator.keeps || account.free < want.Tokens && !want.Partial {
 		return 0
 	}
 	lent := min(want.Tokens, account.free)
@@ -180,17 +180,17 @@
 
 // Lent takes in tokens that another host has given up, and the hosts that it
 // named.
-func (keeper *Keeper) Lent(program string, tokens int, holders []string) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
+func (allocator *Allocator) Lent(program string, tokens int, holders []string) {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
 	hash := xxhash.Sum64String(program)
 	for _, holder := range holders {
-		keeper.noteHolder(hash, holder)
+		allocator.noteHolder(hash, holder)
 	}
-	account := keeper.accounts[program]
+	account := allocator.accounts[program]
 	if account == nil || tokens == 0 {
 		return
 	}
 	account.free += tokens
-	keeper.begun = append(keeper.begun, hash)
+	allocator.begun = append(allocator.begun, hash)
 }
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -63,7 +63,7 @@
 	return store.Memory.Read(ctx, keys...)
 }
 
-// lossyLenders pass questions to the keepers of other hosts; answers may be
+// lossyLenders pass questions to the allocators of other hosts; answers may be
 // lost or late.
 type lossyLenders struct {
 	world *world
@@ -71,7 +71,7 @@
 }
 
 func (lenders lossyLenders) Ask(_ context.Context, host string, want Want) (asked, answered bool) {
-	lender := lenders.world.keepers[host]
+	lender := lenders.world.allocators[host]
 	if lender == nil || host == lenders.self || lenders.world.deaf {
 		return false, false
 	}
@@ -83,15 +83,15 @@
 		lenders.world.letters = append(lenders.world.letters, letter{lenders.self, want.Program, given.Tokens})
 		return true, false
 	}
-	lenders.world.keepers[lenders.self].Lent(want.Program, given.Tokens, given.Holders)
+	lenders.world.allocators[lenders.self].Lent(want.Program, given.Tokens, given.Holders)
 	return true, !given.Withheld
 }
 
 // Address implements Lenders: an incarnation of the world's is its host's name
 // and a number.
 func (lenders lossyLenders) Address(incarnation string) (string, bool) {
-	for host, keeper := range lenders.world.keepers {
-		if keeper.host == incarnation && !lenders.world.deaf {
+	for host, allocator := range lenders.world.allocators {
+		if allocator.host == incarnation && !lenders.world.deaf {
 			return host, true
 		}
 	}
@@ -108,7 +108,7 @@
 type world struct {
 	store   *faultyStore
 	clock   *bvclock.Manual
-	keepers map[string]*Keeper
+	allocators map[string]*Allocator
 	lending string
 	deaf    bool // no host has heard of another
 	letters []letter
@@ -130,18 +130,18 @@
 }
 
 func newWorld() *world {
-	world := &world{store: &faultyStore{}, clock: &bvclock.Manual{}, keepers: make(map[string]*Keeper), handed: make(map[string]int)}
+	world := &world{store: &faultyStore{}, clock: &bvclock.Manual{}, allocators: make(map[string]*Allocator), handed: make(map[string]int)}
 	for _, host := range []string{"a", "b", "c"} {
 		world.restart(host)
 	}
 	return world
 }
 
-// restart replaces a host's keeper: all that it knew is lost.
+// restart replaces a host's allocator: all that it knew is lost.
 func (world *world) restart(host string) {
 	world.starts++
 	incarnation := fmt.Sprintf("%s%d", host, world.starts)
-	world.keepers[host] = NewKeeper(world.store, lossyLenders{world, host}, incarnation, world.clock, quiet())
+	world.allocators[host] = NewAllocator(world.store, lossyLenders{world, host}, incarnation, world.clock, quiet())
 }
 
 // spendAndEnd hands events of an open turn to its caller and ends it.
@@ -160,7 +160,7 @@
 func (world *world) dropTurnsOf(host string) {
 	kept := world.open[:0]
 	for _, reservation := range world.open {
-		if reservation.keeper != world.keepers[host] {
+		if reservation.allocator != world.allocators[host] {
 			kept = append(kept, reservation)
 		}
 	}
@@ -169,9 +169,9 @@
 
 // tellHolders passes on which hosts hold which programs, as digests do.
 func (world *world) tellHolders() {
-	for host, keeper := range world.keepers {
-		begun := keeper.Begun()
-		for other, listener := range world.keepers {
+	for host, allocator := range world.allocators {
+		begun := allocator.Begun()
+		for other, listener := range world.allocators {
 			if other != host {
 				listener.Holds(host, begun)
 			}
@@ -192,8 +192,8 @@
 // write of the store.
 func (world *world) couldHand(program string) int {
 	tokens := world.handed[program]
-	for _, keeper := range world.keepers {
-		if account := keeper.accounts[program]; account != nil {
+	for _, allocator := range world.allocators {
+		if account := allocator.accounts[program]; account != nil {
 			tokens += account.free + account.open
 		}
 	}
@@ -201,7 +201,7 @@
 }
 
 func (world *world) reserve(host, program string, continues bool) error {
-	reservation, err := world.keepers[host].Reserve(context.Background(), Turn{
+	reservation, err := world.allocators[host].Reserve(context.Background(), Turn{
 		Program: program, Budget: testBudget, Most: testMost, Continues: continues, Retain: bvclock.Minute,
 	})
 	if err == nil {
@@ -248,14 +248,14 @@
 			"pause": func(rt *rapid.T) {
 				world.store.next = rapid.SampledFrom([]string{"", "down", "lost", "late", "never"}).Draw(rt, "fault")
 				world.clock.Advance(defaultSettle)
-				world.keepers[hosts.Draw(rt, "host")].Tidy(context.Background())
+				world.allocators[hosts.Draw(rt, "host")].Tidy(context.Background())
 			},
 			"late write": func(rt *rapid.T) {
 				world.carryOutLate()
 			},
 			"late answer": func(rt *rapid.T) {
 				for _, letter := range world.letters {
-					world.keepers[letter.host].Lent(letter.program, letter.tokens, nil)
+					world.allocators[letter.host].Lent(letter.program, letter.tokens, nil)
 				}
 				world.letters = nil
 			},
@@ -275,11 +275,11 @@
 	})
 }
 
-// The oracle above must notice a keeper that lends without giving up.
+// The oracle above must notice an allocator that lends without giving up.
 func TestOracleCatchesALenderThatKeepsWhatItLends(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
-	generous := world.keepers["a"].accounts["p"]
+	generous := world.allocators["a"].accounts["p"]
 	for range 5 {
 		generous.free = testMost
 		require.NoError(t, world.reserve("b", "p", true))
@@ -303,7 +303,7 @@
 		}
 		last.Close()
 	}
-	for host := range world.keepers {
+	for host := range world.allocators {
 		world.restart(host)
 	}
 	err := world.reserve("b", "p", false)
@@ -364,7 +364,7 @@
 		spent := 0
 		for turn := range 30 {
 			host := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "host")
-			reservation, err := world.keepers[host].Reserve(context.Background(), Turn{
+			reservation, err := world.allocators[host].Reserve(context.Background(), Turn{
 				Program: "p", Budget: testBudget, Most: testMost, Continues: turn > 0, Retain: bvclock.Minute,
 			})
 			if told {
@@ -408,7 +408,7 @@
 	require.True(t, world.open[0].Spend(testEvent))
 	world.open[0].Close()
 	world.clock.Advance(defaultSettle)
-	world.keepers["a"].Tidy(context.Background())
+	world.allocators["a"].Tidy(context.Background())
 	world.restart("a")
 	for range 2 {
 		require.NoError(t, world.reserve("b", "p", true))
@@ -421,7 +421,7 @@
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
 	world.open[0].Close()
-	world.keepers["a"].GiveUp(context.Background())
+	world.allocators["a"].GiveUp(context.Background())
 	world.restart("a")
 	for range testBudget / testMost {
 		require.NoError(t, world.reserve("b", "p", true))
@@ -437,7 +437,7 @@
 	world.open[0].Close()
 	world.clock.Advance(defaultSettle)
 	world.store.next = "late"
-	world.keepers["a"].Tidy(context.Background())
+	world.allocators["a"].Tidy(context.Background())
 	require.NotEmpty(t, world.store.late)
 	require.NoError(t, world.reserve("a", "p", true))
 	world.carryOutLate()
@@ -463,9 +463,9 @@
 	require.NoError(t, world.reserve("a", "p", false))
 	world.open[0].Close()
 	world.clock.Advance(bvclock.Minute + forgetAfter + 1)
-	world.keepers["a"].Tidy(context.Background())
+	world.allocators["a"].Tidy(context.Background())
 	rows, err := world.store.Memory.Scan(context.Background(), "budget/", "", 10)
 	require.NoError(t, err)
 	require.Empty(t, rows)
-	require.Zero(t, world.keepers["a"].Len())
+	require.Zero(t, world.allocators["a"].Len())
 }
--- a/bvbudget/reservation.go
+++ b/bvbudget/reservation.go
@@ -2,7 +2,7 @@
 
 // Reservation is what one turn may spend. It is not safe for concurrent use.
 type Reservation struct {
-	keeper  *Keeper
+	allocator  *Allocator
 	account *account
 	left    int
 }
@@ -14,18 +14,18 @@
 		return false
 	}
 	reservation.left -= tokens
-	reservation.keeper.mutex.Lock()
-	defer reservation.keeper.mutex.Unlock()
+	reservation.allocator.mutex.Lock()
+	defer reservation.allocator.mutex.Unlock()
 	reservation.account.open -= tokens
 	return true
 }
 
 // Close gives back what the turn did not spend.
 func (reservation *Reservation) Close() {
-	reservation.keeper.mutex.Lock()
-	defer reservation.keeper.mutex.Unlock()
+	reservation.allocator.mutex.Lock()
+	defer reservation.allocator.mutex.Unlock()
 	reservation.account.open -= reservation.left
 	reservation.account.free += reservation.left
-	reservation.account.usedAt = reservation.keeper.clock.Now()
+	reservation.account.usedAt = reservation.allocator.clock.Now()
 	reservation.left = 0
 }
--- a/bvbudget/reserve.go
+++ b/bvbudget/reserve.go
@@ -14,33 +14,33 @@
 // reserve gets tokens until the turn fits: from a host that holds some, from
 // the budget in the store, and last, bit by bit, from all hosts that hold some.
 // The caller holds the account's turn.
-func (keeper *Keeper) reserve(ctx context.Context, account *account, turn Turn) (*Reservation, error) {
-	if reservation, _ := keeper.borrow(ctx, account, turn, false); reservation != nil {
+func (allocator *Allocator) reserve(ctx context.Context, account *account, turn Turn) (*Reservation, error) {
+	if reservation, _ := allocator.borrow(ctx, account, turn, false); reservation != nil {
 		return reservation, nil
 	}
 	var search search
 	for range maxTries {
-		if reservation := keeper.takeFree(account, turn); reservation != nil {
+		if reservation := allocator.takeFree(account, turn); reservation != nil {
 			return reservation, nil
 		}
-		read, err := keeper.read(ctx, account)
+		read, err := allocator.read(ctx, account)
 		if err != nil {
-			return keeper.gather(ctx, account, turn, err)
+			return allocator.gather(ctx, account, turn, err)
 		}
 		if read {
 			search.fresh = true
 			continue // it may show tokens of this host's own
 		}
-		if block, fits := keeper.plan(account, turn); fits {
-			search.fresh, err = keeper.reserveBlock(ctx, account, block)
+		if block, fits := allocator.plan(account, turn); fits {
+			search.fresh, err = allocator.reserveBlock(ctx, account, block)
 		} else {
-			reservation, err := keeper.search(ctx, account, turn, &search)
+			reservation, err := allocator.search(ctx, account, turn, &search)
 			if reservation != nil || err != nil {
 				return reservation, err
 			}
 		}
 		if err != nil {
-			return keeper.gather(ctx, account, turn, err)
+			return allocator.gather(ctx, account, turn, err)
 		}
 		if ctx.Err() != nil {
 			return nil, unavailable(ctx.Err())
@@ -52,8 +52,8 @@
 // reserveBlock tries to reserve a block in the row. That another host's write came
 // first is no error: the row is known then as it is. Nor is it that the answer was
 // lost: the next look at the row tells.
-func (keeper *Keeper) reserveBlock(ctx context.Context, account *account, block int) (fresh bool, err error) {
-	err = keeper.write(ctx, account, block)
+func (allocator *Allocator) reserveBlock(ctx context.Context, account *account, block int) (fresh bool, err error) {
+	err = allocator.write(ctx, account, block)
 	var conflict *bvplatform.ConflictError
 	if errors.As(err, &conflict) {
 		return true, nil
@@ -73,27 +73,27 @@
 // search takes the next step for a turn that does not fit into what is left in
 // the row. Neither a reservation nor an error means that the row is to be looked
 // at again: with what was gathered, it may hold the turn.
-func (keeper *Keeper) search(ctx context.Context, account *account, turn Turn, search *search) (*Reservation, error) {
+func (allocator *Allocator) search(ctx context.Context, account *account, turn Turn, search *search) (*Reservation, error) {
 	switch {
 	case !search.fresh:
 		search.fresh = true
-		keeper.forget(account)
+		allocator.forget(account)
 		return nil, nil
 	case search.gathered:
-		return nil, keeper.exceeded(account, turn)
+		return nil, allocator.exceeded(account, turn)
 	}
 	search.gathered = true
-	reservation, sure := keeper.borrow(ctx, account, turn, true)
+	reservation, sure := allocator.borrow(ctx, account, turn, true)
 	if reservation == nil && !sure {
-		keeper.tell(account, turn, "budget is not known to be spent")
+		allocator.tell(account, turn, "budget is not known to be spent")
 		return nil, unavailable(errUnanswered)
 	}
 	return reservation, nil
 }
 
 // gather gets a turn's tokens bit by bit from other hosts, where the store failed.
-func (keeper *Keeper) gather(ctx context.Context, account *account, turn Turn, cause error) (*Reservation, error) {
-	if reservation, _ := keeper.borrow(ctx, account, turn, true); reservation != nil {
+func (allocator *Allocator) gather(ctx context.Context, account *account, turn Turn, cause error) (*Reservation, error) {
+	if reservation, _ := allocator.borrow(ctx, account, turn, true); reservation != nil {
 		return reservation, nil
 	}
 	return nil, unavailable(cause)
@@ -111,27 +111,27 @@
 
 // plan returns the block to reserve: for all turns that wait here if it fits,
 // else for this one.
-func (keeper *Keeper) plan(account *account, turn Turn) (block int, fits bool) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	budget := keeper.stored(turn)
+func (allocator *Allocator) plan(account *account, turn Turn) (block int, fits bool) {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	budget := allocator.stored(turn)
 	if block, fits = account.record.grow(budget, account.wanted-account.free, turn.Most); fits {
 		return block, true
 	}
 	return account.record.grow(budget, turn.Most-account.free, turn.Most)
 }
 
-func (keeper *Keeper) exceeded(account *account, turn Turn) error {
-	keeper.tell(account, turn, "budget is spent")
+func (allocator *Allocator) exceeded(account *account, turn Turn) error {
+	allocator.tell(account, turn, "budget is spent")
 	return bvverdict.Refuse(bvverdict.BudgetExceeded, "the program's budget of %d tokens does not hold another turn", turn.Budget)
 }
 
 // tell logs what was decided about a budget, and what decided it.
-func (keeper *Keeper) tell(account *account, turn Turn, decision string) {
-	grantor := keeper.grantor(turn.Program)
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	keeper.log.WithFields(logrus.Fields{
+func (allocator *Allocator) tell(account *account, turn Turn, decision string) {
+	grantor := allocator.grantor(turn.Program)
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	allocator.log.WithFields(logrus.Fields{
 		"program": turn.Program, "budget": turn.Budget, "stored": account.budget, "reserved": account.record.total(),
 		"reserved_here": account.credited, "free_here": account.free, "most": turn.Most, "row_version": account.version,
 		"grantor": grantor,
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -81,7 +81,7 @@
 	store       *storeClient
 	dispatcher  *bvdispatch.Dispatcher
 	connections *bvforward.Connections
-	budgets     *bvbudget.Keeper
+	budgets     *bvbudget.Allocator
 	histories   *bvhistory.Store
 	leases      *bvlease.Leases
 	limiter     *bvquota.Limiter
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	router.store = newStoreClient(parts.Platform, clock, log, router.helpers, router.countStoreCall)
-	router.budgets = bvbudget.NewKeeper(router.store, lenders{router}, incarnation, clock, log)
+	router.budgets = bvbudget.NewAllocator(router.store, lenders{router}, incarnation, clock, log)
 	router.budgets.SetSettle(settings.Settle)
 	router.leases = bvlease.New(bvlease.Host{
 		Name: settings.Name, Incarnation: incarnation, Address: router.settings.PeerAddress,
