--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -106,15 +106,15 @@
 // world is some hosts over one store, and the oracle: the tokens that callers
 // were handed.
 type world struct {
-	store   *faultyStore
-	clock   *bvclock.Manual
+	store      *faultyStore
+	clock      *bvclock.Manual
 	allocators map[string]*Allocator
-	lending string
-	deaf    bool // no host has heard of another
-	letters []letter
-	open    []*Reservation
-	handed  map[string]int
-	starts  int
+	lending    string
+	deaf       bool // no host has heard of another
+	letters    []letter
+	open       []*Reservation
+	handed     map[string]int
+	starts     int
 }
 
 const (
--- a/bvbudget/reservation.go
+++ b/bvbudget/reservation.go
@@ -2,9 +2,9 @@
 
 // Reservation is what one turn may spend. It is not safe for concurrent use.
 type Reservation struct {
-	allocator  *Allocator
-	account *account
-	left    int
+	allocator *Allocator
+	account   *account
+	left      int
 }
 
 // Spend counts tokens that are about to be handed to the caller. It reports
