--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -40,7 +40,7 @@
 // While the store answers, the state is as old as one wait for a change when the answer
 // comes, and as two before the next one.
 func confirmWithin(apply, revoke bvclock.Duration) bvclock.Duration {
-	limit := 2*waitWithin(apply) + lateAnswer
+	limit := 2*stateWait(apply) + lateAnswer
 	if revoke > 0 {
 		limit = min(limit, bvclock.Duration(borrowShare*float64(revoke)))
 	}
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -17,9 +17,11 @@
 	// state; it also bounds how long a connection can be silent unnoticed.
 	mostWait = 1500 * bvclock.Millisecond
 	// waitShare bounds the same by the time that the platform allows: a leaving
-	// endpoint must get no calls, and a new desired state be in force, within
-	// it.
+	// endpoint must get no calls within it.
 	waitShare = 0.5
+	// stateWaitShare is the same for a new desired state. Two waits must be over
+	// while the host is still certain of the state: it is as old when an answer comes.
+	stateWaitShare = 0.43
 	// tidyInterval is the time between two looks at idle connections.
 	tidyInterval = 1000 * bvclock.Millisecond
 	// retryInterval is the pause after a failed call to the platform.
@@ -32,6 +34,12 @@
 	return min(mostWait, bvclock.Duration(float64(bound)*waitShare))
 }
 
+// stateWait returns the time for which the platform holds a question for changes of the
+// desired state, which must be in force within a bound.
+func stateWait(apply bvclock.Duration) bvclock.Duration {
+	return min(mostWait, bvclock.Duration(float64(apply)*stateWaitShare))
+}
+
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
 	lost := bvlog.Outage{What: "desired state", Log: router.log}
@@ -39,7 +47,7 @@
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
 		router.countStoreCall("await routes")
-		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, waitWithin(router.settings.Apply))
+		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, stateWait(router.settings.Apply))
 		lost.Note(unlessEnded(ctx, err))
 		if err != nil {
 			router.borrowRoutes(ctx)
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -30,8 +30,8 @@
 
 // Guards against hosts that ask each other all the time while the store answers them.
 func TestOtherHostsAreAskedOnlyWhenTheStoreIsLate(t *testing.T) {
-	require.Equal(t, 3300*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 5*bvclock.Second))
-	require.Equal(t, 3300*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 0))
+	require.Equal(t, 2880*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 5*bvclock.Second))
+	require.Equal(t, 2880*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 0))
 	require.Equal(t, 1400*bvclock.Millisecond, confirmWithin(3*bvclock.Second, 2*bvclock.Second))
 }
 
@@ -60,3 +60,15 @@
 	require.True(t, known)
 	require.Equal(t, bvclock.Second, age)
 }
+
+// Guards against 503 in place of 401 and 404 while the store answers in time.
+func TestHostIsCertainOfTheStateBetweenTwoAnswers(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(1)
+	state := &state{clock: clock, apply: 3 * bvclock.Second}
+	asked := clock.Now()
+	clock.Advance(stateWait(state.apply))
+	state.heard(asked) // the answer to a question that found no change
+	clock.Advance(stateWait(state.apply) + 20)
+	require.True(t, state.Certain())
+}
