Caps: counts are told for two of the times within which hosts hear of each other

By reading: where digests to other zones go out each 1.2 s or more (200 hosts on), a count was told for 1 s only, and those zones missed it until the workspace's next request there. Also by reading: a cap without a burst and without slack granted nothing, and each new version granted a cut-off host its part anew. Tests of all three.

--- a/bvquota/account.go
+++ b/bvquota/account.go
@@ -36,9 +36,10 @@
 
 // newAccount returns a bucket that is empty but for what it holds at the start. Until
 // its workspace's rate is learnt, it counts as the cap's.
-func newAccount(now bvclock.Time, limit Cap, start float64) *account {
+func newAccount(now bvclock.Time, limit Cap, start, size float64) *account {
 	return &account{
-		cap: limit, since: now, start: start, filledAt: now, average: limit.Rate, rateAt: now, told: make(map[uint64]told),
+		cap: limit, since: now, size: size, part: size, start: start,
+		filledAt: now, average: limit.Rate, rateAt: now, told: make(map[uint64]told),
 	}
 }
 
@@ -49,7 +50,6 @@
 	gained := account.cap.Rate * max(seconds(now.Sub(account.filledAt)), 0)
 	account.filledAt = now
 	if share < minority {
-		// A bucket of less than one request would never grant any.
 		account.part = min(account.part+gained*share, max(account.size*share, 1))
 		share = 1 // what the others leave is not known
 	} else {
@@ -102,17 +102,17 @@
 	return account.average * decay(now.Sub(account.rateAt))
 }
 
-// take counts a request of this host.
-func (account *account) take(now bvclock.Time) {
+// take counts a request of this host, which is told for the given time.
+func (account *account) take(now bvclock.Time, window bvclock.Duration) {
 	account.spend(now, 1)
 	account.part--
 	account.count++
-	account.own = append(account.ownRecent(now), now)
+	account.own = append(account.ownRecent(now, window), now)
 }
 
 // ownRecent returns the times of this host's requests that are still told.
-func (account *account) ownRecent(now bvclock.Time) []bvclock.Time {
-	since := now.Add(-tellWindow)
+func (account *account) ownRecent(now bvclock.Time, window bvclock.Duration) []bvclock.Time {
+	since := now.Add(-window)
 	return slices.DeleteFunc(account.own, func(at bvclock.Time) bool { return at.Before(since) })
 }
 
@@ -127,8 +127,8 @@
 	return count
 }
 
-func (account *account) use(now bvclock.Time) Use {
-	account.own = account.ownRecent(now)
+func (account *account) use(now bvclock.Time, window bvclock.Duration) Use {
+	account.own = account.ownRecent(now, window)
 	return Use{Workspace: HashWorkspace(account.cap.Workspace), Count: account.count, Recent: uint32(len(account.own))}
 }
 
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -45,9 +45,11 @@
 //go:generate stringer -type=Outcome -linecomment -output=outcome_string.go
 
 const (
-	// tellWindow is for how long hosts repeat the count of a workspace after its last
-	// request.
-	tellWindow = bvclock.Second
+	// leastTold is for how long at least hosts repeat the count of a workspace after its
+	// last request, and toldLags the same in times within which they hear of each other:
+	// the others must hear of it once, though one message is lost.
+	leastTold = bvclock.Second
+	toldLags  = 2
 	// rateWindow is the time over which a workspace's rate is averaged.
 	rateWindow = bvclock.Second
 	// forgetAfter is how long the count of another host is remembered after it was
@@ -116,7 +118,7 @@
 type Use struct {
 	Workspace uint32 // hash of its name
 	Count     uint32 // requests since the host's start; it wraps
-	Recent    uint32 // of those, within the last second or so
+	Recent    uint32 // of those, the last ones, which others may not have heard of
 }
 
 // HashWorkspace returns what a workspace is called between hosts.
@@ -159,12 +161,10 @@
 	for _, limit := range caps {
 		found := limiter.accounts[limit.Workspace]
 		if found == nil {
-			found = newAccount(now, limit, limiter.start(limit))
-		} else {
-			found.fill(now, limiter.share)
+			found = newAccount(now, limit, limiter.start(limit), limiter.size(limit))
 		}
+		found.fill(now, limiter.share)
 		found.cap, found.size = limit, limiter.size(limit)
-		found.part = found.size
 		found.fill(now, limiter.share)
 		accounts[limit.Workspace] = found
 		byHash[HashWorkspace(limit.Workspace)] = found
@@ -172,9 +172,10 @@
 	limiter.accounts, limiter.byHash = accounts, byHash
 }
 
-// size is how much a bucket holds.
+// size is how much a bucket holds. One that holds less than a request would never grant
+// any.
 func (limiter *Limiter) size(limit Cap) float64 {
-	return limit.Burst + marginShare*limiter.slack(limit)
+	return max(limit.Burst+marginShare*limiter.slack(limit), 1)
 }
 
 // start is what a bucket holds when this host starts.
@@ -229,7 +230,7 @@
 	case limiter.mustAsk(now, account):
 		return Decision{Outcome: Ask}
 	}
-	account.take(now)
+	account.take(now, limiter.toldWindow())
 	return Decision{}
 }
 
@@ -254,7 +255,7 @@
 	defer limiter.mutex.Unlock()
 	if account := limiter.accounts[workspace]; account != nil {
 		account.fill(now, limiter.share)
-		account.take(now)
+		account.take(now, limiter.toldWindow())
 	}
 }
 
@@ -267,7 +268,12 @@
 	if account == nil {
 		return Use{Workspace: HashWorkspace(workspace)}
 	}
-	return account.use(now)
+	return account.use(now, limiter.toldWindow())
+}
+
+// toldWindow is for how long the count of a workspace is repeated after its last request.
+func (limiter *Limiter) toldWindow() bvclock.Duration {
+	return max(leastTold, min(toldLags*limiter.lag, 2*limiter.bounds.Window))
 }
 
 // Claim decides, as the allocator, on a request of another host, which tells what it
@@ -304,7 +310,7 @@
 		return Decision{Outcome: Refused, Wait: account.wait(request.Fresh, limiter.share)}
 	}
 	decision := Decision{Wait: account.hold(limiter.share)}
-	account.take(now)
+	account.take(now, limiter.toldWindow())
 	return decision
 }
 
@@ -314,9 +320,10 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	limiter.tidy(now)
+	window := limiter.toldWindow()
 	var uses []Use
 	for _, account := range limiter.accounts {
-		if use := account.use(now); use.Recent > 0 {
+		if use := account.use(now, window); use.Recent > 0 {
 			uses = append(uses, use)
 		}
 	}
--- a/bvquota/quota_test.go
+++ b/bvquota/quota_test.go
@@ -115,7 +115,7 @@
 	here.Hear(1, there.Uses())
 	for range 5 {
 		there.Granted("w")
-		clock.Advance(tellWindow + 1)
+		clock.Advance(leastTold + 1)
 		there.Uses() // lost
 	}
 	there.Granted("w")
@@ -319,3 +319,42 @@
 	require.GreaterOrEqual(t, pass.Wait, bvclock.Duration(0))
 	require.LessOrEqual(t, pass.Wait, mostWait+returnSpread)
 }
+
+// Guards against requests that are no longer told when the next digest goes out, where
+// there are many hosts.
+func TestRequestsAreToldForLongerThanDigestsTake(t *testing.T) {
+	clock := &bvclock.Manual{}
+	limiter := newLimiter(clock, Cap{"w", 10, 10})
+	limiter.SetHosts(300, 300, 1800*bvclock.Millisecond)
+	limiter.Granted("w")
+	clock.Advance(1800)
+	require.Len(t, limiter.Uses(), 1)
+	clock.Advance(2000)
+	require.Empty(t, limiter.Uses())
+}
+
+// Guards against a cap without a burst that grants nothing for ever.
+func TestCapWithoutABurstGrantsItsRate(t *testing.T) {
+	clock := &bvclock.Manual{}
+	limiter := newLimiter(clock, Cap{"w", 1, 0})
+	granted := 0
+	for range 100 {
+		granted += min(grants(limiter), 1)
+		clock.Advance(1000)
+	}
+	require.InDelta(t, 100, granted, 2)
+}
+
+// Guards against a series of versions that each grant a cut-off host its part anew.
+func TestVersionsGrantACutOffHostNothingAnew(t *testing.T) {
+	clock := &bvclock.Manual{}
+	limiter := newLimiter(clock, Cap{"w", 10, 100})
+	limiter.SetHosts(10, 1, 400*bvclock.Millisecond)
+	fill(clock)
+	granted := 0
+	for range 20 {
+		granted += grants(limiter)
+		limiter.SetCaps([]Cap{{"w", 10, 100}})
+	}
+	require.Equal(t, 10, granted)
+}
