--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -21,6 +21,7 @@
 
 # Site file, days to hunt, plays at once: few where a play has hundreds of processes.
 sites=(
+  "shifted/obala-surf-now-grown 8 4"
   "large/obala-surf-large 8 1"
   "further/hanbit-connect 40 4"
   "sites/bcf-tipton 40 4"
