--- /dev/null
+++ b/bvquota/bench_test.go
@@ -0,0 +1,52 @@
+package bvquota
+
+import (
+	"fmt"
+	"testing"
+
+	"balsamvalve.example/bvclock"
+)
+
+func manyCaps(workspaces int) []Cap {
+	caps := make([]Cap, workspaces)
+	for i := range caps {
+		caps[i] = Cap{Workspace: fmt.Sprintf("workspace-%d", i), Rate: 1e6, Burst: 1e6}
+	}
+	return caps
+}
+
+// BenchmarkTake is what a request far from its cap pays.
+func BenchmarkTake(b *testing.B) {
+	limiter := newLimiter(bvclock.Boot(), manyCaps(1700)...)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		limiter.Take(Request{Workspace: "workspace-7"})
+	}
+}
+
+// BenchmarkClaim is what an allocator pays for a request of another host.
+func BenchmarkClaim(b *testing.B) {
+	limiter := newLimiter(bvclock.Boot(), manyCaps(1700)...)
+	use := Use{Workspace: HashWorkspace("workspace-7")}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		limiter.Claim(uint64(i%730), use, false)
+	}
+}
+
+// BenchmarkHear is what a host pays for one digest of another one, with 20 workspaces.
+func BenchmarkHear(b *testing.B) {
+	for _, hosts := range []int{30, 100, 300, 730} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			limiter := newLimiter(bvclock.Boot(), manyCaps(1700)...)
+			uses := make([]Use, 20)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				for j := range uses {
+					uses[j] = Use{HashWorkspace(fmt.Sprintf("workspace-%d", j)), uint32(i / hosts), 1}
+				}
+				limiter.Hear(uint64(i%hosts), uses)
+			}
+		})
+	}
+}
