--- a/bvquota/account.go
+++ b/bvquota/account.go
@@ -135,7 +135,7 @@
 // hear takes in what another host told, and for how long nothing had come from it beyond
 // what is usual. Of a host that is heard for the first time, only its last requests are
 // known not to be counted yet.
-func (account *account) hear(now bvclock.Time, host uint64, use Use, late bvclock.Duration) {
+func (account *account) hear(now bvclock.Time, share float64, host uint64, use Use, late bvclock.Duration) {
 	before, known := account.told[host]
 	if !known {
 		before.count = use.Count - use.Recent
@@ -144,9 +144,13 @@
 	if fresh < 0 {
 		return // an older message, or a grant whose answer was lost
 	}
+	account.told[host] = told{use.Count, now}
+	if fresh == 0 {
+		return
+	}
+	account.fill(now, share)
 	account.spend(now, uint32(fresh))
 	account.level += account.unspill(float64(fresh), late)
-	account.told[host] = told{use.Count, now}
 }
 
 // unspill returns what the bucket would have gained, had it been known in time that it was
--- a/bvquota/bench_test.go
+++ b/bvquota/bench_test.go
@@ -40,11 +40,12 @@
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			limiter := newLimiter(bvclock.Boot(), manyCaps(1700)...)
 			uses := make([]Use, 20)
+			for j := range uses {
+				uses[j].Workspace = HashWorkspace(fmt.Sprintf("workspace-%d", j))
+			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				for j := range uses {
-					uses[j] = Use{HashWorkspace(fmt.Sprintf("workspace-%d", j)), uint32(i / hosts), 1}
-				}
+				uses[i%20].Count++ // one request since the last digest
 				limiter.Hear(uint64(i%hosts), uses)
 			}
 		})
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -287,7 +287,7 @@
 		return Decision{Outcome: Refused, Wait: returnSpread} // a version of the desired state that this host lacks
 	}
 	account.fill(now, limiter.share)
-	account.hear(now, host, use, 0)
+	account.hear(now, limiter.share, host, use, 0)
 	if account.available() < account.needed(fresh, limiter.share) {
 		return Decision{Outcome: Refused, Wait: account.wait(fresh, limiter.share)}
 	}
@@ -340,8 +340,7 @@
 	limiter.heardAt[host] = now
 	for _, use := range uses {
 		if account := limiter.byHash[use.Workspace]; account != nil {
-			account.fill(now, limiter.share)
-			account.hear(now, host, use, late)
+			account.hear(now, limiter.share, host, use, late)
 		}
 	}
 }
