A host hands on the desired state with its own confirmation only

By reading the diff: a host that reads its version first and the age after it may hand on an older version with the confirmation of a newer one that came into force between. The asker would go by keys that were taken away.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -295,7 +295,7 @@
 	// Lend gives up tokens of a program's budget for the host at an address. The
 	// answer's number and program are set by the caller.
 	Lend(host string, ask *Ask) *Lend
-	// Claim decides on a request of another host that nears a usage cap.
+	// Grant decides on a request of another host that nears a usage cap.
 	Grant(claim *Claim) *Claimed
 	// Lent takes in tokens that another host gave up.
 	Lent(program string, tokens int, holders []string)
--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -86,8 +86,7 @@
 // relayRoutes gives the desired state that is in force here, unless the asker has
 // it, and how long ago the store confirmed it.
 func (router *Router) relayRoutes(writer http.ResponseWriter, request *http.Request) {
-	table := router.state.Current()
-	age, known := router.state.Age()
+	table, age, known := router.state.Confirmed()
 	if table == nil || !known {
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvroute"
 )
 
 // A site allows less time than others until a leaving endpoint must get no
@@ -72,3 +73,32 @@
 	clock.Advance(stateWait(state.apply) + 20)
 	require.True(t, state.Certain())
 }
+
+// Guards against a host that hands on an older version with the confirmation of a newer
+// one, so that another host goes by keys that were taken away.
+func TestOlderVersionNeverGoesWithANewerConfirmation(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(1 << 40)
+	state := &state{clock: clock}
+	const versions = 100_000
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for version := int64(1); version <= versions; version++ {
+			table, _ := bvroute.NewTable(bvroute.Rows{Version: version}) // an empty table is sound
+			state.replace(table)
+			state.heard(bvclock.Time(version))
+		}
+	}()
+	for {
+		table, age, known := state.Confirmed()
+		if known {
+			require.GreaterOrEqual(t, table.Version(), int64(clock.Now())-int64(age))
+		}
+		select {
+		case <-ended:
+			return
+		default:
+		}
+	}
+}
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -62,6 +62,14 @@
 	return state.clock.Now().Sub(heard), heard != 0
 }
 
+// Confirmed returns the version in force and the age of what is confirmed. A version comes
+// into force before it counts as confirmed, so the age is read first: the other way round,
+// an older version could go with a newer one's confirmation.
+func (state *state) Confirmed() (table *bvroute.Table, age bvclock.Duration, known bool) {
+	age, known = state.Age()
+	return state.Current(), age, known
+}
+
 // heard notes that the platform said what is newest, as of the given time.
 func (state *state) heard(at bvclock.Time) {
 	for {
