--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -232,7 +232,8 @@
 // hosts are heard that grant their budgets; one that is cut off from all of them
 // must refuse most programs, which another host may serve.
 func (router *Router) Ready() bool {
-	return !router.leaving.Load() && router.state.Current() != nil && router.state.endpoints() != nil &&
+	table, _, confirmed := router.state.Confirmed()
+	return !router.leaving.Load() && table != nil && confirmed && router.state.endpoints() != nil &&
 		(router.store.Serving() || router.granting())
 }
 
