One view of the desired state, one place that borrows it, one way to an account

The order in which a version and its confirmation are read was kept by two callers, each by a comment; now the state gives both as one view, and the test of the race moved there (it fails at once with the other order). The desired state was borrowed from another host by two loops, one of them at each failed call; now by the one that watches its age, which also goes for a newer version that digests tell of. Limiters' three entries filled the bucket each by itself. Failure files of state machines, which hold paths, are not for the repository.

--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -147,8 +147,8 @@
 }
 
 func (call *call) findRoute() error {
-	certain := call.front.parts.State.Certain() // of the version that is read after it
-	table := call.front.parts.State.Current()
+	view := call.front.parts.State.View()
+	table := view.Table
 	if table == nil {
 		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "no desired state is known yet").WithRetryAfter(shortRetry)
 	}
@@ -156,7 +156,7 @@
 	path, _, _ := strings.Cut(call.request.RequestURI, "?")
 	route, found := table.Match(call.request.Host, path)
 	if !found {
-		return call.unknownRoute(certain)
+		return call.unknownRoute(view.Certain)
 	}
 	call.route = route
 	service, found := table.ServiceByName(route.Service(call.draw()))
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -55,12 +55,19 @@
 type State interface {
 	// Current returns the newest version, or nil before the first.
 	Current() *bvroute.Table
-	// Certain reports whether there can't be a newer version that has been
-	// in force for longer than its bound allows.
-	Certain() bool
-	// KeysConfirmed reports whether a key of the current version can't have been
-	// taken away for longer than its bound allows.
-	KeysConfirmed() bool
+	// View returns the newest version with what is sure of it.
+	View() View
+}
+
+// View is a version of the desired state at one moment.
+type View struct {
+	Table *bvroute.Table // nil before the first
+	// Certain: there can't be a newer version that has been in force for longer than
+	// its bound allows.
+	Certain bool
+	// KeysConfirmed: none of its keys can have been taken away for longer than the bound
+	// allows.
+	KeysConfirmed bool
 }
 
 // Store is the platform's store, as far as it decides what can be served.
--- a/bvfront/workspace.go
+++ b/bvfront/workspace.go
@@ -12,27 +12,22 @@
 // several times a second.
 const confirmRetry = 300 * bvclock.Millisecond
 
-// authorize finds the workspace that holds the caller's key. It judges by the newest
-// desired state at the moment of the call.
-//
-// What is confirmed is asked before the state is read: a version comes into force before
-// it counts as confirmed, so that an older one is never gone by with a newer one's
-// confirmation.
+// authorize finds the workspace that holds the caller's key, in the desired state as it is
+// now.
 func (call *call) authorize() error {
-	confirmed, certain := call.front.parts.State.KeysConfirmed(), call.front.parts.State.Certain()
-	table := call.front.parts.State.Current()
-	if !table.NeedsKeys() {
+	view := call.front.parts.State.View()
+	if !view.Table.NeedsKeys() {
 		return nil
 	}
 	call.keyed = true
 	if call.route.Open {
 		return nil
 	}
-	workspace, found := table.WorkspaceByKey(call.front.parts.Wire.Key(call.request.Header))
+	workspace, found := view.Table.WorkspaceByKey(call.front.parts.Wire.Key(call.request.Header))
 	if !found {
-		return call.unknownKey(certain)
+		return call.unknownKey(view.Certain)
 	}
-	if !confirmed {
+	if !view.KeysConfirmed {
 		call.front.parts.Counters.Add("keys_unconfirmed", 1)
 		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be confirmed").WithRetryAfter(confirmRetry)
 	}
--- a/bvfront/workspace_test.go
+++ b/bvfront/workspace_test.go
@@ -12,22 +12,11 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// changingState is a desired state of which a newer version, which takes the key away,
-// comes into force and is confirmed when the host is asked whether keys are confirmed.
-type changingState struct {
-	table, newer *bvroute.Table
-	confirmed    bool
-}
-
-func (state *changingState) Current() *bvroute.Table { return state.table }
-
-func (state *changingState) Certain() bool { return true }
+// fixedState is a desired state that does not change.
+type fixedState View
 
-func (state *changingState) KeysConfirmed() bool {
-	before := state.confirmed
-	state.table, state.confirmed = state.newer, true
-	return before
-}
+func (state fixedState) Current() *bvroute.Table { return state.Table }
+func (state fixedState) View() View              { return View(state) }
 
 // keyWire knows the one key that a caller shows.
 type keyWire struct{ Wire }
@@ -48,18 +37,22 @@
 	return call.authorize()
 }
 
-// Guards against a key of an older version that is gone by with a newer version's
-// confirmation.
-func TestKeyIsNotConfirmedByAVersionThatTookItAway(t *testing.T) {
-	with, without := keyedTable(t, 1, bvroute.DigestKey("key")), keyedTable(t, 2)
-	err := authorized(t, &changingState{table: with, newer: without})
-	require.Error(t, err)
-	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+// Guards against a good key that is gone by though it may have been taken away.
+func TestUnconfirmedKeyIsRefused(t *testing.T) {
+	with := keyedTable(t, 1, bvroute.DigestKey("key"))
+	require.NoError(t, authorized(t, fixedState{Table: with, KeysConfirmed: true}))
+	refused := authorized(t, fixedState{Table: with, Certain: true})
+	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(refused).Code())
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(refused))
 }
 
-func TestConfirmedKeyIsAuthorized(t *testing.T) {
-	with := keyedTable(t, 1, bvroute.DigestKey("key"))
-	require.NoError(t, authorized(t, &changingState{table: with, newer: with, confirmed: true}))
+// Guards against a denial that a newer version may contradict.
+func TestUnknownKeyIsDeniedOnlyWhereTheStateIsCertain(t *testing.T) {
+	without := keyedTable(t, 1)
+	denied := authorized(t, fixedState{Table: without, Certain: true, KeysConfirmed: true})
+	require.Equal(t, bvverdict.Unauthorized, bvverdict.From(denied).Code())
+	refused := authorized(t, fixedState{Table: without, KeysConfirmed: true})
+	require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(refused).Code())
 }
 
 // Guards against ids of one workspace that read like another one's.
--- a/bvquota/promise_test.go
+++ b/bvquota/promise_test.go
@@ -39,6 +39,7 @@
 const (
 	networkLag   = 400 * bvclock.Millisecond
 	networkTell  = 100 * bvclock.Millisecond
+	networkStep  = 20 * bvclock.Millisecond
 	networkHosts = 6
 )
 
@@ -138,6 +139,16 @@
 	}
 }
 
+// step goes on by a moment, in which messages arrive and are sent.
+func (network *network) step(lost func() bool) bvclock.Time {
+	now := network.clock.Advance(networkStep)
+	network.deliver()
+	if now%bvclock.Time(networkTell) == 0 {
+		network.tell(lost)
+	}
+	return now
+}
+
 func (network *network) deliver() {
 	var later []message
 	for _, message := range network.mail {
@@ -183,7 +194,6 @@
 
 // play sends requests at a rate for a time, with one host in trouble now and then.
 func (network *network) play(rt *rapid.T, rate float64, length bvclock.Duration) {
-	const step = 20 * bvclock.Millisecond
 	random := rapid.Uint64().Draw(rt, "seed") | 1
 	draw := func(below int) int { // xorshift: thousands of draws a run are too many for rapid
 		random ^= random << 13
@@ -194,18 +204,13 @@
 	troubled, calm := -1, bvclock.Time(0)
 	due := 0.0
 	for network.clock.Now() < bvclock.Time(length) {
-		network.clock.Advance(step)
-		now := network.clock.Now()
-		network.deliver()
-		if now%bvclock.Time(networkTell) == 0 {
-			network.tell(func() bool { return draw(20) == 0 })
-		}
+		now := network.step(func() bool { return draw(20) == 0 })
 		if now.After(calm) {
 			network.calm(troubled)
 			troubled, calm = draw(networkHosts), now.Add(bvclock.Duration(draw(4000)))
 			network.trouble(troubled, draw(4))
 		}
-		for due += rate * seconds(step); due >= 1; due-- {
+		for due += rate * seconds(networkStep); due >= 1; due-- {
 			network.request(draw(networkHosts))
 		}
 	}
@@ -237,11 +242,7 @@
 		network.settle()
 		sent, due := 0, 0.0
 		for range 500 {
-			network.clock.Advance(20)
-			network.deliver()
-			if network.clock.Now()%bvclock.Time(networkTell) == 0 {
-				network.tell(func() bool { return false })
-			}
+			network.step(func() bool { return false })
 			for due += 0.9 * limit.Rate * 0.02; due >= 1; due-- {
 				network.request(sent % networkHosts)
 				sent++
@@ -262,11 +263,7 @@
 		network.settle()
 		lostAt := rapid.IntRange(10, 200).Draw(rt, "lost at")
 		for step := range 400 {
-			network.clock.Advance(20)
-			network.deliver()
-			if network.clock.Now()%bvclock.Time(networkTell) == 0 {
-				network.tell(func() bool { return false })
-			}
+			network.step(func() bool { return false })
 			if step == lostAt {
 				for index := range network.hosts {
 					network.restart(index)
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -220,11 +220,10 @@
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	account := limiter.accounts[request.Workspace]
+	account := limiter.filled(now, request.Workspace)
 	if account == nil {
 		return Decision{}
 	}
-	account.fill(now, limiter.share)
 	needed := account.needed(request.Fresh, limiter.share)
 	switch {
 	case limiter.hosts == 0:
@@ -257,12 +256,20 @@
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	if account := limiter.accounts[workspace]; account != nil {
-		account.fill(now, limiter.share)
+	if account := limiter.filled(now, workspace); account != nil {
 		account.take(now, limiter.toldWindow())
 	}
 }
 
+// filled returns the account of a workspace as it is now, or nil where it has no cap.
+func (limiter *Limiter) filled(now bvclock.Time, workspace string) *account {
+	account := limiter.accounts[workspace]
+	if account != nil {
+		account.fill(now, limiter.share)
+	}
+	return account
+}
+
 // OwnUse returns what this host has run of a workspace, to go with a claim.
 func (limiter *Limiter) OwnUse(workspace string) Use {
 	now := limiter.clock.Now()
@@ -316,11 +323,10 @@
 	now := limiter.clock.Now()
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	account := limiter.accounts[request.Workspace]
+	account := limiter.filled(now, request.Workspace)
 	if account == nil {
 		return Decision{}
 	}
-	account.fill(now, limiter.share)
 	decision := limiter.decide(account, request)
 	if decision.Outcome == Granted {
 		account.take(now, limiter.toldWindow())
--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgossip"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -23,19 +25,28 @@
 	borrowShare = 0.7
 )
 
-// keepConfirmed has the desired state confirmed by another host while the store does
-// not answer this one. A silent store holds this host's own question for seconds, and
-// keys must be refused before it ends.
+// keepConfirmed has the desired state confirmed by another host, or a newer one handed
+// on, while the store does not answer this one. A silent store holds this host's own
+// question for seconds, and keys must be refused before it ends.
 func (router *Router) keepConfirmed(ctx context.Context) {
 	limit := confirmWithin(router.settings.Apply, router.settings.Revoke)
 	for ctx.Err() == nil {
 		pause(ctx, confirmInterval)
-		if age, known := router.state.Age(); !known || age > limit {
+		age, known := router.state.Age()
+		if !known || age > limit || !router.store.up() && router.toldOfNewer() {
 			router.borrowRoutes(ctx)
 		}
 	}
 }
 
+// toldOfNewer reports whether another host has a newer version than is in force here.
+func (router *Router) toldOfNewer() bool {
+	version := router.version()
+	return slices.ContainsFunc(router.gossip.Heard(), func(digest *bvgossip.Digest) bool {
+		return digest.GetStateVersion() > version
+	})
+}
+
 // confirmWithin returns the age of the desired state from which another host is asked.
 // While the store answers, the state is as old as one wait for a change when the answer
 // comes, and as two before the next one.
@@ -50,8 +61,6 @@
 // borrowRoutes takes the desired state, and how long ago the store confirmed it,
 // from a host that reaches the store.
 func (router *Router) borrowRoutes(ctx context.Context) {
-	router.borrowMutex.Lock()
-	defer router.borrowMutex.Unlock()
 	for _, address := range router.helpers() {
 		asked := router.clock.Now()
 		confirmed, err := fetchRoutes(ctx, address, router.version())
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -50,7 +50,6 @@
 		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, stateWait(router.settings.Apply))
 		lost.Note(unlessEnded(ctx, err))
 		if err != nil {
-			router.borrowRoutes(ctx)
 			pause(ctx, retryInterval)
 			continue
 		}
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -22,11 +22,11 @@
 	clock := &bvclock.Manual{}
 	clock.Advance(1)
 	state := &state{clock: clock, apply: 2 * bvclock.Second}
-	require.False(t, state.Certain())
+	require.False(t, state.View().Certain)
 	state.heard(clock.Now())
-	require.True(t, state.Certain())
+	require.True(t, state.View().Certain)
 	clock.Advance(1900)
-	require.False(t, state.Certain())
+	require.False(t, state.View().Certain)
 }
 
 // Guards against hosts that ask each other all the time while the store answers them.
@@ -41,12 +41,12 @@
 	clock := &bvclock.Manual{}
 	clock.Advance(1)
 	state := &state{clock: clock, apply: 3 * bvclock.Second, revoke: 5 * bvclock.Second}
-	require.False(t, state.KeysConfirmed())
+	require.False(t, state.View().KeysConfirmed)
 	state.heard(clock.Now())
 	clock.Advance(4500)
-	require.True(t, state.KeysConfirmed())
+	require.True(t, state.View().KeysConfirmed)
 	clock.Advance(500)
-	require.False(t, state.KeysConfirmed())
+	require.False(t, state.View().KeysConfirmed)
 }
 
 // Guards against an older confirmation that comes late, through another host, and takes
@@ -71,7 +71,7 @@
 	clock.Advance(stateWait(state.apply))
 	state.heard(asked) // the answer to a question that found no change
 	clock.Advance(stateWait(state.apply) + 20)
-	require.True(t, state.Certain())
+	require.True(t, state.View().Certain)
 }
 
 // Guards against a host that hands on an older version with the confirmation of a newer
@@ -102,3 +102,32 @@
 		}
 	}
 }
+
+// Guards against a key of an older version that is gone by with the confirmation of the
+// version that took it away.
+func TestKeyIsNotConfirmedByAVersionThatTookItAway(t *testing.T) {
+	const between = 10 * bvclock.Second // beyond the bound: each version needs its own confirmation
+	clock := &bvclock.Manual{}
+	state := &state{clock: clock, revoke: between / 2}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for version := int64(1); version <= 100_000; version++ {
+			now := clock.Advance(between)
+			table, _ := bvroute.NewTable(bvroute.Rows{Version: version}) // an empty table is sound
+			state.replace(table)
+			state.heard(now)
+		}
+	}()
+	for {
+		confirmedBy := int64(clock.Now()) / int64(between) // the version that is due by now
+		if view := state.View(); view.KeysConfirmed {
+			require.GreaterOrEqual(t, view.Table.Version(), confirmedBy)
+		}
+		select {
+		case <-ended:
+			return
+		default:
+		}
+	}
+}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -98,7 +98,6 @@
 	listedAsGrantor bool
 	inheritance     *handover // of the last process, until this host is listed
 
-	borrowMutex    sync.Mutex // held while the desired state is read from another host
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
 
 	incarnation string
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvfront"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -39,19 +40,14 @@
 // Current implements bvfront.State.
 func (state *state) Current() *bvroute.Table { return state.table.Load() }
 
-// Certain implements bvfront.State.
-func (state *state) Certain() bool {
-	age, known := state.Age()
-	return known && float64(age) < certainShare*float64(state.apply)
-}
-
-// KeysConfirmed implements bvfront.State.
-func (state *state) KeysConfirmed() bool {
-	if state.revoke == 0 {
-		return true
+// View implements bvfront.State.
+func (state *state) View() bvfront.View {
+	table, age, known := state.Confirmed()
+	return bvfront.View{
+		Table:         table,
+		Certain:       known && float64(age) < certainShare*float64(state.apply),
+		KeysConfirmed: state.revoke == 0 || known && age < state.revoke-revokeMargin,
 	}
-	age, known := state.Age()
-	return known && age < state.revoke-revokeMargin
 }
 
 // Age returns the time since the store was asked for the newest version and said
