Logs name programs after their workspace everywhere; allocators by one scan

Reading of the change: lines of budgets had a program's scoped id and lines of requests the caller's, so that explain missed the first and counted programs of two workspaces as one. An allocator was found by sorting all hosts.

--- a/bvexplain/explain.go
+++ b/bvexplain/explain.go
@@ -111,7 +111,7 @@
 	if line.at < account.options.From || account.options.To > 0 && line.at >= account.options.To {
 		return
 	}
-	if wanted := account.options.Request; wanted != "" && (line.Request == wanted || line.Program == wanted) {
+	if wanted := account.options.Request; wanted != "" && (line.Request == wanted || isProgram(line.Program, wanted)) {
 		account.shown = append(account.shown, text)
 	}
 	if !line.ofRequest() {
--- a/bvexplain/explain_test.go
+++ b/bvexplain/explain_test.go
@@ -79,6 +79,22 @@
 	require.NotContains(t, text, "  1 a ")
 }
 
+// Guards against lines of a workspace's program that are not found by the id that its
+// caller knows.
+func TestLinesOfAWorkspacesProgramAreShown(t *testing.T) {
+	ana := strings.ReplaceAll(refused, `"p2"`, `"@ana/p2"`)
+	bor := strings.ReplaceAll(refused, `"p2"`, `"@bor/p22"`)
+	text := printed(t, read(t, Options{Request: "p2"}, "1 a "+ana, "2 b "+bor))
+	require.Contains(t, text, "  1 a "+ana)
+	require.NotContains(t, text, "  2 b ")
+}
+
+// Guards against programs of two workspaces that are counted as one.
+func TestProgramsOfTwoWorkspacesAreTwo(t *testing.T) {
+	ana, bor := strings.ReplaceAll(answered, `"p1"`, `"@ana/p1"`), strings.ReplaceAll(answered, `"p1"`, `"@bor/p1"`)
+	require.Contains(t, printed(t, read(t, Options{}, ana, bor)), "programs 2")
+}
+
 // A day has more programs than are remembered at once. All are counted, and no
 // more than the bound are held.
 func TestProgramsBeyondTheBoundAreCounted(t *testing.T) {
--- a/bvexplain/program.go
+++ b/bvexplain/program.go
@@ -1,5 +1,7 @@
 package bvexplain
 
+import "strings"
+
 // program is a program as far as its lines were read.
 type program struct {
 	id       string
@@ -76,3 +78,9 @@
 		account.events = append(account.events, event{line.at, line.host, line.Message})
 	}
 }
+
+// isProgram reports whether a program of a line is the wanted one. In logs the id that a
+// caller chose comes after its workspace.
+func isProgram(logged, wanted string) bool {
+	return logged == wanted || strings.HasPrefix(logged, "@") && strings.HasSuffix(logged, "/"+wanted)
+}
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -85,7 +85,7 @@
 		fields["workspace"] = call.workspace.Name
 	}
 	if call.metadata.Program != "" {
-		fields["program"] = call.metadata.Program
+		fields["program"] = call.scoped(call.metadata.Program)
 	}
 	if call.sends > 0 {
 		fields["endpoint"] = call.at.Name
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -1,7 +1,7 @@
 package bvgossip
 
 import (
-	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -142,25 +142,31 @@
 	if len(hosts) == 0 {
 		hosts = trackers.all
 	}
-	hosts = slices.Clone(hosts)
-	key := uint64(workspace)
-	slices.SortFunc(hosts, func(a, b candidate) int {
-		return cmp.Compare(bvhost.Weight(b.hash, key), bvhost.Weight(a.hash, key))
-	})
 	var addresses []netip.AddrPort
-	for _, host := range hosts[:min(len(hosts), most)] {
-		addresses = append(addresses, host.address)
+	for below := uint64(math.MaxUint64); len(addresses) < most; {
+		address, weight, found := firstBelow(hosts, uint64(workspace), below)
+		if !found {
+			break
+		}
+		addresses, below = append(addresses, address), weight
 	}
 	return addresses
 }
 
 // first returns the first of some hosts in a key's order of them.
 func first(hosts []candidate, key uint64) (address netip.AddrPort, found bool) {
-	highest := uint64(0)
+	address, _, found = firstBelow(hosts, key, math.MaxUint64)
+	return address, found
+}
+
+// firstBelow returns the first of some hosts in a key's order of them whose weight is
+// below a bound, and its weight.
+func firstBelow(hosts []candidate, key, bound uint64) (address netip.AddrPort, highest uint64, found bool) {
 	for _, host := range hosts {
-		if weight := bvhost.Weight(host.hash, key); !found || weight > highest {
+		weight := bvhost.Weight(host.hash, key)
+		if weight < bound && (!found || weight > highest) {
 			address, highest, found = host.address, weight, true
 		}
 	}
-	return address, found
+	return address, highest, found
 }
