--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -226,7 +226,7 @@
 	}
 	needed := account.needed(request.Fresh, limiter.share)
 	switch {
-	case limiter.hosts == 0:
+	case limiter.hosts == 0 || limiter.justStarted(now, account):
 		return Decision{Outcome: Ask}
 	case account.available() < needed:
 		return Decision{Outcome: Refused, Wait: account.wait(needed, limiter.share)}
@@ -237,12 +237,14 @@
 	return Decision{}
 }
 
+// justStarted reports whether what the others have run is not known here yet.
+func (limiter *Limiter) justStarted(now bvclock.Time, account *account) bool {
+	return !limiter.bounds.Unused && now.Sub(account.since) < limiter.bounds.Window
+}
+
 // mustAsk reports whether a bucket may hold less than this host knows: requests of
 // other hosts are heard of late, and all of them may take what is left at once.
 func (limiter *Limiter) mustAsk(now bvclock.Time, account *account) bool {
-	if !limiter.bounds.Unused && now.Sub(account.since) < limiter.bounds.Window {
-		return true // what the others have run is not known yet
-	}
 	unheard := max(account.rate(now), account.cap.Rate) * seconds(limiter.lag)
 	if account.available() < 1+unheard {
 		return true
--- a/bvquota/quota_test.go
+++ b/bvquota/quota_test.go
@@ -372,3 +372,14 @@
 	}
 	require.InDelta(t, 20-10, granted, 3)
 }
+
+// Guards against a host that has just started and refuses by a copy that knows nothing,
+// where others know that there is room.
+func TestHostThatHasJustStartedAsksBeforeItRefuses(t *testing.T) {
+	clock := &bvclock.Manual{}
+	limiter := newBounded(clock, bounds, Cap{"w", 12, 12})
+	require.Equal(t, Ask, limiter.Take(Request{Workspace: "w", Fresh: true}).Outcome)
+	for limiter.TakeHere(Request{Workspace: "w"}).Outcome == Granted {
+	}
+	require.Equal(t, Ask, limiter.Take(Request{Workspace: "w"}).Outcome)
+}
