A suspect request is decided on only once the next deciding hosts know of it

The deciding host told the next ones of suspects at each poll only. The test waited for two hosts told, which the poll between the first and the second crash had already given; the second crash was not told when the host was killed, and the next one let a third engine crash. A fault of the product: each loss of power within a poll interval of a crash costs a caller's poison one more engine.

Ruled out: a report that a retry overtook (the refusal had been given, so both crashes were known there); another order of deciding hosts (the log names the one that was lost, and both others are told).

Change: a crash is told at once, and an ask about a suspect waits, 500 ms at most, until the hosts that decide next were told. The poll stays for hosts that could not be reached. The test now has no wait before the kill and a poll of 2 s, which is stricter; another one freezes the next hosts while the engines crash and proves the poll's part.

--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -61,7 +61,8 @@
 func (daemon *Daemon) shareSuspects(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Std())
 	defer cancel()
-	daemon.measures.Add("suspects_told", int64(daemon.asker.ShareSuspects(ctx)))
+	daemon.asker.ShareSuspects(ctx)
+	daemon.measures.Set("suspects_told", daemon.asker.SuspectsTold())
 }
 
 // shareTable gives the decisions the endpoints and the shares in force.
--- a/bvgate/pool.go
+++ b/bvgate/pool.go
@@ -69,10 +69,12 @@
 	timers  timerHeap
 
 	suspicions map[suspectKey]*suspicion
-	flights    map[suspectKey]int // calls in flight by content
-	zones      map[string]*zone
-	suspects   []*request  // that wait for an endpoint to isolate
-	isolated   []*endpoint // that are emptied for a suspect
+	// suspectedCrashes counts the crashes seen here that made suspects.
+	suspectedCrashes uint64
+	flights          map[suspectKey]int // calls in flight by content
+	zones            map[string]*zone
+	suspects         []*request  // that wait for an endpoint to isolate
+	isolated         []*endpoint // that are emptied for a suspect
 
 	absence absence
 
--- a/bvgate/suspect.go
+++ b/bvgate/suspect.go
@@ -77,6 +77,15 @@
 	return suspects
 }
 
+// Suspected reports whether a crash is held against a request content.
+func (pool *Pool) Suspected(member string, fingerprint uint64) bool {
+	return pool.suspicions[suspectKey{member: member, fingerprint: fingerprint}] != nil
+}
+
+// SuspectedCrashes returns how many crashes were seen here that made suspects.
+// What other hosts tell does not count.
+func (pool *Pool) SuspectedCrashes() uint64 { return pool.suspectedCrashes }
+
 // AddSuspects learns from another host. The higher number of crashes counts;
 // they are not added up, because hosts tell each other of the same crash.
 func (pool *Pool) AddSuspects(now bvclock.Time, suspects []Suspect) {
@@ -142,6 +151,7 @@
 	}
 	at := crashed.boot.endpoint
 	zone := pool.countCrash(now, at)
+	pool.suspectedCrashes++
 	failed := zone != nil && pool.zoneFailed(at.report.Zone, zone)
 	for _, call := range crashed.boot.inOrder() {
 		call.blamed = true
--- a/bvpermit/client.go
+++ b/bvpermit/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -28,11 +29,16 @@
 	peers *bvpeer.Pool
 	local *Server
 	log   logrus.FieldLogger
+	told  atomic.Int64 // times that a host took suspects
 }
 
 // NewClient returns a client; local decides for the pools of this host.
 func NewClient(clock bvclock.Clock, view *bvhost.View, peers *bvpeer.Pool, local *Server, log logrus.FieldLogger) *Client {
-	return &Client{clock: clock, view: view, peers: peers, local: local, log: log}
+	client := &Client{clock: clock, view: view, peers: peers, local: local, log: log}
+	if local != nil {
+		local.share = client.share
+	}
+	return client
 }
 
 // Permit lets its holder make one call.
@@ -142,6 +148,7 @@
 func (client *Client) askLocal(ctx context.Context, ask *bvpeer.PermitAsk) (*Permit, error) {
 	_, span := bvtrace.Start(ctx, "queue")
 	defer span.End(nil)
+	client.local.tellBefore(ctx, ask)
 	ticket := client.local.Ask(ask)
 	select {
 	case decision := <-ticket.Decision():
--- a/bvpermit/pool.go
+++ b/bvpermit/pool.go
@@ -20,6 +20,8 @@
 	addresses map[string]string
 	work      workLog
 	alarm     bvclock.Alarm
+	telling   sync.Mutex // held while other hosts are told of suspects
+	told      uint64     // crashes that they were told of; under telling
 }
 
 func newPool(name string, server *Server) *pool {
--- a/bvpermit/server.go
+++ b/bvpermit/server.go
@@ -17,6 +17,7 @@
 package bvpermit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
@@ -40,6 +41,7 @@
 type Server struct {
 	clock     bvclock.Clock
 	release   Release
+	share     func(ctx context.Context, pool string) // tells other hosts of a pool's suspects
 	limits    bvgate.Limits
 	log       logrus.FieldLogger
 	requests  atomic.Uint64
@@ -132,6 +134,9 @@
 	if ask == nil {
 		return stream.Send(refusalOf(bvverdict.Refuse(bvverdict.BadRequest, "permit stream must begin with an ask")))
 	}
+	if ask.GetRunningOn() == "" {
+		server.tellBefore(stream.Context(), ask)
+	}
 	ticket := server.Ask(ask)
 	events := receive(stream)
 	if ask.GetRunningOn() == "" {
--- a/bvpermit/suspect.go
+++ b/bvpermit/suspect.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"golang.org/x/sync/errgroup"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvpeer"
@@ -13,6 +15,9 @@
 // told of its suspects.
 const suspectHosts = 2
 
+// tellTimeout bounds how long a suspect waits until other hosts know of it.
+const tellTimeout = 500 * bvclock.Millisecond
+
 // Suspects returns the suspects of a pool.
 func (server *Server) Suspects(name string) []bvgate.Suspect {
 	var suspects []bvgate.Suspect
@@ -48,34 +53,88 @@
 	return names
 }
 
-// ShareSuspects tells the hosts that would decide next of this host's suspects
-// and returns how many hosts took them.
+// tellSuspects tells the hosts that would decide next of crashes that they have
+// not been told of.
+func (server *Server) tellSuspects(ctx context.Context, name string) {
+	if server.share == nil {
+		return
+	}
+	pool := server.pool(name)
+	pool.telling.Lock()
+	defer pool.telling.Unlock()
+	crashes := pool.suspectedCrashes()
+	if crashes == pool.told {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout.Std())
+	defer cancel()
+	server.share(ctx, name)
+	pool.told = crashes
+}
+
+// tellBefore holds a suspect back until the hosts that would decide next know
+// of its crashes.
 //
-// It guards against a poisonous request whose deciding host is lost: the next
-// one would know nothing of it and let it crash endpoints anew. Only the host
-// that decides tells, or a suspect that it has cleared would come back to it.
-func (client *Client) ShareSuspects(ctx context.Context) int {
-	told := 0
+// It guards against a suspect that crashes one more endpoint after each loss
+// of the deciding host.
+func (server *Server) tellBefore(ctx context.Context, ask *bvpeer.PermitAsk) {
+	if server.pool(ask.GetPool()).suspected(ask) {
+		server.tellSuspects(ctx, ask.GetPool())
+	}
+}
+
+func (pool *pool) suspected(ask *bvpeer.PermitAsk) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.decisions.Suspected(ask.GetMember(), ask.GetFingerprint())
+}
+
+func (pool *pool) suspectedCrashes() uint64 {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.decisions.SuspectedCrashes()
+}
+
+// ShareSuspects tells the hosts that would decide next of this host's suspects.
+// It reaches those that were lost, or not yet next, when a crash was seen.
+func (client *Client) ShareSuspects(ctx context.Context) {
 	for _, name := range client.local.names() {
-		candidates := client.view.Candidates(client.clock.Now(), "pool/"+name)
-		if candidates[0].Name != client.view.Self().Name {
-			continue
-		}
-		suspects := client.local.Suspects(name)
-		if len(suspects) == 0 {
-			continue
-		}
-		for _, host := range candidates[1:min(len(candidates), suspectHosts+1)] {
+		client.share(ctx, name)
+	}
+}
+
+// SuspectsTold returns how many times a host took this host's suspects.
+func (client *Client) SuspectsTold() int64 { return client.told.Load() }
+
+// share tells the hosts that would decide next of one pool's suspects. Only
+// the host that decides tells, or a suspect that it has cleared would come back
+// to it.
+func (client *Client) share(ctx context.Context, pool string) {
+	candidates := client.view.Candidates(client.clock.Now(), "pool/"+pool)
+	if candidates[0].Name != client.view.Self().Name {
+		return
+	}
+	suspects := client.local.Suspects(pool)
+	if len(suspects) == 0 {
+		return
+	}
+	var group errgroup.Group
+	for _, host := range candidates[1:min(len(candidates), suspectHosts+1)] {
+		group.Go(func() error {
 			peer, err := client.peers.Peer(host.PeerAddress)
 			if err != nil {
-				continue
+				return err
 			}
-			if _, err := peer.ShareSuspects(ctx, messageOf(name, suspects)); err == nil {
-				told++
+			if _, err := peer.ShareSuspects(ctx, messageOf(pool, suspects)); err != nil {
+				return err
 			}
-		}
+			client.told.Add(1)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		client.log.WithError(err).WithField("pool", pool).Debug("a host was not told of suspects; it is told at the next poll")
 	}
-	return told
 }
 
 func messageOf(pool string, suspects []bvgate.Suspect) *bvpeer.Suspects {
--- a/bvpermit/ticket.go
+++ b/bvpermit/ticket.go
@@ -1,6 +1,8 @@
 package bvpermit
 
 import (
+	"context"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvpeer"
@@ -33,7 +35,7 @@
 }
 
 // Finish reports how the call ended and gives its slot back. A second report
-// changes nothing.
+// changes nothing. Other hosts are told of a crash at once.
 func (ticket *Ticket) Finish(finish *bvpeer.PermitFinish) {
 	ticket.pool.do(func(now bvclock.Time) {
 		if _, found := ticket.pool.tickets[ticket.id]; !found {
@@ -49,6 +51,9 @@
 			Pause:        bvclock.Duration(finish.GetPauseMs()),
 		})
 	})
+	if bvgate.Outcome(finish.GetOutcome()) == bvgate.Crashed {
+		go ticket.pool.server.tellSuspects(context.Background(), ticket.pool.name)
+	}
 }
 
 // Withdraw takes back a request whose owner gave up before the decision.
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -49,6 +49,7 @@
 	engines  int
 	services int
 	engine   []string // further arguments of engines
+	daemon   []string // further arguments of daemons
 }
 
 func startCluster(t *testing.T, size size) *cluster {
@@ -62,7 +63,7 @@
 		cluster.services = append(cluster.services, cluster.startService(i))
 	}
 	for i := range size.daemons {
-		cluster.daemons = append(cluster.daemons, cluster.startDaemon(i))
+		cluster.daemons = append(cluster.daemons, cluster.startDaemon(i, size.daemon...))
 	}
 	cluster.waitReady()
 	return cluster
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -117,12 +118,14 @@
 	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
 }
 
-// A request has crashed two engines and is refused everywhere; then the host
-// that decided so loses power. The host that decides next must know of it, or
-// the request crashes two more engines.
+// Guards against a host that decides next without knowing which request has
+// crashed engines a moment before the deciding host is lost.
 func TestPoisonIsRememberedWhenTheDecidingHostIsKilled(t *testing.T) {
 	t.Parallel()
-	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
+	cluster := startCluster(t, size{
+		daemons: 3, engines: 4, engine: []string{"--decode=400"},
+		daemon: []string{"--poll-interval=2s"},
+	})
 	decider := cluster.decider("engine/m")
 	entry := cluster.other(decider)
 	poison := newConversation(t, piranKey, "poison")
@@ -131,7 +134,6 @@
 		status, _ := poison.post(entry, bvstandin.PoisonMarker, false)
 		return status == http.StatusUnprocessableEntity
 	}, patience, poll)
-	require.Eventually(t, func() bool { return cluster.counter(decider, "suspects_told") >= 2 }, patience, poll)
 	crashed := 4 - cluster.alive()
 	decider.kill()
 	require.Eventually(t, func() bool {
@@ -141,6 +143,36 @@
 	require.Equal(t, crashed, 4-cluster.alive())
 }
 
+// Guards against a host that decides next and was out of reach while a request
+// crashed engines: it must be told once it is back.
+func TestPoisonIsToldToHostsThatWereFrozen(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
+	decider := cluster.decider("engine/m")
+	others := slices.DeleteFunc(slices.Clone(cluster.daemons), func(daemon *process) bool { return daemon == decider })
+	poison := newConversation(t, piranKey, cluster.programOwnedBy("piran", decider.name))
+	poison.turn = 1
+	for _, other := range others {
+		other.signal(syscall.SIGSTOP)
+	}
+	require.Eventually(t, func() bool {
+		status, _ := poison.post(decider, bvstandin.PoisonMarker, false)
+		return status == http.StatusUnprocessableEntity
+	}, patience, poll)
+	require.Zero(t, cluster.counter(decider, "suspects_told"))
+	crashed := 4 - cluster.alive()
+	for _, other := range others {
+		other.signal(syscall.SIGCONT)
+	}
+	require.Eventually(t, func() bool { return cluster.counter(decider, "suspects_told") >= 2 }, patience, poll)
+	decider.kill()
+	require.Eventually(t, func() bool {
+		status, _ := poison.post(others[0], bvstandin.PoisonMarker, false)
+		return status == http.StatusUnprocessableEntity
+	}, patience, poll)
+	require.Equal(t, crashed, 4-cluster.alive())
+}
+
 // alive returns how many engines answer.
 func (cluster *cluster) alive() int {
 	alive := 0
