The platform is emulated in one place; the demo shows workspaces, keys and a cap

The stand-ins of the platform's store, endpoints and callers stood in test files, so that the demo and the load tool knew daemons of the consortium only. They are a package now, platform/bvemulator, beside the names that only platform/ may know.

New: make demo first runs three routing hosts with three workspaces, their keys, a key that nobody holds and a cap that one workspace reaches, and checks from outside that keys stay at their host, nothing runs twice or for another workspace, and answers are the callers' own. `balsamvalve standin site` emulates the platform for hosts run by hand; `balsamvalve load workspaces` sends programs with keys and skew.

Seen on the way, no fault: in the first 6 s after the first start of a whole system hosts grant half of each budget only (bvlease), so that programs whose budget has no room to spare are refused; the demo's programs have room.

--- a/bvcommand/demo.go
+++ b/bvcommand/demo.go
@@ -17,11 +17,16 @@
   balsamvalve demo --seed 7`,
 		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
-			report, err := bvdemo.Run(command.Context(), bvdemo.Config{Output: command.OutOrStdout(), Seed: seed})
+			config := bvdemo.Config{Output: command.OutOrStdout(), Seed: seed}
+			routed, err := bvdemo.RunRoute(command.Context(), config)
 			if err != nil {
 				return err
 			}
-			if !report.Kept() || report.Finished != report.Programs {
+			report, err := bvdemo.Run(command.Context(), config)
+			if err != nil {
+				return err
+			}
+			if !routed.Kept() || !report.Kept() || report.Finished != report.Programs {
 				return errors.New("demo: a promise was broken")
 			}
 			return nil
--- a/bvcommand/load.go
+++ b/bvcommand/load.go
@@ -39,7 +39,7 @@
     --keys-file keys --programs 200 --concurrency 20`,
 		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error {
-			keys, err := flags.keys()
+			keys, err := callerKeys(flags.keysFile)
 			if err != nil {
 				return err
 			}
@@ -51,6 +51,7 @@
 	}
 	flags.add(command)
 	addLoadConfig(command, &config)
+	command.AddCommand(newLoadWorkspaces())
 	return command
 }
 
@@ -58,13 +59,15 @@
 // machine can read.
 const keysVariable = "BALSAMVALVE_KEYS"
 
-func (flags *loadFlags) keys() (map[string]string, error) {
-	if flags.keysFile == "" {
+// callerKeys returns a caller's key of each member or workspace, from a file or the
+// environment.
+func callerKeys(path string) (map[string]string, error) {
+	if path == "" {
 		return bvkey.CallerKeys(strings.NewReader(os.Getenv(keysVariable)))
 	}
-	file, err := os.Open(flags.keysFile)
+	file, err := os.Open(path)
 	if err != nil {
-		return nil, usageError{fmt.Errorf("load: %w", err)}
+		return nil, usageError{fmt.Errorf("keys: %w", err)}
 	}
 	defer func() { _ = file.Close() }()
 	return bvkey.CallerKeys(file)
--- /dev/null
+++ b/bvcommand/load_workspaces.go
@@ -0,0 +1,66 @@
+package bvcommand
+
+import (
+	"errors"
+	"io"
+	"math"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"balsamvalve.example/platform/bvemulator"
+)
+
+func newLoadWorkspaces() *cobra.Command {
+	var load bvemulator.Load
+	var keysFile string
+	var skew float64
+	command := &cobra.Command{
+		Use:   "workspaces",
+		Short: "Send workspaces' programs through routing hosts and check the answers",
+		Long: `Send workspaces' programs through running routing hosts whose endpoints are
+emulated ("balsamvalve standin site"), with the key of each workspace and now and then
+one that nobody holds, and check that each caller gets its own answers.`,
+		Example: `  balsamvalve load workspaces --address 127.0.0.1:8080,127.0.0.1:8081 \
+    --keys-file keys --programs 200 --concurrency 20 --skew 1`,
+		Args: noArguments,
+		RunE: func(command *cobra.Command, _ []string) error {
+			keys, err := callerKeys(keysFile)
+			if err != nil {
+				return err
+			}
+			load.Workspaces = workspacesOf(keys, skew)
+			return sendWorkspaces(command, load)
+		},
+	}
+	set := command.Flags()
+	set.StringVar(&keysFile, "keys-file", "", "callers' keys; or set "+keysVariable)
+	set.StringSliceVar(&load.Addresses, "address", nil, "callers' addresses of the hosts, IP and port")
+	set.IntVar(&load.Programs, "programs", 0, "programs in all; 0: default")
+	set.IntVar(&load.Concurrency, "concurrency", 0, "programs under way; 0: default")
+	set.Uint64Var(&load.Seed, "seed", 1, "of all that is drawn")
+	set.Float64Var(&skew, "skew", 0, "how unequal the workspaces are: shares fall with this power of the rank")
+	return command
+}
+
+func sendWorkspaces(command *cobra.Command, load bvemulator.Load) error {
+	if len(load.Addresses) == 0 {
+		return usageError{errors.New("load: --address is needed")}
+	}
+	ctx, cancel := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	report := load.Send(ctx)
+	if _, err := io.WriteString(command.OutOrStdout(), report.Text()); err != nil {
+		return err
+	}
+	if !report.Kept() {
+		return errPromiseBroken
+	}
+	return nil
+}
+
+func shareOf(rank int, skew float64) float64 {
+	return math.Pow(float64(rank+1), -skew)
+}
--- a/bvcommand/standin.go
+++ b/bvcommand/standin.go
@@ -37,7 +37,7 @@
 		Args: noArguments,
 		RunE: func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
-	command.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
+	command.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService(), newStandinSite())
 	return command
 }
 
--- /dev/null
+++ b/bvcommand/standin_site.go
@@ -0,0 +1,86 @@
+package bvcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"balsamvalve.example/platform/bvemulator"
+)
+
+// siteFlags are the flags of the emulated platform.
+type siteFlags struct {
+	keysFile string
+	config   bvemulator.SiteConfig
+	rate     float64
+	burst    float64
+}
+
+func newStandinSite() *cobra.Command {
+	var flags siteFlags
+	command := &cobra.Command{
+		Use:   "site",
+		Short: "Emulate the users' platform for routing hosts: store, engines, services, workspaces",
+		Long: `Emulate the users' platform for routing hosts on loopback until SIGTERM or SIGINT.
+The first line tells where the store listens; put it into the settings files of
+"balsamvalve route". Callers' keys of the keys file become workspaces, all with the
+same usage cap; without keys, requests need none.`,
+		Example: `  balsamvalve standin site --engines 3 --services 2 --keys-file keys --rate 50 --burst 50`,
+		Args:    noArguments,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return flags.run(command)
+		},
+	}
+	set := command.Flags()
+	set.StringVar(&flags.keysFile, "keys-file", "", "callers' keys; or set "+keysVariable)
+	set.IntVar(&flags.config.Engines, "engines", 3, "engines")
+	set.IntVar(&flags.config.Apps, "services", 2, "instances of a plain service")
+	set.Float64Var(&flags.rate, "rate", 0, "usage cap of each workspace in requests a second; 0: none")
+	set.Float64Var(&flags.burst, "burst", 0, "requests beyond it")
+	return command
+}
+
+func (flags *siteFlags) run(command *cobra.Command) error {
+	if flags.config.Engines < 0 || flags.config.Apps < 0 || flags.rate < 0 || flags.burst < 0 {
+		return usageError{errors.New("standin: a number is negative")}
+	}
+	keys, err := callerKeys(flags.keysFile)
+	if err != nil {
+		return err
+	}
+	flags.config.Workspaces = workspacesOf(keys, 0)
+	for i := range flags.config.Workspaces {
+		flags.config.Workspaces[i].Rate, flags.config.Workspaces[i].Burst = flags.rate, flags.burst
+	}
+	site, err := bvemulator.StartSite(flags.config)
+	if err != nil {
+		return err
+	}
+	defer site.Stop()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if _, err := fmt.Fprintf(command.OutOrStdout(), "listening %s\n", site.Address()); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// workspacesOf returns a workspace for each key, in the order of their names. With a
+// skew above 0, the later ones send less: the share falls with that power of the rank.
+func workspacesOf(keys map[string]string, skew float64) []bvemulator.Workspace {
+	workspaces := make([]bvemulator.Workspace, 0, len(keys))
+	for rank, name := range slices.Sorted(maps.Keys(keys)) {
+		workspaces = append(workspaces, bvemulator.Workspace{
+			Name: name, Keys: []string{keys[name]}, Share: shareOf(rank, skew),
+		})
+	}
+	return workspaces
+}
--- /dev/null
+++ b/bvdemo/route.go
@@ -0,0 +1,145 @@
+package bvdemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvrouter"
+	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/platform"
+	"balsamvalve.example/platform/bvemulator"
+)
+
+// Sizes of the demonstration on the emulated platform.
+const (
+	hosts         = 3
+	routePrograms = 60
+	routeCallers  = 12
+	hostMemory    = 256 << 20 // bytes
+	rowBytes      = 64 << 10
+)
+
+// workspaces of the demonstration: most programs are ana's, and bor's usage cap is
+// below what bor's callers ask for. The keys open nothing but its own process.
+var workspaces = []bvemulator.Workspace{
+	{Name: "ana", Keys: []string{"demo-key-of-ana"}, Share: 3},
+	{Name: "bor", Keys: []string{"demo-key-of-bor"}, Rate: 12, Burst: 12},
+	{Name: "cene", Keys: []string{"demo-key-of-cene"}},
+}
+
+// routeHosts are routing daemons in this process.
+type routeHosts struct {
+	routers []*bvrouter.Router
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// RunRoute serves programs of workspaces with keys and a usage cap on an emulated
+// platform, and returns what was found. An error means that the hosts did not come up.
+func RunRoute(ctx context.Context, config Config) (*bvemulator.Report, error) {
+	if config.Output == nil {
+		config.Output = io.Discard
+	}
+	site, err := bvemulator.StartSite(bvemulator.SiteConfig{Engines: 3, Apps: 2, Workspaces: workspaces})
+	if err != nil {
+		return nil, err
+	}
+	defer site.Stop()
+	running, err := startHosts(ctx, site.Address())
+	if err != nil {
+		return nil, err
+	}
+	defer running.stop()
+	_, _ = fmt.Fprintf(config.Output, "%d routing hosts, %d workspaces on an emulated platform\n", hosts, len(workspaces))
+	report := bvemulator.Load{
+		Addresses: running.callerAddresses(), Workspaces: workspaces,
+		Programs: routePrograms, Concurrency: routeCallers, Seed: config.Seed,
+	}.Send(ctx)
+	report.Compare(site.Runs())
+	_, _ = fmt.Fprintf(config.Output, "%s\n%s\n", report.Text(), routeLine(report))
+	return report, nil
+}
+
+func routeLine(report *bvemulator.Report) string {
+	return fmt.Sprintf("demo: programs=%d finished=%d requests=%d mixed=%d twice=%d keys_passed=%d unknown_keys_let_in=%d",
+		report.Programs, report.Finished, report.Requests, report.Mixed, report.Twice, report.KeysPassed, report.LetIn)
+}
+
+func startHosts(ctx context.Context, store string) (*routeHosts, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	running := &routeHosts{cancel: cancel}
+	for i := range hosts {
+		if err := running.start(ctx, hostSettings(fmt.Sprint("host-", i+1), store)); err != nil {
+			running.stop()
+			return nil, err
+		}
+	}
+	if err := running.waitReady(ctx); err != nil {
+		running.stop()
+		return nil, err
+	}
+	return running, nil
+}
+
+func hostSettings(name, store string) bvsetting.Host {
+	const free = "127.0.0.1:0"
+	return bvsetting.Host{
+		Name: name, Zone: "demo", StoreAddress: store,
+		CallerAddress: free, ReadyAddress: free, PeerAddress: free, MetricsAddress: free,
+		Memory: hostMemory, RowBytes: rowBytes, FirstStart: true,
+		Drain: 2 * bvclock.Second, Stop: 5 * bvclock.Second, Apply: 2 * bvclock.Second, Settle: bvclock.Second,
+		Revoke: 3 * bvclock.Second, QuotaWindow: 5 * bvclock.Second, QuotaOver: 0.1, QuotaSlack: 20,
+	}
+}
+
+func (running *routeHosts) start(ctx context.Context, settings bvsetting.Host) error {
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	router, err := bvrouter.New(settings, bvrouter.Parts{
+		Platform: &platform.Store{Address: settings.StoreAddress},
+		Wire:     platform.Wire{},
+		Ready:    func(ready func() bool) http.Handler { return platform.ReadyHandler(ready) },
+	}, log)
+	if err != nil {
+		return err
+	}
+	running.routers = append(running.routers, router)
+	running.running.Go(func() { _ = router.Run(ctx) }) // it ends when it is stopped
+	return nil
+}
+
+func (running *routeHosts) waitReady(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, router := range running.routers {
+		for !router.Ready() || router.Hosts() < hosts-1 {
+			select {
+			case <-limit.Done():
+				return errors.New("demo: the routing hosts did not get ready")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func (running *routeHosts) callerAddresses() []string {
+	addresses := make([]string, 0, len(running.routers))
+	for _, router := range running.routers {
+		addresses = append(addresses, router.CallerAddress())
+	}
+	return addresses
+}
+
+func (running *routeHosts) stop() {
+	running.cancel()
+	running.running.Wait()
+}
--- /dev/null
+++ b/bvdemo/route_test.go
@@ -0,0 +1,19 @@
+package bvdemo
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a demonstration on the emulated platform that shows a broken promise,
+// or none at work.
+func TestRouteDemonstrationKeepsItsPromises(t *testing.T) {
+	report, err := RunRoute(t.Context(), Config{Seed: 1})
+	require.NoError(t, err)
+	require.True(t, report.Kept(), report.Text())
+	require.Zero(t, report.LetIn, report.Text())
+	for _, workspace := range report.Workspaces {
+		require.Positive(t, workspace.Answered, report.Text())
+	}
+}
