A workspace that floods is turned away before the others

Hypothesis: in a crowd that is one workspace's, all newcomers were turned away alike, so that the others lost as many of their programs as the one that floods.

Kept: a higher limit of admission for the others while one workspace has begun over a quarter of the programs at this host. Without workspaces nothing changes.

A host counts what began through itself only: a flood through one host of many is not seen by the others.

--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -24,17 +24,35 @@
 	mostReturn  = 900 * bvclock.Millisecond
 )
 
-// Admit reports whether a new program of a route's priority may begin. If not,
-// it returns the time after which to come back.
-func (pool *Pool) Admit(now bvclock.Time, priority int) (bvclock.Duration, bool) {
+// Newcomer is a program that may begin.
+type Newcomer struct {
+	Priority  int
+	Workspace string // "": of none
+}
+
+// Admit reports whether a new program may begin. If not, it returns the time after
+// which to come back.
+func (pool *Pool) Admit(now bvclock.Time, newcomer Newcomer) (bvclock.Duration, bool) {
+	if pool.without.Has(bvmechanism.Admission) || pool.share(now) < pool.limit(now, newcomer) {
+		pool.begun.add(now, newcomer.Workspace)
+		return 0, true
+	}
+	return leastReturn + bvclock.Duration(pool.random.Int64N(int64(mostReturn-leastReturn))), false
+}
+
+// limit is the share of places from which on a newcomer is turned away.
+func (pool *Pool) limit(now bvclock.Time, newcomer Newcomer) float64 {
 	limit := fullShare
-	if priority == 0 {
+	if newcomer.Priority == 0 {
 		limit += urgentShare
 	}
-	if pool.share(now) < limit || pool.without.Has(bvmechanism.Admission) {
-		return 0, true
+	if newcomer.Workspace == "" || pool.without.Has(bvmechanism.Fairness) {
+		return limit
 	}
-	return leastReturn + bvclock.Duration(pool.random.Int64N(int64(mostReturn-leastReturn))), false
+	if dominant, found := pool.begun.dominant(now); found && dominant != newcomer.Workspace {
+		limit += othersShare
+	}
+	return limit
 }
 
 // share is the share of all places that are taken, at endpoints that may get
--- a/bvdispatch/admission_test.go
+++ b/bvdispatch/admission_test.go
@@ -35,7 +35,7 @@
 	arrived := 0
 	for now := 0; now < length; now++ {
 		for ; arrived*1000 < now*perSecond; arrived++ {
-			if _, ok := pool.Admit(bvclock.Time(now), 1); admit && !ok {
+			if _, ok := pool.Admit(bvclock.Time(now), Newcomer{Priority: 1}); admit && !ok {
 				away++
 				continue
 			}
@@ -98,9 +98,9 @@
 	for range 20 {
 		pool.Begin(0, "e0", &Request{})
 	}
-	_, admitted := pool.Admit(0, 1)
+	_, admitted := pool.Admit(0, Newcomer{Priority: 1})
 	require.False(t, admitted)
-	_, admitted = pool.Admit(0, 0)
+	_, admitted = pool.Admit(0, Newcomer{Priority: 0})
 	require.True(t, admitted)
 }
 
@@ -112,7 +112,7 @@
 	}
 	seen := make(map[bvclock.Duration]bool)
 	for range 100 {
-		comeBack, admitted := pool.Admit(0, 0)
+		comeBack, admitted := pool.Admit(0, Newcomer{Priority: 0})
 		require.False(t, admitted)
 		require.GreaterOrEqual(t, comeBack, leastReturn)
 		require.Less(t, comeBack, mostReturn)
@@ -122,6 +122,6 @@
 }
 
 func TestPoolWithoutEndpointsIsNotACrowd(t *testing.T) {
-	_, admitted := NewPool(1, "").Admit(0, 1)
+	_, admitted := NewPool(1, "").Admit(0, Newcomer{Priority: 1})
 	require.True(t, admitted)
 }
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -95,11 +95,11 @@
 
 // Admit reports whether a new program may begin at a service. If not, it returns
 // the time after which to come back.
-func (dispatcher *Dispatcher) Admit(service string, priority int) (bvclock.Duration, bool) {
+func (dispatcher *Dispatcher) Admit(service string, newcomer Newcomer) (bvclock.Duration, bool) {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	return dispatcher.pool(service).Admit(now, priority)
+	return dispatcher.pool(service).Admit(now, newcomer)
 }
 
 // ReadingRates returns how many prompt tokens the engines of each service read in a
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -69,6 +69,7 @@
 	duration average // of a call, in milliseconds
 	pace     average // of calls, in milliseconds for an event or answer
 	reading  reading
+	begun    begun
 	zone     string // availability zone of this host
 	without  bvmechanism.Set
 
--- a/bvfleet/load.go
+++ b/bvfleet/load.go
@@ -36,6 +36,11 @@
 	Length  bvclock.Duration // for which programs begin
 	Seed    uint64
 
+	// Workspaces is how many send programs, all alike; 0: programs are of none. What a
+	// crowd adds is of the first of them if Flood is set.
+	Workspaces int
+	Flood      bool
+
 	// Wanders is the share of turns that come through another host than the one before.
 	Wanders float64
 	// DigestEvery is the time between two digests; nothing is told otherwise, but for
--- a/bvfleet/play.go
+++ b/bvfleet/play.go
@@ -117,12 +117,27 @@
 		}
 		if play.random.Float64() < rate/float64(bvclock.Second) {
 			begun := play.draw(i)
+			begun.workspace = play.drawWorkspace(kind.PerSecond / rate)
 			play.programs = append(play.programs, begun)
 			play.later(begun, way)
 		}
 	}
 }
 
+// drawWorkspace draws the workspace of a program; usual is the share of programs that
+// would begin without the crowd.
+func (play *play) drawWorkspace(usual float64) string {
+	switch {
+	case play.load.Workspaces == 0:
+		return ""
+	case play.load.Flood && play.random.Float64() >= usual:
+		return workspaceName(0)
+	}
+	return workspaceName(play.random.IntN(play.load.Workspaces))
+}
+
+func workspaceName(number int) string { return fmt.Sprintf("workspace-%d", number) }
+
 func (play *play) later(program *program, pause bvclock.Duration) {
 	at := play.now.Add(max(pause, bvclock.Millisecond))
 	play.due[at] = append(play.due[at], program)
@@ -139,7 +154,7 @@
 func (play *play) send(program *program) {
 	host := play.hosts[program.host]
 	if program.at == 0 {
-		if comeBack, admitted := host.pool.Admit(play.now, program.kind.Priority); !admitted {
+		if comeBack, admitted := host.pool.Admit(play.now, bvdispatch.Newcomer{Priority: program.kind.Priority, Workspace: program.workspace}); !admitted {
 			play.result.Refusals++
 			play.comeAgain(program, comeBack)
 			return
--- a/bvfleet/play_test.go
+++ b/bvfleet/play_test.go
@@ -67,3 +67,17 @@
 	t.Log(with)
 	t.Log(without)
 }
+
+// Guards against a flood of one workspace that costs the others their programs, and
+// against fairness that costs all together.
+func TestFloodOfAWorkspaceLeavesTheOthersMoreOfTheirPrograms(t *testing.T) {
+	load := Crowded(85)
+	load.Totals, load.Trackers = true, true
+	load.Workspaces, load.Flood = 20, true
+	load.Crowds[0].Factor = 3.5
+	fair := Play(load)
+	load.Without = load.Without.With(bvmechanism.Fairness)
+	none := Play(load)
+	require.Greater(t, fair.ShareOthersInTime(), none.ShareOthersInTime()+0.05)
+	require.Greater(t, fair.ShareInTime(), none.ShareInTime()-0.02)
+}
--- a/bvfleet/program.go
+++ b/bvfleet/program.go
@@ -10,13 +10,14 @@
 
 // program is an agent program's row.
 type program struct {
-	kind  *Kind
-	begun bvclock.Time
-	aim   bvclock.Duration
-	turns []turn
-	at    int // the turn that is to come or under way
-	host  int
-	ended bvclock.Time // 0: not yet
+	kind      *Kind
+	workspace string
+	begun     bvclock.Time
+	aim       bvclock.Duration
+	turns     []turn
+	at        int // the turn that is to come or under way
+	host      int
+	ended     bvclock.Time // 0: not yet
 
 	prefix []bvroute.Part
 	tokens int // of prefix
--- a/bvfleet/result.go
+++ b/bvfleet/result.go
@@ -12,16 +12,27 @@
 	Sent     int // turns that were sent to an engine
 	Waited   int // of those, for a slot
 	Read     int // prompt tokens that engines read
+
+	// Of the workspaces other than the first, where there are any.
+	Others       int // programs that began
+	OthersInTime int
 }
 
 func (play *play) sum() Result {
 	result := play.result
 	result.Programs = len(play.programs)
 	for _, program := range play.programs {
+		inTime := !program.failed && program.ended != 0 && program.ended.Sub(program.begun) <= program.aim
+		if program.workspace != "" && program.workspace != workspaceName(0) {
+			result.Others++
+			if inTime {
+				result.OthersInTime++
+			}
+		}
 		switch {
 		case program.failed || program.ended == 0:
 			result.Failed++
-		case program.ended.Sub(program.begun) <= program.aim:
+		case inTime:
 			result.InTime++
 		default:
 			result.Late++
@@ -38,6 +49,12 @@
 	return float64(result.InTime) / float64(max(result.Programs, 1))
 }
 
+// ShareOthersInTime is the share of the programs of the workspaces other than the
+// first that ended in time.
+func (result Result) ShareOthersInTime() float64 {
+	return float64(result.OthersInTime) / float64(max(result.Others, 1))
+}
+
 // ShareWaited is the share of the turns that waited for a slot.
 func (result Result) ShareWaited() float64 {
 	return float64(result.Waited) / float64(max(result.Sent, 1))
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -78,7 +78,7 @@
 
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
 type Dispatcher interface {
-	Admit(service string, priority int) (comeBack bvclock.Duration, admitted bool)
+	Admit(service string, newcomer bvdispatch.Newcomer) (comeBack bvclock.Duration, admitted bool)
 	// UnderWay reports whether the request's program had turns before this one.
 	UnderWay(request *bvdispatch.Request) bool
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -39,7 +39,8 @@
 	if call.service.Engine == nil || call.metadata.Continues() {
 		return nil
 	}
-	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, call.priority())
+	newcomer := bvdispatch.Newcomer{Priority: call.priority(), Workspace: call.workspaceName()}
+	comeBack, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, newcomer)
 	if admitted || call.front.parts.Dispatcher.UnderWay(&call.placement) {
 		return nil
 	}
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -39,6 +39,7 @@
 	Holding                        // holding
 	Probes                         // probes
 	Holders                        // holders
+	Fairness                       // fairness
 	last
 )
 
@@ -61,6 +62,7 @@
 	Holding:       "while the store is away, turns are run and their ends held",
 	Probes:        "a decision asks how many calls a few endpoints have now",
 	Holders:       "a host is asked which endpoint has a conversation, and whether its program is under way",
+	Fairness:      "in a crowd, the workspace that begins most programs is turned away first",
 }
 
 // Purpose returns what the mechanism does, in one line.
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -25,12 +25,13 @@
 	_ = x[Holding-14]
 	_ = x[Probes-15]
 	_ = x[Holders-16]
-	_ = x[last-17]
+	_ = x[Fairness-17]
+	_ = x[last-18]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholderslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnesslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 122}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 130}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
