--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -161,7 +161,7 @@
 // the store can't be asked.
 func (allocator *Allocator) Reserve(ctx context.Context, turn Turn) (*Reservation, error) {
 	account := allocator.open(turn)
-	defer allocator.unwant(account, turn.Most)
+	defer allocator.stopWaiting(account, turn.Most)
 	if reservation := allocator.takeFree(account, turn); reservation != nil {
 		return reservation, nil
 	}
@@ -195,7 +195,7 @@
 	return found
 }
 
-func (allocator *Allocator) unwant(account *account, most int) {
+func (allocator *Allocator) stopWaiting(account *account, most int) {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
 	account.wanted -= most
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -70,7 +70,7 @@
 	for asks := 0; partial || asks < wholeAsks; {
 		host, found := allocator.lenderOf(account, grantor, tried)
 		if !found {
-			return nil, sure && !allocator.mayBeUnheard(account)
+			return nil, sure && !allocator.mayMissHosts(account)
 		}
 		tried[host] = true
 		allocator.mutex.Lock()
@@ -95,11 +95,11 @@
 // second, some of them lost.
 const acquaintance = 3 * bvclock.Second
 
-// mayBeUnheard reports whether the program's record names a host that this one
+// mayMissHosts reports whether the program's record names a host that this one
 // may only not have heard of yet. A host that has just started can't tell it
 // from a dead one, and would tell the program that its budget is spent while
 // most of it lies unspent there.
-func (allocator *Allocator) mayBeUnheard(account *account) bool {
+func (allocator *Allocator) mayMissHosts(account *account) bool {
 	if allocator.clock.Now().Sub(allocator.started) >= acquaintance {
 		return false
 	}
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -269,24 +269,24 @@
 	return 0
 }
 
-// Told takes in an endpoint's own word on its load.
-func (dispatcher *Dispatcher) Told(service, endpoint string, load bvroute.Load) {
+// SetLoad takes over the load that an endpoint reports.
+func (dispatcher *Dispatcher) SetLoad(service, endpoint string, load bvroute.Load) {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	dispatcher.pool(service).Told(now, endpoint, load)
+	dispatcher.pool(service).SetLoad(now, endpoint, load)
 }
 
-// Untold returns how this host's calls ended since the last look, by the hash of
+// UnsharedReports returns how this host's calls ended since the last look, by the hash of
 // the endpoint's ID.
-func (dispatcher *Dispatcher) Untold() map[uint64]Report {
+func (dispatcher *Dispatcher) UnsharedReports() map[uint64]Report {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	untold := make(map[uint64]Report)
+	unshared := make(map[uint64]Report)
 	for _, pool := range dispatcher.pools {
-		maps.Copy(untold, pool.Untold())
+		maps.Copy(unshared, pool.UnsharedReports())
 	}
-	return untold
+	return unshared
 }
 
 // Seen takes in how another host's calls ended.
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -11,17 +11,17 @@
 
 // endpoint is an endpoint's row.
 type endpoint struct {
-	entry   bvplatform.Endpoint
-	running int // calls of this host
-	hash    uint64
-	others  int // calls of other hosts, as the endpoint last told
-	toldAt  bvclock.Time
-	peers   int // calls of other hosts, as they told themselves
-	peersAt bvclock.Time
-	cache   cache
-	health  health
-	seen    outlierStats
-	untold  Report // own calls, since other hosts were told
+	entry    bvplatform.Endpoint
+	running  int // calls of this host
+	hash     uint64
+	others   int // calls of other hosts, as the endpoint last told
+	toldAt   bvclock.Time
+	peers    int // calls of other hosts, as they told themselves
+	peersAt  bvclock.Time
+	cache    cache
+	health   health
+	seen     outlierStats
+	unshared Report // own calls, since other hosts were told
 }
 
 // peersFor is how long the other hosts' word on their calls is taken before the
--- a/bvdispatch/outlier_test.go
+++ b/bvdispatch/outlier_test.go
@@ -95,10 +95,10 @@
 		here.Begin(1, "e3", &Request{})
 		here.End(1, "e3", Result{Outcome: Served, Took: 5, Erred: true})
 	}
-	for endpoint, report := range here.Untold() {
+	for endpoint, report := range here.UnsharedReports() {
 		there.Seen(1, endpoint, report)
 	}
-	require.Empty(t, here.Untold(), "told once")
+	require.Empty(t, here.UnsharedReports(), "told once")
 	for range 100 {
 		chosen, _ := there.Choose(2, &Request{})
 		require.NotEqual(t, "e3", chosen.Name)
--- a/bvdispatch/poison.go
+++ b/bvdispatch/poison.go
@@ -17,8 +17,8 @@
 	// tellCrashFor is how long a crash stands in digests, some of which are
 	// lost.
 	tellCrashFor = 3 * bvclock.Second
-	// maxBreakages bounds the calls that are remembered as broken off.
-	maxBreakages = 1024
+	// maxFailures bounds the calls that are remembered as broken off.
+	maxFailures = 1024
 )
 
 // Crash is an endpoint that went away under a request.
@@ -32,11 +32,11 @@
 // it again, to any host; without this table it takes one endpoint down after
 // the other. The zero value is empty.
 type Suspects struct {
-	breakages []breakage
-	crashes   map[uint64]map[uint64]bvclock.Time // by request and endpoint
+	failures []failure
+	crashes  map[uint64]map[uint64]bvclock.Time // by request and endpoint
 }
 
-type breakage struct {
+type failure struct {
 	Crash
 	at bvclock.Time
 }
@@ -44,17 +44,17 @@
 // Broke notes that an endpoint's connection broke under a request. It alone
 // says little: answers get lost for many reasons.
 func (suspects *Suspects) Broke(now bvclock.Time, request, endpoint uint64) {
-	if len(suspects.breakages) >= maxBreakages {
-		suspects.breakages = suspects.breakages[maxBreakages/2:]
+	if len(suspects.failures) >= maxFailures {
+		suspects.failures = suspects.failures[maxFailures/2:]
 	}
-	suspects.breakages = append(suspects.breakages, breakage{Crash{request, endpoint}, now})
+	suspects.failures = append(suspects.failures, failure{Crash{request, endpoint}, now})
 }
 
 // Gone notes that an endpoint can't be reached any more or is another one: the
 // requests that broke off there just before are suspects.
 func (suspects *Suspects) Gone(now bvclock.Time, endpoint uint64) {
-	kept := suspects.breakages[:0]
-	for _, broken := range suspects.breakages {
+	kept := suspects.failures[:0]
+	for _, broken := range suspects.failures {
 		switch {
 		case now.Sub(broken.at) > crashWindow:
 		case broken.Endpoint == endpoint:
@@ -63,7 +63,7 @@
 			kept = append(kept, broken)
 		}
 	}
-	suspects.breakages = kept
+	suspects.failures = kept
 }
 
 // Learn notes a crash, seen here or told by another host; the same one twice
--- a/bvdispatch/poison_test.go
+++ b/bvdispatch/poison_test.go
@@ -61,10 +61,10 @@
 
 func TestSuspectsStayBounded(t *testing.T) {
 	var suspects Suspects
-	for request := range uint64(10 * maxBreakages) {
+	for request := range uint64(10 * maxFailures) {
 		suspects.Broke(10, request, 1)
 	}
-	require.LessOrEqual(t, len(suspects.breakages), maxBreakages)
+	require.LessOrEqual(t, len(suspects.failures), maxFailures)
 	suspects.Gone(10, 1)
 	suspects.Recent(bvclock.Time(10).Add(crashMemory + 1))
 	require.Empty(t, suspects.crashes)
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -197,7 +197,7 @@
 	row.health.judge(now, result.Outcome)
 	report := reportOf(result)
 	row.seen.add(now, report)
-	row.untold.add(report)
+	row.unshared.add(report)
 	if result.Outcome != Served {
 		return
 	}
@@ -226,21 +226,21 @@
 	}
 }
 
-// Untold returns how this host's calls ended since the last look, by the hash of
+// UnsharedReports returns how this host's calls ended since the last look, by the hash of
 // the endpoint's ID.
-func (pool *Pool) Untold() map[uint64]Report {
-	untold := make(map[uint64]Report)
+func (pool *Pool) UnsharedReports() map[uint64]Report {
+	unshared := make(map[uint64]Report)
 	for _, row := range pool.rows {
-		if row.untold != (Report{}) {
-			untold[row.hash] = row.untold
-			row.untold = Report{}
+		if row.unshared != (Report{}) {
+			unshared[row.hash] = row.unshared
+			row.unshared = Report{}
 		}
 	}
-	return untold
+	return unshared
 }
 
-// Told takes in an endpoint's own word on its load.
-func (pool *Pool) Told(now bvclock.Time, id string, load bvroute.Load) {
+// SetLoad takes over the load that an endpoint reports.
+func (pool *Pool) SetLoad(now bvclock.Time, id string, load bvroute.Load) {
 	row := pool.byID[id]
 	if row == nil {
 		return
--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -26,7 +26,7 @@
 	for range 3 {
 		pool.End(0, before.ID(), Result{Outcome: Unreachable, Took: 1})
 	}
-	pool.Told(0, before.ID(), bvroute.Load{Running: 16, Waiting: 20, Slots: 16})
+	pool.SetLoad(0, before.ID(), bvroute.Load{Running: 16, Waiting: 20, Slots: 16})
 	after := start("e0", "200", "10.0.0.1:1")
 	replaced := pool.SetEndpoints([]bvplatform.Endpoint{after})
 	require.Equal(t, []uint64{HashID(before.ID())}, replaced)
@@ -45,7 +45,7 @@
 	pool.Begin(0, before.ID(), prompt(1))
 	pool.SetEndpoints([]bvplatform.Endpoint{after})
 	pool.Begin(0, after.ID(), prompt(2))
-	pool.Told(1, before.ID(), bvroute.Load{Running: 16, Slots: 16})
+	pool.SetLoad(1, before.ID(), bvroute.Load{Running: 16, Slots: 16})
 	pool.End(1, before.ID(), Result{Outcome: Unreachable, Took: 1})
 	row := pool.byID[after.ID()]
 	require.Equal(t, 1, row.running)
--- a/bvfleet/play.go
+++ b/bvfleet/play.go
@@ -13,8 +13,8 @@
 const (
 	// way is the time between a caller and its host, with the host's work.
 	way = 10 * bvclock.Millisecond
-	// patience is how long a caller waits for a turn to start.
-	patience = 2400 * bvclock.Millisecond
+	// callerTimeout is how long a caller waits for a turn to start.
+	callerTimeout = 2400 * bvclock.Millisecond
 	// A caller that is refused comes back once; a turn that failed is sent again twice,
 	// after leastPause to leastPause and morePause.
 	mostTries  = 2
@@ -199,7 +199,7 @@
 		urgency: bvdispatch.Urgency(program.kind.Priority, program.at > 0), left: program.turns[program.at].output,
 	}
 	engine.submit(call)
-	at := play.now.Add(patience)
+	at := play.now.Add(callerTimeout)
 	play.impatient[at] = append(play.impatient[at], call)
 }
 
--- a/bvfront/admit_test.go
+++ b/bvfront/admit_test.go
@@ -19,7 +19,9 @@
 	underWay uint64 // the program that had turns before
 }
 
-func (fullDispatcher) Admit(string, bvdispatch.Newcomer) (bvclock.Duration, bool) { return bvclock.Second, false }
+func (fullDispatcher) Admit(string, bvdispatch.Newcomer) (bvclock.Duration, bool) {
+	return bvclock.Second, false
+}
 
 func (dispatcher fullDispatcher) UnderWay(request *bvdispatch.Request) bool {
 	return request.Program == dispatcher.underWay
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -82,7 +82,7 @@
 	// UnderWay reports whether the request's program had turns before this one.
 	UnderWay(request *bvdispatch.Request) bool
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
-	Told(service, endpoint string, load bvroute.Load)
+	SetLoad(service, endpoint string, load bvroute.Load)
 	End(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
 	Poisonous(content uint64) bool
 }
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -86,7 +86,7 @@
 	defer response.Close()
 	if response.Answer.HasLoad {
 		call.load = response.Answer.Load
-		call.front.parts.Dispatcher.Told(call.service.Name, endpoint.ID(), response.Answer.Load)
+		call.front.parts.Dispatcher.SetLoad(call.service.Name, endpoint.ID(), response.Answer.Load)
 	}
 	if response.Answer.NotRun {
 		response.Drain()
--- a/bvgate/choice.go
+++ b/bvgate/choice.go
@@ -11,10 +11,10 @@
 	// candidates is how many of the endpoints with the least pressure are
 	// weighed for a request, besides those that cache its program.
 	candidates = 3
-	// parkPatience is how many times its expected wait a request stays parked
+	// parkTimeout is how many times its expected wait a request stays parked
 	// before it takes any endpoint.
-	parkPatience = 6
-	minPark      = 50 * bvclock.Millisecond
+	parkTimeout = 6
+	minPark     = 50 * bvclock.Millisecond
 	// parkedLimit bounds the parked requests of an endpoint, in its slots; of
 	// each member there are as many as slots at most.
 	parkedLimit = 4
@@ -124,8 +124,8 @@
 	parked.line().remove(parked)
 	parked.member.parkedWork += parked.estimate
 	parked.parkedAt = at.endpoint
-	patience := max(bvclock.Duration(at.wait*parkPatience), minPark)
-	parked.parkedUntil = now.Add(patience)
+	pause := max(bvclock.Duration(at.wait*parkTimeout), minPark)
+	parked.parkedUntil = now.Add(pause)
 	at.endpoint.parked = append(at.endpoint.parked, parked)
 	pool.watch(parked)
 	pool.place(parked.member)
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -97,9 +97,9 @@
 // peer is another host's row.
 type peer struct {
 	candidate
-	digest  *Digest // last; nil before the first
-	heardAt bvclock.Time
-	triedAt bvclock.Time
+	digest   *Digest // last; nil before the first
+	lastSeen bvclock.Time
+	triedAt  bvclock.Time
 }
 
 // Endpoints are the endpoints as this host knows them, by the hashes of their IDs.
@@ -146,7 +146,7 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	if found := gossip.hosts[address]; found != nil {
-		since = max(since, found.heardAt)
+		since = max(since, found.lastSeen)
 	}
 	return gossip.clock.Now().Sub(since)
 }
@@ -285,7 +285,7 @@
 	if peer.digest.GetZone() != gossip.zone {
 		pause = gossip.farPause()
 	}
-	return now.Sub(peer.heardAt) > max(silentAfter, silentPauses*pause)
+	return now.Sub(peer.lastSeen) > max(silentAfter, silentPauses*pause)
 }
 
 // Handler takes in what other hosts send.
@@ -364,9 +364,9 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	peer := gossip.peer(address)
-	peer.digest, peer.heardAt = digest, gossip.clock.Now()
-	gossip.noteTotals(peer.heardAt, digest)
-	gossip.tracker.noteAll(peer.heardAt, address, digest.GetLoads())
+	peer.digest, peer.lastSeen = digest, gossip.clock.Now()
+	gossip.noteTotals(peer.lastSeen, digest)
+	gossip.tracker.noteAll(peer.lastSeen, address, digest.GetLoads())
 	return true
 }
 
@@ -408,8 +408,8 @@
 	return append(near, far...)
 }
 
-// Heard returns the last digests of all hosts that are not silent.
-func (gossip *Gossip) Heard() []*Digest {
+// LivePeers returns the last digests of all hosts that are not silent.
+func (gossip *Gossip) LivePeers() []*Digest {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -16,7 +16,7 @@
 	"balsamvalve.example/bvclock"
 )
 
-const patience = 10 * time.Second
+const testTimeout = 10 * time.Second
 
 // host is a Gossip on a socket, with what its handler got.
 type host struct {
@@ -114,9 +114,9 @@
 func meet(t testing.TB, a, b *host) {
 	a.SetHosts([]netip.AddrPort{b.address})
 	a.Send(a.digest())
-	require.Eventually(t, func() bool { return len(b.Heard()) == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.LivePeers()) == 1 }, testTimeout, time.Millisecond)
 	b.Send(b.digest())
-	require.Eventually(t, func() bool { return len(a.Heard()) == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(a.LivePeers()) == 1 }, testTimeout, time.Millisecond)
 }
 
 // A new host knows the others from the platform's list; they learn of it by its
@@ -124,7 +124,7 @@
 func TestHostsLearnOfEachOtherByDigests(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	meet(t, a, b)
-	require.Equal(t, "b", a.Heard()[0].GetHost())
+	require.Equal(t, "b", a.LivePeers()[0].GetHost())
 }
 
 // A host dies. Its calls stop counting soon, and it is asked for nothing.
@@ -134,7 +134,7 @@
 	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
 	meet(t, a, b)
 	clock.Advance(silentAfter + 1)
-	require.Empty(t, a.Heard())
+	require.Empty(t, a.LivePeers())
 	asked, answered := a.Ask(t.Context(), b.address, &Ask{Program: "p", Tokens: 10})
 	require.False(t, asked)
 	require.False(t, answered)
@@ -148,10 +148,10 @@
 	b.hold(100)
 	asked, _ := a.Ask(t.Context(), b.address, &Ask{Program: "p", Tokens: 60})
 	require.True(t, asked)
-	require.Eventually(t, func() bool { return a.tokens() == 60 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return a.tokens() == 60 }, testTimeout, time.Millisecond)
 	asked, _ = a.Ask(t.Context(), b.address, &Ask{Program: "p", Tokens: 60, Partial: true})
 	require.True(t, asked)
-	require.Eventually(t, func() bool { return a.tokens() == 100 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return a.tokens() == 100 }, testTimeout, time.Millisecond)
 }
 
 // The network delivers an answer twice. The lender has given the tokens up
@@ -183,7 +183,7 @@
 	require.NoError(t, err)
 	require.False(t, a.note(a.digest()))
 	meet(t, a, b)
-	require.Len(t, a.Heard(), 1)
+	require.Len(t, a.LivePeers(), 1)
 }
 
 // A program's row names an incarnation, which must be found at its address.
@@ -209,7 +209,7 @@
 		digest.Placements = []*Placement{{Endpoint: 1, Part: part, Tokens: 10}}
 		a.Send(digest)
 	}
-	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, testTimeout, time.Millisecond)
 	require.Len(t, b.digests()[1].GetPlacements(), 4)
 	require.Empty(t, a.placements)
 	clock.Advance(farInterval - 1)
@@ -219,7 +219,7 @@
 	require.Nil(t, far, "too early")
 	clock.Advance(1)
 	a.Send(a.digest())
-	require.Eventually(t, func() bool { return len(b.digests()) == 3 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.digests()) == 3 }, testTimeout, time.Millisecond)
 }
 
 // Where there are hundreds of hosts, what each tells those of other zones of calls
@@ -243,7 +243,7 @@
 		digest.Placements = append(digest.Placements, &Placement{Endpoint: endpoint, Part: 7, Tokens: 10})
 	}
 	a.Send(digest)
-	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(b.digests()) == 2 }, testTimeout, time.Millisecond)
 	last := b.digests()[1]
 	require.Len(t, last.GetLoads(), 1)
 	require.Equal(t, uint64(2), last.GetLoads()[0].GetEndpoint())
@@ -266,7 +266,7 @@
 	a.mutex.Unlock()
 	clock.Advance(a.farPause() + bvclock.Second)
 	require.Greater(t, a.farPause()+bvclock.Second, silentAfter)
-	require.Len(t, a.Heard(), 1)
+	require.Len(t, a.LivePeers(), 1)
 }
 
 // Some hundred hosts are replaced a day. Those that are gone must not be counted
@@ -277,7 +277,7 @@
 	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
 	meet(t, a, b)
 	a.SetHosts(nil)
-	require.Len(t, a.Heard(), 1, "b is heard, though not listed")
+	require.Len(t, a.LivePeers(), 1, "b is heard, though not listed")
 	require.Less(t, a.SilentFor(b.address, 0), bvclock.Second)
 	clock.Advance(bvclock.Minute)
 	require.Equal(t, bvclock.Minute, a.SilentFor(b.address, 0))
@@ -331,7 +331,7 @@
 	require.Eventually(t, func() bool {
 		asked, answered := a.Ask(t.Context(), b.address, &Ask{Program: "p", Tokens: 10})
 		return asked && !answered
-	}, patience, time.Millisecond)
+	}, testTimeout, time.Millisecond)
 }
 
 // Guards against hosts that take each other for silent between two digests, where there
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -25,7 +25,7 @@
 				asker.mutex.Unlock()
 				endpoint, tokens, found := asker.Holder(program, 70)
 				return found && endpoint == 42 && tokens == 17_000
-			}, patience, time.Millisecond)
+			}, testTimeout, time.Millisecond)
 		}
 	}
 }
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -48,7 +48,7 @@
 	meet(t, a, c)
 	b.SetHosts([]netip.AddrPort{c.address})
 	b.Send(b.digest())
-	require.Eventually(t, func() bool { return len(c.Heard()) == 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(c.LivePeers()) == 2 }, testTimeout, time.Millisecond)
 	endpoint := endpointTrackedBy(t, c, a)
 	b.mutex.Lock()
 	b.trackers = a.trackers // c has not answered b yet
@@ -72,7 +72,7 @@
 		clear(asker.mutedUntil)
 		asker.mutex.Unlock()
 		return asker.Counts([]uint64{endpoint})[endpoint] == want
-	}, patience, time.Millisecond)
+	}, testTimeout, time.Millisecond)
 }
 
 // The tracker is frozen. A call must not wait for it again and again.
--- a/bvgossip/totals.go
+++ b/bvgossip/totals.go
@@ -22,8 +22,8 @@
 
 // zoneTotals are the calls of all hosts at a zone's endpoints.
 type zoneTotals struct {
-	loads   []*Load
-	heardAt bvclock.Time
+	loads    []*Load
+	lastSeen bvclock.Time
 }
 
 // totals adds up the calls at this zone's endpoints, with those of the digest that
@@ -33,7 +33,7 @@
 		return nil
 	}
 	var totals []*Load
-	for endpoint, running := range sum(append(gossip.Heard(), own)) {
+	for endpoint, running := range sum(append(gossip.LivePeers(), own)) {
 		if gossip.endpoints.ZoneOf(endpoint) == gossip.zone {
 			totals = append(totals, &Load{Endpoint: endpoint, Running: uint32(running)})
 		}
@@ -81,19 +81,19 @@
 // noteTotals keeps the totals of another zone. The caller holds the mutex.
 func (gossip *Gossip) noteTotals(now bvclock.Time, digest *Digest) {
 	if len(digest.GetTotals()) > 0 && digest.GetZone() != gossip.zone {
-		gossip.zones[digest.GetZone()] = zoneTotals{loads: digest.GetTotals(), heardAt: now}
+		gossip.zones[digest.GetZone()] = zoneTotals{loads: digest.GetTotals(), lastSeen: now}
 	}
 }
 
 // PeerLoads returns the calls of the other hosts at each endpoint, as far as they
 // told. Own is this host's last digest, whose calls other zones' totals contain.
 func (gossip *Gossip) PeerLoads(own *Digest) map[uint64]int {
-	loads, told := sum(gossip.Heard()), sum([]*Digest{own})
+	loads, told := sum(gossip.LivePeers()), sum([]*Digest{own})
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	since := gossip.toldSince(gossip.clock.Now())
 	for _, zone := range gossip.zones {
-		if zone.heardAt.Before(since) {
+		if zone.lastSeen.Before(since) {
 			continue
 		}
 		for _, load := range zone.loads {
--- a/bvgossip/tracker.go
+++ b/bvgossip/tracker.go
@@ -71,13 +71,13 @@
 		return // all that it said before is repeated
 	}
 	for endpoint := range tracker.byHost[host] {
-		if tracker.uses[endpoint][host].saidAt != now || !isTold(loads, endpoint) {
+		if tracker.uses[endpoint][host].saidAt != now || !hasEndpoint(loads, endpoint) {
 			tracker.drop(host, endpoint)
 		}
 	}
 }
 
-func isTold(loads []*Load, endpoint uint64) bool {
+func hasEndpoint(loads []*Load, endpoint uint64) bool {
 	return slices.ContainsFunc(loads, func(load *Load) bool { return load.GetEndpoint() == endpoint })
 }
 
--- a/bvhistory/row.go
+++ b/bvhistory/row.go
@@ -48,7 +48,7 @@
 
 // turn returns a turn that is at hand, or reads it.
 func (store *Store) turn(ctx context.Context, id string) (*Turn, error) {
-	if found := store.recall(id); found != nil {
+	if found := store.cached(id); found != nil {
 		return found, nil
 	}
 	encoded, err := store.read(ctx, id)
--- a/bvhistory/store.go
+++ b/bvhistory/store.go
@@ -126,13 +126,13 @@
 // Recall returns all turns up to the one that is named if they are at hand, else
 // nil.
 func (store *Store) Recall(parent string) Chain {
-	last := store.recall(parent)
+	last := store.cached(parent)
 	if last == nil {
 		return nil
 	}
 	chain := make(Chain, 0, len(last.Ancestors)+1)
 	for _, ancestor := range last.Ancestors {
-		turn := store.recall(ancestor)
+		turn := store.cached(ancestor)
 		if turn == nil {
 			return nil
 		}
@@ -154,7 +154,7 @@
 	chain[len(last.Ancestors)] = last
 	group, ctx := errgroup.WithContext(ctx)
 	for i, ancestor := range last.Ancestors {
-		if chain[i] = store.recall(ancestor); chain[i] != nil {
+		if chain[i] = store.cached(ancestor); chain[i] != nil {
 			continue
 		}
 		group.Go(func() (err error) {
@@ -237,7 +237,7 @@
 	})
 }
 
-func (store *Store) recall(id string) *Turn {
+func (store *Store) cached(id string) *Turn {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	found, _ := store.cache.Get(id)
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -47,7 +47,7 @@
 	// longestTakeover is how long a new holder waits: until the one before it has
 	// surely stopped granting, and no program that it granted for can come back.
 	longestTakeover = leaseTime + LongestProgram + longestRetain + readGap
-	// readGap is the longest time between two readings in which a former host
+	// readGap is the longest time between two readings in which a departed host
 	// that was back and left again is not noticed.
 	readGap = 15 * bvclock.Second
 	// blindGap is the time between two readings after which this host begins
@@ -78,8 +78,8 @@
 	seed uint64
 }
 
-// former is a host that is no longer listed.
-type former struct {
+// departed is a host that is no longer listed.
+type departed struct {
 	seed uint64
 	gone bvclock.Time // when the list was first read without it
 }
@@ -90,13 +90,13 @@
 	first   bool // the whole system started for the first time
 	started bvclock.Time
 
-	mutex     sync.Mutex
-	wrote     bvclock.Time // when this host's row was written; 0: not yet
-	asked     bvclock.Time // when the last reading of the list began; 0: not yet
-	rows      []row
-	formers   []former
-	succeeded bool // this host goes on from what its last process handed over
-	stopped   bool
+	mutex         sync.Mutex
+	wrote         bvclock.Time // when this host's row was written; 0: not yet
+	asked         bvclock.Time // when the last reading of the list began; 0: not yet
+	rows          []row
+	departedHosts []departed
+	succeeded     bool // this host goes on from what its last process handed over
+	stopped       bool
 }
 
 // New returns the view of a host that knows no list yet.
@@ -113,8 +113,8 @@
 
 // Known is what a host knows of the others, by the seeds of their names.
 type Known struct {
-	Listed []uint64 `json:"listed"`
-	Former []uint64 `json:"former"` // no longer listed, and still to be waited for
+	Listed   []uint64 `json:"listed"`
+	Departed []uint64 `json:"former"` // no longer listed, and still to be waited for
 }
 
 // Stop ends all grants of this host. It is called before the host takes itself
@@ -124,12 +124,12 @@
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.stopped = true
-	leases.dropFormers(now)
+	leases.dropDeparted(now)
 	for _, row := range leases.rows {
 		known.Listed = append(known.Listed, row.seed)
 	}
-	for _, former := range leases.formers {
-		known.Former = append(known.Former, former.seed)
+	for _, departed := range leases.departedHosts {
+		known.Departed = append(known.Departed, departed.seed)
 	}
 	return known, leases.wrote != 0 && leases.confirmed(now) && leases.alone(now)
 }
@@ -141,8 +141,8 @@
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
 	leases.succeeded = true
-	for _, seed := range slices.Concat(known.Listed, known.Former) {
-		leases.formers = append(leases.formers, former{seed: seed, gone: now})
+	for _, seed := range slices.Concat(known.Listed, known.Departed) {
+		leases.departedHosts = append(leases.departedHosts, departed{seed: seed, gone: now})
 	}
 }
 
@@ -161,15 +161,15 @@
 	leases.noteGap(asked, now)
 	for _, before := range leases.rows {
 		if !listed[before.seed] {
-			leases.formers = append(leases.formers, former{seed: before.seed, gone: now})
+			leases.departedHosts = append(leases.departedHosts, departed{seed: before.seed, gone: now})
 		}
 	}
 	leases.rows, leases.asked = rows, asked
-	leases.formers = slices.DeleteFunc(leases.formers, func(former former) bool { return listed[former.seed] })
-	leases.dropFormers(now)
+	leases.departedHosts = slices.DeleteFunc(leases.departedHosts, func(departed departed) bool { return listed[departed.seed] })
+	leases.dropDeparted(now)
 }
 
-// noteGap guards against what happened unseen since the last reading. A former
+// noteGap guards against what happened unseen since the last reading. A departed
 // host may have been back, granted and left again: its time begins anew. After a
 // long gap this may be true of a host that was never seen here, so that this one
 // begins as if it had just been listed.
@@ -179,8 +179,8 @@
 	}
 	gap := asked.Sub(leases.asked)
 	if gap > readGap {
-		for i := range leases.formers {
-			leases.formers[i].gone = now
+		for i := range leases.departedHosts {
+			leases.departedHosts[i].gone = now
 		}
 	}
 	if gap > blindGap {
@@ -188,10 +188,10 @@
 	}
 }
 
-// dropFormers forgets those whose time is over.
-func (leases *Leases) dropFormers(now bvclock.Time) {
-	leases.formers = slices.DeleteFunc(leases.formers, func(former former) bool {
-		return now.Sub(former.gone) >= longestTakeover
+// dropDeparted forgets those whose time is over.
+func (leases *Leases) dropDeparted(now bvclock.Time) {
+	leases.departedHosts = slices.DeleteFunc(leases.departedHosts, func(departed departed) bool {
+		return now.Sub(departed.gone) >= longestTakeover
 	})
 }
 
@@ -237,7 +237,7 @@
 		return false
 	}
 	best, highest := leases.holder(program)
-	return best != nil && best.Incarnation == leases.self.Incarnation && !leases.followsFormer(now, program, highest)
+	return best != nil && best.Incarnation == leases.self.Incarnation && !leases.followsDeparted(now, program, highest)
 }
 
 // alone reports whether no host can have granted for this one's programs before
@@ -249,11 +249,11 @@
 	return leases.first && leases.wrote.Sub(leases.started) <= firstListed && leases.asked.Sub(leases.started) >= firstRead
 }
 
-// followsFormer reports whether a host that is no longer listed was the program's
+// followsDeparted reports whether a host that is no longer listed was the program's
 // holder, and may still be granting, or its programs be under way.
-func (leases *Leases) followsFormer(now bvclock.Time, program string, own uint64) bool {
+func (leases *Leases) followsDeparted(now bvclock.Time, program string, own uint64) bool {
 	key := xxhash.Sum64String(program)
-	return slices.ContainsFunc(leases.formers, func(former former) bool {
-		return bvhost.Weight(former.seed, key) > own && now.Sub(former.gone) < longestTakeover
+	return slices.ContainsFunc(leases.departedHosts, func(departed departed) bool {
+		return bvhost.Weight(departed.seed, key) > own && now.Sub(departed.gone) < longestTakeover
 	})
 }
--- a/bvlease/lease_test.go
+++ b/bvlease/lease_test.go
@@ -204,7 +204,7 @@
 	require.False(t, caught.failed)
 	for name, process := range world.processes {
 		process.leases.Listed(world.now, world.now, []Host{process.self}) // each sees itself alone
-		process.leases.formers = nil
+		process.leases.departedHosts = nil
 		require.True(t, world.mayGrant(name, "p"))
 	}
 	world.checkGrants(caught)
--- a/bvprocess/cluster_test.go
+++ b/bvprocess/cluster_test.go
@@ -28,11 +28,11 @@
 		"\nconsortium admin " + adminKey + "\n"
 )
 
-// poll is how often a condition is looked at, and patience how long; patience
+// poll is how often a condition is looked at, and testTimeout how long; testTimeout
 // only bounds a test that fails.
 const (
-	poll     = 50 * time.Millisecond
-	patience = 30 * time.Second
+	poll        = 50 * time.Millisecond
+	testTimeout = 30 * time.Second
 )
 
 // cluster is a set of processes that serve together.
@@ -103,7 +103,7 @@
 	for _, daemon := range cluster.daemons {
 		require.Eventually(cluster.t, func() bool {
 			return isReady(daemon) && cluster.counter(daemon, "hosts") == len(cluster.daemons)
-		}, patience, poll, daemon.name)
+		}, testTimeout, poll, daemon.name)
 	}
 }
 
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -58,7 +58,7 @@
 	require.Positive(t, total(), "the engines should hold the program's prefix while it runs")
 	owner.kill()
 	conversation.end(cluster.daemons[0])
-	require.Eventually(t, func() bool { return total() == 0 }, patience, poll)
+	require.Eventually(t, func() bool { return total() == 0 }, testTimeout, poll)
 }
 
 // Something between a host and an engine loses track of the connection in
@@ -133,13 +133,13 @@
 	require.Eventually(t, func() bool {
 		status, _ := poison.post(entry, bvstandin.PoisonMarker, false)
 		return status == http.StatusUnprocessableEntity
-	}, patience, poll)
+	}, testTimeout, poll)
 	crashed := 4 - cluster.alive()
 	decider.kill()
 	require.Eventually(t, func() bool {
 		status, _ := poison.post(entry, bvstandin.PoisonMarker, false)
 		return status == http.StatusUnprocessableEntity
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Equal(t, crashed, 4-cluster.alive())
 }
 
@@ -158,18 +158,18 @@
 	require.Eventually(t, func() bool {
 		status, _ := poison.post(decider, bvstandin.PoisonMarker, false)
 		return status == http.StatusUnprocessableEntity
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Zero(t, cluster.counter(decider, "suspects_told"))
 	crashed := 4 - cluster.alive()
 	for _, other := range others {
 		other.signal(syscall.SIGCONT)
 	}
-	require.Eventually(t, func() bool { return cluster.counter(decider, "suspects_told") >= 2 }, patience, poll)
+	require.Eventually(t, func() bool { return cluster.counter(decider, "suspects_told") >= 2 }, testTimeout, poll)
 	decider.kill()
 	require.Eventually(t, func() bool {
 		status, _ := poison.post(others[0], bvstandin.PoisonMarker, false)
 		return status == http.StatusUnprocessableEntity
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Equal(t, crashed, 4-cluster.alive())
 }
 
@@ -220,7 +220,7 @@
 		var status int
 		status, body = conversation.post(cluster.daemons[0], "next", false)
 		return status == http.StatusServiceUnavailable
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Contains(t, body, `"retry_after_ms"`)
 	cluster.startEngine(1, "--instant")
 	var answer string
@@ -228,6 +228,6 @@
 		var status int
 		status, answer = conversation.post(cluster.daemons[0], "next", false)
 		return status == http.StatusOK
-	}, patience, poll)
+	}, testTimeout, poll)
 	conversation.take("next", contentOf(t, answer))
 }
--- a/bvprocess/log_test.go
+++ b/bvprocess/log_test.go
@@ -82,7 +82,7 @@
 	require.Len(t, trace, 32)
 	require.Eventually(t, func() bool {
 		return strings.Count(cluster.daemons[0].logged(), trace) >= 2 && strings.Contains(cluster.daemons[2].logged(), trace)
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Contains(t, cluster.daemons[0].logged(), "verdict=\"not run\"")
 }
 
--- a/bvprocess/metrics_test.go
+++ b/bvprocess/metrics_test.go
@@ -17,7 +17,7 @@
 		conversation.say(daemon, "200 anchors of the size M10, galvanized, and what they cost")
 	}
 	conversation.end(daemon)
-	require.Eventually(t, func() bool { return cluster.counter(daemon, "releases") > 0 }, patience, poll)
+	require.Eventually(t, func() bool { return cluster.counter(daemon, "releases") > 0 }, testTimeout, poll)
 	response := daemon.variables(adminKey)
 	defer func() { _ = response.Body.Close() }()
 	var variables struct {
--- a/bvprocess/once_test.go
+++ b/bvprocess/once_test.go
@@ -76,7 +76,7 @@
 	cluster.services[0].fault(`{"hang":true}`)
 	var callers sync.WaitGroup
 	callers.Go(func() { cluster.book(cluster.daemons[0], program, "booking-2") })
-	require.Eventually(t, func() bool { return cluster.runs("booking-2") == 1 }, patience, poll)
+	require.Eventually(t, func() bool { return cluster.runs("booking-2") == 1 }, testTimeout, poll)
 	owner.kill()
 	for range 2 {
 		for _, daemon := range cluster.daemons[:2] {
--- a/bvprocess/outage_test.go
+++ b/bvprocess/outage_test.go
@@ -49,6 +49,6 @@
 	require.Eventually(t, func() bool {
 		status, _, _ := cluster.book(cluster.daemons[0], "lesson", "booking-4")
 		return status == http.StatusOK
-	}, patience, poll)
+	}, testTimeout, poll)
 	require.Equal(t, 1, cluster.runs("booking-4"))
 }
--- a/bvprocess/status_test.go
+++ b/bvprocess/status_test.go
@@ -55,7 +55,7 @@
 		seen := cluster.statusJSON(cluster.daemons[1], boltsOperatorKey)
 		own := member(seen, "bolts").Own
 		return own != nil && own.Programs > 0 && own.Work > 0 && len(own.Refusals) > 0 && seen.Hosts[0].Version == 1
-	}, patience, poll)
+	}, testTimeout, poll)
 	seen := cluster.statusJSON(cluster.daemons[1], boltsOperatorKey)
 	require.Len(t, seen.Hosts, 3)
 	require.Len(t, seen.Endpoints, 2)
--- a/bvprocess/stop_test.go
+++ b/bvprocess/stop_test.go
@@ -91,10 +91,10 @@
 	}
 	for i, old := range cluster.daemons {
 		replacement := cluster.startDaemon(len(cluster.daemons) + i)
-		require.Eventually(t, func() bool { return isReady(replacement) }, patience, poll)
+		require.Eventually(t, func() bool { return isReady(replacement) }, testTimeout, poll)
 		balancer.add(replacement)
 		old.signal(syscall.SIGTERM)
-		require.Eventually(t, func() bool { return !isReady(old) }, patience, poll)
+		require.Eventually(t, func() bool { return !isReady(old) }, testTimeout, poll)
 		balancer.remove(old)
 		require.Zero(t, old.wait())
 	}
--- a/bvprocess/table_test.go
+++ b/bvprocess/table_test.go
@@ -46,7 +46,7 @@
 	require.Zero(t, code, output)
 	require.Contains(t, output, "in force on all 3 hosts")
 	for _, daemon := range cluster.daemons {
-		require.Eventually(t, func() bool { return cluster.counter(daemon, "table_version") >= 2 }, patience, poll)
+		require.Eventually(t, func() bool { return cluster.counter(daemon, "table_version") >= 2 }, testTimeout, poll)
 	}
 }
 
@@ -62,7 +62,7 @@
 	output, code := cluster.table(cluster.daemons[0], piranOperatorKey, "set", "piran/booking", "turns=3")
 	require.Contains(t, output, frozen.name, "exit %d", code)
 	frozen.signal(syscall.SIGCONT)
-	require.Eventually(t, func() bool { return cluster.counter(frozen, "table_version") >= 2 }, patience, poll)
+	require.Eventually(t, func() bool { return cluster.counter(frozen, "table_version") >= 2 }, testTimeout, poll)
 }
 
 // Operators of rival members edit different cells through different hosts at
@@ -118,7 +118,7 @@
 	status, body := conversation.post(cluster.daemons[1], "again", false)
 	require.Equal(t, http.StatusTooManyRequests, status, body)
 	require.Contains(t, body, `"verdict":"not run"`)
-	require.Eventually(t, func() bool { return cluster.held(cluster.engines[0], "loop") == 0 }, patience, poll)
+	require.Eventually(t, func() bool { return cluster.held(cluster.engines[0], "loop") == 0 }, testTimeout, poll)
 }
 
 // A program with a budget of 1,000 is asked for more than that. The call that
--- a/bvprocess/tls_test.go
+++ b/bvprocess/tls_test.go
@@ -109,7 +109,7 @@
 	for _, daemon := range cluster.daemons {
 		require.Eventually(t, func() bool {
 			return strings.Count(securedStatus(daemon, files), "s ago") == 3
-		}, patience, poll, "all three hosts answer each other over TLS")
+		}, testTimeout, poll, "all three hosts answer each other over TLS")
 	}
 	conversation := newConversation(t, boltsKey, "quote")
 	for turn := range 6 {
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -76,9 +76,9 @@
 	// minority is the share of the hosts below which a group of hosts that hear each
 	// other counts what it grants by itself: another group may take the rest.
 	minority = 0.5
-	// unheardShare is the share of a cap for hosts that are not heard, and may still be
+	// unreachableShare is the share of a cap for hosts that are not heard, and may still be
 	// granting, that the others need not leave to them.
-	unheardShare = 0.05
+	unreachableShare = 0.05
 )
 
 // Cap is the usage cap of a workspace.
@@ -136,7 +136,7 @@
 	hosts    int                     // heard, this one included; 0: not known yet
 	share    float64                 // of the caps that this group of hosts may take
 	lag      bvclock.Duration        // within which the other hosts' requests are heard of
-	heardAt  map[uint64]bvclock.Time // other hosts
+	lastSeen map[uint64]bvclock.Time // other hosts
 	tidiedAt bvclock.Time
 }
 
@@ -146,7 +146,7 @@
 	return &Limiter{
 		clock: clock, bounds: bounds, lag: bounds.Window,
 		accounts: make(map[string]*account), byHash: make(map[uint32]*account),
-		heardAt: make(map[uint64]bvclock.Time),
+		lastSeen: make(map[uint64]bvclock.Time),
 	}
 }
 
@@ -200,7 +200,7 @@
 	limiter.hosts, limiter.lag = max(heard, 1), lag
 	limiter.share = float64(heard) / float64(max(listed, 1))
 	if limiter.share >= minority {
-		limiter.share = min(limiter.share+unheardShare, 1)
+		limiter.share = min(limiter.share+unreachableShare, 1)
 	}
 }
 
@@ -359,7 +359,7 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	late := limiter.lateness(now, host)
-	limiter.heardAt[host] = now
+	limiter.lastSeen[host] = now
 	for _, use := range uses {
 		if account := limiter.byHash[use.Workspace]; account != nil {
 			account.hear(now, limiter.share, host, use, late)
@@ -369,11 +369,11 @@
 
 // lateness is for how long nothing has come from a host beyond what is usual.
 func (limiter *Limiter) lateness(now bvclock.Time, host uint64) bvclock.Duration {
-	heardAt, known := limiter.heardAt[host]
+	lastSeen, known := limiter.lastSeen[host]
 	if !known {
 		return 0
 	}
-	return max(now.Sub(heardAt)-2*limiter.lag, 0)
+	return max(now.Sub(lastSeen)-2*limiter.lag, 0)
 }
 
 // tidy forgets hosts that have told nothing of a workspace for long.
@@ -382,7 +382,7 @@
 		return
 	}
 	limiter.tidiedAt = now
-	maps.DeleteFunc(limiter.heardAt, func(_ uint64, at bvclock.Time) bool { return now.Sub(at) > forgetAfter })
+	maps.DeleteFunc(limiter.lastSeen, func(_ uint64, at bvclock.Time) bool { return now.Sub(at) > forgetAfter })
 	for _, account := range limiter.accounts {
 		account.forget(now.Add(-forgetAfter))
 	}
--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -42,7 +42,7 @@
 // toldOfNewer reports whether another host has a newer version than is in force here.
 func (router *Router) toldOfNewer() bool {
 	version := router.version()
-	return slices.ContainsFunc(router.gossip.Heard(), func(digest *bvgossip.Digest) bool {
+	return slices.ContainsFunc(router.gossip.LivePeers(), func(digest *bvgossip.Digest) bool {
 		return digest.GetStateVersion() > version
 	})
 }
@@ -73,7 +73,7 @@
 		}
 		// The other host's age is of a moment after the question, so that time spent
 		// on the way, or suspended, makes the state older here and never younger.
-		router.state.heard(asked.Add(-confirmed.age))
+		router.state.noteConfirmed(asked.Add(-confirmed.age))
 		return
 	}
 }
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -61,7 +61,7 @@
 		if table != nil {
 			router.apply(table)
 		}
-		router.state.heard(asked)
+		router.state.noteConfirmed(asked)
 	}
 }
 
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -23,7 +23,7 @@
 	clock.Advance(1)
 	state := &state{clock: clock, apply: 2 * bvclock.Second}
 	require.False(t, state.View().Certain)
-	state.heard(clock.Now())
+	state.noteConfirmed(clock.Now())
 	require.True(t, state.View().Certain)
 	clock.Advance(1900)
 	require.False(t, state.View().Certain)
@@ -42,7 +42,7 @@
 	clock.Advance(1)
 	state := &state{clock: clock, apply: 3 * bvclock.Second, revoke: 5 * bvclock.Second}
 	require.False(t, state.View().KeysConfirmed)
-	state.heard(clock.Now())
+	state.noteConfirmed(clock.Now())
 	clock.Advance(4500)
 	require.True(t, state.View().KeysConfirmed)
 	clock.Advance(500)
@@ -55,8 +55,8 @@
 	clock := &bvclock.Manual{}
 	clock.Advance(10_000)
 	state := &state{clock: clock}
-	state.heard(9000)
-	state.heard(8000)
+	state.noteConfirmed(9000)
+	state.noteConfirmed(8000)
 	age, known := state.Age()
 	require.True(t, known)
 	require.Equal(t, bvclock.Second, age)
@@ -69,7 +69,7 @@
 	state := &state{clock: clock, apply: 3 * bvclock.Second}
 	asked := clock.Now()
 	clock.Advance(stateWait(state.apply))
-	state.heard(asked) // the answer to a question that found no change
+	state.noteConfirmed(asked) // the answer to a question that found no change
 	clock.Advance(stateWait(state.apply) + 20)
 	require.True(t, state.View().Certain)
 }
@@ -87,7 +87,7 @@
 		for version := int64(1); version <= versions; version++ {
 			table, _ := bvroute.NewTable(bvroute.Rows{Version: version}) // an empty table is sound
 			state.replace(table)
-			state.heard(bvclock.Time(version))
+			state.noteConfirmed(bvclock.Time(version))
 		}
 	}()
 	for {
@@ -116,7 +116,7 @@
 			now := clock.Advance(between)
 			table, _ := bvroute.NewTable(bvroute.Rows{Version: version}) // an empty table is sound
 			state.replace(table)
-			state.heard(now)
+			state.noteConfirmed(now)
 		}
 	}()
 	for {
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -60,7 +60,7 @@
 	for endpoint, count := range running {
 		digest.Loads = append(digest.Loads, &bvgossip.Load{Endpoint: endpoint, Running: uint32(count)})
 	}
-	for endpoint, report := range router.dispatcher.Untold() {
+	for endpoint, report := range router.dispatcher.UnsharedReports() {
 		digest.Outcomes = append(digest.Outcomes, &bvgossip.Outcome{
 			Endpoint: endpoint, Ended: uint32(report.Ended), Failed: uint32(report.Failed),
 			Paced: uint32(report.Paced), Pace: uint32(report.Pace),
@@ -193,7 +193,7 @@
 		return nil
 	}
 	var addresses []string
-	for _, digest := range router.gossip.Heard() {
+	for _, digest := range router.gossip.LivePeers() {
 		if digest.GetStoreReachable() && !digest.GetLeaving() {
 			addresses = append(addresses, digest.GetAddress())
 		}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -14,7 +14,7 @@
 )
 
 // relayTimeout bounds a call through another host. The other host's own call
-// to the store is bounded by storePatience.
+// to the store is bounded by storeTimeout.
 const relayTimeout = storeTimeout + 100*bvclock.Millisecond
 
 // relayHandler lets other hosts use this host's way to the platform: its store
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -215,7 +215,7 @@
 func (router *Router) CallerAddress() string { return router.callers.Addr().String() }
 
 // Hosts returns how many other hosts are heard of.
-func (router *Router) Hosts() int { return len(router.gossip.Heard()) }
+func (router *Router) Hosts() int { return len(router.gossip.LivePeers()) }
 
 // Grants reports whether this host may grant tokens of a program from memory.
 func (router *Router) Grants(program string) bool {
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -20,12 +20,12 @@
 
 // state is the desired state as far as this host knows it.
 type state struct {
-	clock   bvclock.Clock
-	apply   bvclock.Duration // bound within which a new version must be in force
-	revoke  bvclock.Duration // bound within which a key that was taken away must be refused; 0: none
-	table   atomic.Pointer[bvroute.Table]
-	heardAt atomic.Int64 // when the platform last said what is newest
-	listed  atomic.Pointer[[]bvplatform.Endpoint]
+	clock       bvclock.Clock
+	apply       bvclock.Duration // bound within which a new version must be in force
+	revoke      bvclock.Duration // bound within which a key that was taken away must be refused; 0: none
+	table       atomic.Pointer[bvroute.Table]
+	confirmedAt atomic.Int64 // when the platform last said what is newest
+	listed      atomic.Pointer[[]bvplatform.Endpoint]
 }
 
 // endpoints returns the list of endpoints to go by, or nil before the first.
@@ -54,7 +54,7 @@
 // that it is the one in force here. It counts suspensions, and is not known before
 // the first answer.
 func (state *state) Age() (age bvclock.Duration, known bool) {
-	heard := bvclock.Time(state.heardAt.Load())
+	heard := bvclock.Time(state.confirmedAt.Load())
 	return state.clock.Now().Sub(heard), heard != 0
 }
 
@@ -66,11 +66,11 @@
 	return state.Current(), age, known
 }
 
-// heard notes that the platform said what is newest, as of the given time.
-func (state *state) heard(at bvclock.Time) {
+// noteConfirmed notes that the platform said what is newest, as of the given time.
+func (state *state) noteConfirmed(at bvclock.Time) {
 	for {
-		known := state.heardAt.Load()
-		if int64(at) <= known || state.heardAt.CompareAndSwap(known, int64(at)) {
+		known := state.confirmedAt.Load()
+		if int64(at) <= known || state.confirmedAt.CompareAndSwap(known, int64(at)) {
 			return
 		}
 	}
--- a/bvtable/machine_test.go
+++ b/bvtable/machine_test.go
@@ -102,7 +102,7 @@
 	editor := machine.editors[host]
 	editor.pause = func(_ context.Context, tries int) {
 		if tries >= 2 {
-			cancel() // the operator's patience ends
+			cancel() // the operator's testTimeout ends
 		}
 	}
 	version, wasAccepted := machine.accepted[edit.Attempt]
--- a/bvtrace/trace_test.go
+++ b/bvtrace/trace_test.go
@@ -25,10 +25,10 @@
 )
 
 const (
-	callerKey = "piran-caller-key-0000"
-	patience  = 30 * time.Second
-	poll      = 20 * time.Millisecond
-	prompt    = "a lesson for Ana Novak"
+	callerKey   = "piran-caller-key-0000"
+	testTimeout = 30 * time.Second
+	poll        = 20 * time.Millisecond
+	prompt      = "a lesson for Ana Novak"
 )
 
 // collector keeps spans.
@@ -76,7 +76,7 @@
 	}
 	t.Cleanup(system.end)
 	for _, daemon := range system.daemons {
-		require.Eventually(t, func() bool { return daemon.Ready() && daemon.HostsSeen() == 2 }, patience, poll)
+		require.Eventually(t, func() bool { return daemon.Ready() && daemon.HostsSeen() == 2 }, testTimeout, poll)
 	}
 	return system
 }
