After an outage of the store, hosts ask anew at once

: the store is silent for 6.8 s, trials see it back after 0.1 s, but keys are confirmed again 0.9 to 1.4 s later, and the desired state counts as regained after 3.3 s. Until then all requests with keys are refused.

Cause: the question for changes of the desired state that was under way is held by the silent store until its own limit of 2.8 s; then comes a pause, and the next question is answered only after the usual wait of 1.3 s, since nothing has changed.

Change: questions that the store holds end when the store client sees the store back, and where the state is older than it becomes while the store answers, the next question is answered at once. Tests: TestQuestionOfBeforeAnOutageEndsWhenTheStoreIsBack, TestStateThatIsOldIsAskedForWithoutAWait.

--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -22,6 +22,8 @@
 	// stateWaitShare is the same for a new desired state. Two waits must be over
 	// while the host is still certain of the state: it is as old when an answer comes.
 	stateWaitShare = 0.43
+	// leastWait is the wait of a question whose answer is wanted at once.
+	leastWait = 1 * bvclock.Millisecond
 	// tidyInterval is the time between two looks at idle connections.
 	tidyInterval = 1000 * bvclock.Millisecond
 	// retryInterval is the pause after a failed call to the platform.
@@ -47,7 +49,13 @@
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
 		router.countStoreCall("await routes")
-		table, next, err := router.parts.Platform.AwaitRoutes(ctx, after, stateWait(router.settings.Apply))
+		question, release := router.store.untilRegained(ctx)
+		table, next, err := router.parts.Platform.AwaitRoutes(question, after, router.state.nextWait())
+		regained := question.Err() != nil
+		release()
+		if err != nil && regained {
+			continue // the store is back, and that question was lost
+		}
 		lost.Note(unlessEnded(ctx, err))
 		if err != nil {
 			pause(ctx, retryInterval)
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -49,6 +49,19 @@
 	require.False(t, state.View().KeysConfirmed)
 }
 
+// Guards against a store that is back and holds the question by which keys are confirmed.
+func TestStateThatIsOldIsAskedForWithoutAWait(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(1)
+	state := &state{clock: clock, apply: 3 * bvclock.Second, revoke: 5 * bvclock.Second}
+	require.Equal(t, stateWait(state.apply), state.nextWait(), "before the first answer")
+	state.noteConfirmed(clock.Now())
+	clock.Advance(2 * stateWait(state.apply))
+	require.Equal(t, stateWait(state.apply), state.nextWait())
+	clock.Advance(bvclock.Second)
+	require.Equal(t, leastWait, state.nextWait())
+}
+
 // Guards against an older confirmation that comes late, through another host, and takes
 // the place of a newer one.
 func TestConfirmationsNeverGoBack(t *testing.T) {
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// nextWait returns for how long the store may hold the next question for changes. The
+// answer is wanted at once where the state is older than it becomes while the store answers.
+func (state *state) nextWait() bvclock.Duration {
+	if age, known := state.Age(); known && age > confirmWithin(state.apply, state.revoke) {
+		return leastWait
+	}
+	return stateWait(state.apply)
+}
+
 // replace puts a newer version in force. An older one is ignored: a version that
 // callers have seen the effect of is never gone back on.
 func (state *state) replace(table *bvroute.Table) bool {
--- a/bvrouter/store_calls.go
+++ b/bvrouter/store_calls.go
@@ -45,6 +45,8 @@
 // calls would learn late that it is lost.
 func (client *storeClient) AwaitEndpoints(ctx context.Context, after int64, wait bvclock.Duration) (bvplatform.EndpointChanges, error) {
 	client.count("await endpoints")
+	ctx, release := client.untilRegained(ctx)
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, (wait + storeTimeout).Std())
 	defer cancel()
 	changes, err := client.own.AwaitEndpoints(ctx, after, wait)
--- a/bvrouter/store_client.go
+++ b/bvrouter/store_client.go
@@ -53,8 +53,9 @@
 	clients  map[string]*bvplatform.Client
 	lost     bool
 	lostAt   bvclock.Time
-	usual    float64 // duration of an answered call, in milliseconds
-	overruns int     // calls in a row that ran out of time
+	usual    float64       // duration of an answered call, in milliseconds
+	overruns int           // calls in a row that ran out of time
+	back     chan struct{} // closed when the store is next regained; nil where nobody waits
 
 	doubts chan struct{} // holds one while a trial is due
 }
@@ -93,6 +94,33 @@
 		return
 	}
 	entry.Info("store: regained")
+	if client.back != nil {
+		close(client.back)
+		client.back = nil
+	}
+}
+
+// untilRegained returns a context that also ends when the store, lost now or later, is
+// regained.
+//
+// It is for questions that the store holds until something changes: a store that was
+// silent never answers those of before.
+func (client *storeClient) untilRegained(ctx context.Context) (context.Context, context.CancelFunc) {
+	client.mutex.Lock()
+	if client.back == nil {
+		client.back = make(chan struct{})
+	}
+	back := client.back
+	client.mutex.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-back:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 func (client *storeClient) hanging(now bvclock.Time) bool {
--- a/bvrouter/store_client_test.go
+++ b/bvrouter/store_client_test.go
@@ -179,3 +179,24 @@
 	client.overruns, client.usual = 0, 100
 	require.Equal(t, 600*bvclock.Millisecond, client.timeout())
 }
+
+// Guards against a host that waits for the answer to a question of before an outage, and
+// learns seconds late that the store is back.
+func TestQuestionOfBeforeAnOutageEndsWhenTheStoreIsBack(t *testing.T) {
+	own := &switchedPlatform{err: bvplatform.ErrUnavailable}
+	client := newTestReach(own, bvclock.Boot())
+	question, release := client.untilRegained(t.Context())
+	defer release()
+	for range lostAfter {
+		client.try(t.Context(), "t/p/k")
+	}
+	require.False(t, client.up())
+	require.NoError(t, question.Err())
+	own.err = nil
+	client.try(t.Context(), "t/p/k")
+	require.True(t, client.up())
+	<-question.Done()
+	again, release := client.untilRegained(t.Context())
+	defer release()
+	require.NoError(t, again.Err(), "a question of after the outage is not ended")
+}
