In an outage of the store hosts go by the last answer that any of them got

Hypothesis: hosts ask the store for the desired state at times spread over a wait of 1.3 s, so in an outage keys stop being confirmed between 3.6 and 4.9 s after it began, one host after the other, though the bound lets all go by the last answer of any host.

Change: from the age on at which another host that reaches the store would be asked, and where none does, a host asks one other, drawn at random, every 0.2 s until the bound. What it is given is an age, counted from before the question, as before; an older one changes nothing.

--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -10,6 +10,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -34,11 +35,23 @@
 		pause(ctx, confirmInterval)
 		age, known := router.state.Age()
 		if !known || age > limit || !router.store.up() && router.toldOfNewer() {
-			router.borrowRoutes(ctx)
+			if !router.borrowRoutes(ctx, router.helpers()) && known && age < router.settings.Revoke {
+				router.borrowRoutes(ctx, router.confirmers())
+			}
 		}
 	}
 }
 
+// confirmers returns another host, drawn at random, for while no host reaches the store.
+// Hosts last asked it at different times, so that in a few rounds all go by the answer
+// that came last, and good keys are served for longer.
+func (router *Router) confirmers() []string {
+	if router.settings.Without.Has(bvmechanism.Relays) {
+		return nil
+	}
+	return draw(router.gossip.LivePeers(), 1, func(digest *bvgossip.Digest) bool { return !digest.GetLeaving() })
+}
+
 // toldOfNewer reports whether another host has a newer version than is in force here.
 func (router *Router) toldOfNewer() bool {
 	version := router.version()
@@ -59,9 +72,9 @@
 }
 
 // borrowRoutes takes the desired state, and how long ago the store confirmed it,
-// from a host that reaches the store.
-func (router *Router) borrowRoutes(ctx context.Context) {
-	for _, address := range router.helpers() {
+// from the first of some hosts that knows it. It reports whether one did.
+func (router *Router) borrowRoutes(ctx context.Context, hosts []string) bool {
+	for _, address := range hosts {
 		asked := router.clock.Now()
 		confirmed, err := fetchRoutes(ctx, address, router.version())
 		if err != nil {
@@ -74,8 +87,9 @@
 		// The other host's age is of a moment after the question, so that time spent
 		// on the way, or suspended, makes the state older here and never younger.
 		router.state.noteConfirmed(asked.Add(-confirmed.age))
-		return
+		return true
 	}
+	return false
 }
 
 // version returns the version in force here, or 0 before the first.
--- /dev/null
+++ b/bvrouter/confirm_test.go
@@ -0,0 +1,92 @@
+package bvrouter
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+)
+
+// confirmingHost answers other hosts' questions with an age of the desired state.
+func confirmingHost(t *testing.T, age bvclock.Duration) (address string) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		bvplatform.WriteAnswer(writer, struct{ Age bvclock.Duration }{age}, nil)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against an older confirmation of another host that makes this one refuse good
+// keys, and against a newer one that is not taken.
+func TestConfirmationOfAnotherHostIsTakenWhereItIsNewer(t *testing.T) {
+	clock := &bvclock.Manual{}
+	clock.Advance(bvclock.Minute)
+	router := &Router{clock: clock, log: quiet(), state: &state{clock: clock}}
+	router.state.noteConfirmed(clock.Now())
+	clock.Advance(4 * bvclock.Second)
+	require.True(t, router.borrowRoutes(t.Context(), []string{confirmingHost(t, 5*bvclock.Second)}))
+	age, _ := router.state.Age()
+	require.Equal(t, 4*bvclock.Second, age)
+	require.True(t, router.borrowRoutes(t.Context(), []string{"127.0.0.1:1", confirmingHost(t, 300)}))
+	age, _ = router.state.Age()
+	require.EqualValues(t, 300, age)
+	require.False(t, router.borrowRoutes(t.Context(), nil))
+}
+
+func TestHostsThatLeaveAreNotDrawn(t *testing.T) {
+	digests := []*bvgossip.Digest{{Address: "a", Leaving: true}, {Address: "b"}, {Address: "c"}}
+	staying := func(digest *bvgossip.Digest) bool { return !digest.GetLeaving() }
+	require.ElementsMatch(t, []string{"b", "c"}, draw(digests, 5, staying))
+	require.Len(t, draw(digests, 1, staying), 1)
+}
+
+// outage plays hosts that last asked the store at times spread over one wait, before it
+// went away for all. With asking, each asks one other host at each look from the age on
+// from which it does so. It returns for how much of the outage keys were confirmed, of
+// the time that the bound allows a host that asked at its very beginning.
+func outage(t *testing.T, hosts int, asking bool) float64 {
+	const apply, revoke = 3 * bvclock.Second, 5 * bvclock.Second
+	clock := &bvclock.Manual{}
+	random := rand.New(rand.NewPCG(1, 2))
+	states := make([]*state, hosts)
+	table, err := bvroute.NewTable(bvroute.Rows{Version: 1})
+	require.NoError(t, err)
+	for i := range states {
+		states[i] = &state{clock: clock, apply: apply, revoke: revoke}
+		states[i].replace(table)
+		states[i].noteConfirmed(1 + bvclock.Time(i)*bvclock.Time(stateWait(apply))/bvclock.Time(hosts))
+	}
+	clock.Advance(1 + stateWait(apply))
+	confirmed, looks := 0, 0
+	for range (revoke - revokeMargin) / confirmInterval {
+		clock.Advance(confirmInterval)
+		for _, state := range states {
+			if age, _ := state.Age(); asking && age > confirmWithin(apply, revoke) && age < revoke {
+				_, age, _ := states[random.IntN(hosts)].Confirmed()
+				state.noteConfirmed(clock.Now().Add(-age))
+			}
+			if looks++; state.View().KeysConfirmed {
+				confirmed++
+			}
+		}
+	}
+	return float64(confirmed) / float64(looks)
+}
+
+// Guards against good keys that are refused in an outage though another host may still go
+// by them, and by its word this one.
+func TestHostsGoByTheLastAnswerThatAnyOfThemGot(t *testing.T) {
+	for _, hosts := range []int{13, 85, 300} {
+		alone, together := outage(t, hosts, false), outage(t, hosts, true)
+		t.Logf("%d hosts: %.3f alone, %.3f together", hosts, alone, together)
+		require.Less(t, alone, 0.9)
+		require.Greater(t, together, 0.95)
+	}
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -192,14 +192,21 @@
 	if router.settings.Without.Has(bvmechanism.Relays) {
 		return nil
 	}
+	return draw(router.gossip.LivePeers(), maxHelpers, func(digest *bvgossip.Digest) bool {
+		return digest.GetStoreReachable() && !digest.GetLeaving()
+	})
+}
+
+// draw returns the addresses of up to so many hosts for which use is true, at random.
+func draw(digests []*bvgossip.Digest, most int, use func(*bvgossip.Digest) bool) []string {
 	var addresses []string
-	for _, digest := range router.gossip.LivePeers() {
-		if digest.GetStoreReachable() && !digest.GetLeaving() {
+	for _, digest := range digests {
+		if use(digest) {
 			addresses = append(addresses, digest.GetAddress())
 		}
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), maxHelpers)]
+	return addresses[:min(len(addresses), most)]
 }
 
 func (router *Router) receive() error {
