Callers whose keys can't be confirmed are sent away for longer in an outage

Cause: they were told to come back after 0.3 s, whatever the reason. An outage of the store lasts seconds, and callers come back a few times only: their programs ended before the store was back.

--- a/bvfront/workspace.go
+++ b/bvfront/workspace.go
@@ -29,7 +29,7 @@
 	}
 	if !view.KeysConfirmed {
 		call.front.parts.Counters.Add("keys_unconfirmed", 1)
-		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be confirmed").WithRetryAfter(confirmRetry)
+		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be confirmed").WithRetryAfter(call.confirmAfter())
 	}
 	call.workspace = workspace
 	return nil
@@ -39,12 +39,22 @@
 // otherwise.
 func (call *call) unknownKey(certain bool) error {
 	if !certain {
-		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be checked").WithRetryAfter(confirmRetry)
+		return bvverdict.Refuse(bvverdict.PlatformUnavailable, "the key can't be checked").WithRetryAfter(call.confirmAfter())
 	}
 	call.front.parts.Counters.Add("keys_unknown", 1)
 	return bvverdict.Refuse(bvverdict.Unauthorized, "no workspace holds the key")
 }
 
+// confirmAfter returns when to come back to a host that can't confirm keys. Callers come
+// back a few times only, so that in an outage of the store they are sent away for as long
+// as they heed.
+func (call *call) confirmAfter() bvclock.Duration {
+	if call.front.parts.Store.AwayFor() == 0 {
+		return confirmRetry
+	}
+	return max(confirmRetry, bvclock.Duration(waitShare*float64(call.left())))
+}
+
 // takeQuota counts the request against its workspace's usage cap.
 func (call *call) takeQuota() error {
 	if call.workspace == nil || !call.workspace.Capped() {
--- a/bvfront/workspace_test.go
+++ b/bvfront/workspace_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvverdict"
@@ -29,14 +30,32 @@
 	return table
 }
 
-func authorized(t *testing.T, state State) error {
+// storeAway is a store that could not be asked for so long.
+type storeAway bvclock.Duration
+
+func (away storeAway) AwayFor() bvclock.Duration { return bvclock.Duration(away) }
+
+func authorized(t *testing.T, state State) error { return authorizedWhile(t, state, 0) }
+
+func authorizedWhile(t *testing.T, state State, away bvclock.Duration) error {
 	call := &call{
-		front:   New(Parts{State: state, Wire: keyWire{}, Counters: bvmeasure.New()}),
-		request: httptest.NewRequest(http.MethodGet, "/", nil), route: &bvroute.Route{},
+		front: New(Parts{
+			State: state, Wire: keyWire{}, Counters: bvmeasure.New(), Store: storeAway(away), Clock: &bvclock.Manual{},
+		}),
+		request: httptest.NewRequest(http.MethodGet, "/", nil), route: &bvroute.Route{Timeout: 3 * bvclock.Second},
 	}
 	return call.authorize()
 }
 
+// Guards against callers who use up their tries before an outage is over.
+func TestCallersAreSentAwayForLongerInAnOutage(t *testing.T) {
+	state := fixedState{Table: keyedTable(t, 1, bvroute.DigestKey("key"))}
+	soon := bvverdict.From(authorizedWhile(t, state, 0)).RetryAfter()
+	late := bvverdict.From(authorizedWhile(t, state, bvclock.Second)).RetryAfter()
+	require.Equal(t, confirmRetry, soon)
+	require.EqualValues(t, 990, late)
+}
+
 // Guards against a good key that is gone by though it may have been taken away.
 func TestUnconfirmedKeyIsRefused(t *testing.T) {
 	with := keyedTable(t, 1, bvroute.DigestKey("key"))
