Hosts' questions for changes are spread, and some are answered at once

Cause: a change of the desired state, 1.5 s before, had answered all their questions at the same moment, and each question was held for the whole wait from then on; an answer confirms as of when the question was asked.

--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -45,12 +45,14 @@
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
 	lost := bvlog.Outage{What: "desired state", Log: router.log}
-	after := int64(0)
+	after, early := int64(0), false
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
 		router.countStoreCall("await routes")
 		question, release := router.store.untilRegained(ctx)
-		table, next, err := router.parts.Platform.AwaitRoutes(question, after, router.state.nextWait())
+		wait := router.state.nextWait(early)
+		table, next, err := router.parts.Platform.AwaitRoutes(question, after, wait)
+		early = router.clock.Now().Sub(asked) < wait
 		regained := question.Err() != nil
 		release()
 		if err != nil && regained {
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -1,6 +1,7 @@
 package bvrouter
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 
 	"balsamvalve.example/bvclock"
@@ -18,6 +19,10 @@
 // bound, for clocks that run at different rates.
 const revokeMargin = 100 * bvclock.Millisecond
 
+// promptShare is the share of the questions for changes whose answers are wanted at once,
+// where keys can be confirmed by them.
+const promptShare = 0.125
+
 // state is the desired state as far as this host knows it.
 type state struct {
 	clock       bvclock.Clock
@@ -76,13 +81,24 @@
 	}
 }
 
-// nextWait returns for how long the store may hold the next question for changes. The
-// answer is wanted at once where the state is older than it becomes while the store answers.
-func (state *state) nextWait() bvclock.Duration {
-	if age, known := state.Age(); known && age > confirmWithin(state.apply, state.revoke) {
+// nextWait returns for how long the store may hold the next question for changes; early
+// tells that the last answer came before its wait was over. The answer is wanted at once
+// where the state is older than it becomes while the store answers, and now and then by each
+// host, so that at the beginning of an outage some host has a new one.
+//
+// What makes one answer early makes all hosts' early. Without a random wait after it they
+// would all ask at the same moments from then on.
+func (state *state) nextWait(early bool) bvclock.Duration {
+	wait := stateWait(state.apply)
+	age, known := state.Age()
+	old := known && age > confirmWithin(state.apply, state.revoke)
+	switch {
+	case old || state.revoke > 0 && rand.Float64() < promptShare:
 		return leastWait
+	case early:
+		return leastWait + rand.N(wait)
 	}
-	return stateWait(state.apply)
+	return wait
 }
 
 // replace puts a newer version in force. An older one is ignored: a version that
