A list of endpoints borrowed after an outage does not empty the pools

Cause: the entries of all endpoints lapse in an outage. Hosts that were there keep them for 2 s after their first own reading; but a question that failed made them borrow another host's list at once, and the only ones that counted as reaching the store were hosts that had started in the outage, with an empty list.

Ruled out: endpoints that were full (nothing was sent), removals in the changes (most hosts had no answer of their own yet).

Change: a question that was given up since the store is back borrows nothing; what a borrowed list misses is kept for 2 s, as with an own one; a host without endpoints lends no list. Tests: TestEndpointsMissingOnABorrowedListAreKeptForAWhile, TestQuestionForEndpointsTellsThatTheStoreIsBack.

--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -27,6 +27,7 @@
 	known       []bvplatform.Endpoint // with those that are only missing
 	everMissed  bool
 	reachableAt bvclock.Time            // first list since
+	borrowedAt  bvclock.Time            // first list of another host since the last own one
 	keeping     bool                    // those that are missing are kept for now
 	starts      map[string]bvclock.Time // newest of each name
 }
@@ -43,6 +44,7 @@
 	if list.reachableAt == 0 {
 		list.reachableAt = now
 	}
+	list.borrowedAt = 0
 	kept := list.keeping
 	list.keeping = list.everMissed && now.Sub(list.reachableAt) < returnTime
 	if changes.Empty() && !kept {
@@ -101,8 +103,12 @@
 // to design for, of which 310 a day are replaced under other names.
 const mostStarts = 20_000
 
-// borrow takes in another host's list, which may be older than this one's last.
-func (list *endpointList) borrow(endpoints []bvplatform.Endpoint) []bvplatform.Endpoint {
+// borrow takes in another host's list, which may be older than this one's last. The other
+// host may have started in the outage, and read a list whose entries have lapsed.
+func (list *endpointList) borrow(now bvclock.Time, endpoints []bvplatform.Endpoint) []bvplatform.Endpoint {
+	if list.borrowedAt == 0 {
+		list.borrowedAt = now
+	}
 	result := make([]bvplatform.Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		if !list.noteStart(endpoint) {
@@ -114,6 +120,9 @@
 		}
 		result = append(result, endpoint)
 	}
+	if now.Sub(list.borrowedAt) < returnTime {
+		return withMissing(result, list.known)
+	}
 	return result
 }
 
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -34,6 +34,21 @@
 	return listed
 }
 
+// Guards against a list of a host that started in an outage: all entries had lapsed when it
+// read them, and whoever borrowed it refused all callers.
+func TestEndpointsMissingOnABorrowedListAreKeptForAWhile(t *testing.T) {
+	var list endpointList
+	list.update(1000, whole("a", "b"))
+	list.missed()
+	require.Equal(t, []string{"a", "b"}, namesOf(list.borrow(2000, nil)))
+	require.Equal(t, []string{"a", "b", "c"}, namesOf(list.borrow(2000+bvclock.Time(returnTime)-1, endpointsNamed("c"))))
+	require.Equal(t, []string{"c"}, namesOf(list.borrow(2000+bvclock.Time(returnTime), endpointsNamed("c"))))
+	list.update(9000, whole("a"))
+	list.update(9000+bvclock.Time(returnTime), whole("a"))
+	list.missed()
+	require.Equal(t, []string{"a"}, namesOf(list.borrow(12_000, nil)), "a new outage has its own time")
+}
+
 // The store was away, and all entries lapsed. The first list after it is
 // empty, although every endpoint is well; callers would all be refused.
 func TestEndpointsMissingRightAfterAnOutageAreKept(t *testing.T) {
@@ -143,7 +158,7 @@
 func TestOlderStartInABorrowedListIsIgnored(t *testing.T) {
 	var list endpointList
 	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 200)}, Next: 1})
-	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 200)}, list.borrow([]bvplatform.Endpoint{startedAt("a", 100)}))
+	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 200)}, list.borrow(1, []bvplatform.Endpoint{startedAt("a", 100)}))
 }
 
 // An entry without a start, where the engine always told one, is not its own.
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/sirupsen/logrus"
 
@@ -100,11 +101,15 @@
 		asked := router.clock.Now()
 		wait := waitWithin(router.settings.Drain)
 		changes, err := router.store.AwaitEndpoints(ctx, after, wait)
+		if errors.Is(err, errRegained) {
+			list.missed()
+			continue
+		}
 		if changes.Next == 0 {
 			lost.Note(unlessEnded(ctx, err))
 			list.missed()
 			if borrowed, err := router.store.helperEndpoints(ctx); err == nil {
-				router.setEndpoints(list.borrow(borrowed))
+				router.setEndpoints(list.borrow(router.clock.Now(), borrowed))
 			}
 			pause(ctx, retryInterval)
 			continue
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -106,12 +106,12 @@
 	return bvhistory.DecodeChain(encoded)
 }
 
-// relayEndpoints gives the list that this host goes by.
+// relayEndpoints gives the list that this host goes by, unless it has none.
 func (router *Router) relayEndpoints(writer http.ResponseWriter, _ *http.Request) {
-	if !router.store.up() {
+	endpoints := router.state.endpoints()
+	if !router.store.up() || len(endpoints) == 0 {
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
 	}
-	endpoints := router.state.endpoints()
 	bvplatform.WriteAnswer(writer, struct{ Endpoints []bvplatform.Endpoint }{endpoints}, nil)
 }
--- a/bvrouter/store_calls.go
+++ b/bvrouter/store_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvplatform"
@@ -42,20 +43,29 @@
 
 // AwaitEndpoints waits for changes on the list of endpoints, by this host's own
 // way only. A failure makes the store be tried at once, since a host without
-// calls would learn late that it is lost.
+// calls would learn late that it is lost. The error is errRegained where the question
+// was given up because the store is back.
 func (client *storeClient) AwaitEndpoints(ctx context.Context, after int64, wait bvclock.Duration) (bvplatform.EndpointChanges, error) {
 	client.count("await endpoints")
-	ctx, release := client.untilRegained(ctx)
+	question, release := client.untilRegained(ctx)
 	defer release()
-	ctx, cancel := context.WithTimeout(ctx, (wait + storeTimeout).Std())
+	bounded, cancel := context.WithTimeout(question, (wait + storeTimeout).Std())
 	defer cancel()
-	changes, err := client.own.AwaitEndpoints(ctx, after, wait)
-	if changes.Next == 0 {
-		client.doubt()
+	changes, err := client.own.AwaitEndpoints(bounded, after, wait)
+	if changes.Next != 0 {
+		return changes, err
 	}
+	if question.Err() != nil && ctx.Err() == nil {
+		return changes, errRegained
+	}
+	client.doubt()
 	return changes, err
 }
 
+// errRegained means that a question was given up because the store is back: it never
+// answers those of before.
+var errRegained = errors.New("router: the store was regained")
+
 // helperEndpoints returns the list that another host goes by.
 func (client *storeClient) helperEndpoints(ctx context.Context) ([]bvplatform.Endpoint, error) {
 	err := error(bvplatform.ErrUnavailable)
--- a/bvrouter/store_client_test.go
+++ b/bvrouter/store_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -200,3 +201,36 @@
 	defer release()
 	require.NoError(t, again.Err(), "a question of after the outage is not ended")
 }
+
+// silentPlatform never answers a question for changes.
+type silentPlatform struct{ switchedPlatform }
+
+func (*silentPlatform) AwaitEndpoints(ctx context.Context, _ int64, _ bvclock.Duration) (bvplatform.EndpointChanges, error) {
+	<-ctx.Done()
+	return bvplatform.EndpointChanges{}, bvplatform.ErrUnavailable
+}
+
+// Guards against a list of endpoints that is asked for at another host, which may have
+// started in the outage, when only the question of before it was lost.
+func TestQuestionForEndpointsTellsThatTheStoreIsBack(t *testing.T) {
+	own := &silentPlatform{switchedPlatform{err: bvplatform.ErrUnavailable}}
+	client := newTestReach(own, bvclock.Boot())
+	for range lostAfter {
+		client.try(t.Context(), "t/p/k")
+	}
+	require.False(t, client.up())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.AwaitEndpoints(t.Context(), 1, bvclock.Hour)
+		failed <- err
+	}()
+	require.Eventually(t, func() bool {
+		client.mutex.Lock()
+		defer client.mutex.Unlock()
+		return client.back != nil
+	}, time.Minute, time.Millisecond)
+	own.err = nil
+	client.try(t.Context(), "t/p/k")
+	require.True(t, client.up())
+	require.ErrorIs(t, <-failed, errRegained)
+}
