--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -59,8 +59,8 @@
 // that it is the one in force here. It counts suspensions, and is not known before
 // the first answer.
 func (state *state) Age() (age bvclock.Duration, known bool) {
-	heard := bvclock.Time(state.confirmedAt.Load())
-	return state.clock.Now().Sub(heard), heard != 0
+	confirmed := bvclock.Time(state.confirmedAt.Load())
+	return state.clock.Now().Sub(confirmed), confirmed != 0
 }
 
 // Confirmed returns the version in force and the age of what is confirmed. A version comes
