--- a/bvbudget/half_test.go
+++ b/bvbudget/half_test.go
@@ -57,9 +57,7 @@
 	}
 }
 
-// Callers see more of a program than its budget and one turn. Beside all that can
-// happen to the row, its grantor dies, or stops as planned and comes back, while
-// other hosts hold what it granted, or its answers are lost or late.
+// Guards against a budget that both halves together pass by more than a turn.
 func TestHalvesNeverPassTheBudgetByMoreThanATurn(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		world, grantor := newHalvesWorld()
@@ -117,8 +115,7 @@
 	require.Greater(t, world.couldHand("p"), testBudget+testMost)
 }
 
-// The store is away for all, and a program begins. Its grantor needs no store, so
-// the program goes on through any host, for as long as the first half lasts.
+// Guards against programs that need the store to begin.
 func TestProgramBeginsWhileTheStoreIsAway(t *testing.T) {
 	world, _ := newHalvesWorld()
 	for turn, host := range []string{"b", "c", "a"} {
@@ -128,8 +125,7 @@
 	}
 }
 
-// While the store answers, a program whose grantor died must not end early: the
-// half that the store records is left.
+// Guards against a program that ends early with its grantor.
 func TestProgramGoesOnWithTheRowWhenItsGrantorDied(t *testing.T) {
 	world, grantor := newHalvesWorld()
 	require.NoError(t, world.reserve("b", "p", false))
@@ -141,8 +137,7 @@
 	}
 }
 
-// A host stops as planned and starts again while the store is away soon after.
-// It goes on granting what its last process had left, and not more.
+// Guards against grants that are lost, or made twice, by a planned restart.
 func TestGrantsGoOnAfterAPlannedRestart(t *testing.T) {
 	world, grantor := newHalvesWorld()
 	require.NoError(t, world.reserve("b", "p", false))
@@ -152,8 +147,7 @@
 	require.NoError(t, world.reserve("c", "q", false))
 }
 
-// A program loops without end. It is told that its budget is spent only after
-// both halves are: what callers got is within one turn of the budget.
+// Guards against a program that gets less than its budget.
 func TestLoopingProgramGetsBothHalves(t *testing.T) {
 	world, _ := newHalvesWorld()
 	world.clock.Advance(acquaintance)
@@ -169,9 +163,7 @@
 	require.LessOrEqual(t, world.handed["p"], testBudget+testMost)
 }
 
-// A program's grantor dies and comes back, and the row's half is spent. Nobody
-// can tell whether the other half is: the program is not told that its budget is
-// spent, but to come back.
+// Guards against a lost half that counts as spent.
 func TestLostHalfIsNoSpentBudget(t *testing.T) {
 	world, grantor := newHalvesWorld()
 	world.clock.Advance(acquaintance)
@@ -189,9 +181,7 @@
 	require.Equal(t, half(testBudget, testMost)/testMost*testMost, world.handed["p"])
 }
 
-// All hosts have just started, and one has read a list without the program's
-// grantor. It asks the wrong host, whose answer must not count as a no: the program
-// was told that its budget is spent while it had spent half.
+// Guards against a wrong host's no that counts as the grantor's.
 func TestHostThatIsWronglyTakenForTheGrantorDeniesNothing(t *testing.T) {
 	world, _ := newHalvesWorld()
 	want := Want{Program: "p", Tokens: testMost, Budget: testBudget, Most: testMost, Partial: true}
--- a/bvbudget/promise_test.go
+++ b/bvbudget/promise_test.go
@@ -211,10 +211,7 @@
 	return err
 }
 
-// Callers see more tokens than a program's budget. Hosts reserve side by side,
-// lend each other what they hold, die with what they know, and write to a store
-// that loses answers, carries writes out late or refuses them; somewhere a
-// block is counted twice.
+// Guards against tokens that are counted twice, whatever is lost, late or refused.
 func TestBudgetIsNeverPassed(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		world := newWorld()
@@ -292,8 +289,7 @@
 	require.Greater(t, world.handed["p"], testBudget)
 }
 
-// A program without end is stopped, all hosts lose power, and it comes back:
-// the new processes know nothing, but the row does.
+// Guards against a spent budget that is forgotten with all hosts.
 func TestStoppedProgramIsRefusedAfterAllHostsRestarted(t *testing.T) {
 	world := newWorld()
 	for world.reserve("a", "p", false) == nil {
@@ -315,8 +311,7 @@
 	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
 }
 
-// A host has just started and heard nobody. A program whose budget lies unspent at
-// the others comes to it, and must not be told that it is spent.
+// Guards against a host that has heard nobody and says that a budget is spent.
 func TestHostThatHasJustStartedSaysOfNoBudgetThatItIsSpent(t *testing.T) {
 	world := newWorld()
 	for _, host := range []string{"a", "b", "b"} {
@@ -333,8 +328,7 @@
 	require.NoError(t, world.reserve("c", "p", true))
 }
 
-// A program's second turn comes through another host while the store is away.
-// The first host holds a block, so the turn goes on.
+// Guards against a turn that is refused though another host holds its tokens.
 func TestTurnGoesOnThroughAnotherHostWhileTheStoreIsAway(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -343,8 +337,7 @@
 	require.NoError(t, world.reserve("b", "p", true))
 }
 
-// While the store is away nobody can tell what a program has spent. It is told
-// to come back, not that its budget is spent.
+// Guards against a budget that counts as spent while the store is away.
 func TestLostStoreIsNoSpentBudget(t *testing.T) {
 	world := newWorld()
 	world.store.next = "down"
@@ -354,9 +347,7 @@
 	require.Positive(t, err.RetryAfter())
 }
 
-// A program's turns come through any host, one after the other, and digests are
-// slower than its turns. What lies unspent at one host must be found by the
-// others, or the program ends with most of its budget unspent.
+// Guards against a program that ends with most of its budget unspent at other hosts.
 func TestProgramCanSpendItsBudgetThroughAnyHost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		world := newWorld()
@@ -384,8 +375,7 @@
 	})
 }
 
-// The answer of a living host that holds the rest of a budget is lost. The
-// program is told to come back: that its budget is spent would end it.
+// Guards against a lost answer of another host that ends a program.
 func TestUnansweredQuestionIsNoSpentBudget(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -400,8 +390,7 @@
 	require.Positive(t, err.RetryAfter())
 }
 
-// What a host holds and does not need is given back when the program pauses,
-// so that the next host finds it.
+// Guards against unspent tokens that the next host does not find.
 func TestUnspentTokensAreGivenBack(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -415,8 +404,7 @@
 	}
 }
 
-// A host stops as planned while programs are under way. What it holds of their
-// budgets must not go with it: their next turns come through other hosts.
+// Guards against a planned stop that takes unspent tokens along.
 func TestPlannedStopGivesUpWhatIsUnspent(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -428,9 +416,7 @@
 	}
 }
 
-// A host gives tokens back, and the store's answer is lost. The row still shows
-// them as this host's, so it takes them for its own again; then the write is
-// carried out late, and another host reserves the same tokens.
+// Guards against tokens that are spent here and reserved by another host.
 func TestTokensGivenBackInDoubtAreNotUsedAgain(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -447,8 +433,7 @@
 	require.LessOrEqual(t, world.couldHand("p"), testBudget)
 }
 
-// An engine that generates more than it was asked for must not take a program
-// over its budget.
+// Guards against an engine that generates more than it was asked for.
 func TestMoreThanReservedIsNotHandedOut(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
@@ -456,8 +441,7 @@
 	require.False(t, world.open[0].Spend(testEvent))
 }
 
-// Rows of programs that are long over are removed, by the host that wrote them
-// last.
+// Guards against rows of programs that are long over.
 func TestRowIsRemovedAfterItsTime(t *testing.T) {
 	world := newWorld()
 	require.NoError(t, world.reserve("a", "p", false))
--- a/bvbudget/record_test.go
+++ b/bvbudget/record_test.go
@@ -6,10 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Hosts take large blocks of small budgets, and die with them or let them lie.
-// With one half of a budget of 2,600 tokens, the third host of a program found
-// 221 left, and it was refused: 1.4 in 100 programs where many hosts crash, and 0.9
-// where hosts take what they need.
+// Guards against large blocks of small budgets that lie unspent or die with their host.
 func TestHostTakesNoMoreThanItNeedsOfLittle(t *testing.T) {
 	const most = 572
 	left := half(2600, most)
--- a/bvdispatch/admission_test.go
+++ b/bvdispatch/admission_test.go
@@ -74,9 +74,7 @@
 	return inTime, late, away
 }
 
-// More programs come than the engines can serve in time. All are served, and
-// nearly all late: the crowd holds itself up. With some turned away before
-// their first turn, the others are in time.
+// Guards against a crowd in which all programs are served late.
 func TestInACrowdMoreProgramsAreInTimeWhenSomeAreTurnedAway(t *testing.T) {
 	const perSecond = 60
 	without, _, _ := crowd(false, perSecond)
--- a/bvdispatch/affinity_test.go
+++ b/bvdispatch/affinity_test.go
@@ -8,9 +8,7 @@
 	"balsamvalve.example/bvclock"
 )
 
-// Many conversations begin with one of sixteen long parts, and an engine's
-// memory holds a few of them. Spread evenly, each engine reads all of them
-// again and again; they must meet at few engines.
+// Guards against long common beginnings that every engine reads again and again.
 func TestPromptsThatBeginAlikeMeetAtFewEndpoints(t *testing.T) {
 	const beginnings, calls = 16, 900
 	pool := newTestPool(45)
@@ -41,8 +39,7 @@
 	require.Less(t, total/beginnings, 15, "endpoints that a beginning was sent to, of 45")
 }
 
-// Two hosts that know nothing of each other send what begins alike to the same
-// engine.
+// Guards against hosts that send what begins alike to different engines.
 func TestHostsAgreeOnTheOrder(t *testing.T) {
 	here, there := NewPool(1, ""), NewPool(2, "")
 	for _, pool := range []*Pool{here, there} {
@@ -58,8 +55,7 @@
 	}
 }
 
-// Each engine's memory holds all beginnings: there is no need to gather them,
-// and the nearest idle engine is best.
+// Guards against gathering prompts where each engine's memory holds all beginnings.
 func TestOrderDoesNotCountWhereMemoryIsPlenty(t *testing.T) {
 	pool := NewPool(1, "near")
 	listed := engines(10)
@@ -72,8 +68,7 @@
 	}
 }
 
-// Calls that concern one object come through many hosts. They meet at one
-// endpoint, which has the object at hand, and objects spread over all.
+// Guards against calls for one object that spread over endpoints which don't have it at hand.
 func TestCallsForOneObjectMeet(t *testing.T) {
 	here, there := newTestPool(6), NewPool(2, "")
 	there.SetEndpoints(engines(6))
--- a/bvdispatch/fairness_test.go
+++ b/bvdispatch/fairness_test.go
@@ -26,8 +26,7 @@
 	return pool
 }
 
-// Guards against a workspace that starves the others by beginning more programs than all
-// of them together.
+// Guards against a workspace that starves the others by its number of programs.
 func TestWorkspaceThatFloodsIsTurnedAwayFirst(t *testing.T) {
 	pool := flooded(20, 10)
 	_, admitted := pool.Admit(0, Newcomer{Priority: 1, Workspace: "flood"})
--- a/bvdispatch/outlier_test.go
+++ b/bvdispatch/outlier_test.go
@@ -28,8 +28,7 @@
 	return reached
 }
 
-// An engine says that it is well and fails two calls of five. Between two
-// failures it serves some, so that counting failures in a row never finds it.
+// Guards against partial failures that counting failures in a row never finds.
 func TestEndpointThatFailsPartOfItsCallsGetsFew(t *testing.T) {
 	reached := judged(newTestPool(6), 1000, func(call int) Result {
 		if call%5 < 2 {
@@ -48,8 +47,7 @@
 	require.Less(t, reached, 40)
 }
 
-// An engine takes calls and never answers. Its callers leave before their time is
-// over, so that no call ends as the engine's failure.
+// Guards against an engine that never answers, whose calls all end as withdrawn.
 func TestEndpointThatHangsGetsFewCalls(t *testing.T) {
 	reached := judged(newTestPool(6), 1000, func(int) Result {
 		return Result{Outcome: Withdrawn, Took: 2 * bvclock.Second}
--- a/bvdispatch/poison_test.go
+++ b/bvdispatch/poison_test.go
@@ -8,8 +8,7 @@
 	"balsamvalve.example/bvclock"
 )
 
-// A request crashes each endpoint that runs it, and its caller sends it again.
-// After the third crash it is refused.
+// Guards against a request that crashes each endpoint that runs it.
 func TestRequestThatCrashedThreeEndpointsIsPoisonous(t *testing.T) {
 	var suspects Suspects
 	for endpoint := range uint64(crashLimit) {
@@ -22,8 +21,7 @@
 	require.False(t, suspects.Poisonous(bvclock.Time(crashMemory)+12, 1), "the caller may try again after a while")
 }
 
-// Endpoints lose answers without crashing. Requests that were in flight are no
-// suspects, however often it happens.
+// Guards against suspects that are made of lost answers.
 func TestLostAnswersAreNoCrashes(t *testing.T) {
 	var suspects Suspects
 	for endpoint := range uint64(50) {
@@ -42,8 +40,7 @@
 	require.Empty(t, suspects.Recent(bvclock.Time(crashWindow)+20))
 }
 
-// Each host sees one crash. Their digests, of which some come twice, tell the
-// others.
+// Guards against crashes that hosts count alone, or twice by repeated digests.
 func TestCrashesSeenByOtherHostsCount(t *testing.T) {
 	var here, there Suspects
 	for endpoint := range uint64(crashLimit) {
--- a/bvdispatch/pool_test.go
+++ b/bvdispatch/pool_test.go
@@ -56,16 +56,14 @@
 	}
 }
 
-// A part counts only if all parts before it are there: engines read a prompt
-// from its start.
+// Guards against cached parts that count though a part before them is missing.
 func TestPartBehindAMissingOneIsNotCached(t *testing.T) {
 	pool := newTestPool(1)
 	pool.Begin(0, "e0", prompt(2))
 	require.Zero(t, pool.rows[0].cache.cached(prompt(1, 2).Prefix))
 }
 
-// The engine with the cached prompt is full, and another one is idle: waiting
-// costs more than reading the prompt again.
+// Guards against a call that waits at a full engine for its cached prompt.
 func TestCachedPromptDoesNotOutweighAFullEndpoint(t *testing.T) {
 	pool := newTestPool(2)
 	pool.duration.add(400)
@@ -77,8 +75,7 @@
 	require.Equal(t, "e1", chosen.Name)
 }
 
-// Another host has filled an engine. Its digest says so before the engine's
-// own answers do.
+// Guards against an engine that looks idle though other hosts have filled it.
 func TestOtherHostsCallsCount(t *testing.T) {
 	pool := newTestPool(2)
 	pool.SetPeerLoads(1, map[uint64]int{HashID("e0"): 12})
@@ -89,8 +86,7 @@
 	}
 }
 
-// A program's first turn came through another host, which told where it put
-// the prompt.
+// Guards against prompts that are read again since another host placed them.
 func TestPlacementOfAnotherHostIsUsed(t *testing.T) {
 	pool := newTestPool(4)
 	for _, part := range prompt(1, 2).Prefix {
@@ -112,8 +108,7 @@
 	}
 }
 
-// An engine accepts calls and answers none. It has the fewest calls under way,
-// so that without outlier detection every next call would go there.
+// Guards against a failing engine that draws all calls since it has the fewest.
 func TestFailingEndpointIsLeftForAWhile(t *testing.T) {
 	pool := newTestPool(2)
 	for range 3 {
@@ -127,8 +122,7 @@
 	require.True(t, pool.byID["e0"].open(bvclock.Time(0).Add(lastAway+1)))
 }
 
-// All endpoints failed lately, say because this host was cut off. It must not
-// refuse everything: some endpoint is tried.
+// Guards against a host that refuses everything since all endpoints failed lately.
 func TestJudgementsNeverEmptyAPool(t *testing.T) {
 	pool := newTestPool(2)
 	for _, name := range []string{"e0", "e1"} {
@@ -163,8 +157,7 @@
 	require.LessOrEqual(t, Urgency(50, false), lastUrgency)
 }
 
-// What is known of an endpoint stays when the list is read again; an entry
-// that left the list is forgotten.
+// Guards against what is known of endpoints being lost with each reading of the list.
 func TestNewListKeepsWhatIsKnown(t *testing.T) {
 	pool := newTestPool(2)
 	pool.Begin(0, "e0", prompt(1))
@@ -174,8 +167,7 @@
 	pool.End(0, "e1", Result{Outcome: Served, Took: 1}) // its call ends after it has gone
 }
 
-// A conversation's turn ran through another host, whose digest has not come yet.
-// The turn says where the one before ran; elsewhere all of it is read again.
+// Guards against a conversation that is read again though its turn names the engine.
 func TestTurnGoesWhereTheOneBeforeRan(t *testing.T) {
 	pool := newTestPool(8)
 	request := prompt(1, 2, 3)
@@ -195,10 +187,7 @@
 	require.Zero(t, request.Cached)
 }
 
-// A conversation's engine has three calls, the pool as many on average, and one
-// engine none at the moment. By the calls that stand there now, reading all of the
-// conversation at the idle one looks cheap; but it takes that engine's time from
-// those that come a moment later, and the next conversation does the same.
+// Guards against conversations that move to whatever engine is idle for a moment.
 func TestConversationDoesNotLeaveItsEngineForOneThatIsIdleAtTheMoment(t *testing.T) {
 	pool := newTestPool(8)
 	loads := make(map[uint64]int)
--- a/bvdispatch/reading_test.go
+++ b/bvdispatch/reading_test.go
@@ -39,8 +39,7 @@
 	return reading.tokensPerMillisecond()
 }
 
-// Engines that nobody has seen before read at a tenth to ten times the rate of the
-// users'. Placement must go by theirs.
+// Guards against placement by a reading rate that the engines don't have.
 func TestReadingRateOfUnseenEnginesIsLearnt(t *testing.T) {
 	for _, rate := range []float64{11, 34, 110, 336} {
 		for seed := range uint64(20) {
@@ -55,8 +54,7 @@
 	}
 }
 
-// A fifth of the calls is off by up to two seconds: prompts that had left the
-// engine's memory, engines that hang.
+// Guards against calls with unusual times that spoil the learnt rate.
 func TestReadingRateIsLearntBesideCallsThatAreOff(t *testing.T) {
 	for seed := range uint64(20) {
 		found := learnt(seed, readingSamples, 110, 0.2)
@@ -75,8 +73,7 @@
 	require.InDelta(t, startRate, reading.tokensPerMillisecond(), 0)
 }
 
-// Whatever comes in, the estimate stays within its bounds: no call can make
-// placement count with a time that is negative, none or without end.
+// Guards against an estimate that is negative, none or without end.
 func TestReadingRateStaysWithinItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var reading reading
@@ -91,8 +88,7 @@
 	})
 }
 
-// The engines are replaced by slower ones; placement follows within some hundred
-// calls.
+// Guards against a learnt rate that does not follow slower engines.
 func TestReadingRateFollowsTheEngines(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 3))
 	var reading reading
--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -15,9 +15,7 @@
 	return bvplatform.Endpoint{Name: name, Incarnation: incarnation, Address: address, Slots: 16, CacheTokens: 400_000}
 }
 
-// An engine with a conversation in its memory crashes and starts again under its
-// name. The next turn must not be sent there for a prompt that is gone, nor be
-// kept away by failures of the start before.
+// Guards against caches and failures of an engine's earlier start that still count.
 func TestEngineThatStartedAgainHoldsAndKnowsNothing(t *testing.T) {
 	pool := NewPool(1, "")
 	before := start("e0", "100", "10.0.0.1:1")
@@ -36,8 +34,7 @@
 	require.True(t, row.open(1))
 }
 
-// A call of the start before ends after the list has shown the new one: its
-// failure and its load say nothing of the new one.
+// Guards against a late end of an earlier start's call that counts for the new start.
 func TestLateEndOfACallOfTheStartBeforeIsIgnored(t *testing.T) {
 	pool := NewPool(1, "")
 	before, after := start("e0", "100", "10.0.0.1:1"), start("e0", "200", "10.0.0.1:1")
@@ -74,8 +71,7 @@
 	require.Zero(t, pool.byID[after.ID()].cache.cached(prompt(1).Prefix))
 }
 
-// A request crashes each engine that runs it, and each is back under its name
-// before the next call to it. Only the list shows that it has started again.
+// Guards against crashes that only the list of endpoints shows.
 func TestEngineThatStartedAgainUnderARequestCountsAsCrashed(t *testing.T) {
 	clock := &bvclock.Manual{}
 	dispatcher := NewDispatcher(clock, 1, "")
--- a/bvdispatch/sample_test.go
+++ b/bvdispatch/sample_test.go
@@ -6,9 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Forty engines are well filled, and the calls of one have just ended. All of
-// eighty hosts know that, and nothing of what the others send meanwhile. Without
-// a sample, the next hundred calls all go there and wait for each other.
+// Guards against many hosts that all send to the one engine that is known to be idle.
 func TestCrowdDoesNotFallOnOneIdleEndpoint(t *testing.T) {
 	const hosts, calls = 80, 100
 	pools := make([]*Pool, hosts)
@@ -54,8 +52,7 @@
 	}
 }
 
-// Now and then a sample is empty. The call must then go where it costs least,
-// not to any endpoint.
+// Guards against an empty sample that sends a call to any endpoint.
 func TestEmptySampleIsNoBadChoice(t *testing.T) {
 	pool := newTestPool(5)
 	loads := make(map[uint64]int)
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -67,8 +67,7 @@
 	return dispatcher
 }
 
-// A quarter of the places is taken. Hosts that go by digests alone would send some
-// calls to engines that others have just filled.
+// Guards against old digests by which hosts meet at full engines at a quarter of the load.
 func TestTrackersAreAskedLongBeforeACrowd(t *testing.T) {
 	trackers := &fakeTrackers{}
 	dispatcher := crowdedDispatcher(trackers)
@@ -82,8 +81,7 @@
 	require.Len(t, trackers.asked, 1)
 }
 
-// By digests all engines are as full as each other. Others have just filled all but
-// one; the call must go to that one.
+// Guards against a call that ignores the one engine with room.
 func TestCallInACrowdGoesWhereTrackersTellOfRoom(t *testing.T) {
 	trackers := &fakeTrackers{counts: make(map[uint64]int)}
 	for _, engine := range engines(5) {
@@ -113,8 +111,7 @@
 	require.Greater(t, len(reached), 1)
 }
 
-// An answer that was on its way while the endpoint left must not send a call there,
-// nor to an endpoint that refused the call before.
+// Guards against a tracker's late word that sends a call to an endpoint that left or refused.
 func TestTrackersWordDoesNotOpenAnEndpoint(t *testing.T) {
 	pool := newTestPool(3)
 	request := prompt(1, 2)
@@ -145,8 +142,7 @@
 	require.Empty(t, trackers.used)
 }
 
-// The engine that has the conversation is always asked about, however full it was
-// thought to be.
+// Guards against a shortlist that misses the engine with the conversation.
 func TestEngineWithTheConversationIsShortlisted(t *testing.T) {
 	pool := newTestPool(40)
 	loads := make(map[uint64]int)
@@ -162,8 +158,7 @@
 	}
 }
 
-// The turn before ran through another host a moment ago, and no digest has told of it.
-// The conversation goes on at its engine.
+// Guards against a conversation that is read again since no digest has told of it yet.
 func TestTurnFollowsItsConversationThroughAnotherHost(t *testing.T) {
 	trackers := &fakeTrackers{}
 	here, there := crowdedDispatcher(trackers), crowdedDispatcher(trackers)
@@ -182,8 +177,7 @@
 	}
 }
 
-// A new program's turn is admitted, sent, refused by a full endpoint and sent elsewhere:
-// its tracker, which knows nothing, is asked once.
+// Guards against asking a tracker again that has already said that it knows nothing.
 func TestTrackerOfANewProgramIsAskedOnce(t *testing.T) {
 	trackers := &fakeTrackers{}
 	dispatcher := crowdedDispatcher(trackers)
--- a/bvfleet/caps_test.go
+++ b/bvfleet/caps_test.go
@@ -15,8 +15,7 @@
 	}
 }
 
-// Guards against windows above the cap in a crowd, and against refusals that one bucket
-// for all hosts would not have given.
+// Guards against windows above the cap, and against refusals below it, in a crowd.
 func TestAllocatorsKeepCapsInACrowdAndRefuseFewBelowThem(t *testing.T) {
 	allocated := PlayCaps(capLoad(), AllocatedCaps)
 	require.LessOrEqual(t, allocated.WorstWindow, 1.0)
@@ -40,8 +39,7 @@
 	require.Greater(t, PlayCaps(load, ToldCaps).WorstWindow, 1.0)
 }
 
-// Guards against workspaces that pass their caps where digests are slow and the first
-// allocator does not answer in time: the second has not heard what the first granted.
+// Guards against a second allocator that has not heard what the first granted.
 func TestCapsHoldWhereDigestsAreSlow(t *testing.T) {
 	for seed := range uint64(4) {
 		result := PlayCaps(CapLoad{
--- a/bvfleet/play_test.go
+++ b/bvfleet/play_test.go
@@ -22,11 +22,7 @@
 	require.Zero(t, result.Refusals)
 }
 
-// A crowd comes that the engines can just serve. Hosts hear of the calls at other
-// zones' engines only what their own zone's hosts do there, a sixth: full engines look
-// idle to them, calls wait there while other engines stand free, and one program in
-// three is late for ten seconds, though nobody is refused. Told of all calls, and in
-// the crowd of the calls of this moment, hosts serve nearly all in time.
+// Guards against hosts that send a crowd to full engines since they know a part of the load.
 func TestCrowdIsServedInTimeByHostsThatKnowTheEnginesLoad(t *testing.T) {
 	load := Crowded(150)
 	blind := Play(load)
@@ -41,8 +37,7 @@
 	require.Less(t, asked.Read/asked.Sent, blind.Read/blind.Sent, "conversations stay where they are cached")
 }
 
-// Digests come a third less often than a call takes: as where hundreds of hosts tell
-// each other. Trackers make up for it.
+// Guards against decisions by digests that are older than calls last.
 func TestTrackersMakeUpForOldDigests(t *testing.T) {
 	load := Crowded(60)
 	load.Totals, load.DigestEvery = true, 600
@@ -53,8 +48,7 @@
 	require.Greater(t, with.ShareInTime(), 0.97)
 }
 
-// More come than the engines can ever serve. Programs that are under way are carried
-// through, and others are sent away at once.
+// Guards against a crowd beyond all engines that nobody is sent away from.
 func TestOfACrowdThatIsTooLargeSomeAreSentAway(t *testing.T) {
 	load := Crowded(60)
 	load.Totals, load.Trackers = true, true
@@ -68,8 +62,7 @@
 	t.Log(without)
 }
 
-// Guards against a flood of one workspace that costs the others their programs, and
-// against fairness that costs all together.
+// Guards against a flood of one workspace that costs the others their programs.
 func TestFloodOfAWorkspaceLeavesTheOthersMoreOfTheirPrograms(t *testing.T) {
 	load := Crowded(85)
 	load.Totals, load.Trackers = true, true
--- a/bvfront/admit_test.go
+++ b/bvfront/admit_test.go
@@ -37,10 +37,7 @@
 	}
 }
 
-// In a crowd, new programs are turned away so that those under way can end in time. The
-// prompt of a later turn looks like that of a first one: its last part has grown, through
-// whatever host it came before. A program whose turns are refused is lost, with all that
-// it was served.
+// Guards against later turns that are turned away as if they were first ones.
 func TestTurnsOfProgramsUnderWayAreNotTurnedAway(t *testing.T) {
 	require.NoError(t, turnOf(7).admit())
 	err := turnOf(8).admit()
--- a/bvfront/event_test.go
+++ b/bvfront/event_test.go
@@ -11,8 +11,7 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// However a stream is cut into reads, whole events come out, in order and each
-// once, and nothing of an event that is not whole.
+// Guards against events that are lost, doubled or torn by the reads of a stream.
 func TestWholeEventsComeOutHoweverTheStreamIsCut(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		count := rapid.IntRange(0, 8).Draw(rt, "events")
@@ -45,8 +44,7 @@
 	require.Equal(t, "1", splitter.lastID)
 }
 
-// A status that promises that a request has not run is only given where it has
-// not, and the other way round a caller that may repeat is told so.
+// Guards against a status that promises more than is known of the request.
 func TestStatusPromisesNoMoreThanTheVerdict(t *testing.T) {
 	for code := bvverdict.Internal; code <= bvverdict.UnknownRoute; code++ {
 		for _, verdict := range []bvverdict.Verdict{bvverdict.MayHaveRun, bvverdict.Ran} {
--- a/bvfront/outage_test.go
+++ b/bvfront/outage_test.go
@@ -70,9 +70,7 @@
 	return float64(count) / float64(begins/10), total / bvclock.Duration(max(count, 1))
 }
 
-// The store is away for seven seconds. Callers that are sent away each time have
-// used up their tries after four seconds and lose their programs, although the
-// engines stand idle; and those whose turns are run each time after seven.
+// Guards against callers who use up their tries before an outage is over.
 func TestTurnsOutlastAnOutage(t *testing.T) {
 	for _, outage := range []bvclock.Duration{1000, 2500, 4500, 7000, 9000} {
 		served, _ := play(holdTurn, outage)
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -119,8 +119,7 @@
 	require.Eventually(t, func() bool { return len(a.LivePeers()) == 1 }, testTimeout, time.Millisecond)
 }
 
-// A new host knows the others from the platform's list; they learn of it by its
-// first digest.
+// Guards against a new host that the others don't know until they read the list.
 func TestHostsLearnOfEachOtherByDigests(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	meet(t, a, b)
@@ -154,8 +153,7 @@
 	require.Eventually(t, func() bool { return a.tokens() == 100 }, testTimeout, time.Millisecond)
 }
 
-// The network delivers an answer twice. The lender has given the tokens up
-// once, so they may be taken in once.
+// Guards against tokens that are taken in twice.
 func TestAnswerThatComesTwiceCountsOnce(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
 	a.begin(7)
@@ -165,8 +163,7 @@
 	require.Equal(t, 50, a.tokens())
 }
 
-// The answer comes after the asker has gone to the store. The tokens are taken
-// in all the same, or they would be lost to the program.
+// Guards against tokens that are lost with a late answer.
 func TestLateAnswerIsTakenIn(t *testing.T) {
 	clock := &bvclock.Manual{}
 	a := newHost(t, "a", clock)
@@ -195,8 +192,7 @@
 	require.Equal(t, b.address, address)
 }
 
-// Hosts of other zones get fewer digests. What happened between two of them must
-// still reach them, or they would place prompts where they are not cached.
+// Guards against events between two digests that other zones never hear of.
 func TestOtherZonesAreToldLessOftenAndNothingIsLost(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -222,9 +218,7 @@
 	require.Eventually(t, func() bool { return len(b.digests()) == 3 }, testTimeout, time.Millisecond)
 }
 
-// Where there are hundreds of hosts, what each tells those of other zones of calls
-// at its own zone's endpoints is most of all bytes, and of little use there. What
-// concerns the other zone's endpoints is still told.
+// Guards against bytes that grow with the number of hosts and are of little use.
 func TestManyHostsTellOtherZonesOfTheirEndpointsOnly(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -251,8 +245,7 @@
 	require.Equal(t, "a", last.GetIncarnation())
 }
 
-// A host in another zone is told of less often where there are many. It must not
-// be taken for dead between two of its digests.
+// Guards against a host that counts as dead between two of its digests.
 func TestHostsOfOtherZonesAreGivenLongerWhereThereAreMany(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -269,8 +262,7 @@
 	require.Len(t, a.LivePeers(), 1)
 }
 
-// Some hundred hosts are replaced a day. Those that are gone must not be counted
-// and called for ever; one that is only not listed yet must stay.
+// Guards against replaced hosts that are counted for ever.
 func TestReplacedHostsAreForgotten(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -320,8 +312,7 @@
 	b.ReportMetric(float64(len(encoded)), "bytes/digest")
 }
 
-// A program's grantor has been restarted and can't tell what was granted before.
-// Whoever asks must not take its answer for a no.
+// Guards against a restarted grantor whose answer counts as a no.
 func TestHostThatWithholdsHasNotAnswered(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	meet(t, a, b)
@@ -334,8 +325,7 @@
 	}, testTimeout, time.Millisecond)
 }
 
-// Guards against hosts that take each other for silent between two digests, where there
-// are many.
+// Guards against hosts that count as silent where digests are rare.
 func TestHostsAreNotSilentBetweenTwoDigests(t *testing.T) {
 	clock := &bvclock.Manual{}
 	gossip := newHost(t, "a", clock).Gossip
--- a/bvgossip/probe_test.go
+++ b/bvgossip/probe_test.go
@@ -39,8 +39,7 @@
 	})
 }
 
-// Two hosts send calls to an engine, and a third one that tracks it has some of its
-// own. Whoever asks is told of all calls but his own, before any digest tells of them.
+// Guards against calls that are known only with the next digest.
 func TestTrackerTellsOfCallsAtOnce(t *testing.T) {
 	a := newHostWith(t, "a", bvclock.Boot(), busy(0))
 	b := newHostWith(t, "b", bvclock.Boot(), busy(0))
@@ -90,8 +89,7 @@
 	require.Len(t, a.probesFor([]uint64{endpoint}, map[uint64]int{}), 1)
 }
 
-// The datagram that told of a call's end is lost. The next digest has the host's calls
-// as they are.
+// Guards against a lost datagram that leaves a call counted.
 func TestDigestMendsWhatALostDatagramLeft(t *testing.T) {
 	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
 	meet(t, a, b)
@@ -107,8 +105,7 @@
 	require.Equal(t, 1, a.tracker.count(8, a.address, 0))
 }
 
-// Hosts that know the same hosts agree on the tracker of each endpoint, and the
-// endpoints are spread over the hosts.
+// Guards against hosts that ask different trackers, or all the same one.
 func TestHostsAgreeOnTrackers(t *testing.T) {
 	var here, there trackers
 	for i := range 20 {
@@ -128,8 +125,7 @@
 	require.False(t, found)
 }
 
-// Any series of what hosts say, each of an endpoint or of all, leaves the counts that
-// a table of the last words gives.
+// Compares any series of what hosts say with a table of their last words.
 func TestCountsAreThoseOfTheLastWords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type word struct {
--- a/bvgossip/totals_test.go
+++ b/bvgossip/totals_test.go
@@ -26,9 +26,7 @@
 	return host
 }
 
-// Six of the calls at an engine of another zone are of that zone's hosts, which tell
-// this host nothing of them. Their zone's totals do, so that the engine does not look
-// idle from here.
+// Guards against an engine of another zone that looks idle.
 func TestCallsOfOtherZonesHostsAreKnownByTheirTotals(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -43,8 +41,7 @@
 	require.Empty(t, host.PeerLoads(own))
 }
 
-// With 730 hosts, other zones are told each three seconds. Until the next totals come,
-// the last ones count; else their engines would look idle half of the time.
+// Guards against totals that end before the next ones come.
 func TestTotalsCountUntilTheNextOnesAreDue(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -72,8 +69,7 @@
 	require.Equal(t, uint32(5), totals[0].GetRunning())
 }
 
-// Where each host tells all others of all its calls, adding them up again would be
-// of no use.
+// Guards against totals where each host hears all others anyway.
 func TestFewHostsTellNoTotals(t *testing.T) {
 	host := newHost(t, "a", bvclock.Boot())
 	own := host.digest()
@@ -81,8 +77,7 @@
 	require.Nil(t, host.totals(own))
 }
 
-// Each host is to hear of the totals of a zone some times in each pause, whatever the
-// number of that zone's hosts.
+// Guards against totals that too few or too many hosts tell.
 func TestShareOfHostsThatAreToldTotals(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
--- a/bvhistory/history_test.go
+++ b/bvhistory/history_test.go
@@ -55,8 +55,7 @@
 	return chain
 }
 
-// A conversation moves to another host while the store is away. A host that had
-// its turns has them at hand.
+// Guards against a conversation that stops while the store is away.
 func TestConversationIsTakenFromAnotherHost(t *testing.T) {
 	shared := &store{}
 	first := newTestStore(shared)
@@ -73,8 +72,7 @@
 	require.NoError(t, err, "it is at hand from then on")
 }
 
-// Another host answers with a part of the conversation, or with another one. An
-// engine must not get it.
+// Guards against an engine that gets a part of a conversation, or another one.
 func TestConversationThatIsNotWholeIsNotTaken(t *testing.T) {
 	turns := Chain{{ID: "t1"}, {ID: "t2", Ancestors: []string{"t1"}}, {ID: "t3", Ancestors: []string{"t1", "t2"}}}
 	require.True(t, turns.endsWith("t3"))
@@ -109,8 +107,7 @@
 	require.Equal(t, "hello one\ntwo\nagain three\nmore", string(chain.Prompt([]byte("more"))))
 }
 
-// A turn's next one comes through another host, or after all hosts lost power:
-// what was said must be found in the store alone.
+// Guards against a conversation that is lost with its host, or with all.
 func TestAnotherHostFindsTheConversation(t *testing.T) {
 	shared := &store{}
 	first := newTestStore(shared)
@@ -131,8 +128,7 @@
 	require.Equal(t, "ab\nr2\n", string(chain.Prompt(nil)))
 }
 
-// Only the store can say that there is no such turn. A host that can't ask it
-// must not, or the caller would give its conversation up.
+// Guards against a host that calls a turn unknown without the store's word.
 func TestUnknownTurnIsSaidOnlyByTheStore(t *testing.T) {
 	shared := &store{}
 	_, err := newTestStore(shared).Chain(t.Context(), "p", "nobody")
@@ -167,8 +163,7 @@
 	return store.store.Read(ctx, keys...)
 }
 
-// A part of the store is away when a turn ends, and back when the next one comes
-// through another host. The turn must be kept meanwhile, and found afterwards.
+// Guards against a turn that is lost while its part of the store is away.
 func TestTurnIsKeptWhileItsPartOfTheStoreIsAway(t *testing.T) {
 	shared := &partlyAway{away: map[string]bool{strings.Split(key("t1", 0, 0), "/")[1]: true}}
 	say(t, newTestStore(shared), "", "t1", "a", "b\n")
@@ -189,8 +184,7 @@
 	}
 }
 
-// The store's answer to the write is lost after the write took effect. The
-// turn is written again and stands once.
+// Guards against a turn that stands twice, or not at all, after a lost answer.
 func TestLostAnswerIsWrittenAgain(t *testing.T) {
 	shared := &store{loseCommits: 2}
 	say(t, newTestStore(shared), "", "t1", "a", "b\n")
@@ -199,8 +193,7 @@
 	require.Len(t, chain, 1)
 }
 
-// The caller gives up while the store does not answer: the turn must not be
-// reported as complete.
+// Guards against a turn that is reported as complete and is not kept.
 func TestTurnThatCantBeKeptIsNoCompleteTurn(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -217,8 +210,7 @@
 	require.Equal(t, long+"end\n", string(chain.Prompt(nil)))
 }
 
-// A conversation lasts longer than its oldest row is kept. Later turns start a
-// new chain with a copy, so that no row is needed past its time.
+// Guards against a long conversation that needs a row which has expired.
 func TestLongConversationNeedsNoExpiredRow(t *testing.T) {
 	now := int64(1000)
 	said := Said{ID: "t", Input: []byte("x"), Output: []byte("y\n"), Retain: bvclock.Minute}
@@ -303,10 +295,7 @@
 	require.NoError(t, err)
 }
 
-// The store is away for seconds, and a turn's end is tried to be written fifty
-// times a second, with a line each time: 10,800 lines of twelve hosts in seven
-// seconds, in which the others drown. One line says that it waits, and one that
-// it was kept.
+// Guards against a line for each try to keep a turn.
 func TestTurnThatIsNotKeptYetIsToldOnce(t *testing.T) {
 	var lines bytes.Buffer
 	log := logrus.New()
@@ -317,8 +306,7 @@
 	require.Equal(t, 1, strings.Count(lines.String(), "turn kept after all"))
 }
 
-// The next turn comes through a host that read the conversation from the store or
-// from another host. It still learns where the engine's cache is warm.
+// Guards against a next turn that does not know where the engine's cache is warm.
 func TestWhereATurnRanIsKept(t *testing.T) {
 	turn := &Turn{ID: "t", Oldest: 1, Expires: 2, Input: []byte("in"), Output: []byte("out\n"), Ran: Ran{Endpoint: 1 << 63, Tokens: 4711}}
 	decoded, err := decodeTurn("t", turn.encode())
--- a/bvlease/lease_test.go
+++ b/bvlease/lease_test.go
@@ -123,10 +123,7 @@
 	return world.processes[name].leases.MayGrant(world.now, program, testRetain)
 }
 
-// Two hosts grant the same program's half, and it spends more than its budget.
-// Hosts read the list late or not at all, die, stop and come back, and go on for
-// some time with what they read; grants of processes that don't know of each
-// other must lie further apart than a program can last.
+// Guards against two hosts that grant the same half of a budget.
 func TestNoTwoHostsGrantForOneProgram(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		names := []string{"a", "b", "c", "d"}
@@ -195,8 +192,7 @@
 	}
 }
 
-// The oracle above must notice hosts that go on granting with what they read long
-// ago.
+// Shows that the oracle notices hosts that grant by an old list.
 func TestOracleCatchesAStaleGrantor(t *testing.T) {
 	world := newWorld("a", "b")
 	caught := &recorder{}
@@ -231,15 +227,13 @@
 	return holders
 }
 
-// The whole system has just started, and all hosts have read the list: each
-// program has its grantor, so that none waits for the store.
+// Guards against programs that wait for the store after the first start.
 func TestEachProgramHasAGrantorAfterTheFirstStart(t *testing.T) {
 	world := newWorld("a", "b", "c")
 	require.Len(t, world.holders(), 200)
 }
 
-// Programs are spread evenly over the grantors, or one of them would be asked by
-// all others.
+// Guards against one grantor that all others ask.
 func TestProgramsAreSpreadEvenly(t *testing.T) {
 	leases := New(Host{Name: "edge-0"}, true, 1)
 	var hosts []Host
@@ -258,8 +252,7 @@
 	}
 }
 
-// A host goes on from what its last process left. One that was known then and is
-// not listed any more is still waited for.
+// Guards against a successor that forgets hosts which left in between.
 func TestSuccessorWaitsForHostsThatLeftMeanwhile(t *testing.T) {
 	world := newWorld("a", "b")
 	before := world.holders()
@@ -283,8 +276,7 @@
 	require.Empty(t, world.holders(), "another host may have taken over meanwhile")
 }
 
-// Hosts are stopped as planned and started in turn. Their next processes go on
-// granting, or programs could not begin in an outage that follows.
+// Guards against planned restarts after which programs can't begin in an outage.
 func TestPlannedRestartsKeepGrantors(t *testing.T) {
 	world := newWorld("a", "b", "c")
 	before := world.holders()
@@ -301,8 +293,7 @@
 	require.Equal(t, before, world.holders())
 }
 
-// A host dies and comes back. What it granted is forgotten, so it must not grant
-// again while its programs may be under way; others neither.
+// Guards against a host that grants again what it granted before it died.
 func TestHostThatDiedDoesNotGrantAgainSoon(t *testing.T) {
 	world := newWorld("a", "b", "c")
 	before := world.holders()
@@ -319,9 +310,7 @@
 	}
 }
 
-// A host is stopped as planned, and another one sees it gone. While that one
-// can't read the list, the first is back for a moment, grants, and leaves again:
-// the wait for its programs begins with the next reading.
+// Guards against a host that was back and granted between two readings.
 func TestHostThatWasBackUnseenIsWaitedForAgain(t *testing.T) {
 	world := newWorld("a", "b")
 	var program string
--- a/bvquota/promise_test.go
+++ b/bvquota/promise_test.go
@@ -177,8 +177,7 @@
 	return nil
 }
 
-// Guards against a window above the cap through lost and late messages, hosts that
-// restart, freeze and are cut off one at a time, and floods through all of them.
+// Guards against a window above the cap through loss, delay, restarts, freezes and cuts.
 func TestNoWindowPassesTheCap(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		limit := Cap{Workspace: "w", Rate: rapid.Float64Range(1, 60).Draw(rt, "rate")}
--- a/bvquota/quota_test.go
+++ b/bvquota/quota_test.go
@@ -136,8 +136,7 @@
 	}
 }
 
-// Guards against a flood that comes through all hosts at once, before any has heard of
-// the others' part of it.
+// Guards against a flood through all hosts before any has heard of the others' part.
 func TestHostAsksBeforeItTakesMoreThanItsPartUnheard(t *testing.T) {
 	clock := &bvclock.Manual{}
 	limiter := newLimiter(clock, Cap{"w", 100, 100})
@@ -167,8 +166,7 @@
 	require.Equal(t, Refused, allocator.Claim(1, asker.OwnUse("w"), Request{}).Outcome)
 }
 
-// Guards against a group of hosts that is cut off and takes a whole cap for itself,
-// while the others do too.
+// Guards against a group of hosts that is cut off and takes a whole cap.
 func TestMinorityOfHostsTakesItsShare(t *testing.T) {
 	clock := &bvclock.Manual{}
 	limiter := newLimiter(clock, Cap{"w", 100, 100})
@@ -246,8 +244,7 @@
 	require.InDelta(t, newShare*20, granted, 1)
 }
 
-// Guards against hosts that are cut off and refuse all new programs, since their part of
-// the bucket never holds what the whole one does.
+// Guards against hosts that are cut off and refuse all new programs.
 func TestNewProgramsBeginInAMinorityToo(t *testing.T) {
 	clock := &bvclock.Manual{}
 	limiter := newLimiter(clock, Cap{"w", 10, 10})
@@ -277,8 +274,7 @@
 	}
 }
 
-// Guards against a host that was cut off, hears of all that ran meanwhile at once, and
-// refuses for as long as it was away.
+// Guards against a host that was cut off and refuses for as long as it was away.
 func TestHostThatIsBackRefusesNoLongerThanTheOthers(t *testing.T) {
 	clock := &bvclock.Manual{}
 	here, there := newLimiter(clock, Cap{"w", 10, 10}), newLimiter(clock, Cap{"w", 10, 10})
@@ -320,8 +316,7 @@
 	require.LessOrEqual(t, pass.Wait, mostWait+returnSpread)
 }
 
-// Guards against requests that are no longer told when the next digest goes out, where
-// there are many hosts.
+// Guards against requests that are forgotten before the next digest goes out.
 func TestRequestsAreToldForLongerThanDigestsTake(t *testing.T) {
 	clock := &bvclock.Manual{}
 	limiter := newLimiter(clock, Cap{"w", 10, 10})
@@ -359,8 +354,7 @@
 	require.Equal(t, 10, granted)
 }
 
-// Guards against a second allocator that grants again what the first one has granted, of
-// which it has not heard.
+// Guards against a second allocator that grants again what the first has granted.
 func TestStandbyLeavesWhatMayBeUnheard(t *testing.T) {
 	clock := &bvclock.Manual{}
 	allocator, asker := newLimiter(clock, Cap{"w", 10, 20}), newLimiter(clock, Cap{"w", 10, 20})
@@ -373,8 +367,7 @@
 	require.InDelta(t, 20-10, granted, 3)
 }
 
-// Guards against a host that has just started and refuses by a copy that knows nothing,
-// where others know that there is room.
+// Guards against a host that has just started and refuses by a copy that knows nothing.
 func TestHostThatHasJustStartedAsksBeforeItRefuses(t *testing.T) {
 	clock := &bvclock.Manual{}
 	limiter := newBounded(clock, bounds, Cap{"w", 12, 12})
--- a/bvrouter/confirm_test.go
+++ b/bvrouter/confirm_test.go
@@ -23,8 +23,7 @@
 	return server.Listener.Addr().String()
 }
 
-// Guards against an older confirmation of another host that makes this one refuse good
-// keys, and against a newer one that is not taken.
+// Guards against an older confirmation of another host that replaces a newer one.
 func TestConfirmationOfAnotherHostIsTakenWhereItIsNewer(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
@@ -80,8 +79,7 @@
 	return float64(confirmed) / float64(looks)
 }
 
-// Guards against good keys that are refused in an outage though another host may still go
-// by them, and by its word this one.
+// Guards against good keys that are refused in an outage while other hosts may go by them.
 func TestHostsGoByTheLastAnswerThatAnyOfThemGot(t *testing.T) {
 	for _, hosts := range []int{13, 85, 300} {
 		alone, together := outage(t, hosts, false), outage(t, hosts, true)
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -34,8 +34,7 @@
 	return listed
 }
 
-// Guards against a list of a host that started in an outage: all entries had lapsed when it
-// read them, and whoever borrowed it refused all callers.
+// Guards against a borrowed list whose entries lapsed in an outage, and that empties the pools.
 func TestEndpointsMissingOnABorrowedListAreKeptForAWhile(t *testing.T) {
 	var list endpointList
 	list.update(1000, whole("a", "b"))
@@ -49,8 +48,7 @@
 	require.Equal(t, []string{"a"}, namesOf(list.borrow(12_000, nil)), "a new outage has its own time")
 }
 
-// The store was away, and all entries lapsed. The first list after it is
-// empty, although every endpoint is well; callers would all be refused.
+// Guards against empty pools after an outage of the store, in which all entries lapse.
 func TestEndpointsMissingRightAfterAnOutageAreKept(t *testing.T) {
 	var list endpointList
 	list.update(1, whole("a", "b"))
@@ -79,8 +77,7 @@
 	require.Equal(t, []bvplatform.Endpoint{taken}, withMissing([]bvplatform.Endpoint{taken}, endpointsNamed("b")))
 }
 
-// Nothing changes for most of the time; the pools of 3,000 endpoints are then
-// not made anew each second.
+// Guards against pools that are made anew though nothing has changed.
 func TestListWithoutChangesIsNotHandedOn(t *testing.T) {
 	var list endpointList
 	list.update(1, whole("a", "b"))
@@ -88,8 +85,7 @@
 	require.False(t, changed)
 }
 
-// The list follows any series of changes, whole or in part, as if it were read
-// whole each time.
+// Compares any series of changes, whole or in part, with lists that are read whole.
 func TestListFollowsAnySeriesOfChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var list endpointList
@@ -120,9 +116,7 @@
 	return bvplatform.Endpoint{Name: name, Address: "at-" + name, Started: started}
 }
 
-// An engine's entry is overwritten by another writer with bytes that can't be
-// read. The engine's own last word does not hold any more: calls to it would go
-// where nobody said that it is.
+// Guards against calls to an engine whose entry another writer has overwritten.
 func TestEndpointWhoseEntryCantBeReadIsNotUsed(t *testing.T) {
 	var list endpointList
 	list.update(1, whole("a", "b"))
@@ -142,8 +136,7 @@
 	require.Equal(t, []string{"a"}, namesOf(known))
 }
 
-// An engine has started again under its name. A reading that shows the store as
-// it was before must not bring back its earlier start.
+// Guards against an old reading that brings back an engine's earlier start.
 func TestOlderStartOfAnEndpointIsIgnored(t *testing.T) {
 	var list endpointList
 	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 200)}, Next: 1})
@@ -153,8 +146,7 @@
 	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 300)}, known)
 }
 
-// The store turns this host away, and the list of another host that it goes by
-// is older than its own.
+// Guards against an old list of another host that brings back an engine's earlier start.
 func TestOlderStartInABorrowedListIsIgnored(t *testing.T) {
 	var list endpointList
 	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 200)}, Next: 1})
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -9,15 +9,13 @@
 	"balsamvalve.example/bvroute"
 )
 
-// A site allows less time than others until a leaving endpoint must get no
-// calls. Looking once a second would then be too late.
+// Guards against looks that are too rare for a deployment with short bounds.
 func TestLooksAreAsOftenAsTheSiteAsks(t *testing.T) {
 	require.Equal(t, 1500*bvclock.Millisecond, waitWithin(3*bvclock.Second))
 	require.Equal(t, 400*bvclock.Millisecond, waitWithin(800*bvclock.Millisecond))
 }
 
-// The platform was last heard of longer ago than a new version may take to be
-// in force: the host can no longer say that there is no such route.
+// Guards against a 404 for a route that a newer version may have.
 func TestCertaintyEndsBeforeANewVersionMustBeInForce(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(1)
@@ -62,8 +60,7 @@
 	require.Equal(t, leastWait, state.nextWait(false))
 }
 
-// Guards against hosts that all ask at the same moments once a change has answered all of
-// them: in an outage none would have a newer answer than another.
+// Guards against hosts that all ask at the same moments after a change has answered them.
 func TestQuestionsOfHostsAreSpreadAfterAChange(t *testing.T) {
 	state := &state{clock: &bvclock.Manual{}, apply: 3 * bvclock.Second}
 	seen := make(map[bvclock.Duration]bool)
@@ -88,8 +85,7 @@
 	require.InDelta(t, 1000*promptShare, prompt, 60)
 }
 
-// Guards against an older confirmation that comes late, through another host, and takes
-// the place of a newer one.
+// Guards against a late, older confirmation that replaces a newer one.
 func TestConfirmationsNeverGoBack(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(10_000)
@@ -113,8 +109,7 @@
 	require.True(t, state.View().Certain)
 }
 
-// Guards against a host that hands on an older version with the confirmation of a newer
-// one, so that another host goes by keys that were taken away.
+// Guards against an older version that is handed on with the confirmation of a newer one.
 func TestOlderVersionNeverGoesWithANewerConfirmation(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(1 << 40)
@@ -142,8 +137,7 @@
 	}
 }
 
-// Guards against a key of an older version that is gone by with the confirmation of the
-// version that took it away.
+// Guards against a revoked key that the newer version's confirmation seems to confirm.
 func TestKeyIsNotConfirmedByAVersionThatTookItAway(t *testing.T) {
 	const between = 10 * bvclock.Second // beyond the bound: each version needs its own confirmation
 	clock := &bvclock.Manual{}
--- a/bvrouter/store_client_test.go
+++ b/bvrouter/store_client_test.go
@@ -47,8 +47,7 @@
 	return newStoreClient(own, clock, quiet(), func() []string { return helpers }, func(string) {})
 }
 
-// The store turns this host away and serves another one. The call goes through
-// the other host.
+// Guards against calls that fail while the store turns only this host away.
 func TestCallGoesThroughAnotherHost(t *testing.T) {
 	shared := &switchedPlatform{}
 	_, err := shared.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: "t/p/k", Value: []byte("v")}}})
@@ -62,9 +61,7 @@
 	require.True(t, closed.Serving())
 }
 
-// The store is away for all. Calls fail at once instead of each waiting for
-// its time, so that callers can be told; none of them is spent on trying whether
-// the store is back, since a silent store would hold it for most of a second.
+// Guards against calls that each wait for a store that is away, or are spent on trying it.
 func TestLostStoreIsNotAskedAgainAndAgain(t *testing.T) {
 	own := &switchedPlatform{err: bvplatform.ErrUnavailable}
 	clock := &bvclock.Manual{}
@@ -92,8 +89,7 @@
 	require.NoError(t, err)
 }
 
-// The store is silent: a call hangs and gives no error to count. After a while
-// it counts as lost, until something is answered.
+// Guards against a silent store that gives no error to count and never counts as lost.
 func TestSilentStoreCountsAsLost(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(1)
@@ -117,16 +113,14 @@
 	require.True(t, client.up())
 }
 
-// A write through another host may have been carried out when its answer is
-// lost there. It must not be tried through a third.
+// Guards against a write that is made twice, through two other hosts.
 func TestUnknownOutcomeIsNotTriedElsewhere(t *testing.T) {
 	closed := newTestReach(&switchedPlatform{err: bvplatform.ErrUnknown}, bvclock.Boot(), "127.0.0.1:1")
 	_, err := closed.Read(t.Context(), "t/p/k")
 	require.ErrorIs(t, err, bvplatform.ErrUnknown)
 }
 
-// Some parts of the store are away and the others are served. Calls for the lost
-// parts come in a row now and then; they must not make all calls fail.
+// Guards against lost parts of the store that make all calls fail.
 func TestStoreThatIsAwayInPartIsNotLost(t *testing.T) {
 	own := &switchedPlatform{}
 	client := newTestReach(own, bvclock.Boot())
@@ -150,8 +144,7 @@
 	require.True(t, client.up())
 }
 
-// Some answers of the store are lost while others come. The store is not lost;
-// a call whose answer is lost is given up soon, so that it can be tried again.
+// Guards against lost answers that make the store count as lost.
 func TestLostAnswersAreNoLostStore(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(1)
@@ -169,8 +162,7 @@
 	require.Equal(t, leastStoreTimeout, client.timeout())
 }
 
-// All answers take sixty times as long as before. Calls that ran out of time
-// make the next ones wait longer, until they are answered.
+// Guards against timeouts that a slow store never meets.
 func TestSlowStoreIsWaitedForLonger(t *testing.T) {
 	client := newTestReach(&switchedPlatform{}, bvclock.Boot())
 	client.overruns = 2
@@ -181,8 +173,7 @@
 	require.Equal(t, 600*bvclock.Millisecond, client.timeout())
 }
 
-// Guards against a host that waits for the answer to a question of before an outage, and
-// learns seconds late that the store is back.
+// Guards against a host that learns seconds late that the store is back.
 func TestQuestionOfBeforeAnOutageEndsWhenTheStoreIsBack(t *testing.T) {
 	own := &switchedPlatform{err: bvplatform.ErrUnavailable}
 	client := newTestReach(own, bvclock.Boot())
@@ -210,8 +201,7 @@
 	return bvplatform.EndpointChanges{}, bvplatform.ErrUnavailable
 }
 
-// Guards against a list of endpoints that is asked for at another host, which may have
-// started in the outage, when only the question of before it was lost.
+// Guards against a list that is borrowed when only the question of before an outage was lost.
 func TestQuestionForEndpointsTellsThatTheStoreIsBack(t *testing.T) {
 	own := &silentPlatform{switchedPlatform{err: bvplatform.ErrUnavailable}}
 	client := newTestReach(own, bvclock.Boot())
