--- a/bvcaller/api_test.go
+++ b/bvcaller/api_test.go
@@ -170,8 +170,7 @@
 	require.Equal(t, "2", answer.Header().Get("Retry-After"))
 }
 
-// A stream is cut after some tokens. Its caller must be able to tell it from a
-// whole one: there is a typed error in place of [DONE].
+// Guards against a stream that was cut and looks whole.
 func TestCutStreamHasAnErrorInPlaceOfDone(t *testing.T) {
 	entry := &fakeEntry{tokens: 3, err: bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed, "the answer was cut")}
 	answer := chat(t, entry, `{"model":"m","stream":true,"messages":[{}]}`, nil)
--- a/bvcommand/table_test.go
+++ b/bvcommand/table_test.go
@@ -88,9 +88,7 @@
 	require.Contains(t, requireSuccess(t, "table", "get"), "version 1\n")
 }
 
-// A merchant's operator reads the table and sees what a rival pays for: the
-// classes and budgets of the rival's programs. Every way out of the table must
-// hide them.
+// Guards against an operator who sees a rival's classes and budgets.
 func TestOperatorSeesNoRivalsLimits(t *testing.T) {
 	startOperators(t)
 	t.Setenv(keyEnvironment, "brindley-operator-key")
--- a/bvcommit/committer_test.go
+++ b/bvcommit/committer_test.go
@@ -149,9 +149,7 @@
 	require.Equal(t, []string{"b"}, conflict.Keys)
 }
 
-// The platform applies the write and the answer is lost. Tried again, the
-// entry would conflict with its own write, and the program would be given up
-// as another host's. The marker row tells.
+// Guards against a write that conflicts with itself after its answer was lost.
 func TestLostAnswerIsResolvedByTheMarker(t *testing.T) {
 	bench := newBench()
 	bench.fault = "lost"
@@ -164,8 +162,7 @@
 	require.EqualValues(t, 1, bench.committer.Writes())
 }
 
-// The platform sits on a write, the committer tries again, the second attempt
-// takes effect, then the first one lands. It must change nothing.
+// Guards against a first attempt that takes effect after the second one.
 func TestLateWriteAppliesNothing(t *testing.T) {
 	bench := newBench()
 	bench.fault = "late"
@@ -180,8 +177,7 @@
 	require.Equal(t, "2", bench.value("a"))
 }
 
-// As before, but the first attempt lands just before the second: that one
-// conflicts, with the first one's own work.
+// Guards against a conflict with one's own late write that counts as another host's.
 func TestConflictWithOnesOwnLateWriteIsSuccess(t *testing.T) {
 	bench := newBench()
 	bench.fault = "late"
@@ -235,8 +231,7 @@
 	require.Equal(t, []int{2, 2, 1}, bench.batches)
 }
 
-// One program's turn is too large for the platform. Every batch that holds it
-// is rejected, and all programs of the host wait for ever.
+// Guards against a turn that is too large and holds up all programs of its host.
 func TestRejectedEntryHoldsUpNoOthers(t *testing.T) {
 	bench := newBench()
 	bench.fault = "reject"
@@ -344,8 +339,7 @@
 	}
 }
 
-// Answers are lost, writes land late or not at all, in any order: each entry
-// is applied exactly once and told so.
+// Guards against entries that apply twice, or never, whatever is lost or late.
 func TestEntriesApplyExactlyOnceUnderFaults(t *testing.T) {
 	fixed(t)
 	rapid.Check(t, func(t *rapid.T) { exactlyOnce(t, "") })
--- a/bvdaemon/endpoint_test.go
+++ b/bvdaemon/endpoint_test.go
@@ -12,8 +12,7 @@
 	return bvplatform.Endpoint{Name: name, Kind: bvplatform.Engine, Serves: "m"}
 }
 
-// An engine misses one announcement and drops off the lagging list just when a
-// program on it ends. Its cache counted as gone and stayed held for good.
+// Guards against a cache that stays held since its engine was off the list for a moment.
 func TestEndpointThatIsMissingForAMomentIsNotGone(t *testing.T) {
 	table := &endpointTable{}
 	table.update(1, []bvplatform.Endpoint{engine("a")})
@@ -32,9 +31,7 @@
 	require.True(t, table.Gone("a"))
 }
 
-// A host that has just started takes a program over and reads that an engine
-// holds its cache. The host has not seen that engine: its lists are too young
-// to say that there is none.
+// Guards against a host that takes an engine for gone by a list that is too young.
 func TestHostThatHasJustStartedTakesNoEndpointForGone(t *testing.T) {
 	table := &endpointTable{}
 	require.False(t, table.Gone("a"))
--- a/bvdaemon/ready_test.go
+++ b/bvdaemon/ready_test.go
@@ -17,9 +17,7 @@
 	"balsamvalve.example/bvstandin"
 )
 
-// A host starts, reads the lists and tells the balancer that it is ready, while
-// its first look at the operators' table is still under way. Callers that the
-// balancer sends there are all refused; a slow machine showed it.
+// Guards against a host that is ready before it has the operators' table.
 func TestHostWithoutATableIsNotReady(t *testing.T) {
 	var tableOpen atomic.Bool
 	platform := &bvstandin.Platform{}
--- a/bvdemo/route_test.go
+++ b/bvdemo/route_test.go
@@ -6,8 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a demonstration on the emulated platform that shows a broken promise,
-// or none at work.
+// Guards against a demonstration on the emulated platform that shows a broken promise.
 func TestRouteDemonstrationKeepsItsPromises(t *testing.T) {
 	report, err := RunRoute(t.Context(), Config{Seed: 1})
 	require.NoError(t, err)
--- a/bvendpoint/chat_test.go
+++ b/bvendpoint/chat_test.go
@@ -82,9 +82,7 @@
 		"max_tokens":20,"messages":[{"role":"user","content":"a lesson for two"}]}`, string(body))
 }
 
-// A family waits for an answer that stops after five words although the engine
-// goes on. The connection has gone silent: no token comes and no error. The
-// rest must come over a new connection, and the engine must run the call once.
+// Guards against a stream that stops with its connection though the engine goes on.
 func TestSilentStreamIsResumedOverNewConnection(t *testing.T) {
 	engine, address := newTestEngine(t, direct)
 	engine.SetFaults(bvstandin.EngineFaults{SilentAfter: 5})
@@ -96,9 +94,7 @@
 	require.Equal(t, 1, engine.Stats().Calls)
 }
 
-// The connection breaks after the first bytes of the answer, but the engine
-// lives and goes on. The caller must get the whole answer, and a healthy
-// request must not be taken for one that crashes engines.
+// Guards against a healthy request that counts as one that crashes engines.
 func TestBrokenConnectionToLivingEngineIsNotACrash(t *testing.T) {
 	var broken atomic.Bool
 	engine, address := newTestEngine(t, func(engine http.Handler) http.Handler {
@@ -133,9 +129,7 @@
 
 func (writer *breakingWriter) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
 
-// An engine dies in mid-stream and its successor knows nothing of the stream.
-// The caller has seen some words. The error must say that the call may have
-// run, hold the words, and name a crash so that the request becomes a suspect.
+// Guards against a crash in mid-stream that is not told as one.
 func TestCrashInMidStreamIsReportedAsCrash(t *testing.T) {
 	engine, address := newTestEngine(t, direct)
 	result, err := newTestClient(t).Chat(t.Context(), address, testCall(), func(offset int, _ string) error {
@@ -179,8 +173,7 @@
 	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
 }
 
-// The engine's host stops answering for good, on new connections too. The
-// caller must not wait for ever, and learns that the call may have run.
+// Guards against a caller who waits for ever for a silent engine.
 func TestEngineThatStaysSilentIsGivenUp(t *testing.T) {
 	hold := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
@@ -197,8 +190,7 @@
 	require.Equal(t, 2, result.Resumes)
 }
 
-// A caller hangs up in mid-stream. Were only the connection closed, the engine
-// would go on for a nobody, because a stream that broke may be resumed.
+// Guards against an engine that goes on for a caller who has left.
 func TestCallerThatGivesUpFreesTheEngine(t *testing.T) {
 	engine, address := newTestEngine(t, direct)
 	gone := errors.New("caller is gone")
@@ -208,8 +200,7 @@
 	require.Equal(t, 1, engine.Stats().Canceled)
 }
 
-// A zone fails and many streams break at once. Without a budget each of them
-// would load what is left with resumes.
+// Guards against resumes that load what is left after a zone has failed.
 func TestResumesAreBoundedByTheBudget(t *testing.T) {
 	engine, address := newTestEngine(t, direct)
 	client := newTestClient(t)
--- a/bvendpoint/fault_test.go
+++ b/bvendpoint/fault_test.go
@@ -159,9 +159,7 @@
 	}
 }
 
-// Connections break and go silent at any byte, in both directions, again and
-// again. Whatever happens the caller hears the beginning of its own answer,
-// each token once, and the engine runs the call once at most.
+// Guards against tokens that are lost, doubled or another call's, whatever breaks.
 func TestChatUnderFaultyConnections(t *testing.T) {
 	fixSeed(t, 60)
 	rapid.Check(t, func(r *rapid.T) {
@@ -171,8 +169,7 @@
 	})
 }
 
-// A client that sends the call again when a connection breaks must be caught
-// by the oracle above, or the oracle proves nothing.
+// Shows that the oracle notices a client that sends a call again.
 func TestOracleCatchesClientThatSendsAgain(t *testing.T) {
 	fates := []connectionFate{{toEngine: -1, toClient: 600}}
 	err := chatUnderFaults(fates, func(address string, onToken func(int, string) error) error {
--- a/bvendpoint/service_test.go
+++ b/bvendpoint/service_test.go
@@ -91,10 +91,7 @@
 
 var replayHeader = http.Header{"Idempotency-Key": {"r1"}}
 
-// A booking is made twice. The service closes a reused connection after it has
-// run the second call; http.Transport sends a request that it holds to be
-// replayable again by itself. This is the fault that the next tests look for:
-// with the plain client the service runs three calls for two.
+// Shows the fault that the next tests guard against: the standard client sends a call twice.
 func TestPlainClientSendsReplayableCallTwice(t *testing.T) {
 	withKey, withGet := newDyingService(t), newDyingService(t)
 	sendTwoNaively(t, withKey, http.MethodPost, replayHeader)
@@ -103,8 +100,7 @@
 	require.Equal(t, int64(3), withGet.runs.Load())
 }
 
-// The same order of events as above, for a call that may be repeated: the
-// service runs two calls, and the second one's caller is told the truth.
+// Guards against a second send of a repeatable call by a library.
 func TestInvokeNeverSendsTwiceWhenReusedConnectionDies(t *testing.T) {
 	service := newDyingService(t)
 	err := sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader})
@@ -113,8 +109,7 @@
 	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
 }
 
-// A GET without a body has nothing to rewind, so http.Transport would send it
-// again whatever its headers are.
+// Guards against a second send of a GET without a body by a library.
 func TestInvokeNeverSendsGetTwiceWhenReusedConnectionDies(t *testing.T) {
 	service := newDyingService(t)
 	err := sendTwo(t, service, bvendpoint.ServiceCall{Method: http.MethodGet})
@@ -122,8 +117,7 @@
 	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
 }
 
-// An unrepeatable call must not meet a connection that is about to be closed:
-// it has one of its own, so both calls are answered and run once each.
+// Guards against an unrepeatable call on a connection that is about to be closed.
 func TestUnrepeatableCallsHaveConnectionsOfTheirOwn(t *testing.T) {
 	service := newDyingService(t)
 	require.NoError(t, sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader, Unrepeatable: true}))
@@ -146,8 +140,7 @@
 	require.Equal(t, 1, service.Runs("r1"))
 }
 
-// A booking's connection breaks after the service has run it. The caller must
-// not read that it was not run, or it would book again.
+// Guards against "not run" for a call whose answer was lost.
 func TestCallWhoseAnswerIsLostMayHaveRun(t *testing.T) {
 	service, address := newTestService(t)
 	service.SetFaults(bvstandin.ServiceFaults{FailAfter: true})
@@ -164,8 +157,7 @@
 	require.Zero(t, service.Runs("r1"))
 }
 
-// A service answers 503 without a word on whether it ran the call. Taking the
-// status for a refusal would make "not run" a lie.
+// Guards against a bare 503 that counts as "not run".
 func TestBareUnavailableIsPassedOnAsAnswer(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/bvendpoint/template_test.go
+++ b/bvendpoint/template_test.go
@@ -67,8 +67,7 @@
 	})
 }
 
-// A template that did not look into the text would take escapes as they are:
-// the oracle must see it.
+// Shows that the oracle notices a template that does not look into the text.
 func TestOracleCatchesTemplateThatTakesAnyText(t *testing.T) {
 	before, after := []byte(`{"choices":[{"delta":{"content":"`), []byte(`"}}]}`)
 	chunks := [][]byte{[]byte(`{"choices":[{"delta":{"content":"a\"b"}}]}`)}
@@ -77,8 +76,7 @@
 	}))
 }
 
-// An engine's chunk bears a second field of the same name, and the text that
-// is meant is written in another way. Both texts are the same by chance.
+// Guards against a second field of the same name that is taken for the text.
 func TestFieldOfTheSameNameIsNoTemplate(t *testing.T) {
 	reader := newEventReader(nil, nil)
 	var event event
@@ -95,8 +93,7 @@
 	require.True(t, fits)
 }
 
-// An engine puts many words into one chunk. The line is longer than the
-// reader's buffer and must come out whole.
+// Guards against a line that is longer than the reader's buffer.
 func TestLongLineIsReadWhole(t *testing.T) {
 	long := strings.Repeat("word ", 10_000)
 	body := fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\ndata: [DONE]\n\n", long)
--- a/bventry/entry_test.go
+++ b/bventry/entry_test.go
@@ -27,9 +27,7 @@
 
 func (stalledOwner) EndProgram(context.Context, string, string) error { return nil }
 
-// A caller gives 20 ms, and the owner of its program stalls without its
-// connections breaking. The caller waited for as long as the owner stalled; it
-// must be told at its deadline, and not that the call was not run.
+// Guards against a caller who waits for a stalled owner beyond the deadline.
 func TestStalledOwnerDoesNotHoldTheCallerBeyondItsDeadline(t *testing.T) {
 	view := &bvhost.View{}
 	view.SetSelf(bvplatform.Host{Name: "host-1"})
--- a/bvexperiment/experiment_test.go
+++ b/bvexperiment/experiment_test.go
@@ -89,9 +89,7 @@
 	})
 }
 
-// An operator sees engine memory fill with the history of programs that ended
-// long ago, because nobody told the engines to drop it. A measurement that did
-// not show it would praise any policy.
+// Guards against a measurement that does not show memory held for ended programs.
 func TestLostReleasesShowAsWaste(t *testing.T) {
 	broken := contender{policy: func(uint64) Policy { return neverReleases{tunedPool()} }}
 	_, kept := runOne(short(usual("usual", "", 0.5)), broken)
@@ -110,8 +108,7 @@
 	policy.Pool.SetMembers(shares)
 }
 
-// A member that pays for three quarters of the pool gets half of it, while
-// both always wait for more.
+// Guards against a measurement that does not show a wrong share.
 func TestWrongWeightsShowAsShareError(t *testing.T) {
 	broken := contender{policy: func(uint64) Policy { return favours{tunedPool()} }}
 	backlogged := func() *Scenario {
@@ -133,8 +130,7 @@
 	policy.Pool.Report(now, report)
 }
 
-// A caller's answer is cut off because its call went to an engine that had
-// said half a minute before that it would stop.
+// Guards against a measurement that does not show calls to a leaving engine.
 func TestCallsToALeavingEndpointAreCounted(t *testing.T) {
 	leaving := func() *Scenario {
 		scenario := short(usual("leaving", "", 0.8))
@@ -147,8 +143,7 @@
 	require.Zero(t, right.SentToLeaving)
 }
 
-// Engines of one zone stop with calls in flight. The callers see their
-// connections break; each call is run again elsewhere, and that work counts.
+// Guards against a measurement that does not show work done twice.
 func TestCrashedZoneCountsWorkDoneTwice(t *testing.T) {
 	scenario := short(usual("crash", "", 0.6))
 	scenario.faults = []fault{crashZone(10_000, "zone-1", 20*bvclock.Second)}
@@ -158,9 +153,7 @@
 	require.Zero(t, records.failed)
 }
 
-// The host that decides for the pool dies. For two seconds nobody is granted
-// anything; then the next host learns from the owners what runs and what
-// waits, and every program still comes to its end.
+// Guards against programs that are lost with the deciding host.
 func TestDeadDecidingHostLosesNoProgram(t *testing.T) {
 	scenario := usual("killed", "", 0.3)
 	scenario.warmUp, scenario.duration = faultAt-10_000, 40*bvclock.Second
--- a/bvexplain/explain_test.go
+++ b/bvexplain/explain_test.go
@@ -49,8 +49,7 @@
 	require.Equal(t, 1, account.kinds["talk"].refused)
 }
 
-// A log has lines that were cut off when a host lost power, and a collector's own
-// notes. All others must still count.
+// Guards against lines that were cut off and end the reading of a log.
 func TestBrokenLinesAreToldAndSkipped(t *testing.T) {
 	account := read(t, Options{}, "host-a "+answered, answered[:50], "collector restarted", "host-b "+refused)
 	text := printed(t, account)
@@ -79,8 +78,7 @@
 	require.NotContains(t, text, "  1 a ")
 }
 
-// Guards against lines of a workspace's program that are not found by the id that its
-// caller knows.
+// Guards against a workspace's program that is not found by its caller's id.
 func TestLinesOfAWorkspacesProgramAreShown(t *testing.T) {
 	ana := strings.ReplaceAll(refused, `"p2"`, `"@ana/p2"`)
 	bor := strings.ReplaceAll(refused, `"p2"`, `"@bor/p22"`)
@@ -95,8 +93,7 @@
 	require.Contains(t, printed(t, read(t, Options{}, ana, bor)), "programs 2")
 }
 
-// A day has more programs than are remembered at once. All are counted, and no
-// more than the bound are held.
+// Guards against programs beyond the bound that are not counted, or held.
 func TestProgramsBeyondTheBoundAreCounted(t *testing.T) {
 	account := New(Options{Programs: 10})
 	for i := range 1000 {
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -114,9 +114,7 @@
 	require.EqualValues(t, 1, server.dials.Load())
 }
 
-// A faulty endpoint sends a second answer to the request before, just where
-// the next one's answer is expected. Only its id tells; the caller must get
-// its own answer.
+// Guards against the late answer to another request on the same connection.
 func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
 		if number == 2 {
@@ -133,8 +131,7 @@
 	require.Equal(t, "body2", body)
 }
 
-// An endpoint sends bytes after a complete answer. They belong to no request:
-// the connection is not used again.
+// Guards against stray bytes after an answer that count for the next request.
 func TestBytesAfterAnAnswerSpendTheConnection(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
 		answerTo(conn, fmt.Sprint(number), "body")
@@ -151,8 +148,7 @@
 	require.EqualValues(t, 2, server.dials.Load())
 }
 
-// An endpoint closes an idle connection. A request that may run only once must
-// not be lost on it.
+// Guards against a request that is lost on an idle connection which was closed.
 func TestConnectionThatWasClosedIsNotUsed(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
 		answerTo(conn, fmt.Sprint(number), "body")
@@ -167,9 +163,7 @@
 	require.EqualValues(t, 2, server.dials.Load())
 }
 
-// A reused connection breaks after the request was sent. The standard client
-// would send a GET again by itself; here nobody does, and the error says that
-// the request may have run.
+// Guards against a second send by a library when a connection breaks.
 func TestNothingIsSentTwiceWhenAConnectionBreaks(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
 		if number == 1 {
@@ -192,9 +186,7 @@
 	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
 }
 
-// An endpoint answers before it has read a long body, and reads on later. What
-// is left of the body is still due on that connection, so it must not carry
-// another request.
+// Guards against a connection on which a body is still due.
 func TestEarlyAnswerToALongBodySpendsTheConnection(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, request *http.Request, number int) bool {
 		answerTo(conn, fmt.Sprint(number), "early")
@@ -235,8 +227,7 @@
 	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
 }
 
-// The caller has gone. The endpoint must see its connection close, since that
-// is how it learns to stop its work.
+// Guards against an endpoint that works on for a caller who has gone.
 func TestCallerThatLeavesEndsTheEndpointsWork(t *testing.T) {
 	closed := make(chan error, 1)
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
--- a/bvgate/absence_test.go
+++ b/bvgate/absence_test.go
@@ -8,9 +8,7 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// The only engine of a model loses power while a caller waits without a
-// deadline. Nothing is granted any more, and the caller hung for ever; a test
-// with processes found it.
+// Guards against a caller without a deadline who waits for ever for an engine.
 func TestRequestIsRefusedWhenNoEndpointComesBack(t *testing.T) {
 	pool := &Pool{}
 	pool.Report(0, EndpointReport{Name: "engine-1", Slots: 1})
--- a/bvgate/retry_test.go
+++ b/bvgate/retry_test.go
@@ -8,9 +8,7 @@
 	"balsamvalve.example/bvclock"
 )
 
-// A member's only caller repeats a call that fails each time, until the retry
-// budget is spent. Later the cause is gone, and the caller was still refused
-// for ever: nobody made first calls that would have earned a budget.
+// Guards against a spent retry budget that never recovers.
 func TestSpentRetryBudgetRecoversWithTime(t *testing.T) {
 	engines := newEngines(1, 4)
 	repeat := Request{Member: "m", Attained: 1, Fingerprint: 7, OutputTokens: 50, Attempt: 1}
--- a/bvhost/rendezvous_test.go
+++ b/bvhost/rendezvous_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// A host that died stays listed for seconds. It is asked last, and the order
-// of the others stays.
+// Guards against a dead host that is asked first.
 func TestUnreachableHostComesLast(t *testing.T) {
 	view := &View{}
 	view.Update(0, listed(5))
--- a/bvkey/ring_test.go
+++ b/bvkey/ring_test.go
@@ -23,16 +23,14 @@
 	require.Equal(t, NoRole, role)
 }
 
-// A keys file has a typing error in the line of a key. The message ends up in
-// a log that other members' operators read: it must not hold the key.
+// Guards against a key in an error's text.
 func TestErrorNamesTheLineAndNotTheKey(t *testing.T) {
 	_, err := Read(strings.NewReader("piran operator piran-operator-key\npiran operater secret-secret\n"))
 	require.ErrorContains(t, err, "line 2")
 	require.NotContains(t, err.Error(), "secret-secret")
 }
 
-// Two members get the same key by a copying error. The first line would win
-// and one member act as the other.
+// Guards against a key by which one member acts as the other.
 func TestOneKeyForTwoMembersIsRefused(t *testing.T) {
 	_, err := Read(strings.NewReader("piran caller shared-key-1\nbrindley caller shared-key-1\n"))
 	require.ErrorContains(t, err, "earlier line")
--- a/bvledger/cost_test.go
+++ b/bvledger/cost_test.go
@@ -11,10 +11,7 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// A buyer's conversation has grown long when it asks for one word more. Its
-// new message is tiny, but the engine reads the whole history again and bills
-// it. A reservation of the new message alone would let the program spend far
-// more than its budget.
+// Guards against a budget that does not count the history an engine reads.
 func TestLongHistoryCountsAgainstTheBudget(t *testing.T) {
 	ledger := New("host-1/a")
 	call := Call{
--- a/bvledger/gap_test.go
+++ b/bvledger/gap_test.go
@@ -9,10 +9,7 @@
 	"balsamvalve.example/bvplatform"
 )
 
-// A host runs turn 1 of a program. A new host joins and, being ranked first,
-// runs turn 2; then it is replaced, and turn 3 comes to the first host again,
-// whose memory still says that turn 2 is next. It held turn 3 back for ten
-// seconds and refused it as out of order; a rolling replacement found it.
+// Guards against a host with stale memory that refuses a turn as out of order.
 func TestCallThatIsAheadOfStaleMemoryIsRunAfterAReload(t *testing.T) {
 	memory := &bvplatform.Memory{}
 	first := New("host-1/a")
@@ -28,9 +25,7 @@
 	require.True(t, isAnswered(t, first, memory, turn(3, "r3")))
 }
 
-// A caller was given the answer of turn 2 by another host and asks for it again
-// at the first one, whose memory ends at turn 1. It said that the request was
-// unknown; a load run with a platform outage found it.
+// Guards against a host with stale memory that does not know an answer.
 func TestFetchAtStaleMemoryFindsTheAnswer(t *testing.T) {
 	memory := &bvplatform.Memory{}
 	first := New("host-1/a")
--- a/bvledger/ledger_test.go
+++ b/bvledger/ledger_test.go
@@ -73,8 +73,7 @@
 	require.Len(t, host.started, 1)
 }
 
-// The caller's host dies after the answer; the repeat reaches another host.
-// It must find the turn in the platform and run nothing.
+// Guards against a repeat at another host that runs again.
 func TestRepeatAtAnotherHostGetsTheKeptAnswer(t *testing.T) {
 	store := &faults{}
 	first := newHost("a", store)
@@ -125,9 +124,7 @@
 	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.TurnOutOfOrder)
 }
 
-// Host a is paused in mid-call and host b takes the program over. When a goes
-// on, its write fails: its caller is told that the call may have run, and the
-// history has only what b kept.
+// Guards against a stale owner that changes the history.
 func TestStaleOwnerKeepsNothing(t *testing.T) {
 	store := &faults{}
 	stale := newHost("a", store)
@@ -148,10 +145,7 @@
 	requireAnswer(t, stale, 2, "fresh")
 }
 
-// A caller hears nothing of its first submission, which runs at another host,
-// and asks for the answer at this one, where a repeat waits for its turn. The
-// repeat is refused as not run, and so was the fetch that had joined it,
-// although the request had run (found with -rapid.seed=57239654).
+// Guards against "not run" for a fetch of a request that runs at another host.
 func TestFetchIsNeverToldThatTheRequestWasNotRun(t *testing.T) {
 	host := newHost("a", &faults{})
 	host.ledger.Submit(0, question(1, "r2", 2))
@@ -162,9 +156,7 @@
 	requireRefusal(t, host, 2, bvverdict.MayHaveRun, bvverdict.TurnOutOfOrder)
 }
 
-// Two sub-agents on one host draw from their parent's account, which another
-// host has written meanwhile. While one of them read it anew the other wrote
-// on the old version, by turns and for ever (found with -rapid.seed=29058880).
+// Guards against two sub-agents that conflict on their parent's account for ever.
 func TestTwoSubAgentsGetOverAConflictOnTheirParentsAccount(t *testing.T) {
 	store := &faults{}
 	parent := newHost("a", store)
@@ -189,10 +181,7 @@
 	require.Len(t, children.started, 3)
 }
 
-// A caller whose program was served elsewhere for a turn comes back to a host
-// that still takes itself for the owner. That host has nothing to write, so no
-// conflict tells it; it refused every further turn as out of order (found with
-// -rapid.seed=12693245).
+// Guards against a stale owner that has nothing to write and never finds out.
 func TestStaleOwnerWithoutWritesFindsOutByALaterTurn(t *testing.T) {
 	store := &faults{}
 	stale := newHost("a", store)
@@ -212,9 +201,7 @@
 	require.Equal(t, `["r1","one","r2","two"]`, string(stale.started[1].History))
 }
 
-// The caller has the answer of its booking from host a, but a's commit of the
-// turn failed because host b had taken the program over in mid-call. The
-// caller goes on with turn 2 at b, whose history must have the booking.
+// Guards against a booking that is missing from the history of the next owner.
 func TestUnrepeatableAnswerOfAFormerOwnerJoinsTheHistory(t *testing.T) {
 	store := &faults{}
 	former := newHost("a", store)
@@ -242,10 +229,7 @@
 	require.Equal(t, `["book","booked"]`, string(fresh.started[0].History))
 }
 
-// A sub-agent spends without counting against its parent's budget. A fetch
-// for it came first and had its rows read; the sub-agent's first call found
-// them loaded, and its parent was only taken from the call that had caused the
-// load (found with -rapid.seed=11570459).
+// Guards against a sub-agent that spends without its parent's account.
 func TestSubAgentDrawsFromItsParentAlsoAfterAnEarlyFetch(t *testing.T) {
 	host := newHost("a", &faults{})
 	parent := question(1, "r1", 1)
@@ -262,19 +246,14 @@
 	requireRefusal(t, host, 3, bvverdict.NotRun, bvverdict.BudgetExceeded)
 }
 
-// The caller has the answer of a booking from its former host; the record
-// says so. The new owner read the record while another call held the turn,
-// and took the booking off its list, though that call then failed: the
-// program never went on (found with -rapid.seed=573640033).
+// Guards against an answered booking that leaves the list before its turn is kept.
 func TestAnsweredRecordStaysPendingWhileItsTurnIsHeld(t *testing.T) {
 	seed(t, "573640033")
 	explore(t, "1")
 	rapid.Check(t, func(t *rapid.T) { promises(t, newMachine()) })
 }
 
-// A caller that ends its program hears that there is none. The program had
-// been dropped and opened again while a read of its account was under way;
-// that read's answer came first and was taken for the program's whole state.
+// Guards against a late read that replaces a newer state.
 func TestBelatedRowsAreNotTakenForTheState(t *testing.T) {
 	host := newHost("a", &faults{})
 	host.ledger.Submit(1, question(1, "r1", 1))
@@ -288,12 +267,7 @@
 	require.NotNil(t, again.outcomes[1].answer)
 }
 
-// An engine is sent a later turn without the booking before it. Host c was
-// about to send the booking when a took the program over; c gave it up, and b
-// took over in turn, ran it and kept it. Host a, now stale, reads the record
-// that it has as pending, answered, and added it as a turn: but the turn was
-// kept by b, and the record has no messages (found with
-// -rapid.seed=278570340).
+// Guards against a stale owner that adds a booking without its messages.
 func TestStaleOwnerDoesNotAddAKeptBookingWithoutItsMessages(t *testing.T) {
 	store := &faults{}
 	booking := question(1, "book", 1)
--- a/bvledger/promise_test.go
+++ b/bvledger/promise_test.go
@@ -675,9 +675,7 @@
 	}
 }
 
-// Hosts crash, are paused and act later, own one program at a time by two,
-// the platform is out, slow, loses answers and applies writes late, callers
-// repeat everywhere, operators change budgets: no promise may break.
+// Guards against any promise that breaks under crashes, pauses, outages and late writes.
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	seed(t, "4")
 	explore(t, "1000")
--- a/bvledger/release_test.go
+++ b/bvledger/release_test.go
@@ -11,11 +11,7 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// The engine keeps an ended program's cache for good. Host a runs a turn and
-// is paused; host b takes the program over, ends it and has engine-1 release
-// it; then a goes on, and its call runs on engine-1 after the release. The
-// cause: a thought that the new owner knew of engine-1, from the row, and left
-// the release to it (found with -rapid.seed=136513030).
+// Guards against a cache that a stale owner's late call leaves behind.
 func TestLateCallOfAStaleOwnerIsReleased(t *testing.T) {
 	store := &faults{}
 	stale := newHost("a", store)
@@ -38,11 +34,7 @@
 	require.Equal(t, []string{"engine-1"}, stale.released[0].Endpoints)
 }
 
-// The engine keeps an ended program's cache for good. The caller ends the
-// program while a call runs, the call doesn't stop when told to, the host ends
-// the program without it and the release goes out; then the call ends on
-// engine-2. The cause: the ledger had forgotten the call (found with
-// -rapid.seed=8851532).
+// Guards against a cache that is held by a call which outlives its program.
 func TestCallThatOutlivesItsProgramIsReleased(t *testing.T) {
 	host := newHost("a", &faults{})
 	host.ledger.Submit(1, question(1, "r1", 1))
@@ -63,10 +55,7 @@
 	require.Equal(t, []string{"engine-2"}, host.released[0].Endpoints)
 }
 
-// A program that nobody uses any more is never ended. It rests so long that
-// its history leaves memory, then an operator lowers its budget, which has to
-// be written; the write waited for a history that nothing loaded, and the end
-// waited for the write (found with -rapid.seed=8851532).
+// Guards against a resting program that never ends once its limits have changed.
 func TestRestingProgramEndsAfterItsLimitsChanged(t *testing.T) {
 	host := newHost("a", &faults{})
 	call := question(1, "r1", 1)
@@ -83,10 +72,7 @@
 	require.Len(t, host.released, 1)
 }
 
-// The daemon crashed. A caller ends its program, and while that is being
-// written the platform goes away: a fetch of an older answer can't be read and
-// took the end back, although its write was under way (found with
-// -rapid.seed=78610).
+// Guards against a failed read that takes back an end under way.
 func TestEndUnderWaySurvivesAFailedRead(t *testing.T) {
 	store := &faults{}
 	host := newHost("a", store)
@@ -110,9 +96,7 @@
 	require.NotNil(t, host.outcomes[3].answer)
 }
 
-// A program is never ended, although its table row limits its idle time. Its
-// owner had closed it, a caller's fetch brought it back into memory, and the
-// limit was only known from calls (found with -rapid.seed=652657).
+// Guards against a program that a fetch has brought back and that never ends.
 func TestProgramThatAFetchBroughtBackStillEndsWhenIdle(t *testing.T) {
 	host := newHost("a", &faults{})
 	call := question(1, "r1", 1)
--- a/bvledger/rules_test.go
+++ b/bvledger/rules_test.go
@@ -25,9 +25,7 @@
 	require.NotEqual(t, bvledger.OnceKey(a, "d"), bvledger.OnceKey(bvledger.ProgramKey{Member: "a", Program: "b"}, "c/d"))
 }
 
-// Host a is paused between the insertion of a booking's record and the send,
-// for longer than the window. Going on, it must not send any more, and the
-// record must say so, so that a repeat may run.
+// Guards against a paused host that sends a booking after its window.
 func TestPausedHostDoesNotSendAfterItsWindow(t *testing.T) {
 	host := newHost("a", &faults{})
 	host.ledger.Submit(0, booking(1))
@@ -43,8 +41,7 @@
 	require.False(t, host.ledger.MayStart(late, 2), "a second send")
 }
 
-// A booking's answer is lost with its host. The repeat reaches another host
-// within seconds: it must not run again, and the caller must be told so.
+// Guards against a repeat of a booking whose answer was lost with its host.
 func TestRepeatOfASentBookingIsNotRunAgain(t *testing.T) {
 	store := &faults{}
 	lost := newHost("a", store)
@@ -59,10 +56,7 @@
 	require.NotZero(t, other.outcomes[1].refuse.Err.RetryAfter())
 }
 
-// The platform has been out for some time. A booking is refused at once; a
-// repeatable call of a claimed program runs on its block, and its caller is
-// told that it ran when the answer can't be kept in time. After the outage
-// the answer is there.
+// Guards against bookings that run, and answers that are lost, in an outage.
 func TestOutageRefusesBookingsAndHoldsAnswers(t *testing.T) {
 	store := &faults{}
 	host := newHost("a", store)
@@ -142,8 +136,7 @@
 	requireRefusal(t, other, 1, bvverdict.NotRun, bvverdict.ProgramEnded)
 }
 
-// The operator lowers a budget while its program has a block left that was
-// drawn under the old one. The next call must be refused at once.
+// Guards against a lowered budget that a block of before outlives.
 func TestLoweredBudgetHoldsInsideAnOldBlock(t *testing.T) {
 	host := newHost("a", &faults{})
 	call := question(1, "r1", 1)
@@ -159,8 +152,7 @@
 	requireRefusal(t, host, 2, bvverdict.NotRun, bvverdict.BudgetExceeded)
 }
 
-// Two sub-agents start at once on two hosts, and their parent's budget has
-// room for one. Each host's view of it allows both.
+// Guards against sub-agents on two hosts that together pass their parent's budget.
 func TestSubAgentsOnTwoHostsShareOneBudget(t *testing.T) {
 	store := &faults{}
 	parent := newHost("p", store)
@@ -217,9 +209,7 @@
 	require.JSONEq(t, `["r1",{"role":"assistant","content":"a"},"r3","three"]`, string(host.started[2].History))
 }
 
-// A host dies between two turns of a program that never comes back. Another
-// host sees its row unchanged for the program's idle limit, ends it and has
-// its cache released; a program of a live host it leaves alone.
+// Guards against a program of a dead host that is never ended, or a live host's that is.
 func TestOrphanOfADeadHostIsEndedAndReleased(t *testing.T) {
 	store := &faults{}
 	dead := newHost("dead", store)
@@ -246,8 +236,7 @@
 	require.Equal(t, []string{bvledger.AnyEndpoint, "engine-1"}, host.released[0].Endpoints)
 }
 
-// A host stops in order. Its successor goes on in the old block of budget and
-// needs to release the cache nowhere but where it is.
+// Guards against a handed-over program that loses its block of budget.
 func TestHandedOverProgramKeepsItsBlock(t *testing.T) {
 	store := &faults{}
 	leaving := newHost("a", store)
@@ -275,8 +264,7 @@
 	require.Len(t, next.started, 3, "7 of 31 were spent by the first host, not its whole block")
 }
 
-// A turn row is missing, or belongs to another history. Nothing may be sent to
-// an engine in its place.
+// Guards against a damaged history that is sent to an engine.
 func TestDamagedHistoryIsNeverUsed(t *testing.T) {
 	host := newHost("a", &faults{})
 	host.ledger.Submit(1, question(1, "r1", 1))
--- a/bvload/load_test.go
+++ b/bvload/load_test.go
@@ -32,8 +32,7 @@
 	require.Equal(t, 8, run(t, config).Finished)
 }
 
-// A program's earliest message is gone from its history. The model answers as
-// if nothing had happened; only the digest of what it was sent shows it.
+// Guards against a history that lacks its earliest message unseen.
 func TestForgottenHistoryIsFound(t *testing.T) {
 	system, config := newFakeSystem(t)
 	system.forget = true
@@ -76,8 +75,7 @@
 	require.Positive(t, load.heldAt(t.Context(), config.Engines[0], ended))
 }
 
-// A daemon dies before it could mark the end of a stream. The caller must not
-// take what it has for the whole, and asks again under the same id.
+// Guards against a cut stream that its caller takes for whole.
 func TestCutStreamIsAskedForAgain(t *testing.T) {
 	system, config := newFakeSystem(t)
 	system.cut = true
--- a/bvlog/bounded_test.go
+++ b/bvlog/bounded_test.go
@@ -33,8 +33,7 @@
 	bounded.Close()
 }
 
-// A crowd of failures writes a line each. The volume stays bounded, and the
-// log says how many lines are missing.
+// Guards against a log without bound, and against a gap that is not told.
 func TestVolumeIsBoundedAndTheGapTold(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Second)
--- a/bvmodel/engine_test.go
+++ b/bvmodel/engine_test.go
@@ -76,9 +76,7 @@
 	require.Zero(t, engine.Waste(5000).Total())
 }
 
-// A rival sends the same prompt under the same program key. If it were served
-// from the other member's cache, the time to its first token would tell it
-// what the other member had asked.
+// Guards against a cache that shows one member what another has asked.
 func TestMembersNeverShareAPrefix(t *testing.T) {
 	engine := bvmodel.New(testConfig())
 	engine.Submit(0, call(1, "m", "p", 200, 0, 11))
--- a/bvoperator/handler_test.go
+++ b/bvoperator/handler_test.go
@@ -119,8 +119,7 @@
 	requireFailure(t, "forbidden", err)
 }
 
-// The platform is out. An operator wants to know what the hosts work by: the
-// table in force is shown, and that nobody vouches for it. An edit is refused.
+// Guards against an operator who can't see what is in force in an outage.
 func TestOutageShowsTheTableInForceAndRefusesEdits(t *testing.T) {
 	bench := newBench(t)
 	bench.store.out.Store(true)
@@ -133,8 +132,7 @@
 	require.Equal(t, "not run", requireFailure(t, "platform_unavailable", err).Verdict)
 }
 
-// A host accepts an edit and dies before it answers. The client sends the edit
-// again; were it run twice, it would set back a colleague's edit in between.
+// Guards against an edit that is run twice and sets back a colleague's.
 func TestEditWhoseAnswerIsLostIsAcceptedOnce(t *testing.T) {
 	bench := newBench(t)
 	lost := false
@@ -158,10 +156,7 @@
 	require.EqualValues(t, 2, history[0].Version)
 }
 
-// A host accepts an edit and dies before it answers. The client sends it again
-// to a host that can't reach the platform, and that truly says: not run. The
-// operator would take the edit for refused, while it is in force. Found by the
-// fuzz test of bvtable (seed 34).
+// Guards against "not run" for an edit that may be in force.
 func TestRefusalAfterALostAnswerSaysThatTheEditMayHaveRun(t *testing.T) {
 	bench := newBench(t)
 	cut := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/bvowner/latency_test.go
+++ b/bvowner/latency_test.go
@@ -21,8 +21,7 @@
 	require.False(t, again, "ended twice")
 }
 
-// A host takes a program over in its third turn. It doesn't know when the
-// program began; measured from the takeover it would look fast.
+// Guards against programs that look fast since they were taken over.
 func TestProgramThatWasTakenOverIsNotMeasured(t *testing.T) {
 	latencies := &latencies{}
 	key := bvledger.ProgramKey{Member: "piran", Program: "p"}
@@ -31,8 +30,7 @@
 	require.False(t, measured)
 }
 
-// Programs are handed over to other hosts without an end here. They must not
-// stay in memory for ever.
+// Guards against programs of other hosts that stay in memory for ever.
 func TestProgramsThatAreGoneDoNotPileUp(t *testing.T) {
 	latencies := &latencies{}
 	for i := range 10 * pruneFloor {
--- a/bvplatform/client_test.go
+++ b/bvplatform/client_test.go
@@ -69,8 +69,7 @@
 	require.Equal(t, []string{"a"}, conflict.Keys)
 }
 
-// The platform applies a write and its answer is lost. A host that took this
-// for a failure would write again and overwrite what came in between.
+// Guards against a lost answer that counts as a failure.
 func TestLostAnswerIsUnknownAndTookEffect(t *testing.T) {
 	platform, client := newPlatform(t)
 	platform.SetFaults(bvstandin.PlatformFaults{LoseAnswers: 1})
@@ -90,8 +89,7 @@
 	require.ErrorIs(t, err, bvplatform.ErrUnknown)
 }
 
-// A write takes effect long after its host gave up waiting. A host that reads
-// back at once and finds nothing must not conclude that it never will.
+// Guards against a host that concludes that a late write will never take effect.
 func TestLateWriteTakesEffectAfterItsTimeout(t *testing.T) {
 	platform, client := newPlatform(t)
 	platform.SetFaults(bvstandin.PlatformFaults{LateMS: 2 * int64(clientTimeout)})
@@ -124,8 +122,7 @@
 	require.NotErrorIs(t, err, bvplatform.ErrUnknown)
 }
 
-// A read that is never answered changes nothing: it is a failure to read, and
-// no caller has to find out what became of it.
+// Guards against a failed read that counts as an unknown outcome.
 func TestUnansweredReadIsNotUnknown(t *testing.T) {
 	platform, client := newPlatform(t)
 	platform.SetFaults(bvstandin.PlatformFaults{DelayMS: 5 * int64(clientTimeout)})
--- a/bvplatform/memory_test.go
+++ b/bvplatform/memory_test.go
@@ -20,9 +20,7 @@
 	require.Zero(t, rows[0].Version)
 }
 
-// A host reads a row, the row is deleted and made again by another host, and
-// the first host writes with the version it read. Were versions counted per
-// row, both would be version 1 and the old host would overwrite the new row.
+// Guards against a row that is made again under an old version.
 func TestVersionOfRecreatedRowIsNew(t *testing.T) {
 	memory := &Memory{}
 	create := Transaction{Puts: []Put{{Key: "a", Value: []byte("1")}}}
@@ -42,9 +40,7 @@
 	require.ErrorAs(t, err, &conflict)
 }
 
-// A host writes two rows at once and goes on from the version that Commit
-// returned, without reading back. Were the rows given versions of their own,
-// its next conditional write would fail although nobody else wrote.
+// Guards against rows of one transaction with versions of their own.
 func TestCommitReturnsTheVersionOfAllItsRows(t *testing.T) {
 	memory := &Memory{}
 	version, err := memory.Commit(t.Context(), Transaction{
--- a/bvplatform/sweep_test.go
+++ b/bvplatform/sweep_test.go
@@ -11,8 +11,7 @@
 
 func isOld(row bvplatform.Row) bool { return string(row.Value) == "old" }
 
-// Hosts die and leave rows behind that nobody else wrote. A sweep removes those
-// that are over, in more than one transaction, and nothing else.
+// Guards against a sweep that removes too much, or leaves expired rows.
 func TestSweepRemovesOnlyWhatIsExpired(t *testing.T) {
 	store := &bvplatform.Memory{}
 	for i := range 130 {
--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -42,9 +42,7 @@
 	require.Equal(conversation.t, http.StatusNoContent, response.StatusCode)
 }
 
-// A quote is done and its program ends, but the host that ran it, and knew
-// where its cache lies, has just lost power. The next owner must find out and
-// have the engines drop it, or the memory stays held.
+// Guards against a cache that is held since its program's owner was killed.
 func TestEnginesHoldNothingOfAnEndedProgramWhoseOwnerWasKilled(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=2000"}})
@@ -61,9 +59,7 @@
 	require.Eventually(t, func() bool { return total() == 0 }, testTimeout, poll)
 }
 
-// Something between a host and an engine loses track of the connection in
-// mid-stream: no token comes and no error either. The stream is taken up over
-// a new connection, and the caller sees one whole answer.
+// Guards against a silent connection that ends a caller's stream.
 func TestSilentStreamIsTakenUpOverANewConnection(t *testing.T) {
 	t.Parallel()
 	cluster := &cluster{t: t}
@@ -76,8 +72,7 @@
 	conversation.say(cluster.daemons[0], "200 anchors")
 }
 
-// An engine is told to stop while callers go on. It must get no new call a few
-// seconds after it began to leave, and no answer may be cut.
+// Guards against new calls to a leaving engine, and answers that it cuts.
 func TestLeavingEngineGetsNoNewCallsAndCutsNone(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=400", "--vary", "--drain=4s"}})
@@ -99,9 +94,7 @@
 	}
 }
 
-// A request crashes each engine that runs it, and its caller sends it again
-// and again. After two crashes it is refused everywhere, and the engines that
-// are left go on serving the others.
+// Guards against a request that crashes each engine that runs it.
 func TestRequestThatCrashesEnginesIsRefusedAfterTwoCrashes(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
@@ -118,8 +111,7 @@
 	newConversation(t, boltsKey, "quote").say(cluster.daemons[0], "200 anchors")
 }
 
-// Guards against a host that decides next without knowing which request has
-// crashed engines a moment before the deciding host is lost.
+// Guards against a next deciding host that does not know of crashes a moment ago.
 func TestPoisonIsRememberedWhenTheDecidingHostIsKilled(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{
@@ -143,8 +135,7 @@
 	require.Equal(t, crashed, 4-cluster.alive())
 }
 
-// Guards against a host that decides next and was out of reach while a request
-// crashed engines: it must be told once it is back.
+// Guards against a next deciding host that was out of reach and is never told of crashes.
 func TestPoisonIsToldToHostsThatWereFrozen(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 4, engine: []string{"--decode=400"}})
@@ -185,8 +176,7 @@
 	return alive
 }
 
-// The booking service hangs. The caller gets its final answer at its own
-// deadline, and the program goes on.
+// Guards against a hung service that holds its caller beyond the deadline.
 func TestHungServiceEndsAtTheDeadline(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, services: 1, engine: []string{"--instant"}})
@@ -205,9 +195,7 @@
 	conversation.sayNext(cluster.daemons[0], "is there wind?")
 }
 
-// Every engine of a model has failed. Callers were told that the model is
-// unknown, for which no client comes back; it is refused as not run, with the
-// time to come back, and answered when an engine is there again.
+// Guards against a model without engines that counts as unknown.
 func TestModelWithoutEnginesIsRefusedWithATimeToComeBack(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 1, engines: 1, engine: []string{"--instant"}})
--- a/bvprocess/log_test.go
+++ b/bvprocess/log_test.go
@@ -39,10 +39,7 @@
 	return cluster
 }
 
-// A member's operators read the log of a host, on which both members' programs
-// ran while it logged everything: calls that went well, that were refused,
-// that an engine turned down. Neither what was asked nor who asked may be
-// in it.
+// Guards against prompts and members' names in logs.
 func TestLogsAtTraceLevelHoldNoPromptAndNoMember(t *testing.T) {
 	t.Parallel()
 	cluster := startTalkative(t, "trace")
@@ -68,8 +65,7 @@
 	}
 }
 
-// A caller complains about one request and gives its Bv-Trace. The lines of
-// the host it came in at and of the program's owner are found by it.
+// Guards against a request that can't be found in the logs of its hosts.
 func TestOneIdFindsARequestInTheLogsOfAllItsHosts(t *testing.T) {
 	t.Parallel()
 	cluster := startTalkative(t, "debug")
--- a/bvprocess/loss_test.go
+++ b/bvprocess/loss_test.go
@@ -8,10 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A builder's merchant reads a quote as it is written when the host that owns
-// the program loses power. The entry host notices the broken stream, the next
-// owner claims the program and takes the engine's stream over: the caller sees
-// one whole answer and nothing of the loss.
+// Guards against a stream that is cut since its program's owner was killed.
 func TestCallerGetsWholeAnswerWhenOwnerIsKilledInMidStream(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=40", "--vary"}})
--- a/bvprocess/once_test.go
+++ b/bvprocess/once_test.go
@@ -65,9 +65,7 @@
 	require.Equal(t, 1, cluster.runs("booking-1"))
 }
 
-// A family's booking is on its way to the booking service when the host that
-// sent it loses power, and the client sends it again through all other hosts
-// at once. Whoever takes the program over must not send it a second time.
+// Guards against a booking that runs twice since its host was killed.
 func TestBookingRunsAtMostOnceWhenItsHostIsKilled(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
@@ -92,10 +90,7 @@
 	require.Equal(t, 1, cluster.runs("booking-2"))
 }
 
-// The host that is about to send a booking is frozen, as by a stalled
-// hypervisor; its caller's repeat goes to another host; then the frozen host
-// wakes up and goes on as if nothing had happened. Without its record in the
-// platform and its look at the clock, both would send.
+// Guards against a booking that a frozen host sends once more.
 func TestBookingRunsAtMostOnceWhenItsHostIsFrozen(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
--- a/bvprocess/outage_test.go
+++ b/bvprocess/outage_test.go
@@ -8,9 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The platform's table loses the answer of every second write after it took
-// effect. A host that simply wrote again would find its own rows in the way
-// and take them for another host's, or keep a turn twice.
+// Guards against turns that are lost, or kept twice, with the platform's answers.
 func TestHistoryIsWholeWhenThePlatformLosesAnswers(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
@@ -21,8 +19,7 @@
 	}
 }
 
-// The platform is out for two seconds in the middle of a program. The answer
-// is written by the engine meanwhile, and its end is told once it is kept.
+// Guards against an answer that is lost in an outage.
 func TestAnswerIsKeptAfterAPlatformOutage(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
@@ -34,9 +31,7 @@
 	conversation.say(cluster.daemons[1], "after it")
 }
 
-// The platform is out when a family books. The record that keeps the booking
-// from being made twice can't be had, so the booking must be refused as not
-// run, and must not have run.
+// Guards against a booking that runs without its record.
 func TestBookingIsRefusedAsNotRunWhileThePlatformIsOut(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, services: 1})
--- a/bvprocess/path_test.go
+++ b/bvprocess/path_test.go
@@ -7,8 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A program of three turns is served when each turn comes in at another host:
-// the balancer knows nothing of programs.
+// Guards against a program that is served through some hosts only.
 func TestProgramIsServedThroughEveryHost(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--instant"}})
@@ -32,9 +31,7 @@
 	conversation.take("200 anchors M10", text)
 }
 
-// A client that keeps the conversation itself sends all of it with each call.
-// The history was put before it once more, so that the engine saw everything
-// twice and answered another question; the demonstration found it.
+// Guards against a history that an engine is sent twice.
 func TestHistoryIsNotDoubledWhenTheCallerSendsItAll(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
--- a/bvprocess/status_test.go
+++ b/bvprocess/status_test.go
@@ -69,8 +69,7 @@
 	}
 }
 
-// One host is frozen. The status still comes from the others, in a second or
-// so, and says which host doesn't answer.
+// Guards against a frozen host that holds up the status of all.
 func TestStatusNamesTheHostThatDoesNotAnswer(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3})
--- a/bvprocess/stop_test.go
+++ b/bvprocess/stop_test.go
@@ -66,9 +66,7 @@
 	return nil
 }
 
-// Families book lessons while operators replace every host, one by one, with a
-// planned stop. A host that closed its ports at once, or dropped the programs
-// that it was running, would cut their answers. Nobody may notice anything.
+// Guards against planned stops that cut requests.
 func TestReplacingEveryHostCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 2, engine: []string{"--decode=200", "--vary"}})
--- a/bvprocess/table_test.go
+++ b/bvprocess/table_test.go
@@ -50,9 +50,7 @@
 	}
 }
 
-// One host is frozen when an operator sets a cell. The edit is accepted, and
-// the operator is told which host has not confirmed instead of being told that
-// all have.
+// Guards against an edit that seems to be confirmed by a frozen host.
 func TestFrozenHostIsNamedByAnEdit(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3})
@@ -65,8 +63,7 @@
 	require.Eventually(t, func() bool { return cluster.counter(frozen, "table_version") >= 2 }, testTimeout, poll)
 }
 
-// Operators of rival members edit different cells through different hosts at
-// the same moment. Each edit is accepted and none is lost.
+// Guards against racing edits of which one is lost.
 func TestRacingOperatorsLoseNoEdit(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3})
@@ -102,8 +99,7 @@
 	require.Contains(t, output, "forbidden")
 }
 
-// A program loops without end. Its class may make three calls; the fourth is
-// refused as not run, the program ends, and engines drop what they hold of it.
+// Guards against a program that loops without end.
 func TestLoopingProgramIsEndedAtItsTurns(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--decode=2000"}})
@@ -121,8 +117,7 @@
 	require.Eventually(t, func() bool { return cluster.held(cluster.engines[0], "loop") == 0 }, testTimeout, poll)
 }
 
-// A program with a budget of 1,000 is asked for more than that. The call that
-// could pass the budget is refused as not run, whatever host it comes in at.
+// Guards against a call that passes its program's budget.
 func TestProgramStopsAtItsBudget(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
@@ -145,9 +140,7 @@
 	t.Fatal("twenty calls were within a budget of 1000")
 }
 
-// Rivals must not learn of each other's programs: the same program id of
-// another member is another program, and asking for a rival's answer looks
-// like asking for one that never was.
+// Guards against a member who reaches a rival's program by its name.
 func TestProgramsOfRivalsWithOneNameStayApart(t *testing.T) {
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3, engines: 1, engine: []string{"--instant"}})
--- a/bvprocess/tls_test.go
+++ b/bvprocess/tls_test.go
@@ -98,9 +98,7 @@
 	return string(output)
 }
 
-// Callers, hosts and the platform talk TLS: a program works through every
-// host, the operators' command too, and plain HTTP or a caller without a
-// certificate gets nowhere.
+// Guards against a connection without TLS, or one that TLS breaks.
 func TestEverythingWorksWithTLSOnAllConnections(t *testing.T) {
 	t.Parallel()
 	files := issue(t)
--- a/bvroute/table_test.go
+++ b/bvroute/table_test.go
@@ -69,8 +69,7 @@
 	require.Equal(t, 1, route.Attempts)
 }
 
-// A host that the store turns away takes the table from another host: it must
-// route as that one does.
+// Guards against a host that routes otherwise by a table from another host.
 func TestTablePassedOnAsRowsIsTheSame(t *testing.T) {
 	table := newTestTable(t,
 		Route{Name: "short", Host: "h", Prefix: "/x/", Targets: []Target{{Service: "a", Weight: 1}}},
--- a/bvroute/workspace_test.go
+++ b/bvroute/workspace_test.go
@@ -29,8 +29,7 @@
 	require.False(t, found)
 }
 
-// Guards against a workspace that lists an empty key, which every request without one
-// would match.
+// Guards against an empty key that every request without one matches.
 func TestEmptyKeyBelongsToNobody(t *testing.T) {
 	table := newKeyedTable(t, Workspace{Name: "ana", Keys: []KeyDigest{DigestKey("")}})
 	_, found := table.WorkspaceByKey("")
@@ -73,8 +72,7 @@
 	require.Equal(t, 2, none.Rank(route))
 }
 
-// Guards against keys in the clear between hosts, and against a host that takes the table
-// from another one and knows other keys.
+// Guards against keys in the clear between hosts.
 func TestKeysArePassedOnAsDigests(t *testing.T) {
 	table := newKeyedTable(t, Workspace{Name: "ana", Keys: []KeyDigest{DigestKey("secret-of-ana")}, Rate: 2, Burst: 3})
 	encoded, err := json.Marshal(table.Rows())
--- a/bvsetting/load_test.go
+++ b/bvsetting/load_test.go
@@ -48,8 +48,7 @@
 	require.Equal(t, 200, serve.WriteBudget())
 }
 
-// A rollout has three mistakes. Were only the first one named, mending them
-// would take three rollouts.
+// Guards against a check that names the first bad setting only.
 func TestEveryBadSettingIsNamedWithItsReason(t *testing.T) {
 	environment := map[string]string{"BALSAMVALVE_POLL_INTERVAL": "9s"}
 	_, err := load(t, environment, "--caller-address", "localhost:80", "--body-limit", "16MB")
@@ -97,8 +96,7 @@
 	require.Contains(t, strings.Join(serve.Warnings(), "\n"), "gRPC is plain")
 }
 
-// A host is to have TLS towards the others, but the authority was forgotten.
-// It would let in everybody who reaches its port.
+// Guards against TLS between hosts that lets everybody in.
 func TestPeerCertificateWithoutAuthorityIsNamed(t *testing.T) {
 	_, err := load(t, nil, "--peer-tls-cert", "c.pem", "--peer-tls-key", "k.pem")
 	require.Contains(t, problems(t, err), "needs --peer-tls-ca beside it")
--- a/bvstandin/engine_test.go
+++ b/bvstandin/engine_test.go
@@ -98,8 +98,7 @@
 	require.Equal(t, paced.chat(helloMessages, 5, nil), instant.chat(helloMessages, 5, nil))
 }
 
-// Two runs of one call write two texts. A caller that got the beginning of one
-// and the end of the other would have an answer that no model gave.
+// Guards against an answer that is made of two runs.
 func TestAnswerOfTwoRunsIsNoAnswer(t *testing.T) {
 	one, two := answerText("0123456789abcdef", "AAAA", 4), answerText("0123456789abcdef", "BBBB", 4)
 	mixture := one[:len(one)-len(" AAAA.3")] + " BBBB.3"
@@ -123,8 +122,7 @@
 	require.Positive(t, second.Usage.PromptTokensDetails.CachedTokens)
 }
 
-// A rival sends the same messages. Were it served from the other member's
-// cache, its shorter wait would tell it what the other one works on.
+// Guards against a cache that is found under another member's salt.
 func TestOtherSaltFindsNothingCached(t *testing.T) {
 	engine := newEngineServer(t, EngineConfig{})
 	first := engine.chat(helloMessages, 5, programHeader("piran", "p1"))
@@ -187,9 +185,7 @@
 	require.Contains(t, string(content), `"verdict":"not run"`)
 }
 
-// A poisoned request crashes the engine that starts it. Another program's
-// stream on the same engine breaks with it, its cache is gone and the engine
-// comes back under another incarnation.
+// Guards against a stand-in that crashes for one request only.
 func TestPoisonTakesTheWholeEngineDown(t *testing.T) {
 	engine := newEngineServer(t, EngineConfig{Batch: bvmodel.Config{DecodeTokensPerSecond: 20}})
 	before := engine.Endpoint("").Incarnation
@@ -211,8 +207,7 @@
 	require.Equal(t, http.StatusNotFound, engine.send(http.MethodGet, "/v1/streams/s1?offset=0", "", nil).StatusCode)
 }
 
-// A request is held up on its way, its caller gives up and cancels it, and the
-// request arrives after all. It must not start for a caller who is gone.
+// Guards against a request that starts after its cancellation.
 func TestCancelGoesBeforeItsRequest(t *testing.T) {
 	engine := newEngineServer(t, EngineConfig{})
 	engine.send(http.MethodDelete, "/v1/streams/s1", "", nil)
@@ -221,8 +216,7 @@
 	require.Zero(t, engine.Stats().Calls)
 }
 
-// Nobody comes back for a stream whose connection broke. The engine must not
-// go on for ever.
+// Guards against an engine that goes on for ever without a reader.
 func TestStreamWithoutReaderIsCanceledAfterAWhile(t *testing.T) {
 	engine := newEngineServer(t, EngineConfig{Batch: bvmodel.Config{DecodeTokensPerSecond: 20}, Grace: 20 * bvclock.Millisecond})
 	response := engine.send(http.MethodPost, "/v1/chat/completions",
--- a/bvstandin/lagged_test.go
+++ b/bvstandin/lagged_test.go
@@ -7,8 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A host stops without a word. The list must drop it some time after its last
-// announcement, and a list that lags must still show it then.
+// Guards against a stand-in whose list does not lapse, or does not lag.
 func TestEntryLapsesAndLagsBehind(t *testing.T) {
 	var list lagged[string]
 	start := time.Now()
--- a/bvtable/race_test.go
+++ b/bvtable/race_test.go
@@ -47,9 +47,7 @@
 	require.Equal(t, CellConflictError{Row: "piran/booking", Cell: "budget", Expected: "400", Found: "600"}, *conflict)
 }
 
-// One operator removes a class while a colleague raises its budget. Both are
-// told that it worked, but the class is gone with the new budget, or is back
-// with nothing else in it. Whoever comes second must hear of the other.
+// Guards against a removal and an edit that undo each other unseen.
 func TestRemovalThatMeetsAnEditConflicts(t *testing.T) {
 	store := &faultyStore{}
 	seed(t, store)
@@ -72,10 +70,7 @@
 	requireCode(t, bvverdict.Conflict, err)
 }
 
-// The platform takes an edit and gives no answer. The editor looks again, and
-// the platform goes out before it could send the edit a second time. The
-// operator is told "not run", sends another edit later, and then finds the
-// first one in force, because the platform got round to it.
+// Guards against "not run" for an edit that is still under way.
 func TestEditStillUnderWayIsNotSaidToBeRefused(t *testing.T) {
 	store := &faultyStore{}
 	seed(t, store)
@@ -92,10 +87,7 @@
 	require.EqualValues(t, 2, table.Version())
 }
 
-// The answer to an edit is lost between host and operator. Meanwhile a
-// colleague sets the cell, and sets it back. The operator's client sends the
-// edit again: it must not count as a new one, though the cell holds what it
-// expects.
+// Guards against an edit that counts as new when it is sent again.
 func TestEditSentAgainIsTheSameEdit(t *testing.T) {
 	store := &bvplatform.Memory{}
 	seed(t, store)
@@ -113,8 +105,7 @@
 	require.Equal(t, "400", editor.Follower.Snapshot().CellText(RowName{"piran", "booking"}, Budget))
 }
 
-// The platform's service is restored from a backup that lacks the last edit.
-// A host that followed it would revert an accepted edit.
+// Guards against an accepted edit that a restored store reverts.
 func TestStoreThatWasSetBackRevertsNothing(t *testing.T) {
 	store := &bvplatform.Memory{}
 	seed(t, store)
@@ -129,9 +120,7 @@
 	require.EqualValues(t, 2, version)
 }
 
-// An operator exports the table, works on it in a spreadsheet for an hour and
-// imports it. A colleague has changed another cell meanwhile, which the import
-// would revert if it were held against the newest table.
+// Guards against an import that reverts what others have changed.
 func TestImportRevertsNothingThatOthersChanged(t *testing.T) {
 	store := &bvplatform.Memory{}
 	seed(t, store)
@@ -204,9 +193,7 @@
 	}
 }
 
-// A host lags by one version when an operator sets a cell to what it holds.
-// The edit makes no version, but its announcement carries the newest number.
-// A host that took that for a change would count up and miss the real one.
+// Guards against a lagging host that counts up without the change.
 func TestEditThatChangesNothingDoesNotAdvanceALaggingHost(t *testing.T) {
 	editor, hosts := consortium(t, 2)
 	hosts.frozen = hostName(1)
@@ -221,9 +208,7 @@
 	require.Equal(t, "500", hosts.followers[hostName(1)].Snapshot().CellText(RowName{"piran", "booking"}, Budget))
 }
 
-// All processes are replaced while the platform is out. A new host asks its
-// peers: one is slow to answer and has the newest table. Taking the first
-// answer would put an older version in force than the host had before.
+// Guards against a host that starts with the first answer in place of the newest.
 func TestHostThatStartsInAnOutageTakesTheHighestOfAllPeers(t *testing.T) {
 	peers := slowPeers{"fast": tableOf(5, 50), "slow": tableOf(7, 70), "none": nil}
 	synctest.Test(t, func(t *testing.T) {
@@ -253,9 +238,7 @@
 	return follower.Show(known)
 }
 
-// The platform is restored from a backup that lacks the last edit, and a host
-// restarts. It would follow the store and revert what all others have in force,
-// since it knows nothing of its own.
+// Guards against a restarted host that follows a store which was set back.
 func TestHostThatRestartsBesideAStoreThatWasSetBackRevertsNothing(t *testing.T) {
 	backup := &bvplatform.Memory{}
 	seed(t, backup)
@@ -274,8 +257,7 @@
 	requireCode(t, bvverdict.PlatformUnavailable, err)
 }
 
-// Changes pile up in the store, a row each, until a scan of all of them takes
-// longer than an outage. The write of a new one takes the oldest along.
+// Guards against changes that pile up in the store.
 func TestOldChangesGoWithTheNewOnes(t *testing.T) {
 	store := &bvplatform.Memory{}
 	seed(t, store)
--- a/bvtable/state_test.go
+++ b/bvtable/state_test.go
@@ -23,9 +23,7 @@
 	require.Equal(t, "70", state.table.CellText(RowName{Member: "piran"}, Budget))
 }
 
-// A host misses the push of version 8 and gets that of version 9. Were it put
-// in force alone, the host would say version 9 and lack the edit of version 8
-// for good.
+// Guards against a version that is put in force without the one before.
 func TestStateSkipsAChangeAfterAGap(t *testing.T) {
 	state := &State{}
 	state.Install(tableOf(7, 70))
@@ -33,9 +31,7 @@
 	require.EqualValues(t, 7, state.Version())
 }
 
-// A host is suspended for a minute while an operator lowers a budget. When it
-// wakes up, a call is waiting. The clock has counted the suspension, so the
-// call is refused before the host has heard of the edit.
+// Guards against a suspended host that admits work by an old table.
 func TestHostThatWakesUpRefusesNewWorkUntilConfirmed(t *testing.T) {
 	clock := &bvclock.Manual{}
 	state := &State{}
@@ -57,9 +53,7 @@
 	require.Error(t, err)
 }
 
-// A machine booted two seconds ago, so its clock reads less than the bound. A
-// host that took zero for the time of its last confirmation would admit work
-// before anybody had confirmed anything.
+// Guards against a young clock on which everything seems to be confirmed.
 func TestFreshClockConfirmsNothing(t *testing.T) {
 	state := &State{}
 	state.Install(tableOf(7, 70))
--- a/bvtls/tls_test.go
+++ b/bvtls/tls_test.go
@@ -124,8 +124,7 @@
 	require.Equal(t, second, serialOf(t, source, address))
 }
 
-// A certificate is being renewed: it is written, its key is not yet. In that
-// moment a connection comes, which fails if the half pair is taken.
+// Guards against a certificate without its key.
 func TestHalfWrittenPairLeavesTheLastGoodOneInForce(t *testing.T) {
 	files, issuer := newFiles(t), newIssuer(t)
 	first := issuer.write(files)
@@ -173,8 +172,7 @@
 	require.NoError(t, serverErr)
 }
 
-// Somebody reaches the port for hosts with a certificate of his own making
-// and would act as a host: read any member's calls, grant himself permits.
+// Guards against a stranger's certificate between hosts.
 func TestHostOfAnotherAuthorityIsTurnedAway(t *testing.T) {
 	files, strangers := newFiles(t), newFiles(t)
 	issuer := newIssuer(t)
@@ -185,8 +183,7 @@
 	require.Error(t, serverErr)
 }
 
-// Two halves of the consortium get each other's authority while they run, as
-// when an authority is replaced. What is trusted follows without a restart.
+// Guards against an authority that is only replaced by a restart.
 func TestReplacedAuthorityCountsForTheNextHandshake(t *testing.T) {
 	files, others := newFiles(t), newFiles(t)
 	issuer, otherIssuer := newIssuer(t), newIssuer(t)
--- a/bvtrace/trace_test.go
+++ b/bvtrace/trace_test.go
@@ -134,9 +134,7 @@
 	require.Equal(system.t, http.StatusOK, response.StatusCode)
 }
 
-// A call comes in at one host, its program belongs to the other. One trace
-// shows all hops, each under the one that caused it, and the engine is told
-// the trace too. The stop exports what was not yet exported.
+// Guards against hops that are missing from a trace.
 func TestOneTraceHasASpanForEachHop(t *testing.T) {
 	var parent string
 	engine := bvstandin.NewEngine(bvstandin.EngineConfig{Name: "engine-1", Model: "m", Instant: true})
@@ -177,8 +175,7 @@
 	require.Equal(t, byName["relay"].SpanContext().TraceID(), byName["session"].SpanContext().TraceID())
 }
 
-// The collector is run by one member's operators. What others' programs ask
-// and how they are called must not get there with the spans.
+// Guards against prompts and names in spans.
 func TestSpansHoldNoPromptNoMemberAndNoProgramID(t *testing.T) {
 	system := startSystem(t, bvstandin.NewEngine(bvstandin.EngineConfig{Name: "engine-1", Model: "m", Instant: true}))
 	program := programOf("host-1")
