A host that does not know yet whether a cap holds says so, and does not refuse for it

Cause, by the logs: the first reading of the list of hosts had failed ("list of hosts: lost" before the refusal), so the host knew no other one. What a bucket holds at the start is added once most hosts are heard; until then the copy held next to nothing, and as its own allocator the host called that a refusal. Beside it, a second allocator whose margin for unheard grants was larger than the bucket refused too.

Ruled out: requests of other hosts (the record has them all), a minority's part (no other host was listed).

Nothing more is granted than before. Claims' answers carry it in a new field; go generate covers the datagrams' protocol.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -36,6 +36,8 @@
 	"balsamvalve.example/bvclock"
 )
 
+//go:generate sh -c "cd .. && buf generate --path bvgossip/digest.proto"
+
 const (
 	// leastInterval is the time between two digests where there are few hosts: short
 	// beside a call.
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -229,7 +229,7 @@
 	case limiter.hosts == 0 || limiter.justStarted(now, account):
 		return Decision{Outcome: Ask}
 	case account.available() < needed:
-		return Decision{Outcome: Refused, Wait: account.wait(needed, limiter.share)}
+		return limiter.lacking(account, needed)
 	case limiter.mustAsk(now, account):
 		return Decision{Outcome: Ask}
 	}
@@ -263,6 +263,15 @@
 	}
 }
 
+// lacking decides on a request for which the bucket holds too little: that is no refusal
+// where it is only not known yet whether what it holds at the start is still there.
+func (limiter *Limiter) lacking(account *account, needed float64) Decision {
+	if account.available()+account.start >= needed {
+		return Decision{Outcome: Ask}
+	}
+	return Decision{Outcome: Refused, Wait: account.wait(needed, limiter.share)}
+}
+
 // filled returns the account of a workspace as it is now, or nil where it has no cap.
 func (limiter *Limiter) filled(now bvclock.Time, workspace string) *account {
 	account := limiter.accounts[workspace]
@@ -308,14 +317,15 @@
 	return decision
 }
 
-// decide decides as an allocator.
+// decide decides as an allocator; Ask leaves the request undecided. So does a standby that
+// may not have heard of the last grants.
 func (limiter *Limiter) decide(account *account, request Request) Decision {
 	needed := account.needed(request.Fresh, limiter.share)
-	if request.Standby {
-		needed += account.cap.Rate * seconds(limiter.lag)
-	}
 	if account.available() < needed {
-		return Decision{Outcome: Refused, Wait: account.wait(needed, limiter.share)}
+		return limiter.lacking(account, needed)
+	}
+	if request.Standby && account.available() < needed+account.cap.Rate*seconds(limiter.lag) {
+		return Decision{Outcome: Ask}
 	}
 	return Decision{Wait: account.hold(limiter.share)}
 }
--- a/bvquota/quota_test.go
+++ b/bvquota/quota_test.go
@@ -376,3 +376,35 @@
 	}
 	require.Equal(t, Ask, limiter.Take(Request{Workspace: "w"}).Outcome)
 }
+
+// Guards against a refusal for the cap by a second allocator that only may have missed grants.
+func TestStandbyThatCantTellLeavesARequestUndecided(t *testing.T) {
+	clock := &bvclock.Manual{}
+	limiter := newLimiter(clock, Cap{"w", 10, 20})
+	limiter.SetHosts(4, 4, 5*bvclock.Second)
+	fill(clock)
+	require.Equal(t, Ask, limiter.TakeHere(Request{Workspace: "w", Standby: true}).Outcome)
+	require.Equal(t, Ask, limiter.Claim(7, Use{Workspace: HashWorkspace("w")}, Request{Standby: true}).Outcome)
+	for limiter.TakeHere(Request{Workspace: "w"}).Outcome == Granted {
+	}
+	require.Equal(t, Refused, limiter.TakeHere(Request{Workspace: "w", Standby: true}).Outcome, "the bucket is empty")
+}
+
+// Guards against a refusal for the cap by a host that knows no other one yet.
+func TestHostThatKnowsNoOtherYetLeavesRequestsUndecided(t *testing.T) {
+	clock := &bvclock.Manual{}
+	first := bounds
+	first.Unused = true
+	limiter := New(clock, first)
+	limiter.SetCaps([]Cap{{"w", 12, 12}})
+	for _, fresh := range []bool{false, true} {
+		require.Equal(t, Ask, limiter.Take(Request{Workspace: "w", Fresh: fresh}).Outcome)
+		require.Equal(t, Ask, limiter.TakeHere(Request{Workspace: "w", Fresh: fresh}).Outcome)
+		require.Equal(t, Ask, limiter.Claim(7, Use{Workspace: HashWorkspace("w")}, Request{Fresh: fresh}).Outcome)
+	}
+	limiter.SetHosts(4, 4, 100)
+	require.Equal(t, Granted, limiter.Take(Request{Workspace: "w", Fresh: true}).Outcome)
+	for limiter.TakeHere(Request{Workspace: "w"}).Outcome == Granted {
+	}
+	require.Equal(t, Refused, limiter.TakeHere(Request{Workspace: "w"}).Outcome)
+}
--- a/bvrouter/quota.go
+++ b/bvrouter/quota.go
@@ -32,7 +32,10 @@
 	for i, allocator := range allocators {
 		request.Standby = firstLeftOut || i > 0
 		if quotas.gossip.IsSelf(allocator) {
-			return quotas.limiter.TakeHere(request)
+			if decision := quotas.limiter.TakeHere(request); decision.Outcome != bvquota.Ask {
+				return decision
+			}
+			continue
 		}
 		quotas.counters.Add("quota_claims", 1)
 		claimed := quotas.gossip.Claim(allocator, &bvgossip.Claim{
@@ -42,6 +45,7 @@
 		switch {
 		case claimed == nil:
 			quotas.counters.Add("quota_claims_unanswered", 1)
+		case claimed.GetUndecided():
 		case claimed.GetGranted():
 			quotas.limiter.Granted(request.Workspace)
 			return bvquota.Decision{Wait: bvclock.Duration(claimed.GetWait())}
@@ -57,7 +61,9 @@
 	decision := handler.limiter.Claim(claim.GetHost(), bvquota.Use{
 		Workspace: claim.GetWorkspace(), Count: claim.GetCount(), Recent: claim.GetRecent(),
 	}, bvquota.Request{Fresh: claim.GetFresh(), Standby: claim.GetStandby()})
-	return &bvgossip.Claimed{Granted: decision.Outcome == bvquota.Granted, Wait: uint32(decision.Wait)}
+	return &bvgossip.Claimed{
+		Granted: decision.Outcome == bvquota.Granted, Undecided: decision.Outcome == bvquota.Ask, Wait: uint32(decision.Wait),
+	}
 }
 
 // setCaps takes over the usage caps of the desired state.
