--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(GO) vet ./...
 	$(BIN)/staticcheck ./...
 	bash scripts/check-proofs.sh
+	bash scripts/check-comments.sh
 
 tools: $(BIN)/staticcheck
 
--- a/bvbudget/record.go
+++ b/bvbudget/record.go
@@ -54,10 +54,9 @@
 const (
 	// blockShare is the most of what is left of a budget that a host reserves
 	// beyond its need. What is lost with a host must leave enough for the
-	// others: programs spend 0.25 to 0.4 of their budgets (measured over 740).
+	// others.
 	blockShare = 0.5
-	// blockTurns is the same in turns at their most. A turn generates about
-	// half of its most, so a block of three lasts for five turns or six.
+	// blockTurns is the same in turns at their most.
 	blockTurns = 3
 	// plentyTurns is from how many turns on there is enough for such blocks. A
 	// host that gets more than it needs of less than that seldom saves a question:
--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -5,26 +5,21 @@
 	"balsamvalve.example/bvmechanism"
 )
 
-// Admission of new programs.
-//
-// It answers the load of a crowd that is larger than the engines can serve in
-// time. Without it nearly all programs are served and nearly all late: calls
-// crowd each other at the engines, each takes longer, so that more are under
-// way at once, and the crowding stays after the crowd has gone. A program is
-// turned away before its first turn, when nothing is lost yet; programs under
-// way go on.
+// Admission of new programs, for a crowd that is larger than the engines can serve in
+// time. Calls that crowd each other take longer, so that more are under way at once and
+// the crowding outlasts the crowd. A program is turned away before its first turn, when
+// nothing is lost yet; programs under way go on.
 const (
 	// fullShare is how many calls there may be, as a share of the engines'
-	// places, before new programs of the less urgent routes are turned away.
-	// Spread evenly, a fifth more calls than places wait little more than for
-	// their prompts to be read; in a crowd that stays, more make most programs late.
+	// places, before new programs of the less urgent routes are turned away. A few
+	// more than there are places wait little longer than for their prompts to be read.
 	fullShare = 1.2
 	// urgentShare is added for the most urgent routes, whose programs then
 	// find room that less urgent ones have left.
 	urgentShare = 0.10
 	// leastReturn and mostReturn bound the time after which a refused caller
-	// should come back. It is drawn at random between them, so that a crowd
-	// does not return as one; callers come back for about 3 s in all.
+	// should come back. It is drawn at random between them, so that a crowd does not
+	// return as one.
 	leastReturn = 300 * bvclock.Millisecond
 	mostReturn  = 900 * bvclock.Millisecond
 )
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -7,21 +7,18 @@
 )
 
 const (
-	// crowding is how much longer a call takes, with all slots taken, than on
-	// an idle engine, counted twice: once for the call itself and once for
-	// those that run beside it.
+	// crowding is the cost of a call with all slots taken, as a share of its duration
+	// on an idle engine: it takes longer itself, and so do those beside it.
 	crowding = 0.6
 	// defaultDuration stands for a call's duration before any was measured,
 	// in milliseconds.
 	defaultDuration = 200
-	// zoneCost is what an endpoint in another availability zone costs, in
-	// milliseconds: a little for the way, and more since operators pay for bytes
-	// between zones: about what one call more at an endpoint costs.
+	// zoneCost is the cost of an endpoint in another availability zone, in
+	// milliseconds: operators pay for bytes between zones.
 	zoneCost = 24
 	// objectWeight is the most that an endpoint's place in the order of a call's
 	// object counts, in milliseconds. An endpoint that had the object lately is
-	// faster, so that the calls that concern it should meet; three calls more at one
-	// endpoint outweigh it.
+	// faster.
 	objectWeight = 20
 	// noise breaks ties between endpoints, in milliseconds. Without it, hosts
 	// that know the same send to the same endpoint at once.
--- a/bvdispatch/health.go
+++ b/bvdispatch/health.go
@@ -37,7 +37,7 @@
 	firstAway = 250 * bvclock.Millisecond
 	lastAway  = 4 * bvclock.Second
 	// fullAway is how long an endpoint that was full gets no calls: about the
-	// time in which a slot of sixteen gets free.
+	// time in which a slot gets free.
 	fullAway = 25 * bvclock.Millisecond
 )
 
--- a/bvdispatch/judgement.go
+++ b/bvdispatch/judgement.go
@@ -6,29 +6,26 @@
 	"balsamvalve.example/bvclock"
 )
 
-// An endpoint is judged by how its calls end, whatever it says of itself: it may
-// call itself well and fail a third of them, hang, or take eight times as long,
-// and the other way round. Hosts of one availability zone judge together, since
-// one host alone sees a call a second of an endpoint, and zones apart, since a
-// fault may concern one zone's calls only. A judgement never shuts an endpoint
-// out: it makes it dearer, so that it still gets a call now and then, when others
-// are crowded or the judgement has faded, and can prove itself.
+// Outlier detection. An endpoint is judged by how its calls end, whatever its health
+// check says. Hosts of one availability zone judge together, since one host sees few
+// calls of an endpoint, and zones apart, since a fault may concern one zone's calls
+// only. An outlier is not ejected: it costs more, so that it still gets a call now and
+// then and can recover.
 const (
-	// judgementLife is the time in which what was seen fades to a third:
-	// short beside faults, which last some seconds, and long beside the time
-	// between two calls that a zone's hosts make to an endpoint, 0.2 s.
+	// judgementLife is the time constant of the decay of what was seen: short beside
+	// faults, and long beside the time between two calls of a zone to an endpoint.
 	judgementLife = 3 * bvclock.Second
 	// doubtCalls are added to the calls that were seen, so that one failure
 	// among few calls says little.
 	doubtCalls = 4
-	// failureCost is what a call that fails costs in milliseconds: it is made
-	// again from its start, after a pause of 100 to 400 ms.
+	// failureCost is the cost of a call that fails, in milliseconds: it is made again
+	// from its start, after a pause.
 	failureCost = 1000
-	// slowRatio is from where on an endpoint counts as slow, against the mean
-	// of its service: full engines are 1.7 times as slow as idle ones.
+	// slowRatio is from where on an endpoint counts as slow, against the mean of its
+	// service. Full engines are slower than idle ones, and no outliers.
 	slowRatio = 2
-	// hungAfter is from when on a call that was given up without any answer
-	// counts as failed: answers begin within 0.2 s, in a crowd within 1 s.
+	// hungAfter is from when on a call that was given up without any answer counts as
+	// failed.
 	hungAfter = 1000 * bvclock.Millisecond
 )
 
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -35,9 +35,8 @@
 )
 
 const (
-	// dialTimeout bounds the wait for a new connection. Hosts and endpoints
-	// are 1 ms apart; an opening packet that is dropped comes again after a
-	// second, and until then another endpoint can have answered.
+	// dialTimeout bounds the wait for a new connection. An opening packet that is
+	// dropped comes again after a second; another endpoint can have answered by then.
 	dialTimeout = 300 * bvclock.Millisecond
 	// unackedTimeout ends a connection whose bytes are not acknowledged: an
 	// endpoint without power or behind a cut sends no reset.
--- a/bvfront/admit_test.go
+++ b/bvfront/admit_test.go
@@ -27,11 +27,11 @@
 
 func turnOf(program uint64) *call {
 	return &call{
-		front:   New(Parts{Dispatcher: fullDispatcher{underWay: 7}, Counters: bvmeasure.New()}),
-		request: &http.Request{},
-		route:   &bvroute.Route{},
-		service: &bvroute.Service{Name: "model", Engine: &bvroute.Engine{}},
-		placement:    bvdispatch.Request{Program: program},
+		front:     New(Parts{Dispatcher: fullDispatcher{underWay: 7}, Counters: bvmeasure.New()}),
+		request:   &http.Request{},
+		route:     &bvroute.Route{},
+		service:   &bvroute.Service{Name: "model", Engine: &bvroute.Engine{}},
+		placement: bvdispatch.Request{Program: program},
 	}
 }
 
--- a/bvfront/body.go
+++ b/bvfront/body.go
@@ -52,7 +52,7 @@
 	return count, err
 }
 
-// firstBytes is what is taken for a body at first; most have some 17 KB.
+// firstBytes is what is taken for a body at first.
 const firstBytes = 32 << 10
 
 // readAll reads a body. A length that the caller only claims takes no memory.
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -30,13 +30,13 @@
 
 // call is one request of a caller while it is served.
 type call struct {
-	front   *Front
-	writer  http.ResponseWriter
-	request *http.Request
-	metadata    bvroute.Call
-	arrived bvclock.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
+	front    *Front
+	writer   http.ResponseWriter
+	request  *http.Request
+	metadata bvroute.Call
+	arrived  bvclock.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	route   *bvroute.Route
 	service *bvroute.Service
@@ -44,8 +44,8 @@
 	keyed     bool               // the desired state asks for keys
 	workspace *bvroute.Workspace // of the key; nil where none is needed
 
-	body []byte
-	held int64 // bytes of memory taken for the body
+	body      []byte
+	held      int64 // bytes of memory taken for the body
 	placement bvdispatch.Request
 
 	sends int  // endpoints it was sent to
@@ -72,13 +72,13 @@
 
 func (front *Front) newCall(writer http.ResponseWriter, request *http.Request) *call {
 	return &call{
-		front:   front,
-		writer:  writer,
-		request: request,
-		metadata:    front.parts.Wire.ReadCall(request.Header),
-		arrived: front.parts.Clock.Now(),
-		ctx:     request.Context(),
-		cancel:  func() {},
+		front:    front,
+		writer:   writer,
+		request:  request,
+		metadata: front.parts.Wire.ReadCall(request.Header),
+		arrived:  front.parts.Clock.Now(),
+		ctx:      request.Context(),
+		cancel:   func() {},
 	}
 }
 
--- a/bvfront/outage.go
+++ b/bvfront/outage.go
@@ -2,20 +2,11 @@
 
 import "balsamvalve.example/bvclock"
 
-// Turns of conversations that are kept, while the store is away.
-//
-// A turn's end can't be given before the turn is in the store, and a caller leaves
-// when nothing comes for some seconds. So a turn that is run at once is lost with
-// the engine's work if the outage goes on for longer than that; a turn that is sent
-// away is lost if its caller comes back too early too often. Callers come back once
-// or twice in the time that they give a request, after at most a third of it, and
-// begin a turn anew a few times. So each of their tries covers the most of an outage
-// if its caller is first sent away for a third of its time, and its turn is run, and
-// its end held, when the caller is back: with 4 s for a request and three tries,
-// outages of up to 9 s are covered, where running at once covers 7 s and sending
-// away each time 4 s (TestTurnsOutlastAnOutage). Most outages are over sooner, so
-// in their first seconds turns are run at once: their ends come the moment the
-// store is back.
+// Turns of kept conversations while the store is away. The end of a turn is given only
+// once the turn is stored. Callers come back a few times, after at most a third of their
+// time, so the longest outages are covered by sending a caller away once and running its
+// turn, with the end held, when it is back. Most outages are short: in their first
+// seconds turns are run at once.
 const (
 	// runAtOnceFor is how long an outage has lasted when turns are no longer run
 	// at once: callers wait for about as long for the end of an answer.
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// askTimeout bounds the wait for another host's answer. It takes 1 to
-	// 3 ms; a host that is frozen or cut off is gone round by the store,
-	// which takes 13 ms.
+	// askTimeout bounds the wait for another host's answer: about as long as the store
+	// takes, which is asked instead.
 	askTimeout = 15 * bvclock.Millisecond
 	// askMemory is how long a late answer is still taken in: the lender has
 	// given the tokens up, so that they would be lost.
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// leastInterval is the time between two digests where there are few
-	// hosts: short beside a call, which takes some 300 ms.
+	// leastInterval is the time between two digests where there are few hosts: short
+	// beside a call.
 	leastInterval = 100 * bvclock.Millisecond
 	// farInterval is the time between two digests to hosts in other availability
 	// zones: operators pay for bytes between zones, and trackers tell of the calls
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -16,7 +16,7 @@
 // lost, or a datagram, only leaves what the digests said.
 
 const (
-	// probeTimeout bounds the wait for trackers. They answer in 1 to 2 ms.
+	// probeTimeout bounds the wait for trackers; digests tell enough without them.
 	probeTimeout = 5 * bvclock.Millisecond
 	// mutedFor is how long a tracker that did not answer is not asked again.
 	mutedFor = bvclock.Second
--- a/bvhistory/keeper.go
+++ b/bvhistory/keeper.go
@@ -50,8 +50,7 @@
 	// conversation of nine turns is kept with one part in one case of eight, with
 	// two in two of three, and with three in 11 of 12.
 	places = 3
-	// cacheBytes is the most that is kept at hand. A conversation has some
-	// 35 KB, and a host has some tens under way.
+	// cacheBytes is the most that is kept at hand, in bytes.
 	cacheBytes = 6 << 20
 	// rowOverhead is what a turn costs in memory beside its texts.
 	rowOverhead = 200
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -35,8 +35,8 @@
 )
 
 const (
-	// leaseTime is how long after reading the list a host may grant. The list is
-	// read each 10 s, and outages of the store were seen to last up to 10 s.
+	// leaseTime is how long after reading the list a host may grant: some readings
+	// may fail in an outage of the store.
 	leaseTime = 30 * bvclock.Second
 	// LongestProgram is how long a program may be under way, or come back after
 	// it was stopped, beyond the time for which its route keeps turns.
@@ -48,18 +48,17 @@
 	// surely stopped granting, and no program that it granted for can come back.
 	longestTakeover = leaseTime + LongestProgram + longestRetain + readGap
 	// readGap is the longest time between two readings in which a former host
-	// that was back and left again is not noticed; the list is read each 10 s.
+	// that was back and left again is not noticed.
 	readGap = 15 * bvclock.Second
 	// blindGap is the time between two readings after which this host begins
 	// anew. A host that was never seen here needs longestTakeover before its
 	// first grant.
 	blindGap = 2 * bvclock.Minute
 	// HandoverTime is how old what a process left behind may be for the next one of
-	// its host to go on from there: restarts take a second or two, and others wait
-	// for longestTakeover.
+	// its host to go on from there: others wait for longestTakeover.
 	HandoverTime = leaseTime
 	// firstListed is how soon after its start a host must be listed to take part
-	// in the first list. All hosts start within 0.3 s of each other.
+	// in the first list.
 	firstListed = 3 * bvclock.Second
 	// firstRead is when after its start a host's reading of the list shows all
 	// hosts of the first list, also of those whose processes came up 3 s later.
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -73,9 +73,8 @@
 	}
 }
 
-// followEndpoints keeps the list of endpoints up to date. It asks for what
-// changed: with 3,000 endpoints, a host that read the list whole each second took
-// 3.2 MB a second for it.
+// followEndpoints keeps the list of endpoints up to date. It asks for what changed, since
+// the whole list is large where there are many endpoints.
 func (router *Router) followEndpoints(ctx context.Context) {
 	lost := bvlog.Outage{What: "list of endpoints", Log: router.log}
 	list := endpointList{}
@@ -162,8 +161,7 @@
 }
 
 // sweepInterval is the time between two looks for rows that hosts left behind.
-// Each looks at one of 256 parts of a table, so that 13 hosts see all of them
-// in ten minutes, with two reads a host in half a minute.
+// Each looks at one part of a table, drawn at random.
 const sweepInterval = 30 * bvclock.Second
 
 func (router *Router) sweep(ctx context.Context) {
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -17,9 +17,7 @@
 	// stopMargin is kept between the end of a graceful stop and the moment at
 	// which the process would be killed, as a share of the allowed time.
 	stopMargin = 0.06
-	// giveUpTime bounds how long a leaving host gives back budgets. A write
-	// takes 5 to 13 ms, eight are under way at once, and a host of the users'
-	// sites has some tens of programs.
+	// giveUpTime bounds how long a leaving host gives back budgets.
 	giveUpTime = 500 * bvclock.Millisecond
 	// retireTime bounds the one write after that.
 	retireTime = 300 * bvclock.Millisecond
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -39,14 +39,13 @@
 }
 
 const (
-	// conversationTimeout bounds the wait for another host's conversation: it
-	// takes 1 to 4 ms, and the store some 10 ms.
+	// conversationTimeout bounds the wait for another host's conversation; the store is
+	// asked after it.
 	conversationTimeout = 25 * bvclock.Millisecond
-	// maxConversationHosts is how many hosts are asked before the store: as many
-	// as had turns of seven in eight programs, when there are 64 hosts. With two, one
-	// turn in ten was read from the store, in three calls.
+	// maxConversationHosts is how many hosts that had turns of a program are asked
+	// before the store.
 	maxConversationHosts = 4
-	// maxConversationBytes bounds what is read: some 35 KB as a rule.
+	// maxConversationBytes bounds what is read.
 	maxConversationBytes = 4 << 20
 )
 
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -79,7 +79,7 @@
 	started     bvclock.Time
 	state       *state
 	store       *storeClient
-	dispatcher        *bvdispatch.Dispatcher
+	dispatcher  *bvdispatch.Dispatcher
 	connections *bvforward.Connections
 	budgets     *bvbudget.Keeper
 	histories   *bvhistory.Keeper
@@ -115,8 +115,7 @@
 // count too.
 const memoryShare = 0.7
 
-// bodyShare is the part of the allowed memory that callers' bodies may take: a
-// body has 17 KB as a rule and 4 MB at most.
+// bodyShare is the part of the allowed memory that callers' bodies may take.
 const bodyShare = 0.2
 
 // New opens the ports and puts the parts together.
@@ -132,7 +131,7 @@
 		clock:       clock,
 		started:     clock.Now(),
 		state:       &state{clock: clock, apply: settings.Apply, revoke: settings.Revoke},
-		dispatcher:        bvdispatch.NewDispatcher(clock, xxhash.Sum64String(settings.Name), settings.Zone),
+		dispatcher:  bvdispatch.NewDispatcher(clock, xxhash.Sum64String(settings.Name), settings.Zone),
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
 	}
--- a/bvrouter/store_client.go
+++ b/bvrouter/store_client.go
@@ -13,22 +13,19 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store on a caller's behalf. The
-	// store answers in 4 to 9 ms; with answers sixty times as slow it is
-	// still within.
+	// storeTimeout bounds a call to the store on a caller's behalf.
 	storeTimeout = 800 * bvclock.Millisecond
-	// leastStoreTimeout and patienceFactor bound a call by what calls usually take:
-	// a connection on which an answer was lost delivers nothing more, and the
-	// caller behind it waits for nothing. Each call in a row that ran out of
-	// time doubles the bound, up to storePatience, for a store that is slow.
+	// leastStoreTimeout and storeTimeoutFactor bound a call by what calls usually take: a
+	// connection on which an answer was lost delivers nothing more. Each call in a row
+	// that ran out of time doubles the bound, up to storeTimeout, for a store that is
+	// slow.
 	leastStoreTimeout  = 60 * bvclock.Millisecond
 	storeTimeoutFactor = 6
 	// usualWeight is the weight of a new duration in the usual one.
 	usualWeight = 0.1
 	// trialInterval is the time between two calls that try whether a lost
-	// store is back. Callers' own calls must not do so: a silent store holds
-	// each for up to storePatience, and with thirteen hosts that would be most
-	// of the programs that begin, held in place of refused.
+	// store is back. Callers' own calls must not do so: a silent store holds each for
+	// up to storeTimeout, where the caller should be refused at once.
 	trialInterval = 100 * bvclock.Millisecond
 	// suspectAfter is how long a call may be under way, with no other one
 	// answered since it began, before the store counts as lost: a store that
--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -40,8 +40,7 @@
 	Without bvmechanism.Set // switched off, for experiments
 }
 
-// leastMemory is what the runtime needs with a few calls in flight; a smaller
-// limit would end the process at its first load (30 MB measured after start).
+// leastMemory is what the runtime needs with a few calls in flight, in bytes.
 const leastMemory = 48 << 20
 
 // Check returns an error that names the first field that can't be used.
--- /dev/null
+++ b/scripts/check-comments.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Fails when a comment in product code holds a date, a seed, an issue number, a figure of
+# a run, or names a deployment or the users' bench.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+files=$(git ls-files '*.go' | grep -vE '_test\.go$|\.pb\.go$|_string\.go$')
+pattern='//.*(\b20[0-9][0-9]-[0-9][0-9]\b|\bissue [0-9#]|#[0-9]+\b|\bseed=?[ ]?[0-9]|fleetbench|\bbench\b|hanbit|tipton|obala|piran-hall|\bmeasured over\b|\bwas seen to\b|\bwere seen to\b)'
+if found=$(grep -nE "$pattern" $files); then
+  echo "comments that tell a story or name a deployment:"
+  echo "$found"
+  exit 1
+fi
