What callers and endpoints make a host hold is bounded, in bytes and in time

Cause: only callers' bodies counted against the bound on memory. An answer of up to 64 KB was read whole for each caller, whether it reads or not; a stream's event without end, and the head of an endpoint's answer, grew without bound; a caller that does not read its answer, or sends its body a byte at a time, held its call for ever (no write deadline, no read deadline behind the head).

Ruled out: dropping slow callers by a quota of their own. What is held for one is a few buffers once answers are passed on in parts, and TCP then holds the endpoint back, which cuts off what stays unread by itself.

Change: one bound (bvfront.memory) for bodies, answers, streams and the buffers of a call, taken before the bytes are read. A request without room is refused before it is sent; an answer without room is passed on in parts. A caller has its own time and 5 s to read its answer, and its own time to send a body (503, not run). An answer's head has 256 KB, an event 1 MB.

--- a/bvforward/connection.go
+++ b/bvforward/connection.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 
@@ -15,6 +17,7 @@
 type connection struct {
 	net.Conn
 	pool    *pool
+	head    *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	idleAt  bvclock.Time // since when it is idle
@@ -27,14 +30,45 @@
 const bufferBytes = 4 << 10
 
 func newConnection(conn net.Conn, pool *pool) *connection {
+	head := &headReader{source: conn}
 	return &connection{
 		Conn:   conn,
 		pool:   pool,
-		reader: bufio.NewReaderSize(conn, bufferBytes),
+		head:   head,
+		reader: bufio.NewReaderSize(head, bufferBytes),
 		writer: bufio.NewWriterSize(conn, bufferBytes),
 	}
 }
 
+// mostHeadBytes bounds the head of an answer.
+const mostHeadBytes = 256 << 10
+
+var errHeadTooLarge = errors.New("the answer's head is too large")
+
+// headReader bounds what is read while an answer's head is parsed, which the standard
+// library does not.
+type headReader struct {
+	source  io.Reader
+	bounded bool
+	left    int
+}
+
+// bound starts a head, or ends it.
+func (reader *headReader) bound(bounded bool) { reader.bounded, reader.left = bounded, mostHeadBytes }
+
+// Read implements io.Reader.
+func (reader *headReader) Read(buffer []byte) (int, error) {
+	if !reader.bounded {
+		return reader.source.Read(buffer)
+	}
+	if reader.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := reader.source.Read(buffer[:min(len(buffer), reader.left)])
+	reader.left -= count
+	return count, err
+}
+
 // spent reports whether an idle connection can't be used any more: the
 // endpoint closed it, or sent bytes that belong to no request, such as a
 // second answer to the one before. Without this look, the next request would
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -154,6 +154,8 @@
 
 // readAnswer reads one answer's head; interim answers are skipped.
 func (connections *Connections) readAnswer(request *Request, connection *connection) (*Response, error) {
+	connection.head.bound(true)
+	defer connection.head.bound(false)
 	for {
 		parsed, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -185,6 +187,9 @@
 	}
 }
 
+// Ended reports whether the body was read to its end.
+func (response *Response) Ended() bool { return response.whole.ended }
+
 // Close keeps the connection for the next request if the answer was read whole
 // and nothing follows it; otherwise it ends the connection.
 func (response *Response) Close() {
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -289,3 +289,39 @@
 	DropHopByHop(header, []string{"X-Mine", "Id"}, func(name string) bool { return name == "Id" })
 	require.Equal(t, http.Header{"Id": {"7"}, "Kept": {"1"}}, header)
 }
+
+// Guards against an endpoint whose answer's head never ends and takes the host's memory.
+func TestEndlessHeadIsGivenUp(t *testing.T) {
+	sent := make(chan int, 1)
+	endpoint := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		total, _ := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+		for {
+			count, err := io.WriteString(conn, strings.Repeat("x", 64<<10))
+			total += count
+			if err != nil {
+				sent <- total
+				return false
+			}
+		}
+	})
+	connections := &Connections{Clock: bvclock.Boot(), Wire: plainWire{}}
+	_, err := connections.Send(t.Context(), endpoint.request("a"))
+	require.ErrorIs(t, err, errHeadTooLarge)
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	<-sent // its connection is closed
+}
+
+// Guards against a bound on heads that cuts off a body.
+func TestLongBodyPassesTheBoundOnHeads(t *testing.T) {
+	endpoint := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: %d\r\n\r\n%s", 2*mostHeadBytes, strings.Repeat("x", 2*mostHeadBytes))
+		return err == nil
+	})
+	connections := &Connections{Clock: bvclock.Boot(), Wire: plainWire{}}
+	response, err := connections.Send(t.Context(), endpoint.request("a"))
+	require.NoError(t, err)
+	defer response.Close()
+	count, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, 2*mostHeadBytes, count)
+}
--- a/bvfront/body.go
+++ b/bvfront/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 
 	"balsamvalve.example/bvverdict"
 )
@@ -26,14 +27,22 @@
 	case errors.As(err, &tooLarge):
 		return bvverdict.Refuse(bvverdict.TooLarge, "the body is over %d bytes", limit)
 	case errors.Is(err, errNoMemory):
-		return bvverdict.Refuse(bvverdict.Overloaded, "too many large bodies are held").WithRetryAfter(shortRetry)
+		return noMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		call.stalled = true
+		return bvverdict.Refuse(bvverdict.DeadlinePassed, "the body did not arrive in time").WithRetryAfter(shortRetry)
 	case err != nil:
 		return bvverdict.Refuse(bvverdict.BadRequest, "the body can't be read").WithCause(err)
 	}
 	call.body = body
+	call.endBody()
 	return nil
 }
 
+func noMemory() error {
+	return bvverdict.Refuse(bvverdict.Overloaded, "no memory is left for another request").WithRetryAfter(shortRetry)
+}
+
 var errNoMemory = errors.New("no memory is left for bodies")
 
 // heldReader takes memory for a body as it comes: its length is not known
@@ -45,10 +54,9 @@
 
 func (reader *heldReader) Read(buffer []byte) (int, error) {
 	count, err := reader.source.Read(buffer)
-	if !reader.call.front.hold(int64(count)) {
+	if !reader.call.takeMemory(int64(count)) {
 		return 0, errNoMemory
 	}
-	reader.call.held += int64(count)
 	return count, err
 }
 
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -45,7 +45,8 @@
 	workspace *bvroute.Workspace // of the key; nil where none is needed
 
 	body      []byte
-	held      int64 // bytes of memory taken for the body
+	stalled   bool  // the body did not arrive in time
+	held      int64 // bytes of memory taken
 	placement bvdispatch.Request
 
 	sends int  // endpoints it was sent to
@@ -56,6 +57,8 @@
 	erred    bool // and it is an error of the endpoint's own
 	stream   events
 
+	streamHeld int64 // bytes of memory taken for what is kept of the stream
+
 	sentAt  bvclock.Time     // of the last send
 	firstAt bvclock.Time     // of the first event that was handed on
 	keptFor bvclock.Duration // how long it took to keep the turn
@@ -84,7 +87,7 @@
 
 func (call *call) close() {
 	call.cancel()
-	call.front.bodies.Add(-call.held)
+	call.front.memory.give(call.held)
 	if call.reservation != nil {
 		call.reservation.Close()
 	}
@@ -99,6 +102,9 @@
 	if err := call.authorize(); err != nil {
 		return err
 	}
+	if !call.takeMemory(callBytes) {
+		return noMemory()
+	}
 	if err := call.readBody(); err != nil {
 		return err
 	}
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -19,7 +19,7 @@
 	}
 	call.front.parts.Counters.Add("failed", 1)
 	call.front.parts.Counters.Refused(call.workspaceName(), err)
-	if call.begun || call.request.Context().Err() != nil {
+	if call.begun || call.hasLeft() {
 		// An answer that ends early must not look complete: closing the
 		// connection is the only sign that HTTP has for it.
 		panic(http.ErrAbortHandler)
@@ -27,6 +27,12 @@
 	call.fail(bvverdict.From(err))
 }
 
+// hasLeft reports whether the caller has closed its connection. net/http also ends the
+// context of a request whose body does not arrive in time.
+func (call *call) hasLeft() bool {
+	return call.request.Context().Err() != nil && !call.stalled
+}
+
 // fail answers with a status of our own.
 func (call *call) fail(err *bvverdict.Error) {
 	header := call.writer.Header()
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -129,9 +129,9 @@
 	Histories  Histories
 	Counters   Counters
 	Log        logrus.FieldLogger
-	// BodyMemory bounds the bytes of all bodies that are held at once; 0
-	// means no bound.
-	BodyMemory int64
+	// Memory bounds the bytes that all calls hold at once, of requests and of answers;
+	// 0 means no bound.
+	Memory int64
 	// Without are mechanisms that are switched off, for experiments.
 	Without bvmechanism.Set
 }
@@ -140,20 +140,11 @@
 type Front struct {
 	parts   Parts
 	leaving atomic.Bool
-	bodies  atomic.Int64 // bytes of all bodies that are held
+	memory  memory
 }
 
-// hold takes memory for a body. It guards against a crowd of large bodies,
-// which would take the process over its memory and end it with all its
-// requests in flight.
-func (front *Front) hold(bytes int64) bool {
-	held := front.bodies.Add(bytes)
-	if front.parts.BodyMemory > 0 && held > front.parts.BodyMemory {
-		front.bodies.Add(-bytes)
-		return false
-	}
-	return true
-}
+// HeldBytes returns how many bytes calls hold, of requests and of answers.
+func (front *Front) HeldBytes() int64 { return front.memory.used.Load() }
 
 // Leave makes each answer ask its caller to close the connection, so that
 // callers move to other hosts before this one stops.
@@ -168,7 +159,7 @@
 
 // New returns a Front.
 func New(parts Parts) *Front {
-	return &Front{parts: parts}
+	return &Front{parts: parts, memory: memory{limit: parts.Memory}}
 }
 
 // ServeHTTP implements http.Handler. It doesn't use http.ServeMux, which would
@@ -176,6 +167,7 @@
 func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	call := front.newCall(writer, request)
 	defer call.close()
+	call.boundConnection()
 	err := call.serve()
 	call.finish(err)
 }
--- /dev/null
+++ b/bvfront/memory_test.go
@@ -0,0 +1,57 @@
+package bvfront
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvforward"
+)
+
+func callWithMemory(bytes int64) *call {
+	return &call{front: New(Parts{Memory: bytes})}
+}
+
+// Guards against answers of many slow callers that together take the process over its
+// memory.
+func TestAnswerIsPassedOnInPartsWhereThereIsNoMemory(t *testing.T) {
+	call := callWithMemory(10_000)
+	response := &bvforward.Response{Body: bytes.NewReader(make([]byte, 30_000))}
+	first, whole, err := call.readFirst(response)
+	require.NoError(t, err)
+	require.False(t, whole)
+	require.LessOrEqual(t, len(first), 10_000)
+	rest, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Len(t, rest, 30_000-len(first), "nothing is lost")
+	require.LessOrEqual(t, call.front.memory.used.Load(), int64(10_000))
+}
+
+// Guards against an event without end.
+func TestEventWithoutEndIsGivenUp(t *testing.T) {
+	call := callWithMemory(0)
+	call.request, call.ctx = httptest.NewRequest(http.MethodPost, "/", nil), t.Context()
+	chunk := bytes.Repeat([]byte("x"), relayBytes)
+	var err error
+	for range 2 * mostEventBytes / relayBytes {
+		require.Empty(t, call.stream.add(chunk))
+		if err = call.holdStream(); err != nil {
+			break
+		}
+	}
+	require.ErrorContains(t, err, "too large")
+}
+
+// Guards against memory that is lost with each call.
+func TestMemoryIsGivenBackWhenTheCallEnds(t *testing.T) {
+	call := callWithMemory(callBytes)
+	call.cancel = func() {}
+	require.True(t, call.takeMemory(callBytes))
+	require.False(t, call.takeMemory(1))
+	call.close()
+	require.Zero(t, call.front.memory.used.Load())
+}
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"balsamvalve.example/bvforward"
@@ -29,20 +30,42 @@
 	if call.route.Kind == bvroute.Stream && response.Status == http.StatusOK {
 		return call.relayStream(response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes))
+	first, whole, err := call.readFirst(response)
 	if err != nil {
 		return call.broken("the answer broke off", err)
 	}
-	if len(body) == wholeBytes {
-		return call.relayLarge(response, body)
+	if !whole {
+		return call.relayLarge(response, first)
 	}
-	call.writeHead(response, int64(len(body)))
-	if _, err := call.writer.Write(body); err != nil {
+	call.writeHead(response, int64(len(first)))
+	if _, err := call.writer.Write(first); err != nil {
 		return callerGone(err)
 	}
 	return nil
 }
 
+// readFirst reads an answer up to wholeBytes, as far as there is memory for it, and
+// reports whether that is all of it.
+func (call *call) readFirst(response *bvforward.Response) (first []byte, whole bool, err error) {
+	chunk := int64(relayBytes)
+	for len(first) < wholeBytes {
+		if !call.takeMemory(chunk) {
+			return first, false, nil
+		}
+		first = slices.Grow(first, int(chunk))
+		count, err := io.ReadFull(response.Body, first[len(first):len(first)+int(chunk)])
+		first = first[:len(first)+count]
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && response.Ended():
+			return first, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+		chunk = min(int64(len(first)), wholeBytes-int64(len(first)))
+	}
+	return first, false, nil
+}
+
 // relayLarge passes on an answer of which the first part was read, while the
 // rest arrives.
 func (call *call) relayLarge(response *bvforward.Response, first []byte) error {
@@ -100,6 +123,9 @@
 		if err := call.passOn(response, call.stream.add(buffer[:count])); err != nil {
 			return err
 		}
+		if err := call.holdStream(); err != nil {
+			return err
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return call.endStream(response)
--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -104,6 +105,9 @@
 
 // watch keeps the table of idle connections.
 func (server *Server) watch(conn net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		_ = conn.SetWriteDeadline(time.Time{}) // a call's bound; on a closed connection nothing is written
+	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	if state == http.StateIdle {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -114,8 +114,9 @@
 // count too.
 const memoryShare = 0.7
 
-// bodyShare is the part of the allowed memory that callers' bodies may take.
-const bodyShare = 0.2
+// callShare is the part of the allowed memory that calls may hold, of requests and of
+// answers.
+const callShare = 0.2
 
 // New opens the ports and puts the parts together.
 func New(settings bvsetting.Host, parts Parts, log logrus.FieldLogger) (*Router, error) {
@@ -168,7 +169,7 @@
 		Histories:  router.histories,
 		Counters:   router.counters,
 		Log:        log,
-		BodyMemory: int64(float64(settings.Memory) * bodyShare),
+		Memory:     int64(float64(settings.Memory) * callShare),
 		Without:    settings.Without,
 	})
 	router.server = bvfront.NewServer(router.front, bvlog.ForServer(log))
@@ -217,6 +218,9 @@
 // Hosts returns how many other hosts are heard of.
 func (router *Router) Hosts() int { return len(router.gossip.LivePeers()) }
 
+// HeldBytes returns how many bytes of requests and answers this host holds.
+func (router *Router) HeldBytes() int64 { return router.front.HeldBytes() }
+
 // Grants reports whether this host may grant tokens of a program from memory.
 func (router *Router) Grants(program string) bool {
 	return router.leases.MayGrant(router.clock.Now(), program, 0)
