Lists of endpoints and hosts are read by few hosts of a large fleet

Cause: each host read both lists from the store, whole at its start, the hosts' again each 10 s (each second at first), and each change. A whole list also had to be read within 2.3 s, pages together, and again after the store forgot its history.

Ruled out: one list of objects in the store (its rate for objects is shared by all), less frequent reading (the time until a leaving endpoint gets no calls is bounded).

Change: where over 128 hosts are listed, two of each availability zone, the first by rendezvous hashing of those that are not lost, read for the others. A host that gets no fresh answer from these or two drawn at random asks the store. Answers tell their age, which adds up. A host that starts begins with the first 128 endpoints and gets the rest from others, two copies at a time from each. Changes are gathered for 0.1 ms an endpoint of the list. In an outage of its own a host is told changes by another one, no longer the whole list five times a second. Fleets of up to 128 hosts read as before.

Tests: of six hosts with a list of 302 endpoints two at most read it and its changes; hosts whose readers are gone still learn of a leaving endpoint; any list that is followed equals its source (rapid). The emulated store pages its answers as the platform does.

Not measured on the fleet yet.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -153,6 +153,15 @@
 	return gossip.clock.Now().Sub(since)
 }
 
+// Lost reports whether a host was heard and no longer is.
+func (gossip *Gossip) Lost(address netip.AddrPort) bool {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	found := gossip.hosts[address]
+	return found != nil && found.digest != nil && gossip.isSilent(now, found)
+}
+
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
 	found := gossip.hosts[address]
 	if found == nil {
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -60,9 +60,9 @@
 	// firstListed is how soon after its start a host must be listed to take part
 	// in the first list.
 	firstListed = 3 * bvclock.Second
-	// firstRead is when after its start a host's reading of the list shows all
+	// FirstRead is when after its start a host's reading of the list shows all
 	// hosts of the first list, also of those whose processes came up 3 s later.
-	firstRead = 6 * bvclock.Second
+	FirstRead = 6 * bvclock.Second
 )
 
 // Host is a row of the list of grantors.
@@ -246,7 +246,7 @@
 	if leases.succeeded || now.Sub(leases.wrote) >= longestTakeover {
 		return true
 	}
-	return leases.first && leases.wrote.Sub(leases.started) <= firstListed && leases.asked.Sub(leases.started) >= firstRead
+	return leases.first && leases.wrote.Sub(leases.started) <= firstListed && leases.asked.Sub(leases.started) >= FirstRead
 }
 
 // followsDeparted reports whether a host that is no longer listed was the program's
--- a/bvlease/lease_test.go
+++ b/bvlease/lease_test.go
@@ -61,7 +61,7 @@
 	for _, host := range hosts {
 		world.list(host)
 	}
-	world.now = world.now.Add(firstRead)
+	world.now = world.now.Add(FirstRead)
 	for _, host := range hosts {
 		world.ask(host)
 		world.answer(host)
--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -129,22 +127,13 @@
 // fetchRoutes reads from another host the desired state, if it is newer than a
 // version, and its age.
 func fetchRoutes(ctx context.Context, address string, after int64) (confirmedState, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout.Std())
-	defer cancel()
-	response, err := get(ctx, address, "/routes?after="+strconv.FormatInt(after, 10))
-	if err != nil {
-		return confirmedState{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return confirmedState{}, fmt.Errorf("relay: status %d", response.StatusCode)
-	}
 	var answer struct {
 		Age  bvclock.Duration
 		Rows *bvroute.Rows
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return confirmedState{}, fmt.Errorf("relay: routes can't be read: %w", err)
+	err := fetch(ctx, address, "/routes?after="+strconv.FormatInt(after, 10), relayTimeout, &answer)
+	if err != nil {
+		return confirmedState{}, err
 	}
 	confirmed := confirmedState{age: answer.Age}
 	if answer.Rows != nil {
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -24,7 +24,10 @@
 // believed of it, so the newest start of each name is remembered.
 type endpointList struct {
 	listed      map[string]bvplatform.Endpoint
-	known       []bvplatform.Endpoint // with those that are only missing
+	missing     map[string]bvplatform.Endpoint // not listed, and kept for now
+	borrowed    []bvplatform.Endpoint          // of another host, in place of this list; nil: none
+	next        int64                          // point of the platform's history up to which it is known
+	log         changeLog
 	everMissed  bool
 	reachableAt bvclock.Time            // first list since
 	borrowedAt  bvclock.Time            // first list of another host since the last own one
@@ -32,55 +35,136 @@
 	starts      map[string]bvclock.Time // newest of each name
 }
 
+// listUpdate is what an update changes on the list to go by.
+type listUpdate struct {
+	whole  bool // listed is all of it
+	listed []bvplatform.Endpoint
+	gone   []bvplatform.Endpoint // as they were listed
+}
+
 // missed notes that the list could not be read.
 func (list *endpointList) missed() {
 	list.everMissed = true
 	list.reachableAt = 0
 }
 
-// update takes in what changed on the list and returns the endpoints to go by,
-// and whether they may differ from those before.
-func (list *endpointList) update(now bvclock.Time, changes bvplatform.EndpointChanges) ([]bvplatform.Endpoint, bool) {
+// update takes in what changed on the list, and reports whether the endpoints to go by
+// may differ from those before.
+func (list *endpointList) update(now bvclock.Time, changes bvplatform.EndpointChanges) (listUpdate, bool) {
 	if list.reachableAt == 0 {
 		list.reachableAt = now
 	}
-	list.borrowedAt = 0
-	kept := list.keeping
+	borrowed, kept := list.borrowed != nil, list.keeping
+	list.borrowed, list.borrowedAt = nil, 0
 	list.keeping = list.everMissed && now.Sub(list.reachableAt) < returnTime
-	if changes.Empty() && !kept {
-		return list.known, false
+	list.next = changes.Next
+	if changes.Whole || list.listed == nil || borrowed || kept || list.keeping {
+		if changes.Empty() && !kept && !borrowed {
+			return listUpdate{}, false
+		}
+		list.replace(changes)
+		return listUpdate{whole: true, listed: list.all()}, true
+	}
+	update := list.take(changes)
+	return update, len(update.listed)+len(update.gone) > 0
+}
+
+// replace takes changes in where endpoints may be missing that are alive.
+func (list *endpointList) replace(changes bvplatform.EndpointChanges) {
+	before := list.own()
+	if changes.Whole {
+		list.log.restart(changes.Next)
+		list.listed = list.newest(changes.Listed)
+		changes.Listed = nil
 	}
 	list.take(changes)
-	result := slices.Collect(maps.Values(list.listed))
+	for _, name := range changes.Unusable {
+		before = slices.DeleteFunc(before, func(endpoint bvplatform.Endpoint) bool { return endpoint.Name == name })
+	}
+	list.missing = nil
 	if list.keeping {
-		result = withMissing(result, list.known)
+		list.missing = missingOf(list.listed, before)
 	}
-	list.known = result
-	return result, true
+}
+
+// newest returns the endpoints by name, in their newest start that is known.
+func (list *endpointList) newest(endpoints []bvplatform.Endpoint) map[string]bvplatform.Endpoint {
+	newest := make(map[string]bvplatform.Endpoint, len(endpoints))
+	for _, endpoint := range endpoints {
+		if !list.noteStart(endpoint) {
+			newer, found := list.listed[endpoint.Name]
+			if !found {
+				continue
+			}
+			endpoint = newer
+		}
+		newest[endpoint.Name] = endpoint
+	}
+	return newest
 }
 
 // take applies changes to the list.
-func (list *endpointList) take(changes bvplatform.EndpointChanges) {
-	before := list.listed
-	if changes.Whole || before == nil {
+func (list *endpointList) take(changes bvplatform.EndpointChanges) (update listUpdate) {
+	if list.listed == nil {
 		list.listed = make(map[string]bvplatform.Endpoint, len(changes.Listed))
 	}
 	for _, endpoint := range changes.Listed {
-		if list.noteStart(endpoint) {
-			list.listed[endpoint.Name] = endpoint
+		before, found := list.listed[endpoint.Name]
+		if !list.noteStart(endpoint) || found && before == endpoint {
 			continue
 		}
-		if newer, found := before[endpoint.Name]; found {
-			list.listed[endpoint.Name] = newer
+		if found && before.ID() != endpoint.ID() {
+			update.gone = append(update.gone, before)
 		}
+		list.listed[endpoint.Name] = endpoint
+		update.listed = append(update.listed, endpoint)
+		list.log.note(changes.Next, endpoint.Name)
 	}
-	for _, name := range changes.Gone {
-		delete(list.listed, name)
+	for _, name := range slices.Concat(changes.Gone, changes.Unusable) {
+		if before, found := list.listed[name]; found {
+			update.gone = append(update.gone, before)
+			delete(list.listed, name)
+			list.log.note(changes.Next, name)
+		}
 	}
-	for _, name := range changes.Unusable {
-		delete(list.listed, name)
-		list.known = slices.DeleteFunc(list.known, func(endpoint bvplatform.Endpoint) bool { return endpoint.Name == name })
+	return update
+}
+
+// all returns the endpoints to go by.
+func (list *endpointList) all() []bvplatform.Endpoint {
+	if list.borrowed != nil {
+		return list.borrowed
+	}
+	return list.own()
+}
+
+// own returns the endpoints of this host's own list.
+func (list *endpointList) own() []bvplatform.Endpoint {
+	all := make([]bvplatform.Endpoint, 0, len(list.listed)+len(list.missing))
+	all = slices.AppendSeq(all, maps.Values(list.listed))
+	return slices.AppendSeq(all, maps.Values(list.missing))
+}
+
+// since returns what changed after a point of the platform's history, for another host.
+// It reports false where this host does not know so much itself.
+func (list *endpointList) since(after int64) (bvplatform.EndpointChanges, bool) {
+	if list.borrowed != nil || list.listed == nil || list.next < after {
+		return bvplatform.EndpointChanges{}, false
+	}
+	changes := bvplatform.EndpointChanges{Next: list.next}
+	names, known := list.log.since(after)
+	if after == 0 || !known {
+		changes.Whole, changes.Listed = true, slices.Collect(maps.Values(list.listed))
+		return changes, true
+	}
+	for _, name := range names {
+		if endpoint, found := list.listed[name]; found {
+			changes.Listed = append(changes.Listed, endpoint)
+			continue
+		}
+		changes.Gone = append(changes.Gone, name)
 	}
+	return changes, true
 }
 
 // noteStart notes an endpoint's start; it reports false for an entry that is older
@@ -109,36 +193,26 @@
 	if list.borrowedAt == 0 {
 		list.borrowedAt = now
 	}
-	result := make([]bvplatform.Endpoint, 0, len(endpoints))
-	for _, endpoint := range endpoints {
-		if !list.noteStart(endpoint) {
-			newer, found := list.listed[endpoint.Name]
-			if !found {
-				continue
-			}
-			endpoint = newer
-		}
-		result = append(result, endpoint)
-	}
+	borrowed := list.newest(endpoints)
+	list.borrowed = slices.AppendSeq(make([]bvplatform.Endpoint, 0, len(borrowed)), maps.Values(borrowed))
 	if now.Sub(list.borrowedAt) < returnTime {
-		return withMissing(result, list.known)
+		list.borrowed = slices.AppendSeq(list.borrowed, maps.Values(missingOf(borrowed, list.own())))
 	}
-	return result
+	return list.borrowed
 }
 
-func withMissing(listed, known []bvplatform.Endpoint) []bvplatform.Endpoint {
-	seen := make(map[string]bool, len(listed))
+// missingOf returns which of the endpoints that were known are not listed. An address
+// that another endpoint has now is not the old one's.
+func missingOf(listed map[string]bvplatform.Endpoint, known []bvplatform.Endpoint) map[string]bvplatform.Endpoint {
 	addresses := make(map[string]bool, len(listed))
 	for _, endpoint := range listed {
-		seen[endpoint.Name] = true
 		addresses[endpoint.Address] = true
 	}
-	result := listed
+	missing := make(map[string]bvplatform.Endpoint)
 	for _, endpoint := range known {
-		// An address that another endpoint has now is not the old one's.
-		if !seen[endpoint.Name] && !addresses[endpoint.Address] {
-			result = append(result, endpoint)
+		if _, found := listed[endpoint.Name]; !found && !addresses[endpoint.Address] {
+			missing[endpoint.Name] = endpoint
 		}
 	}
-	return result
+	return missing
 }
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -34,6 +34,12 @@
 	return listed
 }
 
+// updated takes changes in and returns the endpoints to go by.
+func updated(list *endpointList, now bvclock.Time, changes bvplatform.EndpointChanges) ([]bvplatform.Endpoint, bool) {
+	_, changed := list.update(now, changes)
+	return list.all(), changed
+}
+
 // Guards against a borrowed list whose entries lapsed in an outage, and that empties the pools.
 func TestEndpointsMissingOnABorrowedListAreKeptForAWhile(t *testing.T) {
 	var list endpointList
@@ -53,9 +59,9 @@
 	var list endpointList
 	list.update(1, whole("a", "b"))
 	list.missed()
-	known, _ := list.update(1000, whole("a"))
+	known, _ := updated(&list, 1000, whole("a"))
 	require.Equal(t, []string{"a", "b"}, namesOf(known))
-	known, changed := list.update(1000+bvclock.Time(returnTime), bvplatform.EndpointChanges{Next: 2})
+	known, changed := updated(&list, 1000+bvclock.Time(returnTime), bvplatform.EndpointChanges{Next: 2})
 	require.True(t, changed)
 	require.Equal(t, []string{"a"}, namesOf(known), "what is still missing is gone")
 }
@@ -63,7 +69,7 @@
 func TestEndpointThatLeftTheListIsGoneAtOnce(t *testing.T) {
 	var list endpointList
 	list.update(1, whole("a", "b"))
-	known, changed := list.update(2, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 2})
+	known, changed := updated(&list, 2, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 2})
 	require.True(t, changed)
 	require.Equal(t, []string{"a"}, namesOf(known))
 }
@@ -74,7 +80,8 @@
 	list.update(1, whole("a", "b"))
 	list.missed()
 	taken := bvplatform.Endpoint{Name: "c", Address: "at-b"}
-	require.Equal(t, []bvplatform.Endpoint{taken}, withMissing([]bvplatform.Endpoint{taken}, endpointsNamed("b")))
+	known, _ := updated(&list, 2, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{taken}, Next: 2})
+	require.Equal(t, []string{"a", "c"}, namesOf(known))
 }
 
 // Guards against pools that are made anew though nothing has changed.
@@ -106,7 +113,7 @@
 			if rapid.Bool().Draw(t, "history gone") {
 				changes = whole(slices.Sorted(maps.Keys(listed))...)
 			}
-			known, _ := list.update(bvclock.Time(now+1), changes)
+			known, _ := updated(&list, bvclock.Time(now+1), changes)
 			require.Equal(t, slices.Sorted(maps.Keys(listed)), namesOf(known))
 		}
 	})
@@ -120,7 +127,7 @@
 func TestEndpointWhoseEntryCantBeReadIsNotUsed(t *testing.T) {
 	var list endpointList
 	list.update(1, whole("a", "b"))
-	known, changed := list.update(2, bvplatform.EndpointChanges{Unusable: []string{"b"}, Next: 2})
+	known, changed := updated(&list, 2, bvplatform.EndpointChanges{Unusable: []string{"b"}, Next: 2})
 	require.True(t, changed)
 	require.Equal(t, []string{"a"}, namesOf(known))
 }
@@ -132,7 +139,7 @@
 	list.missed()
 	changes := whole("a")
 	changes.Unusable = []string{"b"}
-	known, _ := list.update(1000, changes)
+	known, _ := updated(&list, 1000, changes)
 	require.Equal(t, []string{"a"}, namesOf(known))
 }
 
@@ -140,9 +147,9 @@
 func TestOlderStartOfAnEndpointIsIgnored(t *testing.T) {
 	var list endpointList
 	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 200)}, Next: 1})
-	known, _ := list.update(2, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 100)}, Next: 2})
+	known, _ := updated(&list, 2, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 100)}, Next: 2})
 	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 200)}, known)
-	known, _ = list.update(3, bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{startedAt("a", 300)}, Next: 3})
+	known, _ = updated(&list, 3, bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{startedAt("a", 300)}, Next: 3})
 	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 300)}, known)
 }
 
@@ -157,6 +164,6 @@
 func TestEntryThatTellsNoStartWhereOthersDidIsIgnored(t *testing.T) {
 	var list endpointList
 	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{startedAt("a", 200)}, Next: 1})
-	known, _ := list.update(2, bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{startedAt("a", 0)}, Next: 2})
+	known, _ := updated(&list, 2, bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{startedAt("a", 0)}, Next: 2})
 	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 200)}, known)
 }
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/sirupsen/logrus"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlog"
-	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
 
@@ -80,8 +78,8 @@
 	if router.state.replace(table) {
 		router.setCaps(table)
 		router.endpointsMutex.Lock()
-		defer router.endpointsMutex.Unlock()
-		router.spreadEndpoints()
+		router.spreadEndpoints(router.endpoints.all())
+		router.endpointsMutex.Unlock()
 		router.log.WithFields(logrus.Fields{
 			"version": table.Version(), "routes": table.Routes(), "workspaces": len(table.Workspaces()),
 		}).Info("desired state in force")
@@ -91,77 +89,6 @@
 	}
 }
 
-// followEndpoints keeps the list of endpoints up to date. It asks for what changed, since
-// the whole list is large where there are many endpoints.
-func (router *Router) followEndpoints(ctx context.Context) {
-	lost := bvlog.Outage{What: "list of endpoints", Log: router.log}
-	list := endpointList{}
-	after := int64(0)
-	for ctx.Err() == nil {
-		asked := router.clock.Now()
-		wait := waitWithin(router.settings.Drain)
-		changes, err := router.store.AwaitEndpoints(ctx, after, wait)
-		if errors.Is(err, errRegained) {
-			list.missed()
-			continue
-		}
-		if changes.Next == 0 {
-			lost.Note(unlessEnded(ctx, err))
-			list.missed()
-			if borrowed, err := router.store.helperEndpoints(ctx); err == nil {
-				router.setEndpoints(list.borrow(router.clock.Now(), borrowed))
-			}
-			pause(ctx, retryInterval)
-			continue
-		}
-		lost.Note(nil)
-		if err != nil {
-			router.log.WithError(err).WithField("endpoints", changes.Unusable).Warn("entries of the list of endpoints can't be used")
-		}
-		after = changes.Next
-		if known, changed := list.update(router.clock.Now(), changes); changed {
-			router.setEndpoints(known)
-		}
-		// Some answers come early with nothing new, since endpoints write their entries
-		// at each heartbeat: with 64 of them, twice as many calls as there were waits.
-		if changes.Empty() {
-			pause(ctx, wait-router.clock.Now().Sub(asked))
-		}
-	}
-}
-
-// setEndpoints takes over a list of endpoints.
-func (router *Router) setEndpoints(known []bvplatform.Endpoint) {
-	router.endpointsMutex.Lock()
-	defer router.endpointsMutex.Unlock()
-	router.state.listed.Store(&known)
-	router.spreadEndpoints()
-}
-
-// spreadEndpoints hands the list on, with what the desired state says of each
-// endpoint's service. The caller holds endpointsMutex.
-func (router *Router) spreadEndpoints() {
-	table := router.state.Current()
-	if table == nil {
-		return // nothing can be sent yet
-	}
-	var known []bvplatform.Endpoint
-	ids := make(map[string]bool)
-	for _, endpoint := range router.state.endpoints() {
-		service, found := table.ServiceByName(endpoint.Serves)
-		if !found {
-			continue // no route leads there, or another writer's entry
-		}
-		if service.Engine != nil {
-			endpoint.CacheTokens = service.Engine.CacheTokens
-		}
-		known = append(known, endpoint)
-		ids[endpoint.ID()] = true
-	}
-	router.dispatcher.SetEndpoints(known)
-	router.connections.Retain(ids)
-}
-
 // tidy closes connections that were idle for too long.
 func (router *Router) tidy(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	router.listedAt = router.clock.Now()
 	router.noteListed(version, grantor)
 	return nil
 }
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -25,6 +25,9 @@
 	// started together are surely on the list.
 	firstHostsInterval = bvclock.Second
 	firstHostsLooks    = 7
+	// mostHostsFailures is after how many failures in a row to get the list from other
+	// hosts a host reads a large list itself.
+	mostHostsFailures = 3
 	// hostsPage is how many rows of it are read at once: as many as the platform
 	// gives in one answer.
 	hostsPage = 500
@@ -49,7 +52,7 @@
 			err = router.listSelf(ctx)
 		}
 		lost.Note(unlessEnded(ctx, err))
-		if look < firstHostsLooks || err != nil || !router.shown {
+		if look < firstHostsLooks || err != nil || !router.shown || router.firstListIsDue() {
 			pause(ctx, firstHostsInterval)
 			continue
 		}
@@ -57,6 +60,12 @@
 	}
 }
 
+// firstListIsDue reports whether the list is still to be read that shows all hosts of the
+// system's first start. A list that other hosts read comes with their age.
+func (router *Router) firstListIsDue() bool {
+	return router.settings.FirstStart && router.hostsAsOf.Sub(router.started) < bvlease.FirstRead
+}
+
 // mustList reports whether this host is to be listed, or listed anew: its row may
 // have been removed while it was cut off, or it has become old enough to grant.
 func (router *Router) mustList() bool {
@@ -66,75 +75,127 @@
 
 // readHosts reads the list of hosts and hands it on.
 func (router *Router) readHosts(ctx context.Context) error {
-	asked := router.clock.Now()
-	rows, err := router.scanHosts(ctx)
-	if err != nil {
-		return err
+	hosts, asOf, err := router.askHosts(ctx)
+	if err != nil || !asOf.After(router.hostsAsOf) {
+		return err // an older list than this host has is no news
 	}
-	addresses := make([]netip.AddrPort, 0, len(rows))
-	hosts := make([]bvlease.Host, 0, len(rows))
-	shown := false
-	for _, row := range rows {
-		var host hostRow
-		if err := json.Unmarshal(row.Value, &host); err != nil {
-			return fmt.Errorf("router: row %s of the list of hosts: %w", row.Key, err)
-		}
-		address, err := netip.ParseAddrPort(host.Address)
+	addresses := make([]netip.AddrPort, 0, len(hosts))
+	grantors := make([]bvlease.Host, 0, len(hosts))
+	shown := asOf.Before(router.listedAt) // it can't show this host yet
+	for _, host := range hosts {
+		address, err := netip.ParseAddrPort(host.Row.Address)
 		if err != nil {
-			return fmt.Errorf("router: row %s of the list of hosts: %w", row.Key, err)
+			return fmt.Errorf("router: row %s of the list of hosts: %w", host.Key, err)
 		}
-		if host.Grantor {
-			hosts = append(hosts, bvlease.Host{
-				Name: strings.TrimPrefix(row.Key, hostsPrefix), Incarnation: host.Incarnation, Address: host.Address,
+		if host.Row.Grantor {
+			grantors = append(grantors, bvlease.Host{
+				Name: strings.TrimPrefix(host.Key, hostsPrefix), Incarnation: host.Row.Incarnation, Address: host.Row.Address,
 			})
 		}
-		if host.Incarnation == router.incarnation {
+		if host.Row.Incarnation == router.incarnation {
 			shown = true
-			router.noteListed(row.Version, host.Grantor)
+			router.noteListed(host.Version, host.Row.Grantor)
 		}
-		if host.Address != router.settings.PeerAddress {
+		if host.Row.Address != router.settings.PeerAddress {
 			addresses = append(addresses, address)
-			router.unlistDead(ctx, row, address)
 		}
 	}
 	router.shown = shown // noteListed compares with the look before
 	router.gossip.SetHosts(addresses)
-	router.hostsKnown.Store(true)
-	router.leases.Listed(asked, router.clock.Now(), hosts)
+	router.shareHosts(hosts, asOf)
+	router.leases.Listed(asOf, router.clock.Now(), grantors)
 	return nil
 }
 
-// deadAfter is how long a host may be silent before it is taken off the list. One
-// that was only cut off lists itself again once it has read the list.
-const deadAfter = 10 * bvclock.Minute
+// askHosts returns the list of hosts, and a moment since which it may have changed. In a
+// large fleet it comes from another host, unless this one reads for others.
+func (router *Router) askHosts(ctx context.Context) (hosts []listedHost, asOf bvclock.Time, err error) {
+	asOf = router.clock.Now()
+	if !router.sources().large() {
+		hosts, whole, err := router.scanHosts(ctx, directHosts+1)
+		if err != nil || whole {
+			router.unlistDead(ctx, hosts)
+			return hosts, asOf, err
+		}
+		router.joinLargeFleet(hosts)
+	}
+	if known := router.sources(); !known.reads() {
+		hosts, asOf, err := router.hostsOf(ctx, known.toAsk())
+		if err == nil || router.hostsAsOf == 0 && router.hostsFailed < mostHostsFailures {
+			return hosts, asOf, err
+		}
+		router.log.WithError(err).Debug("list of hosts not read from another host")
+	}
+	hosts, _, err = router.scanHosts(ctx, 0)
+	router.unlistDead(ctx, hosts)
+	return hosts, asOf, err
+}
 
-// unlistDead takes a host off the list that was not heard for long. Hosts that die
-// for good don't do so themselves, and their programs would have no grantor.
-func (router *Router) unlistDead(ctx context.Context, row bvplatform.Row, address netip.AddrPort) {
-	silent := router.gossip.SilentFor(address, router.started)
-	if silent < deadAfter {
-		return
+// joinLargeFleet takes in a part of the list, which tells whom to ask for all of it.
+func (router *Router) joinLargeFleet(part []listedHost) {
+	if router.hostsAsOf == 0 {
+		var addresses []netip.AddrPort
+		for _, host := range part {
+			if address, err := netip.ParseAddrPort(host.Row.Address); err == nil && host.Row.Address != router.settings.PeerAddress {
+				addresses = append(addresses, address)
+			}
+		}
+		router.gossip.SetHosts(addresses)
 	}
-	_, err := router.store.Commit(ctx, bvplatform.Transaction{
-		Checks: []bvplatform.Check{{Key: row.Key, Version: row.Version}},
-		Puts:   []bvplatform.Put{{Key: row.Key}},
-	})
-	router.log.WithError(err).WithFields(logrus.Fields{"row": row.Key, "silent_ms": int64(silent)}).Info("silent host taken off the list")
+	router.shareHosts(part, 0)
 }
 
-// scanHosts reads the list whole, page by page. A host that is listed while the
-// pages are read may be missing, as it may have been listed just after.
-func (router *Router) scanHosts(ctx context.Context) (rows []bvplatform.Row, err error) {
+// scanHosts reads the list page by page, and reports whether it was read whole. It ends
+// after so many hosts; 0: at the list's end. A host that is listed while the pages are
+// read may be missing, as it may have been listed just after.
+func (router *Router) scanHosts(ctx context.Context, most int) (hosts []listedHost, whole bool, err error) {
+	limit := hostsPage
+	if most > 0 {
+		limit = min(limit, most)
+	}
 	after := ""
 	for {
-		page, err := router.store.Scan(ctx, hostsPrefix, after, hostsPage)
+		page, err := router.store.Scan(ctx, hostsPrefix, after, limit)
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
-		rows = append(rows, page...)
-		if len(page) < hostsPage {
-			return rows, nil
+		for _, row := range page {
+			host := listedHost{Key: row.Key, Version: row.Version}
+			if err := json.Unmarshal(row.Value, &host.Row); err != nil {
+				return nil, false, fmt.Errorf("router: row %s of the list of hosts: %w", row.Key, err)
+			}
+			hosts = append(hosts, host)
+		}
+		if len(page) < limit {
+			return hosts, true, nil
+		}
+		if most > 0 && len(hosts) >= most {
+			return hosts, false, nil
 		}
 		after = page[len(page)-1].Key
 	}
 }
+
+// deadAfter is how long a host may be silent before it is taken off the list. One
+// that was only cut off lists itself again once it has read the list.
+const deadAfter = 10 * bvclock.Minute
+
+// unlistDead takes hosts off the list that were not heard for long. Hosts that die
+// for good don't do so themselves, and their programs would have no grantor.
+func (router *Router) unlistDead(ctx context.Context, hosts []listedHost) {
+	for _, host := range hosts {
+		address, err := netip.ParseAddrPort(host.Row.Address)
+		if err != nil || host.Row.Address == router.settings.PeerAddress {
+			continue // one that can't be read is told of when the list is taken over
+		}
+		silent := router.gossip.SilentFor(address, router.started)
+		if silent < deadAfter {
+			continue
+		}
+		_, err = router.store.Commit(ctx, bvplatform.Transaction{
+			Checks: []bvplatform.Check{{Key: host.Key, Version: host.Version}},
+			Puts:   []bvplatform.Put{{Key: host.Key}},
+		})
+		router.log.WithError(err).WithFields(logrus.Fields{"row": host.Key, "silent_ms": int64(silent)}).Info("silent host taken off the list")
+	}
+}
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -26,7 +26,7 @@
 	}
 	router.counters.Set("store_reachable", reachable)
 	router.counters.Set("hosts_heard", int64(router.Hosts()))
-	router.counters.Set("endpoints", int64(len(router.state.endpoints())))
+	router.counters.Set("endpoints", int64(router.Endpoints()))
 	router.counters.Set("call_bytes_held", router.HeldBytes())
 	router.counters.Set("connections_opened", router.connections.Opened())
 	router.counters.Set("budget_writes", router.budgets.Writes())
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -23,6 +23,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /table/", bvplatform.NewHandler(router.store.direct()))
 	mux.HandleFunc("GET /endpoints", router.relayEndpoints)
+	mux.HandleFunc("GET /hosts", router.relayHosts)
 	mux.HandleFunc("GET /routes", router.relayRoutes)
 	mux.HandleFunc("GET /conversations/{turn}", router.relayConversation)
 	return mux
@@ -105,13 +106,3 @@
 	}
 	return bvhistory.DecodeChain(encoded)
 }
-
-// relayEndpoints gives the list that this host goes by, unless it has none.
-func (router *Router) relayEndpoints(writer http.ResponseWriter, _ *http.Request) {
-	endpoints := router.state.endpoints()
-	if !router.store.up() || len(endpoints) == 0 {
-		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
-		return
-	}
-	bvplatform.WriteAnswer(writer, struct{ Endpoints []bvplatform.Endpoint }{endpoints}, nil)
-}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -49,6 +49,9 @@
 	// are not known. Entries that can't be read are told in the error beside the
 	// others.
 	AwaitEndpoints(ctx context.Context, after int64, wait bvclock.Duration) (bvplatform.EndpointChanges, error)
+	// SomeEndpoints returns the first entries of the list, and all of them if there
+	// are no more than the given number.
+	SomeEndpoints(ctx context.Context, most int) (bvplatform.EndpointChanges, error)
 	// AwaitRoutes returns the desired state when it changes after a point of
 	// its history, and the point to go on from; no table when nothing changed
 	// for the given time.
@@ -93,12 +96,21 @@
 	listedVersion atomic.Int64 // of this host's row
 	hostsKnown    atomic.Bool  // the list of hosts was read
 
+	hosts atomic.Pointer[sharedHosts]
+
 	// followHosts' alone.
-	shown           bool // the last list that was read has this host's row
+	hostsAsOf       bvclock.Time // since when the list of hosts may have changed
+	hostsFailed     int          // questions in a row for it that no other host answered
+	listedAt        bvclock.Time // when this host last wrote its row
+	shown           bool         // the last list that was read has this host's row
 	listedAsGrantor bool
 	inheritance     *handover // of the last process, until this host is listed
 
 	endpointsMutex sync.Mutex // held while a list of endpoints is handed on
+	endpoints      endpointList
+	endpointsAsOf  bvclock.Time // since when the list may have changed
+	endpointsKnown atomic.Bool
+	copies         atomic.Int64 // whole lists that are being given to other hosts
 
 	incarnation string
 	gossip      *bvgossip.Gossip
@@ -218,6 +230,19 @@
 // Hosts returns how many other hosts are heard of.
 func (router *Router) Hosts() int { return len(router.gossip.LivePeers()) }
 
+// Name returns the host's name.
+func (router *Router) Name() string { return router.settings.Name }
+
+// Endpoints returns how many endpoints are on the list that this host goes by.
+func (router *Router) Endpoints() int {
+	router.endpointsMutex.Lock()
+	defer router.endpointsMutex.Unlock()
+	return len(router.endpoints.all())
+}
+
+// Reads reports whether this host reads the platform's lists for others.
+func (router *Router) Reads() bool { return router.sources().large() && router.sources().reads() }
+
 // HeldBytes returns how many bytes of requests and answers this host holds.
 func (router *Router) HeldBytes() int64 { return router.front.HeldBytes() }
 
@@ -236,7 +261,7 @@
 // must refuse most programs, which another host may serve.
 func (router *Router) Ready() bool {
 	table, _, confirmed := router.state.Confirmed()
-	return !router.leaving.Load() && table != nil && confirmed && router.state.endpoints() != nil &&
+	return !router.leaving.Load() && table != nil && confirmed && router.endpointsKnown.Load() &&
 		(router.store.Serving() || router.granting())
 }
 
--- a/bvrouter/state.go
+++ b/bvrouter/state.go
@@ -6,7 +6,6 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvfront"
-	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
 
@@ -30,16 +29,6 @@
 	revoke      bvclock.Duration // bound within which a key that was taken away must be refused; 0: none
 	table       atomic.Pointer[bvroute.Table]
 	confirmedAt atomic.Int64 // when the platform last said what is newest
-	listed      atomic.Pointer[[]bvplatform.Endpoint]
-}
-
-// endpoints returns the list of endpoints to go by, or nil before the first.
-func (state *state) endpoints() []bvplatform.Endpoint {
-	listed := state.listed.Load()
-	if listed == nil {
-		return nil
-	}
-	return *listed
 }
 
 // Current implements bvfront.State.
--- a/bvrouter/store_calls.go
+++ b/bvrouter/store_calls.go
@@ -49,9 +49,7 @@
 	client.count("await endpoints")
 	question, release := client.untilRegained(ctx)
 	defer release()
-	bounded, cancel := context.WithTimeout(question, (wait + storeTimeout).Std())
-	defer cancel()
-	changes, err := client.own.AwaitEndpoints(bounded, after, wait)
+	changes, err := client.own.AwaitEndpoints(question, after, wait)
 	if changes.Next != 0 {
 		return changes, err
 	}
@@ -66,16 +64,20 @@
 // answers those of before.
 var errRegained = errors.New("router: the store was regained")
 
-// helperEndpoints returns the list that another host goes by.
-func (client *storeClient) helperEndpoints(ctx context.Context) ([]bvplatform.Endpoint, error) {
-	err := error(bvplatform.ErrUnavailable)
-	for _, address := range client.helpers() {
-		var endpoints []bvplatform.Endpoint
-		if endpoints, err = client.helper(address).Endpoints(ctx); err == nil {
-			return endpoints, nil
+// SomeEndpoints returns the first entries of the list of endpoints, by this host's own
+// way only.
+func (client *storeClient) SomeEndpoints(ctx context.Context, most int) (changes bvplatform.EndpointChanges, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Std())
+	defer cancel()
+	var unreadable error
+	err = client.track(ctx, "some endpoints", func(ctx context.Context) (err error) {
+		changes, err = client.own.SomeEndpoints(ctx, most)
+		if changes.Next != 0 {
+			unreadable, err = err, nil // the store has answered
 		}
-	}
-	return nil, err
+		return err
+	})
+	return changes, errors.Join(err, unreadable)
 }
 
 // direct is this host's own way, for other hosts to use.
