A repeatable request that ran at one endpoint is not refused as not run by the next

Cause: the error of the last send was the caller's answer. Where the first endpoint ran the request and lost its answer, and the next ones were full, the caller was told 503, which promises that it has not run. Requests that may not be repeated are sent once more only where they have not run, so they were never concerned.

Found by reading each place that refuses for the table in docs/PROOFS.md; 60 draws of the rapid test with repeatable requests did not find it, as it takes more full endpoints than a request is offered to.

Change: the verdict is that of all sends.

--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -33,14 +33,26 @@
 			return call.noEndpoint()
 		}
 		err := call.try(endpoint)
-		if err == nil || call.begun || !call.mayTryAgain(err) {
+		if err == nil || call.begun {
 			return err
 		}
+		if !call.mayTryAgain(err) {
+			return call.ofAllSends(err)
+		}
 		call.avoid(endpoint.Name)
 		call.front.parts.Counters.Add("sends_again", 1)
 	}
 }
 
+// ofAllSends is the error of the last send with the verdict of all of them: it may not have
+// run there, and have run at an endpoint before.
+func (call *call) ofAllSends(err error) error {
+	if call.runs == 0 || bvverdict.Of(err) != bvverdict.NotRun {
+		return err
+	}
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.From(err).Code(), "the request may have run before").WithCause(err)
+}
+
 func (call *call) avoid(endpoint string) {
 	if call.placement.Avoid == nil {
 		call.placement.Avoid = make(map[string]bool)
