The desired state reaches a large fleet through few hosts

Change: in a fleet of over 128 hosts the two hosts of each availability zone that read its lists also ask for the state, for at most a fifth of the time within which a version must be in force; the others ask them as often. An answer that is older than a host's own may be sends it to the store. A host that starts waits up to a second for the list of hosts before it reads a long list of endpoints, as it does not know yet whether others do.

Ruled out: pushing versions from reader to followers, which needs the same questions where a reader is lost.

Not measured on the fleet yet.

--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -72,9 +72,22 @@
 // borrowRoutes takes the desired state, and how long ago the store confirmed it,
 // from the first of some hosts that knows it. It reports whether one did.
 func (router *Router) borrowRoutes(ctx context.Context, hosts []string) bool {
+	_, found := router.routesFrom(ctx, hosts, relayTimeout)
+	return found
+}
+
+// routesOf does the same in place of a question to the store. It reports whether the state
+// is as new as by such a question.
+func (router *Router) routesOf(ctx context.Context, hosts []string) bool {
+	age, found := router.routesFrom(ctx, hosts, sourceTimeout)
+	return found && age <= confirmWithin(router.settings.Apply, router.settings.Revoke)
+}
+
+// routesFrom returns how long ago the store confirmed what the first of some hosts gave.
+func (router *Router) routesFrom(ctx context.Context, hosts []string, limit bvclock.Duration) (age bvclock.Duration, found bool) {
 	for _, address := range hosts {
 		asked := router.clock.Now()
-		confirmed, err := fetchRoutes(ctx, address, router.version())
+		confirmed, err := fetchRoutes(ctx, address, router.version(), limit)
 		if err != nil {
 			router.log.WithError(err).Debug("desired state not read from another host")
 			continue
@@ -85,9 +98,9 @@
 		// The other host's age is of a moment after the question, so that time spent
 		// on the way, or suspended, makes the state older here and never younger.
 		router.state.noteConfirmed(asked.Add(-confirmed.age))
-		return true
+		return confirmed.age, true
 	}
-	return false
+	return 0, false
 }
 
 // version returns the version in force here, or 0 before the first.
@@ -126,12 +139,12 @@
 
 // fetchRoutes reads from another host the desired state, if it is newer than a
 // version, and its age.
-func fetchRoutes(ctx context.Context, address string, after int64) (confirmedState, error) {
+func fetchRoutes(ctx context.Context, address string, after int64, limit bvclock.Duration) (confirmedState, error) {
 	var answer struct {
 		Age  bvclock.Duration
 		Rows *bvroute.Rows
 	}
-	err := fetch(ctx, address, "/routes?after="+strconv.FormatInt(after, 10), relayTimeout, &answer)
+	err := fetch(ctx, address, "/routes?after="+strconv.FormatInt(after, 10), limit, &answer)
 	if err != nil {
 		return confirmedState{}, err
 	}
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -19,6 +19,9 @@
 	// wholePatience is for how long a host waits for another one's whole list, while it
 	// serves with a part of it.
 	wholePatience = 10 * bvclock.Second
+	// hostsPatience is for how long after its start a host waits for the list of hosts
+	// before it reads a large list of endpoints.
+	hostsPatience = 1 * bvclock.Second
 	// listAgeShare bounds the age of another host's list, as a share of the time within
 	// which a leaving endpoint must get no more calls.
 	listAgeShare = 0.6
@@ -126,8 +129,11 @@
 		answer.changes, answer.part = changes, !changes.Whole
 		return answer, err
 	}
-	known := router.sources()
-	if known.large() && !known.reads() && router.clock.Now().Sub(router.started) < wholePatience {
+	known, age := router.sources(), router.clock.Now().Sub(router.started)
+	if router.hosts.Load() == nil && age < hostsPatience {
+		return endpointAnswer{}, errNoSource // it is not known yet whether the fleet is large
+	}
+	if known.large() && !known.reads() && age < wholePatience {
 		return router.endpointsOf(ctx, append(known.strangers(), known.readers()...), 0)
 	}
 	return router.askStore(ctx, 0, wait)
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -21,6 +21,9 @@
 	// stateWaitShare is the same for a new desired state. Two waits must be over
 	// while the host is still certain of the state: it is as old when an answer comes.
 	stateWaitShare = 0.43
+	// relayedStateShare is the same where the state comes through another host, whose own
+	// wait comes before.
+	relayedStateShare = 0.2
 	// leastWait is the wait of a question whose answer is wanted at once.
 	leastWait = 1 * bvclock.Millisecond
 	// tidyInterval is the time between two looks at idle connections.
@@ -41,15 +44,28 @@
 	return min(mostWait, bvclock.Duration(float64(apply)*stateWaitShare))
 }
 
+// relayedStateWait is the same where most hosts ask another one.
+func relayedStateWait(apply bvclock.Duration) bvclock.Duration {
+	return min(mostWait, bvclock.Duration(float64(apply)*relayedStateShare))
+}
+
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
 	lost := bvlog.Outage{What: "desired state", Log: router.log}
 	after, early := int64(0), false
 	for ctx.Err() == nil {
 		asked := router.clock.Now()
+		wait := router.state.nextWait(early)
+		if known := router.sources(); known.large() {
+			wait = min(wait, relayedStateWait(router.settings.Apply))
+			if !known.reads() && router.routesOf(ctx, known.toAsk()) {
+				lost.Note(nil)
+				pause(ctx, relayedStateWait(router.settings.Apply)-router.clock.Now().Sub(asked))
+				continue
+			}
+		}
 		router.countStoreCall("await routes")
 		question, release := router.store.untilRegained(ctx)
-		wait := router.state.nextWait(early)
 		table, next, err := router.parts.Platform.AwaitRoutes(question, after, wait)
 		early = router.clock.Now().Sub(asked) < wait
 		regained := question.Err() != nil
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -240,9 +240,15 @@
 	return len(router.endpoints.all())
 }
 
-// Reads reports whether this host reads the platform's lists for others.
+// Reads reports whether this host reads from the platform's store for others.
 func (router *Router) Reads() bool { return router.sources().large() && router.sources().reads() }
 
+// Follows reports whether this host knows others that read for it, or reads for others.
+func (router *Router) Follows() bool {
+	known := router.sources()
+	return known.large() && len(known.readers()) == readersPerZone
+}
+
 // HeldBytes returns how many bytes of requests and answers this host holds.
 func (router *Router) HeldBytes() int64 { return router.front.HeldBytes() }
 
