--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -40,6 +40,7 @@
 	Probes                         // probes
 	Holders                        // holders
 	Fairness                       // fairness
+	Readers                        // readers
 	last
 )
 
@@ -62,6 +63,7 @@
 	Holding:       "while the store is away, turns are run and their ends held",
 	Probes:        "a decision asks how many calls a few endpoints have now",
 	Holders:       "a host is asked which endpoint has a conversation, and whether its program is under way",
+	Readers:       "in a large fleet, few hosts read the store's lists and hand them on",
 	Fairness:      "in a crowd, the workspace that begins most programs is turned away first",
 }
 
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -26,12 +26,13 @@
 	_ = x[Probes-15]
 	_ = x[Holders-16]
 	_ = x[Fairness-17]
-	_ = x[last-18]
+	_ = x[Readers-18]
+	_ = x[last-19]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnesslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreaderslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 130}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 137}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/bvrouter/host_share.go
+++ b/bvrouter/host_share.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -25,7 +26,7 @@
 // sources returns the hosts that may be asked in place of the store.
 func (router *Router) sources() sources {
 	known := sources{self: router.settings.PeerAddress, zone: router.settings.Zone, lost: router.gossip.Lost}
-	if shared := router.hosts.Load(); shared != nil {
+	if shared := router.hosts.Load(); shared != nil && !router.settings.Without.Has(bvmechanism.Readers) {
 		known.hosts = shared.hosts
 	}
 	return known
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -12,6 +12,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlease"
 	"balsamvalve.example/bvlog"
+	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -111,6 +112,11 @@
 // large fleet it comes from another host, unless this one reads for others.
 func (router *Router) askHosts(ctx context.Context) (hosts []listedHost, asOf bvclock.Time, err error) {
 	asOf = router.clock.Now()
+	if router.settings.Without.Has(bvmechanism.Readers) {
+		hosts, _, err = router.scanHosts(ctx, 0)
+		router.unlistDead(ctx, hosts)
+		return hosts, asOf, err
+	}
 	if !router.sources().large() {
 		hosts, whole, err := router.scanHosts(ctx, directHosts+1)
 		if err != nil || whole {
