--- a/bvfront/memory_test.go
+++ b/bvfront/memory_test.go
@@ -16,8 +16,7 @@
 	return &call{front: New(Parts{Memory: bytes})}
 }
 
-// Guards against answers of many slow callers that together take the process over its
-// memory.
+// Guards against answers of many slow callers that together take too much memory.
 func TestAnswerIsPassedOnInPartsWhereThereIsNoMemory(t *testing.T) {
 	call := callWithMemory(10_000)
 	response := &bvforward.Response{Body: bytes.NewReader(make([]byte, 30_000))}
