--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -160,6 +160,7 @@
 			continue
 		}
 		if answer.Age <= mostListAge(router.settings.Drain) {
+			router.counters.Count("lists_from_hosts", "endpoints")
 			return endpointAnswer{changes: answer.Changes, asOf: asked.Add(-answer.Age), relayed: true}, nil
 		}
 	}
@@ -201,6 +202,13 @@
 	writeCompressed(writer, answer)
 }
 
+// endpointsAge returns since when the list of endpoints may have changed.
+func (router *Router) endpointsAge() bvclock.Duration {
+	router.endpointsMutex.Lock()
+	defer router.endpointsMutex.Unlock()
+	return router.clock.Now().Sub(router.endpointsAsOf)
+}
+
 func (router *Router) endpointsNext() int64 {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
--- a/bvrouter/host_share.go
+++ b/bvrouter/host_share.go
@@ -52,6 +52,7 @@
 			Hosts []listedHost
 		}
 		if err = fetch(ctx, address, "/hosts", sourceTimeout, &answer); err == nil {
+			router.counters.Count("lists_from_hosts", "hosts")
 			return answer.Hosts, asked.Add(-answer.Age), nil
 		}
 	}
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -104,10 +104,21 @@
 	router.shown = shown // noteListed compares with the look before
 	router.gossip.SetHosts(addresses)
 	router.shareHosts(hosts, asOf)
+	router.noteReads()
 	router.leases.Listed(asOf, router.clock.Now(), grantors)
 	return nil
 }
 
+// noteReads logs when this host begins or ends to read for others.
+func (router *Router) noteReads() {
+	reads := router.Reads()
+	if reads != router.reading {
+		router.reading = reads
+		router.log.WithFields(logrus.Fields{"reads": reads, "hosts": len(router.hosts.Load().hosts)}).
+			Info("reader of its availability zone")
+	}
+}
+
 // askHosts returns the list of hosts, and a moment since which it may have changed. In a
 // large fleet it comes from another host, unless this one reads for others.
 func (router *Router) askHosts(ctx context.Context) (hosts []listedHost, asOf bvclock.Time, err error) {
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -20,12 +20,10 @@
 	if table := router.state.Current(); table != nil {
 		router.counters.Set("desired_state_version", table.Version())
 	}
-	reachable := int64(0)
-	if router.store.up() {
-		reachable = 1
-	}
-	router.counters.Set("store_reachable", reachable)
+	router.counters.Set("store_reachable", asGauge(router.store.up()))
 	router.counters.Set("hosts_heard", int64(router.Hosts()))
+	router.counters.Set("reads_for_others", asGauge(router.Reads()))
+	router.counters.Set("endpoints_age_ms", int64(router.endpointsAge()))
 	router.counters.Set("endpoints", int64(router.Endpoints()))
 	router.counters.Set("call_bytes_held", router.HeldBytes())
 	router.counters.Set("connections_opened", router.connections.Opened())
@@ -39,3 +37,10 @@
 		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
 	}
 }
+
+func asGauge(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -102,6 +102,7 @@
 	hostsAsOf       bvclock.Time // since when the list of hosts may have changed
 	hostsFailed     int          // questions in a row for it that no other host answered
 	listedAt        bvclock.Time // when this host last wrote its row
+	reading         bool         // this host reads for others
 	shown           bool         // the last list that was read has this host's row
 	listedAsGrantor bool
 	inheritance     *handover // of the last process, until this host is listed
