A part of the list is read again while the rest is awaited; ages of lists by what the store said last

By reading: a host that starts in a large fleet served for up to 10 s with the part of the list that it had read at first, in which a leaving endpoint stays; it reads the part anew after 0.6 of the time within which such an endpoint must get no more calls. A list counted as old as the question before last, so that hosts of small fleets, whose questions are held for half of that time, often refused to hand changes on to a host that the store turns away; an answer without changes to a question that was held to its end is of its end.

--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -16,14 +16,15 @@
 	// endpoints is read first: they register in that time, and each that does so later
 	// is told to each host by itself.
 	firstLook = 2500 * bvclock.Millisecond
-	// wholePatience is for how long a host waits for another one's whole list, while it
-	// serves with a part of it.
-	wholePatience = 10 * bvclock.Second
 	// hostsPatience is for how long after its start a host waits for the list of hosts
 	// before it reads a large list of endpoints.
 	hostsPatience = 1 * bvclock.Second
-	// listAgeShare bounds the age of another host's list, as a share of the time within
-	// which a leaving endpoint must get no more calls.
+	// wholePatience is for how long a host waits for another one's whole list, while it
+	// serves with a part of it.
+	wholePatience = 10 * bvclock.Second
+	// listAgeShare bounds the age of another host's list, and of a part that a host
+	// begins with, as a share of the time within which a leaving endpoint must get no
+	// more calls.
 	listAgeShare = 0.6
 	// perEndpoint is the pause after changes for each endpoint of the list: the more
 	// there are, the more often one of them changes.
@@ -104,9 +105,9 @@
 
 // askStore asks the store, or hosts that reach it where it does not answer this one.
 func (router *Router) askStore(ctx context.Context, after int64, wait bvclock.Duration) (endpointAnswer, error) {
-	answer := endpointAnswer{asOf: router.clock.Now()}
-	var err error
-	answer.changes, err = router.store.AwaitEndpoints(ctx, after, wait)
+	asked := router.clock.Now()
+	changes, err := router.store.AwaitEndpoints(ctx, after, wait)
+	answer := endpointAnswer{changes: changes, asOf: answeredAsOf(asked, router.clock.Now(), wait, changes)}
 	if answer.changes.Next != 0 || errors.Is(err, errRegained) || ctx.Err() != nil {
 		return answer, err
 	}
@@ -117,19 +118,28 @@
 	return answer, err
 }
 
+// answeredAsOf returns since when the list may have changed. A question that was held to
+// its end without a change was answered by what the store knew then.
+func answeredAsOf(asked, answered bvclock.Time, wait bvclock.Duration, changes bvplatform.EndpointChanges) bvclock.Time {
+	if changes.Empty() && answered.Sub(asked) >= wait {
+		return asked.Add(wait)
+	}
+	return asked
+}
+
 // askAllEndpoints asks for the list where this host has none yet. It begins with a part of
 // a large list, and leaves the rest to the hosts that read for others.
 func (router *Router) askAllEndpoints(ctx context.Context, wait bvclock.Duration) (endpointAnswer, error) {
-	if !router.endpointsKnown.Load() {
-		answer := endpointAnswer{asOf: router.clock.Now()}
-		changes, err := router.store.SomeEndpoints(ctx, directEndpoints)
-		if changes.Next == 0 {
+	now := router.clock.Now()
+	if !router.endpointsKnown.Load() || now.Sub(router.partAsOf) > mostListAge(router.settings.Drain) {
+		if answer, err := router.askPart(ctx); answer.changes.Next != 0 {
+			return answer, err
+		}
+		if !router.endpointsKnown.Load() {
 			return router.askStore(ctx, 0, wait)
 		}
-		answer.changes, answer.part = changes, !changes.Whole
-		return answer, err
 	}
-	known, age := router.sources(), router.clock.Now().Sub(router.started)
+	known, age := router.sources(), now.Sub(router.started)
 	if router.hosts.Load() == nil && age < hostsPatience {
 		return endpointAnswer{}, errNoSource // it is not known yet whether the fleet is large
 	}
@@ -139,6 +149,16 @@
 	return router.askStore(ctx, 0, wait)
 }
 
+// askPart asks the store for a part of the list, or all of a short one.
+func (router *Router) askPart(ctx context.Context) (endpointAnswer, error) {
+	asked := router.clock.Now()
+	changes, err := router.store.SomeEndpoints(ctx, directEndpoints)
+	if changes.Next != 0 {
+		router.partAsOf = asked
+	}
+	return endpointAnswer{changes: changes, asOf: asked, part: !changes.Whole}, err
+}
+
 // endpointsOf asks other hosts for what changed after a point of the platform's history.
 func (router *Router) endpointsOf(ctx context.Context, addresses []string, after int64) (endpointAnswer, error) {
 	limit := sourceTimeout
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -77,3 +77,11 @@
 	require.True(t, known)
 	require.Equal(t, []string{"a"}, names)
 }
+
+// Guards against a list that counts as newer than what the store has said.
+func TestListIsAsOldAsTheQuestionUnlessItWasHeldToItsEnd(t *testing.T) {
+	nothing, something := bvplatform.EndpointChanges{Next: 2}, bvplatform.EndpointChanges{Next: 2, Gone: []string{"a"}}
+	require.EqualValues(t, 1000, answeredAsOf(1000, 1010, 500, nothing), "the store answered early")
+	require.EqualValues(t, 1500, answeredAsOf(1000, 1510, 500, nothing))
+	require.EqualValues(t, 1000, answeredAsOf(1000, 1510, 500, something))
+}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -111,6 +111,7 @@
 	endpoints      endpointList
 	endpointsAsOf  bvclock.Time // since when the list may have changed
 	endpointsKnown atomic.Bool
+	partAsOf       bvclock.Time // followEndpoints' alone: when a part of the list was last read
 	copies         atomic.Int64 // whole lists that are being given to other hosts
 
 	incarnation string
