--- a/bvdispatch/affinity.go
+++ b/bvdispatch/affinity.go
@@ -15,7 +15,7 @@
 // and a new conversation goes to one that is early in the order unless that is
 // much more loaded.
 const (
-	// fullHomeWeight is the most that the place in the order counts, in
+	// fullAffinityWeight is the most that the place in the order counts, in
 	// milliseconds: some times what reading a beginning takes, as a call that goes
 	// elsewhere also drives another beginning out of that engine's memory.
 	fullAffinityWeight = 600
@@ -59,7 +59,7 @@
 	}
 }
 
-// homeWeight is what the order counts at an endpoint, by how scarce its memory
+// affinityWeight is what the order counts at an endpoint, by how scarce its memory
 // is.
 func (pool *Pool) affinityWeight(row *endpoint) float64 {
 	if row.entry.CacheTokens <= 0 || pool.without.Has(bvmechanism.Affinity) {
@@ -69,7 +69,7 @@
 	return fullAffinityWeight * min(max((share-scarceFrom)/(scarceTo-scarceFrom), 0), 1)
 }
 
-// home is the endpoint's place in the order of the prompt's first part, from 0
+// affinity is the endpoint's place in the order of the prompt's first part, from 0
 // for the first to 1 for the last.
 func (endpoint *endpoint) affinity(request *Request) float64 {
 	return endpoint.place(request.Prefix[0].Key)
--- a/bvdispatch/candidate.go
+++ b/bvdispatch/candidate.go
@@ -16,8 +16,8 @@
 	// all; a sample of this size holds idle endpoints unless nearly all are full.
 	drawnNear = 64
 	drawnAll  = 64
-	// homeRows is how many of the first ones in an order are looked at.
-	homeRows = 8
+	// orderRows is how many of the first ones in an order are looked at.
+	orderRows = 8
 	// recentRows is how many endpoints are remembered as just used.
 	recentRows = 32
 	// shareRows is how many endpoints the share of all places that are taken is
@@ -107,10 +107,10 @@
 		row   *endpoint
 		place float64
 	}
-	best := make([]placed, 0, homeRows+1)
+	best := make([]placed, 0, orderRows+1)
 	for _, row := range pool.rows {
 		place := row.place(key)
-		if len(best) == homeRows && place >= best[homeRows-1].place {
+		if len(best) == orderRows && place >= best[orderRows-1].place {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(best, place, func(other placed, place float64) int {
@@ -120,7 +120,7 @@
 			return 1
 		})
 		best = slices.Insert(best, at, placed{row, place})
-		best = best[:min(len(best), homeRows)]
+		best = best[:min(len(best), orderRows)]
 	}
 	rows := make([]*endpoint, len(best))
 	for i, placed := range best {
--- a/bvdispatch/candidate_test.go
+++ b/bvdispatch/candidate_test.go
@@ -29,7 +29,7 @@
 		chosen, found := pool.Choose(0, request)
 		require.True(t, found)
 		pool.Begin(0, chosen.ID(), request)
-		require.LessOrEqual(t, len(pool.candidates(request)), drawnNear+drawnAll+homeRows+recentRows)
+		require.LessOrEqual(t, len(pool.candidates(request)), drawnNear+drawnAll+orderRows+recentRows)
 	}
 }
 
