A whole list goes to another host as a stream, and is made only for those that get it

Cause: a host that reads for its zone made the whole list for each question, 0.7 MB there, before it looked whether it may give another copy: some 80 hosts ask up to five times a second after the loss of all hosts. The list was text in memory on both sides too, 1 MB.

--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"strconv"
 
 	"balsamvalve.example/bvclock"
@@ -112,7 +111,13 @@
 		return answer, err
 	}
 	router.missEndpoints()
-	if relayed, failed := router.endpointsOf(ctx, router.helpers(), after); failed == nil {
+	relayed, failed := endpointAnswer{}, errNoSource
+	if after == 0 {
+		relayed, failed = router.allEndpointsOf(ctx, router.helpers())
+	} else {
+		relayed, failed = router.endpointsOf(ctx, router.helpers(), after)
+	}
+	if failed == nil {
 		return relayed, nil
 	}
 	return answer, err
@@ -144,7 +149,7 @@
 		return endpointAnswer{}, errNoSource // it is not known yet whether the fleet is large
 	}
 	if known.large() && !known.reads() && age < wholePatience {
-		return router.endpointsOf(ctx, append(known.strangers(), known.readers()...), 0)
+		return router.allEndpointsOf(ctx, append(known.strangers(), known.readers()...))
 	}
 	return router.askStore(ctx, 0, wait)
 }
@@ -161,27 +166,41 @@
 
 // endpointsOf asks other hosts for what changed after a point of the platform's history.
 func (router *Router) endpointsOf(ctx context.Context, addresses []string, after int64) (endpointAnswer, error) {
-	limit := sourceTimeout
-	if after == 0 {
-		limit = wholeTimeout
-	}
+	path := "/endpoints?after=" + strconv.FormatInt(after, 10)
+	return router.fromFirst(addresses, func(address string) (age bvclock.Duration, changes bvplatform.EndpointChanges, err error) {
+		var answer struct {
+			Age     bvclock.Duration
+			Changes bvplatform.EndpointChanges
+		}
+		err = fetch(ctx, address, path, sourceTimeout, &answer)
+		return answer.Age, answer.Changes, err
+	})
+}
+
+// allEndpointsOf asks other hosts for the whole list.
+func (router *Router) allEndpointsOf(ctx context.Context, addresses []string) (endpointAnswer, error) {
+	return router.fromFirst(addresses, func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error) {
+		return fetchAllEndpoints(ctx, address)
+	})
+}
+
+// fromFirst returns the answer of the first of some hosts whose list is not too old.
+func (router *Router) fromFirst(
+	addresses []string, ask func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error),
+) (endpointAnswer, error) {
 	for _, address := range addresses {
 		if address == router.settings.PeerAddress {
 			continue
 		}
 		asked := router.clock.Now()
-		var answer struct {
-			Age     bvclock.Duration
-			Changes bvplatform.EndpointChanges
-		}
-		err := fetch(ctx, address, "/endpoints?after="+strconv.FormatInt(after, 10), limit, &answer)
+		age, changes, err := ask(address)
 		if err != nil {
 			router.log.WithError(err).Debug("list of endpoints not read from another host")
 			continue
 		}
-		if answer.Age <= mostListAge(router.settings.Drain) {
+		if age <= mostListAge(router.settings.Drain) {
 			router.counters.Count("lists_from_hosts", "endpoints")
-			return endpointAnswer{changes: answer.Changes, asOf: asked.Add(-answer.Age), relayed: true}, nil
+			return endpointAnswer{changes: changes, asOf: asked.Add(-age), relayed: true}, nil
 		}
 	}
 	return endpointAnswer{}, errNoSource
@@ -191,37 +210,6 @@
 	return bvclock.Duration(listAgeShare * float64(drain))
 }
 
-// relayEndpoints gives what changed on the list of endpoints to another host.
-func (router *Router) relayEndpoints(writer http.ResponseWriter, request *http.Request) {
-	after, err := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrRejected)
-		return
-	}
-	router.endpointsMutex.Lock()
-	changes, known := router.endpoints.since(after)
-	age := router.clock.Now().Sub(router.endpointsAsOf)
-	router.endpointsMutex.Unlock()
-	if !known || age > mostListAge(router.settings.Drain) {
-		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
-		return
-	}
-	answer := struct {
-		Age     bvclock.Duration
-		Changes bvplatform.EndpointChanges
-	}{age, changes}
-	if !changes.Whole || len(changes.Listed) <= directEndpoints {
-		bvplatform.WriteAnswer(writer, answer, nil)
-		return
-	}
-	defer router.copies.Add(-1)
-	if router.copies.Add(1) > mostCopies {
-		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
-		return
-	}
-	writeCompressed(writer, answer)
-}
-
 // endpointsAge returns since when the list of endpoints may have changed.
 func (router *Router) endpointsAge() bvclock.Duration {
 	router.endpointsMutex.Lock()
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -162,17 +162,13 @@
 }
 
 // since returns what changed after a point of the platform's history, for another host.
-// It reports false where this host does not know so much itself.
+// It reports false where this host does not know.
 func (list *endpointList) since(after int64) (bvplatform.EndpointChanges, bool) {
-	if list.borrowed != nil || list.listed == nil || list.next < after {
+	names, known := list.log.since(after)
+	if !known || !list.complete() || list.next < after {
 		return bvplatform.EndpointChanges{}, false
 	}
 	changes := bvplatform.EndpointChanges{Next: list.next}
-	names, known := list.log.since(after)
-	if after == 0 || !known {
-		changes.Whole, changes.Listed = true, slices.Collect(maps.Values(list.listed))
-		return changes, true
-	}
 	for _, name := range names {
 		if endpoint, found := list.listed[name]; found {
 			changes.Listed = append(changes.Listed, endpoint)
@@ -183,6 +179,9 @@
 	return changes, true
 }
 
+// complete reports whether this host has a whole list of its own.
+func (list *endpointList) complete() bool { return list.listed != nil && list.borrowed == nil }
+
 // isOlder reports whether an entry is older than another one of its name, or tells no
 // start where others did.
 func (list *endpointList) isOlder(endpoint bvplatform.Endpoint) bool {
--- /dev/null
+++ b/bvrouter/endpoint_share.go
@@ -0,0 +1,113 @@
+package bvrouter
+
+import (
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// A whole list goes to another host as a stream of JSON values, a head and then each
+// endpoint, so that neither host holds it as text.
+
+// listHead comes before the endpoints of a whole list.
+type listHead struct {
+	Age   bvclock.Duration
+	Next  int64 // point of the platform's history
+	Count int   // endpoints that follow
+}
+
+// relayEndpoints gives what changed on the list of endpoints to another host.
+func (router *Router) relayEndpoints(writer http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrRejected)
+		return
+	}
+	router.endpointsMutex.Lock()
+	changes, known := router.endpoints.since(after)
+	router.endpointsMutex.Unlock()
+	age := router.endpointsAge()
+	if !known || age > mostListAge(router.settings.Drain) {
+		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
+		return
+	}
+	bvplatform.WriteAnswer(writer, struct {
+		Age     bvclock.Duration
+		Changes bvplatform.EndpointChanges
+	}{age, changes}, nil)
+}
+
+// relayAllEndpoints gives the whole list to another host, a few at a time.
+func (router *Router) relayAllEndpoints(writer http.ResponseWriter, _ *http.Request) {
+	defer router.copies.Add(-1)
+	if router.copies.Add(1) > mostCopies {
+		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
+		return
+	}
+	router.endpointsMutex.Lock()
+	complete, next := router.endpoints.complete(), router.endpoints.next
+	var endpoints []bvplatform.Endpoint
+	if complete {
+		endpoints = slices.Collect(maps.Values(router.endpoints.listed))
+	}
+	router.endpointsMutex.Unlock()
+	age := router.endpointsAge()
+	if !complete || age > mostListAge(router.settings.Drain) {
+		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Encoding", "gzip")
+	compressed, _ := gzip.NewWriterLevel(writer, gzip.BestSpeed) // the level is valid
+	encoder := json.NewEncoder(compressed)
+	err := encoder.Encode(listHead{age, next, len(endpoints)})
+	for _, endpoint := range endpoints {
+		err = errors.Join(err, encoder.Encode(endpoint))
+		if err != nil {
+			return // the other host has given up, or sees that the list is cut short
+		}
+	}
+	_ = compressed.Close()
+}
+
+// fetchAllEndpoints reads another host's whole list, and its age.
+func fetchAllEndpoints(ctx context.Context, address string) (bvclock.Duration, bvplatform.EndpointChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout.Std())
+	defer cancel()
+	response, err := get(ctx, address, "/endpoints/all")
+	if err != nil {
+		return 0, bvplatform.EndpointChanges{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, response.Body) // keeps the connection
+		return 0, bvplatform.EndpointChanges{}, fmt.Errorf("relay: status %d", response.StatusCode)
+	}
+	return readAllEndpoints(response.Body)
+}
+
+func readAllEndpoints(body io.Reader) (bvclock.Duration, bvplatform.EndpointChanges, error) {
+	decoder := json.NewDecoder(body)
+	var head listHead
+	if err := decoder.Decode(&head); err != nil {
+		return 0, bvplatform.EndpointChanges{}, fmt.Errorf("relay: list of endpoints can't be read: %w", err)
+	}
+	changes := bvplatform.EndpointChanges{Whole: true, Next: head.Next}
+	for range head.Count {
+		var endpoint bvplatform.Endpoint
+		if err := decoder.Decode(&endpoint); err != nil {
+			return 0, bvplatform.EndpointChanges{}, fmt.Errorf("relay: list of endpoints is cut short: %w", err)
+		}
+		changes.Listed = append(changes.Listed, endpoint)
+	}
+	return head.Age, changes, nil
+}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -23,6 +23,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /table/", bvplatform.NewHandler(router.store.direct()))
 	mux.HandleFunc("GET /endpoints", router.relayEndpoints)
+	mux.HandleFunc("GET /endpoints/all", router.relayAllEndpoints)
 	mux.HandleFunc("GET /hosts", router.relayHosts)
 	mux.HandleFunc("GET /routes", router.relayRoutes)
 	mux.HandleFunc("GET /conversations/{turn}", router.relayConversation)
