Changes of the list keep what a whole list tells: restarts are crashes, unknown services are gone

An endpoint that started again was taken off and put back, so that the dispatcher did not learn that its start had ended, and a request that crashes endpoints was not suspected. One whose entry another writer had given a service that no route leads to stayed with the service before.

Ruled out for the second: an entry that can't be read, which was taken off already.

Tests, both fail before: TestRestartInAChangeCountsAsACrash, TestEndpointThatServesNothingKnownAnyMoreIsNotCalled.

--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 
 	"balsamvalve.example/bvclock"
@@ -271,17 +272,26 @@
 	router.connections.Retain(ids)
 }
 
-// changeEndpoints hands changes on. The caller holds endpointsMutex.
+// changeEndpoints hands changes on. An endpoint that has started again is not gone, and one
+// whose service is not known any more is. The caller holds endpointsMutex.
 func (router *Router) changeEndpoints(update listUpdate) {
 	known := router.served(update.listed)
 	if known == nil {
 		return
 	}
-	gone := make([]string, 0, len(update.gone))
+	served := make(map[string]bool, len(known))
+	for _, endpoint := range known {
+		served[endpoint.Name] = true
+	}
+	var gone []string
 	for _, endpoint := range update.gone {
-		gone = append(gone, endpoint.Name)
 		router.connections.Drop(endpoint.ID())
 	}
+	for _, endpoint := range slices.Concat(update.gone, update.listed) {
+		if !served[endpoint.Name] {
+			gone = append(gone, endpoint.Name)
+		}
+	}
 	router.dispatcher.ChangeEndpoints(known, gone)
 }
 
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -12,7 +13,10 @@
 	"pgregory.net/rapid"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvdispatch"
+	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
 )
 
 // Guards against a host that follows another one's list and misses a change of it.
@@ -112,3 +116,50 @@
 	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
 	require.EqualValues(t, mostCopies, router.copies.Load())
 }
+
+// routerOfApps hands endpoints of one service on.
+func routerOfApps(t *testing.T) *Router {
+	router := &Router{
+		state: &state{}, dispatcher: bvdispatch.NewDispatcher(&bvclock.Manual{}, 1, "z"), connections: &bvforward.Connections{},
+	}
+	table, err := bvroute.NewTable(bvroute.Rows{Version: 1, Services: []bvroute.Service{{Name: "apps"}}})
+	require.NoError(t, err)
+	router.state.replace(table)
+	return router
+}
+
+// Guards against calls to an endpoint whose entry another writer has given another service.
+func TestEndpointThatServesNothingKnownAnyMoreIsNotCalled(t *testing.T) {
+	router := routerOfApps(t)
+	endpoint := bvplatform.Endpoint{Name: "a", Address: "at-a", Serves: "apps"}
+	router.spreadEndpoints([]bvplatform.Endpoint{endpoint})
+	_, found := router.dispatcher.Choose("apps", &bvdispatch.Request{})
+	require.True(t, found)
+	endpoint.Serves = "nobody's"
+	router.changeEndpoints(listUpdate{listed: []bvplatform.Endpoint{endpoint}})
+	_, found = router.dispatcher.Choose("apps", &bvdispatch.Request{})
+	require.False(t, found)
+}
+
+// Guards against a crash that is not seen where an endpoint starts again under its name.
+func TestRestartInAChangeCountsAsACrash(t *testing.T) {
+	router := routerOfApps(t)
+	start := func(start int64) bvplatform.EndpointChanges {
+		endpoint := bvplatform.Endpoint{Name: "a", Address: "at-a", Serves: "apps", Started: bvclock.Time(start), Incarnation: strconv.FormatInt(start, 10)}
+		return bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{endpoint}, Next: start}
+	}
+	first := start(1)
+	first.Whole = true
+	router.endpoints.update(1, first)
+	router.spreadEndpoints(router.endpoints.all())
+	for i := range int64(3) {
+		request := &bvdispatch.Request{Content: 7}
+		chosen, found := router.dispatcher.Choose("apps", request)
+		require.True(t, found)
+		router.dispatcher.End("apps", chosen.ID(), request, bvdispatch.Result{Outcome: bvdispatch.Broken})
+		update, changed := router.endpoints.update(1, start(i+2))
+		require.True(t, changed)
+		router.changeEndpoints(update)
+	}
+	require.True(t, router.dispatcher.Poisonous(7))
+}
