The list of hosts is compressed once, not for each host that asks

Cause, by reading: the answer with the list of hosts was compressed for each of some 80 hosts that ask one in the same second, a compressor of about 1 MB each.

Change: the compressed list is kept with the list; its age goes in a header.

Test: TestListOfHostsIsEncodedOnce.

--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -144,7 +144,7 @@
 		Age  bvclock.Duration
 		Rows *bvroute.Rows
 	}
-	err := fetch(ctx, address, "/routes?after="+strconv.FormatInt(after, 10), limit, &answer)
+	_, err := fetch(ctx, address, "/routes?after="+strconv.FormatInt(after, 10), limit, &answer)
 	if err != nil {
 		return confirmedState{}, err
 	}
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -173,7 +173,7 @@
 			Age     bvclock.Duration
 			Changes bvplatform.EndpointChanges
 		}
-		err = fetch(ctx, address, path, sourceTimeout, &answer)
+		_, err = fetch(ctx, address, path, sourceTimeout, &answer)
 		return answer.Age, answer.Changes, err
 	})
 }
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -1,6 +1,9 @@
 package bvrouter
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -163,3 +166,14 @@
 	}
 	require.True(t, router.dispatcher.Poisonous(7))
 }
+
+// Guards against a compressor for each host that asks for the list of hosts.
+func TestListOfHostsIsEncodedOnce(t *testing.T) {
+	shared := &sharedHosts{hosts: []listedHost{{Key: "hosts//a"}}}
+	require.Same(t, &shared.encoded()[0], &shared.encoded()[0])
+	reader, err := gzip.NewReader(bytes.NewReader(shared.encoded()))
+	require.NoError(t, err)
+	var hosts []listedHost
+	require.NoError(t, json.NewDecoder(reader).Decode(&hosts))
+	require.Equal(t, shared.hosts, hosts)
+}
--- a/bvrouter/host_share.go
+++ b/bvrouter/host_share.go
@@ -1,6 +1,7 @@
 package bvrouter
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -8,6 +9,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
@@ -21,8 +24,27 @@
 type sharedHosts struct {
 	hosts []listedHost
 	asOf  bvclock.Time // 0: a part of the list only
+
+	once       sync.Once
+	compressed []byte // for other hosts
+}
+
+// encoded returns the list as it goes to other hosts. All of a zone ask at once, and a
+// compressor for each of them would take more memory than all else.
+func (shared *sharedHosts) encoded() []byte {
+	shared.once.Do(func() {
+		var buffer bytes.Buffer
+		compressed, _ := gzip.NewWriterLevel(&buffer, gzip.BestSpeed) // the level is valid
+		_ = json.NewEncoder(compressed).Encode(shared.hosts)          // a buffer takes all, and rows always encode
+		_ = compressed.Close()
+		shared.compressed = buffer.Bytes()
+	})
+	return shared.compressed
 }
 
+// ageHeader says how old a list of hosts is, in milliseconds.
+const ageHeader = "Bv-Age-Ms"
+
 // sources returns the hosts that may be asked in place of the store.
 func (router *Router) sources() sources {
 	known := sources{self: router.settings.PeerAddress, zone: router.settings.Zone, lost: router.gossip.Lost}
@@ -35,7 +57,7 @@
 // shareHosts takes over a list of hosts, whole or in part, for this host's own questions
 // and for those of others.
 func (router *Router) shareHosts(hosts []listedHost, asOf bvclock.Time) {
-	router.hosts.Store(&sharedHosts{hosts, asOf})
+	router.hosts.Store(&sharedHosts{hosts: hosts, asOf: asOf})
 	if asOf != 0 {
 		router.hostsAsOf, router.hostsFailed = asOf, 0
 		router.hostsKnown.Store(true)
@@ -47,14 +69,12 @@
 	err := errNoSource
 	for _, address := range addresses {
 		asked := router.clock.Now()
-		var answer struct {
-			Age   bvclock.Duration
-			Hosts []listedHost
-		}
-		if err = fetch(ctx, address, "/hosts", sourceTimeout, &answer); err == nil {
+		hosts, age, failed := fetchHosts(ctx, address)
+		if failed == nil {
 			router.counters.Count("lists_from_hosts", "hosts")
-			return answer.Hosts, asked.Add(-answer.Age), nil
+			return hosts, asked.Add(-age), nil
 		}
+		err = failed
 	}
 	router.hostsFailed++
 	return nil, 0, err
@@ -71,36 +91,40 @@
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
 	}
-	writeCompressed(writer, struct {
-		Age   bvclock.Duration
-		Hosts []listedHost
-	}{router.clock.Now().Sub(shared.asOf), shared.hosts})
+	age := router.clock.Now().Sub(shared.asOf)
+	writer.Header().Set(ageHeader, strconv.FormatInt(int64(age), 10))
+	writer.Header().Set("Content-Encoding", "gzip")
+	_, _ = writer.Write(shared.encoded()) // the other host gives up by itself
 }
 
-// writeCompressed answers another host with a large value.
-func writeCompressed(writer http.ResponseWriter, value any) {
-	writer.Header().Set("Content-Encoding", "gzip")
-	writer.Header().Set("Content-Type", "application/json")
-	compressed, _ := gzip.NewWriterLevel(writer, gzip.BestSpeed) // the level is valid
-	_ = json.NewEncoder(compressed).Encode(value)                // the other host gives up by itself
-	_ = compressed.Close()
+// fetchHosts reads another host's list of hosts, and its age.
+func fetchHosts(ctx context.Context, address string) (hosts []listedHost, age bvclock.Duration, err error) {
+	header, err := fetch(ctx, address, "/hosts", sourceTimeout, &hosts)
+	if err != nil {
+		return nil, 0, err
+	}
+	millis, err := strconv.ParseInt(header.Get(ageHeader), 10, 64)
+	if err != nil {
+		return nil, 0, fmt.Errorf("relay: age of a list of hosts: %w", err)
+	}
+	return hosts, bvclock.Duration(millis), nil
 }
 
-// fetch reads an answer of another host.
-func fetch(ctx context.Context, address, path string, limit bvclock.Duration, answer any) error {
+// fetch reads an answer of another host, and returns its headers.
+func fetch(ctx context.Context, address, path string, limit bvclock.Duration, answer any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit.Std())
 	defer cancel()
 	response, err := get(ctx, address, path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, response.Body) // keeps the connection
-		return fmt.Errorf("relay: status %d", response.StatusCode)
+		return nil, fmt.Errorf("relay: status %d", response.StatusCode)
 	}
 	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
-		return fmt.Errorf("relay: %s can't be read: %w", path, err)
+		return nil, fmt.Errorf("relay: %s can't be read: %w", path, err)
 	}
-	return nil
+	return response.Header, nil
 }
