--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -112,18 +112,20 @@
 		return answer, err
 	}
 	router.missEndpoints()
-	relayed, failed := endpointAnswer{}, errNoSource
-	if after == 0 {
-		relayed, failed = router.allEndpointsOf(ctx, router.helpers())
-	} else {
-		relayed, failed = router.endpointsOf(ctx, router.helpers(), after)
-	}
-	if failed == nil {
+	if relayed, failed := router.endpointsSince(ctx, router.helpers(), after); failed == nil {
 		return relayed, nil
 	}
 	return answer, err
 }
 
+// endpointsSince asks other hosts for what changed after a point, or for all from point 0.
+func (router *Router) endpointsSince(ctx context.Context, addresses []string, after int64) (endpointAnswer, error) {
+	if after == 0 {
+		return router.allEndpointsOf(ctx, addresses)
+	}
+	return router.endpointsOf(ctx, addresses, after)
+}
+
 // answeredAsOf returns since when the list may have changed. A question that was held to
 // its end without a change was answered by what the store knew then.
 func answeredAsOf(asked, answered bvclock.Time, wait bvclock.Duration, changes bvplatform.EndpointChanges) bvclock.Time {
