--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -17,14 +17,17 @@
 kit=${KIT:-../given/kit/more/system}
 verbs=${VERBS:-score hunt incident sweep}
 limit=${DAY_LIMIT:-600}
-bench=$kit/more/bench-cc6490/bin/fleetbench
+bench=$kit/more/bench-d17393/bin/fleetbench
 if [ ! -x "$bench" ]; then
   echo "regression: the users' kit is not at $kit; nothing is played"
   exit 0
 fi
 
 # Site file, days to hunt, plays at once: few where a play has hundreds of processes.
+# The whole fleet is not among them: its days are played one at a time, alone.
 sites=(
+  "demands/lsfaa-booking-grown 8 4"
+  "demands/sfap-balsam-grown 8 4"
   "shifted/obala-surf-now-grown 8 4"
   "large/obala-surf-large 8 1"
   "further/hanbit-connect 40 4"
@@ -35,7 +38,7 @@
 )
 
 # Deployments that are swept: one of each kind.
-swept=" obala-surf-now-grown hanbit-connect bcf-tipton "
+swept=" obala-surf-now-grown hanbit-connect bcf-tipton lsfaa-booking-grown sfap-balsam-grown "
 
 out=out/regression
 mkdir -p "$out"
