Logs and metrics tell why a request reached an endpoint that had left

The four hypotheses of the incident could not be told apart: a failed read of the list was silent where another host had it, removals and retained endpoints left no line, and a request's line did not say what list it was sent by.

`balsamvalve explain` lists the last request that each host sent to an endpoint after it had left.

No decision changes. The age of the list is now read without its lock, which a full list holds for milliseconds.

--- a/bvexplain/explain.go
+++ b/bvexplain/explain.go
@@ -22,6 +22,10 @@
 // first event or the answer, the stream of events, and the time to persist the turn.
 // A program whose last line is a failure counts as failed by the cause of that line,
 // although its caller may have retried at a host whose logs were not read.
+//
+// An endpoint counts as left from the first line of any host that reports it as leaving or
+// removed, unless a later line lists it again. The clocks of hosts differ, and so do the
+// times between their lines.
 package bvexplain
 
 import (
@@ -64,6 +68,7 @@
 	programs     *simplelru.LRU[string, *program]
 	programCount int
 	events       []event // of processes
+	departures   departures
 	matchedLines []string
 }
 
@@ -115,6 +120,7 @@
 	if wanted := account.options.Request; wanted != "" && (line.Request == wanted || isProgram(line.Program, wanted)) {
 		account.matchedLines = append(account.matchedLines, text)
 	}
+	account.departures.add(line)
 	if !line.isRequest() {
 		account.addEvent(line)
 		return
--- a/bvexplain/line.go
+++ b/bvexplain/line.go
@@ -31,6 +31,10 @@
 	Events   int       `json:"events"`
 	Prompt   int       `json:"prompt"`
 	Cached   int       `json:"cached"`
+	ListAge  int64     `json:"list_ms"`
+	Retained bool      `json:"retained"`
+	// Endpoints are the names in a line about the list of endpoints.
+	Endpoints []string `json:"endpoints"`
 
 	at   float64 // time of the line, in seconds
 	host string
--- a/bvexplain/print.go
+++ b/bvexplain/print.go
@@ -31,6 +31,7 @@
 	printer.table("second", account.seconds)
 	printer.causes("requests that were refused or failed, by cause", account.causes)
 	printer.causes("programs by their last request", account.endCauses)
+	printer.departures(&account.departures)
 	printer.events(account.events)
 	return printer.err
 }
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -60,6 +60,7 @@
 	streamBytes int64 // bytes of memory acquired for buffered parts of the stream
 
 	sentAt          bvclock.Time     // of the last send
+	listAge         bvclock.Duration // of the list of endpoints at the last send
 	firstEventAt    bvclock.Time     // when the first event was written to the caller
 	persistDuration bvclock.Duration // duration of persisting the turn
 	load            bvroute.Load     // as reported in the endpoint's answer
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -96,8 +96,12 @@
 	if call.sends > 0 {
 		fields["endpoint"] = call.endpoint.Name
 		fields["sent_ms"] = int64(call.sentAt.Sub(call.arrived))
+		fields["list_ms"] = int64(call.listAge)
 		fields["load"] = fmt.Sprintf("%d+%d/%d", call.load.Running, call.load.Waiting, call.load.Slots)
 	}
+	if call.endpoint.Retained {
+		fields["retained"] = true
+	}
 	if call.service != nil && call.service.Engine != nil && call.sends > 0 {
 		fields["prompt"], fields["cached"] = call.placement.PromptTokens, call.placement.CachedTokens
 		fields["load_thought"] = int(call.placement.Load)
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -92,6 +92,12 @@
 	Send(ctx context.Context, request *bvforward.Request) (*bvforward.Response, error)
 }
 
+// EndpointList is the list of endpoints that the dispatcher chooses from.
+type EndpointList interface {
+	// Age returns the time for which the list may have been outdated.
+	Age() bvclock.Duration
+}
+
 // Budgets reserves the tokens that a program's turn may generate.
 type Budgets interface {
 	Reserve(ctx context.Context, turn bvbudget.Turn) (*bvbudget.Reservation, error)
@@ -124,6 +130,7 @@
 	Store      Store
 	Dispatcher Dispatcher
 	Endpoints  Endpoints
+	List       EndpointList
 	Quotas     Quotas
 	Budgets    Budgets
 	Histories  Histories
--- a/bvplatform/endpoint.go
+++ b/bvplatform/endpoint.go
@@ -31,6 +31,7 @@
 	CacheTokens int              // size of an engine's prefix cache
 	Fencing     bool             // rejects requests with an outdated fencing number
 	Cold        bvclock.Duration // remaining warm-up time, during which it is slow
+	Retained    bool             // missing from the list, and used only because its entry may have expired in an outage
 }
 
 // IsEmpty reports whether nothing has changed.
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvplatform"
@@ -44,6 +46,7 @@
 		answer, err := router.queryEndpoints(ctx, wait)
 		switch {
 		case errors.Is(err, errRegained):
+			router.logFailedRead(requestedAt, err)
 			router.recordMissedList()
 			continue
 		case errors.Is(err, errNoSource):
@@ -62,7 +65,7 @@
 		router.applyEndpoints(answer)
 		// Some answers come early without a change, since endpoints write their entries
 		// at each heartbeat: with 64 endpoints, they double the number of calls.
-		if !answer.changes.IsEmpty() && !answer.relayed {
+		if !answer.changes.IsEmpty() && !answer.isRelayed() {
 			wait = min(wait, bvclock.Duration(pausePerEndpoint*float64(router.listedCount())))
 		}
 		pause(ctx, wait-router.clock.Now().Sub(requestedAt))
@@ -81,10 +84,22 @@
 
 // endpointAnswer is an answer about the list of endpoints.
 type endpointAnswer struct {
-	changes bvplatform.EndpointChanges
-	asOf    bvclock.Time // the list may have changed since then
-	relayed bool         // from another host
-	partial bool         // a part of the list only
+	changes     bvplatform.EndpointChanges
+	asOf        bvclock.Time // the list may have changed since then
+	requestedAt bvclock.Time
+	relayedBy   string           // address of the host that it comes from; empty: the store
+	partial     bool             // a part of the list only
+	listAge     bvclock.Duration // age of this host's list before the answer
+}
+
+func (answer endpointAnswer) isRelayed() bool { return answer.relayedBy != "" }
+
+// source names where the answer comes from, for the log.
+func (answer endpointAnswer) source() string {
+	if answer.isRelayed() {
+		return answer.relayedBy
+	}
+	return "store"
 }
 
 // queryEndpoints requests changes of the list: in a large fleet from other hosts, and
@@ -107,10 +122,11 @@
 func (router *Router) queryStore(ctx context.Context, after int64, wait bvclock.Duration) (endpointAnswer, error) {
 	requestedAt := router.clock.Now()
 	changes, err := router.store.AwaitEndpoints(ctx, after, wait)
-	answer := endpointAnswer{changes: changes, asOf: asOfTime(requestedAt, router.clock.Now(), wait, changes)}
+	answer := endpointAnswer{changes: changes, asOf: asOfTime(requestedAt, router.clock.Now(), wait, changes), requestedAt: requestedAt}
 	if answer.changes.Next != 0 || errors.Is(err, errRegained) || ctx.Err() != nil {
 		return answer, err
 	}
+	router.logFailedRead(requestedAt, err)
 	router.recordMissedList()
 	if relayed, relayErr := router.queryHosts(ctx, router.relays(), after); relayErr == nil {
 		return relayed, nil
@@ -166,7 +182,7 @@
 	if changes.Next != 0 {
 		router.partialListAsOf = requestedAt
 	}
-	return endpointAnswer{changes: changes, asOf: requestedAt, partial: !changes.Whole}, err
+	return endpointAnswer{changes: changes, asOf: requestedAt, requestedAt: requestedAt, partial: !changes.Whole}, err
 }
 
 // queryHostsForChanges requests the changes after a sequence number from other hosts.
@@ -205,7 +221,7 @@
 		}
 		if age <= maxListAge(router.settings.DrainBound) {
 			router.counters.Count("lists_from_hosts", "endpoints")
-			return endpointAnswer{changes: changes, asOf: requestedAt.Add(-age), relayed: true}, nil
+			return endpointAnswer{changes: changes, asOf: requestedAt.Add(-age), requestedAt: requestedAt, relayedBy: address}, nil
 		}
 	}
 	return endpointAnswer{}, errNoSource
@@ -215,13 +231,28 @@
 	return bvclock.Duration(maxListAgeShare * float64(drain))
 }
 
-// endpointsAge returns the time for which the list of endpoints may have been outdated.
-func (router *Router) endpointsAge() bvclock.Duration {
+// retainedCount returns how many endpoints are in use although they are not on the list.
+func (router *Router) retainedCount() int {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
-	return router.clock.Now().Sub(router.endpointsAsOf)
+	return len(router.endpoints.missing)
+}
+
+// endpointsAge returns the time for which the list of endpoints may have been outdated: the
+// time since the start of the process before the first full list.
+func (router *Router) endpointsAge() bvclock.Duration {
+	if asOf := bvclock.Time(router.endpointsAsOf.Load()); asOf != 0 {
+		return router.clock.Now().Sub(asOf)
+	}
+	return router.clock.Now().Sub(router.started)
 }
 
+// endpointAge implements bvfront.EndpointList.
+type endpointAge struct{ *Router }
+
+// Age implements bvfront.EndpointList.
+func (age endpointAge) Age() bvclock.Duration { return age.endpointsAge() }
+
 func (router *Router) endpointsNext() int64 {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
@@ -234,6 +265,14 @@
 	return len(router.endpoints.listed)
 }
 
+// logFailedRead logs a read of the list that the store did not answer.
+func (router *Router) logFailedRead(requestedAt bvclock.Time, err error) {
+	router.counters.Add("endpoint_reads_failed", 1)
+	router.log.WithError(err).WithFields(logrus.Fields{
+		"asked_ms": int64(router.clock.Now().Sub(requestedAt)), "list_ms": int64(router.endpointsAge()),
+	}).Info("list of endpoints not read from the store")
+}
+
 func (router *Router) recordMissedList() {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
@@ -245,13 +284,15 @@
 	now := router.clock.Now()
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
+	answer.listAge = router.endpointsAge()
 	if answer.partial {
 		router.setEndpoints(router.endpoints.useSubstitute(now, answer.changes.Listed))
 		router.endpointsKnown.Store(true)
 		return
 	}
-	router.endpointsAsOf = max(router.endpointsAsOf, answer.asOf)
+	router.endpointsAsOf.Store(max(router.endpointsAsOf.Load(), int64(answer.asOf)))
 	update, changed := router.endpoints.update(now, answer.changes)
+	router.logListEvents(update.events, answer)
 	switch {
 	case update.full:
 		router.setEndpoints(update.listed)
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -41,6 +41,7 @@
 	full   bool // listed is the full list
 	listed []bvplatform.Endpoint
 	gone   []bvplatform.Endpoint // their entries before the update
+	events listEvents
 }
 
 // recordMissed records that the list could not be read.
@@ -63,16 +64,16 @@
 		if changes.IsEmpty() && !retained && !substituted {
 			return listUpdate{}, false
 		}
-		list.rebuild(changes)
-		return listUpdate{full: true, listed: list.all()}, true
+		events := list.rebuild(changes)
+		return listUpdate{full: true, listed: list.all(), events: events}, true
 	}
 	update := list.apply(changes)
 	return update, len(update.listed)+len(update.gone) > 0
 }
 
 // rebuild applies changes and recomputes the retained missing endpoints.
-func (list *endpointList) rebuild(changes bvplatform.EndpointChanges) {
-	before := list.ownEndpoints()
+func (list *endpointList) rebuild(changes bvplatform.EndpointChanges) (events listEvents) {
+	before, missingBefore := list.ownEndpoints(), list.missing
 	if changes.Whole {
 		list.log.reset(changes.Next)
 		older := list.listed
@@ -83,8 +84,9 @@
 				list.recordStart(endpoint)
 			}
 		}
+		events.addDifference(older, list.listed)
 	}
-	list.apply(changes)
+	events.append(list.apply(changes).events)
 	for _, name := range changes.Unusable {
 		before = slices.DeleteFunc(before, func(endpoint bvplatform.Endpoint) bool { return endpoint.Name == name })
 	}
@@ -92,6 +94,8 @@
 	if list.retainMissing {
 		list.missing = findMissing(list.listed, before)
 	}
+	events.addRetained(missingBefore, list.missing, list.listed)
+	return events
 }
 
 // newestByName returns the endpoints by name, each with its newest known start.
@@ -130,6 +134,7 @@
 		if found && before.ID() != endpoint.ID() {
 			update.gone = append(update.gone, before)
 		}
+		update.events.addChange(before, found, endpoint)
 		endpoint = internStrings(endpoint)
 		list.listed[endpoint.Name] = endpoint
 		update.listed = append(update.listed, endpoint)
@@ -138,6 +143,7 @@
 	for _, name := range slices.Concat(changes.Gone, changes.Unusable) {
 		if before, found := list.listed[name]; found {
 			update.gone = append(update.gone, before)
+			update.events.removed = append(update.events.removed, name)
 			list.recordStart(before)
 			delete(list.listed, name)
 			list.log.add(changes.Next, name)
@@ -235,6 +241,7 @@
 	missing := make(map[string]bvplatform.Endpoint)
 	for _, endpoint := range known {
 		if _, found := listed[endpoint.Name]; !found && !addresses[endpoint.Address] {
+			endpoint.Retained = true
 			missing[endpoint.Name] = endpoint
 		}
 	}
--- /dev/null
+++ b/bvrouter/list_events.go
@@ -0,0 +1,95 @@
+package bvrouter
+
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"balsamvalve.example/bvplatform"
+)
+
+// listEvents holds the names of the endpoints whose use changed in an update of the list.
+type listEvents struct {
+	added    []string // new on the list
+	leaving  []string // on the list, but no longer accept calls
+	removed  []string // no longer on the list
+	retained []string // not on the list, and in use until their entries may be back
+	dropped  []string // retained until now
+}
+
+// append adds the events of a part of the same update.
+func (events *listEvents) append(part listEvents) {
+	events.added = append(events.added, part.added...)
+	events.leaving = append(events.leaving, part.leaving...)
+	events.removed = append(events.removed, part.removed...)
+}
+
+// addChange adds the change of one entry; found is false if there was none before.
+func (events *listEvents) addChange(before bvplatform.Endpoint, found bool, after bvplatform.Endpoint) {
+	isLive, wasLive := after.State == bvplatform.HostLive, found && before.State == bvplatform.HostLive
+	switch {
+	case !found && isLive:
+		events.added = append(events.added, after.Name)
+	case !isLive && (!found || wasLive):
+		events.leaving = append(events.leaving, after.Name)
+	}
+}
+
+// addDifference adds the differences of two full lists.
+func (events *listEvents) addDifference(before, after map[string]bvplatform.Endpoint) {
+	for name, endpoint := range after {
+		previous, found := before[name]
+		events.addChange(previous, found, endpoint)
+	}
+	for name := range before {
+		if _, found := after[name]; !found {
+			events.removed = append(events.removed, name)
+		}
+	}
+}
+
+// addRetained adds the differences between the retained endpoints before and after an
+// update.
+func (events *listEvents) addRetained(before, after, listed map[string]bvplatform.Endpoint) {
+	for name := range after {
+		if _, found := before[name]; !found {
+			events.retained = append(events.retained, name)
+		}
+	}
+	for name := range before {
+		_, stillRetained := after[name]
+		_, isListed := listed[name]
+		if !stillRetained && !isListed {
+			events.dropped = append(events.dropped, name)
+		}
+	}
+}
+
+// logListEvents logs an update of the list, with what decides whether a call after it was
+// late: where the answer came from, when it was requested, how old the list was before it,
+// and the platform's change sequence number, which is the same on all hosts.
+func (router *Router) logListEvents(events listEvents, answer endpointAnswer) {
+	now := router.clock.Now()
+	entry := router.log.WithFields(logrus.Fields{
+		"source":   answer.source(),
+		"asked_ms": int64(now.Sub(answer.requestedAt)),
+		"list_ms":  int64(answer.listAge),
+		"sequence": answer.changes.Next,
+	})
+	logNames(entry, "endpoints listed", events.added)
+	logNames(entry, "endpoints leaving", events.leaving)
+	logNames(entry, "endpoints removed", events.removed)
+	logNames(entry, "endpoints retained", events.retained)
+	logNames(entry, "retained endpoints dropped", events.dropped)
+}
+
+// maxLoggedNames bounds the length of a log line.
+const maxLoggedNames = 50
+
+func logNames(entry *logrus.Entry, message string, names []string) {
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
+	entry.WithFields(logrus.Fields{"count": len(names), "endpoints": names[:min(len(names), maxLoggedNames)]}).Info(message)
+}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -109,7 +109,7 @@
 
 	endpointsMutex  sync.Mutex // held while a list of endpoints is applied
 	endpoints       endpointList
-	endpointsAsOf   bvclock.Time // since when the list may have changed
+	endpointsAsOf   atomic.Int64 // since when the list may have changed; 0 before the first one
 	endpointsKnown  atomic.Bool
 	partialListAsOf bvclock.Time // used by followEndpoints only: when a part of the list was last read
 	listCopies      atomic.Int64 // full lists that are being sent to other hosts
@@ -177,6 +177,7 @@
 		Store:      router.store,
 		Dispatcher: router.dispatcher,
 		Endpoints:  router.connections,
+		List:       endpointAge{router},
 		Quotas:     quotas{router},
 		Budgets:    router.budgets,
 		Histories:  router.histories,
