--- a/bvrouter/list_events_test.go
+++ b/bvrouter/list_events_test.go
@@ -35,7 +35,7 @@
 	require.Equal(t, listEvents{dropped: []string{"b"}}, update.events)
 }
 
-// Guards against a log that can't tell a retained endpoint from a listed one.
+// Guards against a log that does not distinguish a retained endpoint from a listed one.
 func TestRetainedEndpointsAreMarked(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
