Only the first answer after an outage leaves endpoints in doubt, and for a fixed time

Callers' requests reached an endpoint up to 2.7 s after the platform had accepted that it left, by hosts that had reached the store again.

Cause: after any failed read of the list, every endpoint that was missing was kept in use, for 2 s from the next answer: also one that a later answer removed explicitly, and until the next answer after these 2 s. A poll that was canceled because the store was back counted as a failed read, and each failed read started the 2 s anew. The doubt about entries that expire in an outage was applied to facts learned after it.

Change: entries can only have expired if reads failed and the store gave no answer for two registration intervals (a new setting; entries expire after three). Only endpoints missing from the first answer after that are kept, until 2 s later; the end is part of the entry, and the dispatcher honors it at each choice, so that no answer is needed. A removal in a later answer is final, a leaving endpoint is never kept, and a further failure prolongs nothing.

Ruled out: retention of explicit removals for a part of the bound. It would need the time of the removal, which the store does not give, and a removal in an answer that is not the first one after an outage is never in doubt.

--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -34,7 +34,7 @@
 		best = pool.cheapest(snapshot, request, rows, sample{all: true}) // the sample was empty
 	}
 	if best == nil {
-		return pool.lastResort(request)
+		return pool.lastResort(now, request)
 	}
 	request.CachedTokens, request.Load = best.cache.cachedTokens(request.Prefix), best.load(now)
 	return best.entry, true
@@ -65,12 +65,12 @@
 	return best
 }
 
-// lastResort returns an endpoint that is not leaving, even if it is paused after recent
+// lastResort returns an endpoint that accepts calls, even if it is paused after recent
 // failures: outlier detection must never empty a pool.
-func (pool *Pool) lastResort(request *Request) (bvplatform.Endpoint, bool) {
+func (pool *Pool) lastResort(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	var best *endpoint
 	for _, row := range pool.rows {
-		if row.entry.State != bvplatform.HostLive || request.Excluded[row.entry.Name] {
+		if !row.entry.AcceptsCalls(now) || request.Excluded[row.entry.Name] {
 			continue
 		}
 		if best == nil || row.health.pausedUntil.Before(best.health.pausedUntil) {
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -55,5 +55,5 @@
 
 // isOpen reports whether the endpoint accepts new calls.
 func (endpoint *endpoint) isOpen(now bvclock.Time) bool {
-	return endpoint.entry.State == bvplatform.HostLive && !endpoint.health.isPaused(now)
+	return endpoint.entry.AcceptsCalls(now) && !endpoint.health.isPaused(now)
 }
--- a/bvdispatch/pool_test.go
+++ b/bvdispatch/pool_test.go
@@ -206,3 +206,13 @@
 	chosen, _ := pool.Choose(1, request)
 	require.Equal(t, "e1", chosen.Name)
 }
+
+// Guards against calls to an endpoint that is missing from the list for too long, while the list can't be read.
+func TestRetainedEndpointIsNotChosenAfterItsTime(t *testing.T) {
+	pool := NewPool(1, "z")
+	pool.SetEndpoints([]bvplatform.Endpoint{{Name: "a", Address: "at-a", RetainedUntil: 100}})
+	_, found := pool.Choose(99, &Request{})
+	require.True(t, found)
+	_, found = pool.Choose(100, &Request{})
+	require.False(t, found, "neither regularly nor as the last resort")
+}
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -99,7 +99,7 @@
 		fields["list_ms"] = int64(call.listAge)
 		fields["load"] = fmt.Sprintf("%d+%d/%d", call.load.Running, call.load.Waiting, call.load.Slots)
 	}
-	if call.endpoint.Retained {
+	if call.endpoint.IsRetained() {
 		fields["retained"] = true
 	}
 	if call.service != nil && call.service.Engine != nil && call.sends > 0 {
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -91,7 +91,7 @@
 	call.headReceived, call.serverError = false, false
 	call.endpoint, call.sentAt = endpoint, call.front.parts.Clock.Now()
 	call.listAge = call.front.parts.List.Age()
-	if endpoint.Retained {
+	if endpoint.IsRetained() {
 		call.front.parts.Counters.Add("sends_to_retained", 1)
 	}
 	response, err := call.front.parts.Endpoints.Send(call.ctx, call.newEndpointRequest(endpoint))
--- a/bvplatform/endpoint.go
+++ b/bvplatform/endpoint.go
@@ -31,7 +31,18 @@
 	CacheTokens int              // size of an engine's prefix cache
 	Fencing     bool             // rejects requests with an outdated fencing number
 	Cold        bvclock.Duration // remaining warm-up time, during which it is slow
-	Retained    bool             // missing from the list, and used only because its entry may have expired in an outage
+	// RetainedUntil is set if the endpoint is missing from the list, and in use only because
+	// its entry may have expired in an outage. From then on it must get no calls.
+	RetainedUntil bvclock.Time
+}
+
+// IsRetained reports whether the endpoint is missing from the list, and in use only because
+// its entry may have expired.
+func (endpoint Endpoint) IsRetained() bool { return endpoint.RetainedUntil != 0 }
+
+// AcceptsCalls reports whether new calls may be sent to the endpoint.
+func (endpoint Endpoint) AcceptsCalls(now bvclock.Time) bool {
+	return endpoint.State == HostLive && (!endpoint.IsRetained() || now.Before(endpoint.RetainedUntil))
 }
 
 // IsEmpty reports whether nothing has changed.
--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -53,6 +53,7 @@
 		connections: &bvforward.Connections{Clock: clock},
 		counters:    bvmeasure.New(),
 	}
+	router.endpoints.minExpiry = entryLifetime * minExpiryIntervals / 3
 	router.store = newStoreClient(store, clock, router.log, router.relays, router.countStoreCall)
 	table, err := bvroute.NewTable(bvroute.Rows{Version: 1, Services: []bvroute.Service{{Name: "apps"}}})
 	require.NoError(t, err)
@@ -192,7 +193,7 @@
 	}
 }
 
-// entryLifetime is how long a registered endpoint stays on the list without being heard.
+// entryLifetime is how long a registered endpoint stays on the list without a write.
 const entryLifetime = 3600 * bvclock.Millisecond
 
 // removeOne takes an endpoint off the list, or reports it as leaving.
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -47,14 +47,14 @@
 		switch {
 		case errors.Is(err, errRegained):
 			router.logFailedRead(requestedAt, err)
-			router.recordMissedList()
+			router.recordFailedRead()
 			continue
 		case errors.Is(err, errNoSource):
 			pause(ctx, retryInterval)
 			continue
 		case answer.changes.Next == 0:
 			outage.Record(unlessCanceled(ctx, err))
-			router.recordMissedList()
+			router.recordFailedRead()
 			pause(ctx, retryInterval)
 			continue
 		}
@@ -127,7 +127,7 @@
 		return answer, err
 	}
 	router.logFailedRead(requestedAt, err)
-	router.recordMissedList()
+	router.recordFailedRead()
 	if relayed, relayErr := router.queryHosts(ctx, router.relays(), after); relayErr == nil {
 		return relayed, nil
 	}
@@ -273,10 +273,10 @@
 	}).Info("list of endpoints not read from the store")
 }
 
-func (router *Router) recordMissedList() {
+func (router *Router) recordFailedRead() {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
-	router.endpoints.recordMissed()
+	router.endpoints.recordFailure()
 }
 
 // applyEndpoints applies an answer to this host's list and to the dispatcher.
@@ -292,6 +292,9 @@
 	}
 	router.endpointsAsOf.Store(max(router.endpointsAsOf.Load(), int64(answer.asOf)))
 	update, changed := router.endpoints.update(now, answer.changes)
+	if answer.isRelayed() {
+		router.endpoints.answeredAt = answer.asOf
+	}
 	router.logListEvents(update.events, answer)
 	switch {
 	case update.full:
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -14,26 +14,33 @@
 // again within about two seconds after it.
 const reregistrationTime = 2 * bvclock.Second
 
+// minExpiryIntervals is the number of registration intervals that an outage lasts at least
+// if an entry expires in it: entries expire after three intervals without a write, and the
+// last write may be one interval before the outage.
+const minExpiryIntervals = 2
+
 // endpointList is the list of endpoints. It retains endpoints that are missing only because
 // the platform was unreachable.
 //
 // It guards against an empty pool after an outage: all entries have expired, and the
-// first list after it is empty, although every endpoint is healthy.
+// first list after it is empty, although every endpoint is healthy. Only the first answer
+// after an outage is ambiguous. An entry that a later answer removes has left, and an entry
+// that is still missing when reregistrationTime is over counts as left too.
 //
 // An engine may restart under its name, and a read may return the state of the store some
 // seconds earlier. Going back to an earlier start would restore outdated state of that
 // endpoint, so the newest start of each name is recorded.
 type endpointList struct {
-	listed         map[string]bvplatform.Endpoint
-	missing        map[string]bvplatform.Endpoint // not listed, but retained for now
-	substitute     []bvplatform.Endpoint          // partial list, or another host's, used in place of this one; nil: none
-	next           int64                          // platform's change sequence number up to which the list is known
-	log            changeLog
-	everMissed     bool
-	reachableSince bvclock.Time            // time of the first list since the last outage
-	substitutedAt  bvclock.Time            // time of the first substitute since the last own list
-	retainMissing  bool                    // missing endpoints are retained for now
-	newestStarts   map[string]bvclock.Time // newest start of each name that is not listed
+	listed        map[string]bvplatform.Endpoint
+	missing       map[string]bvplatform.Endpoint // not listed, but retained for now
+	substitute    []bvplatform.Endpoint          // partial list, or another host's, used in place of this one; nil: none
+	next          int64                          // platform's change sequence number up to which the list is known
+	log           changeLog
+	minExpiry     bvclock.Duration        // in an outage that is shorter, no entry expires
+	answeredAt    bvclock.Time            // when the platform last answered a read of the list
+	readFailed    bool                    // a read has failed since then
+	substitutedAt bvclock.Time            // time of the first substitute since the last own list
+	newestStarts  map[string]bvclock.Time // newest start of each name that is not listed
 }
 
 // listUpdate is the effect of an update on the list in use.
@@ -44,58 +51,107 @@
 	events listEvents
 }
 
-// recordMissed records that the list could not be read.
-func (list *endpointList) recordMissed() {
-	list.everMissed = true
-	list.reachableSince = 0
-}
+// recordFailure records that the list could not be read.
+func (list *endpointList) recordFailure() { list.readFailed = true }
 
-// update applies changes to the list, and reports whether the endpoints in use may differ
+// update applies an answer to the list, and reports whether the endpoints in use may differ
 // from those before.
 func (list *endpointList) update(now bvclock.Time, changes bvplatform.EndpointChanges) (listUpdate, bool) {
-	if list.reachableSince == 0 {
-		list.reachableSince = now
-	}
-	substituted, retained := list.substitute != nil, list.retainMissing
+	entriesMayHaveExpired := list.readFailed && now.Sub(list.answeredAt) >= list.minExpiry
+	list.readFailed, list.answeredAt = false, now
+	isFull := changes.Whole || list.listed == nil || list.substitute != nil
 	list.substitute, list.substitutedAt = nil, 0
-	list.retainMissing = list.everMissed && now.Sub(list.reachableSince) < reregistrationTime
 	list.next = changes.Next
-	if changes.Whole || list.listed == nil || substituted || retained || list.retainMissing {
-		if changes.IsEmpty() && !retained && !substituted {
-			return listUpdate{}, false
-		}
-		events := list.rebuild(changes)
-		return listUpdate{full: true, listed: list.all(), events: events}, true
+	list.endRetention(now, slices.Concat(changes.Gone, changes.Unusable))
+	update := list.applyAnswer(changes)
+	if entriesMayHaveExpired {
+		list.retain(now.Add(reregistrationTime), changes.Unusable, &update)
+	}
+	list.dropRetained(now, &update)
+	if isFull {
+		update.full, update.listed = true, list.all()
+		return update, true
 	}
-	update := list.apply(changes)
 	return update, len(update.listed)+len(update.gone) > 0
 }
 
-// rebuild applies changes and recomputes the retained missing endpoints.
-func (list *endpointList) rebuild(changes bvplatform.EndpointChanges) (events listEvents) {
-	before, missingBefore := list.ownEndpoints(), list.missing
-	if changes.Whole {
-		list.log.reset(changes.Next)
-		older := list.listed
-		list.listed = list.newestByName(changes.Listed)
-		changes.Listed = nil
-		for name, endpoint := range older {
-			if _, found := list.listed[name]; !found {
-				list.recordStart(endpoint)
-			}
+// applyAnswer applies the changes of an answer, or replaces the list by a full one.
+func (list *endpointList) applyAnswer(changes bvplatform.EndpointChanges) listUpdate {
+	if !changes.Whole {
+		return list.apply(changes)
+	}
+	list.log.reset(changes.Next)
+	older := list.listed
+	list.listed = list.newestByName(changes.Listed)
+	var update listUpdate
+	for name, endpoint := range older {
+		if _, found := list.listed[name]; !found {
+			list.recordStart(endpoint)
+			update.gone = append(update.gone, endpoint)
 		}
-		events.addDifference(older, list.listed)
 	}
-	events.append(list.apply(changes).events)
-	for _, name := range changes.Unusable {
-		before = slices.DeleteFunc(before, func(endpoint bvplatform.Endpoint) bool { return endpoint.Name == name })
+	update.events.addDifference(older, list.listed)
+	return update
+}
+
+// retain keeps endpoints in use that an answer has removed, until a time. Those that were
+// leaving, or whose entries can't be read, are not retained.
+func (list *endpointList) retain(until bvclock.Time, unusable []string, update *listUpdate) {
+	missing := findMissing(list.listed, update.gone)
+	for _, name := range unusable {
+		delete(missing, name)
 	}
-	list.missing = nil
-	if list.retainMissing {
-		list.missing = findMissing(list.listed, before)
+	for name, endpoint := range missing {
+		if endpoint.State != bvplatform.HostLive {
+			continue
+		}
+		endpoint.RetainedUntil = until
+		if list.missing == nil {
+			list.missing = make(map[string]bvplatform.Endpoint)
+		}
+		list.missing[name] = endpoint
+		update.listed = append(update.listed, endpoint)
+		update.events.retained = append(update.events.retained, name)
+	}
+	update.gone = slices.DeleteFunc(update.gone, func(endpoint bvplatform.Endpoint) bool { return list.isRetained(endpoint) })
+}
+
+// endRetention ends the retention of endpoints whose entries were back and have been removed
+// or overwritten.
+func (list *endpointList) endRetention(now bvclock.Time, names []string) {
+	for _, name := range names {
+		if endpoint, found := list.missing[name]; found {
+			endpoint.RetainedUntil = now
+			list.missing[name] = endpoint
+		}
+	}
+}
+
+func (list *endpointList) isRetained(endpoint bvplatform.Endpoint) bool {
+	retained, found := list.missing[endpoint.Name]
+	return found && retained.ID() == endpoint.ID()
+}
+
+// dropRetained drops the retained endpoints that are listed again, whose addresses others
+// have now, or whose time is over.
+func (list *endpointList) dropRetained(now bvclock.Time, update *listUpdate) {
+	if len(list.missing) == 0 {
+		return
+	}
+	stillMissing := findMissing(list.listed, slices.Collect(maps.Values(list.missing)))
+	for name, endpoint := range list.missing {
+		if _, found := stillMissing[name]; found && now.Before(endpoint.RetainedUntil) {
+			continue
+		}
+		delete(list.missing, name)
+		listed, isListed := list.listed[name]
+		if !isListed {
+			update.events.dropped = append(update.events.dropped, name)
+		}
+		if !isListed || listed.ID() != endpoint.ID() {
+			update.gone = append(update.gone, endpoint)
+		}
 	}
-	events.addRetained(missingBefore, list.missing, list.listed)
-	return events
 }
 
 // newestByName returns the endpoints by name, each with its newest known start.
@@ -225,8 +281,11 @@
 		list.recordStart(endpoint)
 	}
 	list.substitute = slices.AppendSeq(make([]bvplatform.Endpoint, 0, len(newest)), maps.Values(newest))
-	if now.Sub(list.substitutedAt) < reregistrationTime {
-		list.substitute = slices.AppendSeq(list.substitute, maps.Values(findMissing(newest, list.ownEndpoints())))
+	if until := list.substitutedAt.Add(reregistrationTime); now.Before(until) {
+		for _, endpoint := range findMissing(newest, list.ownEndpoints()) {
+			endpoint.RetainedUntil = until
+			list.substitute = append(list.substitute, endpoint)
+		}
 	}
 	return list.substitute
 }
@@ -241,7 +300,6 @@
 	missing := make(map[string]bvplatform.Endpoint)
 	for _, endpoint := range known {
 		if _, found := listed[endpoint.Name]; !found && !addresses[endpoint.Address] {
-			endpoint.Retained = true
 			missing[endpoint.Name] = endpoint
 		}
 	}
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -45,13 +45,13 @@
 func TestEndpointsMissingOnASubstituteListAreRetainedForATime(t *testing.T) {
 	var list endpointList
 	list.update(1000, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	require.Equal(t, []string{"a", "b"}, namesOf(list.useSubstitute(2000, nil)))
 	require.Equal(t, []string{"a", "b", "c"}, namesOf(list.useSubstitute(2000+bvclock.Time(reregistrationTime)-1, endpointsNamed("c"))))
 	require.Equal(t, []string{"c"}, namesOf(list.useSubstitute(2000+bvclock.Time(reregistrationTime), endpointsNamed("c"))))
 	list.update(9000, fullList("a"))
 	list.update(9000+bvclock.Time(reregistrationTime), fullList("a"))
-	list.recordMissed()
+	list.recordFailure()
 	require.Equal(t, []string{"a"}, namesOf(list.useSubstitute(12_000, nil)), "the time is counted anew for a new outage")
 }
 
@@ -59,7 +59,7 @@
 func TestEndpointsMissingRightAfterAnOutageAreKept(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	known, _ := applyChanges(&list, 1000, fullList("a"))
 	require.Equal(t, []string{"a", "b"}, namesOf(known))
 	known, changed := applyChanges(&list, 1000+bvclock.Time(reregistrationTime), bvplatform.EndpointChanges{Next: 2})
@@ -79,7 +79,7 @@
 func TestMissingEndpointIsNotKeptWhereItsAddressIsTaken(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	taken := bvplatform.Endpoint{Name: "c", Address: "at-b"}
 	known, _ := applyChanges(&list, 2, bvplatform.EndpointChanges{Whole: true, Listed: []bvplatform.Endpoint{taken}, Next: 2})
 	require.Equal(t, []string{"a", "c"}, namesOf(known))
@@ -137,7 +137,7 @@
 func TestEndpointWhoseEntryCantBeReadIsNotKeptAfterAnOutage(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	changes := fullList("a")
 	changes.Unusable = []string{"b"}
 	known, _ := applyChanges(&list, 1000, changes)
@@ -169,3 +169,69 @@
 	known, _ := applyChanges(&list, 2, bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{startedAt("a", 0)}, Next: 2})
 	require.Equal(t, []bvplatform.Endpoint{startedAt("a", 200)}, known)
 }
+
+// Guards against calls to an endpoint that leaves after the host has reached the platform again.
+func TestRemovalAfterTheFirstAnswerOfAnOutageIsFinal(t *testing.T) {
+	var list endpointList
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, bvplatform.EndpointChanges{Next: 2})
+	known, changed := applyChanges(&list, 5100, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 3})
+	require.True(t, changed)
+	require.Equal(t, []string{"a"}, namesOf(known))
+}
+
+// Guards against an endpoint that is retained although no entry can have expired.
+func TestShortOutageRetainsNothing(t *testing.T) {
+	list := endpointList{minExpiry: 2400}
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	known, _ := applyChanges(&list, 2400, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 2})
+	require.Equal(t, []string{"a"}, namesOf(known))
+}
+
+// Guards against a failed read that prolongs the retention of the outage before it.
+func TestRetentionIsNotProlongedByFurtherFailures(t *testing.T) {
+	list := endpointList{minExpiry: 2400}
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, fullList("a"))
+	list.recordFailure()
+	list.update(6900, bvplatform.EndpointChanges{Next: 2})
+	require.Equal(t, bvclock.Time(5000).Add(reregistrationTime), list.missing["b"].RetainedUntil)
+	known, _ := applyChanges(&list, 7000, bvplatform.EndpointChanges{Next: 3})
+	require.Equal(t, []string{"a"}, namesOf(known))
+}
+
+// Guards against calls to an endpoint that was leaving before an outage.
+func TestLeavingEndpointIsNotRetained(t *testing.T) {
+	var list endpointList
+	list.update(1, bvplatform.EndpointChanges{Whole: true, Listed: append(endpointsNamed("a"), leavingEndpoint("b")), Next: 1})
+	list.recordFailure()
+	known, _ := applyChanges(&list, 5000, fullList("a"))
+	require.Equal(t, []string{"a"}, namesOf(known))
+}
+
+// Guards against an endpoint that stays in use although it was back and has left.
+func TestRetainedEndpointThatIsRemovedAgainIsDropped(t *testing.T) {
+	var list endpointList
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, fullList("a"))
+	known, changed := applyChanges(&list, 5100, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 2})
+	require.True(t, changed)
+	require.Equal(t, []string{"a"}, namesOf(known))
+}
+
+// Guards against a retained endpoint that loses its cache when its entry is back.
+func TestRetainedEndpointThatIsListedAgainDoesNotCountAsGone(t *testing.T) {
+	var list endpointList
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	update, _ := list.update(5000, bvplatform.EndpointChanges{Gone: []string{"b"}, Next: 2})
+	require.Empty(t, update.gone)
+	update, _ = list.update(5500, bvplatform.EndpointChanges{Listed: endpointsNamed("b"), Next: 3})
+	require.Empty(t, update.gone)
+	require.Equal(t, endpointsNamed("b"), update.listed)
+	require.Empty(t, list.missing)
+}
--- a/bvrouter/list_events.go
+++ b/bvrouter/list_events.go
@@ -17,13 +17,6 @@
 	dropped  []string // retained until now
 }
 
-// append adds the events of a part of the same update.
-func (events *listEvents) append(part listEvents) {
-	events.added = append(events.added, part.added...)
-	events.leaving = append(events.leaving, part.leaving...)
-	events.removed = append(events.removed, part.removed...)
-}
-
 // addChange adds the change of one entry; found is false if there was none before.
 func (events *listEvents) addChange(before bvplatform.Endpoint, found bool, after bvplatform.Endpoint) {
 	isLive, wasLive := after.State == bvplatform.HostLive, found && before.State == bvplatform.HostLive
@@ -48,23 +41,6 @@
 	}
 }
 
-// addRetained adds the differences between the retained endpoints before and after an
-// update.
-func (events *listEvents) addRetained(before, after, listed map[string]bvplatform.Endpoint) {
-	for name := range after {
-		if _, found := before[name]; !found {
-			events.retained = append(events.retained, name)
-		}
-	}
-	for name := range before {
-		_, stillRetained := after[name]
-		_, isListed := listed[name]
-		if !stillRetained && !isListed {
-			events.dropped = append(events.dropped, name)
-		}
-	}
-}
-
 // logListEvents logs an update of the list, with what decides whether a call after it was
 // late: where the answer came from, when it was requested, how old the list was before it,
 // and the platform's change sequence number, which is the same on all hosts.
--- a/bvrouter/list_events_test.go
+++ b/bvrouter/list_events_test.go
@@ -28,7 +28,7 @@
 func TestRetainedEndpointsAreReported(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	update, _ := list.update(1000, fullList("a"))
 	require.Equal(t, listEvents{removed: []string{"b"}, retained: []string{"b"}}, update.events)
 	update, _ = list.update(1000+3000, bvplatform.EndpointChanges{Next: 2})
@@ -39,9 +39,9 @@
 func TestRetainedEndpointsAreMarked(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
-	list.recordMissed()
+	list.recordFailure()
 	known, _ := applyChanges(&list, 1000, fullList("a"))
 	for _, endpoint := range known {
-		require.Equal(t, endpoint.Name == "b", endpoint.Retained)
+		require.Equal(t, endpoint.Name == "b", endpoint.IsRetained())
 	}
 }
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -151,6 +151,7 @@
 	router.limiter = bvquota.New(clock, bvquota.Bounds{
 		StartFull: settings.FirstStart, Window: settings.QuotaWindow, OverRatio: settings.QuotaOver, Slack: settings.QuotaSlack,
 	})
+	router.endpoints.minExpiry = minExpiryIntervals * settings.RegistrationInterval
 	router.current.Store(&settings)
 	if err := router.listen(); err != nil {
 		return nil, err
--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -27,6 +27,10 @@
 	ApplyBound  bvclock.Duration // until a new desired state must be in force
 	SettleBound bvclock.Duration // until the spending of a turn must be settled
 
+	// RegistrationInterval is the time between two writes of an endpoint's entry; 0:
+	// unknown. The platform removes the entry after three intervals without a write.
+	RegistrationInterval bvclock.Duration
+
 	// RevocationBound is the time after which a revoked key must be refused, also by
 	// hosts that can't reach the store; 0: no bound for those.
 	RevocationBound bvclock.Duration
@@ -66,16 +70,17 @@
 	if err := host.checkBounds(); err != nil {
 		return err
 	}
-	return host.checkCaps()
+	return host.checkOptional()
 }
 
-// checkCaps checks the bounds of keys and usage caps, which may be 0.
-func (host *Host) checkCaps() error {
+// checkOptional checks the fields that may be 0.
+func (host *Host) checkOptional() error {
 	bounds := []struct {
 		name  string
 		value float64
 	}{
 		{"revocation bound", float64(host.RevocationBound)},
+		{"registration interval", float64(host.RegistrationInterval)},
 		{"quota window", float64(host.QuotaWindow)},
 		{"quota share", host.QuotaOver},
 		{"quota slack", host.QuotaSlack},
