The first read after a failed one does not wait for a change

A host that reached the store again kept calling an endpoint that left up to a second later, for up to 2 s: its first read was held by the store until something changed, so that this change counted as one of the outage.

The first request for changes after a failed read is now answered at once, and separates what happened in the outage from what happens after it.

--- FAIL: TestEndpointRemovedAfterTheStoreIsReachedAgainIsNotCalled endpoint_drain_test.go:132: Should be false

fails on the commit before (endpoint removed 0.5 s after the store answers again, checked 0.1 s later) and passes now.

--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -113,6 +113,26 @@
 	})
 }
 
+// Guards against a removal that counts as part of an outage because the first read after it waits for a change.
+func TestEndpointRemovedAfterTheStoreIsReachedAgainIsNotCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		start := time.Now()
+		store := newFakeStore("a", "b")
+		host := startFollowing(ctx, t, store)
+		waitUntil(start, 10_000)
+		store.setSilent(true)
+		waitUntil(start, 12_700)
+		store.setSilent(false)
+		waitUntil(start, 13_200)
+		store.remove("b")
+		waitUntil(start, 13_300)
+		require.True(t, host.calls("a"))
+		require.False(t, host.calls("b"))
+	})
+}
+
 // drainStep is a step of a random test.
 type drainStep struct {
 	action    string
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -42,7 +42,7 @@
 	}
 	for ctx.Err() == nil {
 		requestedAt := router.clock.Now()
-		wait := router.endpointPollInterval()
+		wait := router.nextEndpointWait()
 		answer, err := router.queryEndpoints(ctx, wait)
 		switch {
 		case errors.Is(err, errRegained):
@@ -72,6 +72,18 @@
 	}
 }
 
+// nextEndpointWait returns how long the store may hold the next request for changes. After a
+// failed read the request does not wait: its answer separates the changes of the outage from
+// those after it.
+func (router *Router) nextEndpointWait() bvclock.Duration {
+	router.endpointsMutex.Lock()
+	defer router.endpointsMutex.Unlock()
+	if router.endpoints.readFailed {
+		return minWait
+	}
+	return router.endpointPollInterval()
+}
+
 // endpointPollInterval returns the time between two requests for changes. It is halved in a
 // large fleet, where the polling interval of the queried host adds to this host's own.
 func (router *Router) endpointPollInterval() bvclock.Duration {
