Retained endpoints stay in use while the list can't be read again

By reading what the random test of departures drew: two outages within the 2 s that endpoints have to register again. Since the end of the retention became part of the entry, endpoints that had not registered between the two outages dropped out of use for all of the second one, on every host:

failed after 37 tests: c is not called although its entry only expired

Their time does not run while neither the store nor another host has the list, and begins anew if the second outage was so long that entries expire; else the first end holds. TestRetentionIsHeldWhileTheListCantBeRead and TestEndpointRetainedAsAnOutageBeginsIsRetainedAfterIt fail without it.

--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -54,7 +54,7 @@
 			continue
 		case answer.changes.Next == 0:
 			outage.Record(unlessCanceled(ctx, err))
-			router.recordFailedRead()
+			router.recordListOutage()
 			pause(ctx, retryInterval)
 			continue
 		}
@@ -291,6 +291,16 @@
 	router.endpoints.recordFailure()
 }
 
+// recordListOutage records that neither the store nor another host has the list.
+func (router *Router) recordListOutage() {
+	router.endpointsMutex.Lock()
+	defer router.endpointsMutex.Unlock()
+	router.endpoints.recordFailure()
+	if held := router.servedEndpoints(router.endpoints.holdRetention()); len(held) > 0 {
+		router.dispatcher.ChangeEndpoints(held, nil)
+	}
+}
+
 // applyEndpoints applies an answer to this host's list and to the dispatcher.
 func (router *Router) applyEndpoints(answer endpointAnswer) {
 	now := router.clock.Now()
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"unique"
 
@@ -38,6 +39,7 @@
 	log           changeLog
 	minExpiry     bvclock.Duration        // in an outage that is shorter, no entry expires
 	answeredAt    bvclock.Time            // when the platform last answered a read of the list
+	retainedUntil bvclock.Time            // end of the retention after the last outage
 	readFailed    bool                    // a read has failed since then
 	substitutedAt bvclock.Time            // time of the first substitute since the last own list
 	newestStarts  map[string]bvclock.Time // newest start of each name that is not listed
@@ -57,15 +59,19 @@
 // update applies an answer to the list, and reports whether the endpoints in use may differ
 // from those before.
 func (list *endpointList) update(now bvclock.Time, changes bvplatform.EndpointChanges) (listUpdate, bool) {
-	entriesMayHaveExpired := list.readFailed && now.Sub(list.answeredAt) >= list.minExpiry
+	outageStart, entriesMayHaveExpired := list.answeredAt, list.readFailed && now.Sub(list.answeredAt) >= list.minExpiry
 	list.readFailed, list.answeredAt = false, now
 	isFull := changes.Whole || list.listed == nil || list.substitute != nil
 	list.substitute, list.substitutedAt = nil, 0
 	list.next = changes.Next
-	list.endRetention(now, slices.Concat(changes.Gone, changes.Unusable))
 	update := list.applyAnswer(changes)
 	if entriesMayHaveExpired {
-		list.retain(now.Add(reregistrationTime), changes.Unusable, &update)
+		list.retainedUntil = now.Add(reregistrationTime)
+		list.retain(changes.Unusable, &update)
+	}
+	list.resumeRetention(outageStart, &update)
+	if !entriesMayHaveExpired {
+		list.endRetention(now, slices.Concat(changes.Gone, changes.Unusable))
 	}
 	list.dropRetained(now, &update)
 	if isFull {
@@ -94,9 +100,9 @@
 	return update
 }
 
-// retain keeps endpoints in use that an answer has removed, until a time. Those that were
-// leaving, or whose entries can't be read, are not retained.
-func (list *endpointList) retain(until bvclock.Time, unusable []string, update *listUpdate) {
+// retain keeps endpoints in use that an answer has removed. Those that were leaving, or whose
+// entries can't be read, are not retained.
+func (list *endpointList) retain(unusable []string, update *listUpdate) {
 	missing := findMissing(list.listed, update.gone)
 	for _, name := range unusable {
 		delete(missing, name)
@@ -105,7 +111,7 @@
 		if endpoint.State != bvplatform.HostLive {
 			continue
 		}
-		endpoint.RetainedUntil = until
+		endpoint.RetainedUntil = list.retainedUntil
 		if list.missing == nil {
 			list.missing = make(map[string]bvplatform.Endpoint)
 		}
@@ -116,6 +122,34 @@
 	update.gone = slices.DeleteFunc(update.gone, func(endpoint bvplatform.Endpoint) bool { return list.isRetained(endpoint) })
 }
 
+// untilNextAnswer is the end of the retention while the list can't be read.
+const untilNextAnswer = bvclock.Time(math.MaxInt64)
+
+// holdRetention keeps the retained endpoints in use until the next answer, since they can't
+// register again in a further outage. It returns them.
+func (list *endpointList) holdRetention() (held []bvplatform.Endpoint) {
+	for name, endpoint := range list.missing {
+		if endpoint.RetainedUntil.After(list.answeredAt) {
+			endpoint.RetainedUntil = untilNextAnswer
+			list.missing[name] = endpoint
+			held = append(held, endpoint)
+		}
+	}
+	return held
+}
+
+// resumeRetention sets the end of the retention for the endpoints that were still retained
+// when an outage began.
+func (list *endpointList) resumeRetention(outageStart bvclock.Time, update *listUpdate) {
+	for name, endpoint := range list.missing {
+		if endpoint.RetainedUntil.After(outageStart) && endpoint.RetainedUntil != list.retainedUntil {
+			endpoint.RetainedUntil = list.retainedUntil
+			list.missing[name] = endpoint
+			update.listed = append(update.listed, endpoint)
+		}
+	}
+}
+
 // endRetention ends the retention of endpoints whose entries were back and have been removed
 // or overwritten.
 func (list *endpointList) endRetention(now bvclock.Time, names []string) {
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -235,3 +235,29 @@
 	require.Equal(t, endpointsNamed("b"), update.listed)
 	require.Empty(t, list.missing)
 }
+
+// Guards against a store that fails again before the endpoints have registered, and empty pools then.
+func TestEndpointRetainedAsAnOutageBeginsIsRetainedAfterIt(t *testing.T) {
+	list := endpointList{minExpiry: 2400}
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, fullList())
+	list.recordFailure()
+	known, _ := applyChanges(&list, 9000, bvplatform.EndpointChanges{Listed: endpointsNamed("a"), Next: 2})
+	require.Equal(t, []string{"a", "b"}, namesOf(known))
+	require.Equal(t, bvclock.Time(9000).Add(reregistrationTime), list.missing["b"].RetainedUntil)
+}
+
+// Guards against pools that empty in a second outage, in which the retained endpoints can't register.
+func TestRetentionIsHeldWhileTheListCantBeRead(t *testing.T) {
+	list := endpointList{minExpiry: 2400}
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, fullList("a"))
+	list.recordFailure()
+	held := list.holdRetention()
+	require.Equal(t, []string{"b"}, namesOf(held))
+	require.True(t, held[0].AcceptsCalls(9000))
+	list.update(7100, bvplatform.EndpointChanges{Next: 2})
+	require.Empty(t, list.missing, "the outage was too short for the entry of b to expire again")
+}
