A request for changes that gets no answer is given up in time and repeated at once

Callers' requests may reach an endpoint up to 2.5 s after it left where the host's request for changes was lost with a silent connection, though the store answers all others.

Cause: the limits along the way to a departure were set one by one and never added up. A request for changes waits up to half of the drain bound (1.0 s), was given up 0.8 s after that, and the next one followed 0.2 s later; choice and connection take 0.3 s more. It also took any idle connection of the pool, which bursts of calls fill with ones that are seldom used, so that the next request could meet a silent one again.

Change: the time to answer is a share of the bound beside the wait (0.15; more where calls take long on average), and a request without an answer is repeated once, at once and without a wait, before other hosts are asked.

Tried and reverted: a time to answer that doubles with each failure, for a slow store.

--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -130,22 +130,41 @@
 	return router.queryStore(ctx, after, wait)
 }
 
-// queryStore queries the store, or hosts that reach it if it does not answer this one.
+// queryStore queries the store, or hosts that reach it if it does not answer this one. A
+// request that gets no answer is repeated once without a wait: its connection may have become
+// silent, while a new one works.
 func (router *Router) queryStore(ctx context.Context, after int64, wait bvclock.Duration) (endpointAnswer, error) {
+	answer, err := router.readStore(ctx, after, wait)
+	if isUnanswered(ctx, answer, err) && after != 0 {
+		answer, err = router.readStore(ctx, after, minWait)
+	}
+	if isUnanswered(ctx, answer, err) {
+		if relayed, relayErr := router.queryHosts(ctx, router.relays(), after); relayErr == nil {
+			return relayed, nil
+		}
+	}
+	return answer, err
+}
+
+// readStore requests the changes after a sequence number from the store.
+func (router *Router) readStore(ctx context.Context, after int64, wait bvclock.Duration) (endpointAnswer, error) {
 	requestedAt := router.clock.Now()
-	changes, err := router.store.AwaitEndpoints(ctx, after, wait)
+	grace := pollGrace(router.settings.DrainBound, router.store.averageAnswerTime())
+	changes, err := router.store.AwaitEndpoints(ctx, after, wait, grace)
 	answer := endpointAnswer{changes: changes, asOf: asOfTime(requestedAt, router.clock.Now(), wait, changes), requestedAt: requestedAt}
-	if answer.changes.Next != 0 || errors.Is(err, errRegained) || ctx.Err() != nil {
-		return answer, err
-	}
-	router.logFailedRead(requestedAt, err)
-	router.recordFailedRead()
-	if relayed, relayErr := router.queryHosts(ctx, router.relays(), after); relayErr == nil {
-		return relayed, nil
+	if isUnanswered(ctx, answer, err) {
+		router.logFailedRead(requestedAt, err)
+		router.recordFailedRead()
 	}
 	return answer, err
 }
 
+// isUnanswered reports whether a request to the store failed, and not only because it was
+// canceled.
+func isUnanswered(ctx context.Context, answer endpointAnswer, err error) bool {
+	return answer.changes.Next == 0 && !errors.Is(err, errRegained) && ctx.Err() == nil
+}
+
 // queryHosts requests the changes after a sequence number from other hosts, or the full list
 // if that is 0.
 func (router *Router) queryHosts(ctx context.Context, addresses []string, after int64) (endpointAnswer, error) {
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -24,6 +24,13 @@
 	// relayedStateShare is the same if the state comes from another host, whose own wait
 	// adds to it.
 	relayedStateShare = 0.2
+	// pollGraceShare is how long after its wait a request for changes may be answered, as a
+	// share of the bound on what it reads: a wait, the grace and a second request without a
+	// wait must fit into the bound.
+	pollGraceShare = 0.15
+	// pollGraceFactor is the same as a multiple of the average duration of calls.
+	pollGraceFactor = 3
+	maxPollGrace    = 1500 * bvclock.Millisecond
 	// minWait is the wait of a request that should be answered immediately.
 	minWait = 1 * bvclock.Millisecond
 	// cleanupInterval is the time between two checks for idle connections.
@@ -38,6 +45,14 @@
 	return min(maxWait, bvclock.Duration(float64(bound)*waitShare))
 }
 
+// pollGrace returns how long after its wait a request for changes may be answered, if they
+// must be known within a bound. It allows for a slow store, whose calls take a certain time
+// on average.
+func pollGrace(bound, averageAnswerTime bvclock.Duration) bvclock.Duration {
+	grace := max(bvclock.Duration(pollGraceShare*float64(bound)), pollGraceFactor*averageAnswerTime)
+	return min(grace, maxPollGrace)
+}
+
 // stateWait returns how long the platform holds a request for changes of the desired
 // state, which must be in force within a bound.
 func stateWait(apply bvclock.Duration) bvclock.Duration {
@@ -66,7 +81,7 @@
 		}
 		router.countStoreCall("await routes")
 		queryCtx, release := router.store.untilRegained(ctx)
-		table, next, err := router.parts.Platform.AwaitRoutes(queryCtx, after, wait)
+		table, next, err := router.parts.Platform.AwaitRoutes(queryCtx, after, wait, maxPollGrace)
 		answeredEarly = router.clock.Now().Sub(requestedAt) < wait
 		regained := queryCtx.Err() != nil
 		release()
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -44,18 +44,20 @@
 type Platform interface {
 	bvplatform.Store
 	// AwaitEndpoints returns the changes of the list of endpoints after a change
-	// sequence number, as soon as there are any, or no changes after the given wait. It
-	// returns the full list for sequence number 0, and if the changes since then are no
-	// longer known. Entries that can't be read are reported in the error, which is
-	// returned together with the other entries.
-	AwaitEndpoints(ctx context.Context, after int64, wait bvclock.Duration) (bvplatform.EndpointChanges, error)
+	// sequence number, as soon as there are any, or no changes after the given wait. The
+	// request fails if it is not answered within grace after the wait. It returns the full
+	// list for sequence number 0, and if the changes since then are no longer known.
+	// Entries that can't be read are reported in the error, which is returned together
+	// with the other entries.
+	AwaitEndpoints(ctx context.Context, after int64, wait, grace bvclock.Duration) (bvplatform.EndpointChanges, error)
 	// FirstEndpoints returns the first entries of the list, or all of them if there are no
 	// more than limit.
 	FirstEndpoints(ctx context.Context, limit int) (bvplatform.EndpointChanges, error)
 	// AwaitRoutes returns the desired state when it changes after a change sequence
 	// number, and the sequence number for the next call; no table if nothing has changed
-	// after the given wait.
-	AwaitRoutes(ctx context.Context, after int64, wait bvclock.Duration) (*bvroute.Table, int64, error)
+	// after the given wait. The request fails if it is not answered within grace after
+	// the wait.
+	AwaitRoutes(ctx context.Context, after int64, wait, grace bvclock.Duration) (*bvroute.Table, int64, error)
 }
 
 // Wire reads and writes the headers of callers and endpoints.
--- a/bvrouter/store_calls.go
+++ b/bvrouter/store_calls.go
@@ -45,11 +45,11 @@
 // only. A failure triggers an immediate probe, since a host without other calls would detect
 // an unreachable store late. The error is errRegained if the request was canceled because
 // the store is reachable again.
-func (client *storeClient) AwaitEndpoints(ctx context.Context, after int64, wait bvclock.Duration) (bvplatform.EndpointChanges, error) {
+func (client *storeClient) AwaitEndpoints(ctx context.Context, after int64, wait, grace bvclock.Duration) (bvplatform.EndpointChanges, error) {
 	client.count("await endpoints")
 	queryCtx, release := client.untilRegained(ctx)
 	defer release()
-	changes, err := client.platform.AwaitEndpoints(queryCtx, after, wait)
+	changes, err := client.platform.AwaitEndpoints(queryCtx, after, wait, grace)
 	if changes.Next != 0 {
 		return changes, err
 	}
--- a/bvrouter/store_client.go
+++ b/bvrouter/store_client.go
@@ -219,6 +219,13 @@
 	return keys
 }
 
+// averageAnswerTime returns the moving average of the duration of answered calls.
+func (client *storeClient) averageAnswerTime() bvclock.Duration {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	return bvclock.Duration(client.averageDuration)
+}
+
 // timeout returns the timeout of the next call.
 func (client *storeClient) timeout() bvclock.Duration {
 	bound := max(minStoreTimeout, bvclock.Duration(storeTimeoutFactor*client.averageDuration))
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,6 +12,7 @@
 tests=(
   "bvledger TestPromisesHoldUnderFaults 400"
   "bvgate TestPoolKeepsItsInvariantsUnderFailures 150"
+  "bvrouter TestNoEndpointIsCalledBeyondTheDrainBound 100"
   "bvtable TestTableNeverLosesAnEditAndNeverGoesBack 150"
 )
 out=$(mktemp -d)
