Each step of a change has a share of its bound, and the shares add up

The age that a host accepts from another one (0.6 of the drain bound; 2.02 s of an apply bound of 2 s), its own poll (0.25), up to four hosts that take 0.3 s each to time out, a pause after an early answer and the wait of the next request, and the time to send were each set alone. Besides, a host stated the age of its list after it had read the changes, so that an update between the two made them look newer.

Readers poll more often (0.15), so that their lists are 0.3 of a bound old at most; a follower asks the two readers (0.1 each), then the store. The wait after a pause is shorter by the pause. A host that the store rejects still takes lists of up to 0.6 of the bound: none is worse.

Evidence: TestListOfAReaderIsOnlyTakenIfItIsRecent fails on the commit before,

--- FAIL: Target error should be in err chain: expected: "router: no other host has the list"

as does TestStateOfAReaderIsOnlyTakenIfItIsRecent (2,020 ms accepted for a bound of 2 s, by a print of the function).

--- a/bvrouter/confirm.go
+++ b/bvrouter/confirm.go
@@ -80,8 +80,15 @@
 // refreshRoutesInTime does the same instead of a request to the store. It reports whether
 // the state is as recent as after such a request.
 func (router *Router) refreshRoutesInTime(ctx context.Context, hosts []string) bool {
-	age, found := router.loadRoutes(ctx, hosts, sourceTimeout)
-	return found && age <= maxConfirmedAge(router.settings.ApplyBound, router.settings.RevocationBound)
+	apply := router.settings.ApplyBound
+	age, found := router.loadRoutes(ctx, hosts, shareOf(apply, sourceTimeoutShare))
+	return found && age <= maxFollowedStateAge(apply, router.settings.RevocationBound)
+}
+
+// maxFollowedStateAge returns the maximum age of the desired state that a host takes from a
+// reader instead of a request to the store.
+func maxFollowedStateAge(apply, revoke bvclock.Duration) bvclock.Duration {
+	return min(shareOf(apply, maxFollowedAgeShare), maxConfirmedAge(apply, revoke))
 }
 
 // loadRoutes applies the desired state of the first of some hosts that has it, and returns
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -24,13 +24,6 @@
 	// fullListWait is how long after its start a host tries to get another host's full
 	// list, while it serves with a partial one.
 	fullListWait = 10 * bvclock.Second
-	// maxListAgeShare bounds the age of another host's list, and of the partial list that
-	// a host starts with, as a share of the drain bound, after which a leaving endpoint
-	// must get no more calls.
-	maxListAgeShare = 0.6
-	// pausePerEndpoint is the pause after changes for each endpoint of the list: in a
-	// longer list, changes are more frequent.
-	pausePerEndpoint = 0.1 // milliseconds
 )
 
 // followEndpoints keeps the list of endpoints up to date. It requests only changes, since
@@ -40,9 +33,14 @@
 	if router.settings.FirstStart {
 		pause(ctx, firstReadDelay-router.clock.Now().Sub(router.started))
 	}
+	var pace pollPace
 	for ctx.Err() == nil {
-		requestedAt := router.clock.Now()
-		wait := router.nextEndpointWait()
+		requestedAt, interval := router.clock.Now(), router.endpointPollInterval()
+		wait := pace.nextWait(interval)
+		isReread := router.hasFailedRead()
+		if isReread {
+			wait = minWait // the answer separates the changes of the outage from those after it
+		}
 		answer, err := router.queryEndpoints(ctx, wait)
 		switch {
 		case errors.Is(err, errRegained):
@@ -63,35 +61,37 @@
 			router.log.WithError(err).WithField("endpoints", answer.changes.Unusable).Warn("entries of the list of endpoints can't be used")
 		}
 		router.applyEndpoints(answer)
-		// Some answers come early without a change, since endpoints write their entries
-		// at each heartbeat: with 64 endpoints, they double the number of calls.
-		if !answer.changes.IsEmpty() && !answer.isRelayed() {
-			wait = min(wait, bvclock.Duration(pausePerEndpoint*float64(router.listedCount())))
+		elapsed := router.clock.Now().Sub(requestedAt)
+		switch {
+		case answer.isRelayed():
+			pause(ctx, interval-elapsed)
+		case !answer.changes.IsEmpty():
+			pause(ctx, pace.pauseAfterChange(interval, elapsed, router.listedCount()))
+		case !isReread:
+			pause(ctx, pace.pauseAfterNoChange(interval, elapsed))
 		}
-		pause(ctx, wait-router.clock.Now().Sub(requestedAt))
 	}
 }
 
-// nextEndpointWait returns how long the store may hold the next request for changes. After a
-// failed read the request does not wait: its answer separates the changes of the outage from
-// those after it.
-func (router *Router) nextEndpointWait() bvclock.Duration {
+// hasFailedRead reports whether a read of the list has failed since the last answer.
+func (router *Router) hasFailedRead() bool {
 	router.endpointsMutex.Lock()
 	defer router.endpointsMutex.Unlock()
-	if router.endpoints.readFailed {
-		return minWait
-	}
-	return router.endpointPollInterval()
+	return router.endpoints.readFailed
 }
 
-// endpointPollInterval returns the time between two requests for changes. It is halved in a
-// large fleet, where the polling interval of the queried host adds to this host's own.
+// endpointPollInterval returns the time between two requests for changes. In a large fleet,
+// the interval of the host that reads for this one adds to this host's own.
 func (router *Router) endpointPollInterval() bvclock.Duration {
-	wait := pollInterval(router.settings.DrainBound)
-	if router.fleet().isLarge() {
-		return wait / 2
+	interval := pollInterval(router.settings.DrainBound)
+	fleet := router.fleet()
+	switch {
+	case !fleet.isLarge():
+		return interval
+	case fleet.isReader():
+		return min(interval, shareOf(router.settings.DrainBound, readerPollShare))
 	}
-	return wait
+	return min(interval, shareOf(router.settings.DrainBound, followerPollShare))
 }
 
 // endpointAnswer is an answer about the list of endpoints.
@@ -123,7 +123,7 @@
 	}
 	fleet := router.fleet()
 	if fleet.isLarge() && router.listedCount() > maxDirectEndpoints && !fleet.isReader() {
-		if answer, err := router.queryHostsForChanges(ctx, fleet.candidates(), after); err == nil {
+		if answer, err := router.queryHostsForChanges(ctx, fleet.readers(), after, maxFollowedAgeShare); err == nil {
 			return answer, nil
 		}
 	}
@@ -171,7 +171,7 @@
 	if after == 0 {
 		return router.queryHostsForFullList(ctx, addresses)
 	}
-	return router.queryHostsForChanges(ctx, addresses, after)
+	return router.queryHostsForChanges(ctx, addresses, after, maxRelayedAgeShare)
 }
 
 // asOfTime returns the time since which the list may have changed. If the store held a
@@ -188,7 +188,7 @@
 // large list, and gets the full list from the hosts that read for others.
 func (router *Router) queryFullList(ctx context.Context, wait bvclock.Duration) (endpointAnswer, error) {
 	now := router.clock.Now()
-	if !router.endpointsKnown.Load() || now.Sub(router.partialListAsOf) > maxListAge(router.settings.DrainBound) {
+	if !router.endpointsKnown.Load() || now.Sub(router.partialListAsOf) > shareOf(router.settings.DrainBound, maxRelayedAgeShare) {
 		if answer, err := router.queryPartialList(ctx); answer.changes.Next != 0 {
 			return answer, err
 		}
@@ -216,29 +216,32 @@
 	return endpointAnswer{changes: changes, asOf: requestedAt, requestedAt: requestedAt, partial: !changes.Whole}, err
 }
 
-// queryHostsForChanges requests the changes after a sequence number from other hosts.
-func (router *Router) queryHostsForChanges(ctx context.Context, addresses []string, after int64) (endpointAnswer, error) {
+// queryHostsForChanges requests the changes after a sequence number from other hosts. Their
+// lists may be as old as a share of the drain bound.
+func (router *Router) queryHostsForChanges(ctx context.Context, addresses []string, after int64, maxAgeShare float64) (endpointAnswer, error) {
 	path := "/endpoints?after=" + strconv.FormatInt(after, 10)
-	return router.firstRecentAnswer(addresses, func(address string) (age bvclock.Duration, changes bvplatform.EndpointChanges, err error) {
+	limit := shareOf(router.settings.DrainBound, sourceTimeoutShare)
+	return router.firstRecentAnswer(addresses, maxAgeShare, func(address string) (age bvclock.Duration, changes bvplatform.EndpointChanges, err error) {
 		var answer struct {
 			Age     bvclock.Duration
 			Changes bvplatform.EndpointChanges
 		}
-		_, err = fetchJSON(ctx, address, path, sourceTimeout, &answer)
+		_, err = fetchJSON(ctx, address, path, limit, &answer)
 		return answer.Age, answer.Changes, err
 	})
 }
 
 // queryHostsForFullList requests the full list from other hosts.
 func (router *Router) queryHostsForFullList(ctx context.Context, addresses []string) (endpointAnswer, error) {
-	return router.firstRecentAnswer(addresses, func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error) {
+	return router.firstRecentAnswer(addresses, maxRelayedAgeShare, func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error) {
 		return fetchEndpointList(ctx, address)
 	})
 }
 
-// firstRecentAnswer returns the answer of the first of some hosts whose list is not too old.
+// firstRecentAnswer returns the answer of the first of some hosts whose list is not older
+// than a share of the drain bound.
 func (router *Router) firstRecentAnswer(
-	addresses []string, query func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error),
+	addresses []string, maxAgeShare float64, query func(address string) (bvclock.Duration, bvplatform.EndpointChanges, error),
 ) (endpointAnswer, error) {
 	for _, address := range addresses {
 		if address == router.settings.PeerAddress {
@@ -250,7 +253,7 @@
 			router.log.WithError(err).Debug("list of endpoints not read from another host")
 			continue
 		}
-		if age <= maxListAge(router.settings.DrainBound) {
+		if age <= shareOf(router.settings.DrainBound, maxAgeShare) {
 			router.counters.Count("lists_from_hosts", "endpoints")
 			return endpointAnswer{changes: changes, asOf: requestedAt.Add(-age), requestedAt: requestedAt, relayedBy: address}, nil
 		}
@@ -258,10 +261,6 @@
 	return endpointAnswer{}, errNoSource
 }
 
-func maxListAge(drain bvclock.Duration) bvclock.Duration {
-	return bvclock.Duration(maxListAgeShare * float64(drain))
-}
-
 // retainedCount returns how many endpoints are in use although they are not on the list.
 func (router *Router) retainedCount() int {
 	router.endpointsMutex.Lock()
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -18,8 +18,10 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsetting"
 )
 
 // Guards against a host that gets its list from another host and misses a change.
@@ -178,3 +180,36 @@
 	require.NoError(t, json.NewDecoder(reader).Decode(&hosts))
 	require.Equal(t, shared.hosts, hosts)
 }
+
+// readerOfAge returns the address of a host whose list has an age.
+func readerOfAge(t *testing.T, age bvclock.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		bvplatform.WriteAnswer(writer, struct {
+			Age     bvclock.Duration
+			Changes bvplatform.EndpointChanges
+		}{age, bvplatform.EndpointChanges{Next: 2}}, nil)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func followerOf(bound bvclock.Duration) *Router {
+	clock := bvclock.Boot()
+	return &Router{
+		settings: bvsetting.Host{DrainBound: bound, ApplyBound: bound}, clock: clock, log: silentLogger(),
+		state: &state{clock: clock, apply: bound}, counters: bvmeasure.New(),
+	}
+}
+
+// Guards against a list whose age, with the time until the next request, exceeds the drain bound.
+func TestListOfAReaderIsOnlyTakenIfItIsRecent(t *testing.T) {
+	const bound = 10 * bvclock.Second // leaves the time for the request itself out of account
+	router := followerOf(bound)
+	_, err := router.queryHostsForChanges(t.Context(), []string{readerOfAge(t, shareOf(bound, 0.3))}, 1, maxFollowedAgeShare)
+	require.NoError(t, err)
+	old := readerOfAge(t, shareOf(bound, 0.5))
+	_, err = router.queryHostsForChanges(t.Context(), []string{old}, 1, maxFollowedAgeShare)
+	require.ErrorIs(t, err, errNoSource)
+	_, err = router.queryHostsForChanges(t.Context(), []string{old}, 1, maxRelayedAgeShare)
+	require.NoError(t, err, "while the store does not answer, an older list is better than none")
+}
--- a/bvrouter/endpoint_share.go
+++ b/bvrouter/endpoint_share.go
@@ -33,11 +33,11 @@
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrRejected)
 		return
 	}
+	age := router.endpointsAge() // before the changes are read: they may only be newer
 	router.endpointsMutex.Lock()
 	changes, known := router.endpoints.since(after)
 	router.endpointsMutex.Unlock()
-	age := router.endpointsAge()
-	if !known || age > maxListAge(router.settings.DrainBound) {
+	if !known || age > shareOf(router.settings.DrainBound, maxRelayedAgeShare) {
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
 	}
@@ -54,6 +54,7 @@
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
 	}
+	age := router.endpointsAge() // before the list is read: it may only be newer
 	router.endpointsMutex.Lock()
 	complete, next := router.endpoints.isComplete(), router.endpoints.next
 	var endpoints []bvplatform.Endpoint
@@ -61,8 +62,7 @@
 		endpoints = slices.Collect(maps.Values(router.endpoints.listed))
 	}
 	router.endpointsMutex.Unlock()
-	age := router.endpointsAge()
-	if !complete || age > maxListAge(router.settings.DrainBound) {
+	if !complete || age > shareOf(router.settings.DrainBound, maxRelayedAgeShare) {
 		bvplatform.WriteAnswer(writer, nil, bvplatform.ErrUnavailable)
 		return
 	}
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -11,59 +11,12 @@
 )
 
 const (
-	// maxWait is the maximum time between two polls of the list of endpoints, and the
-	// maximum wait of a request to the platform for changes of the desired state. It also
-	// bounds how long a dead connection goes unnoticed.
-	maxWait = 1500 * bvclock.Millisecond
-	// waitShare bounds the same as a share of the drain bound: a leaving endpoint must get
-	// no more calls when that has passed.
-	waitShare = 0.5
-	// stateWaitShare is the same for a new desired state. Two waits must fit into the time
-	// for which the state counts as up to date: it gets that old before an answer arrives.
-	stateWaitShare = 0.43
-	// relayedStateShare is the same if the state comes from another host, whose own wait
-	// adds to it.
-	relayedStateShare = 0.2
-	// pollGraceShare is how long after its wait a request for changes may be answered, as a
-	// share of the bound on what it reads: a wait, the grace and a second request without a
-	// wait must fit into the bound.
-	pollGraceShare = 0.15
-	// pollGraceFactor is the same as a multiple of the average duration of calls.
-	pollGraceFactor = 3
-	maxPollGrace    = 1500 * bvclock.Millisecond
-	// minWait is the wait of a request that should be answered immediately.
-	minWait = 1 * bvclock.Millisecond
 	// cleanupInterval is the time between two checks for idle connections.
 	cleanupInterval = 1000 * bvclock.Millisecond
 	// retryInterval is the pause after a failed call to the platform.
 	retryInterval = 200 * bvclock.Millisecond
 )
 
-// pollInterval returns the time between two polls for changes that must be known within a
-// bound.
-func pollInterval(bound bvclock.Duration) bvclock.Duration {
-	return min(maxWait, bvclock.Duration(float64(bound)*waitShare))
-}
-
-// pollGrace returns how long after its wait a request for changes may be answered, if they
-// must be known within a bound. It allows for a slow store, whose calls take a certain time
-// on average.
-func pollGrace(bound, averageAnswerTime bvclock.Duration) bvclock.Duration {
-	grace := max(bvclock.Duration(pollGraceShare*float64(bound)), pollGraceFactor*averageAnswerTime)
-	return min(grace, maxPollGrace)
-}
-
-// stateWait returns how long the platform holds a request for changes of the desired
-// state, which must be in force within a bound.
-func stateWait(apply bvclock.Duration) bvclock.Duration {
-	return min(maxWait, bvclock.Duration(float64(apply)*stateWaitShare))
-}
-
-// relayedStateWait is the same in a fleet where most hosts query another host.
-func relayedStateWait(apply bvclock.Duration) bvclock.Duration {
-	return min(maxWait, bvclock.Duration(float64(apply)*relayedStateShare))
-}
-
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
 	outage := bvlog.Outage{Dependency: "desired state", Log: router.log}
@@ -72,10 +25,10 @@
 		requestedAt := router.clock.Now()
 		wait := router.state.nextWait(answeredEarly)
 		if fleet := router.fleet(); fleet.isLarge() {
-			wait = min(wait, relayedStateWait(router.settings.ApplyBound))
-			if !fleet.isReader() && router.refreshRoutesInTime(ctx, fleet.candidates()) {
+			wait = min(wait, shareOf(router.settings.ApplyBound, readerPollShare))
+			if !fleet.isReader() && router.refreshRoutesInTime(ctx, fleet.readers()) {
 				outage.Record(nil)
-				pause(ctx, relayedStateWait(router.settings.ApplyBound)-router.clock.Now().Sub(requestedAt))
+				pause(ctx, shareOf(router.settings.ApplyBound, followerStateShare)-router.clock.Now().Sub(requestedAt))
 				continue
 			}
 		}
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -34,6 +34,12 @@
 	require.Equal(t, 1400*bvclock.Millisecond, maxConfirmedAge(3*bvclock.Second, 2*bvclock.Second))
 }
 
+// Guards against a desired state of a reader that is older than the apply bound when it is replaced.
+func TestStateOfAReaderIsOnlyTakenIfItIsRecent(t *testing.T) {
+	require.Equal(t, 700*bvclock.Millisecond, maxFollowedStateAge(2*bvclock.Second, 0))
+	require.Equal(t, 350*bvclock.Millisecond, maxFollowedStateAge(2*bvclock.Second, 500*bvclock.Millisecond))
+}
+
 // Guards against keys that are accepted after a suspension because it is not counted.
 func TestKeysAreConfirmedForLessThanTheirBound(t *testing.T) {
 	clock := &bvclock.Manual{}
