A lost answer does not delay a desired state beyond its bound

It is given up by the same share of the bound as the requests for the list of endpoints, and repeated at once without a wait.

--- FAIL: TestLostAnswerDoesNotDelayTheDesiredStateBeyondItsBound expected: int(3) actual : int64(2)

fails on the commit before.

--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -19,12 +19,14 @@
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsetting"
 )
 
 const (
 	testDrainBound = 2 * bvclock.Second
+	testApplyBound = 2 * bvclock.Second
 	// contactTime is how long after an outage a host must meet the drain bound again.
 	contactTime = 3 * bvclock.Second
 	// sendTime is how long a request may take from the choice of its endpoint until it
@@ -38,17 +40,20 @@
 	store *fakeStore
 }
 
-// startFollowing starts a host in virtual time. It is stopped when ctx is canceled.
-func startFollowing(ctx context.Context, t *testing.T, store *fakeStore) followedHost {
+// newRouterOf returns a router of a fake store, in virtual time, whose desired state has the
+// one service apps.
+func newRouterOf(t *testing.T, store *fakeStore) *Router {
 	disabled, err := bvmechanism.Parse("relays,readers")
 	require.NoError(t, err)
 	clock := bubbleClock{}
 	router := &Router{
-		settings:    bvsetting.Host{DrainBound: testDrainBound, Disabled: disabled},
+		settings:    bvsetting.Host{DrainBound: testDrainBound, ApplyBound: testApplyBound, Disabled: disabled},
+		parts:       Parts{Platform: store},
 		clock:       clock,
 		started:     clock.Now(),
 		log:         silentLogger(),
-		state:       &state{clock: clock},
+		state:       &state{clock: clock, apply: testApplyBound},
+		limiter:     bvquota.New(clock, bvquota.Bounds{}),
 		dispatcher:  bvdispatch.NewDispatcher(clock, 1, "z"),
 		connections: &bvforward.Connections{Clock: clock},
 		counters:    bvmeasure.New(),
@@ -58,6 +63,12 @@
 	table, err := bvroute.NewTable(bvroute.Rows{Version: 1, Services: []bvroute.Service{{Name: "apps"}}})
 	require.NoError(t, err)
 	router.state.replace(table)
+	return router
+}
+
+// startFollowing starts a host that follows the list. It is stopped when ctx is canceled.
+func startFollowing(ctx context.Context, t *testing.T, store *fakeStore) followedHost {
+	router := newRouterOf(t, store)
 	go router.followEndpoints(ctx)
 	go router.store.runProbes(ctx, "probe")
 	go callRegularly(ctx, router)
--- a/bvrouter/fake_store_test.go
+++ b/bvrouter/fake_store_test.go
@@ -30,6 +30,7 @@
 	Platform // no other method is called
 
 	mutex     sync.Mutex
+	version   int64 // of the desired state
 	rows      map[string]bvplatform.Endpoint
 	changed   map[string]int64 // change sequence number of each name
 	sequence  int64
@@ -182,7 +183,37 @@
 	return make([]bvplatform.Row, len(keys)), nil
 }
 
+// setVersion writes a version of the desired state.
+func (store *fakeStore) setVersion(version int64) { store.change(func() { store.version = version }) }
+
+func (store *fakeStore) table() (*bvroute.Table, int64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	table, _ := bvroute.NewTable(bvroute.Rows{Version: store.version}) // a table without rows is valid
+	return table, store.version
+}
+
 // AwaitRoutes implements Platform.
-func (store *fakeStore) AwaitRoutes(context.Context, int64, bvclock.Duration, bvclock.Duration) (*bvroute.Table, int64, error) {
-	return nil, 0, bvplatform.ErrUnavailable
+func (store *fakeStore) AwaitRoutes(ctx context.Context, after int64, wait, grace bvclock.Duration) (*bvroute.Table, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, (wait + grace).Std())
+	defer cancel()
+	if store.takeHang() {
+		<-ctx.Done()
+	}
+	pause(ctx, answerTime)
+	for end := bvclock.After(wait); ; {
+		_, notify := store.state()
+		if ctx.Err() != nil {
+			return nil, after, bvplatform.NoAnswerError(true, ctx.Err())
+		}
+		if table, version := store.table(); version > after {
+			return table, version, nil
+		}
+		select {
+		case <-notify:
+		case <-ctx.Done():
+		case <-end:
+			return nil, after, nil
+		}
+	}
 }
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -20,10 +20,13 @@
 // followRoutes keeps the desired state up to date.
 func (router *Router) followRoutes(ctx context.Context) {
 	outage := bvlog.Outage{Dependency: "desired state", Log: router.log}
-	after, answeredEarly := int64(0), false
+	after, answeredEarly, failures := int64(0), false, 0
 	for ctx.Err() == nil {
 		requestedAt := router.clock.Now()
 		wait := router.state.nextWait(answeredEarly)
+		if failures > 0 {
+			wait = minWait
+		}
 		if fleet := router.fleet(); fleet.isLarge() {
 			wait = min(wait, shareOf(router.settings.ApplyBound, readerPollShare))
 			if !fleet.isReader() && router.refreshRoutesInTime(ctx, fleet.readers()) {
@@ -34,18 +37,23 @@
 		}
 		router.countStoreCall("await routes")
 		queryCtx, release := router.store.untilRegained(ctx)
-		table, next, err := router.parts.Platform.AwaitRoutes(queryCtx, after, wait, maxPollGrace)
+		table, next, err := router.parts.Platform.AwaitRoutes(queryCtx, after, wait, pollGrace(router.settings.ApplyBound, router.store.averageAnswerTime()))
 		answeredEarly = router.clock.Now().Sub(requestedAt) < wait
 		regained := queryCtx.Err() != nil
 		release()
 		if err != nil && regained {
 			continue // the store is reachable again, and never answers this request
 		}
-		outage.Record(unlessCanceled(ctx, err))
 		if err != nil {
-			pause(ctx, retryInterval)
+			failures++
+			if failures > 1 { // a connection that has become silent fails one request
+				outage.Record(unlessCanceled(ctx, err))
+				pause(ctx, retryInterval)
+			}
 			continue
 		}
+		failures = 0
+		outage.Record(nil)
 		if table == nil && next == 0 {
 			pause(ctx, retryInterval) // no desired state has been written yet
 			continue
--- a/bvrouter/follow_test.go
+++ b/bvrouter/follow_test.go
@@ -1,7 +1,9 @@
 package bvrouter
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -40,6 +42,27 @@
 	require.Equal(t, 350*bvclock.Millisecond, maxFollowedStateAge(2*bvclock.Second, 500*bvclock.Millisecond))
 }
 
+// Guards against a desired state that is learned late because a request for it gets no answer.
+func TestLostAnswerDoesNotDelayTheDesiredStateBeyondItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := newFakeStore()
+		store.setVersion(2)
+		router := newRouterOf(t, store)
+		go router.followRoutes(ctx)
+		bvclock.Sleep(10 * bvclock.Second)
+		require.EqualValues(t, 2, router.currentVersion())
+		store.hangNext()
+		for store.hangs() {
+			bvclock.Sleep(bvclock.Millisecond)
+		}
+		store.setVersion(3)
+		bvclock.Sleep(testApplyBound)
+		require.EqualValues(t, 3, router.currentVersion())
+	})
+}
+
 // Guards against keys that are accepted after a suspension because it is not counted.
 func TestKeysAreConfirmedForLessThanTheirBound(t *testing.T) {
 	clock := &bvclock.Manual{}
