A partial list is kept up to date while the full list is read

The full list is read beside the loop that follows the list. The part in use is followed by its changes each quarter of the drain bound, and a full list comes into force together with the changes made while it was transferred.

--- FAIL: TestPartialListIsKeptUpToDateWhileTheFullListIsRead endpoint_drain_test.go:184: Should be false

fails on the commit before (endpoint removed while a read of 4 s is in flight, checked 1.6 s later).

Weighed: reading the part again costs 128 rows each time; its changes cost next to nothing once all endpoints have registered.

--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -163,6 +163,33 @@
 	})
 }
 
+// Guards against calls to an endpoint of a partial list that left while the full list is read.
+func TestPartialListIsKeptUpToDateWhileTheFullListIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var names []string
+		for i := range maxDirectEndpoints + 10 {
+			names = append(names, fmt.Sprintf("e%03d", i))
+		}
+		store := newFakeStore(names...)
+		store.readTime = 2 * testDrainBound
+		host := startFollowing(ctx, t, store)
+		bvclock.Sleep(testDrainBound)
+		store.remove("e000")
+		store.put(leavingEndpoint("e001"))
+		bvclock.Sleep(testDrainBound - sendTime)
+		require.Less(t, host.EndpointCount(), len(names), "the full list is still being read")
+		require.True(t, host.calls("e002"))
+		require.False(t, host.calls("e000"))
+		require.False(t, host.calls("e001"))
+		bvclock.Sleep(testDrainBound)
+		require.Equal(t, len(names)-1, host.EndpointCount())
+		require.False(t, host.calls("e000"))
+		require.False(t, host.calls("e001"))
+	})
+}
+
 // drainStep is a step of a random test.
 type drainStep struct {
 	action    string
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -63,6 +63,7 @@
 		router.applyEndpoints(answer)
 		elapsed := router.clock.Now().Sub(requestedAt)
 		switch {
+		case answer.partial: // queryFullList waits for the full list
 		case answer.isRelayed():
 			pause(ctx, interval-elapsed)
 		case !answer.changes.IsEmpty():
@@ -100,7 +101,7 @@
 	asOf        bvclock.Time // the list may have changed since then
 	requestedAt bvclock.Time
 	relayedBy   string           // address of the host that it comes from; empty: the store
-	partial     bool             // a part of the list only
+	partial     bool             // a part of the list only, or its changes
 	listAge     bvclock.Duration // age of this host's list before the answer
 }
 
@@ -184,38 +185,6 @@
 	return requestedAt
 }
 
-// queryFullList requests the list if this host has none yet. It starts with a part of a
-// large list, and gets the full list from the hosts that read for others.
-func (router *Router) queryFullList(ctx context.Context, wait bvclock.Duration) (endpointAnswer, error) {
-	now := router.clock.Now()
-	if !router.endpointsKnown.Load() || now.Sub(router.partialListAsOf) > shareOf(router.settings.DrainBound, maxRelayedAgeShare) {
-		if answer, err := router.queryPartialList(ctx); answer.changes.Next != 0 {
-			return answer, err
-		}
-		if !router.endpointsKnown.Load() {
-			return router.queryStore(ctx, 0, wait)
-		}
-	}
-	fleet, age := router.fleet(), now.Sub(router.started)
-	if router.hosts.Load() == nil && age < hostListWait {
-		return endpointAnswer{}, errNoSource // whether the fleet is large is not known yet
-	}
-	if fleet.isLarge() && !fleet.isReader() && age < fullListWait {
-		return router.queryHostsForFullList(ctx, append(fleet.randomHosts(), fleet.readers()...))
-	}
-	return router.queryStore(ctx, 0, wait)
-}
-
-// queryPartialList reads a part of the list from the store, or all of a short one.
-func (router *Router) queryPartialList(ctx context.Context) (endpointAnswer, error) {
-	requestedAt := router.clock.Now()
-	changes, err := router.store.FirstEndpoints(ctx, maxDirectEndpoints)
-	if changes.Next != 0 {
-		router.partialListAsOf = requestedAt
-	}
-	return endpointAnswer{changes: changes, asOf: requestedAt, requestedAt: requestedAt, partial: !changes.Whole}, err
-}
-
 // queryHostsForChanges requests the changes after a sequence number from other hosts. Their
 // lists may be as old as a share of the drain bound.
 func (router *Router) queryHostsForChanges(ctx context.Context, addresses []string, after int64, maxAgeShare float64) (endpointAnswer, error) {
@@ -326,7 +295,7 @@
 	defer router.endpointsMutex.Unlock()
 	answer.listAge = router.endpointsAge()
 	if answer.partial {
-		router.setEndpoints(router.endpoints.useSubstitute(now, answer.changes.Listed))
+		router.setEndpoints(router.endpoints.applyPartial(now, answer.changes))
 		router.endpointsKnown.Store(true)
 		return
 	}
--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -324,6 +324,22 @@
 	return list.substitute
 }
 
+// applyPartial uses a part of the list, or changes of the part in use.
+func (list *endpointList) applyPartial(now bvclock.Time, changes bvplatform.EndpointChanges) []bvplatform.Endpoint {
+	if list.substitute == nil {
+		return list.useSubstitute(now, changes.Listed)
+	}
+	removed := make(map[string]bool)
+	for _, name := range slices.Concat(changes.Gone, changes.Unusable) {
+		removed[name] = true
+	}
+	for _, endpoint := range changes.Listed {
+		removed[endpoint.Name] = true
+	}
+	kept := slices.DeleteFunc(slices.Clone(list.substitute), func(endpoint bvplatform.Endpoint) bool { return removed[endpoint.Name] })
+	return list.useSubstitute(now, append(kept, changes.Listed...))
+}
+
 // findMissing returns the known endpoints that are not listed, except those whose address
 // another endpoint has now.
 func findMissing(listed map[string]bvplatform.Endpoint, known []bvplatform.Endpoint) map[string]bvplatform.Endpoint {
--- a/bvrouter/fake_store_test.go
+++ b/bvrouter/fake_store_test.go
@@ -35,7 +35,8 @@
 	changed   map[string]int64 // change sequence number of each name
 	sequence  int64
 	silent    bool
-	hangsNext bool // the next request for changes gets no answer
+	hangsNext bool             // the next request for changes gets no answer
+	readTime  bvclock.Duration // of a full list
 	notify    chan struct{}
 }
 
@@ -135,6 +136,11 @@
 
 // AwaitEndpoints implements Platform.
 func (store *fakeStore) AwaitEndpoints(ctx context.Context, after int64, wait, grace bvclock.Duration) (bvplatform.EndpointChanges, error) {
+	if after == 0 {
+		answer := store.since(0)
+		pause(ctx, store.readTime)
+		return answer, ctx.Err()
+	}
 	ctx, cancel := context.WithTimeout(ctx, (wait + grace).Std())
 	defer cancel()
 	if silent, _ := store.state(); silent {
@@ -167,8 +173,12 @@
 }
 
 // FirstEndpoints implements Platform.
-func (store *fakeStore) FirstEndpoints(ctx context.Context, _ int) (bvplatform.EndpointChanges, error) {
-	return store.AwaitEndpoints(ctx, 0, minWait, bvclock.Second)
+func (store *fakeStore) FirstEndpoints(ctx context.Context, limit int) (bvplatform.EndpointChanges, error) {
+	pause(ctx, answerTime)
+	answer := store.since(0)
+	answer.Whole = len(answer.Listed) <= limit
+	answer.Listed = answer.Listed[:min(len(answer.Listed), limit)]
+	return answer, ctx.Err()
 }
 
 // Read implements bvplatform.Store.
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -109,12 +109,12 @@
 	listedAsGrantor  bool
 	previousHandover *handover // of the last process, until this host is listed
 
-	endpointsMutex  sync.Mutex // held while a list of endpoints is applied
-	endpoints       endpointList
-	endpointsAsOf   atomic.Int64 // since when the list may have changed; 0 before the first one
-	endpointsKnown  atomic.Bool
-	partialListAsOf bvclock.Time // used by followEndpoints only: when a part of the list was last read
-	listCopies      atomic.Int64 // full lists that are being sent to other hosts
+	endpointsMutex sync.Mutex // held while a list of endpoints is applied
+	endpoints      endpointList
+	endpointsAsOf  atomic.Int64 // since when the list may have changed; 0 before the first one
+	endpointsKnown atomic.Bool
+	starting       startingList
+	listCopies     atomic.Int64 // full lists that are being sent to other hosts
 
 	incarnation string
 	gossip      *bvgossip.Gossip
