--- a/bvrouter/list_events.go
+++ b/bvrouter/list_events.go
@@ -10,7 +10,7 @@
 
 // listEvents holds the names of the endpoints whose use changed in an update of the list.
 type listEvents struct {
-	added    []string // new on the list
+	added    []string // new on the list, or no longer leaving
 	leaving  []string // on the list, but no longer accept calls
 	removed  []string // no longer on the list
 	retained []string // not on the list, and in use until their entries may be back
@@ -21,7 +21,7 @@
 func (events *listEvents) addChange(before bvplatform.Endpoint, found bool, after bvplatform.Endpoint) {
 	isLive, wasLive := after.State == bvplatform.HostLive, found && before.State == bvplatform.HostLive
 	switch {
-	case !found && isLive:
+	case isLive && !wasLive:
 		events.added = append(events.added, after.Name)
 	case !isLive && (!found || wasLive):
 		events.leaving = append(events.leaving, after.Name)
--- a/bvrouter/list_events_test.go
+++ b/bvrouter/list_events_test.go
@@ -20,7 +20,9 @@
 		Listed: append(endpointsNamed("d"), leavingEndpoint("a")), Gone: []string{"b"}, Next: 2,
 	})
 	require.Equal(t, listEvents{added: []string{"d"}, leaving: []string{"a"}, removed: []string{"b"}}, update.events)
-	update, _ = list.update(3, bvplatform.EndpointChanges{Whole: true, Listed: endpointsNamed("d", "e"), Next: 3})
+	update, _ = list.update(3, bvplatform.EndpointChanges{Listed: endpointsNamed("a"), Next: 3})
+	require.Equal(t, listEvents{added: []string{"a"}}, update.events, "its entry went back")
+	update, _ = list.update(4, bvplatform.EndpointChanges{Whole: true, Listed: endpointsNamed("d", "e"), Next: 4})
 	require.Equal(t, []string{"e"}, update.events.added)
 	require.ElementsMatch(t, []string{"a", "c"}, update.events.removed)
 }
