--- a/bvdaemon/follow.go
+++ b/bvdaemon/follow.go
@@ -11,22 +11,30 @@
 // listTimeout bounds one request for a list of the platform.
 const listTimeout = 2 * bvclock.Second
 
-// pollLists keeps the lists of hosts and endpoints up to date. While the platform
-// is unavailable the last lists stay in use, corrected by this host's own
+// followHosts keeps this host's entry and the list of hosts up to date. While the
+// platform is unavailable the last list stays in use, corrected by this host's own
 // observations.
-func (daemon *Daemon) pollLists(ctx context.Context) {
+func (daemon *Daemon) followHosts(ctx context.Context) {
 	hosts := bvlog.Outage{Dependency: "platform's list of hosts", Log: daemon.log}
-	endpoints := bvlog.Outage{Dependency: "platform's list of endpoints", Log: daemon.log}
 	ownEntry := bvlog.Outage{Dependency: "platform's list of hosts, for this host's entry,", Log: daemon.log}
 	for ctx.Err() == nil {
 		ownEntry.Record(daemon.announce(ctx))
 		hosts.Record(daemon.pollHosts(ctx))
-		endpoints.Record(daemon.pollEndpoints(ctx))
 		daemon.shareSuspects(ctx)
 		sleep(ctx, daemon.settings.PollInterval())
 	}
 }
 
+// followEndpoints keeps the list of endpoints up to date. It has its own loop: a
+// leaving endpoint must not get calls while other requests get no answer.
+func (daemon *Daemon) followEndpoints(ctx context.Context) {
+	endpoints := bvlog.Outage{Dependency: "platform's list of endpoints", Log: daemon.log}
+	for ctx.Err() == nil {
+		endpoints.Record(daemon.pollEndpoints(ctx))
+		sleep(ctx, daemon.settings.PollInterval())
+	}
+}
+
 func (daemon *Daemon) pollHosts(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout.Std())
 	defer cancel()
--- a/bvdaemon/run.go
+++ b/bvdaemon/run.go
@@ -39,7 +39,8 @@
 	})
 	group.Go(func() error { return daemon.peer.Serve(daemon.listeners.peer) })
 	group.Go(func() error { daemon.committer.run(loops); return nil })
-	group.Go(func() error { daemon.pollLists(loops); return nil })
+	group.Go(func() error { daemon.followHosts(loops); return nil })
+	group.Go(func() error { daemon.followEndpoints(loops); return nil })
 	group.Go(func() error { daemon.table.run(loops); return nil })
 	group.Go(func() error { daemon.reclaimPrograms(loops); return nil })
 	select {
