A host that starts does not read the full list because the store is slow

- the first read of a part of the list is given 60 ms, since no call has been answered yet; when it failed, the host read the full list instead, which is the larger call to the same store.
- the list of hosts, which names the readers, was waited for for 1 s.

The part is read again (its time to answer doubles), or the full list of another host if one is known; and while the partial list is in use and kept up to date, the list of hosts is waited for as long as for the readers.

--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -163,18 +163,53 @@
 	})
 }
 
+// longList returns the names of more endpoints than each host reads from the store.
+func longList() (names []string) {
+	for i := range maxDirectEndpoints + 10 {
+		names = append(names, fmt.Sprintf("e%03d", i))
+	}
+	return names
+}
+
+// Guards against a start of all hosts at which each of them reads the full list since the store is slow.
+func TestUnansweredReadOfAPartIsNotFollowedByOneOfTheFullList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := newFakeStore(longList()...)
+		store.partHangs = true
+		host := startFollowing(ctx, t, store)
+		bvclock.Sleep(900 * bvclock.Millisecond)
+		require.Equal(t, maxDirectEndpoints, host.EndpointCount())
+		require.Zero(t, store.fullReadCount())
+	})
+}
+
+// Guards against the same since the list of hosts, which names the readers, is read late.
+func TestFullListIsNotReadBeforeTheReadersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := newFakeStore(longList()...)
+		host := startFollowing(ctx, t, store)
+		bvclock.Sleep(fullListWait - bvclock.Second)
+		require.Equal(t, maxDirectEndpoints, host.EndpointCount())
+		require.Zero(t, store.fullReadCount())
+		bvclock.Sleep(3 * bvclock.Second)
+		require.Equal(t, maxDirectEndpoints+10, host.EndpointCount(), "it is read in the end")
+	})
+}
+
 // Guards against calls to an endpoint of a partial list that left while the full list is read.
 func TestPartialListIsKeptUpToDateWhileTheFullListIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		var names []string
-		for i := range maxDirectEndpoints + 10 {
-			names = append(names, fmt.Sprintf("e%03d", i))
-		}
+		names := longList()
 		store := newFakeStore(names...)
 		store.readTime = 2 * testDrainBound
 		host := startFollowing(ctx, t, store)
+		host.hosts.Store(&sharedHosts{asOf: 1})
 		bvclock.Sleep(testDrainBound)
 		store.remove("e000")
 		store.put(leavingEndpoint("e001"))
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -18,11 +18,8 @@
 	// endpoints is first read. Endpoints register within that time; each one that
 	// registers later is sent to each host separately.
 	firstReadDelay = 2500 * bvclock.Millisecond
-	// hostListWait is how long after its start a host waits for the list of hosts before
-	// it reads a large list of endpoints.
-	hostListWait = 1 * bvclock.Second
 	// fullListWait is how long after its start a host tries to get another host's full
-	// list, while it serves with a partial one.
+	// list, while it serves with a partial one that it keeps up to date.
 	fullListWait = 10 * bvclock.Second
 )
 
@@ -120,7 +117,7 @@
 func (router *Router) queryEndpoints(ctx context.Context, wait bvclock.Duration) (endpointAnswer, error) {
 	after := router.endpointsNext()
 	if after == 0 {
-		return router.queryFullList(ctx, wait)
+		return router.queryFullList(ctx)
 	}
 	fleet := router.fleet()
 	if fleet.isLarge() && router.listedCount() > maxDirectEndpoints && !fleet.isReader() {
--- a/bvrouter/endpoint_start.go
+++ b/bvrouter/endpoint_start.go
@@ -27,12 +27,9 @@
 
 // queryFullList requests the list if this host has none yet: first a part of it, then its
 // changes, until the full list is there.
-func (router *Router) queryFullList(ctx context.Context, wait bvclock.Duration) (endpointAnswer, error) {
+func (router *Router) queryFullList(ctx context.Context) (endpointAnswer, error) {
 	if !router.endpointsKnown.Load() {
-		if answer, err := router.queryPartialList(ctx); answer.changes.Next != 0 {
-			return answer, err
-		}
-		return router.queryStore(ctx, 0, wait)
+		return router.queryFirstList(ctx)
 	}
 	starting := &router.starting
 	refreshAt := starting.partialAsOf.Add(shareOf(router.settings.DrainBound, followerPollShare))
@@ -54,6 +51,20 @@
 	}
 }
 
+// queryFirstList reads a part of the list, or the full list of another host if the store does
+// not answer. It does not read the full list from the store, which takes longer: if the store
+// is slow since many hosts start, it would become slower.
+func (router *Router) queryFirstList(ctx context.Context) (endpointAnswer, error) {
+	answer, err := router.queryPartialList(ctx)
+	if !isUnanswered(ctx, answer, err) {
+		return answer, err
+	}
+	if relayed, relayErr := router.queryHosts(ctx, router.relays(), 0); relayErr == nil {
+		return relayed, nil
+	}
+	return answer, err
+}
+
 // queryPartialList reads a part of the list from the store, or all of a short one.
 func (router *Router) queryPartialList(ctx context.Context) (endpointAnswer, error) {
 	requestedAt := router.clock.Now()
@@ -86,7 +97,7 @@
 // none of them. It returns false if the list of hosts is not known yet.
 func (router *Router) startFullRead(ctx context.Context) bool {
 	fleet, age := router.fleet(), router.clock.Now().Sub(router.started)
-	if router.hosts.Load() == nil && age < hostListWait {
+	if router.hosts.Load() == nil && age < fullListWait {
 		return false
 	}
 	read := func() (endpointAnswer, error) { return router.queryStore(ctx, 0, minWait) }
--- a/bvrouter/fake_store_test.go
+++ b/bvrouter/fake_store_test.go
@@ -37,6 +37,8 @@
 	silent    bool
 	hangsNext bool             // the next request for changes gets no answer
 	readTime  bvclock.Duration // of a full list
+	fullReads int              // reads of the full list
+	partHangs bool             // the next read of a part of the list gets no answer
 	notify    chan struct{}
 }
 
@@ -77,6 +79,13 @@
 
 func (store *fakeStore) hangNext() { store.change(func() { store.hangsNext = true }) }
 
+// fullReadCount returns how often the full list was read.
+func (store *fakeStore) fullReadCount() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.fullReads
+}
+
 // hangs reports whether the next request for changes gets no answer.
 func (store *fakeStore) hangs() bool {
 	store.mutex.Lock()
@@ -137,6 +146,7 @@
 // AwaitEndpoints implements Platform.
 func (store *fakeStore) AwaitEndpoints(ctx context.Context, after int64, wait, grace bvclock.Duration) (bvplatform.EndpointChanges, error) {
 	if after == 0 {
+		store.change(func() { store.fullReads++ })
 		answer := store.since(0)
 		pause(ctx, store.readTime)
 		return answer, ctx.Err()
@@ -174,6 +184,12 @@
 
 // FirstEndpoints implements Platform.
 func (store *fakeStore) FirstEndpoints(ctx context.Context, limit int) (bvplatform.EndpointChanges, error) {
+	hangs := false
+	store.change(func() { hangs, store.partHangs = store.partHangs, false })
+	if hangs {
+		<-ctx.Done()
+		return bvplatform.EndpointChanges{}, bvplatform.NoAnswerError(true, ctx.Err())
+	}
 	pause(ctx, answerTime)
 	answer := store.since(0)
 	answer.Whole = len(answer.Listed) <= limit
