A host whose list is newer than its reader's does not read from the store

What is left of TestFewHostsOfALargeFleetReadTheLists: a host that got an answer of the store itself has a higher change number than its readers until their next poll. They refused it, and it read from the store again.

The reader answers that it has no changes, with its age: the requester's list has all that the reader's has, so that the age is true for it too.

What remains, printed: a host that counts a reader as silent at such a load, or waits longer for it than it may, reads the change itself, as it must.

--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -258,12 +258,16 @@
 }
 
 // since returns the changes after a sequence number, for another host. It returns false if
-// this host does not have all of them.
+// this host does not have all of them. A host whose own list is newer gets no changes: its
+// list has all that this one has.
 func (list *endpointList) since(after int64) (bvplatform.EndpointChanges, bool) {
 	names, known := list.log.since(after)
-	if !known || !list.isComplete() || list.next < after {
+	if !known || !list.isComplete() {
 		return bvplatform.EndpointChanges{}, false
 	}
+	if after > list.next {
+		return bvplatform.EndpointChanges{Next: after}, true
+	}
 	changes := bvplatform.EndpointChanges{Next: list.next}
 	for _, name := range names {
 		if endpoint, found := list.listed[name]; found {
