An endpoint whose retention ended in an outage leaves the pool

Found reading the change: an endpoint whose retention was held through an outage, and whose first end had passed by then, was reported as changed and as gone in one update. The dispatcher then kept its row: no calls went there, but its slots counted as free capacity until the next full list.

--- a/bvrouter/endpoint_list.go
+++ b/bvrouter/endpoint_list.go
@@ -181,6 +181,7 @@
 		listed, isListed := list.listed[name]
 		if !isListed {
 			update.events.dropped = append(update.events.dropped, name)
+			update.listed = slices.DeleteFunc(update.listed, func(endpoint bvplatform.Endpoint) bool { return endpoint.Name == name })
 		}
 		if !isListed || listed.ID() != endpoint.ID() {
 			update.gone = append(update.gone, endpoint)
--- a/bvrouter/endpoint_list_test.go
+++ b/bvrouter/endpoint_list_test.go
@@ -261,3 +261,17 @@
 	list.update(7100, bvplatform.EndpointChanges{Next: 2})
 	require.Empty(t, list.missing, "the outage was too short for the entry of b to expire again")
 }
+
+// Guards against an endpoint that stays in the pool without calls because its retention ended in an outage.
+func TestRetentionThatEndedInAnOutageIsReportedAsGone(t *testing.T) {
+	list := endpointList{minExpiry: 2400}
+	list.update(1, fullList("a", "b"))
+	list.recordFailure()
+	list.update(5000, fullList("a"))
+	list.recordFailure()
+	list.holdRetention()
+	update, changed := list.update(7100, bvplatform.EndpointChanges{Next: 2})
+	require.True(t, changed)
+	require.Equal(t, []string{"b"}, namesOf(update.gone))
+	require.Empty(t, update.listed)
+}
