A host that the store does not answer asks other hosts sooner

Found reading the change: with a store that is silent for one host, each round of its list took a wait of 1 s, the time to answer twice, and then the other hosts, up to 2.8 s with the age of their lists. While the store does not answer this host, its requests don't wait and are not repeated.

Besides, a request's line takes the age of the list from the time of its send, and reads no clock again.

--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -94,8 +94,9 @@
 
 // EndpointList is the list of endpoints that the dispatcher chooses from.
 type EndpointList interface {
-	// Age returns the time for which the list may have been outdated.
-	Age() bvclock.Duration
+	// AsOf returns the time since which the list may have changed, or the start of the
+	// process before the first full list.
+	AsOf() bvclock.Time
 }
 
 // Budgets reserves the tokens that a program's turn may generate.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -90,7 +90,7 @@
 	call.sends++
 	call.headReceived, call.serverError = false, false
 	call.endpoint, call.sentAt = endpoint, call.front.parts.Clock.Now()
-	call.listAge = call.front.parts.List.Age()
+	call.listAge = call.sentAt.Sub(call.front.parts.List.AsOf())
 	if endpoint.IsRetained() {
 		call.front.parts.Counters.Add("sends_to_retained", 1)
 	}
--- a/bvrouter/endpoint_follow.go
+++ b/bvrouter/endpoint_follow.go
@@ -34,9 +34,9 @@
 	for ctx.Err() == nil {
 		requestedAt, interval := router.clock.Now(), router.endpointPollInterval()
 		wait := pace.nextWait(interval)
-		isReread := router.hasFailedRead()
+		isReread := router.hasFailedRead() || !router.store.isReachable()
 		if isReread {
-			wait = minWait // the answer separates the changes of the outage from those after it
+			wait = minWait // the answer separates the changes of an outage from those after it
 		}
 		answer, err := router.queryEndpoints(ctx, wait)
 		switch {
@@ -129,11 +129,11 @@
 }
 
 // queryStore queries the store, or hosts that reach it if it does not answer this one. A
-// request that gets no answer is repeated once without a wait: its connection may have become
-// silent, while a new one works.
+// request that gets no answer is repeated once without a wait if the store answers others: its
+// connection may have become silent, while a new one works.
 func (router *Router) queryStore(ctx context.Context, after int64, wait bvclock.Duration) (endpointAnswer, error) {
 	answer, err := router.readStore(ctx, after, wait)
-	if isUnanswered(ctx, answer, err) && after != 0 {
+	if isUnanswered(ctx, answer, err) && after != 0 && router.store.isReachable() {
 		answer, err = router.readStore(ctx, after, minWait)
 	}
 	if isUnanswered(ctx, answer, err) {
@@ -234,20 +234,21 @@
 	return len(router.endpoints.missing)
 }
 
-// endpointsAge returns the time for which the list of endpoints may have been outdated: the
-// time since the start of the process before the first full list.
+// endpointsAge returns the time for which the list of endpoints may have been outdated.
 func (router *Router) endpointsAge() bvclock.Duration {
-	if asOf := bvclock.Time(router.endpointsAsOf.Load()); asOf != 0 {
-		return router.clock.Now().Sub(asOf)
-	}
-	return router.clock.Now().Sub(router.started)
+	return router.clock.Now().Sub(endpointsInUse{router}.AsOf())
 }
 
-// endpointAge implements bvfront.EndpointList.
-type endpointAge struct{ *Router }
+// endpointsInUse implements bvfront.EndpointList.
+type endpointsInUse struct{ *Router }
 
-// Age implements bvfront.EndpointList.
-func (age endpointAge) Age() bvclock.Duration { return age.endpointsAge() }
+// AsOf implements bvfront.EndpointList.
+func (endpoints endpointsInUse) AsOf() bvclock.Time {
+	if asOf := bvclock.Time(endpoints.endpointsAsOf.Load()); asOf != 0 {
+		return asOf
+	}
+	return endpoints.started
+}
 
 func (router *Router) endpointsNext() int64 {
 	router.endpointsMutex.Lock()
--- a/bvrouter/source.go
+++ b/bvrouter/source.go
@@ -31,7 +31,7 @@
 	readersKey = 0x7265616465727300
 	// maxRandomSources is the number of random hosts that are queried besides the readers.
 	maxRandomSources = 2
-	// sourceTimeout bounds a request to another host for changes.
+	// sourceTimeout bounds a request to another host for its list of hosts.
 	sourceTimeout = 300 * bvclock.Millisecond
 	// fullListTimeout bounds the read of a full list from another host.
 	fullListTimeout = 4 * bvclock.Second
