--- a/bvrouter/endpoint_drain_test.go
+++ b/bvrouter/endpoint_drain_test.go
@@ -389,3 +389,27 @@
 		}
 	})
 }
+
+func TestDrainOracleCatchesAHostThatMissesDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		run := &drainRun{host: startFollowing(ctx, t, newFakeStore("a", "b")), goneAt: make(map[string]bvclock.Time)}
+		run.watch(3 * bvclock.Second)
+		cancel()
+		run.removeOne(drainStep{})
+		run.watch(testDrainBound)
+		require.Contains(t, run.violation, "a is called")
+	})
+}
+
+func TestDrainOracleCatchesAHostThatForgetsExpiredEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		run := &drainRun{host: startFollowing(ctx, t, newFakeStore("a", "b")), goneAt: make(map[string]bvclock.Time)}
+		run.watch(3 * bvclock.Second)
+		run.host.endpoints.minExpiry = bvclock.Minute
+		run.stopStore(drainStep{length: bvclock.Second})
+		require.Contains(t, run.violation, "is not called although its entry only expired")
+	})
+}
