Logs, metrics and explain tell what counts as the crash of an endpoint

Nothing showed which calls count as broken, which signs as the loss of an endpoint, whether a crash was counted, for which request, who reported it and how old it was: the hypotheses of the incident could not be told apart.

What was Suspects in bvdispatch is the package bvsuspect, a pure Table and a wrapper that logs; the dispatcher reports lost endpoints to it, and the front reports calls that broke. What counts is as before: the tests of the table are the same, and the two tests that go through the lists of endpoints still make three restarts out of three broken calls. explain shows for each request its broken calls, the crashes counted and missed, and at how many hosts.

--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 )
 
 // Dispatcher holds the pools of all services. It is safe for concurrent use. Make one with
@@ -23,8 +24,24 @@
 	pools      map[string]*Pool
 	placements []Placement // since the last call of TakeLoadReport
 
-	suspects Suspects
-	trackers Trackers // nil: none
+	trackers Trackers     // nil: none
+	losses   LossObserver // nil: none
+}
+
+// LossObserver is notified of signs that an endpoint has crashed.
+type LossObserver interface {
+	// RecordEndpointLoss reports a sign that a start of an endpoint has ended.
+	RecordEndpointLoss(endpoint uint64, sign bvsuspect.Sign)
+}
+
+// SetLossObserver sets the observer of lost endpoints. It must be called before the first
+// call is dispatched.
+func (dispatcher *Dispatcher) SetLossObserver(observer LossObserver) { dispatcher.losses = observer }
+
+func (dispatcher *Dispatcher) reportLoss(endpoint uint64, sign bvsuspect.Sign) {
+	if dispatcher.losses != nil {
+		dispatcher.losses.RecordEndpointLoss(endpoint, sign)
+	}
 }
 
 // Trackers are the hosts that count the calls at endpoints. Endpoints go by the hashes
@@ -80,7 +97,7 @@
 	}
 	for service, pool := range dispatcher.pools {
 		for _, replaced := range pool.SetEndpoints(byService[service]) {
-			dispatcher.suspects.RecordEndpointLoss(dispatcher.clock.Now(), replaced) // a request that ran there may have crashed it
+			dispatcher.reportLoss(replaced, bvsuspect.Restarted)
 		}
 	}
 }
@@ -88,7 +105,6 @@
 // ChangeEndpoints applies changes to the list of all endpoints, at a cost that does not
 // grow with the list.
 func (dispatcher *Dispatcher) ChangeEndpoints(listed []bvplatform.Endpoint, removed []string) {
-	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	for _, name := range removed {
@@ -104,7 +120,7 @@
 			}
 		}
 		for _, replaced := range serving.PutEndpoint(entry) {
-			dispatcher.suspects.RecordEndpointLoss(now, replaced)
+			dispatcher.reportLoss(replaced, bvsuspect.Restarted)
 		}
 	}
 }
@@ -331,7 +347,7 @@
 // EndCall records the end of a call.
 func (dispatcher *Dispatcher) EndCall(service, endpoint string, request *Request, result Result) {
 	hash := HashID(endpoint)
-	dispatcher.reportRunning(hash, dispatcher.endCall(service, endpoint, hash, request, result))
+	dispatcher.reportRunning(hash, dispatcher.endCall(service, endpoint, hash, result))
 	if result.Outcome == Served && dispatcher.hasTracker(request) {
 		dispatcher.trackers.ReportHolding(request.Program, request.Conversation, hash, request.PromptTokens+result.OutputTokens)
 	}
@@ -339,42 +355,17 @@
 
 // endCall records the end of a call and returns how many calls this host still has at the
 // endpoint.
-func (dispatcher *Dispatcher) endCall(service, endpoint string, hash uint64, request *Request, result Result) int {
+func (dispatcher *Dispatcher) endCall(service, endpoint string, hash uint64, result Result) int {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	pool := dispatcher.pool(service)
 	pool.EndCall(now, endpoint, result)
 	switch result.Outcome {
-	case Broken:
-		dispatcher.suspects.RecordBrokenCall(now, request.ContentHash, hash)
-	case Unreachable, Wrong:
-		dispatcher.suspects.RecordEndpointLoss(now, hash)
+	case Unreachable:
+		dispatcher.reportLoss(hash, bvsuspect.Unreachable)
+	case Wrong:
+		dispatcher.reportLoss(hash, bvsuspect.AnotherInstance)
 	}
 	return pool.RunningAt(hash)
 }
-
-// IsPoisonous reports whether a request, by its content hash, has crashed too many
-// endpoints.
-func (dispatcher *Dispatcher) IsPoisonous(contentHash uint64) bool {
-	now := dispatcher.clock.Now()
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	return dispatcher.suspects.IsPoisonous(now, contentHash)
-}
-
-// RecentCrashes returns the crashes to report to other hosts.
-func (dispatcher *Dispatcher) RecentCrashes() []Crash {
-	now := dispatcher.clock.Now()
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	return dispatcher.suspects.RecentCrashes(now)
-}
-
-// AddPeerCrash records a crash that another host detected.
-func (dispatcher *Dispatcher) AddPeerCrash(crash Crash) {
-	now := dispatcher.clock.Now()
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	dispatcher.suspects.RecordCrash(now, crash)
-}
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -38,7 +38,6 @@
 	PromptTokens  int
 	Object        uint64          // that the call concerns; 0: none, or it makes no difference
 	Excluded      map[string]bool // endpoints that must not be chosen again
-	ContentHash   uint64          // the same for each retry of the request
 	HeldPrefix    HeldPrefix      // where the previous turn ran
 	Program       uint64          // that the turn belongs to; 0: none
 	Conversation  uint64          // sequence of the program's turns that this one continues
--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -1,13 +1,17 @@
 package bvdispatch
 
 import (
+	"io"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
+	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 )
 
 // start returns the entry of one start of an engine, which keeps its name.
@@ -79,15 +83,16 @@
 func TestEngineThatRestartsDuringARequestCountsAsCrashed(t *testing.T) {
 	clock := &bvclock.Manual{}
 	dispatcher := NewDispatcher(clock, 1, "")
-	request := &Request{ContentHash: 7}
-	for number := range crashLimit {
+	suspects := bvsuspect.New(clock, bvmeasure.New(), bvlog.New(io.Discard))
+	dispatcher.SetLossObserver(suspects)
+	for number := range 3 {
 		name := string(rune('a' + number))
 		before, after := start(name, "100", "10.0.0.1:1"), start(name, "200", "10.0.0.1:1")
 		before.Serves, after.Serves = "s", "s"
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{before})
-		dispatcher.EndCall("s", before.ID(), request, Result{Outcome: Broken})
-		require.False(t, dispatcher.IsPoisonous(7))
+		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: 7, Endpoint: HashID(before.ID())})
+		require.False(t, suspects.IsPoisonous(7))
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{after})
 	}
-	require.True(t, dispatcher.IsPoisonous(7))
+	require.True(t, suspects.IsPoisonous(7))
 }
--- a/bvexplain/explain.go
+++ b/bvexplain/explain.go
@@ -26,6 +26,9 @@
 // An endpoint counts as left from the first line of any host that reports it as leaving or
 // removed, unless a later line lists it again. The clocks of hosts differ, and so do the
 // times between their lines.
+//
+// A crash is missed if a call broke at an endpoint that some host found lost, and no host
+// counts it against the request.
 package bvexplain
 
 import (
@@ -69,6 +72,7 @@
 	programCount int
 	events       []event // of processes
 	departures   departures
+	crashes      crashes
 	matchedLines []string
 }
 
@@ -121,6 +125,7 @@
 		account.matchedLines = append(account.matchedLines, text)
 	}
 	account.departures.add(line)
+	account.crashes.add(line)
 	if !line.isRequest() {
 		account.addEvent(line)
 		return
--- a/bvexplain/line.go
+++ b/bvexplain/line.go
@@ -35,6 +35,12 @@
 	Retained bool      `json:"retained"`
 	// Endpoints are the names in a line about the list of endpoints.
 	Endpoints []string `json:"endpoints"`
+	// The following are fields of lines about requests that may crash endpoints: hashes of
+	// the request's content and path, and of the endpoint's start.
+	Content     string `json:"content"`
+	Path        string `json:"path"`
+	Incarnation string `json:"incarnation"`
+	Kind        string `json:"kind"`
 
 	at   float64 // time of the line, in seconds
 	host string
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -48,6 +48,7 @@
 	bodyTimedOut bool  // the body did not arrive before the read deadline
 	heldBytes    int64 // bytes of memory acquired
 	placement    bvdispatch.Request
+	content      uint64 // hash that is the same for each retry of the request
 
 	sends       int  // number of endpoints it was sent to
 	runs        int  // sends after which it may have run
@@ -118,14 +119,14 @@
 		Prefix:       call.metadata.Prefix,
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
-		ContentHash:  call.contentHash(),
 	}
+	call.content = call.contentHash()
 	if call.service.Engine != nil && call.metadata.Program != "" {
 		program := call.scopedID(call.metadata.Program)
 		call.placement.Program = bvroute.HashKey(program)
 		call.placement.Conversation = bvroute.HashKey(program + " " + call.metadata.Session)
 	}
-	if call.front.parts.Dispatcher.IsPoisonous(call.placement.ContentHash) {
+	if call.front.parts.Suspects.IsPoisonous(call.content) {
 		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longRetry)
 	}
 	if err := call.prepareTurn(); err != nil {
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -114,6 +115,9 @@
 			fields["kept_ms"] = int64(call.persistDuration)
 		}
 	}
+	if err != nil && call.content != 0 {
+		fields["content"] = bvsuspect.FormatHash(call.content)
+	}
 	entry := call.front.parts.Log.WithFields(fields)
 	if err != nil {
 		entry.WithError(err).Warn("request failed")
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -32,6 +32,7 @@
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 )
 
 // Wire reads and writes the headers that callers and endpoints use.
@@ -84,6 +85,13 @@
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	SetLoad(service, endpoint string, load bvroute.Load)
 	EndCall(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
+}
+
+// Suspects are the requests that may crash endpoints.
+type Suspects interface {
+	RecordBrokenCall(call bvsuspect.BrokenCall)
+	// IsPoisonous reports whether a request, by its content hash, has crashed too many
+	// endpoints.
 	IsPoisonous(content uint64) bool
 }
 
@@ -130,6 +138,7 @@
 	State      State
 	Store      Store
 	Dispatcher Dispatcher
+	Suspects   Suspects
 	Endpoints  Endpoints
 	List       EndpointList
 	Quotas     Quotas
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -9,6 +9,8 @@
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -141,6 +143,25 @@
 		result.UncachedTokens, result.TimeToFirstEvent = max(call.placement.PromptTokens-call.placement.CachedTokens, 0), call.firstEventAt.Sub(call.sentAt)
 	}
 	call.front.parts.Dispatcher.EndCall(call.service.Name, call.endpoint.ID(), &call.placement, result)
+	if outcome == bvdispatch.Broken {
+		call.reportBroken()
+	}
+}
+
+// reportBroken reports that the last send broke, which may mean that the request has
+// crashed the endpoint.
+func (call *call) reportBroken() {
+	path, _, _ := strings.Cut(call.target(), "?")
+	call.front.parts.Suspects.RecordBrokenCall(bvsuspect.BrokenCall{
+		Request:   call.content,
+		Endpoint:  bvdispatch.HashID(call.endpoint.ID()),
+		ID:        call.metadata.ID,
+		Route:     call.route.Name,
+		Path:      bvroute.HashKey(path),
+		Name:      call.endpoint.Name,
+		TimedOut:  call.ctx.Err() != nil,
+		HasAnswer: call.headReceived,
+	})
 }
 
 // handleRefusal reports that the endpoint did not run the request, and returns the error.
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -45,6 +45,11 @@
 //	desired_state_version version of the active routes
 //	hosts_heard           other hosts whose digests arrive
 //	endpoints             endpoints on the platform's list
+//	broken_calls          a map: calls that an endpoint may have run and did not answer
+//	                      completely, by the way in which they broke
+//	endpoint_losses       a map: signs that an endpoint has crashed, by sign
+//	crashes               a map: crashes counted against a request, by who detected them
+//	suspects              requests against which crashes count
 //	connections_opened    connections opened to endpoints
 //	budget_writes         transactions attempted on programs' budgets
 //	budget_accounts       programs with an account here
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -18,10 +19,12 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/bvsuspect"
 )
 
 // Guards against a host that gets its list from another host and misses a change.
@@ -157,6 +160,8 @@
 // Guards against a crash that goes unnoticed because the endpoint restarts under its name.
 func TestRestartInAChangeCountsAsACrash(t *testing.T) {
 	router := routerOfApps(t)
+	suspects := bvsuspect.New(&bvclock.Manual{}, bvmeasure.New(), bvlog.New(io.Discard))
+	router.dispatcher.SetLossObserver(suspects)
 	start := func(start int64) bvplatform.EndpointChanges {
 		endpoint := bvplatform.Endpoint{Name: "a", Address: "at-a", Serves: "apps", Started: bvclock.Time(start), Incarnation: strconv.FormatInt(start, 10)}
 		return bvplatform.EndpointChanges{Listed: []bvplatform.Endpoint{endpoint}, Next: start}
@@ -166,15 +171,14 @@
 	router.endpoints.update(1, first)
 	router.setEndpoints(router.endpoints.all())
 	for i := range int64(3) {
-		request := &bvdispatch.Request{ContentHash: 7}
-		chosen, found := router.dispatcher.Choose("apps", request)
+		chosen, found := router.dispatcher.Choose("apps", &bvdispatch.Request{})
 		require.True(t, found)
-		router.dispatcher.EndCall("apps", chosen.ID(), request, bvdispatch.Result{Outcome: bvdispatch.Broken})
+		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: 7, Endpoint: bvdispatch.HashID(chosen.ID())})
 		update, changed := router.endpoints.update(1, start(i+2))
 		require.True(t, changed)
 		router.changeEndpoints(update)
 	}
-	require.True(t, router.dispatcher.IsPoisonous(7))
+	require.True(t, suspects.IsPoisonous(7))
 }
 
 // Guards against a compressor for each request for the list of hosts.
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -15,6 +15,7 @@
 	"balsamvalve.example/bvlease"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 )
 
 // openGossip opens the UDP port for datagrams. It has the same number as the TCP port for
@@ -67,7 +68,7 @@
 			Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs),
 		})
 	}
-	for _, crash := range router.dispatcher.RecentCrashes() {
+	for _, crash := range router.suspects.RecentCrashes() {
 		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request, Endpoint: crash.Endpoint})
 	}
 	for _, placement := range placed {
@@ -161,7 +162,7 @@
 	}
 	handler.applyUsage(digest)
 	for _, crash := range digest.GetCrashes() {
-		handler.dispatcher.AddPeerCrash(bvdispatch.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
+		handler.suspects.AddPeerCrash(digest.GetHost(), bvsuspect.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
 	}
 	handler.budgets.AddHolder(digest.GetAddress(), digest.GetPrograms())
 }
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -38,6 +38,7 @@
 	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/bvsuspect"
 )
 
 // Platform is the interface of the platform that a routing daemon requires.
@@ -85,6 +86,7 @@
 	state       *state
 	store       *storeClient
 	dispatcher  *bvdispatch.Dispatcher
+	suspects    *bvsuspect.Suspects
 	connections *bvforward.Connections
 	budgets     *bvbudget.Allocator
 	histories   *bvhistory.Store
@@ -150,6 +152,8 @@
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
 	}
+	router.suspects = bvsuspect.New(clock, router.counters, log)
+	router.dispatcher.SetLossObserver(router.suspects)
 	router.limiter = bvquota.New(clock, bvquota.Bounds{
 		StartFull: settings.FirstStart, Window: settings.QuotaWindow, OverRatio: settings.QuotaOver, Slack: settings.QuotaSlack,
 	})
@@ -179,6 +183,7 @@
 		State:      router.state,
 		Store:      router.store,
 		Dispatcher: router.dispatcher,
+		Suspects:   router.suspects,
 		Endpoints:  router.connections,
 		List:       endpointsInUse{router},
 		Quotas:     quotas{router},
--- /dev/null
+++ b/bvsuspect/suspect.go
@@ -0,0 +1,193 @@
+// Package bvsuspect finds requests that crash the endpoints that run them.
+//
+// A request may crash each endpoint that runs it, and its caller sends it again through any
+// host: without this package it would crash one endpoint after the other. A crash is a call
+// that broke and the loss of its endpoint. Each host records what it detects, and reports it
+// to the others.
+//
+// A Table holds what is known; it is pure logic. Suspects wraps a Table for concurrent use,
+// and writes a log line for each step that decides whether a request is refused.
+//
+// # Usage
+//
+//	suspects := bvsuspect.New(clock, counters, log)
+//	suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: content, Endpoint: endpoint})
+//	suspects.RecordEndpointLoss(endpoint, bvsuspect.Unreachable)
+//	if suspects.IsPoisonous(content) {
+//		// refuse the request
+//	}
+package bvsuspect
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"balsamvalve.example/bvclock"
+)
+
+//go:generate stringer -type=Sign -linecomment -output=sign_string.go
+
+// Sign is a sign that an endpoint has crashed.
+type Sign int
+
+// The signs.
+const (
+	Unreachable     Sign = iota // unreachable
+	AnotherInstance             // another instance
+	Restarted                   // restarted
+)
+
+// BrokenCall is a call to an endpoint that ended without a complete answer.
+type BrokenCall struct {
+	Request  uint64 // content hash
+	Endpoint uint64 // hash of the endpoint's ID
+	// ID, Route, Path and Name describe the call in the log: the request's ID, its route, the
+	// hash of its path without the query, and the endpoint's name.
+	ID, Route string
+	Path      uint64
+	Name      string
+	TimedOut  bool // the call's deadline passed
+	HasAnswer bool // the endpoint began to answer
+}
+
+// Counters counts events.
+type Counters interface {
+	Count(name, kind string)
+}
+
+// Suspects holds the requests that may crash endpoints, as known to this host. It is safe
+// for concurrent use. Make one with New.
+type Suspects struct {
+	clock    bvclock.Clock
+	counters Counters
+	log      logrus.FieldLogger
+
+	mutex  sync.Mutex
+	table  Table
+	losses lossLog
+}
+
+// New returns Suspects without suspects.
+func New(clock bvclock.Clock, counters Counters, log logrus.FieldLogger) *Suspects {
+	return &Suspects{clock: clock, counters: counters, log: log}
+}
+
+// Len returns the number of suspects.
+func (suspects *Suspects) Len() int {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return suspects.table.Len()
+}
+
+// RecordBrokenCall records that a call broke at an endpoint that may have run it.
+func (suspects *Suspects) RecordBrokenCall(call BrokenCall) {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	suspects.table.RecordBrokenCall(now, call.Request, call.Endpoint)
+	suspects.counters.Count("broken_calls", call.kind())
+	suspects.log.WithFields(logrus.Fields{
+		"request":     call.ID,
+		"route":       call.Route,
+		"path":        FormatHash(call.Path),
+		"content":     FormatHash(call.Request),
+		"endpoint":    call.Name,
+		"incarnation": FormatHash(call.Endpoint),
+		"kind":        call.kind(),
+	}).Info("call broke at an endpoint")
+}
+
+// kind names the way in which a call broke.
+func (call BrokenCall) kind() string {
+	switch {
+	case call.TimedOut:
+		return "timed out"
+	case call.HasAnswer:
+		return "within the answer"
+	}
+	return "without an answer"
+}
+
+// RecordEndpointLoss records a sign that an endpoint has crashed.
+func (suspects *Suspects) RecordEndpointLoss(endpoint uint64, sign Sign) {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	suspects.counters.Count("endpoint_losses", sign.String())
+	crashes := suspects.table.RecordEndpointLoss(now, endpoint)
+	if suspects.losses.add(now, endpoint) {
+		suspects.log.WithFields(logrus.Fields{
+			"incarnation": FormatHash(endpoint), "sign": sign.String(), "broken_calls": len(crashes),
+		}).Info("endpoint lost")
+	}
+	for _, crash := range crashes {
+		suspects.logCrash(crash.Crash, logrus.Fields{"source": "here", "sign": sign.String(), "broken_ms": int64(crash.BrokenFor)})
+	}
+}
+
+// AddPeerCrash records a crash that another host detected.
+func (suspects *Suspects) AddPeerCrash(host string, crash Crash) {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	if suspects.table.RecordCrash(now, crash) {
+		suspects.logCrash(crash, logrus.Fields{"source": host})
+	}
+}
+
+func (suspects *Suspects) logCrash(crash Crash, fields logrus.Fields) {
+	source := "here"
+	if fields["source"] != source {
+		source = "other hosts"
+	}
+	suspects.counters.Count("crashes", source)
+	suspects.log.WithFields(fields).WithFields(logrus.Fields{
+		"content": FormatHash(crash.Request), "incarnation": FormatHash(crash.Endpoint), "crashes": suspects.table.Crashes(crash.Request),
+	}).Info("crash counted")
+}
+
+// IsPoisonous reports whether a request has crashed too many endpoints.
+func (suspects *Suspects) IsPoisonous(request uint64) bool {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return suspects.table.IsPoisonous(now, request)
+}
+
+// RecentCrashes returns the crashes to report to other hosts.
+func (suspects *Suspects) RecentCrashes() []Crash {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return suspects.table.RecentCrashes(now)
+}
+
+// FormatHash formats a hash for the log.
+func FormatHash(hash uint64) string { return fmt.Sprintf("%016x", hash) }
+
+const (
+	// lossLogInterval is the time between two log lines about the loss of the same
+	// endpoint: each call that can't reach it is a sign.
+	lossLogInterval = 10 * bvclock.Second
+	// maxLoggedLosses bounds the endpoints whose last line is remembered.
+	maxLoggedLosses = 1024
+)
+
+// lossLog limits the log lines about lost endpoints. The zero value is empty.
+type lossLog struct {
+	loggedAt map[uint64]bvclock.Time // by endpoint
+}
+
+// add reports whether the loss of an endpoint is to be logged.
+func (losses *lossLog) add(now bvclock.Time, endpoint uint64) bool {
+	if at, found := losses.loggedAt[endpoint]; found && now.Sub(at) < lossLogInterval {
+		return false
+	}
+	if losses.loggedAt == nil || len(losses.loggedAt) >= maxLoggedLosses {
+		losses.loggedAt = make(map[uint64]bvclock.Time)
+	}
+	losses.loggedAt[endpoint] = now
+	return true
+}
--- a/bvdispatch/poison.go
+++ b/bvsuspect/table.go
@@ -1,4 +1,4 @@
-package bvdispatch
+package bvsuspect
 
 import (
 	"balsamvalve.example/bvclock"
@@ -27,14 +27,20 @@
 	Endpoint uint64 // hash of the endpoint's ID, which differs with each start
 }
 
-// Suspects holds the requests that were in flight when endpoints crashed. A request may
-// crash each endpoint that runs it, and its caller retries it through any host; without
-// this table it would crash one endpoint after the other. The zero value is empty.
-type Suspects struct {
+// DetectedCrash is a crash that this host detected.
+type DetectedCrash struct {
+	Crash
+	BrokenFor bvclock.Duration // time from the broken call to the loss of the endpoint
+}
+
+// Table holds the requests that were in flight when endpoints crashed. It uses no clock:
+// callers pass the time to its methods. The zero value is empty.
+type Table struct {
 	brokenCalls []brokenCall
 	crashes     map[uint64]map[uint64]bvclock.Time // by request and endpoint
 }
 
+// brokenCall is a call whose endpoint may have crashed.
 type brokenCall struct {
 	Crash
 	at bvclock.Time
@@ -42,48 +48,58 @@
 
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
 // alone does not make the request a suspect: answers are lost for many reasons.
-func (suspects *Suspects) RecordBrokenCall(now bvclock.Time, request, endpoint uint64) {
-	if len(suspects.brokenCalls) >= maxBrokenCalls {
-		suspects.brokenCalls = suspects.brokenCalls[maxBrokenCalls/2:]
+func (table *Table) RecordBrokenCall(now bvclock.Time, request, endpoint uint64) {
+	if len(table.brokenCalls) >= maxBrokenCalls {
+		table.brokenCalls = table.brokenCalls[maxBrokenCalls/2:]
 	}
-	suspects.brokenCalls = append(suspects.brokenCalls, brokenCall{Crash{request, endpoint}, now})
+	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash{request, endpoint}, now})
 }
 
 // RecordEndpointLoss records that an endpoint is no longer reachable or was replaced. The
-// requests whose calls broke there within crashWindow become suspects.
-func (suspects *Suspects) RecordEndpointLoss(now bvclock.Time, endpoint uint64) {
-	kept := suspects.brokenCalls[:0]
-	for _, broken := range suspects.brokenCalls {
+// requests whose calls broke there within crashWindow become suspects; it returns them.
+func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64) (crashes []DetectedCrash) {
+	kept := table.brokenCalls[:0]
+	for _, broken := range table.brokenCalls {
 		switch {
 		case now.Sub(broken.at) > crashWindow:
 		case broken.Endpoint == endpoint:
-			suspects.RecordCrash(now, broken.Crash)
+			table.RecordCrash(now, broken.Crash)
+			crashes = append(crashes, DetectedCrash{broken.Crash, now.Sub(broken.at)})
 		default:
 			kept = append(kept, broken)
 		}
 	}
-	suspects.brokenCalls = kept
+	table.brokenCalls = kept
+	return crashes
 }
 
 // RecordCrash records a crash that this or another host detected. A crash that is recorded
-// twice counts once.
-func (suspects *Suspects) RecordCrash(now bvclock.Time, crash Crash) {
-	if suspects.crashes == nil {
-		suspects.crashes = make(map[uint64]map[uint64]bvclock.Time)
+// twice counts once; it returns false the second time.
+func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
+	if table.crashes == nil {
+		table.crashes = make(map[uint64]map[uint64]bvclock.Time)
 	}
-	endpoints := suspects.crashes[crash.Request]
+	endpoints := table.crashes[crash.Request]
 	if endpoints == nil {
 		endpoints = make(map[uint64]bvclock.Time)
-		suspects.crashes[crash.Request] = endpoints
+		table.crashes[crash.Request] = endpoints
 	}
-	if _, known := endpoints[crash.Endpoint]; !known {
-		endpoints[crash.Endpoint] = now
+	if _, known := endpoints[crash.Endpoint]; known {
+		return false
 	}
+	endpoints[crash.Endpoint] = now
+	return true
 }
 
+// Crashes returns how many endpoints a request has crashed.
+func (table *Table) Crashes(request uint64) int { return len(table.crashes[request]) }
+
+// Len returns the number of suspects.
+func (table *Table) Len() int { return len(table.crashes) }
+
 // IsPoisonous reports whether a request has crashed crashLimit endpoints or more.
-func (suspects *Suspects) IsPoisonous(now bvclock.Time, request uint64) bool {
-	endpoints := suspects.crashes[request]
+func (table *Table) IsPoisonous(now bvclock.Time, request uint64) bool {
+	endpoints := table.crashes[request]
 	if len(endpoints) < crashLimit {
 		return false
 	}
@@ -92,14 +108,14 @@
 			return true
 		}
 	}
-	delete(suspects.crashes, request)
+	delete(table.crashes, request)
 	return false
 }
 
 // RecentCrashes returns the crashes to report to other hosts, and drops old ones.
-func (suspects *Suspects) RecentCrashes(now bvclock.Time) []Crash {
+func (table *Table) RecentCrashes(now bvclock.Time) []Crash {
 	var recent []Crash
-	for request, endpoints := range suspects.crashes {
+	for request, endpoints := range table.crashes {
 		latest := bvclock.Time(0)
 		for endpoint, at := range endpoints {
 			latest = max(latest, at)
@@ -108,7 +124,7 @@
 			}
 		}
 		if now.Sub(latest) > crashRetention {
-			delete(suspects.crashes, request)
+			delete(table.crashes, request)
 		}
 	}
 	return recent
--- a/bvdispatch/poison_test.go
+++ b/bvsuspect/table_test.go
@@ -1,4 +1,4 @@
-package bvdispatch
+package bvsuspect
 
 import (
 	"testing"
@@ -10,41 +10,41 @@
 
 // Guards against a request that crashes each endpoint that runs it.
 func TestRequestThatCrashedThreeEndpointsIsPoisonous(t *testing.T) {
-	var suspects Suspects
+	var table Table
 	for endpoint := range uint64(crashLimit) {
-		require.False(t, suspects.IsPoisonous(10, 1))
-		suspects.RecordBrokenCall(10, 1, endpoint)
-		suspects.RecordEndpointLoss(11, endpoint)
+		require.False(t, table.IsPoisonous(10, 1))
+		table.RecordBrokenCall(10, 1, endpoint)
+		table.RecordEndpointLoss(11, endpoint)
 	}
-	require.True(t, suspects.IsPoisonous(12, 1))
-	require.False(t, suspects.IsPoisonous(12, 2))
-	require.False(t, suspects.IsPoisonous(bvclock.Time(crashRetention)+12, 1), "the caller may retry after a while")
+	require.True(t, table.IsPoisonous(12, 1))
+	require.False(t, table.IsPoisonous(12, 2))
+	require.False(t, table.IsPoisonous(bvclock.Time(crashRetention)+12, 1), "the caller may retry after a while")
 }
 
 // Guards against lost answers that make a request a suspect.
 func TestLostAnswersAreNoCrashes(t *testing.T) {
-	var suspects Suspects
+	var table Table
 	for endpoint := range uint64(50) {
-		suspects.RecordBrokenCall(10, 1, endpoint)
+		table.RecordBrokenCall(10, 1, endpoint)
 	}
-	require.False(t, suspects.IsPoisonous(11, 1))
+	require.False(t, table.IsPoisonous(11, 1))
 }
 
 // Guards against a crash that is counted when an answer is lost and the endpoint leaves
 // much later.
 func TestLaterLossOfAnEndpointIsNoCrash(t *testing.T) {
-	var suspects Suspects
+	var table Table
 	for endpoint := range uint64(crashLimit) {
-		suspects.RecordBrokenCall(10, 1, endpoint)
-		suspects.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint)
+		table.RecordBrokenCall(10, 1, endpoint)
+		table.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint)
 	}
-	require.Empty(t, suspects.RecentCrashes(bvclock.Time(crashWindow)+20))
+	require.Empty(t, table.RecentCrashes(bvclock.Time(crashWindow)+20))
 }
 
 // Guards against crashes that only the detecting host counts, or that count twice because
 // digests repeat them.
 func TestCrashesSeenByOtherHostsCount(t *testing.T) {
-	var here, there Suspects
+	var here, there Table
 	for endpoint := range uint64(crashLimit) {
 		there.RecordBrokenCall(10, 1, endpoint)
 		there.RecordEndpointLoss(10, endpoint)
@@ -59,12 +59,12 @@
 }
 
 func TestSuspectsStayBounded(t *testing.T) {
-	var suspects Suspects
+	var table Table
 	for request := range uint64(10 * maxBrokenCalls) {
-		suspects.RecordBrokenCall(10, request, 1)
+		table.RecordBrokenCall(10, request, 1)
 	}
-	require.LessOrEqual(t, len(suspects.brokenCalls), maxBrokenCalls)
-	suspects.RecordEndpointLoss(10, 1)
-	suspects.RecentCrashes(bvclock.Time(10).Add(crashRetention + 1))
-	require.Empty(t, suspects.crashes)
+	require.LessOrEqual(t, len(table.brokenCalls), maxBrokenCalls)
+	table.RecordEndpointLoss(10, 1)
+	table.RecentCrashes(bvclock.Time(10).Add(crashRetention + 1))
+	require.Empty(t, table.crashes)
 }
