The host whose call broke checks at once whether the endpoint still runs

What callers saw: a request that crashes each endpoint ran at two endpoints with each attempt, for as long as it came.

Cause: a crash was a broken call and the loss of its endpoint, both at one host and within 2 s. After the break that endpoint costs more than others, so the host did not call it again, and the list shows the end some 3 s later, or only a removal, which counted for nothing.

Where neither is known, since the machine is silent, the end of its entry counts for 10 s. An endpoint that can't be reached for another reason (a cut link, too many connections) no longer counts as lost. A request that has crashed its third endpoint is not sent on.

Ruled out: to wait for the list alone (the request comes again sooner), and to count each unreachable endpoint (answers are lost at sound ones, too).

--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -38,6 +38,12 @@
 // call is dispatched.
 func (dispatcher *Dispatcher) SetLossObserver(observer LossObserver) { dispatcher.losses = observer }
 
+func (dispatcher *Dispatcher) reportLosses(losses []Loss) {
+	for _, loss := range losses {
+		dispatcher.reportLoss(loss.Endpoint, loss.Sign)
+	}
+}
+
 func (dispatcher *Dispatcher) reportLoss(endpoint uint64, sign bvsuspect.Sign) {
 	if dispatcher.losses != nil {
 		dispatcher.losses.RecordEndpointLoss(endpoint, sign)
@@ -96,9 +102,7 @@
 		dispatcher.pool(service)
 	}
 	for service, pool := range dispatcher.pools {
-		for _, replaced := range pool.SetEndpoints(byService[service]) {
-			dispatcher.reportLoss(replaced, bvsuspect.Restarted)
-		}
+		dispatcher.reportLosses(pool.SetEndpoints(byService[service]))
 	}
 }
 
@@ -109,19 +113,17 @@
 	defer dispatcher.mutex.Unlock()
 	for _, name := range removed {
 		for _, pool := range dispatcher.pools {
-			pool.RemoveEndpoint(name)
+			dispatcher.reportLosses(pool.RemoveEndpoint(name))
 		}
 	}
 	for _, entry := range listed {
 		serving := dispatcher.pool(entry.Serves)
 		for _, pool := range dispatcher.pools {
 			if pool != serving {
-				pool.RemoveEndpoint(entry.Name)
+				dispatcher.reportLosses(pool.RemoveEndpoint(entry.Name))
 			}
 		}
-		for _, replaced := range serving.PutEndpoint(entry) {
-			dispatcher.reportLoss(replaced, bvsuspect.Restarted)
-		}
+		dispatcher.reportLosses(serving.PutEndpoint(entry))
 	}
 }
 
@@ -361,10 +363,12 @@
 	defer dispatcher.mutex.Unlock()
 	pool := dispatcher.pool(service)
 	pool.EndCall(now, endpoint, result)
-	switch result.Outcome {
-	case Unreachable:
+	switch {
+	case result.Refused:
+		dispatcher.reportLoss(hash, bvsuspect.Refused)
+	case result.Outcome == Unreachable:
 		dispatcher.reportLoss(hash, bvsuspect.Unreachable)
-	case Wrong:
+	case result.Outcome == Wrong:
 		dispatcher.reportLoss(hash, bvsuspect.AnotherInstance)
 	}
 	return pool.RunningAt(hash)
--- a/bvdispatch/health.go
+++ b/bvdispatch/health.go
@@ -25,6 +25,7 @@
 	Outcome          Outcome
 	Duration         bvclock.Duration // since it was sent
 	AnswerStarted    bool             // the endpoint began to answer
+	Refused          bool             // nothing listens at the endpoint's address
 	IsError          bool             // the answer is an error of the endpoint itself
 	Pace             bvclock.Duration // time per event, or of a whole answer without events; 0: unknown
 	OutputTokens     int              // generated tokens
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -30,6 +30,7 @@
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 )
 
 // Request describes a call to the dispatcher.
@@ -103,15 +104,16 @@
 
 // SetEndpoints replaces the list of the service's endpoints by the platform's. Endpoints
 // that stay on it keep their state. An endpoint that has restarted has another ID: its
-// cached prompts, calls, failures and load start from zero. SetEndpoints returns the hashes
-// of the IDs that were replaced by a restart.
-func (pool *Pool) SetEndpoints(listed []bvplatform.Endpoint) (replaced []uint64) {
+// cached prompts, calls, failures and load start from zero. SetEndpoints returns the
+// endpoints that are lost by it.
+func (pool *Pool) SetEndpoints(listed []bvplatform.Endpoint) (lost []Loss) {
 	isListed := make(map[string]bool, len(listed))
 	for _, entry := range listed {
 		isListed[entry.Name] = true
 	}
 	pool.rows = slices.DeleteFunc(pool.rows, func(row *endpoint) bool {
 		if !isListed[row.entry.Name] {
+			lost = append(lost, lossByRemoval(row)...)
 			pool.unindexRow(row)
 		}
 		return !isListed[row.entry.Name]
@@ -119,18 +121,18 @@
 	var added []*endpoint
 	for _, entry := range listed {
 		if row := pool.byName[entry.Name]; row != nil {
-			replaced = append(replaced, pool.updateRow(row, entry)...)
+			lost = append(lost, pool.updateRow(row, entry)...)
 			continue
 		}
 		added = append(added, pool.newRow(entry))
 	}
 	pool.rows = append(pool.rows, added...)
 	slices.SortFunc(pool.rows, func(a, b *endpoint) int { return strings.Compare(a.entry.Name, b.entry.Name) })
-	return replaced
+	return lost
 }
 
 // PutEndpoint adds or updates one endpoint's entry, as SetEndpoints does.
-func (pool *Pool) PutEndpoint(entry bvplatform.Endpoint) (replaced []uint64) {
+func (pool *Pool) PutEndpoint(entry bvplatform.Endpoint) (lost []Loss) {
 	if row := pool.byName[entry.Name]; row != nil {
 		return pool.updateRow(row, entry)
 	}
@@ -140,14 +142,30 @@
 }
 
 // RemoveEndpoint removes an endpoint from the list, if it is listed.
-func (pool *Pool) RemoveEndpoint(name string) {
+func (pool *Pool) RemoveEndpoint(name string) (lost []Loss) {
 	row := pool.byName[name]
 	if row == nil {
-		return
+		return nil
 	}
 	at, _ := pool.find(name)
 	pool.rows = slices.Delete(pool.rows, at, at+1)
 	pool.unindexRow(row)
+	return lossByRemoval(row)
+}
+
+// Loss is the end of a start of an endpoint, as the list shows it.
+type Loss struct {
+	Endpoint uint64 // hash of its ID
+	Sign     bvsuspect.Sign
+}
+
+// lossByRemoval returns the loss of a removed endpoint. An endpoint that has reported that it
+// leaves is not lost.
+func lossByRemoval(row *endpoint) []Loss {
+	if row.entry.State != bvplatform.HostLive {
+		return nil
+	}
+	return []Loss{{row.hash, bvsuspect.Removed}}
 }
 
 func (pool *Pool) find(name string) (at int, found bool) {
@@ -164,16 +182,16 @@
 
 // updateRow updates an endpoint's entry. A restarted endpoint loses its state and keeps
 // only its position in the list.
-func (pool *Pool) updateRow(row *endpoint, entry bvplatform.Endpoint) (replaced []uint64) {
+func (pool *Pool) updateRow(row *endpoint, entry bvplatform.Endpoint) []Loss {
 	if HashID(entry.ID()) == row.hash {
 		row.entry = entry
 		return nil
 	}
-	replaced = append(replaced, row.hash)
+	lost := []Loss{{row.hash, bvsuspect.Restarted}}
 	pool.unindexRow(row)
 	*row = endpoint{}
 	pool.setIdentity(row, entry)
-	return replaced
+	return lost
 }
 
 func (pool *Pool) setIdentity(row *endpoint, entry bvplatform.Endpoint) {
--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -32,7 +32,7 @@
 	pool.SetLoad(0, before.ID(), bvroute.Load{Running: 16, Waiting: 20, Slots: 16})
 	after := start("e0", "200", "10.0.0.1:1")
 	replaced := pool.SetEndpoints([]bvplatform.Endpoint{after})
-	require.Equal(t, []uint64{HashID(before.ID())}, replaced)
+	require.Equal(t, []Loss{{HashID(before.ID()), bvsuspect.Restarted}}, replaced)
 	row := pool.byID(after.ID())
 	require.Zero(t, row.cache.cachedTokens(prompt(1, 2).Prefix))
 	require.Zero(t, row.load(1))
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -214,6 +214,11 @@
 // putIdle adds a connection to its pool for the next request.
 func (connections *Connections) putIdle(connection *connection) {
 	connection.idleSince = connections.Clock.Now()
+	connections.returnIdle(connection)
+}
+
+// returnIdle adds a connection to its pool that has been idle for some time.
+func (connections *Connections) returnIdle(connection *connection) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	if connection.pool.closed || len(connection.pool.idle) >= maxIdle {
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -60,6 +60,7 @@
 
 	streamBytes int64 // bytes of memory acquired for buffered parts of the stream
 
+	checked         <-chan struct{}  // closed when the last send's endpoint is checked; nil: it is not
 	sentAt          bvclock.Time     // of the last send
 	listAge         bvclock.Duration // of the list of endpoints at the last send
 	firstEventAt    bvclock.Time     // when the first event was written to the caller
@@ -126,7 +127,7 @@
 		call.placement.Program = bvroute.HashKey(program)
 		call.placement.Conversation = bvroute.HashKey(program + " " + call.metadata.Session)
 	}
-	if call.front.parts.Suspects.IsPoisonous(call.content) {
+	if call.isPoisonous() {
 		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longRetry)
 	}
 	if err := call.prepareTurn(); err != nil {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -90,14 +90,19 @@
 // Suspects are the requests that may crash endpoints.
 type Suspects interface {
 	RecordBrokenCall(call bvsuspect.BrokenCall)
+	// RecordCheck records whether the endpoint of a broken call still runs.
+	RecordCheck(call bvsuspect.BrokenCall, result bvforward.Liveness)
 	// IsPoisonous reports whether a request, by its content hash, has crashed too many
 	// endpoints.
 	IsPoisonous(content uint64) bool
 }
 
-// Endpoints sends a request to an endpoint, once.
+// Endpoints sends requests to endpoints.
 type Endpoints interface {
+	// Send sends a request once.
 	Send(ctx context.Context, request *bvforward.Request) (*bvforward.Response, error)
+	// Check finds out whether an endpoint at which a call has just broken still runs.
+	Check(ctx context.Context, endpoint bvplatform.Endpoint) bvforward.Liveness
 }
 
 // EndpointList is the list of endpoints that the dispatcher chooses from.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -1,6 +1,7 @@
 package bvfront
 
 import (
+	"context"
 	"net/http"
 	"strings"
 
@@ -41,6 +42,9 @@
 		if !call.mayResend(err) {
 			return call.withVerdictOfAllSends(err)
 		}
+		if call.awaitCheck(); call.isPoisonous() {
+			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Poisonous, "the request has crashed several endpoints").WithCause(err)
+		}
 		call.avoidEndpoint(endpoint.Name)
 		call.front.parts.Counters.Add("sends_again", 1)
 	}
@@ -98,7 +102,7 @@
 	}
 	response, err := call.front.parts.Endpoints.Send(call.ctx, call.newEndpointRequest(endpoint))
 	if err != nil {
-		call.reportOutcome(outcomeOf(err))
+		call.reportOutcome(outcomeOf(err), bvforward.IsRefused(err))
 		return call.countRun(err)
 	}
 	defer response.Close()
@@ -117,7 +121,7 @@
 	if call.ctx.Err() != nil && outcome == bvdispatch.Broken {
 		outcome = bvdispatch.Withdrawn // the endpoint was answering when the deadline passed
 	}
-	call.reportOutcome(outcome)
+	call.reportOutcome(outcome, false)
 	return err
 }
 
@@ -129,10 +133,14 @@
 	return err
 }
 
-// reportOutcome reports the outcome of the last send to the dispatcher.
-func (call *call) reportOutcome(outcome bvdispatch.Outcome) {
+// reportOutcome reports the outcome of the last send to the dispatcher; refused means that
+// nothing listens at the endpoint's address.
+func (call *call) reportOutcome(outcome bvdispatch.Outcome, refused bool) {
 	now := call.front.parts.Clock.Now()
-	result := bvdispatch.Result{Outcome: outcome, Duration: now.Sub(call.sentAt), AnswerStarted: call.headReceived, IsError: call.serverError, OutputTokens: call.generatedTokens()}
+	result := bvdispatch.Result{
+		Outcome: outcome, Duration: now.Sub(call.sentAt), AnswerStarted: call.headReceived, Refused: refused,
+		IsError: call.serverError, OutputTokens: call.generatedTokens(),
+	}
 	switch {
 	case call.service.Engine == nil:
 		result.Pace = result.Duration
@@ -152,7 +160,7 @@
 // crashed the endpoint.
 func (call *call) reportBroken() {
 	path, _, _ := strings.Cut(call.target(), "?")
-	call.front.parts.Suspects.RecordBrokenCall(bvsuspect.BrokenCall{
+	broken := bvsuspect.BrokenCall{
 		Request:   call.content,
 		Endpoint:  bvdispatch.HashID(call.endpoint.ID()),
 		ID:        call.metadata.ID,
@@ -161,16 +169,50 @@
 		Name:      call.endpoint.Name,
 		TimedOut:  call.ctx.Err() != nil,
 		HasAnswer: call.headReceived,
-	})
+	}
+	call.front.parts.Suspects.RecordBrokenCall(broken)
+	if !broken.TimedOut {
+		call.checked = call.front.checkEndpoint(broken, call.endpoint)
+	}
+}
+
+// checkTimeout bounds the check of an endpoint at which a call broke.
+const checkTimeout = 500 * bvclock.Millisecond
+
+// checkEndpoint checks whether an endpoint still runs after a call broke there. It returns a
+// channel that is closed when the result is recorded.
+func (front *Front) checkEndpoint(broken bvsuspect.BrokenCall, endpoint bvplatform.Endpoint) <-chan struct{} {
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Std())
+		defer cancel()
+		front.parts.Suspects.RecordCheck(broken, front.parts.Endpoints.Check(ctx, endpoint))
+	}()
+	return checked
+}
+
+// awaitCheck waits until the endpoint of the last send is checked, if it is being checked.
+func (call *call) awaitCheck() {
+	if call.checked == nil {
+		return
+	}
+	select {
+	case <-call.checked:
+	case <-call.ctx.Done():
+	}
+	call.checked = nil
 }
 
+func (call *call) isPoisonous() bool { return call.front.parts.Suspects.IsPoisonous(call.content) }
+
 // handleRefusal reports that the endpoint did not run the request, and returns the error.
 func (call *call) handleRefusal(status int) error {
 	if status == http.StatusMisdirectedRequest {
-		call.reportOutcome(bvdispatch.Wrong)
+		call.reportOutcome(bvdispatch.Wrong, false)
 		return bvverdict.Refuse(bvverdict.EndpointFailed, "another endpoint has the address of %s", call.endpoint.Name).WithRetryAfter(shortRetry)
 	}
-	call.reportOutcome(bvdispatch.Full)
+	call.reportOutcome(bvdispatch.Full, false)
 	return bvverdict.Refuse(bvverdict.Overloaded, "endpoint %s is full (status %d)", call.endpoint.Name, status).WithRetryAfter(shortRetry)
 }
 
--- a/bvsuspect/log_test.go
+++ b/bvsuspect/log_test.go
@@ -25,7 +25,7 @@
 	require.Contains(t, lines.String(), `"kind":"within the answer"`)
 	require.Contains(t, lines.String(), `"kind":"timed out"`)
 	clock.Advance(300)
-	suspects.RecordEndpointLoss(1, Unreachable)
+	suspects.RecordEndpointLoss(1, Refused)
 	require.Contains(t, lines.String(), `"broken_calls":1,"incarnation":"0000000000000001"`)
 	require.Contains(t, lines.String(), `"broken_ms":300,"content":"0000000000000007","crashes":1`)
 	require.NotContains(t, lines.String(), `"content":"0000000000000008","crashes"`)
--- a/bvsuspect/sign_string.go
+++ b/bvsuspect/sign_string.go
@@ -9,13 +9,15 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Unreachable-0]
-	_ = x[AnotherInstance-1]
-	_ = x[Restarted-2]
+	_ = x[Refused-1]
+	_ = x[AnotherInstance-2]
+	_ = x[Restarted-3]
+	_ = x[Removed-4]
 }
 
-const _Sign_name = "unreachableanother instancerestarted"
+const _Sign_name = "unreachableconnection refusedanother instancerestartedremoved from the list"
 
-var _Sign_index = [...]uint8{0, 11, 27, 36}
+var _Sign_index = [...]uint8{0, 11, 29, 45, 54, 75}
 
 func (i Sign) String() string {
 	idx := int(i) - 0
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -2,7 +2,9 @@
 //
 // A request may crash each endpoint that runs it, and its caller sends it again through any
 // host: without this package it would crash one endpoint after the other. A crash is a call
-// that broke and the loss of its endpoint. Each host records what it detects, and reports it
+// that broke and the end of its endpoint. Answers are lost for many reasons, so the host whose
+// call broke checks at once whether the endpoint still runs; where that can't be found out, the
+// list of endpoints and later calls show it. Each host records what it detects, and reports it
 // to the others.
 //
 // A Table holds what is known; it is pure logic. Suspects wraps a Table for concurrent use,
@@ -11,8 +13,8 @@
 // # Usage
 //
 //	suspects := bvsuspect.New(clock, counters, log)
-//	suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: content, Endpoint: endpoint})
-//	suspects.RecordEndpointLoss(endpoint, bvsuspect.Unreachable)
+//	suspects.RecordBrokenCall(call)
+//	suspects.RecordCheck(call, connections.Check(ctx, endpoint))
 //	if suspects.IsPoisonous(content) {
 //		// refuse the request
 //	}
@@ -25,18 +27,23 @@
 	"github.com/sirupsen/logrus"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvforward"
 )
 
 //go:generate stringer -type=Sign -linecomment -output=sign_string.go
 
-// Sign is a sign that an endpoint has crashed.
+// Sign is a sign that an endpoint has ended.
 type Sign int
 
-// The signs.
+// The signs. Unreachable alone proves nothing: a link may be cut, or the endpoint may have too
+// many connections. Removed counts only where the endpoint did not accept connections when it
+// was checked: endpoints also leave as planned.
 const (
 	Unreachable     Sign = iota // unreachable
+	Refused                     // connection refused
 	AnotherInstance             // another instance
 	Restarted                   // restarted
+	Removed                     // removed from the list
 )
 
 // BrokenCall is a call to an endpoint that ended without a complete answer.
@@ -110,13 +117,30 @@
 	return "without an answer"
 }
 
-// RecordEndpointLoss records a sign that an endpoint has crashed.
+// RecordCheck records whether an endpoint still ran when it was checked after a call broke
+// there.
+func (suspects *Suspects) RecordCheck(call BrokenCall, result bvforward.Liveness) {
+	suspects.counters.Count("endpoint_checks", result.String())
+	suspects.log.WithFields(logrus.Fields{
+		"request": call.ID, "endpoint": call.Name, "incarnation": FormatHash(call.Endpoint), "result": result.String(),
+	}).Info("endpoint checked after a broken call")
+	switch result {
+	case bvforward.Refused:
+		suspects.RecordEndpointLoss(call.Endpoint, Refused)
+	case bvforward.Running:
+		suspects.mutex.Lock()
+		defer suspects.mutex.Unlock()
+		suspects.table.RecordRunning(call.Endpoint)
+	}
+}
+
+// RecordEndpointLoss records a sign that an endpoint has ended.
 func (suspects *Suspects) RecordEndpointLoss(endpoint uint64, sign Sign) {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	suspects.counters.Count("endpoint_losses", sign.String())
-	crashes := suspects.table.RecordEndpointLoss(now, endpoint)
+	crashes := suspects.table.RecordEndpointLoss(now, endpoint, sign)
 	if suspects.losses.add(now, endpoint) {
 		suspects.log.WithFields(logrus.Fields{
 			"incarnation": FormatHash(endpoint), "sign": sign.String(), "broken_calls": len(crashes),
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -8,9 +8,10 @@
 	// crashLimit is the number of endpoints that a request must have crashed to be
 	// refused by all hosts.
 	crashLimit = 3
-	// crashWindow is the time after a broken call within which the loss of its endpoint
-	// counts as a crash caused by the call.
-	crashWindow = 2 * bvclock.Second
+	// crashWindow is the time after a broken call within which the end of its endpoint
+	// counts as a crash caused by the call. An endpoint whose machine is silent shows it by
+	// its entry, which expires after some seconds.
+	crashWindow = 10 * bvclock.Second
 	// crashRetention is how long crashes are retained after the last one: both the restart
 	// of the endpoint and the caller's retry take only some seconds.
 	crashRetention = bvclock.Minute
@@ -43,7 +44,8 @@
 // brokenCall is a call whose endpoint may have crashed.
 type brokenCall struct {
 	Crash
-	at bvclock.Time
+	at      bvclock.Time
+	running bool // the endpoint still ran when it was checked
 }
 
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
@@ -52,17 +54,29 @@
 	if len(table.brokenCalls) >= maxBrokenCalls {
 		table.brokenCalls = table.brokenCalls[maxBrokenCalls/2:]
 	}
-	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash{request, endpoint}, now})
+	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: Crash{request, endpoint}, at: now})
 }
 
-// RecordEndpointLoss records that an endpoint is no longer reachable or was replaced. The
-// requests whose calls broke there within crashWindow become suspects; it returns them.
-func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64) (crashes []DetectedCrash) {
+// RecordRunning records that an endpoint accepted connections after calls broke there.
+func (table *Table) RecordRunning(endpoint uint64) {
+	for i := range table.brokenCalls {
+		if table.brokenCalls[i].Endpoint == endpoint {
+			table.brokenCalls[i].running = true
+		}
+	}
+}
+
+// RecordEndpointLoss records a sign that an endpoint has ended. The requests whose calls broke
+// there within crashWindow become suspects; it returns them.
+func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64, sign Sign) (crashes []DetectedCrash) {
+	if sign == Unreachable {
+		return nil
+	}
 	kept := table.brokenCalls[:0]
 	for _, broken := range table.brokenCalls {
 		switch {
 		case now.Sub(broken.at) > crashWindow:
-		case broken.Endpoint == endpoint:
+		case broken.Endpoint == endpoint && (sign != Removed || !broken.running):
 			table.RecordCrash(now, broken.Crash)
 			crashes = append(crashes, DetectedCrash{broken.Crash, now.Sub(broken.at)})
 		default:
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -14,7 +14,7 @@
 	for endpoint := range uint64(crashLimit) {
 		require.False(t, table.IsPoisonous(10, 1))
 		table.RecordBrokenCall(10, 1, endpoint)
-		table.RecordEndpointLoss(11, endpoint)
+		table.RecordEndpointLoss(11, endpoint, Refused)
 	}
 	require.True(t, table.IsPoisonous(12, 1))
 	require.False(t, table.IsPoisonous(12, 2))
@@ -36,7 +36,7 @@
 	var table Table
 	for endpoint := range uint64(crashLimit) {
 		table.RecordBrokenCall(10, 1, endpoint)
-		table.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint)
+		table.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint, Refused)
 	}
 	require.Empty(t, table.RecentCrashes(bvclock.Time(crashWindow)+20))
 }
@@ -47,7 +47,7 @@
 	var here, there Table
 	for endpoint := range uint64(crashLimit) {
 		there.RecordBrokenCall(10, 1, endpoint)
-		there.RecordEndpointLoss(10, endpoint)
+		there.RecordEndpointLoss(10, endpoint, Refused)
 	}
 	for range 2 {
 		for _, crash := range there.RecentCrashes(11) {
@@ -64,7 +64,27 @@
 		table.RecordBrokenCall(10, request, 1)
 	}
 	require.LessOrEqual(t, len(table.brokenCalls), maxBrokenCalls)
-	table.RecordEndpointLoss(10, 1)
+	table.RecordEndpointLoss(10, 1, Refused)
 	table.RecentCrashes(bvclock.Time(10).Add(crashRetention + 1))
 	require.Empty(t, table.crashes)
 }
+
+// Guards against a crash that is counted because an endpoint can't be reached for another reason.
+func TestUnreachableEndpointIsNoCrash(t *testing.T) {
+	var table Table
+	table.RecordBrokenCall(10, 1, 1)
+	require.Empty(t, table.RecordEndpointLoss(10, 1, Unreachable))
+	require.Len(t, table.RecordEndpointLoss(10, 1, AnotherInstance), 1)
+}
+
+// Guards against planned departures that count as crashes, and against crashes of silent
+// machines that don't.
+func TestRemovalIsACrashUnlessTheEndpointRan(t *testing.T) {
+	var table Table
+	table.RecordBrokenCall(10, 1, 1)
+	table.RecordBrokenCall(10, 1, 2)
+	table.RecordRunning(1)
+	require.Empty(t, table.RecordEndpointLoss(4000, 1, Removed))
+	require.Len(t, table.RecordEndpointLoss(4000, 2, Removed), 1)
+	require.Len(t, table.RecordEndpointLoss(4000, 1, Restarted), 1, "it crashed after the check")
+}
