A request that crashes endpoints is recognized from any address and with any query

What callers saw: hosts that knew a request as poisonous let it run when it came through another zone or with another query.

Cause: hosts recognized it by its caller's address, method, target and body. The address is no caller's own: on the users' platform all callers of a zone share one, and a caller that moves gets another. So one request counted as several, each of which needed three crashes of its own.

A request is recognized by its workspace, method, host, target, parent turn and body. Crashes of several requests that differ in their query only count together; where one query alone crashes endpoints, others are not refused for it. The parent turn and the host are new in it: turns of two conversations with the same input, and one path at two hosts, counted as one request.

Ruled out: to leave the query out altogether (a search with one query that crashes endpoints would refuse all searches), and to keep the address beside the workspace (it protects no member from another: a workspace does).

--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -85,14 +85,15 @@
 	dispatcher := NewDispatcher(clock, 1, "")
 	suspects := bvsuspect.New(clock, bvmeasure.New(), bvlog.New(io.Discard))
 	dispatcher.SetLossObserver(suspects)
+	request := bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}
 	for number := range 3 {
 		name := string(rune('a' + number))
 		before, after := start(name, "100", "10.0.0.1:1"), start(name, "200", "10.0.0.1:1")
 		before.Serves, after.Serves = "s", "s"
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{before})
-		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: 7, Endpoint: HashID(before.ID())})
-		require.False(t, suspects.IsPoisonous(7))
+		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: request, Endpoint: HashID(before.ID())})
+		require.False(t, suspects.IsPoisonous(request))
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{after})
 	}
-	require.True(t, suspects.IsPoisonous(7))
+	require.True(t, suspects.IsPoisonous(request))
 }
--- a/bvexplain/crash.go
+++ b/bvexplain/crash.go
@@ -16,13 +16,13 @@
 
 // suspect is a request that may crash endpoints, by its content.
 type suspect struct {
-	route, path string
-	brokenAt    map[string]bool            // starts of endpoints
-	countedBy   map[string]map[string]bool // starts of endpoints, by the host that counts their crash
-	counted     map[string]bool            // of these, by any host
-	calls       int                        // that broke
-	last        *line                      // last call that broke
-	refused     int
+	route, anyQuery string
+	brokenAt        map[string]bool            // starts of endpoints
+	countedBy       map[string]map[string]bool // starts of endpoints, by the host that counts their crash
+	counted         map[string]bool            // of these, by any host
+	calls           int                        // that broke
+	last            *line                      // last call that broke
+	refused         int
 }
 
 // poisonousCode is the code in the error of a request that was refused as poisonous.
@@ -75,7 +75,7 @@
 	if found == nil {
 		return
 	}
-	found.route, found.path = line.Route, line.Path
+	found.route, found.anyQuery = line.Route, line.AnyQuery
 	found.calls++
 	found.brokenAt[line.Incarnation] = true
 	if found.last == nil || line.at > found.last.at {
@@ -141,14 +141,14 @@
 		return
 	}
 	printer.line("\nrequests in flight at crashes: %d; those that broke most calls:", len(contents))
-	printer.line("%-16s  %-16s  %-12s %6s %8s %8s %11s %8s  %s", "content", "path", "route", "broke", "counted", "missed", "known to", "refused", "last broken call")
+	printer.line("%-16s  %-16s  %-12s %6s %8s %8s %11s %8s  %s", "content", "any query", "route", "broke", "counted", "missed", "known to", "refused", "last broken call")
 	for _, content := range contents[:min(len(contents), maxPrintedSuspects)] {
 		suspect := crashes.suspects[content]
 		last := ""
 		if suspect.last != nil {
 			last = suspect.last.Request + " on " + suspect.last.host
 		}
-		printer.line("%-16s  %-16s  %-12s %6d %8d %8d %5d of %2d %8d  %s", content, suspect.path, suspect.route, suspect.calls,
+		printer.line("%-16s  %-16s  %-12s %6d %8d %8d %5d of %2d %8d  %s", content, suspect.anyQuery, suspect.route, suspect.calls,
 			len(suspect.counted), suspect.missed(crashes.lost), suspect.hostsThatCountAll(), hosts, suspect.refused, last)
 	}
 }
--- a/bvexplain/crash_test.go
+++ b/bvexplain/crash_test.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	brokenCall = `{"content":"c7","endpoint":"i-1","incarnation":"e1","kind":"without an answer","msg":"call broke at an endpoint","path":"p7","request":"r1","route":"look","time":"2026-01-26T09:00:40Z"}`
+	brokenCall = `{"content":"c7","endpoint":"i-1","incarnation":"e1","kind":"without an answer","msg":"call broke at an endpoint","any_query":"q7","request":"r1","route":"look","time":"2026-01-26T09:00:40Z"}`
 	lostLine   = `{"broken_calls":0,"incarnation":"e1","msg":"endpoint lost","sign":"unreachable","time":"2026-01-26T09:00:40Z"}`
 	crashLine  = `{"content":"c7","crashes":1,"incarnation":"e1","msg":"crash counted","source":"here","time":"2026-01-26T09:00:40Z"}`
 	poisonous  = `{"content":"c7","error":"poisonous (not run): the request has crashed several endpoints","msg":"request failed","request":"r2","route":"look","time":"2026-01-26T09:00:41Z"}`
--- a/bvexplain/line.go
+++ b/bvexplain/line.go
@@ -36,9 +36,9 @@
 	// Endpoints are the names in a line about the list of endpoints.
 	Endpoints []string `json:"endpoints"`
 	// The following are fields of lines about requests that may crash endpoints: hashes of
-	// the request's content and path, and of the endpoint's start.
+	// the request with and without its query, and of the endpoint's start.
 	Content     string `json:"content"`
-	Path        string `json:"path"`
+	AnyQuery    string `json:"any_query"`
 	Incarnation string `json:"incarnation"`
 	Kind        string `json:"kind"`
 
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 
@@ -15,6 +14,7 @@
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -48,7 +48,7 @@
 	bodyTimedOut bool  // the body did not arrive before the read deadline
 	heldBytes    int64 // bytes of memory acquired
 	placement    bvdispatch.Request
-	content      uint64 // hash that is the same for each retry of the request
+	fingerprint  bvsuspect.Fingerprint // the same for each retry of the request
 
 	sends       int  // number of endpoints it was sent to
 	runs        int  // sends after which it may have run
@@ -121,7 +121,7 @@
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
 	}
-	call.content = call.contentHash()
+	call.fingerprint = call.newFingerprint()
 	if call.service.Engine != nil && call.metadata.Program != "" {
 		program := call.scopedID(call.metadata.Program)
 		call.placement.Program = bvroute.HashKey(program)
@@ -145,14 +145,23 @@
 	return bvroute.HashKey(call.metadata.Affinity)
 }
 
-// contentHash identifies repetitions of a request, through any host, by its caller, its
-// target and its body. The request ID differs each time.
-func (call *call) contentHash() uint64 {
-	caller, _, _ := net.SplitHostPort(call.request.RemoteAddr) // empty if it can't be parsed
+// newFingerprint identifies repetitions of a request, through any host and from any address: a
+// caller's address changes, and many callers may share one. The request's ID differs each time.
+func (call *call) newFingerprint() bvsuspect.Fingerprint {
+	path, query, _ := strings.Cut(call.target(), "?")
 	digest := xxhash.New()
-	_, _ = digest.WriteString(caller + " " + call.request.Method + " " + call.request.RequestURI + " ")
+	for _, part := range []string{call.workspaceName(), call.request.Method, call.request.Host, path, call.metadata.ParentTurn} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0}) // ends the part
+	}
 	_, _ = digest.Write(call.body)
-	return digest.Sum64()
+	anyQuery := digest.Sum64()
+	if query == "" {
+		return bvsuspect.Fingerprint{Exact: anyQuery, AnyQuery: anyQuery}
+	}
+	exact := xxhash.NewWithSeed(anyQuery)
+	_, _ = exact.WriteString(query)
+	return bvsuspect.Fingerprint{Exact: exact.Sum64(), AnyQuery: anyQuery}
 }
 
 func (call *call) findRoute() error {
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -115,8 +115,8 @@
 			fields["kept_ms"] = int64(call.persistDuration)
 		}
 	}
-	if err != nil && call.content != 0 {
-		fields["content"] = bvsuspect.FormatHash(call.content)
+	if err != nil && call.fingerprint != (bvsuspect.Fingerprint{}) {
+		fields["content"] = bvsuspect.FormatHash(call.fingerprint.Exact)
 	}
 	entry := call.front.parts.Log.WithFields(fields)
 	if err != nil {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -92,9 +92,8 @@
 	RecordBrokenCall(call bvsuspect.BrokenCall)
 	// RecordCheck records whether the endpoint of a broken call still runs.
 	RecordCheck(call bvsuspect.BrokenCall, result bvforward.Liveness)
-	// IsPoisonous reports whether a request, by its content hash, has crashed too many
-	// endpoints.
-	IsPoisonous(content uint64) bool
+	// IsPoisonous reports whether a request has crashed too many endpoints.
+	IsPoisonous(request bvsuspect.Fingerprint) bool
 }
 
 // Endpoints sends requests to endpoints.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -10,7 +10,6 @@
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
-	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
@@ -159,13 +158,11 @@
 // reportBroken reports that the last send broke, which may mean that the request has
 // crashed the endpoint.
 func (call *call) reportBroken() {
-	path, _, _ := strings.Cut(call.target(), "?")
 	broken := bvsuspect.BrokenCall{
-		Request:   call.content,
+		Request:   call.fingerprint,
 		Endpoint:  bvdispatch.HashID(call.endpoint.ID()),
 		ID:        call.metadata.ID,
 		Route:     call.route.Name,
-		Path:      bvroute.HashKey(path),
 		Name:      call.endpoint.Name,
 		TimedOut:  call.ctx.Err() != nil,
 		HasAnswer: call.headReceived,
@@ -204,7 +201,7 @@
 	call.checked = nil
 }
 
-func (call *call) isPoisonous() bool { return call.front.parts.Suspects.IsPoisonous(call.content) }
+func (call *call) isPoisonous() bool { return call.front.parts.Suspects.IsPoisonous(call.fingerprint) }
 
 // handleRefusal reports that the endpoint did not run the request, and returns the error.
 func (call *call) handleRefusal(status int) error {
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -69,7 +69,7 @@
 		})
 	}
 	for _, crash := range router.suspects.RecentCrashes() {
-		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request, Endpoint: crash.Endpoint})
+		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request.Exact, AnyQuery: crash.Request.AnyQuery, Endpoint: crash.Endpoint})
 	}
 	for _, placement := range placed {
 		digest.Placements = append(digest.Placements, &bvgossip.Placement{
@@ -162,11 +162,23 @@
 	}
 	handler.applyUsage(digest)
 	for _, crash := range digest.GetCrashes() {
-		handler.suspects.AddPeerCrash(digest.GetHost(), bvsuspect.Crash{Request: crash.GetRequest(), Endpoint: crash.GetEndpoint()})
+		handler.suspects.AddPeerCrash(digest.GetHost(), decodeCrash(crash))
 	}
 	handler.budgets.AddHolder(digest.GetAddress(), digest.GetPrograms())
 }
 
+// decodeCrash returns a crash that another host reports.
+func decodeCrash(crash *bvgossip.Crash) bvsuspect.Crash {
+	decoded := bvsuspect.Crash{
+		Request:  bvsuspect.Fingerprint{Exact: crash.GetRequest(), AnyQuery: crash.GetAnyQuery()},
+		Endpoint: crash.GetEndpoint(),
+	}
+	if decoded.Request.AnyQuery == 0 {
+		decoded.Request.AnyQuery = decoded.Request.Exact // an older build does not report it
+	}
+	return decoded
+}
+
 // applyCalls records where another host's prompts are cached, and the outcomes of its
 // calls.
 func (handler peerHandler) applyCalls(digest *bvgossip.Digest) {
--- a/bvsuspect/log_test.go
+++ b/bvsuspect/log_test.go
@@ -20,23 +20,23 @@
 // Guards against a log that does not show why a call that broke counts as a crash or does not.
 func TestLogTellsBrokenCallsFromCrashes(t *testing.T) {
 	suspects, clock, lines := newTestSuspects()
-	suspects.RecordBrokenCall(BrokenCall{Request: 7, Endpoint: 1, ID: "r1", Name: "e1", HasAnswer: true})
-	suspects.RecordBrokenCall(BrokenCall{Request: 8, Endpoint: 2, ID: "r2", Name: "e2", TimedOut: true})
+	suspects.RecordBrokenCall(BrokenCall{Request: request(7), Endpoint: 1, ID: "r1", Name: "e1", HasAnswer: true})
+	suspects.RecordBrokenCall(BrokenCall{Request: request(8), Endpoint: 2, ID: "r2", Name: "e2", TimedOut: true})
 	require.Contains(t, lines.String(), `"kind":"within the answer"`)
 	require.Contains(t, lines.String(), `"kind":"timed out"`)
 	clock.Advance(300)
 	suspects.RecordEndpointLoss(1, Refused)
 	require.Contains(t, lines.String(), `"broken_calls":1,"incarnation":"0000000000000001"`)
-	require.Contains(t, lines.String(), `"broken_ms":300,"content":"0000000000000007","crashes":1`)
+	require.Contains(t, lines.String(), `"any_query":"0000000000000007","broken_ms":300,"content":"0000000000000007","crashes":1`)
 	require.NotContains(t, lines.String(), `"content":"0000000000000008","crashes"`)
 }
 
 func TestLogTellsWhichHostReportedACrash(t *testing.T) {
 	suspects, _, lines := newTestSuspects()
-	suspects.AddPeerCrash("host-b", Crash{Request: 7, Endpoint: 1})
+	suspects.AddPeerCrash("host-b", Crash{Request: request(7), Endpoint: 1})
 	require.Contains(t, lines.String(), `"source":"host-b"`)
 	lines.Reset()
-	suspects.AddPeerCrash("host-c", Crash{Request: 7, Endpoint: 1})
+	suspects.AddPeerCrash("host-c", Crash{Request: request(7), Endpoint: 1})
 	require.Empty(t, lines.String(), "it is known")
 }
 
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -48,12 +48,11 @@
 
 // BrokenCall is a call to an endpoint that ended without a complete answer.
 type BrokenCall struct {
-	Request  uint64 // content hash
+	Request  Fingerprint
 	Endpoint uint64 // hash of the endpoint's ID
-	// ID, Route, Path and Name describe the call in the log: the request's ID, its route, the
-	// hash of its path without the query, and the endpoint's name.
+	// ID, Route and Name describe the call in the log: the request's ID, its route, and the
+	// endpoint's name.
 	ID, Route string
-	Path      uint64
 	Name      string
 	TimedOut  bool // the call's deadline passed
 	HasAnswer bool // the endpoint began to answer
@@ -98,8 +97,8 @@
 	suspects.log.WithFields(logrus.Fields{
 		"request":     call.ID,
 		"route":       call.Route,
-		"path":        FormatHash(call.Path),
-		"content":     FormatHash(call.Request),
+		"content":     FormatHash(call.Request.Exact),
+		"any_query":   FormatHash(call.Request.AnyQuery),
 		"endpoint":    call.Name,
 		"incarnation": FormatHash(call.Endpoint),
 		"kind":        call.kind(),
@@ -168,12 +167,12 @@
 	}
 	suspects.counters.Count("crashes", source)
 	suspects.log.WithFields(fields).WithFields(logrus.Fields{
-		"content": FormatHash(crash.Request), "incarnation": FormatHash(crash.Endpoint), "crashes": suspects.table.Crashes(crash.Request),
+		"content": FormatHash(crash.Request.Exact), "any_query": FormatHash(crash.Request.AnyQuery), "incarnation": FormatHash(crash.Endpoint), "crashes": suspects.table.Crashes(crash.Request),
 	}).Info("crash counted")
 }
 
 // IsPoisonous reports whether a request has crashed too many endpoints.
-func (suspects *Suspects) IsPoisonous(request uint64) bool {
+func (suspects *Suspects) IsPoisonous(request Fingerprint) bool {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -1,6 +1,8 @@
 package bvsuspect
 
 import (
+	"slices"
+
 	"balsamvalve.example/bvclock"
 )
 
@@ -22,9 +24,16 @@
 	maxBrokenCalls = 1024
 )
 
-// Crash is the loss of an endpoint while it ran a request.
+// Fingerprint identifies a request that its caller sends again: in the same workspace, with the
+// same method, host, path, parent turn and body. The zero value is none.
+type Fingerprint struct {
+	Exact    uint64 // hash of the request with its query
+	AnyQuery uint64 // hash of the request without its query
+}
+
+// Crash is the end of an endpoint while it ran a request.
 type Crash struct {
-	Request  uint64 // content hash, which is the same for each retry of the request
+	Request  Fingerprint
 	Endpoint uint64 // hash of the endpoint's ID, which differs with each start
 }
 
@@ -38,7 +47,9 @@
 // callers pass the time to its methods. The zero value is empty.
 type Table struct {
 	brokenCalls []brokenCall
-	crashes     map[uint64]map[uint64]bvclock.Time // by request and endpoint
+	suspects    map[uint64]*suspect // by exact request
+	// families holds the suspects that differ in their query only.
+	families map[uint64][]*suspect
 }
 
 // brokenCall is a call whose endpoint may have crashed.
@@ -48,9 +59,24 @@
 	running bool // the endpoint still ran when it was checked
 }
 
+// suspect is a request that was in flight when endpoints crashed.
+type suspect struct {
+	request Fingerprint
+	crashes map[uint64]bvclock.Time // by endpoint
+}
+
+// latest returns the time of the suspect's last crash.
+func (suspect *suspect) latest() bvclock.Time {
+	latest := bvclock.Time(0)
+	for _, at := range suspect.crashes {
+		latest = max(latest, at)
+	}
+	return latest
+}
+
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
 // alone does not make the request a suspect: answers are lost for many reasons.
-func (table *Table) RecordBrokenCall(now bvclock.Time, request, endpoint uint64) {
+func (table *Table) RecordBrokenCall(now bvclock.Time, request Fingerprint, endpoint uint64) {
 	if len(table.brokenCalls) >= maxBrokenCalls {
 		table.brokenCalls = table.brokenCalls[maxBrokenCalls/2:]
 	}
@@ -90,56 +116,91 @@
 // RecordCrash records a crash that this or another host detected. A crash that is recorded
 // twice counts once; it returns false the second time.
 func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
-	if table.crashes == nil {
-		table.crashes = make(map[uint64]map[uint64]bvclock.Time)
-	}
-	endpoints := table.crashes[crash.Request]
-	if endpoints == nil {
-		endpoints = make(map[uint64]bvclock.Time)
-		table.crashes[crash.Request] = endpoints
-	}
-	if _, known := endpoints[crash.Endpoint]; known {
+	found := table.getOrAdd(crash.Request)
+	if _, known := found.crashes[crash.Endpoint]; known {
 		return false
 	}
-	endpoints[crash.Endpoint] = now
+	found.crashes[crash.Endpoint] = now
 	return true
 }
 
-// Crashes returns how many endpoints a request has crashed.
-func (table *Table) Crashes(request uint64) int { return len(table.crashes[request]) }
+func (table *Table) getOrAdd(request Fingerprint) *suspect {
+	if found := table.suspects[request.Exact]; found != nil {
+		return found
+	}
+	if table.suspects == nil {
+		table.suspects, table.families = make(map[uint64]*suspect), make(map[uint64][]*suspect)
+	}
+	added := &suspect{request: request, crashes: make(map[uint64]bvclock.Time)}
+	table.suspects[request.Exact] = added
+	table.families[request.AnyQuery] = append(table.families[request.AnyQuery], added)
+	return added
+}
+
+func (table *Table) remove(removed *suspect) {
+	delete(table.suspects, removed.request.Exact)
+	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
+	if len(family) == 0 {
+		delete(table.families, removed.request.AnyQuery)
+		return
+	}
+	table.families[removed.request.AnyQuery] = family
+}
+
+// Crashes returns how many endpoints a request has crashed, also with other queries if it has
+// come with several.
+func (table *Table) Crashes(request Fingerprint) int {
+	if family := table.families[request.AnyQuery]; len(family) > 1 {
+		return countEndpoints(family...)
+	}
+	if found := table.suspects[request.Exact]; found != nil {
+		return countEndpoints(found)
+	}
+	return 0
+}
+
+// countEndpoints returns how many endpoints some suspects have crashed.
+func countEndpoints(suspects ...*suspect) int {
+	endpoints := make(map[uint64]bool)
+	for _, suspect := range suspects {
+		for endpoint := range suspect.crashes {
+			endpoints[endpoint] = true
+		}
+	}
+	return len(endpoints)
+}
 
 // Len returns the number of suspects.
-func (table *Table) Len() int { return len(table.crashes) }
+func (table *Table) Len() int { return len(table.suspects) }
 
 // IsPoisonous reports whether a request has crashed crashLimit endpoints or more.
-func (table *Table) IsPoisonous(now bvclock.Time, request uint64) bool {
-	endpoints := table.crashes[request]
-	if len(endpoints) < crashLimit {
+func (table *Table) IsPoisonous(now bvclock.Time, request Fingerprint) bool {
+	if table.Crashes(request) < crashLimit {
 		return false
 	}
-	for _, at := range endpoints {
-		if now.Sub(at) < crashRetention {
-			return true
+	table.removeExpired(now)
+	return table.Crashes(request) >= crashLimit
+}
+
+// removeExpired removes the suspects whose last crash is too long ago.
+func (table *Table) removeExpired(now bvclock.Time) {
+	for _, suspect := range table.suspects {
+		if now.Sub(suspect.latest()) >= crashRetention {
+			table.remove(suspect)
 		}
 	}
-	delete(table.crashes, request)
-	return false
 }
 
-// RecentCrashes returns the crashes to report to other hosts, and drops old ones.
+// RecentCrashes returns the crashes to report to other hosts, and removes old ones.
 func (table *Table) RecentCrashes(now bvclock.Time) []Crash {
+	table.removeExpired(now)
 	var recent []Crash
-	for request, endpoints := range table.crashes {
-		latest := bvclock.Time(0)
-		for endpoint, at := range endpoints {
-			latest = max(latest, at)
+	for _, suspect := range table.suspects {
+		for endpoint, at := range suspect.crashes {
 			if now.Sub(at) < crashReportTime {
-				recent = append(recent, Crash{request, endpoint})
+				recent = append(recent, Crash{suspect.request, endpoint})
 			}
 		}
-		if now.Sub(latest) > crashRetention {
-			delete(table.crashes, request)
-		}
 	}
 	return recent
 }
