A request that is answered has crashed nothing, nor has an endpoint that answers

What callers would see: a lookup that many callers make is refused while another request crashes endpoints.

Cause: each request in flight at a crash counts as its cause, and nothing told the culprit from those beside it. A popular one is in flight at most crashes.

A request that crashes each endpoint is never answered. A complete answer now withdraws the crashes that count against the request, also if it came up to some 10 to 20 s before the crash; an answer of an endpoint that counted as crashed withdraws all crashes there. Both is reported to other hosts: crashes and withdrawals merge in any order, and carry their age, so that hosts that repeat what they hear don't keep it alive. Reports and suspects are bounded; some thousand crashes at once would have made a digest too large to be sent.

Ruled out: to count only requests that run alone (engines run 16 at once), and to leave out crashes of a whole service (in the incident the ten endpoints of a service went within 0.25 s, by one request).

--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -24,19 +24,21 @@
 	pools      map[string]*Pool
 	placements []Placement // since the last call of TakeLoadReport
 
-	trackers Trackers     // nil: none
-	losses   LossObserver // nil: none
+	trackers Trackers         // nil: none
+	observer EndpointObserver // nil: none
 }
 
-// LossObserver is notified of signs that an endpoint has crashed.
-type LossObserver interface {
-	// RecordEndpointLoss reports a sign that a start of an endpoint has ended.
+// EndpointObserver is notified of signs that a start of an endpoint has ended, or runs.
+type EndpointObserver interface {
+	// RecordEndpointLoss reports a sign that it has ended.
 	RecordEndpointLoss(endpoint uint64, sign bvsuspect.Sign)
+	// RecordRunning reports that it has answered a request that was sent at a time.
+	RecordRunning(endpoint uint64, sentAt bvclock.Time)
 }
 
-// SetLossObserver sets the observer of lost endpoints. It must be called before the first
-// call is dispatched.
-func (dispatcher *Dispatcher) SetLossObserver(observer LossObserver) { dispatcher.losses = observer }
+// SetObserver sets the observer of endpoints. It must be called before the first call is
+// dispatched.
+func (dispatcher *Dispatcher) SetObserver(observer EndpointObserver) { dispatcher.observer = observer }
 
 func (dispatcher *Dispatcher) reportLosses(losses []Loss) {
 	for _, loss := range losses {
@@ -45,8 +47,8 @@
 }
 
 func (dispatcher *Dispatcher) reportLoss(endpoint uint64, sign bvsuspect.Sign) {
-	if dispatcher.losses != nil {
-		dispatcher.losses.RecordEndpointLoss(endpoint, sign)
+	if dispatcher.observer != nil {
+		dispatcher.observer.RecordEndpointLoss(endpoint, sign)
 	}
 }
 
@@ -370,6 +372,8 @@
 		dispatcher.reportLoss(hash, bvsuspect.Unreachable)
 	case result.Outcome == Wrong:
 		dispatcher.reportLoss(hash, bvsuspect.AnotherInstance)
+	case (result.Outcome == Served || result.Outcome == Full) && dispatcher.observer != nil:
+		dispatcher.observer.RecordRunning(hash, now.Add(-result.Duration))
 	}
 	return pool.RunningAt(hash)
 }
--- a/bvexplain/crash.go
+++ b/bvexplain/crash.go
@@ -20,6 +20,7 @@
 	brokenAt        map[string]bool            // starts of endpoints
 	countedBy       map[string]map[string]bool // starts of endpoints, by the host that counts their crash
 	counted         map[string]bool            // of these, by any host
+	withdrawn       map[string]bool            // of these, since the endpoint or the request was cleared
 	calls           int                        // that broke
 	last            *line                      // last call that broke
 	refused         int
@@ -38,6 +39,10 @@
 		crashes.addBrokenCall(line)
 	case line.Message == "crash counted":
 		crashes.addCrash(line)
+	case line.Message == "crash withdrawn":
+		if found := crashes.suspect(line.Content); found != nil {
+			found.withdrawn[line.Incarnation] = true
+		}
 	case line.isRequest() && strings.HasPrefix(line.Error, poisonousCode):
 		if found := crashes.suspect(line.Content); found != nil {
 			found.refused++
@@ -65,7 +70,7 @@
 	if crashes.suspects == nil {
 		crashes.suspects = make(map[string]*suspect)
 	}
-	added := &suspect{brokenAt: make(map[string]bool), countedBy: make(map[string]map[string]bool), counted: make(map[string]bool)}
+	added := &suspect{brokenAt: make(map[string]bool), countedBy: make(map[string]map[string]bool), counted: make(map[string]bool), withdrawn: make(map[string]bool)}
 	crashes.suspects[content] = added
 	return added
 }
@@ -141,14 +146,14 @@
 		return
 	}
 	printer.line("\nrequests in flight at crashes: %d; those that broke most calls:", len(contents))
-	printer.line("%-16s  %-16s  %-12s %6s %8s %8s %11s %8s  %s", "content", "any query", "route", "broke", "counted", "missed", "known to", "refused", "last broken call")
+	printer.line("%-16s  %-16s  %-12s %6s %8s %9s %8s %11s %8s  %s", "content", "any query", "route", "broke", "counted", "withdrawn", "missed", "known to", "refused", "last broken call")
 	for _, content := range contents[:min(len(contents), maxPrintedSuspects)] {
 		suspect := crashes.suspects[content]
 		last := ""
 		if suspect.last != nil {
 			last = suspect.last.Request + " on " + suspect.last.host
 		}
-		printer.line("%-16s  %-16s  %-12s %6d %8d %8d %5d of %2d %8d  %s", content, suspect.anyQuery, suspect.route, suspect.calls,
-			len(suspect.counted), suspect.missed(crashes.lost), suspect.hostsThatCountAll(), hosts, suspect.refused, last)
+		printer.line("%-16s  %-16s  %-12s %6d %8d %9d %8d %5d of %2d %8d  %s", content, suspect.anyQuery, suspect.route, suspect.calls,
+			len(suspect.counted), len(suspect.withdrawn), suspect.missed(crashes.lost), suspect.hostsThatCountAll(), hosts, suspect.refused, last)
 	}
 }
--- a/bvexplain/crash_test.go
+++ b/bvexplain/crash_test.go
@@ -30,6 +30,12 @@
 	require.Equal(t, 1, suspect.refused)
 }
 
+func TestWithdrawnCrashIsShown(t *testing.T) {
+	withdrawn := strings.ReplaceAll(crashLine, "crash counted", "crash withdrawn")
+	account := read(t, Options{}, "10 a "+brokenCall, "10 a "+crashLine, "11 b "+withdrawn)
+	require.Len(t, account.crashes.suspects["c7"].withdrawn, 1)
+}
+
 // Guards against lost answers of sound endpoints that are shown as crashes.
 func TestBrokenCallAtASoundEndpointIsNotShown(t *testing.T) {
 	account := read(t, Options{}, "10 host-a "+brokenCall)
--- a/bvforward/check.go
+++ b/bvforward/check.go
@@ -46,7 +46,7 @@
 	return Running
 }
 
-// livenessOf returns what an error of a connection attempt says about the endpoint.
+// livenessOf returns the liveness that an error of a connection attempt shows.
 func livenessOf(err error) Liveness {
 	if IsRefused(err) {
 		return Refused
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -90,6 +90,8 @@
 // Suspects are the requests that may crash endpoints.
 type Suspects interface {
 	RecordBrokenCall(call bvsuspect.BrokenCall)
+	// RecordAnswer records that an endpoint has answered a request completely.
+	RecordAnswer(request bvsuspect.Fingerprint)
 	// RecordCheck records whether the endpoint of a broken call still runs.
 	RecordCheck(call bvsuspect.BrokenCall, result bvforward.Liveness)
 	// IsPoisonous reports whether a request has crashed too many endpoints.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -150,8 +150,11 @@
 		result.UncachedTokens, result.TimeToFirstEvent = max(call.placement.PromptTokens-call.placement.CachedTokens, 0), call.firstEventAt.Sub(call.sentAt)
 	}
 	call.front.parts.Dispatcher.EndCall(call.service.Name, call.endpoint.ID(), &call.placement, result)
-	if outcome == bvdispatch.Broken {
+	switch outcome {
+	case bvdispatch.Broken:
 		call.reportBroken()
+	case bvdispatch.Served:
+		call.front.parts.Suspects.RecordAnswer(call.fingerprint)
 	}
 }
 
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -47,9 +47,11 @@
 //	endpoints             endpoints on the platform's list
 //	broken_calls          a map: calls that an endpoint may have run and did not answer
 //	                      completely, by the way in which they broke
-//	endpoint_losses       a map: signs that an endpoint has crashed, by sign
+//	endpoint_checks       a map: checks of endpoints after such calls, by result
+//	endpoint_losses       a map: signs that an endpoint has ended, by sign
 //	crashes               a map: crashes counted against a request, by who detected them
-//	suspects              requests against which crashes count
+//	crashes_withdrawn     a map: of these, crashes that no longer count, by reason
+//	suspects              requests that were in flight at crashes
 //	connections_opened    connections opened to endpoints
 //	budget_writes         transactions attempted on programs' budgets
 //	budget_accounts       programs with an account here
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -15,7 +15,6 @@
 	"balsamvalve.example/bvlease"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvroute"
-	"balsamvalve.example/bvsuspect"
 )
 
 // openGossip opens the UDP port for datagrams. It has the same number as the TCP port for
@@ -68,8 +67,8 @@
 			Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs),
 		})
 	}
-	for _, crash := range router.suspects.RecentCrashes() {
-		digest.Crashes = append(digest.Crashes, &bvgossip.Crash{Request: crash.Request.Exact, AnyQuery: crash.Request.AnyQuery, Endpoint: crash.Endpoint})
+	for _, report := range router.suspects.Reports() {
+		digest.Crashes = append(digest.Crashes, encodeReport(report))
 	}
 	for _, placement := range placed {
 		digest.Placements = append(digest.Placements, &bvgossip.Placement{
@@ -162,23 +161,11 @@
 	}
 	handler.applyUsage(digest)
 	for _, crash := range digest.GetCrashes() {
-		handler.suspects.AddPeerCrash(digest.GetHost(), decodeCrash(crash))
+		handler.suspects.AddPeerReport(digest.GetHost(), decodeReport(crash))
 	}
 	handler.budgets.AddHolder(digest.GetAddress(), digest.GetPrograms())
 }
 
-// decodeCrash returns a crash that another host reports.
-func decodeCrash(crash *bvgossip.Crash) bvsuspect.Crash {
-	decoded := bvsuspect.Crash{
-		Request:  bvsuspect.Fingerprint{Exact: crash.GetRequest(), AnyQuery: crash.GetAnyQuery()},
-		Endpoint: crash.GetEndpoint(),
-	}
-	if decoded.Request.AnyQuery == 0 {
-		decoded.Request.AnyQuery = decoded.Request.Exact // an older build does not report it
-	}
-	return decoded
-}
-
 // applyCalls records where another host's prompts are cached, and the outcomes of its
 // calls.
 func (handler peerHandler) applyCalls(digest *bvgossip.Digest) {
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -153,7 +153,7 @@
 		counters:    bvmeasure.New(),
 	}
 	router.suspects = bvsuspect.New(clock, router.counters, log)
-	router.dispatcher.SetLossObserver(router.suspects)
+	router.dispatcher.SetObserver(router.suspects)
 	router.limiter = bvquota.New(clock, bvquota.Bounds{
 		StartFull: settings.FirstStart, Window: settings.QuotaWindow, OverRatio: settings.QuotaOver, Slack: settings.QuotaSlack,
 	})
--- /dev/null
+++ b/bvsuspect/broken.go
@@ -0,0 +1,71 @@
+package bvsuspect
+
+import (
+	"slices"
+
+	"balsamvalve.example/bvclock"
+)
+
+const (
+	// crashWindow is the time after a broken call within which the end of its endpoint
+	// counts as a crash caused by the call. An endpoint whose machine is silent shows it by
+	// its entry, which expires after some seconds.
+	crashWindow = 10 * bvclock.Second
+	// maxBrokenCalls bounds the broken calls that are retained.
+	maxBrokenCalls = 1024
+)
+
+// brokenCalls are calls whose endpoints may have crashed. The zero value is empty.
+type brokenCalls []brokenCall
+
+type brokenCall struct {
+	Crash
+	at      bvclock.Time
+	running bool // the endpoint still ran when it was checked
+}
+
+// DetectedCrash is a crash that this host detected.
+type DetectedCrash struct {
+	Crash
+	BrokenFor bvclock.Duration // time from the broken call to the loss of the endpoint
+}
+
+// drop drops the calls that broke at an endpoint before a time.
+func (calls *brokenCalls) drop(endpoint uint64, before bvclock.Time) {
+	*calls = slices.DeleteFunc(*calls, func(call brokenCall) bool { return call.Endpoint == endpoint && call.at.Before(before) })
+}
+
+// RecordBrokenCall records that the connection to an endpoint broke during a request. This
+// alone does not make the request a suspect: answers are lost for many reasons.
+func (table *Table) RecordBrokenCall(now bvclock.Time, request Fingerprint, endpoint uint64) {
+	if len(table.brokenCalls) >= maxBrokenCalls {
+		table.brokenCalls = slices.Delete(table.brokenCalls, 0, maxBrokenCalls/2)
+	}
+	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: Crash{request, endpoint}, at: now})
+}
+
+// RecordConnected records that an endpoint accepted connections after calls broke there.
+func (table *Table) RecordConnected(endpoint uint64) {
+	for i := range table.brokenCalls {
+		if table.brokenCalls[i].Endpoint == endpoint {
+			table.brokenCalls[i].running = true
+		}
+	}
+}
+
+// RecordEndpointLoss records a sign that an endpoint has ended. The requests whose calls broke
+// there within crashWindow become suspects; it returns them.
+func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64, sign Sign) (crashes []DetectedCrash) {
+	if sign == Unreachable {
+		return nil
+	}
+	table.brokenCalls = slices.DeleteFunc(table.brokenCalls, func(call brokenCall) bool {
+		age := now.Sub(call.at)
+		isCrash := age <= crashWindow && call.Endpoint == endpoint && (sign != Removed || !call.running)
+		if isCrash && table.RecordCrash(now, call.Crash) {
+			crashes = append(crashes, DetectedCrash{call.Crash, age})
+		}
+		return isCrash || age > crashWindow
+	})
+	return crashes
+}
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -5,7 +5,7 @@
 // that broke and the end of its endpoint. Answers are lost for many reasons, so the host whose
 // call broke checks at once whether the endpoint still runs; where that can't be found out, the
 // list of endpoints and later calls show it. Each host records what it detects, and reports it
-// to the others.
+// to the others. An answer to the request, or of the endpoint, withdraws a crash.
 //
 // A Table holds what is known; it is pure logic. Suspects wraps a Table for concurrent use,
 // and writes a log line for each step that decides whether a request is refused.
@@ -129,7 +129,7 @@
 	case bvforward.Running:
 		suspects.mutex.Lock()
 		defer suspects.mutex.Unlock()
-		suspects.table.RecordRunning(call.Endpoint)
+		suspects.table.RecordConnected(call.Endpoint)
 	}
 }
 
@@ -146,29 +146,63 @@
 		}).Info("endpoint lost")
 	}
 	for _, crash := range crashes {
-		suspects.logCrash(crash.Crash, logrus.Fields{"source": "here", "sign": sign.String(), "broken_ms": int64(crash.BrokenFor)})
+		suspects.counters.Count("crashes", "here")
+		suspects.logCrash(crash.Crash, "crash counted", logrus.Fields{
+			"source": "here", "sign": sign.String(), "broken_ms": int64(crash.BrokenFor),
+		})
 	}
 }
 
-// AddPeerCrash records a crash that another host detected.
-func (suspects *Suspects) AddPeerCrash(host string, crash Crash) {
+// RecordAnswer records that an endpoint has answered a request completely.
+func (suspects *Suspects) RecordAnswer(request Fingerprint) {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	if suspects.table.RecordCrash(now, crash) {
-		suspects.logCrash(crash, logrus.Fields{"source": host})
+	suspects.logWithdrawn(suspects.table.RecordAnswer(now, request), "request answered")
+}
+
+// RecordRunning records that an endpoint has answered a request that was sent to it at a time.
+func (suspects *Suspects) RecordRunning(endpoint uint64, sentAt bvclock.Time) {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	suspects.logWithdrawn(suspects.table.RecordRunning(now, endpoint, sentAt), "endpoint answered")
+}
+
+func (suspects *Suspects) logWithdrawn(withdrawn []Crash, reason string) {
+	for _, crash := range withdrawn {
+		suspects.counters.Count("crashes_withdrawn", reason)
+		suspects.logCrash(crash, "crash withdrawn", logrus.Fields{"reason": reason})
 	}
 }
 
-func (suspects *Suspects) logCrash(crash Crash, fields logrus.Fields) {
-	source := "here"
-	if fields["source"] != source {
-		source = "other hosts"
+// AddPeerReport adds what another host reports of a crash.
+func (suspects *Suspects) AddPeerReport(host string, report Report) {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	before := suspects.table.Crashes(report.Request)
+	if !suspects.table.Merge(now, report) {
+		return
 	}
-	suspects.counters.Count("crashes", source)
+	message := "crash counted"
+	switch after := suspects.table.Crashes(report.Request); {
+	case after < before:
+		message = "crash withdrawn"
+	case after == before:
+		return // the report does not change what counts
+	}
+	suspects.counters.Count("crashes", "other hosts")
+	suspects.logCrash(report.Crash, message, logrus.Fields{"source": host, "age_ms": int64(report.Age)})
+}
+
+func (suspects *Suspects) logCrash(crash Crash, message string, fields logrus.Fields) {
 	suspects.log.WithFields(fields).WithFields(logrus.Fields{
-		"content": FormatHash(crash.Request.Exact), "any_query": FormatHash(crash.Request.AnyQuery), "incarnation": FormatHash(crash.Endpoint), "crashes": suspects.table.Crashes(crash.Request),
-	}).Info("crash counted")
+		"content":     FormatHash(crash.Request.Exact),
+		"any_query":   FormatHash(crash.Request.AnyQuery),
+		"incarnation": FormatHash(crash.Endpoint),
+		"crashes":     suspects.table.Crashes(crash.Request),
+	}).Info(message)
 }
 
 // IsPoisonous reports whether a request has crashed too many endpoints.
@@ -179,12 +213,12 @@
 	return suspects.table.IsPoisonous(now, request)
 }
 
-// RecentCrashes returns the crashes to report to other hosts.
-func (suspects *Suspects) RecentCrashes() []Crash {
+// Reports returns what to report to other hosts.
+func (suspects *Suspects) Reports() []Report {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	return suspects.table.RecentCrashes(now)
+	return suspects.table.Reports(now)
 }
 
 // FormatHash formats a hash for the log.
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -1,6 +1,8 @@
 package bvsuspect
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -10,18 +12,16 @@
 	// crashLimit is the number of endpoints that a request must have crashed to be
 	// refused by all hosts.
 	crashLimit = 3
-	// crashWindow is the time after a broken call within which the end of its endpoint
-	// counts as a crash caused by the call. An endpoint whose machine is silent shows it by
-	// its entry, which expires after some seconds.
-	crashWindow = 10 * bvclock.Second
 	// crashRetention is how long crashes are retained after the last one: both the restart
 	// of the endpoint and the caller's retry take only some seconds.
 	crashRetention = bvclock.Minute
-	// crashReportTime is how long a crash is included in digests, since some digests are
+	// reportTime is how long a change is reported to other hosts, since some datagrams are
 	// lost.
-	crashReportTime = 3 * bvclock.Second
-	// maxBrokenCalls bounds the broken calls that are retained.
-	maxBrokenCalls = 1024
+	reportTime = 3 * bvclock.Second
+	// maxSuspects bounds the requests that are retained, and maxReports the crashes that are
+	// reported at once.
+	maxSuspects = 1024
+	maxReports  = 128
 )
 
 // Fingerprint identifies a request that its caller sends again: in the same workspace, with the
@@ -37,137 +37,189 @@
 	Endpoint uint64 // hash of the endpoint's ID, which differs with each start
 }
 
-// DetectedCrash is a crash that this host detected.
-type DetectedCrash struct {
+// Report is the state of a crash as hosts exchange it. Reports can be merged in any order.
+type Report struct {
 	Crash
-	BrokenFor bvclock.Duration // time from the broken call to the loss of the endpoint
+	Age bvclock.Duration // time since it was detected
+	// Withdrawn: the endpoint did not crash, or the request did not cause it.
+	Withdrawn bool
+	// OtherQuery: an endpoint has answered the request with another query, so that the crash
+	// counts against this query only.
+	OtherQuery bool
 }
 
 // Table holds the requests that were in flight when endpoints crashed. It uses no clock:
 // callers pass the time to its methods. The zero value is empty.
+//
+// Several requests are in flight at an endpoint that crashes. The one that caused it is never
+// answered; for each other one, an answer withdraws the crashes that count against it. So does an
+// answer of an endpoint that counted as crashed.
 type Table struct {
-	brokenCalls []brokenCall
+	brokenCalls brokenCalls
+	answered    recentRequests
 	suspects    map[uint64]*suspect // by exact request
 	// families holds the suspects that differ in their query only.
 	families map[uint64][]*suspect
-}
-
-// brokenCall is a call whose endpoint may have crashed.
-type brokenCall struct {
-	Crash
-	at      bvclock.Time
-	running bool // the endpoint still ran when it was checked
+	crashed  map[uint64]int // number of crashes by endpoint
 }
 
 // suspect is a request that was in flight when endpoints crashed.
 type suspect struct {
-	request Fingerprint
-	crashes map[uint64]bvclock.Time // by endpoint
+	request   Fingerprint
+	crashes   map[uint64]*crash // by endpoint
+	changedAt bvclock.Time
+}
+
+type crash struct {
+	at                    bvclock.Time
+	withdrawn, otherQuery bool // as in Report
 }
 
 // latest returns the time of the suspect's last crash.
 func (suspect *suspect) latest() bvclock.Time {
 	latest := bvclock.Time(0)
-	for _, at := range suspect.crashes {
-		latest = max(latest, at)
+	for _, crash := range suspect.crashes {
+		latest = max(latest, crash.at)
 	}
 	return latest
 }
 
-// RecordBrokenCall records that the connection to an endpoint broke during a request. This
-// alone does not make the request a suspect: answers are lost for many reasons.
-func (table *Table) RecordBrokenCall(now bvclock.Time, request Fingerprint, endpoint uint64) {
-	if len(table.brokenCalls) >= maxBrokenCalls {
-		table.brokenCalls = table.brokenCalls[maxBrokenCalls/2:]
-	}
-	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: Crash{request, endpoint}, at: now})
+// RecordCrash records a crash that this host detected. A crash that is recorded twice counts
+// once; it returns false the second time.
+func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
+	return table.Merge(now, Report{Crash: crash})
 }
 
-// RecordRunning records that an endpoint accepted connections after calls broke there.
-func (table *Table) RecordRunning(endpoint uint64) {
-	for i := range table.brokenCalls {
-		if table.brokenCalls[i].Endpoint == endpoint {
-			table.brokenCalls[i].running = true
-		}
+// Merge adds what a report contains, and reports whether it contained anything new.
+func (table *Table) Merge(now bvclock.Time, report Report) (changed bool) {
+	if report.Age >= crashRetention {
+		return false
 	}
-}
-
-// RecordEndpointLoss records a sign that an endpoint has ended. The requests whose calls broke
-// there within crashWindow become suspects; it returns them.
-func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64, sign Sign) (crashes []DetectedCrash) {
-	if sign == Unreachable {
-		return nil
+	found := table.getOrAdd(now, report.Request)
+	known := found.crashes[report.Endpoint]
+	if known == nil {
+		known = &crash{at: now.Add(-report.Age)}
+		found.crashes[report.Endpoint] = known
+		table.crashed[report.Endpoint]++
+		changed = true
 	}
-	kept := table.brokenCalls[:0]
-	for _, broken := range table.brokenCalls {
-		switch {
-		case now.Sub(broken.at) > crashWindow:
-		case broken.Endpoint == endpoint && (sign != Removed || !broken.running):
-			table.RecordCrash(now, broken.Crash)
-			crashes = append(crashes, DetectedCrash{broken.Crash, now.Sub(broken.at)})
-		default:
-			kept = append(kept, broken)
-		}
+	withdrawn := report.Withdrawn || table.answered.has(now, report.Request.Exact)
+	otherQuery := report.OtherQuery || table.answered.has(now, report.Request.AnyQuery)
+	changed = changed || withdrawn && !known.withdrawn || otherQuery && !known.otherQuery
+	known.withdrawn, known.otherQuery = known.withdrawn || withdrawn, known.otherQuery || otherQuery
+	if changed {
+		found.changedAt = now
 	}
-	table.brokenCalls = kept
-	return crashes
+	return changed
 }
 
-// RecordCrash records a crash that this or another host detected. A crash that is recorded
-// twice counts once; it returns false the second time.
-func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
-	found := table.getOrAdd(crash.Request)
-	if _, known := found.crashes[crash.Endpoint]; known {
-		return false
-	}
-	found.crashes[crash.Endpoint] = now
-	return true
-}
-
-func (table *Table) getOrAdd(request Fingerprint) *suspect {
+func (table *Table) getOrAdd(now bvclock.Time, request Fingerprint) *suspect {
 	if found := table.suspects[request.Exact]; found != nil {
 		return found
 	}
 	if table.suspects == nil {
-		table.suspects, table.families = make(map[uint64]*suspect), make(map[uint64][]*suspect)
+		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64]int)
+	}
+	if len(table.suspects) >= maxSuspects {
+		table.removeOldest()
 	}
-	added := &suspect{request: request, crashes: make(map[uint64]bvclock.Time)}
+	added := &suspect{request: request, crashes: make(map[uint64]*crash), changedAt: now}
 	table.suspects[request.Exact] = added
 	table.families[request.AnyQuery] = append(table.families[request.AnyQuery], added)
 	return added
 }
 
+func (table *Table) removeOldest() {
+	var oldest *suspect
+	for _, suspect := range table.suspects {
+		if oldest == nil || suspect.changedAt.Before(oldest.changedAt) {
+			oldest = suspect
+		}
+	}
+	table.remove(oldest)
+}
+
 func (table *Table) remove(removed *suspect) {
 	delete(table.suspects, removed.request.Exact)
 	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
+	table.families[removed.request.AnyQuery] = family
 	if len(family) == 0 {
 		delete(table.families, removed.request.AnyQuery)
-		return
 	}
-	table.families[removed.request.AnyQuery] = family
+	for endpoint := range removed.crashes {
+		table.crashed[endpoint]--
+		if table.crashed[endpoint] == 0 {
+			delete(table.crashed, endpoint)
+		}
+	}
+}
+
+// RecordAnswer records that an endpoint has answered a request completely. It returns the
+// crashes that no longer count against the request.
+func (table *Table) RecordAnswer(now bvclock.Time, request Fingerprint) (withdrawn []Crash) {
+	table.answered.add(now, request.Exact)
+	table.answered.add(now, request.AnyQuery)
+	for _, suspect := range table.families[request.AnyQuery] {
+		isExact := suspect.request.Exact == request.Exact
+		for endpoint, crash := range suspect.crashes {
+			if !crash.otherQuery {
+				crash.otherQuery, suspect.changedAt = true, now
+			}
+			if isExact && !crash.withdrawn {
+				crash.withdrawn = true
+				withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
+			}
+		}
+	}
+	return withdrawn
+}
+
+// RecordRunning records that an endpoint has answered a request that was sent to it at a time: it
+// has not crashed before. It returns the crashes that no longer count.
+func (table *Table) RecordRunning(now bvclock.Time, endpoint uint64, sentAt bvclock.Time) (withdrawn []Crash) {
+	table.brokenCalls.drop(endpoint, sentAt)
+	if table.crashed[endpoint] == 0 {
+		return nil
+	}
+	for _, suspect := range table.suspects {
+		crash := suspect.crashes[endpoint]
+		if crash == nil || crash.withdrawn || !sentAt.After(crash.at) {
+			continue
+		}
+		crash.withdrawn, suspect.changedAt = true, now
+		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
+	}
+	return withdrawn
 }
 
 // Crashes returns how many endpoints a request has crashed, also with other queries if it has
 // come with several.
 func (table *Table) Crashes(request Fingerprint) int {
-	if family := table.families[request.AnyQuery]; len(family) > 1 {
-		return countEndpoints(family...)
+	exact := make(map[uint64]bool)
+	table.suspects[request.Exact].count(exact, func(*crash) bool { return true })
+	family, queries := make(map[uint64]bool), 0
+	for _, suspect := range table.families[request.AnyQuery] {
+		if suspect.count(family, func(crash *crash) bool { return !crash.otherQuery }) {
+			queries++
+		}
 	}
-	if found := table.suspects[request.Exact]; found != nil {
-		return countEndpoints(found)
+	if queries < 2 {
+		return len(exact)
 	}
-	return 0
+	return max(len(exact), len(family))
 }
 
-// countEndpoints returns how many endpoints some suspects have crashed.
-func countEndpoints(suspects ...*suspect) int {
-	endpoints := make(map[uint64]bool)
-	for _, suspect := range suspects {
-		for endpoint := range suspect.crashes {
-			endpoints[endpoint] = true
+// count adds the endpoints that a suspect has crashed, and reports whether there are any.
+func (suspect *suspect) count(endpoints map[uint64]bool, counts func(*crash) bool) (any bool) {
+	if suspect == nil {
+		return false
+	}
+	for endpoint, crash := range suspect.crashes {
+		if !crash.withdrawn && counts(crash) {
+			endpoints[endpoint], any = true, true
 		}
 	}
-	return len(endpoints)
+	return any
 }
 
 // Len returns the number of suspects.
@@ -191,16 +243,27 @@
 	}
 }
 
-// RecentCrashes returns the crashes to report to other hosts, and removes old ones.
-func (table *Table) RecentCrashes(now bvclock.Time) []Crash {
+// Reports returns what to report to other hosts, the latest changes first, and removes old
+// crashes.
+func (table *Table) Reports(now bvclock.Time) []Report {
 	table.removeExpired(now)
-	var recent []Crash
-	for _, suspect := range table.suspects {
-		for endpoint, at := range suspect.crashes {
-			if now.Sub(at) < crashReportTime {
-				recent = append(recent, Crash{suspect.request, endpoint})
-			}
+	changed := slices.SortedFunc(maps.Values(table.suspects), func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
+	var reports []Report
+	for _, suspect := range changed {
+		if now.Sub(suspect.changedAt) >= reportTime || len(reports) >= maxReports {
+			break
 		}
+		reports = append(reports, suspect.reports(now)...)
+	}
+	return reports[:min(len(reports), maxReports)]
+}
+
+func (suspect *suspect) reports(now bvclock.Time) []Report {
+	reports := make([]Report, 0, len(suspect.crashes))
+	for endpoint, crash := range suspect.crashes {
+		reports = append(reports, Report{
+			Crash: Crash{suspect.request, endpoint}, Age: now.Sub(crash.at), Withdrawn: crash.withdrawn, OtherQuery: crash.otherQuery,
+		})
 	}
-	return recent
+	return reports
 }
