Hosts learn of a crash at once, and of all earlier ones with it

What callers would see: five copies of a request through five hosts crash ten endpoints, as each host sends its copy on before it hears of the others; and a host that was cut off for three seconds never learns what the others know.

Cause: crashes waited for the next digest, up to 0.1 s within a zone and 0.4 s between zones, where a run lasts some 50 ms; and digests had each crash for 3 s only.

Digests have all crashes of a request for 10 s after its last change, so a further crash renews the report of the earlier ones.

TestCrashesAreSentToAllHostsAtOnce, TestNewCrashRenewsTheReportOfEarlierOnes.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -182,6 +182,27 @@
 	return short
 }
 
+// SendCrashes sends crashes to all hosts that are not silent, without waiting for the next
+// digest.
+func (gossip *Gossip) SendCrashes(crashes *Crashes) {
+	for _, address := range gossip.liveAddresses() {
+		gossip.sendTo(address, &Datagram{Message: &Datagram_Crashes{Crashes: crashes}})
+	}
+}
+
+func (gossip *Gossip) liveAddresses() []netip.AddrPort {
+	now := gossip.clock.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	var addresses []netip.AddrPort
+	for address, peer := range gossip.hosts {
+		if !gossip.isSilent(now, peer) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 func (gossip *Gossip) hostCount() int {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
@@ -244,6 +265,8 @@
 	// DecideClaim decides on a request of another host whose workspace is close to its
 	// usage cap.
 	DecideClaim(claim *Claim) *Claimed
+	// HandleCrashes handles crashes that another host has just detected.
+	HandleCrashes(crashes *Crashes)
 	// AcceptTokens adds tokens that another host lent. Holders are the addresses of other
 	// hosts that may have some.
 	AcceptTokens(program string, tokens int, holders []string)
@@ -290,6 +313,8 @@
 		gossip.handleUse(from, message.Use)
 	case *Datagram_Holding:
 		gossip.handleHolding(message.Holding)
+	case *Datagram_Crashes:
+		handler.HandleCrashes(message.Crashes)
 	}
 }
 
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -25,6 +25,7 @@
 
 	mutex    sync.Mutex
 	received []*Digest
+	crashes  []*Crash
 	accepted int
 	lendable int // tokens that this host can lend
 	granting bool
@@ -44,6 +45,12 @@
 	host.received = append(host.received, digest)
 }
 
+func (host *host) HandleCrashes(crashes *Crashes) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.crashes = append(host.crashes, crashes.GetCrashes()...)
+}
+
 func (host *host) LendTokens(_ string, ask *Ask) *Lend {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -340,3 +347,15 @@
 	require.True(t, gossip.isSilent(clock.Now(), sameZone))
 	require.False(t, gossip.isSilent(clock.Now(), otherZone))
 }
+
+// Guards against a crash that hosts of other zones learn of with the next digest only.
+func TestCrashesAreSentToAllHostsAtOnce(t *testing.T) {
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	exchangeDigests(t, a, b)
+	a.SendCrashes(&Crashes{Host: "a", Crashes: []*Crash{{Request: 7, Endpoint: 1}}})
+	require.Eventually(t, func() bool {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return len(b.crashes) == 1 && b.crashes[0].GetRequest() == 7
+	}, testTimeout, time.Millisecond)
+}
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -160,9 +160,7 @@
 		handler.applyCalls(digest)
 	}
 	handler.applyUsage(digest)
-	for _, crash := range digest.GetCrashes() {
-		handler.suspects.AddPeerReport(digest.GetHost(), decodeReport(crash))
-	}
+	handler.HandleCrashes(&bvgossip.Crashes{Host: digest.GetHost(), Crashes: digest.GetCrashes()})
 	handler.budgets.AddHolder(digest.GetAddress(), digest.GetPrograms())
 }
 
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -70,6 +70,8 @@
 	counters Counters
 	log      logrus.FieldLogger
 
+	changed chan struct{} // has an element while TakeChanges has something to return
+
 	mutex  sync.Mutex
 	table  Table
 	losses lossLog
@@ -77,7 +79,26 @@
 
 // New returns Suspects without suspects.
 func New(clock bvclock.Clock, counters Counters, log logrus.FieldLogger) *Suspects {
-	return &Suspects{clock: clock, counters: counters, log: log}
+	return &Suspects{clock: clock, counters: counters, log: log, changed: make(chan struct{}, 1)}
+}
+
+// Changed returns a channel that receives when there are changes to take.
+func (suspects *Suspects) Changed() <-chan struct{} { return suspects.changed }
+
+func (suspects *Suspects) signalChange() {
+	select {
+	case suspects.changed <- struct{}{}:
+	default: // it is signaled already
+	}
+}
+
+// TakeChanges returns the changes to report to other hosts at once: those of requests that have
+// crashed at least a number of endpoints, and those that clear a request.
+func (suspects *Suspects) TakeChanges(minCrashes int) []Report {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return suspects.table.TakeChanges(now, minCrashes)
 }
 
 // Len returns the number of suspects.
@@ -151,6 +172,9 @@
 			"source": "here", "sign": sign.String(), "broken_ms": int64(crash.BrokenFor),
 		})
 	}
+	if len(crashes) > 0 {
+		suspects.signalChange()
+	}
 }
 
 // RecordAnswer records that an endpoint has answered a request completely.
@@ -174,6 +198,9 @@
 		suspects.counters.Count("crashes_withdrawn", reason)
 		suspects.logCrash(crash, "crash withdrawn", logrus.Fields{"reason": reason})
 	}
+	if len(withdrawn) > 0 {
+		suspects.signalChange()
+	}
 }
 
 // AddPeerReport adds what another host reports of a crash.
@@ -185,6 +212,7 @@
 	if !suspects.table.Merge(now, report) {
 		return
 	}
+	suspects.signalChange() // the request may have been answered here
 	message := "crash counted"
 	switch after := suspects.table.Crashes(report.Request); {
 	case after < before:
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -15,9 +15,9 @@
 	// crashRetention is how long crashes are retained after the last one: both the restart
 	// of the endpoint and the caller's retry take only some seconds.
 	crashRetention = bvclock.Minute
-	// reportTime is how long a change is reported to other hosts, since some datagrams are
-	// lost.
-	reportTime = 3 * bvclock.Second
+	// reportTime is how long a request's crashes are reported to other hosts after their last
+	// change: some datagrams are lost, and some hosts are cut off for seconds.
+	reportTime = 10 * bvclock.Second
 	// maxSuspects bounds the requests that are retained, and maxReports the crashes that are
 	// reported at once.
 	maxSuspects = 1024
@@ -68,6 +68,13 @@
 	request   Fingerprint
 	crashes   map[uint64]*crash // by endpoint
 	changedAt bvclock.Time
+	// changedHere: this host has not yet reported a change that it detected itself.
+	changedHere bool
+}
+
+// recordChange records a change that this host detected itself.
+func (suspect *suspect) recordChange(now bvclock.Time) {
+	suspect.changedAt, suspect.changedHere = now, true
 }
 
 type crash struct {
@@ -87,7 +94,11 @@
 // RecordCrash records a crash that this host detected. A crash that is recorded twice counts
 // once; it returns false the second time.
 func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
-	return table.Merge(now, Report{Crash: crash})
+	if !table.Merge(now, Report{Crash: crash}) {
+		return false
+	}
+	table.suspects[crash.Request.Exact].recordChange(now)
+	return true
 }
 
 // Merge adds what a report contains, and reports whether it contained anything new.
@@ -103,13 +114,21 @@
 		table.crashed[report.Endpoint]++
 		changed = true
 	}
-	withdrawn := report.Withdrawn || table.answered.has(now, report.Request.Exact)
-	otherQuery := report.OtherQuery || table.answered.has(now, report.Request.AnyQuery)
-	changed = changed || withdrawn && !known.withdrawn || otherQuery && !known.otherQuery
-	known.withdrawn, known.otherQuery = known.withdrawn || withdrawn, known.otherQuery || otherQuery
+	changed = known.merge(report.Withdrawn, report.OtherQuery) || changed
 	if changed {
 		found.changedAt = now
 	}
+	if known.merge(table.answered.has(now, report.Request.Exact), table.answered.has(now, report.Request.AnyQuery)) {
+		found.recordChange(now)
+		changed = true
+	}
+	return changed
+}
+
+// merge adds to the state of a crash, and reports whether it has changed.
+func (crash *crash) merge(withdrawn, otherQuery bool) (changed bool) {
+	changed = withdrawn && !crash.withdrawn || otherQuery && !crash.otherQuery
+	crash.withdrawn, crash.otherQuery = crash.withdrawn || withdrawn, crash.otherQuery || otherQuery
 	return changed
 }
 
@@ -162,11 +181,11 @@
 	for _, suspect := range table.families[request.AnyQuery] {
 		isExact := suspect.request.Exact == request.Exact
 		for endpoint, crash := range suspect.crashes {
-			if !crash.otherQuery {
-				crash.otherQuery, suspect.changedAt = true, now
+			wasWithdrawn := crash.withdrawn
+			if crash.merge(isExact, true) {
+				suspect.recordChange(now)
 			}
-			if isExact && !crash.withdrawn {
-				crash.withdrawn = true
+			if crash.withdrawn && !wasWithdrawn {
 				withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 			}
 		}
@@ -186,7 +205,8 @@
 		if crash == nil || crash.withdrawn || !sentAt.After(crash.at) {
 			continue
 		}
-		crash.withdrawn, suspect.changedAt = true, now
+		crash.withdrawn = true
+		suspect.recordChange(now)
 		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
 	return withdrawn
@@ -243,8 +263,25 @@
 	}
 }
 
-// Reports returns what to report to other hosts, the latest changes first, and removes old
-// crashes.
+// TakeChanges returns what to report at once of the changes that this host has detected since the
+// last call: those of requests that have crashed at least a number of endpoints, and those that
+// clear a request.
+func (table *Table) TakeChanges(now bvclock.Time, minCrashes int) []Report {
+	var reports []Report
+	for _, suspect := range table.suspects {
+		if !suspect.changedHere {
+			continue
+		}
+		suspect.changedHere = false
+		if crashes := table.Crashes(suspect.request); crashes == 0 || crashes >= minCrashes {
+			reports = append(reports, suspect.reports(now)...)
+		}
+	}
+	return reports[:min(len(reports), maxReports)]
+}
+
+// Reports returns what to report to other hosts regularly, the latest changes first, and removes
+// old crashes.
 func (table *Table) Reports(now bvclock.Time) []Report {
 	table.removeExpired(now)
 	changed := slices.SortedFunc(maps.Values(table.suspects), func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -218,3 +218,34 @@
 	require.Equal(t, bvclock.Second+100, here.Reports(5100)[0].Age)
 	require.False(t, here.Merge(5000, Report{Crash: Crash{request(2), 1}, Age: crashRetention}))
 }
+
+// Guards against a host that was cut off when a request crashed endpoints, and does not learn of
+// it when the request comes again.
+func TestNewCrashRenewsTheReportOfEarlierOnes(t *testing.T) {
+	var here, late Table
+	crashAll(&here, 10, request(1))
+	later := bvclock.Time(10).Add(reportTime + 1)
+	require.Empty(t, here.Reports(later))
+	late.RecordCrash(later, Crash{request(1), 99})
+	for _, report := range late.TakeChanges(later, 0) {
+		here.Merge(later, report)
+	}
+	for _, report := range here.Reports(later) {
+		late.Merge(later, report)
+	}
+	require.Equal(t, crashLimit+1, late.Crashes(request(1)))
+}
+
+// Guards against a datagram to each host of a large fleet for each request in flight at a crash.
+func TestOnlyOwnChangesOfSuspectsAreReportedAtOnce(t *testing.T) {
+	var table Table
+	table.RecordCrash(10, Crash{request(1), 1})
+	table.Merge(10, Report{Crash: Crash{request(2), 1}})
+	require.Len(t, table.TakeChanges(10, 1), 1)
+	require.Empty(t, table.TakeChanges(10, 1))
+	table.RecordCrash(10, Crash{request(1), 2})
+	table.RecordCrash(10, Crash{request(3), 2})
+	require.Len(t, table.TakeChanges(10, 2), 2, "both crashes of the first request")
+	table.RecordAnswer(11, request(3))
+	require.Len(t, table.TakeChanges(11, 2), 1, "it is cleared")
+}
