Crashes of a request are in the platform's store from the second one on

What callers would see: after each restart of all hosts, a request that had crashed endpoints crashes three more before it is refused.

Cause: crashes were in the hosts' memory only.

The host that detects a crash saves it once its request has two, and removes it when it is withdrawn. Crashes are retained for 10 minutes, for a minute before.

--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -309,6 +309,7 @@
 	group.Go(func() error { router.followHosts(background); return nil })
 	group.Go(func() error { router.sendDigests(background); return nil })
 	group.Go(func() error { router.reportSuspects(background); return nil })
+	group.Go(func() error { router.persistSuspects(background); return nil })
 	group.Go(router.receive)
 	group.Go(func() error { return router.server.Serve(router.callers) })
 	group.Go(func() error { return serveUntil(background, router.ready, router.parts.ReadyHandler(router.Ready)) })
--- a/bvrouter/suspects.go
+++ b/bvrouter/suspects.go
@@ -5,6 +5,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvsuspect"
 )
 
@@ -48,6 +49,53 @@
 	}
 }
 
+const (
+	// saveInterval is the time between two checks for crashes to save.
+	saveInterval = 100 * bvclock.Millisecond
+	// maxStall is how much longer such an interval may take before this host may have missed
+	// reports of others.
+	maxStall = bvclock.Second
+	// loadRetryInterval is the minimum time between two reads of the saved crashes.
+	loadRetryInterval = 500 * bvclock.Millisecond
+	// isolatedInterval is the time between two reads of the saved crashes while this host hears
+	// fewer than half of the others; intervalPerIsolatedHost lengthens it with their number.
+	isolatedInterval        = bvclock.Second
+	intervalPerIsolatedHost = 5 * bvclock.Millisecond
+)
+
+// persistSuspects saves crashes in the platform's store, and reads those of other hosts after a
+// time in which this host may have missed their reports.
+func (router *Router) persistSuspects(ctx context.Context) {
+	outage := bvlog.Outage{Dependency: "saved crashes", Log: router.log}
+	mustLoad, triedAt := true, bvclock.Time(0)
+	for ctx.Err() == nil {
+		before, wasReachable := router.clock.Now(), router.store.isReachable()
+		pause(ctx, saveInterval)
+		if !router.store.hasRoute() {
+			continue
+		}
+		now := router.clock.Now()
+		regained, stalled := !wasReachable && router.store.isReachable(), now.Sub(before) > saveInterval+maxStall
+		mustLoad = mustLoad || regained || stalled || router.isIsolatedSince(triedAt)
+		if mustLoad && now.Sub(triedAt) >= loadRetryInterval {
+			err := router.suspects.Load(ctx, router.store)
+			outage.Record(unlessCanceled(ctx, err))
+			mustLoad, triedAt = err != nil, now
+		}
+		if err := router.suspects.Save(ctx, router.store); err != nil {
+			router.log.WithError(err).Debug("crashes not saved; retried later")
+		}
+	}
+}
+
+// isIsolatedSince reports whether the saved crashes must be read again since this host hears few
+// others; loadedAt is the time of the last read.
+func (router *Router) isIsolatedSince(triedAt bvclock.Time) bool {
+	known, reachable, _ := router.gossip.PeerStats()
+	interval := max(isolatedInterval, bvclock.Duration(known)*intervalPerIsolatedHost)
+	return 2*reachable < known && router.clock.Now().Sub(triedAt) >= interval
+}
+
 func encodeReport(report bvsuspect.Report) *bvgossip.Crash {
 	return &bvgossip.Crash{
 		Request:    report.Request.Exact,
--- a/bvsuspect/broken.go
+++ b/bvsuspect/broken.go
@@ -35,6 +35,10 @@
 	*calls = slices.DeleteFunc(*calls, func(call brokenCall) bool { return call.Endpoint == endpoint && call.at.Before(before) })
 }
 
+func (calls *brokenCalls) removeExpired(now bvclock.Time) {
+	*calls = slices.DeleteFunc(*calls, func(call brokenCall) bool { return now.Sub(call.at) > crashWindow })
+}
+
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
 // alone does not make the request a suspect: answers are lost for many reasons.
 func (table *Table) RecordBrokenCall(now bvclock.Time, request Fingerprint, endpoint uint64) {
--- /dev/null
+++ b/bvsuspect/persist_test.go
@@ -0,0 +1,143 @@
+package bvsuspect
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
+	"balsamvalve.example/bvmeasure"
+	"balsamvalve.example/bvplatform"
+)
+
+// newHostSuspects returns the Suspects of a host, whose clock starts anywhere.
+func newHostSuspects(uptime bvclock.Duration) (*Suspects, *bvclock.Manual) {
+	clock := &bvclock.Manual{}
+	clock.Advance(uptime)
+	return New(clock, bvmeasure.New(), bvlog.New(io.Discard)), clock
+}
+
+// crash records that a request has crashed endpoints, from one number up to another.
+func (suspects *Suspects) crash(request Fingerprint, from, to uint64) {
+	for endpoint := from; endpoint < to; endpoint++ {
+		suspects.RecordBrokenCall(BrokenCall{Request: request, Endpoint: endpoint})
+		suspects.RecordEndpointLoss(endpoint, Refused)
+	}
+}
+
+func savedCount(t *testing.T, store bvplatform.Store) int {
+	rows, err := store.Scan(t.Context(), suspectPart, "", 10_000)
+	require.NoError(t, err)
+	return len(rows)
+}
+
+// Guards against crashes that are forgotten when all hosts restart.
+func TestHostThatStartsKnowsSavedCrashes(t *testing.T) {
+	store := &bvplatform.Memory{}
+	before, _ := newHostSuspects(bvclock.Hour)
+	before.crash(withQuery(1, 7), 0, crashLimit)
+	require.NoError(t, before.Save(t.Context(), store))
+	require.Equal(t, crashLimit, savedCount(t, store))
+	after, clock := newHostSuspects(0)
+	require.NoError(t, after.Load(t.Context(), store))
+	require.True(t, after.IsPoisonous(withQuery(1, 7)))
+	require.False(t, after.IsPoisonous(withQuery(1, 8)))
+	clock.Advance(crashRetention)
+	require.False(t, after.IsPoisonous(withQuery(1, 7)))
+}
+
+// Guards against a write for each request that was in flight at a crash.
+func TestCrashIsSavedFromTheSecondOnOnly(t *testing.T) {
+	store := &bvplatform.Memory{}
+	suspects, _ := newHostSuspects(0)
+	for number := range uint64(50) {
+		suspects.crash(request(number), 1, 2)
+	}
+	require.NoError(t, suspects.Save(t.Context(), store))
+	require.Zero(t, savedCount(t, store))
+	suspects.AddPeerReport("b", Report{Crash: Crash{request(1), 9}})
+	require.NoError(t, suspects.Save(t.Context(), store))
+	require.Equal(t, 1, savedCount(t, store), "the host that detected the other one saves it")
+}
+
+// Guards against a request that is refused for crashes that no longer count, since a host has
+// read them in the store.
+func TestWithdrawnCrashIsRemovedFromTheStore(t *testing.T) {
+	store := &bvplatform.Memory{}
+	first, _ := newHostSuspects(0)
+	first.crash(request(1), 0, crashLimit)
+	require.NoError(t, first.Save(t.Context(), store))
+	second, _ := newHostSuspects(0)
+	require.NoError(t, second.Load(t.Context(), store))
+	second.RecordAnswer(request(1))
+	require.NoError(t, second.Save(t.Context(), store))
+	require.Zero(t, savedCount(t, store))
+}
+
+// failingStore fails a number of commits.
+type failingStore struct {
+	bvplatform.Memory
+	failures int
+}
+
+func (store *failingStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	if store.failures > 0 {
+		store.failures--
+		return 0, bvplatform.ErrUnavailable
+	}
+	return store.Memory.Commit(ctx, transaction)
+}
+
+func TestCrashIsSavedAfterAnOutage(t *testing.T) {
+	store := &failingStore{failures: 2}
+	suspects, _ := newHostSuspects(0)
+	suspects.crash(request(1), 0, 300)
+	require.ErrorIs(t, suspects.Save(t.Context(), store), bvplatform.ErrUnavailable)
+	require.ErrorIs(t, suspects.Save(t.Context(), store), bvplatform.ErrUnavailable)
+	require.NoError(t, suspects.Save(t.Context(), store))
+	require.Equal(t, 300, savedCount(t, store))
+	writes, _ := store.Counts()
+	require.EqualValues(t, 4, writes, "rows are gathered in transactions of a bounded size")
+	require.NoError(t, suspects.Save(t.Context(), store))
+	writes, _ = store.Counts()
+	require.EqualValues(t, 4, writes)
+}
+
+// Guards against rows that stay in the store without end, and against rows of another writer.
+func TestOldRowsAreRemovedAndForeignRowsSkipped(t *testing.T) {
+	store := &bvplatform.Memory{}
+	old := time.Now().Add(-2 * crashRetention.Std()).UnixMilli()
+	for key, value := range map[string]string{
+		crashKey(Crash{request(1), 1}): `{"any_query":1,"at_unix_ms":` + strconv.FormatInt(old, 10) + `}`,
+		crashPrefix + "no-hash":        `{}`,
+		crashPrefix + "nothing":        `{}`,
+		suspectPart + "other":          `text`,
+	} {
+		_, err := store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: key, Value: []byte(value)}}})
+		require.NoError(t, err)
+	}
+	suspects, _ := newHostSuspects(0)
+	require.NoError(t, suspects.Load(t.Context(), store))
+	require.Zero(t, suspects.Len())
+	rows, err := store.Read(t.Context(), crashKey(Crash{request(1), 1}))
+	require.NoError(t, err)
+	require.Zero(t, rows[0].Version)
+}
+
+func TestFailedLoadIsAnError(t *testing.T) {
+	suspects, _ := newHostSuspects(0)
+	require.Error(t, suspects.Load(t.Context(), unreadableStore{}))
+}
+
+// unreadableStore fails each scan.
+type unreadableStore struct{ bvplatform.Store }
+
+func (unreadableStore) Scan(context.Context, string, string, int) ([]bvplatform.Row, error) {
+	return nil, errors.New("no answer")
+}
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -5,7 +5,9 @@
 // that broke and the end of its endpoint. Answers are lost for many reasons, so the host whose
 // call broke checks at once whether the endpoint still runs; where that can't be found out, the
 // list of endpoints and later calls show it. Each host records what it detects, and reports it
-// to the others. An answer to the request, or of the endpoint, withdraws a crash.
+// to the others. An answer to the request, or of the endpoint, withdraws a crash. The crashes
+// of requests with several of them are in the platform's store too: hosts that start or were
+// cut off read them there.
 //
 // A Table holds what is known; it is pure logic. Suspects wraps a Table for concurrent use,
 // and writes a log line for each step that decides whether a request is refused.
@@ -205,11 +207,16 @@
 
 // AddPeerReport adds what another host reports of a crash.
 func (suspects *Suspects) AddPeerReport(host string, report Report) {
+	suspects.addReport(host, report, (*Table).Merge)
+}
+
+// addReport adds a report by a method of the table, and logs what has changed.
+func (suspects *Suspects) addReport(source string, report Report, merge func(*Table, bvclock.Time, Report) bool) {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	before := suspects.table.Crashes(report.Request)
-	if !suspects.table.Merge(now, report) {
+	if !merge(&suspects.table, now, report) {
 		return
 	}
 	suspects.signalChange() // the request may have been answered here
@@ -221,7 +228,7 @@
 		return // the report does not change what counts
 	}
 	suspects.counters.Count("crashes", "other hosts")
-	suspects.logCrash(report.Crash, message, logrus.Fields{"source": host, "age_ms": int64(report.Age)})
+	suspects.logCrash(report.Crash, message, logrus.Fields{"source": source, "age_ms": int64(report.Age)})
 }
 
 func (suspects *Suspects) logCrash(crash Crash, message string, fields logrus.Fields) {
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -12,9 +11,9 @@
 	// crashLimit is the number of endpoints that a request must have crashed to be
 	// refused by all hosts.
 	crashLimit = 3
-	// crashRetention is how long crashes are retained after the last one: both the restart
-	// of the endpoint and the caller's retry take only some seconds.
-	crashRetention = bvclock.Minute
+	// crashRetention is how long a request's crashes are retained after the last one. Then it
+	// may run again: its endpoints may have been mended.
+	crashRetention = 10 * bvclock.Minute
 	// reportTime is how long a request's crashes are reported to other hosts after their last
 	// change: some datagrams are lost, and some hosts are cut off for seconds.
 	reportTime = 10 * bvclock.Second
@@ -61,6 +60,7 @@
 	// families holds the suspects that differ in their query only.
 	families map[uint64][]*suspect
 	crashed  map[uint64]int // number of crashes by endpoint
+	unsaved  bool           // Unsaved may have something to return
 }
 
 // suspect is a request that was in flight when endpoints crashed.
@@ -80,6 +80,10 @@
 type crash struct {
 	at                    bvclock.Time
 	withdrawn, otherQuery bool // as in Report
+
+	here          bool // this host detected it
+	withdrawnHere bool // this host withdrew it
+	saved         bool // the platform's store may have it
 }
 
 // latest returns the time of the suspect's last crash.
@@ -97,7 +101,9 @@
 	if !table.Merge(now, Report{Crash: crash}) {
 		return false
 	}
-	table.suspects[crash.Request.Exact].recordChange(now)
+	found := table.suspects[crash.Request.Exact]
+	found.crashes[crash.Endpoint].here = true
+	found.recordChange(now)
 	return true
 }
 
@@ -116,15 +122,57 @@
 	}
 	changed = known.merge(report.Withdrawn, report.OtherQuery) || changed
 	if changed {
-		found.changedAt = now
+		found.changedAt, table.unsaved = now, true
 	}
-	if known.merge(table.answered.has(now, report.Request.Exact), table.answered.has(now, report.Request.AnyQuery)) {
+	isAnswered := table.answered.has(now, report.Request.Exact)
+	if known.merge(isAnswered, table.answered.has(now, report.Request.AnyQuery)) {
+		known.withdrawnHere = known.withdrawnHere || isAnswered
 		found.recordChange(now)
 		changed = true
 	}
 	return changed
 }
 
+// MergeSaved adds a crash that the platform's store has.
+func (table *Table) MergeSaved(now bvclock.Time, report Report) (changed bool) {
+	changed = table.Merge(now, report)
+	if found := table.suspects[report.Request.Exact]; found != nil && found.crashes[report.Endpoint] != nil {
+		found.crashes[report.Endpoint].saved, table.unsaved = true, true
+	}
+	return changed
+}
+
+// Unsaved returns up to limit crashes that the platform's store must have, or must no longer have
+// since they are withdrawn. The host that detected a crash saves it.
+func (table *Table) Unsaved(now bvclock.Time, limit int) []Report {
+	if !table.unsaved {
+		return nil
+	}
+	var unsaved []Report
+	for _, suspect := range table.suspects {
+		hasEnough := table.Crashes(suspect.request) >= minSavedCrashes
+		for endpoint, crash := range suspect.crashes {
+			mustSave := crash.here && !crash.withdrawn && !crash.saved && hasEnough
+			mustRemove := crash.saved && crash.withdrawn && (crash.here || crash.withdrawnHere)
+			if mustSave || mustRemove {
+				unsaved = append(unsaved, crash.report(now, Crash{suspect.request, endpoint}))
+			}
+		}
+	}
+	table.unsaved = len(unsaved) > 0
+	return unsaved[:min(len(unsaved), limit)]
+}
+
+// MarkSaved records that the platform's store has a crash, or no longer has it if it is
+// withdrawn.
+func (table *Table) MarkSaved(report Report) {
+	found := table.suspects[report.Request.Exact]
+	if found == nil || found.crashes[report.Endpoint] == nil {
+		return
+	}
+	found.crashes[report.Endpoint].saved = !report.Withdrawn
+}
+
 // merge adds to the state of a crash, and reports whether it has changed.
 func (crash *crash) merge(withdrawn, otherQuery bool) (changed bool) {
 	changed = withdrawn && !crash.withdrawn || otherQuery && !crash.otherQuery
@@ -186,6 +234,7 @@
 				suspect.recordChange(now)
 			}
 			if crash.withdrawn && !wasWithdrawn {
+				crash.withdrawnHere, table.unsaved = true, true
 				withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 			}
 		}
@@ -205,7 +254,7 @@
 		if crash == nil || crash.withdrawn || !sentAt.After(crash.at) {
 			continue
 		}
-		crash.withdrawn = true
+		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
 		suspect.recordChange(now)
 		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
@@ -284,12 +333,16 @@
 // old crashes.
 func (table *Table) Reports(now bvclock.Time) []Report {
 	table.removeExpired(now)
-	changed := slices.SortedFunc(maps.Values(table.suspects), func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
-	var reports []Report
-	for _, suspect := range changed {
-		if now.Sub(suspect.changedAt) >= reportTime || len(reports) >= maxReports {
-			break
+	table.brokenCalls.removeExpired(now)
+	var changed []*suspect
+	for _, suspect := range table.suspects {
+		if now.Sub(suspect.changedAt) < reportTime {
+			changed = append(changed, suspect)
 		}
+	}
+	slices.SortFunc(changed, func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
+	var reports []Report
+	for _, suspect := range changed[:min(len(changed), maxReports)] {
 		reports = append(reports, suspect.reports(now)...)
 	}
 	return reports[:min(len(reports), maxReports)]
@@ -298,9 +351,11 @@
 func (suspect *suspect) reports(now bvclock.Time) []Report {
 	reports := make([]Report, 0, len(suspect.crashes))
 	for endpoint, crash := range suspect.crashes {
-		reports = append(reports, Report{
-			Crash: Crash{suspect.request, endpoint}, Age: now.Sub(crash.at), Withdrawn: crash.withdrawn, OtherQuery: crash.otherQuery,
-		})
+		reports = append(reports, crash.report(now, Crash{suspect.request, endpoint}))
 	}
 	return reports
 }
+
+func (crash *crash) report(now bvclock.Time, of Crash) Report {
+	return Report{Crash: of, Age: now.Sub(crash.at), Withdrawn: crash.withdrawn, OtherQuery: crash.otherQuery}
+}
