--- a/bvrouter/suspects.go
+++ b/bvrouter/suspects.go
@@ -57,8 +57,8 @@
 	maxStall = bvclock.Second
 	// loadRetryInterval is the minimum time between two reads of the saved crashes.
 	loadRetryInterval = 500 * bvclock.Millisecond
-	// isolatedInterval is the time between two reads of the saved crashes while this host hears
-	// fewer than half of the others; intervalPerIsolatedHost lengthens it with their number.
+	// isolatedInterval is the time between two reads of the saved crashes while more than half of
+	// the other hosts are silent; intervalPerIsolatedHost lengthens it with their number.
 	isolatedInterval        = bvclock.Second
 	intervalPerIsolatedHost = 5 * bvclock.Millisecond
 )
@@ -88,8 +88,8 @@
 	}
 }
 
-// isIsolatedSince reports whether the saved crashes must be read again since this host hears few
-// others; loadedAt is the time of the last read.
+// isIsolatedSince reports whether the saved crashes must be read again, because most other hosts
+// are silent; triedAt is the time of the last read.
 func (router *Router) isIsolatedSince(triedAt bvclock.Time) bool {
 	known, reachable, _ := router.gossip.PeerStats()
 	interval := max(isolatedInterval, bvclock.Duration(known)*intervalPerIsolatedHost)
