A request that has crashed two endpoints runs at one endpoint at a time

What callers would see: eight copies of a request that has crashed two endpoints, sent at once through four hosts, crash eight more.

Cause: between the first crash and the third a request was sent on at once, by any number of hosts at the same time.

From the second crash on a request runs exclusively: a host claims the run by a conditional write in the platform's store, with the crashes that it rests on, and does not send it on when it breaks. There is one claim for each number of crashes, so that a host with old knowledge can't run it again; a run that crashed nothing gives its claim back, and one that a dead host holds is taken over after five minutes. Without the store such a request is refused, with a time to return. A request that has crashed three may run once more after 10 s, a minute, ten minutes and then each hour: its endpoints may have been mended, or all of them crashed for another reason. Crashes are retained for two hours after the last. After the first crash a request is sent on as before: nearly all that are in flight at one did not cause it.

Ruled out: to refuse from the second crash on (a request beside the culprit may be hit twice), to choose the host by rendezvous (callers reach one in twelve), and a run alone at an empty endpoint as serve does (here no host decides for an endpoint).

--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -83,7 +83,7 @@
 func TestEngineThatRestartsDuringARequestCountsAsCrashed(t *testing.T) {
 	clock := &bvclock.Manual{}
 	dispatcher := NewDispatcher(clock, 1, "")
-	suspects := bvsuspect.New(clock, bvmeasure.New(), bvlog.New(io.Discard))
+	suspects := bvsuspect.New(clock, nil, bvmeasure.New(), bvlog.New(io.Discard))
 	dispatcher.SetObserver(suspects)
 	request := bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}
 	for number := range 3 {
@@ -92,8 +92,8 @@
 		before.Serves, after.Serves = "s", "s"
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{before})
 		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: request, Endpoint: HashID(before.ID())})
-		require.False(t, suspects.IsPoisonous(request))
+		require.NotEqual(t, bvsuspect.Denied, suspects.Decide(request).Access)
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{after})
 	}
-	require.True(t, suspects.IsPoisonous(request))
+	require.Equal(t, bvsuspect.Denied, suspects.Decide(request).Access)
 }
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -24,8 +24,6 @@
 	defaultTimeout = 30 * bvclock.Second
 	// shortRetry is the retry delay after a refusal whose cause is brief.
 	shortRetry = 100 * bvclock.Millisecond
-	// longRetry is the retry delay for a request that crashes endpoints.
-	longRetry = bvclock.Minute
 )
 
 // call is a caller's request while it is served.
@@ -67,6 +65,7 @@
 	persistDuration bvclock.Duration // duration of persisting the turn
 	load            bvroute.Load     // as reported in the endpoint's answer
 
+	claim       *bvsuspect.Claim      // to run the request exclusively; nil: it is not needed
 	reservation *bvbudget.Reservation // nil if the call spends no budget
 	chain       bvhistory.Chain       // of a persisted conversation
 	input       []byte                // of the conversation's new turn
@@ -91,6 +90,7 @@
 func (call *call) close() {
 	call.cancel()
 	call.front.memory.release(call.heldBytes)
+	call.endClaim()
 	if call.reservation != nil {
 		call.reservation.Close()
 	}
@@ -127,8 +127,8 @@
 		call.placement.Program = bvroute.HashKey(program)
 		call.placement.Conversation = bvroute.HashKey(program + " " + call.metadata.Session)
 	}
-	if call.isPoisonous() {
-		return bvverdict.Refuse(bvverdict.Poisonous, "the request has crashed several endpoints").WithRetryAfter(longRetry)
+	if decision := call.front.parts.Suspects.Decide(call.fingerprint); decision.Access == bvsuspect.Denied {
+		return call.deniedError(decision)
 	}
 	if err := call.prepareTurn(); err != nil {
 		return err
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -94,8 +94,11 @@
 	RecordAnswer(request bvsuspect.Fingerprint)
 	// RecordCheck records whether the endpoint of a broken call still runs.
 	RecordCheck(call bvsuspect.BrokenCall, result bvforward.Liveness)
-	// IsPoisonous reports whether a request has crashed too many endpoints.
-	IsPoisonous(request bvsuspect.Fingerprint) bool
+	// Decide decides what a request may do.
+	Decide(request bvsuspect.Fingerprint) bvsuspect.Decision
+	// Claim claims the right to run a request exclusively; EndClaim ends the run.
+	Claim(ctx context.Context, request bvsuspect.Fingerprint, decision bvsuspect.Decision) (*bvsuspect.Claim, error)
+	EndClaim(claim *bvsuspect.Claim)
 }
 
 // Endpoints sends requests to endpoints.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -30,6 +30,9 @@
 		if call.remaining() < minSendTime {
 			return call.deadlineError()
 		}
+		if err := call.admitSuspect(); err != nil {
+			return err
+		}
 		endpoint, found := call.front.parts.Dispatcher.Choose(call.service.Name, &call.placement)
 		if !found {
 			return call.noEndpointError()
@@ -41,9 +44,7 @@
 		if !call.mayResend(err) {
 			return call.withVerdictOfAllSends(err)
 		}
-		if call.awaitCheck(); call.isPoisonous() {
-			return bvverdict.New(bvverdict.MayHaveRun, bvverdict.Poisonous, "the request has crashed several endpoints").WithCause(err)
-		}
+		call.awaitCheck()
 		call.avoidEndpoint(endpoint.Name)
 		call.front.parts.Counters.Add("sends_again", 1)
 	}
@@ -72,7 +73,7 @@
 	if bvverdict.Of(err) == bvverdict.NotRun {
 		return true
 	}
-	return call.route.MayRepeat() && call.runs < call.route.Attempts
+	return call.route.MayRepeat() && call.runs < call.route.Attempts && call.claim == nil
 }
 
 func (call *call) deadlineError() error {
@@ -169,6 +170,7 @@
 		Name:      call.endpoint.Name,
 		TimedOut:  call.ctx.Err() != nil,
 		HasAnswer: call.headReceived,
+		Exclusive: call.claim != nil,
 	}
 	call.front.parts.Suspects.RecordBrokenCall(broken)
 	if !broken.TimedOut {
@@ -204,8 +206,6 @@
 	call.checked = nil
 }
 
-func (call *call) isPoisonous() bool { return call.front.parts.Suspects.IsPoisonous(call.fingerprint) }
-
 // handleRefusal reports that the endpoint did not run the request, and returns the error.
 func (call *call) handleRefusal(status int) error {
 	if status == http.StatusMisdirectedRequest {
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -52,6 +52,8 @@
 //	crashes               a map: crashes counted against a request, by who detected them
 //	crashes_withdrawn     a map: of these, crashes that no longer count, by reason
 //	suspects              requests that were in flight at crashes
+//	exclusive_runs        a map: runs of requests that have crashed two endpoints, by
+//	                      whether the platform's store granted them
 //	connections_opened    connections opened to endpoints
 //	budget_writes         transactions attempted on programs' budgets
 //	budget_accounts       programs with an account here
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -160,7 +160,7 @@
 // Guards against a crash that goes unnoticed because the endpoint restarts under its name.
 func TestRestartInAChangeCountsAsACrash(t *testing.T) {
 	router := routerOfApps(t)
-	suspects := bvsuspect.New(&bvclock.Manual{}, bvmeasure.New(), bvlog.New(io.Discard))
+	suspects := bvsuspect.New(&bvclock.Manual{}, nil, bvmeasure.New(), bvlog.New(io.Discard))
 	router.dispatcher.SetObserver(suspects)
 	start := func(start int64) bvplatform.EndpointChanges {
 		endpoint := bvplatform.Endpoint{Name: "a", Address: "at-a", Serves: "apps", Started: bvclock.Time(start), Incarnation: strconv.FormatInt(start, 10)}
@@ -179,7 +179,7 @@
 		require.True(t, changed)
 		router.changeEndpoints(update)
 	}
-	require.True(t, suspects.IsPoisonous(request))
+	require.Equal(t, bvsuspect.Denied, suspects.Decide(request).Access)
 }
 
 // Guards against a compressor for each request for the list of hosts.
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -152,8 +152,6 @@
 		connections: &bvforward.Connections{Clock: clock, Wire: parts.Wire},
 		counters:    bvmeasure.New(),
 	}
-	router.suspects = bvsuspect.New(clock, router.counters, log)
-	router.dispatcher.SetObserver(router.suspects)
 	router.limiter = bvquota.New(clock, bvquota.Bounds{
 		StartFull: settings.FirstStart, Window: settings.QuotaWindow, OverRatio: settings.QuotaOver, Slack: settings.QuotaSlack,
 	})
@@ -166,6 +164,8 @@
 		return nil, err
 	}
 	router.store = newStoreClient(parts.Platform, clock, log, router.relays, router.countStoreCall)
+	router.suspects = bvsuspect.New(clock, router.store, router.counters, log)
+	router.dispatcher.SetObserver(router.suspects)
 	router.budgets = bvbudget.NewAllocator(router.store, lenders{router}, incarnation, clock, log)
 	router.budgets.SetSettleTime(settings.SettleBound)
 	router.leases = bvlease.New(bvlease.Host{
--- a/bvrouter/suspects.go
+++ b/bvrouter/suspects.go
@@ -78,11 +78,11 @@
 		regained, stalled := !wasReachable && router.store.isReachable(), now.Sub(before) > saveInterval+maxStall
 		mustLoad = mustLoad || regained || stalled || router.isIsolatedSince(triedAt)
 		if mustLoad && now.Sub(triedAt) >= loadRetryInterval {
-			err := router.suspects.Load(ctx, router.store)
+			err := router.suspects.Load(ctx)
 			outage.Record(unlessCanceled(ctx, err))
 			mustLoad, triedAt = err != nil, now
 		}
-		if err := router.suspects.Save(ctx, router.store); err != nil {
+		if err := router.suspects.Save(ctx); err != nil {
 			router.log.WithError(err).Debug("crashes not saved; retried later")
 		}
 	}
@@ -103,6 +103,7 @@
 		Endpoint:   report.Endpoint,
 		Age:        uint32(report.Age),
 		Withdrawn:  report.Withdrawn,
+		Exclusive:  report.Exclusive,
 		OtherQuery: report.OtherQuery,
 	}
 }
@@ -116,6 +117,7 @@
 		Crash:      bvsuspect.Crash{Request: request, Endpoint: crash.GetEndpoint()},
 		Age:        bvclock.Duration(crash.GetAge()),
 		Withdrawn:  crash.GetWithdrawn(),
+		Exclusive:  crash.GetExclusive(),
 		OtherQuery: crash.GetOtherQuery(),
 	}
 }
--- a/bvsuspect/broken.go
+++ b/bvsuspect/broken.go
@@ -22,6 +22,8 @@
 	Crash
 	at      bvclock.Time
 	running bool // the endpoint still ran when it was checked
+
+	exclusive bool // the request ran exclusively
 }
 
 // DetectedCrash is a crash that this host detected.
@@ -41,11 +43,11 @@
 
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
 // alone does not make the request a suspect: answers are lost for many reasons.
-func (table *Table) RecordBrokenCall(now bvclock.Time, request Fingerprint, endpoint uint64) {
+func (table *Table) RecordBrokenCall(now bvclock.Time, crash Crash, exclusive bool) {
 	if len(table.brokenCalls) >= maxBrokenCalls {
 		table.brokenCalls = slices.Delete(table.brokenCalls, 0, maxBrokenCalls/2)
 	}
-	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: Crash{request, endpoint}, at: now})
+	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: crash, at: now, exclusive: exclusive})
 }
 
 // RecordConnected records that an endpoint accepted connections after calls broke there.
@@ -66,7 +68,7 @@
 	table.brokenCalls = slices.DeleteFunc(table.brokenCalls, func(call brokenCall) bool {
 		age := now.Sub(call.at)
 		isCrash := age <= crashWindow && call.Endpoint == endpoint && (sign != Removed || !call.running)
-		if isCrash && table.RecordCrash(now, call.Crash) {
+		if isCrash && table.RecordCrash(now, call.Crash, call.exclusive) {
 			crashes = append(crashes, DetectedCrash{call.Crash, age})
 		}
 		return isCrash || age > crashWindow
--- /dev/null
+++ b/bvsuspect/decide.go
@@ -0,0 +1,105 @@
+package bvsuspect
+
+import "balsamvalve.example/bvclock"
+
+//go:generate stringer -type=Access -linecomment -output=access_string.go
+
+// Access is what a request may do.
+type Access int
+
+// The kinds of access. An Exclusive request may run at one endpoint at a time, through one host.
+const (
+	Free      Access = iota // free
+	Exclusive               // exclusive
+	Denied                  // denied
+)
+
+// Decision is what a request may do, and why.
+type Decision struct {
+	Access     Access
+	Crashes    int              // endpoints that it has crashed
+	RetryAfter bvclock.Duration // until a denied request may run exclusively
+
+	key uint64 // of the request, or of all its queries: whose crashes decided
+}
+
+const (
+	// exclusiveCrashes is the number of crashes from which a request runs exclusively. Other
+	// requests are in flight at one crash, few of them at two.
+	exclusiveCrashes = 2
+	// crashLimit is the number of crashes from which a request is denied.
+	crashLimit = 3
+)
+
+// exclusivePauses is how long a denied request waits after its last crash until it may run once
+// more, exclusively; by how many of its exclusive runs have crashed. Its endpoints may have been
+// mended, or the crashes may have had another cause.
+var exclusivePauses = []bvclock.Duration{10 * bvclock.Second, bvclock.Minute, 10 * bvclock.Minute, bvclock.Hour}
+
+// Decide decides what a request may do.
+func (table *Table) Decide(now bvclock.Time, request Fingerprint) Decision {
+	counted := table.counted(request)
+	decision := Decision{Crashes: counted.crashes(), key: counted.key}
+	switch {
+	case decision.Crashes < exclusiveCrashes:
+		return decision
+	case decision.Crashes < crashLimit:
+		decision.Access = Exclusive
+		return decision
+	}
+	pause := exclusivePauses[min(counted.exclusive, len(exclusivePauses)-1)]
+	decision.Access, decision.RetryAfter = Denied, pause-now.Sub(counted.latest)
+	if decision.RetryAfter <= 0 {
+		decision.Access, decision.RetryAfter = Exclusive, 0
+	}
+	return decision
+}
+
+// countedCrashes are the crashes that count against a request.
+type countedCrashes struct {
+	key       uint64          // of the request, or of all its queries
+	endpoints map[uint64]bool // that crashed
+	exclusive int             // crashes of exclusive runs
+	latest    bvclock.Time    // time of the last one
+}
+
+func (counted *countedCrashes) crashes() int { return len(counted.endpoints) }
+
+// counted returns the crashes that count against a request: its own, or those of requests that
+// differ from it in their query only, if several of them have crashed endpoints.
+func (table *Table) counted(request Fingerprint) countedCrashes {
+	exact := countedCrashes{key: request.Exact}
+	exact.add(table.suspects[request.Exact], false)
+	family, queries := countedCrashes{key: request.AnyQuery}, 0
+	for _, suspect := range table.families[request.AnyQuery] {
+		if family.add(suspect, true) {
+			queries++
+		}
+	}
+	if queries > 1 && family.crashes() > exact.crashes() {
+		return family
+	}
+	return exact
+}
+
+// add adds the crashes of a suspect and reports whether there are any; ofFamily leaves out those
+// that count against one query only.
+func (counted *countedCrashes) add(suspect *suspect, ofFamily bool) (added bool) {
+	if suspect == nil {
+		return false
+	}
+	for endpoint, crash := range suspect.crashes {
+		if crash.withdrawn || ofFamily && crash.otherQuery {
+			continue
+		}
+		if counted.endpoints == nil {
+			counted.endpoints = make(map[uint64]bool)
+		}
+		counted.endpoints[endpoint], added = true, true
+		counted.latest = max(counted.latest, crash.at)
+		if crash.exclusive {
+			counted.exclusive++
+		}
+	}
+	return added
+}
--- a/bvsuspect/log_test.go
+++ b/bvsuspect/log_test.go
@@ -14,7 +14,7 @@
 // newTestSuspects returns Suspects, the clock that they use, and what they log.
 func newTestSuspects() (*Suspects, *bvclock.Manual, *bytes.Buffer) {
 	clock, lines := &bvclock.Manual{}, &bytes.Buffer{}
-	return New(clock, bvmeasure.New(), bvlog.New(lines)), clock, lines
+	return New(clock, nil, bvmeasure.New(), bvlog.New(lines)), clock, lines
 }
 
 // Guards against a log that does not show why a call that broke counts as a crash or does not.
--- /dev/null
+++ b/bvsuspect/machine_test.go
@@ -0,0 +1,256 @@
+package bvsuspect
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvplatform"
+)
+
+// gatedStore is a store that may be unavailable.
+type gatedStore struct {
+	bvplatform.Memory
+	down bool
+}
+
+func (store *gatedStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	if store.down {
+		return 0, bvplatform.ErrUnavailable
+	}
+	return store.Memory.Commit(ctx, transaction)
+}
+
+func (store *gatedStore) Scan(ctx context.Context, prefix, after string, limit int) ([]bvplatform.Row, error) {
+	if store.down {
+		return nil, bvplatform.ErrUnavailable
+	}
+	return store.Memory.Scan(ctx, prefix, after, limit)
+}
+
+// machine plays hosts with a request that crashes each endpoint and others that crash none. Its
+// oracle is what truly happened.
+type machine struct {
+	t     *rapid.T
+	store gatedStore
+	hosts []*machineHost
+
+	endpoints uint64          // started so far
+	crashedAt []bvclock.Time  // endpoints that the culprit crashed
+	inFlight  map[uint64]bool // innocent requests at the next endpoint to crash
+	claimedAt map[string]bvclock.Time
+	// answered holds the innocent requests that were answered since their last crash, with the
+	// host that knows it; nil: all do.
+	answered map[uint64]*machineHost
+}
+
+type machineHost struct {
+	*Suspects
+	clock *bvclock.Manual
+}
+
+const (
+	culprit        = 1000
+	innocents      = 4
+	machineHosts   = 3
+	machineLatency = 5 * bvclock.Millisecond
+)
+
+func (machine *machine) newHost(now bvclock.Time) *machineHost {
+	suspects, clock := newHostSuspects(&machine.store, bvclock.Duration(now))
+	suspects.unixMilli = func() int64 { return int64(clock.Now()) }
+	return &machineHost{suspects, clock}
+}
+
+func (machine *machine) now() bvclock.Time { return machine.hosts[0].clock.Now() }
+
+func (machine *machine) advance(duration bvclock.Duration) {
+	for _, host := range machine.hosts {
+		host.clock.Advance(duration)
+	}
+}
+
+func (machine *machine) host() *machineHost {
+	return machine.hosts[rapid.IntRange(0, machineHosts-1).Draw(machine.t, "host")]
+}
+
+// mayRun reports whether a host lets a request run, with its claim if it has one.
+func (host *machineHost) mayRun(request Fingerprint) (*Claim, bool) {
+	decision := host.Decide(request)
+	switch decision.Access {
+	case Denied:
+		return nil, false
+	case Exclusive:
+		claim, err := host.Claim(context.Background(), request, decision)
+		return claim, err == nil
+	}
+	return nil, true
+}
+
+// SendCulprit sends the request that crashes its endpoint and what else is in flight there.
+func (machine *machine) SendCulprit(t *rapid.T) {
+	host := machine.host()
+	claim, runs := host.mayRun(request(culprit))
+	if !runs {
+		return
+	}
+	machine.endpoints++
+	machine.advance(machineLatency)
+	host.RecordBrokenCall(BrokenCall{Request: request(culprit), Endpoint: machine.endpoints, Exclusive: claim != nil})
+	for innocent := range machine.inFlight {
+		host.RecordBrokenCall(BrokenCall{Request: request(innocent), Endpoint: machine.endpoints})
+		delete(machine.answered, innocent)
+	}
+	machine.inFlight = make(map[uint64]bool)
+	host.RecordEndpointLoss(machine.endpoints, Refused)
+	machine.crashedAt = append(machine.crashedAt, machine.now())
+	if claim == nil {
+		return
+	}
+	if at, found := machine.claimedAt[claim.key]; found {
+		require.GreaterOrEqual(t, machine.now().Sub(at), claimLifetime, "two exclusive runs for the same crashes")
+	}
+	machine.claimedAt[claim.key] = machine.now()
+	host.EndClaim(claim)
+}
+
+// BeginInnocent puts a request that crashes nothing at the endpoint that crashes next.
+func (machine *machine) BeginInnocent(t *rapid.T) {
+	innocent := rapid.Uint64Range(1, innocents).Draw(t, "innocent")
+	if claim, runs := machine.host().mayRun(request(innocent)); runs && claim == nil {
+		machine.inFlight[innocent] = true
+	}
+}
+
+// AnswerInnocent lets a request that crashes nothing run to its end.
+func (machine *machine) AnswerInnocent(t *rapid.T) {
+	innocent, host := rapid.Uint64Range(1, innocents).Draw(t, "innocent"), machine.host()
+	claim, runs := host.mayRun(request(innocent))
+	if !runs {
+		return
+	}
+	host.RecordAnswer(request(innocent))
+	machine.answered[innocent] = host
+	if claim != nil {
+		host.EndClaim(claim)
+	}
+}
+
+// Report sends one host's reports to another.
+func (machine *machine) Report(t *rapid.T) {
+	from, to := machine.host(), machine.host()
+	for _, report := range from.Reports() {
+		to.AddPeerReport("other", report)
+	}
+}
+
+// Restart replaces a host, which knows nothing but what the store has.
+func (machine *machine) Restart(t *rapid.T) {
+	at := rapid.IntRange(0, machineHosts-1).Draw(t, "restarted")
+	maps.DeleteFunc(machine.answered, func(_ uint64, host *machineHost) bool { return host == machine.hosts[at] })
+	machine.hosts[at] = machine.newHost(machine.now())
+	_ = machine.hosts[at].Load(context.Background()) // fails while the store is unavailable
+}
+
+func (machine *machine) Save(t *rapid.T) {
+	err := machine.host().Save(context.Background())
+	require.True(t, err == nil || machine.store.down, err)
+}
+
+func (machine *machine) ToggleStore(*rapid.T) { machine.store.down = !machine.store.down }
+
+func (machine *machine) Wait(t *rapid.T) {
+	machine.advance(bvclock.Duration(rapid.Int64Range(1, int64(15*bvclock.Second)).Draw(t, "wait")))
+}
+
+// Synchronize lets all hosts tell each other all they know and save it, and checks what they
+// decide then.
+func (machine *machine) Synchronize(t *rapid.T) {
+	machine.store.down = false
+	for range 2 {
+		for _, from := range machine.hosts {
+			require.NoError(t, from.Load(context.Background()))
+			for _, to := range machine.hosts {
+				for _, report := range from.allReports() {
+					to.AddPeerReport("other", report)
+				}
+			}
+		}
+	}
+	for _, host := range machine.hosts {
+		require.NoError(t, host.Save(context.Background()))
+		machine.checkInnocents(t, host)
+	}
+	for innocent := range machine.answered {
+		machine.answered[innocent] = nil
+	}
+	for _, host := range machine.hosts[1:] {
+		require.Equal(t, machine.hosts[0].Decide(request(culprit)), host.Decide(request(culprit)), "hosts differ")
+	}
+}
+
+func (host *machineHost) allReports() (reports []Report) {
+	for _, suspect := range host.table.suspects {
+		reports = append(reports, suspect.reports(host.clock.Now())...)
+	}
+	return reports
+}
+
+func (machine *machine) checkInnocents(t *rapid.T, host *machineHost) {
+	for innocent := range machine.answered {
+		require.Equal(t, Free, host.Decide(request(innocent)).Access, "request %d was answered since its last crash", innocent)
+	}
+}
+
+// Check implements rapid.StateMachine.
+func (machine *machine) Check(t *rapid.T) {
+	for _, host := range machine.hosts {
+		known := host.Decide(request(culprit))
+		require.LessOrEqual(t, known.Crashes, len(machine.crashedAt), "a crash that did not happen")
+		if known.Crashes < crashLimit {
+			continue
+		}
+		last := machine.crashedAt[len(machine.crashedAt)-1]
+		pauseIsOver := host.clock.Now().Sub(last) >= exclusivePauses[0]
+		require.True(t, known.Access == Denied || pauseIsOver || known.Crashes < len(machine.crashedAt), "it runs again too soon")
+	}
+}
+
+// Guards against hosts that disagree on a request, forget its crashes or refuse others for them,
+// whatever reports are lost and whoever restarts.
+func TestHostsAgreeOnTheRequestThatCrashesEndpoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &machine{t: t, inFlight: make(map[uint64]bool), claimedAt: make(map[string]bvclock.Time), answered: make(map[uint64]*machineHost)}
+		for range machineHosts {
+			machine.hosts = append(machine.hosts, machine.newHost(bvclock.Time(bvclock.Hour)))
+		}
+		t.Repeat(rapid.StateMachineActions(machine))
+	})
+}
+
+// Guards against a check of the machine that can't fail.
+func TestMachineCatchesAnInnocentRequestThatIsRefused(t *testing.T) {
+	err := rapidFailure(func(t *rapid.T) {
+		machine := &machine{t: t, answered: map[uint64]*machineHost{1: nil}}
+		host := machine.newHost(0)
+		host.crash(request(1), 0, crashLimit)
+		machine.checkInnocents(t, host)
+	})
+	require.Error(t, err)
+}
+
+// rapidFailure returns an error if a property fails for its first draw.
+func rapidFailure(property func(*rapid.T)) (err error) {
+	defer func() {
+		if recover() != nil {
+			err = errors.New("the property failed")
+		}
+	}()
+	rapid.Custom(func(t *rapid.T) int { property(t); return 0 }).Example(1)
+	return nil
+}
--- a/bvsuspect/persist_test.go
+++ b/bvsuspect/persist_test.go
@@ -16,11 +16,11 @@
 	"balsamvalve.example/bvplatform"
 )
 
-// newHostSuspects returns the Suspects of a host, whose clock starts anywhere.
-func newHostSuspects(uptime bvclock.Duration) (*Suspects, *bvclock.Manual) {
+// newHostSuspects returns the Suspects of a host that was started some time ago.
+func newHostSuspects(store bvplatform.Store, uptime bvclock.Duration) (*Suspects, *bvclock.Manual) {
 	clock := &bvclock.Manual{}
 	clock.Advance(uptime)
-	return New(clock, bvmeasure.New(), bvlog.New(io.Discard)), clock
+	return New(clock, store, bvmeasure.New(), bvlog.New(io.Discard)), clock
 }
 
 // crash records that a request has crashed endpoints, from one number up to another.
@@ -31,6 +31,10 @@
 	}
 }
 
+func (suspects *Suspects) isDenied(request Fingerprint) bool {
+	return suspects.Decide(request).Access == Denied
+}
+
 func savedCount(t *testing.T, store bvplatform.Store) int {
 	rows, err := store.Scan(t.Context(), suspectPart, "", 10_000)
 	require.NoError(t, err)
@@ -40,29 +44,29 @@
 // Guards against crashes that are forgotten when all hosts restart.
 func TestHostThatStartsKnowsSavedCrashes(t *testing.T) {
 	store := &bvplatform.Memory{}
-	before, _ := newHostSuspects(bvclock.Hour)
+	before, _ := newHostSuspects(store, bvclock.Hour)
 	before.crash(withQuery(1, 7), 0, crashLimit)
-	require.NoError(t, before.Save(t.Context(), store))
+	require.NoError(t, before.Save(t.Context()))
 	require.Equal(t, crashLimit, savedCount(t, store))
-	after, clock := newHostSuspects(0)
-	require.NoError(t, after.Load(t.Context(), store))
-	require.True(t, after.IsPoisonous(withQuery(1, 7)))
-	require.False(t, after.IsPoisonous(withQuery(1, 8)))
+	after, clock := newHostSuspects(store, 0)
+	require.NoError(t, after.Load(t.Context()))
+	require.True(t, after.isDenied(withQuery(1, 7)))
+	require.False(t, after.isDenied(withQuery(1, 8)))
 	clock.Advance(crashRetention)
-	require.False(t, after.IsPoisonous(withQuery(1, 7)))
+	require.False(t, after.isDenied(withQuery(1, 7)))
 }
 
 // Guards against a write for each request that was in flight at a crash.
 func TestCrashIsSavedFromTheSecondOnOnly(t *testing.T) {
 	store := &bvplatform.Memory{}
-	suspects, _ := newHostSuspects(0)
+	suspects, _ := newHostSuspects(store, 0)
 	for number := range uint64(50) {
 		suspects.crash(request(number), 1, 2)
 	}
-	require.NoError(t, suspects.Save(t.Context(), store))
+	require.NoError(t, suspects.Save(t.Context()))
 	require.Zero(t, savedCount(t, store))
 	suspects.AddPeerReport("b", Report{Crash: Crash{request(1), 9}})
-	require.NoError(t, suspects.Save(t.Context(), store))
+	require.NoError(t, suspects.Save(t.Context()))
 	require.Equal(t, 1, savedCount(t, store), "the host that detected the other one saves it")
 }
 
@@ -70,13 +74,13 @@
 // read them in the store.
 func TestWithdrawnCrashIsRemovedFromTheStore(t *testing.T) {
 	store := &bvplatform.Memory{}
-	first, _ := newHostSuspects(0)
+	first, _ := newHostSuspects(store, 0)
 	first.crash(request(1), 0, crashLimit)
-	require.NoError(t, first.Save(t.Context(), store))
-	second, _ := newHostSuspects(0)
-	require.NoError(t, second.Load(t.Context(), store))
+	require.NoError(t, first.Save(t.Context()))
+	second, _ := newHostSuspects(store, 0)
+	require.NoError(t, second.Load(t.Context()))
 	second.RecordAnswer(request(1))
-	require.NoError(t, second.Save(t.Context(), store))
+	require.NoError(t, second.Save(t.Context()))
 	require.Zero(t, savedCount(t, store))
 }
 
@@ -96,15 +100,15 @@
 
 func TestCrashIsSavedAfterAnOutage(t *testing.T) {
 	store := &failingStore{failures: 2}
-	suspects, _ := newHostSuspects(0)
+	suspects, _ := newHostSuspects(store, 0)
 	suspects.crash(request(1), 0, 300)
-	require.ErrorIs(t, suspects.Save(t.Context(), store), bvplatform.ErrUnavailable)
-	require.ErrorIs(t, suspects.Save(t.Context(), store), bvplatform.ErrUnavailable)
-	require.NoError(t, suspects.Save(t.Context(), store))
+	require.ErrorIs(t, suspects.Save(t.Context()), bvplatform.ErrUnavailable)
+	require.ErrorIs(t, suspects.Save(t.Context()), bvplatform.ErrUnavailable)
+	require.NoError(t, suspects.Save(t.Context()))
 	require.Equal(t, 300, savedCount(t, store))
 	writes, _ := store.Counts()
 	require.EqualValues(t, 4, writes, "rows are gathered in transactions of a bounded size")
-	require.NoError(t, suspects.Save(t.Context(), store))
+	require.NoError(t, suspects.Save(t.Context()))
 	writes, _ = store.Counts()
 	require.EqualValues(t, 4, writes)
 }
@@ -122,8 +126,8 @@
 		_, err := store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: key, Value: []byte(value)}}})
 		require.NoError(t, err)
 	}
-	suspects, _ := newHostSuspects(0)
-	require.NoError(t, suspects.Load(t.Context(), store))
+	suspects, _ := newHostSuspects(store, 0)
+	require.NoError(t, suspects.Load(t.Context()))
 	require.Zero(t, suspects.Len())
 	rows, err := store.Read(t.Context(), crashKey(Crash{request(1), 1}))
 	require.NoError(t, err)
@@ -131,8 +135,8 @@
 }
 
 func TestFailedLoadIsAnError(t *testing.T) {
-	suspects, _ := newHostSuspects(0)
-	require.Error(t, suspects.Load(t.Context(), unreadableStore{}))
+	suspects, _ := newHostSuspects(unreadableStore{}, 0)
+	require.Error(t, suspects.Load(t.Context()))
 }
 
 // unreadableStore fails each scan.
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -14,22 +14,34 @@
 //
 // # Usage
 //
-//	suspects := bvsuspect.New(clock, counters, log)
+//	suspects := bvsuspect.New(clock, store, counters, log)
 //	suspects.RecordBrokenCall(call)
 //	suspects.RecordCheck(call, connections.Check(ctx, endpoint))
-//	if suspects.IsPoisonous(content) {
-//		// refuse the request
+//	switch decision := suspects.Decide(request); decision.Access {
+//	case bvsuspect.Exclusive:
+//		claim, err := suspects.Claim(ctx, request, decision) // and EndClaim after the run
+//	case bvsuspect.Denied:
+//		// refuse the request until decision.RetryAfter
 //	}
+//
+// # What a suspect may do
+//
+// A request that has crashed one endpoint is sent on as any other: nearly all of those in flight at
+// a crash did not cause it. One that has crashed two runs exclusively, at one endpoint at a time:
+// hosts claim the right to run it in the platform's store. One that has crashed three is refused,
+// and may run exclusively once after ten seconds, a minute, ten minutes, and each hour.
 package bvsuspect
 
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvforward"
+	"balsamvalve.example/bvplatform"
 )
 
 //go:generate stringer -type=Sign -linecomment -output=sign_string.go
@@ -58,6 +70,7 @@
 	Name      string
 	TimedOut  bool // the call's deadline passed
 	HasAnswer bool // the endpoint began to answer
+	Exclusive bool // the request ran exclusively
 }
 
 // Counters counts events.
@@ -72,16 +85,25 @@
 	counters Counters
 	log      logrus.FieldLogger
 
+	store bvplatform.Store
+	// unixMilli returns the time that saved rows have, as other hosts have another clock.
+	unixMilli func() int64
+
 	changed chan struct{} // has an element while TakeChanges has something to return
 
 	mutex  sync.Mutex
 	table  Table
 	losses lossLog
+	// endedClaims are claims that the store must no longer have.
+	endedClaims []*Claim
 }
 
-// New returns Suspects without suspects.
-func New(clock bvclock.Clock, counters Counters, log logrus.FieldLogger) *Suspects {
-	return &Suspects{clock: clock, counters: counters, log: log, changed: make(chan struct{}, 1)}
+// New returns Suspects without suspects. They are saved in a store.
+func New(clock bvclock.Clock, store bvplatform.Store, counters Counters, log logrus.FieldLogger) *Suspects {
+	return &Suspects{
+		clock: clock, store: store, counters: counters, log: log, changed: make(chan struct{}, 1),
+		unixMilli: func() int64 { return time.Now().UnixMilli() },
+	}
 }
 
 // Changed returns a channel that receives when there are changes to take.
@@ -115,7 +137,7 @@
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	suspects.table.RecordBrokenCall(now, call.Request, call.Endpoint)
+	suspects.table.RecordBrokenCall(now, Crash{call.Request, call.Endpoint}, call.Exclusive)
 	suspects.counters.Count("broken_calls", call.kind())
 	suspects.log.WithFields(logrus.Fields{
 		"request":     call.ID,
@@ -240,12 +262,12 @@
 	}).Info(message)
 }
 
-// IsPoisonous reports whether a request has crashed too many endpoints.
-func (suspects *Suspects) IsPoisonous(request Fingerprint) bool {
+// Decide decides what a request may do.
+func (suspects *Suspects) Decide(request Fingerprint) Decision {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	return suspects.table.IsPoisonous(now, request)
+	return suspects.table.Decide(now, request)
 }
 
 // Reports returns what to report to other hosts.
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -8,12 +8,9 @@
 )
 
 const (
-	// crashLimit is the number of endpoints that a request must have crashed to be
-	// refused by all hosts.
-	crashLimit = 3
 	// crashRetention is how long a request's crashes are retained after the last one. Then it
 	// may run again: its endpoints may have been mended.
-	crashRetention = 10 * bvclock.Minute
+	crashRetention = 2 * bvclock.Hour
 	// reportTime is how long a request's crashes are reported to other hosts after their last
 	// change: some datagrams are lost, and some hosts are cut off for seconds.
 	reportTime = 10 * bvclock.Second
@@ -42,6 +39,7 @@
 	Age bvclock.Duration // time since it was detected
 	// Withdrawn: the endpoint did not crash, or the request did not cause it.
 	Withdrawn bool
+	Exclusive bool // the request ran exclusively
 	// OtherQuery: an endpoint has answered the request with another query, so that the crash
 	// counts against this query only.
 	OtherQuery bool
@@ -80,6 +78,7 @@
 type crash struct {
 	at                    bvclock.Time
 	withdrawn, otherQuery bool // as in Report
+	exclusive             bool // as in Report
 
 	here          bool // this host detected it
 	withdrawnHere bool // this host withdrew it
@@ -97,8 +96,8 @@
 
 // RecordCrash records a crash that this host detected. A crash that is recorded twice counts
 // once; it returns false the second time.
-func (table *Table) RecordCrash(now bvclock.Time, crash Crash) (added bool) {
-	if !table.Merge(now, Report{Crash: crash}) {
+func (table *Table) RecordCrash(now bvclock.Time, crash Crash, exclusive bool) (added bool) {
+	if !table.Merge(now, Report{Crash: crash, Exclusive: exclusive}) {
 		return false
 	}
 	found := table.suspects[crash.Request.Exact]
@@ -120,7 +119,8 @@
 		table.crashed[report.Endpoint]++
 		changed = true
 	}
-	changed = known.merge(report.Withdrawn, report.OtherQuery) || changed
+	changed = known.merge(report.Withdrawn, report.OtherQuery) || report.Exclusive && !known.exclusive || changed
+	known.exclusive = known.exclusive || report.Exclusive
 	if changed {
 		found.changedAt, table.unsaved = now, true
 	}
@@ -163,6 +163,20 @@
 	return unsaved[:min(len(unsaved), limit)]
 }
 
+// UnsavedOf returns the crashes that count against a request and that the store does not have, also
+// those that other hosts detected.
+func (table *Table) UnsavedOf(now bvclock.Time, request Fingerprint) []Report {
+	var unsaved []Report
+	for _, suspect := range table.families[request.AnyQuery] {
+		for endpoint, crash := range suspect.crashes {
+			if !crash.withdrawn && !crash.saved {
+				unsaved = append(unsaved, crash.report(now, Crash{suspect.request, endpoint}))
+			}
+		}
+	}
+	return unsaved
+}
+
 // MarkSaved records that the platform's store has a crash, or no longer has it if it is
 // withdrawn.
 func (table *Table) MarkSaved(report Report) {
@@ -264,45 +278,13 @@
 // Crashes returns how many endpoints a request has crashed, also with other queries if it has
 // come with several.
 func (table *Table) Crashes(request Fingerprint) int {
-	exact := make(map[uint64]bool)
-	table.suspects[request.Exact].count(exact, func(*crash) bool { return true })
-	family, queries := make(map[uint64]bool), 0
-	for _, suspect := range table.families[request.AnyQuery] {
-		if suspect.count(family, func(crash *crash) bool { return !crash.otherQuery }) {
-			queries++
-		}
-	}
-	if queries < 2 {
-		return len(exact)
-	}
-	return max(len(exact), len(family))
-}
-
-// count adds the endpoints that a suspect has crashed, and reports whether there are any.
-func (suspect *suspect) count(endpoints map[uint64]bool, counts func(*crash) bool) (any bool) {
-	if suspect == nil {
-		return false
-	}
-	for endpoint, crash := range suspect.crashes {
-		if !crash.withdrawn && counts(crash) {
-			endpoints[endpoint], any = true, true
-		}
-	}
-	return any
+	counted := table.counted(request)
+	return counted.crashes()
 }
 
 // Len returns the number of suspects.
 func (table *Table) Len() int { return len(table.suspects) }
 
-// IsPoisonous reports whether a request has crashed crashLimit endpoints or more.
-func (table *Table) IsPoisonous(now bvclock.Time, request Fingerprint) bool {
-	if table.Crashes(request) < crashLimit {
-		return false
-	}
-	table.removeExpired(now)
-	return table.Crashes(request) >= crashLimit
-}
-
 // removeExpired removes the suspects whose last crash is too long ago.
 func (table *Table) removeExpired(now bvclock.Time) {
 	for _, suspect := range table.suspects {
@@ -357,5 +339,7 @@
 }
 
 func (crash *crash) report(now bvclock.Time, of Crash) Report {
-	return Report{Crash: of, Age: now.Sub(crash.at), Withdrawn: crash.withdrawn, OtherQuery: crash.otherQuery}
+	return Report{
+		Crash: of, Age: now.Sub(crash.at), Withdrawn: crash.withdrawn, Exclusive: crash.exclusive, OtherQuery: crash.otherQuery,
+	}
 }
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -16,26 +16,31 @@
 	return Fingerprint{Exact: number<<32 + query, AnyQuery: number}
 }
 
+// isDenied reports whether a request may not run.
+func isDenied(table *Table, now bvclock.Time, request Fingerprint) bool {
+	return table.Decide(now, request).Access == Denied
+}
+
 // Guards against a request that crashes each endpoint that runs it.
 func TestRequestThatCrashedThreeEndpointsIsPoisonous(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(crashLimit) {
-		require.False(t, table.IsPoisonous(10, request(1)))
-		table.RecordBrokenCall(10, request(1), endpoint)
+		require.False(t, isDenied(&table, 10, request(1)))
+		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
 		table.RecordEndpointLoss(11, endpoint, Refused)
 	}
-	require.True(t, table.IsPoisonous(12, request(1)))
-	require.False(t, table.IsPoisonous(12, request(2)))
-	require.False(t, table.IsPoisonous(bvclock.Time(crashRetention)+12, request(1)), "the caller may retry after a while")
+	require.True(t, isDenied(&table, 12, request(1)))
+	require.False(t, isDenied(&table, 12, request(2)))
+	require.False(t, isDenied(&table, bvclock.Time(crashRetention)+12, request(1)), "the caller may retry after a while")
 }
 
 // Guards against lost answers that make a request a suspect.
 func TestLostAnswersAreNoCrashes(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(50) {
-		table.RecordBrokenCall(10, request(1), endpoint)
+		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
 	}
-	require.False(t, table.IsPoisonous(11, request(1)))
+	require.False(t, isDenied(&table, 11, request(1)))
 }
 
 // Guards against a crash that is counted when an answer is lost and the endpoint leaves
@@ -43,7 +48,7 @@
 func TestLaterLossOfAnEndpointIsNoCrash(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(crashLimit) {
-		table.RecordBrokenCall(10, request(1), endpoint)
+		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
 		table.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint, Refused)
 	}
 	require.Empty(t, table.Reports(bvclock.Time(crashWindow)+20))
@@ -54,7 +59,7 @@
 func TestCrashesSeenByOtherHostsCount(t *testing.T) {
 	var here, there Table
 	for endpoint := range uint64(crashLimit) {
-		there.RecordBrokenCall(10, request(1), endpoint)
+		there.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
 		there.RecordEndpointLoss(10, endpoint, Refused)
 	}
 	for range 2 {
@@ -62,14 +67,14 @@
 			here.Merge(11, report)
 		}
 	}
-	require.True(t, here.IsPoisonous(12, request(1)))
+	require.True(t, isDenied(&here, 12, request(1)))
 	require.Equal(t, crashLimit, here.Crashes(request(1)))
 }
 
 func TestSuspectsStayBounded(t *testing.T) {
 	var table Table
 	for number := range uint64(10 * maxBrokenCalls) {
-		table.RecordBrokenCall(10, request(number), 1)
+		table.RecordBrokenCall(10, Crash{request(number), 1}, false)
 	}
 	require.LessOrEqual(t, len(table.brokenCalls), maxBrokenCalls)
 	table.RecordEndpointLoss(10, 1, Refused)
@@ -82,7 +87,7 @@
 // Guards against a crash that is counted because an endpoint can't be reached for another reason.
 func TestUnreachableEndpointIsNoCrash(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, request(1), 1)
+	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
 	require.Empty(t, table.RecordEndpointLoss(10, 1, Unreachable))
 	require.Len(t, table.RecordEndpointLoss(10, 1, AnotherInstance), 1)
 }
@@ -91,8 +96,8 @@
 // machines that don't.
 func TestRemovalIsACrashUnlessTheEndpointRan(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, request(1), 1)
-	table.RecordBrokenCall(10, request(1), 2)
+	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
+	table.RecordBrokenCall(10, Crash{request(1), 2}, false)
 	table.RecordConnected(1)
 	require.Empty(t, table.RecordEndpointLoss(4000, 1, Removed))
 	require.Len(t, table.RecordEndpointLoss(4000, 2, Removed), 1)
@@ -103,27 +108,27 @@
 func TestRequestThatCrashesWithSeveralQueriesIsPoisonous(t *testing.T) {
 	var table Table
 	for query := range uint64(crashLimit) {
-		require.False(t, table.IsPoisonous(10, withQuery(1, 99)))
-		table.RecordCrash(10, Crash{withQuery(1, query), query})
+		require.False(t, isDenied(&table, 10, withQuery(1, 99)))
+		table.RecordCrash(10, Crash{withQuery(1, query), query}, false)
 	}
-	require.True(t, table.IsPoisonous(10, withQuery(1, 99)))
-	require.False(t, table.IsPoisonous(10, withQuery(2, 99)))
+	require.True(t, isDenied(&table, 10, withQuery(1, 99)))
+	require.False(t, isDenied(&table, 10, withQuery(2, 99)))
 }
 
 // Guards against requests that are refused because one with another query crashes endpoints.
 func TestRequestWithAnotherQueryIsNotPoisonous(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(crashLimit) {
-		table.RecordCrash(10, Crash{withQuery(1, 7), endpoint})
+		table.RecordCrash(10, Crash{withQuery(1, 7), endpoint}, false)
 	}
-	require.True(t, table.IsPoisonous(10, withQuery(1, 7)))
-	require.False(t, table.IsPoisonous(10, withQuery(1, 8)))
+	require.True(t, isDenied(&table, 10, withQuery(1, 7)))
+	require.False(t, isDenied(&table, 10, withQuery(1, 8)))
 }
 
 // crashAll records that a request has crashed endpoints up to the limit.
 func crashAll(table *Table, now bvclock.Time, request Fingerprint) {
 	for endpoint := range uint64(crashLimit) {
-		table.RecordCrash(now, Crash{request, endpoint})
+		table.RecordCrash(now, Crash{request, endpoint}, false)
 	}
 }
 
@@ -134,8 +139,8 @@
 	crashAll(&table, 10, request(1))
 	crashAll(&table, 10, request(2))
 	require.Len(t, table.RecordAnswer(20, request(2)), crashLimit)
-	require.True(t, table.IsPoisonous(20, request(1)))
-	require.False(t, table.IsPoisonous(20, request(2)))
+	require.True(t, isDenied(&table, 20, request(1)))
+	require.False(t, isDenied(&table, 20, request(2)))
 }
 
 // Guards against a popular request that is refused after all endpoints have crashed at once.
@@ -143,12 +148,12 @@
 	var table Table
 	table.RecordAnswer(10, request(2))
 	crashAll(&table, 20, request(2))
-	require.False(t, table.IsPoisonous(20, request(2)))
+	require.False(t, isDenied(&table, 20, request(2)))
 	later := bvclock.Time(10).Add(2*answerWindow + 1)
 	for endpoint := range uint64(crashLimit) {
-		table.RecordCrash(later, Crash{request(2), 10 + endpoint})
+		table.RecordCrash(later, Crash{request(2), 10 + endpoint}, false)
 	}
-	require.True(t, table.IsPoisonous(later, request(2)), "it was answered too long ago")
+	require.True(t, isDenied(&table, later, request(2)), "it was answered too long ago")
 }
 
 // Guards against an endpoint that refused connections for a moment and counts as crashed.
@@ -157,13 +162,13 @@
 	crashAll(&table, 10, request(1))
 	require.Empty(t, table.RecordRunning(30, 0, 9), "the answered request was sent before")
 	require.Len(t, table.RecordRunning(30, 0, 11), 1)
-	require.False(t, table.IsPoisonous(30, request(1)))
+	require.False(t, isDenied(&table, 30, request(1)))
 }
 
 // Guards against a call that broke at an endpoint long before it ends.
 func TestBrokenCallIsDroppedWhenItsEndpointAnswers(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, request(1), 1)
+	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
 	table.RecordRunning(30, 1, 20)
 	require.Empty(t, table.RecordEndpointLoss(40, 1, Refused))
 }
@@ -172,12 +177,12 @@
 func TestAnswerWithAnotherQueryClearsOtherQueriesOnly(t *testing.T) {
 	var table Table
 	crashAll(&table, 10, withQuery(1, 7))
-	table.RecordCrash(10, Crash{withQuery(1, 8), 5})
-	require.True(t, table.IsPoisonous(10, withQuery(1, 9)))
+	table.RecordCrash(10, Crash{withQuery(1, 8), 5}, false)
+	require.True(t, isDenied(&table, 10, withQuery(1, 9)))
 	table.RecordAnswer(11, withQuery(1, 9))
-	require.False(t, table.IsPoisonous(11, withQuery(1, 9)))
-	require.False(t, table.IsPoisonous(11, withQuery(1, 8)))
-	require.True(t, table.IsPoisonous(11, withQuery(1, 7)))
+	require.False(t, isDenied(&table, 11, withQuery(1, 9)))
+	require.False(t, isDenied(&table, 11, withQuery(1, 8)))
+	require.True(t, isDenied(&table, 11, withQuery(1, 7)))
 }
 
 // Guards against a host that withdraws a crash while others go on counting it.
@@ -191,7 +196,7 @@
 	for _, report := range here.Reports(20) {
 		there.Merge(20, report)
 	}
-	require.False(t, there.IsPoisonous(20, request(1)))
+	require.False(t, isDenied(&there, 20, request(1)))
 	for _, report := range there.Reports(20) {
 		require.True(t, report.Withdrawn)
 	}
@@ -201,7 +206,7 @@
 func TestReportsAreBounded(t *testing.T) {
 	var table Table
 	for number := range uint64(3 * maxSuspects) {
-		table.RecordCrash(10, Crash{request(number), number})
+		table.RecordCrash(10, Crash{request(number), number}, false)
 	}
 	require.Equal(t, maxSuspects, table.Len())
 	require.Len(t, table.Reports(10), maxReports)
@@ -211,7 +216,7 @@
 // Guards against crashes that hosts report to each other without end.
 func TestReportKeepsItsAge(t *testing.T) {
 	var here, there Table
-	there.RecordCrash(10, Crash{request(1), 1})
+	there.RecordCrash(10, Crash{request(1), 1}, false)
 	report := there.Reports(1010)[0]
 	require.Equal(t, bvclock.Second, report.Age)
 	here.Merge(5000, report)
@@ -226,7 +231,7 @@
 	crashAll(&here, 10, request(1))
 	later := bvclock.Time(10).Add(reportTime + 1)
 	require.Empty(t, here.Reports(later))
-	late.RecordCrash(later, Crash{request(1), 99})
+	late.RecordCrash(later, Crash{request(1), 99}, false)
 	for _, report := range late.TakeChanges(later, 0) {
 		here.Merge(later, report)
 	}
@@ -239,12 +244,12 @@
 // Guards against a datagram to each host of a large fleet for each request in flight at a crash.
 func TestOnlyOwnChangesOfSuspectsAreReportedAtOnce(t *testing.T) {
 	var table Table
-	table.RecordCrash(10, Crash{request(1), 1})
+	table.RecordCrash(10, Crash{request(1), 1}, false)
 	table.Merge(10, Report{Crash: Crash{request(2), 1}})
 	require.Len(t, table.TakeChanges(10, 1), 1)
 	require.Empty(t, table.TakeChanges(10, 1))
-	table.RecordCrash(10, Crash{request(1), 2})
-	table.RecordCrash(10, Crash{request(3), 2})
+	table.RecordCrash(10, Crash{request(1), 2}, false)
+	table.RecordCrash(10, Crash{request(3), 2}, false)
 	require.Len(t, table.TakeChanges(10, 2), 2, "both crashes of the first request")
 	table.RecordAnswer(11, request(3))
 	require.Len(t, table.TakeChanges(11, 2), 1, "it is cleared")
