serve: a lost answer of a plain service is no crash of its endpoint

What callers saw: a booking whose answers were lost twice was refused as poisonous for an hour, also under other request ids and after the service answered again.

Model streams are asked for again over a new connection, and an engine that still knows them has not crashed; calls of plain services had no such check.

The endpoint of a broken call counts as crashed only if it refuses a connection 10 ms later; otherwise the call counts as one without an answer, which the endpoint's health counts as before for silent ones. One assertion of TestInvokeNeverSendsTwiceWhenReusedConnectionDies expected a crash of a service that goes on running; it now expects that it is none, and a new test expects a crash where the port is closed.

--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -71,8 +71,8 @@
 	})
 }
 
-func (client *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{
+func (client *Client) dialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: orDefault(client.DialTimeout, DefaultDialTimeout).Std(),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -81,8 +81,11 @@
 			Count:    keepAliveProbes,
 		},
 	}
+}
+
+func (client *Client) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         client.dialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/bvendpoint/endpoint.go
+++ b/bvendpoint/endpoint.go
@@ -64,9 +64,9 @@
 // OutcomeOf returns the outcome of a call, given the error that it returned.
 //
 // Refused: the endpoint rejected the call, or could not be reached. Crashed: the
-// connection broke and the stream is lost. Silent: the endpoint stopped sending
-// data and a resume did not succeed. Canceled: the user of the client canceled the
-// call.
+// connection broke, and the endpoint has lost the stream or refuses connections. Silent:
+// the endpoint stopped sending data and a resume did not succeed, or its answer was lost.
+// Canceled: the user of the client canceled the call.
 func OutcomeOf(err error) bvgate.Outcome {
 	if err == nil {
 		return bvgate.Succeeded
--- a/bvendpoint/service.go
+++ b/bvendpoint/service.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"slices"
+	"syscall"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvverdict"
 )
@@ -58,13 +60,13 @@
 	}
 	response, err := exchange.send(transport)
 	if err != nil {
-		return ServiceResult{}, exchange.noAnswerError(err)
+		return ServiceResult{}, client.brokenCallError(ctx, exchange, address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return client.serviceResult(exchange, response)
+	return client.serviceResult(ctx, exchange, address, response)
 }
 
-func (client *Client) serviceResult(exchange *exchange, response *http.Response) (ServiceResult, error) {
+func (client *Client) serviceResult(ctx context.Context, exchange *exchange, address string, response *http.Response) (ServiceResult, error) {
 	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
 		if err := statusError(response); err.Verdict() == bvverdict.NotRun {
 			return ServiceResult{}, err
@@ -73,7 +75,7 @@
 	limit := orDefault(client.MaxBodyBytes, DefaultMaxBodyBytes)
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return ServiceResult{}, exchange.noAnswerError(err)
+		return ServiceResult{}, client.brokenCallError(ctx, exchange, address, err)
 	}
 	if int64(len(body)) > limit {
 		return ServiceResult{}, failure(bvverdict.Ran, bvverdict.TooLarge, bvgate.Refused,
@@ -84,6 +86,32 @@
 	return ServiceResult{Status: response.StatusCode, Header: header, Body: body}, nil
 }
 
+// checkDelay is the time from a broken call to the check whether its endpoint still runs: the
+// sockets of a process that crashes are not all closed at the same time.
+const checkDelay = 10 * bvclock.Millisecond
+
+// brokenCallError returns the error of a call without a complete answer. The endpoint counts as
+// crashed only if it refuses connections: answers are also lost for other reasons, and a request
+// must not be blamed for those.
+func (client *Client) brokenCallError(ctx context.Context, exchange *exchange, address string, cause error) error {
+	failed := exchange.noAnswerError(cause)
+	if OutcomeOf(failed) != bvgate.Crashed {
+		return failed
+	}
+	select {
+	case <-bvclock.After(checkDelay):
+	case <-ctx.Done():
+	}
+	conn, err := client.dialer().DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return failed
+	}
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+	}
+	return failure(bvverdict.MayHaveRun, bvverdict.EndpointFailed, bvgate.Silent, cause, "the endpoint's answer was lost")
+}
+
 func (call ServiceCall) method() string {
 	if call.Method == "" {
 		return http.MethodPost
--- a/bvendpoint/service_test.go
+++ b/bvendpoint/service_test.go
@@ -106,6 +106,22 @@
 	err := sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader})
 	require.Equal(t, int64(2), service.runs.Load())
 	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err), "the service still runs")
+}
+
+// Guards against a service that has crashed during a call and does not count as crashed.
+func TestServiceThatRefusesConnectionsAfterACallHasCrashed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_ = listener.Close()
+			_ = conn.Close()
+		}
+	}()
+	_, err = newTestClient(t).Invoke(t.Context(), listener.Addr().String(), bvendpoint.ServiceCall{Path: "/book", Unrepeatable: true})
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
 	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
 }
 
--- a/bvprocess/once_test.go
+++ b/bvprocess/once_test.go
@@ -108,3 +108,25 @@
 		require.LessOrEqual(t, cluster.countRuns(request), 1)
 	}
 }
+
+// Guards against a request that is refused as one that crashes endpoints, since its answers were lost.
+func TestLostAnswersDontCountAsCrashes(t *testing.T) {
+	t.Parallel()
+	cluster := startCluster(t, size{daemons: 3, services: 2})
+	for _, service := range cluster.services {
+		service.setFaults(`{"fail_after":true}`)
+	}
+	for number := range 4 {
+		status, verdict, body := cluster.sendBooking(cluster.daemons[number%3], fmt.Sprint("lesson-", number), fmt.Sprint("lost-", number))
+		require.Equal(t, http.StatusBadGateway, status, body)
+		require.Equal(t, "may have run", verdict)
+	}
+	for _, service := range cluster.services {
+		service.setFaults(`{}`)
+	}
+	require.Eventually(t, func() bool {
+		status, _, body := cluster.sendBooking(cluster.daemons[0], "lesson", "served")
+		require.NotContains(t, body, "poisonous")
+		return status == http.StatusOK
+	}, testTimeout, poll)
+}
