--- a/bvsuspect/machine_test.go
+++ b/bvsuspect/machine_test.go
@@ -168,7 +168,7 @@
 	machine.advance(bvclock.Duration(rapid.Int64Range(1, int64(15*bvclock.Second)).Draw(t, "wait")))
 }
 
-// Synchronize lets all hosts tell each other all they know and save it, and checks what they
+// Synchronize exchanges all reports between all hosts and saves them, and checks what hosts
 // decide then.
 func (machine *machine) Synchronize(t *rapid.T) {
 	machine.store.down = false
