--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -250,6 +250,16 @@
 	return len(router.endpoints.all())
 }
 
+// HostCount returns the number of hosts on the list that this host knows, itself included; 0
+// while it knows a part of the list only.
+func (router *Router) HostCount() int {
+	shared := router.hosts.Load()
+	if shared == nil || shared.asOf == 0 {
+		return 0
+	}
+	return len(shared.hosts)
+}
+
 // IsReader reports whether this host reads lists from the platform's store for others.
 func (router *Router) IsReader() bool {
 	return router.fleet().isLarge() && router.fleet().isReader()
