--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -17,7 +17,7 @@
 	// maxSuspects bounds the requests that are retained, and maxReports the crashes that are
 	// reported at once.
 	maxSuspects = 1024
-	maxReports  = 128
+	maxReports  = 64
 )
 
 // Fingerprint identifies a request that its caller sends again: in the same workspace, with the
