A request with several crashes is kept and reported before the many with one

Found reading: the table is bounded at 1,024 requests and a digest at 64 crashes, the latest first. When many endpoints crash at once, thousands of requests with one crash each would push out the one that causes it. TestSuspectWithSeveralCrashesOutlastsOthers fails on the commit before.

--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -202,7 +203,7 @@
 		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64]int)
 	}
 	if len(table.suspects) >= maxSuspects {
-		table.removeOldest()
+		table.remove(slices.MaxFunc(slices.Collect(maps.Values(table.suspects)), compareUse))
 	}
 	added := &suspect{request: request, crashes: make(map[uint64]*crash), changedAt: now}
 	table.suspects[request.Exact] = added
@@ -210,14 +211,10 @@
 	return added
 }
 
-func (table *Table) removeOldest() {
-	var oldest *suspect
-	for _, suspect := range table.suspects {
-		if oldest == nil || suspect.changedAt.Before(oldest.changedAt) {
-			oldest = suspect
-		}
-	}
-	table.remove(oldest)
+// compareUse orders suspects by their use: those with several crashes first, and of these the ones
+// that changed last. When many endpoints crash at once, thousands of requests are in flight there.
+func compareUse(a, b *suspect) int {
+	return cmp.Or(cmp.Compare(min(len(b.crashes), exclusiveCrashes), min(len(a.crashes), exclusiveCrashes)), cmp.Compare(b.changedAt, a.changedAt))
 }
 
 func (table *Table) remove(removed *suspect) {
@@ -311,8 +308,7 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
-// Reports returns what to report to other hosts regularly, the latest changes first, and removes
-// old crashes.
+// Reports returns what to report to other hosts regularly, and removes old crashes.
 func (table *Table) Reports(now bvclock.Time) []Report {
 	table.removeExpired(now)
 	table.brokenCalls.removeExpired(now)
@@ -322,7 +318,7 @@
 			changed = append(changed, suspect)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *suspect) int { return cmp.Compare(b.changedAt, a.changedAt) })
+	slices.SortFunc(changed, compareUse)
 	var reports []Report
 	for _, suspect := range changed[:min(len(changed), maxReports)] {
 		reports = append(reports, suspect.reports(now)...)
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -254,3 +254,15 @@
 	table.RecordAnswer(11, request(3))
 	require.Len(t, table.TakeChanges(11, 2), 1, "it is cleared")
 }
+
+// Guards against a poisonous request that is forgotten or not reported because many others are in
+// flight at crashes.
+func TestSuspectWithSeveralCrashesOutlastsOthers(t *testing.T) {
+	var table Table
+	crashAll(&table, 10, request(1))
+	for number := range uint64(3 * maxSuspects) {
+		table.RecordCrash(20, Crash{request(100 + number), 1000 + number}, false)
+	}
+	require.True(t, isDenied(&table, 20, request(1)))
+	require.Equal(t, request(1), table.Reports(20)[0].Request)
+}
