A single crash is reported by the host that detected it only

Worked out for docs/CAPACITY.md: each host repeated each crash that it had heard of to all others for 10 s, 190 KB a second a host for each engine that crashes at the size to design for (16 requests in flight, 196 digests a second). Nearly all of these requests crash no second endpoint. Now 12 KB a second at 16 hosts; a request with several crashes is reported by all, as before.

--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -326,9 +326,14 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
+// reports returns what this host reports of a suspect. All hosts report a suspect with several
+// crashes; one with a single crash only the host that detected or withdrew it, since there are many.
 func (suspect *suspect) reports(now bvclock.Time) []Report {
 	reports := make([]Report, 0, len(suspect.crashes))
 	for endpoint, crash := range suspect.crashes {
+		if len(suspect.crashes) < exclusiveCrashes && !crash.here && !crash.withdrawnHere {
+			continue
+		}
 		reports = append(reports, crash.report(now, Crash{suspect.request, endpoint}))
 	}
 	return reports
