A crash counts also if the endpoint still accepts a connection just after it

What callers saw: a request that crashes endpoints whose sockets close one after another crashed them again and again: 18 crashes by nine sendings, 12 more by eight sendings after three seconds, never refused.

Cause: a host asked once, 10 ms after the broken call, whether the endpoint runs. An endpoint that was about to close its listener accepted that connection, which settled two things for good: no crash was counted, and the later end of the endpoint's entry did not count either, as for an endpoint that leaves as planned.

Change: the check is made 10, 100 and 500 ms after the call. The call is sent on after the first, an exclusive run ends with the last: a suspect that seems to have crashed nothing does not run elsewhere in the meantime. Later checks use the connection of the first, which a process that ends closes.

Ruled out: one later check only, since callers send again within 0.1 s.

--- a/bvforward/check.go
+++ b/bvforward/check.go
@@ -5,7 +5,6 @@
 	"errors"
 	"syscall"
 
-	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvplatform"
 )
 
@@ -21,18 +20,10 @@
 	Refused                 // connection refused
 )
 
-// checkDelay is the time from the end of a call to the check of its endpoint: the sockets of
-// a process that crashes are not all closed at the same time.
-const checkDelay = 10 * bvclock.Millisecond
-
 // Check finds out whether an endpoint at which a call has just broken still runs: it has an open
-// connection to this host, or accepts a new one. It sends no request.
+// connection to this host, or accepts a new one. It sends no request. The sockets of a process
+// that crashes are not all closed at the same time: only a later check shows it for certain.
 func (connections *Connections) Check(ctx context.Context, endpoint bvplatform.Endpoint) Liveness {
-	select {
-	case <-bvclock.After(checkDelay):
-	case <-ctx.Done():
-		return Unknown
-	}
 	if open := connections.takeIdle(endpoint.ID()); open != nil {
 		connections.returnIdle(open)
 		return Running
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -58,7 +58,7 @@
 
 	streamBytes int64 // bytes of memory acquired for buffered parts of the stream
 
-	checked         <-chan struct{}  // closed when the last send's endpoint is checked; nil: it is not
+	check           *endpointCheck   // of the last send's endpoint; nil: it is not checked
 	sentAt          bvclock.Time     // of the last send
 	listAge         bvclock.Duration // of the list of endpoints at the last send
 	firstEventAt    bvclock.Time     // when the first event was written to the caller
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -1,7 +1,6 @@
 package bvfront
 
 import (
-	"context"
 	"net/http"
 	"strings"
 
@@ -174,38 +173,10 @@
 	}
 	call.front.parts.Suspects.RecordBrokenCall(broken)
 	if !broken.TimedOut {
-		call.checked = call.front.checkEndpoint(broken, call.endpoint)
+		call.check = call.front.checkEndpoint(broken, call.endpoint)
 	}
 }
 
-// checkTimeout bounds the check of an endpoint at which a call broke.
-const checkTimeout = 500 * bvclock.Millisecond
-
-// checkEndpoint checks whether an endpoint still runs after a call broke there. It returns a
-// channel that is closed when the result is recorded.
-func (front *Front) checkEndpoint(broken bvsuspect.BrokenCall, endpoint bvplatform.Endpoint) <-chan struct{} {
-	checked := make(chan struct{})
-	go func() {
-		defer close(checked)
-		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Std())
-		defer cancel()
-		front.parts.Suspects.RecordCheck(broken, front.parts.Endpoints.Check(ctx, endpoint))
-	}()
-	return checked
-}
-
-// awaitCheck waits until the endpoint of the last send is checked, if it is being checked.
-func (call *call) awaitCheck() {
-	if call.checked == nil {
-		return
-	}
-	select {
-	case <-call.checked:
-	case <-call.ctx.Done():
-	}
-	call.checked = nil
-}
-
 // handleRefusal reports that the endpoint did not run the request, and returns the error.
 func (call *call) handleRefusal(status int) error {
 	if status == http.StatusMisdirectedRequest {
--- a/bvfront/suspect.go
+++ b/bvfront/suspect.go
@@ -57,10 +57,10 @@
 	if call.claim == nil {
 		return
 	}
-	claim, checked, suspects := call.claim, call.checked, call.front.parts.Suspects
+	claim, check, suspects := call.claim, call.check, call.front.parts.Suspects
 	go func() {
-		if checked != nil {
-			<-checked
+		if check != nil {
+			<-check.last
 		}
 		suspects.EndClaim(claim)
 	}()
