--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -275,6 +275,10 @@
 // HeldBytes returns how many bytes of requests and answers this host holds.
 func (router *Router) HeldBytes() int64 { return router.front.HeldBytes() }
 
+// RestrictedRequests returns the number of requests that have crashed endpoints and that this host
+// runs exclusively or denies.
+func (router *Router) RestrictedRequests() int { return router.suspects.RestrictedCount() }
+
 // CanGrant reports whether this host may grant tokens of a program from memory.
 func (router *Router) CanGrant(program string) bool {
 	return router.leases.MayGrant(router.clock.Now(), program, 0)
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -55,6 +55,16 @@
 	return decision
 }
 
+// RestrictedCount returns the number of requests that have crashed endpoints and do not run freely.
+func (table *Table) RestrictedCount(now bvclock.Time) (count int) {
+	for _, suspect := range table.suspects {
+		if table.Decide(now, suspect.request).Access != Free {
+			count++
+		}
+	}
+	return count
+}
+
 // countedCrashes are the crashes that count against a request.
 type countedCrashes struct {
 	key       uint64          // of the request, or of all its queries
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -132,6 +132,14 @@
 	return suspects.table.Len()
 }
 
+// RestrictedCount returns the number of requests that run exclusively or are denied.
+func (suspects *Suspects) RestrictedCount() int {
+	now := suspects.clock.Now()
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return suspects.table.RestrictedCount(now)
+}
+
 // RecordBrokenCall records that a call broke at an endpoint that may have run it.
 func (suspects *Suspects) RecordBrokenCall(call BrokenCall) {
 	now := suspects.clock.Now()
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -283,3 +283,18 @@
 	}
 	require.Len(t, there.Reports(10), 2)
 }
+
+func TestRequestsThatDoNotRunFreelyAreCounted(t *testing.T) {
+	var table Table
+	for number := range uint64(crashLimit + 1) {
+		for endpoint := range number {
+			table.RecordBrokenCall(10, Crash{request(number), endpoint}, false)
+		}
+	}
+	for endpoint := range uint64(crashLimit) {
+		table.RecordEndpointLoss(11, endpoint, Refused)
+	}
+	require.Equal(t, 2, table.RestrictedCount(12), "the requests with two crashes and with three")
+	table.RecordAnswer(13, request(crashLimit))
+	require.Equal(t, 1, table.RestrictedCount(14))
+}
