--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -78,8 +78,7 @@
 	require.Zero(t, pool.byID(after.ID()).cache.cachedTokens(prompt(1).Prefix))
 }
 
-// Guards against a missed crash where only the list of endpoints shows that the engine has
-// restarted.
+// Guards against a missed crash that only the list of endpoints shows.
 func TestEngineThatRestartsDuringARequestCountsAsCrashed(t *testing.T) {
 	clock := &bvclock.Manual{}
 	dispatcher := NewDispatcher(clock, 1, "")
--- a/bvendpoint/service_test.go
+++ b/bvendpoint/service_test.go
@@ -125,8 +125,7 @@
 	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
 }
 
-// Guards against a crash that does not count, since the service still accepted a connection just
-// after it.
+// Guards against a crash that does not count because the service still accepted a connection.
 func TestServiceThatEndsJustAfterACallBrokeHasCrashed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/bvfront/fingerprint_test.go
+++ b/bvfront/fingerprint_test.go
@@ -44,8 +44,7 @@
 	require.NotEqual(t, with.Exact, repetition{target: "/a?page=3"}.fingerprint().Exact)
 }
 
-// Guards against a workspace whose requests are refused because of another's, and against turns
-// of two conversations with the same input that count as one.
+// Guards against a request that is refused because of another workspace's or conversation's.
 func TestDifferentRequestsHaveDifferentFingerprints(t *testing.T) {
 	seen := make(map[uint64]repetition)
 	for _, other := range []repetition{
--- a/bvsuspect/claim_test.go
+++ b/bvsuspect/claim_test.go
@@ -19,13 +19,19 @@
 	return suspects.Claim(t.Context(), request, decision)
 }
 
-// Guards against a suspect that runs through two hosts at the same time.
-func TestOneHostRunsASuspectAtATime(t *testing.T) {
+// newTwoHosts returns two hosts with one store. Both know of a suspect that runs exclusively.
+func newTwoHosts() (first, second *Suspects) {
 	store := &bvplatform.Memory{}
-	first, _ := newHostSuspects(store, 0)
+	first, _ = newHostSuspects(store, 0)
 	first.crash(request(1), 0, exclusiveCrashes)
-	second, _ := newHostSuspects(store, 0)
+	second, _ = newHostSuspects(store, 0)
 	second.crash(request(1), 0, exclusiveCrashes)
+	return first, second
+}
+
+// Guards against a suspect that runs through two hosts at the same time.
+func TestOneHostRunsASuspectAtATime(t *testing.T) {
+	first, second := newTwoHosts()
 	claim, err := first.claimOf(t, request(1))
 	require.NoError(t, err)
 	_, err = second.claimOf(t, request(1))
@@ -38,11 +44,7 @@
 
 // Guards against a host that does not know of the latest crash and runs the suspect once more.
 func TestClaimOfARunThatCrashedStays(t *testing.T) {
-	store := &bvplatform.Memory{}
-	first, _ := newHostSuspects(store, 0)
-	first.crash(request(1), 0, exclusiveCrashes)
-	outdated, _ := newHostSuspects(store, 0)
-	outdated.crash(request(1), 0, exclusiveCrashes)
+	first, outdated := newTwoHosts()
 	claim, err := first.claimOf(t, request(1))
 	require.NoError(t, err)
 	first.crash(request(1), 8, 9)
@@ -118,8 +120,7 @@
 	require.ErrorIs(t, err, bvplatform.ErrUnavailable)
 }
 
-// Guards against a request that is refused for good although its endpoints were mended, and
-// against one that crashes an endpoint at each of its retries.
+// Guards against a request that is refused for good, or crashes an endpoint at each retry.
 func TestDeniedRequestMayRunOnceAfterGrowingPauses(t *testing.T) {
 	var table Table
 	now := bvclock.Time(0)
--- a/bvsuspect/machine_test.go
+++ b/bvsuspect/machine_test.go
@@ -232,8 +232,7 @@
 	}
 }
 
-// Guards against hosts that disagree on a request, forget its crashes or refuse others for them,
-// whatever reports are lost and whoever restarts.
+// Guards against hosts that disagree on a request when reports are lost and hosts restart.
 func TestHostsAgreeOnTheRequestThatCrashesEndpoints(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		machine := &machine{t: t, inFlight: make(map[uint64]bool), claimedAt: make(map[string]bvclock.Time), answered: make(map[uint64]machineAnswer)}
--- a/bvsuspect/persist_test.go
+++ b/bvsuspect/persist_test.go
@@ -70,8 +70,7 @@
 	require.Equal(t, 1, savedCount(t, store), "the host that detected the other one saves it")
 }
 
-// Guards against a request that is refused for crashes that no longer count, since a host has
-// read them in the store.
+// Guards against a host that reads a withdrawn crash in the store.
 func TestWithdrawnCrashIsRemovedFromTheStore(t *testing.T) {
 	store := &bvplatform.Memory{}
 	first, _ := newHostSuspects(store, 0)
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -43,8 +43,7 @@
 	require.False(t, isDenied(&table, 11, request(1)))
 }
 
-// Guards against a crash that is counted when an answer is lost and the endpoint leaves
-// much later.
+// Guards against a crash counted when the endpoint leaves long after a lost answer.
 func TestLaterLossOfAnEndpointIsNoCrash(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(crashLimit) {
@@ -54,8 +53,7 @@
 	require.Empty(t, table.Reports(bvclock.Time(crashWindow)+20))
 }
 
-// Guards against crashes that only the detecting host counts, or that count twice because
-// digests repeat them.
+// Guards against crashes that count at one host only, or twice because digests repeat them.
 func TestCrashesSeenByOtherHostsCount(t *testing.T) {
 	var here, there Table
 	for endpoint := range uint64(crashLimit) {
@@ -92,8 +90,7 @@
 	require.Len(t, table.RecordEndpointLoss(10, 1, AnotherInstance), 1)
 }
 
-// Guards against planned departures that count as crashes, and against crashes of silent
-// machines that don't.
+// Guards against planned departures that count as crashes, and silent machines that don't.
 func TestRemovalIsACrashUnlessTheEndpointRan(t *testing.T) {
 	var table Table
 	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
@@ -132,8 +129,7 @@
 	}
 }
 
-// Guards against a request that is refused because it was in flight beside the one that crashes
-// endpoints.
+// Guards against a request refused because it was in flight beside a poisonous one.
 func TestAnswerClearsARequestThatWasInFlightAtCrashes(t *testing.T) {
 	var table Table
 	crashAll(&table, 10, request(1))
@@ -227,8 +223,7 @@
 	require.False(t, here.Merge(5000, Report{Crash: Crash{request(2), 1}, Age: crashRetention}))
 }
 
-// Guards against a host that was cut off when a request crashed endpoints, and does not learn of
-// it when the request comes again.
+// Guards against a host that was cut off and never learns of the earlier crashes.
 func TestNewCrashRenewsTheReportOfEarlierOnes(t *testing.T) {
 	var here, late Table
 	crashAll(&here, 10, request(1))
@@ -258,8 +253,7 @@
 	require.Len(t, table.TakeChanges(11, 2), 1, "it is cleared")
 }
 
-// Guards against a poisonous request that is forgotten or not reported because many others are in
-// flight at crashes.
+// Guards against a poisonous request that is dropped for the many in flight beside it.
 func TestSuspectWithSeveralCrashesOutlastsOthers(t *testing.T) {
 	var table Table
 	crashAll(&table, 10, request(1))
