Logs, metrics and explain tell which software version began a stream and which went on

The version of an entry was checked and dropped, a resumed stream looked like a new one, and explain did not join its attempts. Change: endpoints carry the version; request lines have endpoint_version, stream, and for resumed ones resumes, last_event and open_versions; lines about the list count versions; counters for new and resumed streams and those of each that brought an event; explain joins a resumed stream to the attempt that its client names and lists mixed ones first. No decision changes. What a host knows of a begin is not logged yet: it knows nothing.

--- a/bvexplain/explain.go
+++ b/bvexplain/explain.go
@@ -27,6 +27,10 @@
 // removed, unless a later line lists it again. The clocks of hosts differ, and so do the
 // times between their lines.
 //
+// A resumed stream is joined to the line of the attempt that brought its first event, which its
+// client names. It mixes versions if the endpoints of the two lines differ in their software
+// version.
+//
 // A crash is missed if a call broke at an endpoint that some host found lost, and no host
 // counts it against the request.
 package bvexplain
@@ -73,6 +77,7 @@
 	events       []event // of processes
 	departures   departures
 	crashes      crashes
+	streams      streams
 	matchedLines []string
 }
 
@@ -126,6 +131,7 @@
 	}
 	account.departures.add(line)
 	account.crashes.add(line)
+	account.streams.add(line)
 	if !line.isRequest() {
 		account.addEvent(line)
 		return
--- a/bvexplain/line.go
+++ b/bvexplain/line.go
@@ -33,6 +33,13 @@
 	Cached   int       `json:"cached"`
 	ListAge  int64     `json:"list_ms"`
 	Retained bool      `json:"retained"`
+	// The following are fields of lines about streams. The version is that of the endpoint's
+	// software.
+	Stream          string         `json:"stream"` // new or resumed
+	Resumes         string         `json:"resumes"`
+	LastEvent       string         `json:"last_event"`
+	EndpointVersion string         `json:"endpoint_version"`
+	OpenVersions    map[string]int `json:"open_versions"`
 	// Endpoints are the names in a line about the list of endpoints.
 	Endpoints []string `json:"endpoints"`
 	// The following are fields of lines about requests that may crash endpoints: hashes of
--- a/bvexplain/print.go
+++ b/bvexplain/print.go
@@ -32,6 +32,7 @@
 	printer.causes("requests that were refused or failed, by cause", account.causes)
 	printer.causes("programs by their last request", account.endCauses)
 	printer.departures(&account.departures)
+	printer.streams(&account.streams)
 	printer.crashes(&account.crashes, len(account.hosts))
 	printer.events(account.events)
 	return printer.err
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -202,6 +202,19 @@
 	return bvroute.HashKey(call.metadata.ID)
 }
 
+func (call *call) isStream() bool { return call.route != nil && call.route.Kind == bvroute.Stream }
+
+// resumesStream reports whether the caller has a part of the stream from an earlier attempt.
+func (call *call) resumesStream() bool { return call.isStream() && call.metadata.ResumesStream() }
+
+// streamStart returns "resumed" if the caller has a part of the stream, or "new".
+func (call *call) streamStart() string {
+	if call.resumesStream() {
+		return "resumed"
+	}
+	return "new"
+}
+
 // remaining returns the time until the caller's deadline or the route's timeout.
 func (call *call) remaining() bvclock.Duration {
 	limit := defaultTimeout
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -13,6 +13,7 @@
 // finish writes an error to the caller, if any, and logs the outcome of the call.
 func (call *call) finish(err error) {
 	call.log(err)
+	call.countStream()
 	if err == nil {
 		call.front.parts.Counters.Add("answered", 1)
 		call.front.parts.Counters.Observe("request_latency", call.front.parts.Clock.Now().Sub(call.arrived))
@@ -28,6 +29,19 @@
 	call.writeError(bvverdict.From(err))
 }
 
+// countStream counts streams that begin and that are resumed, and those of each that brought
+// their caller an event.
+func (call *call) countStream() {
+	if !call.isStream() {
+		return
+	}
+	name := "streams_" + call.streamStart()
+	call.front.parts.Counters.Add(name, 1)
+	if call.stream.count > 0 {
+		call.front.parts.Counters.Add(name+"_begun", 1)
+	}
+}
+
 // hasCallerLeft reports whether the caller has closed its connection. net/http also
 // cancels the context of a request whose body does not arrive in time.
 func (call *call) hasCallerLeft() bool {
@@ -95,7 +109,7 @@
 		fields["program"] = call.scopedID(call.metadata.Program)
 	}
 	if call.sends > 0 {
-		fields["endpoint"] = call.endpoint.Name
+		fields["endpoint"], fields["endpoint_version"] = call.endpoint.Name, call.endpoint.Version
 		fields["sent_ms"] = int64(call.sentAt.Sub(call.arrived))
 		fields["list_ms"] = int64(call.listAge)
 		fields["load"] = fmt.Sprintf("%d+%d/%d", call.load.Running, call.load.Waiting, call.load.Slots)
@@ -115,6 +129,15 @@
 			fields["kept_ms"] = int64(call.persistDuration)
 		}
 	}
+	if call.isStream() {
+		fields["stream"] = call.streamStart()
+	}
+	if call.resumesStream() {
+		fields["resumes"], fields["last_event"] = call.metadata.Resumes, call.metadata.LastEventID
+		if call.service != nil {
+			fields["open_versions"] = call.front.parts.Dispatcher.OpenVersions(call.service.Name)
+		}
+	}
 	if err != nil && call.fingerprint != (bvsuspect.Fingerprint{}) {
 		fields["content"] = bvsuspect.FormatHash(call.fingerprint.Exact)
 	}
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -83,6 +83,9 @@
 	// HasEarlierTurns reports whether the request's program had earlier turns.
 	HasEarlierTurns(request *bvdispatch.Request) bool
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
+	// OpenVersions returns the software versions of a service's endpoints that accept calls,
+	// with the number of endpoints of each.
+	OpenVersions(service string) map[string]int
 	SetLoad(service, endpoint string, load bvroute.Load)
 	EndCall(service, endpoint string, request *bvdispatch.Request, result bvdispatch.Result)
 }
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -13,6 +13,7 @@
 	Deadline        bvclock.Duration // how long the client waits from now on; 0: unspecified
 	Affinity        string           // the same for requests that concern one object
 	LastEventID     string           // ID of the last event that the client has of a resumed stream
+	Resumes         string           // ID of the attempt that brought the first event of a resumed stream
 	Model           string
 	PromptTokens    int
 	MaxOutputTokens int    // upper bound on the answer's tokens
@@ -38,6 +39,10 @@
 	return call.ParentTurn != "" || len(call.Prefix) > firstTurnParts
 }
 
+// ResumesStream reports whether the client has received a part of the answer in an earlier
+// attempt.
+func (call *Call) ResumesStream() bool { return call.LastEventID != "" || call.Resumes != "" }
+
 // Part is a part of a prompt, which an engine may have cached.
 type Part struct {
 	Key    uint64 // of its ID
--- a/bvrouter/list_events.go
+++ b/bvrouter/list_events.go
@@ -52,13 +52,25 @@
 		"list_ms":  int64(answer.listAge),
 		"sequence": answer.changes.Next,
 	})
-	logNames(entry, "endpoints listed", events.added)
+	logNames(entry.WithField("versions", versionsOf(events.added, answer.changes.Listed)), "endpoints listed", events.added)
 	logNames(entry, "endpoints leaving", events.leaving)
 	logNames(entry, "endpoints removed", events.removed)
 	logNames(entry, "endpoints retained", events.retained)
 	logNames(entry, "retained endpoints dropped", events.dropped)
 }
 
+// versionsOf returns the software versions of the named endpoints among the listed ones, with
+// the number of endpoints of each.
+func versionsOf(names []string, listed []bvplatform.Endpoint) map[string]int {
+	versions := make(map[string]int)
+	for _, endpoint := range listed {
+		if slices.Contains(names, endpoint.Name) {
+			versions[endpoint.Version]++
+		}
+	}
+	return versions
+}
+
 // maxLoggedNames bounds the length of a log line.
 const maxLoggedNames = 50
 
--- a/bvrouter/list_events_test.go
+++ b/bvrouter/list_events_test.go
@@ -27,6 +27,12 @@
 	require.ElementsMatch(t, []string{"a", "c"}, update.events.removed)
 }
 
+func TestVersionsOfListedEndpointsAreCounted(t *testing.T) {
+	listed := endpointsNamed("a", "b", "c", "d")
+	listed[0].Version, listed[1].Version, listed[2].Version, listed[3].Version = "v1", "v2", "v1", "v3"
+	require.Equal(t, map[string]int{"v1": 2, "v2": 1}, versionsOf([]string{"a", "b", "c"}, listed))
+}
+
 func TestRetainedEndpointsAreReported(t *testing.T) {
 	var list endpointList
 	list.update(1, fullList("a", "b"))
