New streams begin at a software version that stays

Cause: a stream can go on only at its version; one that begins at a version whose last endpoints are leaving can't, if it is cut. Change: an endpoint costs 40 ms more for a new resumable stream if endpoints of its version are leaving, or fewer than two are left, and another version stays. Load outweighs it: it takes some five more calls at an engine of the staying version. Not taken: to refuse such versions outright, which empties pools.

--- a/bvdispatch/version.go
+++ b/bvdispatch/version.go
@@ -5,12 +5,23 @@
 	"slices"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 )
 
-// unstoredVersionCostMs is the cost of an endpoint for a new stream that would have to wait for
-// the platform's store.
-const unstoredVersionCostMs = 1000
+// Endpoints of several software versions may serve side by side. A stream can go on only at the
+// version that began it, so streams should begin at a version that stays.
+const (
+	// decliningVersionCostMs is the cost of an endpoint for a new stream if its version is about
+	// to go and another one stays: about what reading a shared prefix takes.
+	decliningVersionCostMs = 40
+	// unstoredVersionCostMs is the cost of an endpoint for a new stream that would have to wait for
+	// the platform's store.
+	unstoredVersionCostMs = 1000
+	// minContinuable is the number of endpoints of a version from which its streams can go on at
+	// another one.
+	minContinuable = 2
+)
 
 // versionCount is the number of listed endpoints of a software version.
 type versionCount struct {
@@ -43,10 +54,26 @@
 	if len(pool.versions) < 2 {
 		return 0
 	}
+	cost := 0.0
 	if request.Unstored[version] {
-		return unstoredVersionCostMs
+		cost += unstoredVersionCostMs
+	}
+	if request.BeginsStream && !pool.disabled.Has(bvmechanism.Versions) && pool.versions[version].isDeclining() && pool.hasStayingVersion() {
+		cost += decliningVersionCostMs
+	}
+	return cost
+}
+
+// isDeclining reports whether endpoints of the version are leaving, or too few are left.
+func (count versionCount) isDeclining() bool { return count.leaving > 0 || count.live < minContinuable }
+
+func (pool *Pool) hasStayingVersion() bool {
+	for _, count := range pool.versions {
+		if !count.isDeclining() {
+			return true
+		}
 	}
-	return 0
+	return false
 }
 
 // OpenVersions returns the software versions of the endpoints that accept calls, with the
--- a/bvdispatch/version_test.go
+++ b/bvdispatch/version_test.go
@@ -84,12 +84,39 @@
 func beginsAt(pool *Pool, unstored map[string]bool) map[string]int {
 	counts := make(map[string]int)
 	for range 60 {
-		chosen, _ := pool.Choose(0, &Request{Unstored: unstored})
+		chosen, _ := pool.Choose(0, &Request{BeginsStream: true, Unstored: unstored})
 		counts[chosen.Version]++
 	}
 	return counts
 }
 
+func TestStreamsBeginAtAVersionThatStays(t *testing.T) {
+	listed := versioned("v1", "v1", "v1", "v2", "v2")
+	listed[0].State = bvplatform.HostLeaving
+	pool := NewPool(1, "")
+	pool.SetEndpoints(listed)
+	require.Equal(t, map[string]int{"v2": 60}, beginsAt(pool, nil))
+	listed[0].State = bvplatform.HostLive
+	pool.SetEndpoints(listed)
+	require.Len(t, beginsAt(pool, nil), 2, "no version is about to go")
+}
+
+// Guards against streams that all wait while the version that stays is full.
+func TestStreamsBeginAtAVersionThatGoesIfTheOtherIsFull(t *testing.T) {
+	listed := versioned("v1", "v1", "v1", "v2", "v2")
+	listed[0].State = bvplatform.HostLeaving
+	pool := NewPool(1, "")
+	pool.SetEndpoints(listed)
+	begun := make(map[string]int)
+	for range 60 {
+		chosen, _ := pool.Choose(0, &Request{BeginsStream: true})
+		pool.BeginCall(0, chosen.Name, &Request{})
+		begun[chosen.Version]++
+	}
+	require.Greater(t, begun["v1"], 10)
+	require.Greater(t, begun["v2"], begun["v1"])
+}
+
 func TestStreamsBeginAtAVersionThatIsStored(t *testing.T) {
 	pool := newVersionPool("v1", "v1", "v2", "v2")
 	require.Equal(t, map[string]int{"v1": 60}, beginsAt(pool, map[string]bool{"v2": true}))
--- a/bvfront/stream.go
+++ b/bvfront/stream.go
@@ -109,6 +109,7 @@
 	if !call.isStream() || call.resumesStream() || call.placement.Pinned {
 		return
 	}
+	call.placement.BeginsStream = call.route.Resumable
 	call.placement.Unstored = nil
 	for _, version := range call.front.parts.Dispatcher.Versions(call.service.Name) {
 		origin := bvstream.Origin{Service: call.service.Name, Version: version}
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -41,6 +41,7 @@
 	Holders                        // holders
 	Fairness                       // fairness
 	Readers                        // readers
+	Versions                       // versions
 	last
 )
 
@@ -64,6 +65,7 @@
 	Probes:        "a decision queries the current number of calls of a few endpoints",
 	Holders:       "a host is queried for the endpoint that caches a conversation and whether its program is running",
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
+	Versions:      "streams begin at a software version that stays, while others are about to go",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 }
 
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -27,12 +27,13 @@
 	_ = x[Holders-16]
 	_ = x[Fairness-17]
 	_ = x[Readers-18]
-	_ = x[last-19]
+	_ = x[Versions-19]
+	_ = x[last-20]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreaderslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 137}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 145}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
