A turn of a started program is not refused below the cap because its tracker was slow

Cause: turns without a parent look like a program's first one; the program's tracker is asked. If it does not answer within 5 ms the turn counted as a new program, for which half of the bucket must be free. Log lines of refusals now have what they were based on (cap_level, cap_required, cap_share). Change: a program whose tracker did not answer counts as started for the cap. Why it works: the reserve is a preference, not the cap; a started program needs one free request of the bucket.

--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -62,8 +62,8 @@
 	ReportRunning(endpoint uint64, running int)
 	// QueryHolding asks which endpoint has a conversation of a program cached, and how many
 	// tokens of it. For an unknown conversation, it is the endpoint of the program's last
-	// turn.
-	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found bool)
+	// turn. Answered is false if the tracker did not answer, so that it may know one.
+	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool)
 	// ReportHolding reports which endpoint has a conversation cached.
 	ReportHolding(program, conversation, endpoint uint64, tokens int)
 }
@@ -181,6 +181,12 @@
 	return request.HeldPrefix != (HeldPrefix{})
 }
 
+// MayHaveEarlierTurns reports whether the program may have had turns before this one: its tracker
+// knows of one, or did not answer.
+func (dispatcher *Dispatcher) MayHaveEarlierTurns(request *Request) bool {
+	return dispatcher.HasEarlierTurns(request) || request.holderUnknown
+}
+
 // findHolder queries the tracker, once, for the endpoint that has the conversation cached,
 // unless it is known.
 func (dispatcher *Dispatcher) findHolder(request *Request) {
@@ -188,7 +194,9 @@
 		return
 	}
 	request.holderQueried = true
-	if endpoint, tokens, found := dispatcher.trackers.QueryHolding(request.Program, request.Conversation); found {
+	endpoint, tokens, found, answered := dispatcher.trackers.QueryHolding(request.Program, request.Conversation)
+	request.holderUnknown = !answered
+	if found {
 		request.HeldPrefix = HeldPrefix{Endpoint: endpoint, Tokens: tokens}
 	}
 }
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -47,6 +47,7 @@
 	Program       uint64          // that the turn belongs to; 0: none
 	Conversation  uint64          // sequence of the program's turns that this one continues
 	holderQueried bool            // the program's tracker was queried
+	holderUnknown bool            // it did not answer
 	// PeerCalls holds the calls that the other hosts have now at the endpoints to choose
 	// from, by the hashes of their IDs. Nil: choose from all.
 	PeerCalls map[uint64]int
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -16,12 +16,13 @@
 	reported      map[uint64]int
 	held          map[uint64]HeldPrefix
 	holderQueries []uint64
+	silent        bool // they don't answer queries for holders
 }
 
-func (trackers *fakeTrackers) QueryHolding(_, conversation uint64) (endpoint uint64, tokens int, found bool) {
+func (trackers *fakeTrackers) QueryHolding(_, conversation uint64) (endpoint uint64, tokens int, found, answered bool) {
 	trackers.holderQueries = append(trackers.holderQueries, conversation)
 	held, found := trackers.held[conversation]
-	return held.Endpoint, held.Tokens, found
+	return held.Endpoint, held.Tokens, found, !trackers.silent
 }
 
 func (trackers *fakeTrackers) ReportHolding(_, conversation, endpoint uint64, tokens int) {
@@ -182,6 +183,17 @@
 	}
 }
 
+// Guards against a started program that counts as new because its tracker was slow.
+func TestProgramWhoseTrackerDoesNotAnswerMayHaveEarlierTurns(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		dispatcher := busyDispatcher(&fakeTrackers{silent: silent})
+		request := prompt(1, 2)
+		request.Program, request.Conversation = 7, 7
+		require.Equal(t, silent, dispatcher.MayHaveEarlierTurns(request))
+		require.False(t, dispatcher.HasEarlierTurns(request))
+	}
+}
+
 // Guards against a second query to a tracker that has answered that it knows no holder.
 func TestTrackerOfANewProgramIsQueriedOnce(t *testing.T) {
 	trackers := &fakeTrackers{}
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -13,6 +13,7 @@
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvquota"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvstream"
 	"balsamvalve.example/bvsuspect"
@@ -75,6 +76,8 @@
 	originSource bvstream.Source     // of a resumed stream: who knew its origin
 	beginning    *bvstream.Beginning // of a new stream; nil before the first send
 
+	quotaBasis *bvquota.Basis // of a refusal for the usage cap
+
 	version  int64               // of the desired state
 	limits   bvroute.Limits      // of that version
 	endpoint bvplatform.Endpoint // of the last send
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -136,6 +136,9 @@
 	if call.resumesStream() {
 		maps.Copy(fields, call.originFields())
 	}
+	if basis := call.quotaBasis; basis != nil {
+		fields["cap_level"], fields["cap_required"], fields["cap_share"] = basis.Level, basis.Required, basis.GroupShare
+	}
 	if err != nil && call.fingerprint != (bvsuspect.Fingerprint{}) {
 		fields["content"] = bvsuspect.FormatHash(call.fingerprint.Exact)
 	}
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -81,8 +81,10 @@
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
 type Dispatcher interface {
 	Admit(service string, program bvdispatch.NewProgram) (retryAfter bvclock.Duration, admitted bool)
-	// HasEarlierTurns reports whether the request's program had earlier turns.
+	// HasEarlierTurns reports whether the request's program is known to have had earlier turns.
 	HasEarlierTurns(request *bvdispatch.Request) bool
+	// MayHaveEarlierTurns reports whether that is known, or can't be found out.
+	MayHaveEarlierTurns(request *bvdispatch.Request) bool
 	Choose(service string, request *bvdispatch.Request) (bvplatform.Endpoint, bool)
 	// Versions returns the software versions of a service's listed endpoints.
 	Versions(service string) []string
--- a/bvfront/workspace.go
+++ b/bvfront/workspace.go
@@ -60,13 +60,14 @@
 		return nil
 	}
 	decision := call.front.parts.Quotas.Take(bvquota.Request{Workspace: call.workspace.Name, NewProgram: call.mayBeFirst()})
-	if decision.Outcome == bvquota.Refused && call.mayBeFirst() && call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+	if decision.Outcome == bvquota.Refused && call.mayBeFirst() && call.front.parts.Dispatcher.MayHaveEarlierTurns(&call.placement) {
 		decision = call.front.parts.Quotas.Take(bvquota.Request{Workspace: call.workspace.Name})
 	}
 	switch decision.Outcome {
 	case bvquota.Granted:
 		return call.waitForQuota(decision.Wait)
 	case bvquota.Refused:
+		call.quotaBasis = &decision.Basis
 		call.front.parts.Counters.Add("quota_refused", 1)
 		return bvverdict.Refuse(bvverdict.LimitExceeded, "workspace %s is beyond its usage cap", call.workspace.Name).
 			WithRetryAfter(decision.Wait)
--- a/bvgossip/holding.go
+++ b/bvgossip/holding.go
@@ -63,30 +63,31 @@
 }
 
 // QueryHolding asks a program's tracker which endpoint has a conversation, and how many
-// tokens of it. It waits for at most probeTimeout.
-func (gossip *Gossip) QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found bool) {
-	holding, tracker := gossip.localHolding(program, conversation)
+// tokens of it. It waits for at most probeTimeout. If the tracker is not known or does not answer,
+// answered is false.
+func (gossip *Gossip) QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool) {
+	holding, tracker, answered := gossip.localHolding(program, conversation)
 	if tracker.IsValid() {
 		probes := map[netip.AddrPort]*Probe{tracker: {Program: program, Conversation: conversation}}
-		gossip.queryTrackers(probes, probeTimeout, func(reply trackerReply) { holding = reply.counts.GetHolding() })
+		gossip.queryTrackers(probes, probeTimeout, func(reply trackerReply) { holding, answered = reply.counts.GetHolding(), true })
 	}
-	return holding.GetEndpoint(), int(holding.GetTokens()), holding != nil
+	return holding.GetEndpoint(), int(holding.GetTokens()), holding != nil, answered
 }
 
 // localHolding returns the holding that this host has as the program's tracker, or the
-// address of the tracker if it is another host.
-func (gossip *Gossip) localHolding(program, conversation uint64) (*Holding, netip.AddrPort) {
+// address of the tracker if it is another host. IsTracker reports which of the two.
+func (gossip *Gossip) localHolding(program, conversation uint64) (holding *Holding, tracker netip.AddrPort, isTracker bool) {
 	now := gossip.clock.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	tracker, found := gossip.trackers.ofProgram(program)
 	switch {
 	case !found || now.Before(gossip.backoffUntil[tracker]):
-		return nil, netip.AddrPort{}
+		return nil, netip.AddrPort{}, false
 	case tracker == gossip.own.address:
-		return gossip.holdings.find(program, conversation), netip.AddrPort{}
+		return gossip.holdings.find(program, conversation), netip.AddrPort{}, true
 	}
-	return nil, tracker
+	return nil, tracker, false
 }
 
 func (gossip *Gossip) handleHolding(holding *Holding) {
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -24,8 +24,8 @@
 				asker.mutex.Lock()
 				clear(asker.backoffUntil)
 				asker.mutex.Unlock()
-				endpoint, tokens, found := asker.QueryHolding(program, 70)
-				return found && endpoint == 42 && tokens == 17_000
+				endpoint, tokens, found, answered := asker.QueryHolding(program, 70)
+				return found && answered && endpoint == 42 && tokens == 17_000
 			}, testTimeout, time.Millisecond)
 		}
 	}
@@ -33,11 +33,13 @@
 
 func TestHolderOfAnUnknownConversationIsNotFound(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
-	_, _, found := a.QueryHolding(7, 70) // before the first digest
+	_, _, found, answered := a.QueryHolding(7, 70) // before the first digest
 	require.False(t, found)
+	require.False(t, answered)
 	a.updateTrackers()
-	_, _, found = a.QueryHolding(7, 70)
+	_, _, found, answered = a.QueryHolding(7, 70)
 	require.False(t, found)
+	require.True(t, answered)
 }
 
 // Guards against unbounded memory: the end of a conversation is not reported.
--- a/bvquota/quota.go
+++ b/bvquota/quota.go
@@ -115,6 +115,15 @@
 	// Wait is the time after which a granted request may run, or a refused one should be
 	// retried.
 	Wait bvclock.Duration
+	// Basis is what a refusal is based on.
+	Basis Basis
+}
+
+// Basis is the state of a bucket in which a request was refused.
+type Basis struct {
+	Level      float64 // requests that the bucket would grant
+	Required   float64 // that it must hold for the request
+	GroupShare float64 // of the cap that the reachable hosts may grant
 }
 
 // Usage is a host's report on its requests of one workspace.
@@ -274,7 +283,10 @@
 	if account.available()+account.initialLevel >= required {
 		return Decision{Outcome: Ask}
 	}
-	return Decision{Outcome: Refused, Wait: account.retryAfter(required, limiter.groupShare)}
+	return Decision{
+		Outcome: Refused, Wait: account.retryAfter(required, limiter.groupShare),
+		Basis: Basis{Level: account.available(), Required: required, GroupShare: limiter.groupShare},
+	}
 }
 
 // filledAccount returns the account of a workspace, filled up to now, or nil if it has no
--- a/bvrouter/quota.go
+++ b/bvrouter/quota.go
@@ -50,7 +50,9 @@
 			quotas.limiter.RecordGrant(request.Workspace)
 			return bvquota.Decision{Wait: bvclock.Duration(claimed.GetWait())}
 		default:
-			return bvquota.Decision{Outcome: bvquota.Refused, Wait: bvclock.Duration(claimed.GetWait())}
+			return bvquota.Decision{Outcome: bvquota.Refused, Wait: bvclock.Duration(claimed.GetWait()), Basis: bvquota.Basis{
+				Level: float64(claimed.GetLevel()), Required: float64(claimed.GetRequired()), GroupShare: float64(claimed.GetShare()),
+			}}
 		}
 	}
 	return bvquota.Decision{Outcome: bvquota.Ask, Wait: unansweredWait}
@@ -63,6 +65,7 @@
 	}, bvquota.Request{NewProgram: claim.GetFresh(), FromStandby: claim.GetStandby()})
 	return &bvgossip.Claimed{
 		Granted: decision.Outcome == bvquota.Granted, Undecided: decision.Outcome == bvquota.Ask, Wait: uint32(decision.Wait),
+		Level: float32(decision.Basis.Level), Required: float32(decision.Basis.Required), Share: float32(decision.Basis.GroupShare),
 	}
 }
 
