--- a/bvcommand/load_workspaces.go
+++ b/bvcommand/load_workspaces.go
@@ -43,6 +43,7 @@
 	set.IntVar(&load.Programs, "programs", 0, "total number of programs; 0: default")
 	set.IntVar(&load.Concurrency, "concurrency", 0, "number of concurrent programs; 0: default")
 	set.IntVar(&load.PoisonEvery, "poison-every", 0, "send a request that crashes emulated endpoints after this many programs; 0: never")
+	set.IntVar(&load.CutEvery, "cut-every", 0, "cut a stream and resume it through any host after this many programs; 0: never")
 	set.Uint64Var(&load.Seed, "seed", 1, "seed of the random numbers")
 	set.Float64Var(&skew, "skew", 0, "skew of the load: shares of workspaces decrease with this power of their rank; 0: equal")
 	return command
--- a/bvcommand/standin_site.go
+++ b/bvcommand/standin_site.go
@@ -40,14 +40,15 @@
 	set.StringVar(&flags.keysFile, "keys-file", "", "callers' keys; or set "+keysVariable)
 	set.IntVar(&flags.config.Engines, "engines", 3, "engines")
 	set.IntVar(&flags.config.Apps, "services", 2, "number of instances of a plain service")
+	set.IntVar(&flags.config.Versions, "versions", 1, "software versions of the engines, which have them in turn")
 	set.Float64Var(&flags.rate, "rate", 0, "usage cap of each workspace in requests per second; 0: none")
 	set.Float64Var(&flags.burst, "burst", 0, "burst of requests above the rate")
 	return command
 }
 
 func (flags *siteFlags) run(command *cobra.Command) error {
-	if flags.config.Engines < 0 || flags.config.Apps < 0 || flags.rate < 0 || flags.burst < 0 {
-		return usageError{errors.New("standin: --engines, --services, --rate and --burst must not be negative")}
+	if flags.config.Engines < 0 || flags.config.Apps < 0 || flags.config.Versions < 0 || flags.rate < 0 || flags.burst < 0 {
+		return usageError{errors.New("standin: --engines, --services, --versions, --rate and --burst must not be negative")}
 	}
 	keys, err := callerKeys(flags.keysFile)
 	if err != nil {
--- a/bvdemo/route.go
+++ b/bvdemo/route.go
@@ -21,6 +21,7 @@
 	hosts         = 3
 	routePrograms = 60
 	routeCallers  = 12
+	routeCutEvery = 5
 	hostMemory    = 256 << 20 // bytes
 	rowBytes      = 64 << 10
 )
@@ -48,7 +49,7 @@
 	if config.Output == nil {
 		config.Output = io.Discard
 	}
-	site, err := bvemulator.StartSite(bvemulator.SiteConfig{Engines: 3, Apps: 2, Workspaces: workspaces})
+	site, err := bvemulator.StartSite(bvemulator.SiteConfig{Engines: 4, Apps: 2, Versions: 2, Workspaces: workspaces})
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +62,7 @@
 	_, _ = fmt.Fprintf(config.Output, "%d routing hosts, %d workspaces on an emulated platform\n", hosts, len(workspaces))
 	report := bvemulator.Load{
 		Addresses: running.callerAddresses(), Workspaces: workspaces,
-		Programs: routePrograms, Concurrency: routeCallers, Seed: config.Seed,
+		Programs: routePrograms, Concurrency: routeCallers, CutEvery: routeCutEvery, Seed: config.Seed,
 	}.Send(ctx)
 	report.CheckRuns(site.Runs())
 	_, _ = fmt.Fprintf(config.Output, "%s\n%s\n", report.Text(), routeSummaryLine(report))
@@ -69,8 +70,8 @@
 }
 
 func routeSummaryLine(report *bvemulator.Report) string {
-	return fmt.Sprintf("demo: programs=%d finished=%d requests=%d mixed=%d twice=%d keys_forwarded=%d unknown_keys_served=%d",
-		report.Programs, report.Finished, report.Requests, report.MixedAnswers, report.RunTwice, report.KeysForwarded, report.UnknownKeysServed)
+	return fmt.Sprintf("demo: programs=%d finished=%d requests=%d mixed=%d versions_mixed=%d twice=%d keys_forwarded=%d unknown_keys_served=%d",
+		report.Programs, report.Finished, report.Requests, report.MixedAnswers, report.MixedVersions, report.RunTwice, report.KeysForwarded, report.UnknownKeysServed)
 }
 
 func startHosts(ctx context.Context, store string) (*routeHosts, error) {
--- a/bvdemo/route_test.go
+++ b/bvdemo/route_test.go
@@ -12,6 +12,7 @@
 	require.NoError(t, err)
 	require.True(t, report.AllPromisesHold(), report.Text())
 	require.Zero(t, report.UnknownKeysServed, report.Text())
+	require.Positive(t, report.WentOn, report.Text())
 	for _, workspace := range report.Workspaces {
 		require.Positive(t, workspace.Answered, report.Text())
 	}
