--- a/bvgossip/stream.go
+++ b/bvgossip/stream.go
@@ -17,8 +17,10 @@
 const (
 	// beginCopies is the number of hosts that get a copy.
 	beginCopies = 3
-	// beginTimeout bounds the wait for their replies. Those that don't reply are replaced, once.
+	// beginTimeout bounds the wait for their replies. Those that don't reply are replaced, until
+	// beginRounds rounds were made.
 	beginTimeout = 10 * bvclock.Millisecond
+	beginRounds  = 2
 	// maxStreamQueries is the number of hosts that are asked for a begin: with few hosts all of
 	// them, since those that got the copies may have been lost or started since.
 	maxStreamQueries = 16
@@ -36,8 +38,8 @@
 // SendBegin sends a begin to a few hosts that keep a copy, and returns the replies of those that do.
 // The key is a number derived from the begin's key.
 func (gossip *Gossip) SendBegin(key uint64, begin *Begin) (replies []*Begun) {
-	holders, _ := gossip.streamHolders(key, isNotLeaving)
-	for round := 0; round < 2 && len(replies) < beginCopies && len(holders) > 0; round++ {
+	holders, _ := gossip.streamHolders(key, beginRounds*beginCopies, isNotLeaving)
+	for round := 0; round < beginRounds && len(replies) < beginCopies && len(holders) > 0; round++ {
 		count := min(beginCopies-len(replies), len(holders))
 		probes := make(map[netip.AddrPort]*Probe, count)
 		for _, holder := range holders[:count] {
@@ -57,7 +59,7 @@
 // hosts were asked. It asks hosts that are silent or recently did not reply only if no other one
 // knows it.
 func (gossip *Gossip) QueryStream(key uint64, query *StreamQuery) (replies []StreamReply, asked int) {
-	replying, silent := gossip.streamHolders(key, isAny)
+	replying, silent := gossip.streamHolders(key, maxStreamQueries, isAny)
 	replying = replying[:min(len(replying), maxStreamQueries)]
 	silent = silent[:min(len(silent), maxStreamQueries-len(replying))]
 	known := false
@@ -83,52 +85,77 @@
 
 func isAny(*peer) bool { return true }
 
-// holder is a host that may keep a copy of a begin.
-type holder struct {
-	address netip.AddrPort
-	zone    string // "": not known yet
-	weight  uint64
-	isFirst bool // of its zone
-}
-
-// streamHolders returns the other hosts in the order in which they keep copies of a begin. A host
-// that has just started gets no digests yet, so listed hosts count from the start on. Hosts that are
-// silent or recently did not reply are separate.
-func (gossip *Gossip) streamHolders(key uint64, isEligible func(*peer) bool) (replying, silent []netip.AddrPort) {
+// streamHolders returns the other hosts in the order in which they keep copies of a begin: the first
+// ones, which are at least limit if there are as many. A host that has just started gets no digests
+// yet, so listed hosts count from the start on. Hosts that are silent or recently did not reply are
+// separate.
+func (gossip *Gossip) streamHolders(key uint64, limit int, isEligible func(*peer) bool) (replying, silent []netip.AddrPort) {
 	now := gossip.clock.Now()
+	live, lost := ranking{limit: limit}, ranking{limit: limit}
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	var live, lost []holder
 	for address, peer := range gossip.hosts {
 		if address == gossip.own.address || !isEligible(peer) {
 			continue
 		}
-		found := holder{address: address, zone: peer.digest.GetZone(), weight: bvhost.Weight(peer.candidate.hash, key)}
+		found := holder{address: address, weight: bvhost.Weight(peer.candidate.hash, key)}
 		if now.Before(gossip.backoffUntil[address]) || peer.digest != nil && gossip.isSilent(now, peer) {
-			lost = append(lost, found)
+			lost.add(peer.digest.GetZone(), found)
 			continue
 		}
-		live = append(live, found)
+		live.add(peer.digest.GetZone(), found)
 	}
-	return rankHolders(live), rankHolders(lost)
+	return live.addresses(), lost.addresses()
 }
 
-// rankHolders orders hosts by their weight, the first one of each zone before the others.
-func rankHolders(holders []holder) []netip.AddrPort {
-	slices.SortFunc(holders, func(a, b holder) int { return cmp.Compare(b.weight, a.weight) })
-	zones := make(map[string]bool)
-	for i, holder := range holders {
-		holders[i].isFirst = holder.zone != "" && !zones[holder.zone]
-		zones[holder.zone] = true
+// holder is a host that may keep a copy of a begin.
+type holder struct {
+	address netip.AddrPort
+	weight  uint64
+}
+
+func byWeight(a, b holder) int { return cmp.Compare(b.weight, a.weight) }
+
+// ranking orders hosts by their weight, the first one of each zone before the others. It keeps those
+// first ones, and the first ones of all.
+type ranking struct {
+	limit   int
+	highest []holder
+	zones   []string
+	firsts  []holder // by zone
+}
+
+// add adds a host. The zone is empty if it is not known yet.
+func (ranking *ranking) add(zone string, added holder) {
+	if len(ranking.highest) < ranking.limit || added.weight > ranking.highest[ranking.limit-1].weight {
+		at, _ := slices.BinarySearchFunc(ranking.highest, added, byWeight)
+		ranking.highest = slices.Insert(ranking.highest, at, added)
+		ranking.highest = ranking.highest[:min(len(ranking.highest), ranking.limit)]
 	}
-	addresses := make([]netip.AddrPort, 0, len(holders))
-	for _, isFirst := range []bool{true, false} {
-		for _, holder := range holders {
-			if holder.isFirst == isFirst {
-				addresses = append(addresses, holder.address)
-			}
+	if zone == "" {
+		return
+	}
+	known := slices.Index(ranking.zones, zone)
+	switch {
+	case known < 0:
+		ranking.zones, ranking.firsts = append(ranking.zones, zone), append(ranking.firsts, added)
+	case added.weight > ranking.firsts[known].weight:
+		ranking.firsts[known] = added
+	}
+}
+
+func (ranking *ranking) addresses() []netip.AddrPort {
+	slices.SortFunc(ranking.firsts, byWeight)
+	ranked := ranking.firsts
+	for _, host := range ranking.highest {
+		if !slices.Contains(ranking.firsts, host) {
+			ranked = append(ranked, host)
 		}
 	}
+	addresses := make([]netip.AddrPort, len(ranked))
+	for i, host := range ranked {
+		addresses[i] = host.address
+	}
 	return addresses
 }
 
--- a/bvgossip/stream_test.go
+++ b/bvgossip/stream_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"balsamvalve.example/bvclock"
 )
@@ -67,7 +68,7 @@
 // Guards against a begin with fewer copies because a host was lost a moment before.
 func TestHostThatKeepsNoCopyIsReplaced(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 5)
-	order, _ := asker.streamHolders(3, isNotLeaving)
+	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	lost := slices.IndexFunc(hosts, func(host *host) bool { return host.address == order[0] })
 	require.NoError(t, hosts[lost].conn.Close())
 	sendBegin(t, asker, &Begin{Key: []byte("k")})
@@ -90,7 +91,7 @@
 func TestFewHostsOfALargeFleetAreAskedForABegin(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 60)
 	sendBegin(t, asker, &Begin{Key: []byte("k")})
-	order, _ := asker.streamHolders(3, isNotLeaving)
+	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	require.Len(t, order, 60)
 	for _, holder := range holdersOf(hosts) {
 		require.Contains(t, order[:maxStreamQueries], holder.address)
@@ -119,7 +120,7 @@
 	require.True(t, asker.storeDigest(digest))
 	asker.updateTrackers()
 	hosts[2].KeepBegin(&Begin{Key: []byte("k")})
-	order, _ := asker.streamHolders(3, isNotLeaving)
+	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	require.NotContains(t, order, hosts[2].address)
 	require.Eventually(t, func() bool {
 		replies, _ := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
@@ -144,7 +145,7 @@
 	asker.clock.(*bvclock.Manual).Advance(silenceTimeout + 1)
 	asker.updateTrackers()
 	hosts[1].KeepBegin(&Begin{Key: []byte("k")})
-	replying, silent := asker.streamHolders(3, isAny)
+	replying, silent := asker.streamHolders(3, 60, isAny)
 	require.Empty(t, replying)
 	require.Len(t, silent, 2)
 	require.Eventually(t, func() bool {
@@ -156,9 +157,40 @@
 // Guards against an older build that counts as a host with a copy.
 func TestHostThatCanKeepNoCopyIsReplaced(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 5)
-	order, _ := asker.streamHolders(3, isNotLeaving)
+	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	older := slices.IndexFunc(hosts, func(host *host) bool { return host.address == order[0] })
 	hosts[older].keepsNone = true
 	sendBegin(t, asker, &Begin{Key: []byte("k")})
 	require.GreaterOrEqual(t, len(holdersOf(hosts)), beginCopies)
 }
+
+// Guards against an order that differs from that of sorting all hosts.
+func TestRankingOrdersAsSortingDoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type zoned struct {
+			zone string
+			holder
+		}
+		var all []zoned
+		ranking := ranking{limit: rapid.IntRange(1, 6).Draw(t, "limit")}
+		for number := range rapid.IntRange(0, 20).Draw(t, "hosts") {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)
+			weight := rapid.Uint64Range(0, 1000).Draw(t, "weight")*100 + uint64(number) // differs for each host
+			host := zoned{rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "zone"), holder{address, weight}}
+			all = append(all, host)
+			ranking.add(host.zone, host.holder)
+		}
+		slices.SortFunc(all, func(a, b zoned) int { return byWeight(a.holder, b.holder) })
+		var firsts, others []netip.AddrPort
+		seen := map[string]bool{"": true}
+		for number, host := range all {
+			switch {
+			case !seen[host.zone]:
+				seen[host.zone], firsts = true, append(firsts, host.address)
+			case number < ranking.limit:
+				others = append(others, host.address)
+			}
+		}
+		require.Equal(t, append([]netip.AddrPort{}, append(firsts, others...)...), ranking.addresses())
+	})
+}
