--- a/bvfront/stream.go
+++ b/bvfront/stream.go
@@ -163,7 +163,7 @@
 func (call *call) originFields() map[string]any {
 	fields := map[string]any{
 		"resumes": call.metadata.Resumes, "last_event": call.metadata.LastEventID,
-		"hosts_asked": call.originSource.Asked, "hosts_answered": call.originSource.Answered,
+		"hosts_asked": call.originSource.Asked, "hosts_answered": call.originSource.Answered, "origins": call.originSource.Origins,
 	}
 	if call.service != nil {
 		fields["open_versions"] = call.front.parts.Dispatcher.OpenVersions(call.service.Name)
--- a/bvstream/find.go
+++ b/bvstream/find.go
@@ -31,6 +31,7 @@
 	Age      bvclock.Duration // since the begin was recorded
 	Asked    int              // hosts
 	Answered int
+	Origins  int // stored for the host name, if no host knows the begin
 
 	isPartial bool // there may be hosts that were not asked
 }
@@ -68,11 +69,12 @@
 
 // findOnlyOrigin returns the only origin of all streams of a host name.
 func (streams *Streams) findOnlyOrigin(ctx context.Context, query Query, source Source) (Origin, Source, error) {
-	origin, found, err := streams.origins.only(ctx, query.Host)
-	if found {
+	origins, err := streams.originsOf(ctx, query.Host)
+	source.Origins = len(origins)
+	if len(origins) == 1 {
 		streams.parts.Counters.Count("stream_begins_sought", "only origin")
 		source.Name = sourceStore
-		return origin, source, nil
+		return origins[0].Origin, source, nil
 	}
 	streams.parts.Counters.Count("stream_begins_sought", "unknown")
 	if err == nil && source.Asked == source.Answered && !source.isPartial {
@@ -81,6 +83,15 @@
 	return Origin{}, source, errors.Join(ErrUnknown, err)
 }
 
+// originsOf returns the stored origins of a host name, or none if some host does not store the
+// origins at which it begins streams.
+func (streams *Streams) originsOf(ctx context.Context, host string) ([]HostOrigin, error) {
+	if !streams.parts.Peers.StoreOrigins() {
+		return nil, nil
+	}
+	return streams.origins.of(ctx, host)
+}
+
 // merge returns what some hosts know together.
 func merge(findings []PeerFinding) (PeerFinding, error) {
 	var known PeerFinding
--- a/bvstream/origins.go
+++ b/bvstream/origins.go
@@ -198,19 +198,12 @@
 	return nil
 }
 
-// only returns the single origin of a host name. It reads the store, since another host may just
-// have stored a further one.
-func (origins *origins) only(ctx context.Context, host string) (Origin, bool, error) {
-	if !origins.parts.Peers.StoreOrigins() {
-		return Origin{}, false, nil
-	}
+// of returns the origins of a host name. It reads the store, since another host may just have stored
+// a further one.
+func (origins *origins) of(ctx context.Context, host string) ([]HostOrigin, error) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout.Std())
 	defer cancel()
-	found, err := origins.read(ctx, prefixOf(host))
-	if err != nil || len(found) != 1 {
-		return Origin{}, false, err
-	}
-	return found[0].Origin, true, nil
+	return origins.read(ctx, prefixOf(host))
 }
 
 // read returns the stored origins whose keys have a prefix, and removes those that are no longer in
