--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -41,7 +41,7 @@
 	Excluded      map[string]bool // endpoints that must not be chosen again
 	Pinned        bool            // only endpoints of Version may be chosen
 	Version       string          // software version of the endpoints; used if Pinned
-	BeginsStream  bool            // may be resumed later, at endpoints of the same version only
+	StartsStream  bool            // may be resumed later, at endpoints of the same version only
 	Unstored      map[string]bool // versions at which a stream has to wait for the platform's store
 	HeldPrefix    HeldPrefix      // where the previous turn ran
 	Program       uint64          // that the turn belongs to; 0: none
--- a/bvdispatch/version.go
+++ b/bvdispatch/version.go
@@ -10,7 +10,7 @@
 )
 
 // Endpoints of several software versions may serve side by side. A stream can go on only at the
-// version that began it, so streams should begin at a version that stays.
+// version that began it, so streams should start at a version that stays.
 const (
 	// decliningVersionCostMs is the cost of an endpoint for a new stream if its version is about
 	// to go and another one stays: about what reading a shared prefix takes.
@@ -58,7 +58,7 @@
 	if request.Unstored[version] {
 		cost += unstoredVersionCostMs
 	}
-	if request.BeginsStream && !pool.disabled.Has(bvmechanism.Versions) && pool.versions[version].isDeclining() && pool.hasStayingVersion() {
+	if request.StartsStream && !pool.disabled.Has(bvmechanism.Versions) && pool.versions[version].isDeclining() && pool.hasStayingVersion() {
 		cost += decliningVersionCostMs
 	}
 	return cost
--- a/bvdispatch/version_test.go
+++ b/bvdispatch/version_test.go
@@ -80,36 +80,36 @@
 	require.Equal(t, listed[1234].Name, chosen.Name)
 }
 
-// beginsAt counts at which versions new streams begin, with no other load.
-func beginsAt(pool *Pool, unstored map[string]bool) map[string]int {
+// startsAt counts at which versions new streams start, with no other load.
+func startsAt(pool *Pool, unstored map[string]bool) map[string]int {
 	counts := make(map[string]int)
 	for range 60 {
-		chosen, _ := pool.Choose(0, &Request{BeginsStream: true, Unstored: unstored})
+		chosen, _ := pool.Choose(0, &Request{StartsStream: true, Unstored: unstored})
 		counts[chosen.Version]++
 	}
 	return counts
 }
 
-func TestStreamsBeginAtAVersionThatStays(t *testing.T) {
+func TestStreamsStartAtAVersionThatStays(t *testing.T) {
 	listed := versioned("v1", "v1", "v1", "v2", "v2")
 	listed[0].State = bvplatform.HostLeaving
 	pool := NewPool(1, "")
 	pool.SetEndpoints(listed)
-	require.Equal(t, map[string]int{"v2": 60}, beginsAt(pool, nil))
+	require.Equal(t, map[string]int{"v2": 60}, startsAt(pool, nil))
 	listed[0].State = bvplatform.HostLive
 	pool.SetEndpoints(listed)
-	require.Len(t, beginsAt(pool, nil), 2, "no version is about to go")
+	require.Len(t, startsAt(pool, nil), 2, "no version is about to go")
 }
 
 // Guards against streams that all wait while the version that stays is full.
-func TestStreamsBeginAtAVersionThatGoesIfTheOtherIsFull(t *testing.T) {
+func TestStreamsStartAtAVersionThatGoesIfTheOtherIsFull(t *testing.T) {
 	listed := versioned("v1", "v1", "v1", "v2", "v2")
 	listed[0].State = bvplatform.HostLeaving
 	pool := NewPool(1, "")
 	pool.SetEndpoints(listed)
 	begun := make(map[string]int)
 	for range 60 {
-		chosen, _ := pool.Choose(0, &Request{BeginsStream: true})
+		chosen, _ := pool.Choose(0, &Request{StartsStream: true})
 		pool.BeginCall(0, chosen.Name, &Request{})
 		begun[chosen.Version]++
 	}
@@ -117,12 +117,12 @@
 	require.Greater(t, begun["v2"], begun["v1"])
 }
 
-func TestStreamsBeginAtAVersionThatIsStored(t *testing.T) {
+func TestStreamsStartAtAVersionThatIsStored(t *testing.T) {
 	pool := newVersionPool("v1", "v1", "v2", "v2")
-	require.Equal(t, map[string]int{"v1": 60}, beginsAt(pool, map[string]bool{"v2": true}))
+	require.Equal(t, map[string]int{"v1": 60}, startsAt(pool, map[string]bool{"v2": true}))
 	pool.RemoveEndpoint("e0")
 	pool.RemoveEndpoint("e1")
-	require.Equal(t, map[string]int{"v2": 60}, beginsAt(pool, map[string]bool{"v2": true}))
+	require.Equal(t, map[string]int{"v2": 60}, startsAt(pool, map[string]bool{"v2": true}))
 }
 
 // Guards against counts of versions that drift from the list.
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -72,9 +72,9 @@
 	chain       bvhistory.Chain       // of a persisted conversation
 	input       []byte                // of the conversation's new turn
 
-	origin       bvstream.Origin     // where the stream began, or begins
+	origin       bvstream.Origin     // where the stream started
 	originSource bvstream.Source     // of a resumed stream: who knew its origin
-	beginning    *bvstream.Beginning // of a new stream; nil before the first send
+	recording    *bvstream.Recording // of the start of a new stream; nil before the first send
 
 	quotaBasis *bvquota.Basis // of a refusal for the usage cap
 
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -30,7 +30,7 @@
 	call.writeError(bvverdict.From(err))
 }
 
-// countStream counts streams that begin and that are resumed, and those of each that brought
+// countStream counts new streams and resumed ones, and those of each that brought
 // their caller an event.
 func (call *call) countStream() {
 	if !call.isStream() {
@@ -39,7 +39,7 @@
 	name := "streams_" + call.streamStart()
 	call.front.parts.Counters.Add(name, 1)
 	if call.stream.count > 0 {
-		call.front.parts.Counters.Add(name+"_begun", 1)
+		call.front.parts.Counters.Add(name+"_with_events", 1)
 	}
 }
 
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -109,11 +109,11 @@
 	EndClaim(claim *bvsuspect.Claim)
 }
 
-// Streams records where streams begin, and finds it for callers that resume them.
+// Streams records where streams start, and finds it for callers that resume them.
 type Streams interface {
-	// Begin starts to record a begin.
-	Begin(begin bvstream.Begin, retain bvclock.Duration) *bvstream.Beginning
-	// Find returns where a stream began.
+	// Record records the start of a stream, and does not wait for it.
+	Record(start bvstream.Start, retain bvclock.Duration) *bvstream.Recording
+	// Find returns where a stream started.
 	Find(ctx context.Context, query bvstream.Query) (bvstream.Origin, bvstream.Source, error)
 	// EnsureStored reports whether an origin of streams is known to be stored. If not, it starts
 	// to store it.
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -142,7 +142,7 @@
 		return nil
 	}
 	if !call.headWritten {
-		if err := call.awaitBegin(); err != nil {
+		if err := call.awaitRecording(); err != nil {
 			return err
 		}
 	}
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -33,12 +33,12 @@
 		if err := call.admitSuspect(); err != nil {
 			return err
 		}
-		call.prepareBegin()
+		call.prepareStart()
 		endpoint, found := call.front.parts.Dispatcher.Choose(call.service.Name, &call.placement)
 		if !found {
 			return call.noEndpointError()
 		}
-		call.recordBegin(endpoint)
+		call.recordStart(endpoint)
 		err := call.sendOnce(endpoint)
 		if err == nil || call.headWritten {
 			return err
--- a/bvfront/stream.go
+++ b/bvfront/stream.go
@@ -9,16 +9,16 @@
 	"balsamvalve.example/bvverdict"
 )
 
-// A caller may get the rest of a stream only from endpoints of the software version that began it:
+// A caller may get the rest of a stream only from endpoints of the software version that started it:
 // what two versions write does not fit together, and endpoints don't check this.
 
-// beginRetentionFactor is how long a begin is kept, in times of the remaining time of its attempt:
+// startRetentionFactor is how long a start is kept, in times of the remaining time of its attempt:
 // callers resume a stream within their time limit.
-const beginRetentionFactor = 2
+const startRetentionFactor = 2
 
-// errNotRecorded means that the first event of a stream was withheld, since its begin could not be
+// errNotRecorded means that the first event of a stream was withheld, since its start could not be
 // recorded.
-var errNotRecorded = errors.New("the begin of the stream can't be recorded")
+var errNotRecorded = errors.New("the start of the stream can't be recorded")
 
 func (call *call) isStream() bool { return call.route != nil && call.route.Kind == bvroute.Stream }
 
@@ -33,7 +33,7 @@
 	return "new"
 }
 
-// findOrigin finds out at which service and version a resumed stream began, and restricts the call
+// findOrigin finds out at which service and version a resumed stream started, and restricts the call
 // to it.
 func (call *call) findOrigin() error {
 	if !call.resumesStream() {
@@ -46,7 +46,7 @@
 		Workspace: call.workspaceName(),
 		Attempt:   call.metadata.Resumes,
 		Content:   call.fingerprint.AnyQuery,
-		Host:      call.route.Host,
+		HostName:  call.route.Host,
 	})
 	call.originSource = source
 	if err != nil {
@@ -55,7 +55,7 @@
 	call.origin = origin
 	service, found := call.originService()
 	if !found {
-		return call.interruptedError("the stream began at service " + origin.Service + ", to which the route no longer leads")
+		return call.interruptedError("the stream started at service " + origin.Service + ", to which the route no longer leads")
 	}
 	call.service = service
 	call.placement.Pinned, call.placement.Version = true, origin.Version
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// originService returns the service at which the stream began, if the route still leads there.
+// originService returns the service at which the stream started, if the route still leads there.
 func (call *call) originService() (*bvroute.Service, bool) {
 	if !call.route.HasTarget(call.origin.Service) {
 		return nil, false
@@ -73,14 +73,14 @@
 	return call.front.parts.State.Current().ServiceByName(call.origin.Service)
 }
 
-// unknownOriginError refuses a stream whose begin is not known. If it may be known later, the
+// unknownOriginError refuses a stream whose start is not known. If it may be known later, the
 // refusal has the time after which to retry.
 func (call *call) unknownOriginError(err error) error {
 	if errors.Is(err, bvstream.ErrUnknown) {
-		return bvverdict.Refuse(bvverdict.StreamInterrupted, "the version that began the stream is not known now").
+		return bvverdict.Refuse(bvverdict.StreamInterrupted, "the version that started the stream is not known now").
 			WithRetryAfter(shortRetry).WithCause(err)
 	}
-	return call.interruptedError("the version that began the stream is not known").WithCause(err)
+	return call.interruptedError("the version that started the stream is not known").WithCause(err)
 }
 
 // interruptedError refuses a stream that can never go on.
@@ -103,17 +103,17 @@
 	return err
 }
 
-// prepareBegin prepares the choice of an endpoint at which a stream begins: not at a version whose
+// prepareStart prepares the choice of an endpoint at which a stream starts: not at a version whose
 // first event would have to wait for the store, if another one serves.
-func (call *call) prepareBegin() {
+func (call *call) prepareStart() {
 	if !call.isStream() || call.resumesStream() || call.placement.Pinned {
 		return
 	}
-	call.placement.BeginsStream = call.route.Resumable
+	call.placement.StartsStream = call.route.Resumable
 	call.placement.Unstored = nil
 	for _, version := range call.front.parts.Dispatcher.Versions(call.service.Name) {
 		origin := bvstream.Origin{Service: call.service.Name, Version: version}
-		if version == "" || call.front.parts.Streams.EnsureStored(bvstream.HostOrigin{Host: call.route.Host, Origin: origin}) {
+		if version == "" || call.front.parts.Streams.EnsureStored(bvstream.HostOrigin{HostName: call.route.Host, Origin: origin}) {
 			continue
 		}
 		if call.placement.Unstored == nil {
@@ -123,33 +123,33 @@
 	}
 }
 
-// recordBegin records that the stream may begin at an endpoint, while the endpoint works on it. From
+// recordStart records that the stream may start at an endpoint, while the endpoint works on it. From
 // then on, the call stays at the endpoint's version: a record does not change.
-func (call *call) recordBegin(endpoint bvplatform.Endpoint) {
-	if !call.isStream() || call.resumesStream() || call.beginning != nil && endpoint.Version == call.origin.Version {
+func (call *call) recordStart(endpoint bvplatform.Endpoint) {
+	if !call.isStream() || call.resumesStream() || call.recording != nil && endpoint.Version == call.origin.Version {
 		return
 	}
 	call.origin = bvstream.Origin{Service: call.service.Name, Version: endpoint.Version}
-	begin := bvstream.Begin{
-		Content: call.fingerprint.AnyQuery, Origin: call.origin, Endpoint: endpoint.Name, Host: call.route.Host,
+	start := bvstream.Start{
+		Content: call.fingerprint.AnyQuery, Origin: call.origin, Endpoint: endpoint.Name, HostName: call.route.Host,
 	}
 	key, hasKey := bvstream.NewKey(call.workspaceName(), call.metadata.ID)
 	if call.route.Resumable && hasKey && endpoint.Version != "" {
-		begin.Key = key
+		start.Key = key
 		call.placement.Pinned, call.placement.Version = true, endpoint.Version
 	}
-	call.beginning = call.front.parts.Streams.Begin(begin, beginRetentionFactor*call.remaining())
+	call.recording = call.front.parts.Streams.Record(start, startRetentionFactor*call.remaining())
 }
 
-// awaitBegin waits until the begin is recorded, before the first event is passed on: the caller may
+// awaitRecording waits until the start is recorded, before the first event is passed on: the caller may
 // be cut off right after it, and resume the stream at another host.
-func (call *call) awaitBegin() error {
-	if call.beginning == nil {
+func (call *call) awaitRecording() error {
+	if call.recording == nil {
 		return nil
 	}
 	startedAt := call.front.parts.Clock.Now()
-	err := call.beginning.Await(call.ctx)
-	call.front.parts.Counters.Observe("stream_begin_wait", call.front.parts.Clock.Now().Sub(startedAt))
+	err := call.recording.Await(call.ctx)
+	call.front.parts.Counters.Observe("stream_start_wait", call.front.parts.Clock.Now().Sub(startedAt))
 	if err == nil {
 		return nil
 	}
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -265,10 +265,11 @@
 	// DecideClaim decides on a request of another host whose workspace is close to its
 	// usage cap.
 	DecideClaim(claim *Claim) *Claimed
-	// KeepBegin keeps a copy of another host's record of a stream's begin.
-	KeepBegin(begin *Begin) *Begun
-	// FindBegin returns what this host knows of a stream's begin.
-	FindBegin(query *StreamQuery) *StreamBegin
+	// KeepStart keeps a copy of another host's record of a stream's start. It returns nil if that
+	// is invalid.
+	KeepStart(start *StreamStart) *StreamCopy
+	// FindStart returns what this host knows of a stream's start.
+	FindStart(query *StreamQuery) *StreamFinding
 	// HandleCrashes handles crashes that another host has just detected.
 	HandleCrashes(crashes *Crashes)
 	// AcceptTokens adds tokens that another host lent. Holders are the addresses of other
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -26,8 +26,8 @@
 	mutex    sync.Mutex
 	received []*Digest
 	crashes  []*Crash
-	begins   []*Begin
-	// keepsNone: it is of a build that does not know begins
+	starts   []*StreamStart
+	// keepsNone: it is of a build that does not know starts of streams
 	keepsNone bool
 	accepted  int
 	lendable  int // tokens that this host can lend
@@ -78,25 +78,25 @@
 	return &Claimed{Granted: host.granting, Wait: claim.GetCount()}
 }
 
-func (host *host) KeepBegin(begin *Begin) *Begun {
+func (host *host) KeepStart(start *StreamStart) *StreamCopy {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	if host.keepsNone {
 		return nil
 	}
-	host.begins = append(host.begins, begin)
-	return &Begun{OriginFor: 7}
+	host.starts = append(host.starts, start)
+	return &StreamCopy{OriginFor: 7}
 }
 
-func (host *host) FindBegin(query *StreamQuery) *StreamBegin {
+func (host *host) FindStart(query *StreamQuery) *StreamFinding {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	for _, begin := range host.begins {
-		if string(begin.GetKey()) == string(query.GetKey()) {
-			return &StreamBegin{Known: true, Begin: begin}
+	for _, start := range host.starts {
+		if string(start.GetKey()) == string(query.GetKey()) {
+			return &StreamFinding{Known: true, Start: start}
 		}
 	}
-	return &StreamBegin{}
+	return &StreamFinding{}
 }
 
 func (host *host) setLendable(tokens int) {
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -156,11 +156,11 @@
 	if claim := probe.GetClaim(); claim != nil {
 		counts.Claimed = handler.DecideClaim(claim)
 	}
-	if begin := probe.GetBegin(); begin != nil {
-		counts.Begun = handler.KeepBegin(begin)
+	if start := probe.GetStart(); start != nil {
+		counts.Copy = handler.KeepStart(start)
 	}
 	if query := probe.GetStream(); query != nil {
-		counts.Stream = handler.FindBegin(query)
+		counts.Stream = handler.FindStart(query)
 	}
 	gossip.mutex.Lock()
 	since := gossip.staleBefore(gossip.clock.Now())
--- a/bvgossip/stream.go
+++ b/bvgossip/stream.go
@@ -10,18 +10,18 @@
 )
 
 // A caller may resume a stream at any host, some milliseconds after its first event, when the host
-// that began it may be lost. So a begin is copied to a few hosts, if possible of different
+// that started it may be lost. So a start is copied to a few hosts, if possible of different
 // availability zones, before the first event is passed on, and a host at which a stream is resumed
-// asks them. A begin that is not found means that the stream does not go on.
+// asks them. A start that is not found means that the stream does not go on.
 
 const (
-	// beginCopies is the number of hosts that get a copy.
-	beginCopies = 3
-	// beginTimeout bounds the wait for their replies. Those that don't reply are replaced, until
-	// beginRounds rounds were made.
-	beginTimeout = 10 * bvclock.Millisecond
-	beginRounds  = 2
-	// maxStreamQueries is the number of hosts that are asked for a begin: with few hosts all of
+	// startCopies is the number of hosts that get a copy.
+	startCopies = 3
+	// startTimeout bounds the wait for their replies. Those that don't reply are replaced, until
+	// startRounds rounds were made.
+	startTimeout = 10 * bvclock.Millisecond
+	startRounds  = 2
+	// maxStreamQueries is the number of hosts that are asked for a start: with few hosts all of
 	// them, since those that got the copies may have been lost or started since.
 	maxStreamQueries = 16
 	// streamQueryTimeout bounds the wait for their replies. Hosts that recently did not reply are
@@ -32,30 +32,30 @@
 // StreamReply is the reply of a host to a StreamQuery.
 type StreamReply struct {
 	Host  string
-	Begin *StreamBegin
+	Start *StreamFinding
 }
 
-// SendBegin sends a begin to a few hosts that keep a copy, and returns the replies of those that do.
-// The key is a number derived from the begin's key.
-func (gossip *Gossip) SendBegin(key uint64, begin *Begin) (replies []*Begun) {
-	holders, _ := gossip.streamHolders(key, beginRounds*beginCopies, isNotLeaving)
-	for round := 0; round < beginRounds && len(replies) < beginCopies && len(holders) > 0; round++ {
-		count := min(beginCopies-len(replies), len(holders))
+// SendStart sends a start to a few hosts that keep a copy, and returns the replies of those that do.
+// The key is a number derived from the start's key.
+func (gossip *Gossip) SendStart(key uint64, start *StreamStart) (replies []*StreamCopy) {
+	holders, _ := gossip.streamHolders(key, startRounds*startCopies, isNotLeaving)
+	for round := 0; round < startRounds && len(replies) < startCopies && len(holders) > 0; round++ {
+		count := min(startCopies-len(replies), len(holders))
 		probes := make(map[netip.AddrPort]*Probe, count)
 		for _, holder := range holders[:count] {
-			probes[holder] = &Probe{Begin: begin}
+			probes[holder] = &Probe{Start: start}
 		}
 		holders = holders[count:]
-		gossip.queryTrackers(probes, beginTimeout, func(reply trackerReply) {
-			if begun := reply.counts.GetBegun(); begun != nil { // older builds keep no copy
-				replies = append(replies, begun)
+		gossip.queryTrackers(probes, startTimeout, func(reply trackerReply) {
+			if started := reply.counts.GetCopy(); started != nil { // older builds keep no copy
+				replies = append(replies, started)
 			}
 		})
 	}
 	return replies
 }
 
-// QueryStream asks the hosts that may know a stream's begin, and returns the replies and how many
+// QueryStream asks the hosts that may know a stream's start, and returns the replies and how many
 // hosts were asked. It asks hosts that are silent or recently did not reply only if no other one
 // knows it.
 func (gossip *Gossip) QueryStream(key uint64, query *StreamQuery) (replies []StreamReply, asked int) {
@@ -85,7 +85,7 @@
 
 func isAny(*peer) bool { return true }
 
-// streamHolders returns the other hosts in the order in which they keep copies of a begin: the first
+// streamHolders returns the other hosts in the order in which they keep copies of a start: the first
 // ones, which are at least limit if there are as many. A host that has just started gets no digests
 // yet, so listed hosts count from the start on. Hosts that are silent or recently did not reply are
 // separate.
@@ -108,7 +108,7 @@
 	return live.addresses(), lost.addresses()
 }
 
-// holder is a host that may keep a copy of a begin.
+// holder is a host that may keep a copy of a start.
 type holder struct {
 	address netip.AddrPort
 	weight  uint64
--- a/bvgossip/stream_test.go
+++ b/bvgossip/stream_test.go
@@ -28,11 +28,11 @@
 	return asker, hosts
 }
 
-// holdersOf returns the hosts that keep a copy of a begin.
+// holdersOf returns the hosts that keep a copy of a start.
 func holdersOf(hosts []*host) (holders []*host) {
 	for _, host := range hosts {
 		host.mutex.Lock()
-		if len(host.begins) > 0 {
+		if len(host.starts) > 0 {
 			holders = append(holders, host)
 		}
 		host.mutex.Unlock()
@@ -40,23 +40,23 @@
 	return holders
 }
 
-// sendBegin sends a begin until all copies are kept: a host may answer late on a busy machine.
-func sendBegin(t *testing.T, asker *host, begin *Begin) []*Begun {
+// sendStart sends a start until all copies are kept: a host may answer late on a busy machine.
+func sendStart(t *testing.T, asker *host, start *StreamStart) []*StreamCopy {
 	t.Helper()
-	var replies []*Begun
+	var replies []*StreamCopy
 	require.Eventually(t, func() bool {
 		asker.mutex.Lock()
 		clear(asker.backoffUntil)
 		asker.mutex.Unlock()
-		replies = asker.SendBegin(3, begin)
-		return len(replies) == beginCopies
+		replies = asker.SendStart(3, start)
+		return len(replies) == startCopies
 	}, testTimeout, time.Millisecond)
 	return replies
 }
 
-func TestBeginIsCopiedToDifferentZones(t *testing.T) {
+func TestStartIsCopiedToDifferentZones(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 9)
-	replies := sendBegin(t, asker, &Begin{Key: []byte("k")})
+	replies := sendStart(t, asker, &StreamStart{Key: []byte("k")})
 	require.Equal(t, uint32(7), replies[0].GetOriginFor())
 	zones := make(map[string]bool)
 	for _, holder := range holdersOf(hosts) {
@@ -65,32 +65,32 @@
 	require.Len(t, zones, 3)
 }
 
-// Guards against a begin with fewer copies because a host was lost a moment before.
+// Guards against a start with fewer copies because a host was lost a moment before.
 func TestHostThatKeepsNoCopyIsReplaced(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 5)
 	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	lost := slices.IndexFunc(hosts, func(host *host) bool { return host.address == order[0] })
 	require.NoError(t, hosts[lost].conn.Close())
-	sendBegin(t, asker, &Begin{Key: []byte("k")})
-	require.GreaterOrEqual(t, len(holdersOf(hosts)), beginCopies)
-	require.Empty(t, hosts[lost].begins)
+	sendStart(t, asker, &StreamStart{Key: []byte("k")})
+	require.GreaterOrEqual(t, len(holdersOf(hosts)), startCopies)
+	require.Empty(t, hosts[lost].starts)
 }
 
-func TestAllHostsOfASmallFleetAreAskedForABegin(t *testing.T) {
+func TestAllHostsOfASmallFleetAreAskedForAStart(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 12)
-	hosts[7].KeepBegin(&Begin{Key: []byte("k"), Version: "v1"})
+	hosts[7].KeepStart(&StreamStart{Key: []byte("k"), Version: "v1"})
 	replies, asked := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
 	require.GreaterOrEqual(t, asked, 12)
 	require.LessOrEqual(t, len(replies), 12)
 	for _, reply := range replies {
-		require.Equal(t, reply.Host == "host-7", reply.Begin.GetKnown())
+		require.Equal(t, reply.Host == "host-7", reply.Start.GetKnown())
 	}
 }
 
 // Guards against a search that asks each of hundreds of hosts.
-func TestFewHostsOfALargeFleetAreAskedForABegin(t *testing.T) {
+func TestFewHostsOfALargeFleetAreAskedForAStart(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 60)
-	sendBegin(t, asker, &Begin{Key: []byte("k")})
+	sendStart(t, asker, &StreamStart{Key: []byte("k")})
 	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	require.Len(t, order, 60)
 	for _, holder := range holdersOf(hosts) {
@@ -100,16 +100,16 @@
 	require.LessOrEqual(t, asked, maxStreamQueries)
 }
 
-// Guards against a begin that only a host knows which recently did not reply.
+// Guards against a start that only a host knows which recently did not reply.
 func TestHostThatDidNotReplyIsAskedLast(t *testing.T) {
 	asker, hosts := newStreamHosts(t, 3)
-	hosts[1].KeepBegin(&Begin{Key: []byte("k")})
+	hosts[1].KeepStart(&StreamStart{Key: []byte("k")})
 	require.Eventually(t, func() bool {
 		asker.mutex.Lock()
 		asker.backoffUntil = map[netip.AddrPort]bvclock.Time{hosts[1].address: asker.clock.Now().Add(trackerBackoff)}
 		asker.mutex.Unlock()
 		replies, asked := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
-		return asked == 3 && slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Begin.GetKnown() })
+		return asked == 3 && slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Start.GetKnown() })
 	}, testTimeout, time.Millisecond)
 }
 
@@ -119,12 +119,12 @@
 	digest.Leaving = true
 	require.True(t, asker.storeDigest(digest))
 	asker.updateTrackers()
-	hosts[2].KeepBegin(&Begin{Key: []byte("k")})
+	hosts[2].KeepStart(&StreamStart{Key: []byte("k")})
 	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	require.NotContains(t, order, hosts[2].address)
 	require.Eventually(t, func() bool {
 		replies, _ := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
-		return slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Begin.GetKnown() })
+		return slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Start.GetKnown() })
 	}, testTimeout, time.Millisecond)
 }
 
@@ -132,10 +132,10 @@
 func TestListedHostIsAskedBeforeItsFirstDigest(t *testing.T) {
 	asker, unheard := newHost(t, "asker", bvclock.Boot()), newHost(t, "unheard", bvclock.Boot())
 	asker.SetHosts([]netip.AddrPort{unheard.address})
-	unheard.KeepBegin(&Begin{Key: []byte("k")})
+	unheard.KeepStart(&StreamStart{Key: []byte("k")})
 	require.Eventually(t, func() bool {
 		replies, asked := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
-		return asked == 1 && len(replies) == 1 && replies[0].Begin.GetKnown()
+		return asked == 1 && len(replies) == 1 && replies[0].Start.GetKnown()
 	}, testTimeout, time.Millisecond)
 }
 
@@ -144,13 +144,13 @@
 	asker, hosts := newStreamHosts(t, 2)
 	asker.clock.(*bvclock.Manual).Advance(silenceTimeout + 1)
 	asker.updateTrackers()
-	hosts[1].KeepBegin(&Begin{Key: []byte("k")})
+	hosts[1].KeepStart(&StreamStart{Key: []byte("k")})
 	replying, silent := asker.streamHolders(3, 60, isAny)
 	require.Empty(t, replying)
 	require.Len(t, silent, 2)
 	require.Eventually(t, func() bool {
 		replies, asked := asker.QueryStream(3, &StreamQuery{Key: []byte("k")})
-		return asked == 2 && slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Begin.GetKnown() })
+		return asked == 2 && slices.ContainsFunc(replies, func(reply StreamReply) bool { return reply.Start.GetKnown() })
 	}, testTimeout, time.Millisecond)
 }
 
@@ -160,8 +160,8 @@
 	order, _ := asker.streamHolders(3, 60, isNotLeaving)
 	older := slices.IndexFunc(hosts, func(host *host) bool { return host.address == order[0] })
 	hosts[older].keepsNone = true
-	sendBegin(t, asker, &Begin{Key: []byte("k")})
-	require.GreaterOrEqual(t, len(holdersOf(hosts)), beginCopies)
+	sendStart(t, asker, &StreamStart{Key: []byte("k")})
+	require.GreaterOrEqual(t, len(holdersOf(hosts)), startCopies)
 }
 
 // Guards against an order that differs from that of sorting all hosts.
--- a/bvrouter/streams.go
+++ b/bvrouter/streams.go
@@ -11,28 +11,32 @@
 	"balsamvalve.example/bvstream"
 )
 
-// streamPeers are the other hosts, which keep copies of the begins of streams.
+// streamPeers are the other hosts, which keep copies of the starts of streams.
 type streamPeers struct{ *Router }
 
-// ReplicateBegin implements bvstream.Peers.
-func (peers streamPeers) ReplicateBegin(begin bvstream.Begin, retain bvclock.Duration) []bvstream.Copy {
-	replies := peers.gossip.SendBegin(rankOf(begin.Key), encodeBegin(begin, retain))
+// ReplicateStart implements bvstream.Peers.
+func (peers streamPeers) ReplicateStart(start bvstream.Start, retain bvclock.Duration) []bvstream.Copy {
+	rank := rankOf(start.Key)
+	if start.Key == (bvstream.Key{}) {
+		rank = rand.Uint64() // any hosts
+	}
+	replies := peers.gossip.SendStart(rank, encodeStart(start, retain))
 	copies := make([]bvstream.Copy, len(replies))
-	for i, begun := range replies {
-		copies[i] = bvstream.Copy{State: bvstream.Known, OriginFor: bvclock.Duration(begun.GetOriginFor()) * bvclock.Second}
-		if begun.GetAmbiguous() {
+	for i, started := range replies {
+		copies[i] = bvstream.Copy{State: bvstream.Known, OriginFor: bvclock.Duration(started.GetOriginFor()) * bvclock.Second}
+		if started.GetAmbiguous() {
 			copies[i].State = bvstream.Ambiguous
 		}
 	}
 	return copies
 }
 
-// FindBegin implements bvstream.Peers.
-func (peers streamPeers) FindBegin(key bvstream.Key, content uint64) bvstream.Inquiry {
+// FindStart implements bvstream.Peers.
+func (peers streamPeers) FindStart(key bvstream.Key, content uint64) bvstream.Inquiry {
 	inquiry := bvstream.Inquiry{IsPartial: !peers.awaitHosts()}
 	replies, asked := peers.gossip.QueryStream(rankOf(key), &bvgossip.StreamQuery{Key: key[:], Content: content})
 	for _, reply := range replies {
-		inquiry.Findings = append(inquiry.Findings, bvstream.PeerFinding{Finding: decodeFinding(reply.Begin), Host: reply.Host})
+		inquiry.Findings = append(inquiry.Findings, bvstream.PeerFinding{Finding: decodeFinding(reply.Start), Host: reply.Host})
 	}
 	inquiry.Asked = asked
 	return inquiry
@@ -67,60 +71,60 @@
 	return true
 }
 
-// rankOf returns the number by which hosts are ranked for a begin.
+// rankOf returns the number by which hosts are ranked for a start.
 func rankOf(key bvstream.Key) uint64 { return binary.LittleEndian.Uint64(key[:]) }
 
-func encodeBegin(begin bvstream.Begin, retain bvclock.Duration) *bvgossip.Begin {
-	return &bvgossip.Begin{
-		Key: begin.Key[:], Content: begin.Content, Service: begin.Service, Version: begin.Version,
-		Endpoint: begin.Endpoint, Host: begin.Host, Retain: uint32(retain),
+func encodeStart(start bvstream.Start, retain bvclock.Duration) *bvgossip.StreamStart {
+	return &bvgossip.StreamStart{
+		Key: start.Key[:], Content: start.Content, Service: start.Service, Version: start.Version,
+		Endpoint: start.Endpoint, HostName: start.HostName, Retain: uint32(retain),
 	}
 }
 
-// decodeBegin returns false if the begin has no valid key.
-func decodeBegin(message *bvgossip.Begin) (begin bvstream.Begin, valid bool) {
-	begin = bvstream.Begin{
+// decodeStart returns false if the start has no valid key.
+func decodeStart(message *bvgossip.StreamStart) (start bvstream.Start, valid bool) {
+	start = bvstream.Start{
 		Content: message.GetContent(), Origin: bvstream.Origin{Service: message.GetService(), Version: message.GetVersion()},
-		Endpoint: message.GetEndpoint(), Host: message.GetHost(),
+		Endpoint: message.GetEndpoint(), HostName: message.GetHostName(),
 	}
-	return begin, copy(begin.Key[:], message.GetKey()) == len(begin.Key) && len(message.GetKey()) == len(begin.Key)
+	return start, copy(start.Key[:], message.GetKey()) == len(start.Key) && len(message.GetKey()) == len(start.Key)
 }
 
-func decodeFinding(message *bvgossip.StreamBegin) bvstream.Finding {
+func decodeFinding(message *bvgossip.StreamFinding) bvstream.Finding {
 	finding := bvstream.Finding{Age: bvclock.Duration(message.GetAge())}
-	begin, valid := decodeBegin(message.GetBegin())
+	start, valid := decodeStart(message.GetStart())
 	switch {
 	case message.GetAmbiguous():
 		finding.State = bvstream.Ambiguous
 	case message.GetKnown() && valid:
-		finding.State, finding.Begin = bvstream.Known, begin
+		finding.State, finding.Start = bvstream.Known, start
 	}
 	return finding
 }
 
-// KeepBegin implements bvgossip.Handler.
-func (handler peerHandler) KeepBegin(message *bvgossip.Begin) *bvgossip.Begun {
-	begin, valid := decodeBegin(message)
+// KeepStart implements bvgossip.Handler.
+func (handler peerHandler) KeepStart(message *bvgossip.StreamStart) *bvgossip.StreamCopy {
+	start, valid := decodeStart(message)
 	if !valid {
 		return nil
 	}
-	copied := handler.streams.AddCopy(begin, bvclock.Duration(message.GetRetain()))
-	return &bvgossip.Begun{Ambiguous: copied.State == bvstream.Ambiguous, OriginFor: uint32(copied.OriginFor / bvclock.Second)}
+	copied := handler.streams.AddCopy(start, bvclock.Duration(message.GetRetain()))
+	return &bvgossip.StreamCopy{Ambiguous: copied.State == bvstream.Ambiguous, OriginFor: uint32(copied.OriginFor / bvclock.Second)}
 }
 
-// FindBegin implements bvgossip.Handler.
-func (handler peerHandler) FindBegin(query *bvgossip.StreamQuery) *bvgossip.StreamBegin {
+// FindStart implements bvgossip.Handler.
+func (handler peerHandler) FindStart(query *bvgossip.StreamQuery) *bvgossip.StreamFinding {
 	var key bvstream.Key
 	if len(query.GetKey()) != len(key) {
-		return &bvgossip.StreamBegin{}
+		return &bvgossip.StreamFinding{}
 	}
 	copy(key[:], query.GetKey())
 	found := handler.streams.Lookup(key, query.GetContent())
-	reply := &bvgossip.StreamBegin{
+	reply := &bvgossip.StreamFinding{
 		Known: found.State == bvstream.Known, Ambiguous: found.State == bvstream.Ambiguous, Age: uint32(found.Age),
 	}
 	if reply.GetKnown() {
-		reply.Begin = encodeBegin(found.Begin, 0)
+		reply.Start = encodeStart(found.Start, 0)
 	}
 	return reply
 }
@@ -142,7 +146,7 @@
 	}
 }
 
-// storeOrigins stores the services and versions at which streams may begin, before they do.
+// storeOrigins stores the services and versions at which streams may start, before they do.
 func (router *Router) storeOrigins(ctx context.Context) {
 	outage := bvlog.Outage{Dependency: "origins of streams", Log: router.log}
 	for {
@@ -161,7 +165,7 @@
 	}
 }
 
-// streamOrigins returns the services and versions at which streams may begin now.
+// streamOrigins returns the services and versions at which streams may start now.
 func (router *Router) streamOrigins() []bvstream.HostOrigin {
 	table := router.state.Current()
 	if table == nil {
@@ -171,7 +175,7 @@
 	for _, target := range table.StreamTargets() {
 		for _, version := range router.dispatcher.Versions(target.Service) {
 			if version != "" {
-				origins = append(origins, bvstream.HostOrigin{Host: target.Host, Origin: bvstream.Origin{Service: target.Service, Version: version}})
+				origins = append(origins, bvstream.HostOrigin{HostName: target.Host, Origin: bvstream.Origin{Service: target.Service, Version: version}})
 			}
 		}
 	}
--- a/bvstream/bench_test.go
+++ b/bvstream/bench_test.go
@@ -8,27 +8,27 @@
 	"balsamvalve.example/bvclock"
 )
 
-func numberedBegin(number int) Begin {
-	begin := Begin{Content: uint64(number), Origin: atV1, Endpoint: "i-0123456789", Host: "abcd12.example"}
-	binary.LittleEndian.PutUint64(begin.Key[:], uint64(number))
-	return begin
+func numberedStart(number int) Start {
+	start := Start{Content: uint64(number), Origin: atV1, Endpoint: "i-0123456789", HostName: "abcd12.example"}
+	binary.LittleEndian.PutUint64(start.Key[:], uint64(number))
+	return start
 }
 
 func BenchmarkAdd(b *testing.B) {
 	var table Table
 	for number := range b.N {
-		table.Add(bvclock.Time(number/10), numberedBegin(number), minRetention)
+		table.Add(bvclock.Time(number/10), numberedStart(number), minRetention)
 	}
 }
 
 func BenchmarkFind(b *testing.B) {
 	var table Table
-	for number := range maxBegins {
-		table.Add(1, numberedBegin(number), minRetention)
+	for number := range maxStarts {
+		table.Add(1, numberedStart(number), minRetention)
 	}
 	for number := range b.N {
-		begin := numberedBegin(number % maxBegins)
-		table.Find(1, begin.Key, begin.Content)
+		start := numberedStart(number % maxStarts)
+		table.Find(1, start.Key, start.Content)
 	}
 }
 
@@ -38,17 +38,17 @@
 	}
 }
 
-// BenchmarkFullTable reports the memory of a begin in a full table.
+// BenchmarkFullTable reports the memory of a start in a full table.
 func BenchmarkFullTable(b *testing.B) {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	var table Table
-	for number := range maxBegins {
-		table.Add(1, numberedBegin(number), minRetention)
+	for number := range maxStarts {
+		table.Add(1, numberedStart(number), minRetention)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxBegins, "bytes/begin")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxStarts, "bytes/start")
 	runtime.KeepAlive(&table)
 }
--- a/bvstream/origins.go
+++ b/bvstream/origins.go
@@ -47,7 +47,7 @@
 
 // HostOrigin is an origin of streams of a host name.
 type HostOrigin struct {
-	Host string
+	HostName string
 	Origin
 }
 
@@ -112,7 +112,7 @@
 func prefixOf(host string) string { return originsPart + url.PathEscape(host) + "/" }
 
 func keyOf(origin HostOrigin) string {
-	return prefixOf(origin.Host) + url.PathEscape(origin.Service) + "/" + url.PathEscape(origin.Version)
+	return prefixOf(origin.HostName) + url.PathEscape(origin.Service) + "/" + url.PathEscape(origin.Version)
 }
 
 func decodeKey(key string) (HostOrigin, error) {
@@ -145,7 +145,7 @@
 	return func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), originTimeout.Std())
 		defer cancel()
-		return nil, origins.storeAll(ctx, prefixOf(origin.Host), []HostOrigin{origin})
+		return nil, origins.storeAll(ctx, prefixOf(origin.HostName), []HostOrigin{origin})
 	}
 }
 
--- a/bvstream/stream.go
+++ b/bvstream/stream.go
@@ -1,25 +1,25 @@
-// Package bvstream knows at which software version of a service's endpoints a stream began, so
+// Package bvstream knows at which software version of a service's endpoints a stream started, so
 // that a caller that resumes it at any host gets the rest from that version.
 //
-// # Begins
+// # Starts
 //
-// Before a stream's first event is passed on, its host records the begin: the attempt, the
+// Before a stream's first event is passed on, its host records the start: the attempt, the
 // service and the version. The record does not change, and a few other hosts get a copy. An
 // attempt that is sent to another endpoint stays at its version. A host at which the stream is
 // resumed queries the others. What it learns is true, whichever hosts are lost: a lost record only
-// means that the begin is unknown, and then the stream does not go on.
+// means that the start is unknown, and then the stream does not go on.
 //
 // # Origins
 //
 // An Origin is a service and a version. The platform's store has all origins at which streams of a
-// host name have begun. An event is passed on only after its origin is stored. If there is a single
-// one, a stream whose record is lost began there.
+// host name have started. An event is passed on only after its origin is stored. If there is a single
+// one, a stream whose record is lost started there.
 //
 // # Usage
 //
 //	streams := bvstream.New(bvstream.Parts{Clock: clock, Peers: peers, Store: store, Endpoints: endpoints, ...})
-//	beginning := streams.Begin(begin, retain)
-//	err := beginning.Await(ctx) // before the first event is passed on
+//	recording := streams.Record(start, retain)
+//	err := recording.Await(ctx) // before the first event is passed on
 //	known, err := streams.Find(ctx, bvstream.Query{...}) // when a caller resumes a stream
 package bvstream
 
@@ -48,31 +48,31 @@
 	return key, true
 }
 
-// Origin is a software version of a service's endpoints, at which streams begin.
+// Origin is a software version of a service's endpoints, at which streams start.
 type Origin struct {
 	Service string
 	Version string // "": unknown
 }
 
-// Begin states where the first event of a stream comes from.
-type Begin struct {
+// Start states where the first event of a stream comes from.
+type Start struct {
 	Key     Key
 	Content uint64 // hash of the request
 	Origin
 	Endpoint string // name
-	Host     string // host name of the request
+	HostName string // of the request
 }
 
-func (begin *Begin) hostOrigin() HostOrigin { return HostOrigin{begin.Host, begin.Origin} }
+func (start *Start) hostOrigin() HostOrigin { return HostOrigin{start.HostName, start.Origin} }
 
-// isSame reports whether two begins of one attempt agree.
-func (begin *Begin) isSame(other *Begin) bool {
-	return begin.Content == other.Content && begin.Origin == other.Origin
+// isSame reports whether two starts of one attempt agree.
+func (start *Start) isSame(other *Start) bool {
+	return start.Content == other.Content && start.Origin == other.Origin
 }
 
 //go:generate stringer -type=State -linecomment -output=state_string.go
 
-// State is what a host knows of a stream's begin.
+// State is what a host knows of a stream's start.
 type State int
 
 // The states.
@@ -82,9 +82,9 @@
 	Ambiguous              // ambiguous
 )
 
-// Finding is what a host knows of a stream's begin.
+// Finding is what a host knows of a stream's start.
 type Finding struct {
 	State State
-	Begin Begin            // if it is known
-	Age   bvclock.Duration // since the begin was recorded
+	Start Start            // if it is known
+	Age   bvclock.Duration // since the start was recorded
 }
--- a/bvstream/stream_test.go
+++ b/bvstream/stream_test.go
@@ -22,35 +22,35 @@
 	require.Equal(t, want, origin)
 }
 
-// requireTwoOrigins begins a stream at each of two versions, so that an origin does not follow from
+// requireTwoOrigins starts a stream at each of two versions, so that an origin does not follow from
 // being the only one.
 func requireTwoOrigins(t *testing.T, host *worldHost) {
 	t.Helper()
-	require.True(t, host.begin("other-1", atV1))
-	require.True(t, host.begin("other-2", atV2))
+	require.True(t, host.start("other-1", atV1))
+	require.True(t, host.start("other-2", atV2))
 }
 
-func TestBeginIsKnownAtAllHosts(t *testing.T) {
+func TestStartIsKnownAtAllHosts(t *testing.T) {
 	world := newWorld(5)
 	requireTwoOrigins(t, world.hosts[0])
-	require.True(t, world.hosts[0].begin("a", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
 	for _, host := range world.hosts {
 		requireFound(t, host, "a", atV1)
 	}
 }
 
-func TestBeginIsKnownAfterTheLossOfItsHost(t *testing.T) {
+func TestStartIsKnownAfterTheLossOfItsHost(t *testing.T) {
 	world := newWorld(4)
 	requireTwoOrigins(t, world.hosts[0])
-	require.True(t, world.hosts[1].begin("a", atV2))
+	require.True(t, world.hosts[1].start("a", atV2))
 	world.hosts[1].restart()
 	requireFound(t, world.hosts[1], "a", atV2)
 }
 
-func TestBeginIsUnknownAfterTheLossOfAllHosts(t *testing.T) {
+func TestStartIsUnknownAfterTheLossOfAllHosts(t *testing.T) {
 	world := newWorld(3)
 	requireTwoOrigins(t, world.hosts[0])
-	require.True(t, world.hosts[1].begin("a", atV2))
+	require.True(t, world.hosts[1].start("a", atV2))
 	for _, host := range world.hosts {
 		host.restart()
 	}
@@ -58,7 +58,7 @@
 	require.ErrorIs(t, err, ErrNeverKnown)
 }
 
-func TestBeginMayBeKnownToAHostThatDoesNotAnswer(t *testing.T) {
+func TestStartMayBeKnownToAHostThatDoesNotAnswer(t *testing.T) {
 	world := newWorld(3)
 	requireTwoOrigins(t, world.hosts[0])
 	world.hosts[1].down = true
@@ -69,7 +69,7 @@
 // Guards against streams of a single version that are refused after the loss of all hosts.
 func TestOnlyOriginIsKnownAfterTheLossOfAllHosts(t *testing.T) {
 	world := newWorld(3)
-	require.True(t, world.hosts[1].begin("a", atV1))
+	require.True(t, world.hosts[1].start("a", atV1))
 	for _, host := range world.hosts {
 		host.restart()
 	}
@@ -79,7 +79,7 @@
 
 func TestOnlyOriginIsNotTrustedBesideHostsThatStoreNone(t *testing.T) {
 	world := newWorld(2)
-	require.True(t, world.hosts[0].begin("a", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
 	world.old = true
 	world.hosts[0].restart()
 	world.hosts[1].restart()
@@ -91,11 +91,11 @@
 func TestEventIsWithheldUntilItsOriginIsStored(t *testing.T) {
 	world := newWorld(1)
 	world.hosts[0].storeCut = true
-	require.False(t, world.hosts[0].begin("a", atV1))
+	require.False(t, world.hosts[0].start("a", atV1))
 	world.hosts[0].storeCut = false
-	require.True(t, world.hosts[0].begin("b", atV1))
+	require.True(t, world.hosts[0].start("b", atV1))
 	world.hosts[0].storeCut = true
-	require.True(t, world.hosts[0].begin("c", atV1), "it is stored")
+	require.True(t, world.hosts[0].start("c", atV1), "it is stored")
 }
 
 // Guards against a version that is avoided because it is not stored, and not stored because it is
@@ -106,21 +106,21 @@
 	require.Eventually(t, func() bool { return world.hosts[0].EnsureStored(HostOrigin{testHostName, atV1}) }, testTimeout, tick)
 }
 
-// Guards against streams that can't begin at a host that started while the store is away.
+// Guards against streams that can't start at a host that started while the store is away.
 func TestOtherHostsKnowThatAnOriginIsStored(t *testing.T) {
 	world := newWorld(3)
-	require.True(t, world.hosts[0].begin("a", atV1))
-	require.True(t, world.hosts[1].begin("b", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
+	require.True(t, world.hosts[1].start("b", atV1))
 	world.hosts[2].storeCut = true
-	require.True(t, world.hosts[2].begin("c", atV1))
+	require.True(t, world.hosts[2].start("c", atV1))
 }
 
 func TestOriginIsStoredAgainBeforeItIsRemoved(t *testing.T) {
 	world := newWorld(2)
-	require.True(t, world.hosts[0].begin("a", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
 	world.clock.Advance(originLifetime)
 	require.False(t, world.hosts[0].EnsureStored(HostOrigin{testHostName, atV1}))
-	require.True(t, world.hosts[0].begin("b", atV1))
+	require.True(t, world.hosts[0].start("b", atV1))
 	world.clock.Advance(originRetention - originLifetime + bvclock.Minute)
 	origins, err := world.hosts[1].origins.read(t.Context(), prefixOf(testHostName))
 	require.NoError(t, err)
@@ -131,7 +131,7 @@
 	world := newWorld(1)
 	requireTwoOrigins(t, world.hosts[0])
 	world.clock.Advance(originRetention + 1)
-	require.True(t, world.hosts[0].begin("a", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
 	require.Eventually(t, func() bool {
 		rows, err := world.store.Scan(t.Context(), prefixOf(testHostName), "", 10)
 		return err == nil && len(rows) == 1
@@ -143,8 +143,8 @@
 func TestAttemptThatTwoClientsUsedTellsNothing(t *testing.T) {
 	world := newWorld(4)
 	requireTwoOrigins(t, world.hosts[0])
-	require.True(t, world.hosts[0].begin("a", atV1))
-	require.True(t, world.hosts[1].begin("a", atV2))
+	require.True(t, world.hosts[0].start("a", atV1))
+	require.True(t, world.hosts[1].start("a", atV2))
 	for _, host := range world.hosts {
 		_, err := host.find("a")
 		require.ErrorIs(t, err, ErrAmbiguous)
@@ -154,8 +154,8 @@
 func TestAttemptOfAnotherRequestTellsNothing(t *testing.T) {
 	world := newWorld(2)
 	requireTwoOrigins(t, world.hosts[0])
-	require.True(t, world.hosts[0].begin("a", atV1))
-	query := Query{Workspace: "w", Attempt: "a", Content: 7, Host: testHostName}
+	require.True(t, world.hosts[0].start("a", atV1))
+	query := Query{Workspace: "w", Attempt: "a", Content: 7, HostName: testHostName}
 	_, _, err := world.hosts[0].Find(t.Context(), query)
 	require.NoError(t, err)
 	query.Content = 8
@@ -173,36 +173,36 @@
 	require.False(t, valid)
 }
 
-// Guards against a begin that an endpoint made after it started again under its name at another version.
-func TestBeginAtAnEndpointThatHasAnotherVersionNowTellsNothing(t *testing.T) {
+// Guards against a start that an endpoint made after it started again under its name at another version.
+func TestStartAtAnEndpointThatHasAnotherVersionNowTellsNothing(t *testing.T) {
 	world := newWorld(2)
 	requireTwoOrigins(t, world.hosts[0])
 	world.entries["e"] = bvplatform.Endpoint{Name: "e", Serves: "s", Version: "v1"}
-	require.True(t, world.hosts[0].begin("a", atV1))
+	require.True(t, world.hosts[0].start("a", atV1))
 	requireFound(t, world.hosts[1], "a", atV1)
 	world.entries["e"] = bvplatform.Endpoint{Name: "e", Serves: "s", Version: "v2"}
 	_, err := world.hosts[1].find("a")
 	require.ErrorIs(t, err, ErrAmbiguous)
 }
 
-func TestBeginExpires(t *testing.T) {
+func TestStartExpires(t *testing.T) {
 	var table Table
 	key, _ := NewKey("w", "a")
-	require.Equal(t, Known, table.Add(1, Begin{Key: key}, 10))
+	require.Equal(t, Known, table.Add(1, Start{Key: key}, 10))
 	require.Equal(t, Known, table.Find(10, key, 0).State)
 	require.Equal(t, Unknown, table.Find(11, key, 0).State)
 	other, _ := NewKey("w", "b")
-	table.Add(11, Begin{Key: other}, 10)
+	table.Add(11, Start{Key: other}, 10)
 	require.Equal(t, 1, table.Len())
 	require.Zero(t, table.evicted)
 }
 
-func TestBeginsAreBounded(t *testing.T) {
+func TestStartsAreBounded(t *testing.T) {
 	var table Table
-	for number := range maxBegins + 5 {
-		table.Add(1, Begin{Key: Key{byte(number), byte(number >> 8), byte(number >> 16)}}, 10)
+	for number := range maxStarts + 5 {
+		table.Add(1, Start{Key: Key{byte(number), byte(number >> 8), byte(number >> 16)}}, 10)
 	}
-	require.Equal(t, maxBegins, table.Len())
+	require.Equal(t, maxStarts, table.Len())
 	require.Equal(t, int64(5), table.evicted)
 }
 
--- a/bvstream/world_test.go
+++ b/bvstream/world_test.go
@@ -68,20 +68,20 @@
 	return host != other && !host.down && !other.down && !host.world.cut[link]
 }
 
-// copies is the number of hosts that keep a copy of a begin in a world.
+// copies is the number of hosts that keep a copy of a start in a world.
 const copies = 2
 
-func (host *worldHost) ReplicateBegin(begin Begin, retain bvclock.Duration) (replies []Copy) {
+func (host *worldHost) ReplicateStart(start Start, retain bvclock.Duration) (replies []Copy) {
 	for i := range host.world.hosts {
-		other := host.world.hosts[(int(begin.Key[0])+i)%len(host.world.hosts)]
+		other := host.world.hosts[(int(start.Key[0])+i)%len(host.world.hosts)]
 		if len(replies) < copies && host.reaches(other) {
-			replies = append(replies, other.AddCopy(begin, retain))
+			replies = append(replies, other.AddCopy(start, retain))
 		}
 	}
 	return replies
 }
 
-func (host *worldHost) FindBegin(key Key, content uint64) (inquiry Inquiry) {
+func (host *worldHost) FindStart(key Key, content uint64) (inquiry Inquiry) {
 	for _, other := range host.world.hosts {
 		if other == host {
 			continue
@@ -124,50 +124,50 @@
 
 const testHostName = "h.example"
 
-// begin begins a stream at a version, and reports whether its first event may be passed on.
-func (host *worldHost) begin(attempt string, origin Origin) bool {
+// start starts a stream at a version, and reports whether its first event may be passed on.
+func (host *worldHost) start(attempt string, origin Origin) bool {
 	key, _ := NewKey("w", attempt)
-	beginning := host.Begin(Begin{Key: key, Content: 7, Origin: origin, Endpoint: "e", Host: testHostName}, bvclock.Second)
-	return beginning.Await(context.Background()) == nil
+	recording := host.Record(Start{Key: key, Content: 7, Origin: origin, Endpoint: "e", HostName: testHostName}, bvclock.Second)
+	return recording.Await(context.Background()) == nil
 }
 
 func (host *worldHost) find(attempt string) (Origin, error) {
-	origin, _, err := host.Find(context.Background(), Query{Workspace: "w", Attempt: attempt, Content: 7, Host: testHostName})
+	origin, _, err := host.Find(context.Background(), Query{Workspace: "w", Attempt: attempt, Content: 7, HostName: testHostName})
 	return origin, err
 }
 
-// FuzzBegins plays begins and resumptions of streams at hosts that are lost, cut off from the store
-// and from each other, against an oracle that knows each begin.
-func FuzzBegins(f *testing.F) { f.Fuzz(rapid.MakeFuzz(checkBegins)) }
+// FuzzStarts plays starts and resumptions of streams at hosts that are lost, cut off from the store
+// and from each other, against an oracle that knows each start.
+func FuzzStarts(f *testing.F) { f.Fuzz(rapid.MakeFuzz(checkStarts)) }
 
-// TestAFoundBeginIsTheTrueOne guards against a stream that goes on at another version than the one
-// that began it.
-func TestAFoundBeginIsTheTrueOne(t *testing.T) { rapid.Check(t, checkBegins) }
+// TestAFoundStartIsTheTrueOne guards against a stream that goes on at another version than the one
+// that started it.
+func TestAFoundStartIsTheTrueOne(t *testing.T) { rapid.Check(t, checkStarts) }
 
-func checkBegins(t *rapid.T) {
+func checkStarts(t *rapid.T) {
 	world := newWorld(rapid.IntRange(1, 5).Draw(t, "hosts"))
 	versions := []Origin{{"s", "v1"}, {"s", "v2"}, {"r", "v1"}}
 	listed := 1
-	began := make(map[string]Origin) // streams whose first event was passed on
+	started := make(map[string]Origin) // streams whose first event was passed on
 	attempts := 0
 	anyHost := func(t *rapid.T) *worldHost { return rapid.SampledFrom(world.hosts).Draw(t, "host") }
 	t.Repeat(map[string]func(*rapid.T){
-		"begin": func(t *rapid.T) {
+		"start a stream": func(t *rapid.T) {
 			host := anyHost(t)
 			attempt, origin := string(rune('A'+attempts)), rapid.SampledFrom(versions[:listed]).Draw(t, "origin")
 			attempts++
-			if !host.down && host.begin(attempt, origin) {
-				began[attempt] = origin
+			if !host.down && host.start(attempt, origin) {
+				started[attempt] = origin
 			}
 		},
 		"resume": func(t *rapid.T) {
 			host := anyHost(t)
-			if host.down || len(began) == 0 {
+			if host.down || len(started) == 0 {
 				return
 			}
-			attempt := rapid.SampledFrom(slices.Sorted(mapKeys(began))).Draw(t, "attempt")
+			attempt := rapid.SampledFrom(slices.Sorted(mapKeys(started))).Draw(t, "attempt")
 			if origin, err := host.find(attempt); err == nil {
-				require.Equal(t, began[attempt], origin, "the origin of %s", attempt)
+				require.Equal(t, started[attempt], origin, "the origin of %s", attempt)
 			}
 		},
 		"list a version": func(*rapid.T) { listed = min(listed+1, len(versions)) },
@@ -181,7 +181,7 @@
 				host.restart()
 			}
 		},
-		"start": func(t *rapid.T) { anyHost(t).down = false },
+		"start a host": func(t *rapid.T) { anyHost(t).down = false },
 		"cut the store": func(t *rapid.T) {
 			host := anyHost(t)
 			host.storeCut = !host.storeCut
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -13,6 +13,7 @@
   "bvledger TestPromisesHoldUnderFaults 400"
   "bvgate TestPoolKeepsItsInvariantsUnderFailures 150"
   "bvrouter TestNoEndpointIsCalledBeyondTheDrainBound 100"
+  "bvstream TestAFoundStartIsTheTrueOne 500"
   "bvtable TestTableNeverLosesAnEditAndNeverGoesBack 150"
 )
 out=$(mktemp -d)
