--- a/bvgossip/stream.go
+++ b/bvgossip/stream.go
@@ -47,8 +47,8 @@
 		}
 		holders = holders[count:]
 		gossip.queryTrackers(probes, startTimeout, func(reply trackerReply) {
-			if started := reply.counts.GetCopy(); started != nil { // older builds keep no copy
-				replies = append(replies, started)
+			if copied := reply.counts.GetCopy(); copied != nil { // older builds keep no copy
+				replies = append(replies, copied)
 			}
 		})
 	}
--- a/bvrouter/streams.go
+++ b/bvrouter/streams.go
@@ -22,9 +22,9 @@
 	}
 	replies := peers.gossip.SendStart(rank, encodeStart(start, retain))
 	copies := make([]bvstream.Copy, len(replies))
-	for i, started := range replies {
-		copies[i] = bvstream.Copy{State: bvstream.Known, OriginFor: bvclock.Duration(started.GetOriginFor()) * bvclock.Second}
-		if started.GetAmbiguous() {
+	for i, reply := range replies {
+		copies[i] = bvstream.Copy{State: bvstream.Known, OriginFor: bvclock.Duration(reply.GetOriginFor()) * bvclock.Second}
+		if reply.GetAmbiguous() {
 			copies[i].State = bvstream.Ambiguous
 		}
 	}
--- a/bvstream/world_test.go
+++ b/bvstream/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -165,7 +166,7 @@
 			if host.down || len(started) == 0 {
 				return
 			}
-			attempt := rapid.SampledFrom(slices.Sorted(mapKeys(started))).Draw(t, "attempt")
+			attempt := rapid.SampledFrom(slices.Sorted(maps.Keys(started))).Draw(t, "attempt")
 			if origin, err := host.find(attempt); err == nil {
 				require.Equal(t, started[attempt], origin, "the origin of %s", attempt)
 			}
@@ -197,16 +198,6 @@
 	})
 }
 
-func mapKeys(origins map[string]Origin) func(yield func(string) bool) {
-	return func(yield func(string) bool) {
-		for attempt := range origins {
-			if !yield(attempt) {
-				return
-			}
-		}
-	}
-}
-
 const (
 	testTimeout = 10 * time.Second
 	tick        = time.Millisecond
