--- a/bvstream/streams.go
+++ b/bvstream/streams.go
@@ -102,10 +102,11 @@
 // EnsureStored reports whether an origin of streams is known to be stored. If not, or not for much
 // longer, it starts to store it.
 func (streams *Streams) EnsureStored(origin HostOrigin) bool {
+	isStored := streams.origins.storedFor(origin) > 0
 	if streams.origins.isDue(origin) {
 		streams.origins.startStoring(origin)
 	}
-	return streams.origins.storedFor(origin) > 0
+	return isStored
 }
 
 // StoreOrigins stores origins before streams start there, so that streams can start while the store
