--- a/bvdispatch/restart_test.go
+++ b/bvdispatch/restart_test.go
@@ -84,15 +84,15 @@
 	dispatcher := NewDispatcher(clock, 1, "")
 	suspects := bvsuspect.New(clock, nil, bvmeasure.New(), bvlog.New(io.Discard))
 	dispatcher.SetObserver(suspects)
-	request := bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}
+	content := bvsuspect.Content{Request: bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}}
 	for number := range 3 {
 		name := string(rune('a' + number))
 		before, after := start(name, "100", "10.0.0.1:1"), start(name, "200", "10.0.0.1:1")
 		before.Serves, after.Serves = "s", "s"
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{before})
-		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: request, Endpoint: HashID(before.ID())})
-		require.NotEqual(t, bvsuspect.Denied, suspects.Decide(request).Access)
+		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Content: content, Endpoint: HashID(before.ID())})
+		require.NotEqual(t, bvsuspect.Denied, suspects.Decide(content).Access)
 		dispatcher.SetEndpoints([]bvplatform.Endpoint{after})
 	}
-	require.Equal(t, bvsuspect.Denied, suspects.Decide(request).Access)
+	require.Equal(t, bvsuspect.Denied, suspects.Decide(content).Access)
 }
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -48,7 +48,7 @@
 	bodyTimedOut bool  // the body did not arrive before the read deadline
 	heldBytes    int64 // bytes of memory acquired
 	placement    bvdispatch.Request
-	fingerprint  bvsuspect.Fingerprint // the same for each retry of the request
+	content      bvsuspect.Content // the same for each retry of the request
 
 	sends       int  // number of endpoints it was sent to
 	runs        int  // sends after which it may have run
@@ -129,13 +129,13 @@
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
 	}
-	call.fingerprint = call.newFingerprint()
+	call.content = call.newContent()
 	if call.service.Engine != nil && call.metadata.Program != "" {
 		program := call.scopedID(call.metadata.Program)
 		call.placement.Program = bvroute.HashKey(program)
 		call.placement.Conversation = bvroute.HashKey(program + " " + call.metadata.Session)
 	}
-	if decision := call.front.parts.Suspects.Decide(call.fingerprint); decision.Access == bvsuspect.Denied {
+	if decision := call.front.parts.Suspects.Decide(call.content); decision.Access == bvsuspect.Denied {
 		return call.deniedError(decision)
 	}
 	if err := call.findOrigin(); err != nil {
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -139,8 +139,8 @@
 	if basis := call.quotaBasis; basis != nil {
 		fields["cap_level"], fields["cap_required"], fields["cap_share"] = basis.Level, basis.Required, basis.GroupShare
 	}
-	if err != nil && call.fingerprint != (bvsuspect.Fingerprint{}) {
-		fields["content"] = bvsuspect.FormatHash(call.fingerprint.Exact)
+	if err != nil && call.content.Request != (bvsuspect.Fingerprint{}) {
+		fields["content"] = bvsuspect.FormatHash(call.content.Request.Exact)
 	}
 	entry := call.front.parts.Log.WithFields(fields)
 	if err != nil {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -99,13 +99,13 @@
 type Suspects interface {
 	RecordBrokenCall(call bvsuspect.BrokenCall)
 	// RecordAnswer records that an endpoint has answered a request completely.
-	RecordAnswer(request bvsuspect.Fingerprint)
+	RecordAnswer(answer bvsuspect.Answer)
 	// RecordCheck records whether the endpoint of a broken call still runs.
 	RecordCheck(call bvsuspect.BrokenCall, result bvforward.Liveness)
 	// Decide decides what a request may do.
-	Decide(request bvsuspect.Fingerprint) bvsuspect.Decision
+	Decide(content bvsuspect.Content) bvsuspect.Decision
 	// Claim claims the right to run a request exclusively; EndClaim ends the run.
-	Claim(ctx context.Context, request bvsuspect.Fingerprint, decision bvsuspect.Decision) (*bvsuspect.Claim, error)
+	Claim(ctx context.Context, decision bvsuspect.Decision) (*bvsuspect.Claim, error)
 	EndClaim(claim *bvsuspect.Claim)
 }
 
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -160,7 +160,9 @@
 	case bvdispatch.Broken:
 		call.reportBroken()
 	case bvdispatch.Served:
-		call.front.parts.Suspects.RecordAnswer(call.fingerprint)
+		if !call.serverError { // an endpoint may fail a request before it runs it
+			call.front.parts.Suspects.RecordAnswer(bvsuspect.Answer{Content: call.content, SentAt: call.sentAt, Partial: call.resumesStream()})
+		}
 	}
 }
 
@@ -168,7 +170,7 @@
 // crashed the endpoint.
 func (call *call) reportBroken() {
 	broken := bvsuspect.BrokenCall{
-		Request:   call.fingerprint,
+		Content:   call.content,
 		Endpoint:  bvdispatch.HashID(call.endpoint.ID()),
 		ID:        call.metadata.ID,
 		Route:     call.route.Name,
--- a/bvfront/stream.go
+++ b/bvfront/stream.go
@@ -45,7 +45,7 @@
 	origin, source, err := call.front.parts.Streams.Find(call.ctx, bvstream.Query{
 		Workspace: call.workspaceName(),
 		Attempt:   call.metadata.Resumes,
-		Content:   call.fingerprint.AnyQuery,
+		Content:   call.content.Request.AnyQuery,
 		HostName:  call.route.Host,
 	})
 	call.originSource = source
@@ -131,7 +131,7 @@
 	}
 	call.origin = bvstream.Origin{Service: call.service.Name, Version: endpoint.Version}
 	start := bvstream.Start{
-		Content: call.fingerprint.AnyQuery, Origin: call.origin, Endpoint: endpoint.Name, HostName: call.route.Host,
+		Content: call.content.Request.AnyQuery, Origin: call.origin, Endpoint: endpoint.Name, HostName: call.route.Host,
 	}
 	key, hasKey := bvstream.NewKey(call.workspaceName(), call.metadata.ID)
 	if call.route.Resumable && hasKey && endpoint.Version != "" {
--- a/bvfront/suspect.go
+++ b/bvfront/suspect.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"strings"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
@@ -17,7 +19,7 @@
 	if call.claim != nil {
 		return nil
 	}
-	decision := call.front.parts.Suspects.Decide(call.fingerprint)
+	decision := call.front.parts.Suspects.Decide(call.content)
 	switch decision.Access {
 	case bvsuspect.Denied:
 		return call.deniedError(decision)
@@ -28,7 +30,7 @@
 }
 
 func (call *call) claimRun(decision bvsuspect.Decision) error {
-	claim, err := call.front.parts.Suspects.Claim(call.ctx, call.fingerprint, decision)
+	claim, err := call.front.parts.Suspects.Claim(call.ctx, decision)
 	switch {
 	case errors.Is(err, bvsuspect.ErrClaimed):
 		return call.suspectError("the request may crash endpoints and runs through another host", suspectRetry).WithCause(err)
@@ -65,3 +67,22 @@
 		suspects.EndClaim(claim)
 	}()
 }
+
+// newContent returns the features by which the request may crash endpoints.
+func (call *call) newContent() bvsuspect.Content {
+	content := bvsuspect.Content{Request: call.newFingerprint()}
+	scope := bvsuspect.Scope{Workspace: call.workspaceName(), Model: call.metadata.Model}
+	path, _, _ := strings.Cut(call.target(), "?")
+	content.AddPath(scope, bvroute.HashKey(call.request.Method+" "+call.request.Host+path))
+	parts := make([]uint64, 0, len(call.metadata.Prefix))
+	for _, part := range call.metadata.Prefix {
+		if part.Tokens > 0 { // an engine reads nothing of an empty part
+			parts = append(parts, part.Key)
+		}
+	}
+	content.AddParts(scope, parts)
+	if call.metadata.Affinity != "" {
+		content.AddObject(scope, bvroute.HashKey(call.metadata.Affinity))
+	}
+	return content
+}
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -170,16 +170,16 @@
 	first.Whole = true
 	router.endpoints.update(1, first)
 	router.setEndpoints(router.endpoints.all())
-	request := bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}
+	content := bvsuspect.Content{Request: bvsuspect.Fingerprint{Exact: 7, AnyQuery: 7}}
 	for i := range int64(3) {
 		chosen, found := router.dispatcher.Choose("apps", &bvdispatch.Request{})
 		require.True(t, found)
-		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Request: request, Endpoint: bvdispatch.HashID(chosen.ID())})
+		suspects.RecordBrokenCall(bvsuspect.BrokenCall{Content: content, Endpoint: bvdispatch.HashID(chosen.ID())})
 		update, changed := router.endpoints.update(1, start(i+2))
 		require.True(t, changed)
 		router.changeEndpoints(update)
 	}
-	require.Equal(t, bvsuspect.Denied, suspects.Decide(request).Access)
+	require.Equal(t, bvsuspect.Denied, suspects.Decide(content).Access)
 }
 
 // Guards against a compressor for each request for the list of hosts.
--- a/bvrouter/suspects.go
+++ b/bvrouter/suspects.go
@@ -31,15 +31,13 @@
 	if router.fleet().isLarge() {
 		minCrashes = minLargeFleetCrashes
 	}
-	changes := router.suspects.TakeChanges(minCrashes)
-	if len(changes) == 0 {
-		return
-	}
-	message := &bvgossip.Crashes{Host: router.settings.Name}
-	for _, report := range changes {
-		message.Crashes = append(message.Crashes, encodeReport(report))
+	for changes := router.suspects.TakeChanges(minCrashes); len(changes) > 0; changes = router.suspects.TakeChanges(minCrashes) {
+		message := &bvgossip.Crashes{Host: router.settings.Name}
+		for _, report := range changes {
+			message.Crashes = append(message.Crashes, encodeReport(report))
+		}
+		router.gossip.SendCrashes(message)
 	}
-	router.gossip.SendCrashes(message)
 }
 
 // HandleCrashes implements bvgossip.Handler.
@@ -105,11 +103,12 @@
 		Withdrawn:  report.Withdrawn,
 		Exclusive:  report.Exclusive,
 		OtherQuery: report.OtherQuery,
+		Feature:    uint32(report.Request.Feature),
 	}
 }
 
 func decodeReport(crash *bvgossip.Crash) bvsuspect.Report {
-	request := bvsuspect.Fingerprint{Exact: crash.GetRequest(), AnyQuery: crash.GetAnyQuery()}
+	request := bvsuspect.Fingerprint{Exact: crash.GetRequest(), AnyQuery: crash.GetAnyQuery(), Feature: bvsuspect.Feature(crash.GetFeature())}
 	if request.AnyQuery == 0 {
 		request.AnyQuery = request.Exact // an older build does not report it
 	}
--- a/bvsuspect/broken.go
+++ b/bvsuspect/broken.go
@@ -19,9 +19,10 @@
 type brokenCalls []brokenCall
 
 type brokenCall struct {
-	Crash
-	at      bvclock.Time
-	running bool // the endpoint still ran when it was checked
+	content  Content
+	endpoint uint64
+	at       bvclock.Time
+	running  bool // the endpoint still ran when it was checked
 
 	exclusive bool // the request ran exclusively
 }
@@ -34,7 +35,7 @@
 
 // drop drops the calls that broke at an endpoint before a time.
 func (calls *brokenCalls) drop(endpoint uint64, before bvclock.Time) {
-	*calls = slices.DeleteFunc(*calls, func(call brokenCall) bool { return call.Endpoint == endpoint && call.at.Before(before) })
+	*calls = slices.DeleteFunc(*calls, func(call brokenCall) bool { return call.endpoint == endpoint && call.at.Before(before) })
 }
 
 func (calls *brokenCalls) removeExpired(now bvclock.Time) {
@@ -43,35 +44,46 @@
 
 // RecordBrokenCall records that the connection to an endpoint broke during a request. This
 // alone does not make the request a suspect: answers are lost for many reasons.
-func (table *Table) RecordBrokenCall(now bvclock.Time, crash Crash, exclusive bool) {
+func (table *Table) RecordBrokenCall(now bvclock.Time, content Content, endpoint uint64, exclusive bool) {
 	if len(table.brokenCalls) >= maxBrokenCalls {
 		table.brokenCalls = slices.Delete(table.brokenCalls, 0, maxBrokenCalls/2)
 	}
-	table.brokenCalls = append(table.brokenCalls, brokenCall{Crash: crash, at: now, exclusive: exclusive})
+	table.brokenCalls = append(table.brokenCalls, brokenCall{content: content, endpoint: endpoint, at: now, exclusive: exclusive})
 }
 
 // RecordConnected records that an endpoint accepted connections after calls broke there.
 func (table *Table) RecordConnected(endpoint uint64) {
 	for i := range table.brokenCalls {
-		if table.brokenCalls[i].Endpoint == endpoint {
+		if table.brokenCalls[i].endpoint == endpoint {
 			table.brokenCalls[i].running = true
 		}
 	}
 }
 
-// RecordEndpointLoss records a sign that an endpoint has ended. The requests whose calls broke
-// there within crashWindow become suspects; it returns them.
+// RecordEndpointLoss records a sign that an endpoint has ended. The features of the requests whose
+// calls broke there within crashWindow become suspects; it returns them.
 func (table *Table) RecordEndpointLoss(now bvclock.Time, endpoint uint64, sign Sign) (crashes []DetectedCrash) {
 	if sign == Unreachable {
 		return nil
 	}
 	table.brokenCalls = slices.DeleteFunc(table.brokenCalls, func(call brokenCall) bool {
 		age := now.Sub(call.at)
-		isCrash := age <= crashWindow && call.Endpoint == endpoint && (sign != Removed || !call.running)
-		if isCrash && table.RecordCrash(now, call.Crash, call.exclusive) {
-			crashes = append(crashes, DetectedCrash{call.Crash, age})
+		isCrash := age <= crashWindow && call.endpoint == endpoint && (sign != Removed || !call.running)
+		if isCrash {
+			crashes = append(crashes, table.recordCrashes(now, call)...)
 		}
 		return isCrash || age > crashWindow
 	})
 	return crashes
 }
+
+// recordCrashes records the crash of an endpoint against each feature of a call that broke there.
+func (table *Table) recordCrashes(now bvclock.Time, call brokenCall) (crashes []DetectedCrash) {
+	for _, feature := range call.content.features() {
+		crash := Crash{feature, call.endpoint}
+		if table.RecordCrash(now, crash, call.exclusive) {
+			crashes = append(crashes, DetectedCrash{crash, now.Sub(call.at)})
+		}
+	}
+	return crashes
+}
--- a/bvsuspect/claim.go
+++ b/bvsuspect/claim.go
@@ -31,7 +31,7 @@
 	key     string
 	version int64
 	crashes int
-	request Fingerprint
+	cause   Fingerprint
 }
 
 // savedClaim is a row in the platform's store.
@@ -40,15 +40,15 @@
 	At    int64  `json:"at_unix_ms"`
 }
 
-// Claim claims the right to run a request for which Decide returns Exclusive. The crashes that
+// Claim claims the right to run a request for which Decide returned an Exclusive decision. The crashes that
 // this decision rests on are saved with it, so that they outlast all hosts.
-func (suspects *Suspects) Claim(ctx context.Context, request Fingerprint, decision Decision) (*Claim, error) {
+func (suspects *Suspects) Claim(ctx context.Context, decision Decision) (*Claim, error) {
 	if suspects.store == nil {
 		return nil, bvplatform.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Std())
 	defer cancel()
-	claim := &Claim{key: fmt.Sprintf("%s%s-%d", claimPrefix, FormatHash(decision.key), decision.Crashes), crashes: decision.Crashes, request: request}
+	claim := &Claim{key: fmt.Sprintf("%s%s-%d", claimPrefix, FormatHash(decision.key), decision.Crashes), crashes: decision.Crashes, cause: decision.Cause}
 	value, _ := json.Marshal(savedClaim{rand.Uint64(), suspects.unixMilli()}) // integers always encode
 	err := suspects.commitClaim(ctx, claim, value)
 	var conflict *bvplatform.ConflictError
@@ -64,7 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	suspects.log.WithFields(logrus.Fields{"content": FormatHash(request.Exact), "crashes": claim.crashes}).Info("suspect runs exclusively")
+	suspects.log.WithFields(logrus.Fields{
+		"content": FormatHash(claim.cause.Exact), "feature": claim.cause.Feature.String(), "crashes": claim.crashes,
+	}).Info("suspect runs exclusively")
 	return claim, nil
 }
 
@@ -80,7 +82,7 @@
 
 // commitClaim writes the claim over the row of its version, with the request's crashes.
 func (suspects *Suspects) commitClaim(ctx context.Context, claim *Claim, value []byte) error {
-	puts, crashes := suspects.rowsOf(claim.request)
+	puts, crashes := suspects.rowsOf(claim.cause)
 	transaction := bvplatform.Transaction{
 		Checks: []bvplatform.Check{{Key: claim.key, Version: claim.version}},
 		Puts:   append(puts, bvplatform.Put{Key: claim.key, Value: value}),
@@ -138,7 +140,7 @@
 func (suspects *Suspects) EndClaim(claim *Claim) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	if suspects.table.Crashes(claim.request) <= claim.crashes {
+	if suspects.table.Crashes(claim.cause) <= claim.crashes {
 		suspects.endedClaims = append(suspects.endedClaims, claim)
 	}
 }
--- a/bvsuspect/claim_test.go
+++ b/bvsuspect/claim_test.go
@@ -14,9 +14,9 @@
 
 // claimOf claims an exclusive run of a request, as a host does for a decision.
 func (suspects *Suspects) claimOf(t *testing.T, request Fingerprint) (*Claim, error) {
-	decision := suspects.Decide(request)
+	decision := suspects.Decide(contentOf(request))
 	require.Equal(t, Exclusive, decision.Access)
-	return suspects.Claim(t.Context(), request, decision)
+	return suspects.Claim(t.Context(), decision)
 }
 
 // newTwoHosts returns two hosts with one store. Both know of a suspect that runs exclusively.
@@ -65,7 +65,7 @@
 	require.NoError(t, err)
 	started, _ := newHostSuspects(store, 0)
 	require.NoError(t, started.Load(t.Context()))
-	require.Equal(t, exclusiveCrashes, started.Decide(request(1)).Crashes)
+	require.Equal(t, exclusiveCrashes, started.Decide(contentOf(request(1))).Crashes)
 }
 
 // Guards against a request that is refused for hours because its claimant has died.
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -1,6 +1,10 @@
 package bvsuspect
 
-import "balsamvalve.example/bvclock"
+import (
+	"slices"
+
+	"balsamvalve.example/bvclock"
+)
 
 //go:generate stringer -type=Access -linecomment -output=access_string.go
 
@@ -19,8 +23,10 @@
 	Access     Access
 	Crashes    int              // endpoints that it has crashed
 	RetryAfter bvclock.Duration // until a denied request may run exclusively
+	// Cause is what has crashed the endpoints: the request, or a shared feature of it.
+	Cause Fingerprint
 
-	key uint64 // of the request, or of all its queries: whose crashes decided
+	key uint64 // of the cause, or of the request with any query: whose crashes decided
 }
 
 const (
@@ -29,21 +35,48 @@
 	exclusiveCrashes = 2
 	// crashLimit is the number of crashes from which a request is denied.
 	crashLimit = 3
+	// sharedExclusiveCrashes and sharedCrashLimit apply to shared features: many requests have a
+	// popular one in common, so that it is in flight at two crashes more often than a request.
+	sharedExclusiveCrashes = 3
+	sharedCrashLimit       = 4
 )
 
+// limits returns the numbers of crashes from which a request runs exclusively and is denied.
+func (fingerprint Fingerprint) limits() (exclusive, denied int) {
+	if fingerprint.Feature.isShared() {
+		return sharedExclusiveCrashes, sharedCrashLimit
+	}
+	return exclusiveCrashes, crashLimit
+}
+
 // exclusivePauses is how long a denied request waits after its last crash until it may run once
 // more, exclusively; by how many of its exclusive runs have crashed. Its endpoints may have been
 // mended, or the crashes may have had another cause.
 var exclusivePauses = []bvclock.Duration{10 * bvclock.Second, bvclock.Minute, 10 * bvclock.Minute, bvclock.Hour}
 
-// Decide decides what a request may do.
+// DecideContent decides what a request may do by its most restricted feature. Of equally restricted
+// ones it takes the one with the most crashes, and a shared one before the request: requests that have
+// it in common must not run at the same time.
+func (table *Table) DecideContent(now bvclock.Time, content Content) Decision {
+	strictest := table.Decide(now, content.Request)
+	for _, shared := range content.Shared {
+		decision := table.Decide(now, shared)
+		if decision.Access > strictest.Access || decision.Access == strictest.Access && decision.Crashes >= max(strictest.Crashes, 1) {
+			strictest = decision
+		}
+	}
+	return strictest
+}
+
+// Decide decides what a request may do by its own crashes.
 func (table *Table) Decide(now bvclock.Time, request Fingerprint) Decision {
 	counted := table.counted(request)
-	decision := Decision{Crashes: counted.crashes(), key: counted.key}
+	decision := Decision{Crashes: counted.crashes(), Cause: request, key: counted.key}
+	exclusive, denied := request.limits()
 	switch {
-	case decision.Crashes < exclusiveCrashes:
+	case decision.Crashes < exclusive:
 		return decision
-	case decision.Crashes < crashLimit:
+	case decision.Crashes < denied:
 		decision.Access = Exclusive
 		return decision
 	}
@@ -79,10 +112,10 @@
 // differ from it in their query only, if several of them have crashed endpoints.
 func (table *Table) counted(request Fingerprint) countedCrashes {
 	exact := countedCrashes{key: request.Exact}
-	exact.add(table.suspects[request.Exact], false)
+	exact.add(table, table.suspects[request.Exact], false)
 	family, queries := countedCrashes{key: request.AnyQuery}, 0
 	for _, suspect := range table.families[request.AnyQuery] {
-		if family.add(suspect, true) {
+		if family.add(table, suspect, true) {
 			queries++
 		}
 	}
@@ -94,12 +127,13 @@
 
 // add adds the crashes of a suspect and reports whether there are any; ofFamily leaves out those
 // that count against one query only.
-func (counted *countedCrashes) add(suspect *suspect, ofFamily bool) (added bool) {
+func (counted *countedCrashes) add(table *Table, suspect *suspect, ofFamily bool) (added bool) {
 	if suspect == nil {
 		return false
 	}
+	total := suspect.total()
 	for endpoint, crash := range suspect.crashes {
-		if crash.withdrawn || ofFamily && crash.otherQuery {
+		if crash.withdrawn || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect.request.Feature, total) {
 			continue
 		}
 		if counted.endpoints == nil {
@@ -113,3 +147,28 @@
 	}
 	return added
 }
+
+// total returns the number of endpoints that crashed while they ran the suspect.
+func (suspect *suspect) total() (count int) {
+	for _, crash := range suspect.crashes {
+		if !crash.withdrawn {
+			count++
+		}
+	}
+	return count
+}
+
+// hasOtherCause reports whether an endpoint's crash has a better explanation than a feature with a total
+// of crashes: a restricted suspect with more of them, or a narrower one with as many. Without this rule,
+// requests beside a poisonous one would be restricted with it, and so would all those that have a wider
+// feature in common with it.
+func (table *Table) hasOtherCause(endpoint uint64, feature Feature, total int) bool {
+	return slices.ContainsFunc(table.crashed[endpoint], func(other *suspect) bool {
+		if other.crashes[endpoint].withdrawn || len(other.crashes) < total {
+			return false
+		}
+		others := other.total()
+		exclusive, _ := other.request.limits()
+		return others >= exclusive && (others > total || others == total && other.request.Feature < feature)
+	})
+}
--- a/bvsuspect/log_test.go
+++ b/bvsuspect/log_test.go
@@ -20,8 +20,8 @@
 // Guards against a log that does not show why a call that broke counts as a crash or does not.
 func TestLogTellsBrokenCallsFromCrashes(t *testing.T) {
 	suspects, clock, lines := newTestSuspects()
-	suspects.RecordBrokenCall(BrokenCall{Request: request(7), Endpoint: 1, ID: "r1", Name: "e1", HasAnswer: true})
-	suspects.RecordBrokenCall(BrokenCall{Request: request(8), Endpoint: 2, ID: "r2", Name: "e2", TimedOut: true})
+	suspects.RecordBrokenCall(BrokenCall{Content: contentOf(request(7)), Endpoint: 1, ID: "r1", Name: "e1", HasAnswer: true})
+	suspects.RecordBrokenCall(BrokenCall{Content: contentOf(request(8)), Endpoint: 2, ID: "r2", Name: "e2", TimedOut: true})
 	require.Contains(t, lines.String(), `"kind":"within the answer"`)
 	require.Contains(t, lines.String(), `"kind":"timed out"`)
 	clock.Advance(300)
--- a/bvsuspect/machine_test.go
+++ b/bvsuspect/machine_test.go
@@ -33,8 +33,8 @@
 	return store.Memory.Scan(ctx, prefix, after, limit)
 }
 
-// machine plays hosts with a request that crashes each endpoint and others that crash none. Its
-// oracle is what truly happened.
+// machine plays hosts with requests that crash each endpoint by the part that they have in common, and
+// others that crash none. Its oracle is what truly happened.
 type machine struct {
 	t     *rapid.T
 	store gatedStore
@@ -61,6 +61,7 @@
 
 const (
 	culprit        = 1000
+	culpritPart    = 2000
 	innocents      = 4
 	machineHosts   = 3
 	machineLatency = 5 * bvclock.Millisecond
@@ -84,14 +85,27 @@
 	return machine.hosts[rapid.IntRange(0, machineHosts-1).Draw(machine.t, "host")]
 }
 
+// culpritContent returns the next request that crashes its endpoint: each has a body of its own.
+func (machine *machine) culpritContent() Content {
+	return Content{Request: request(culprit + machine.endpoints), Shared: []Fingerprint{newShared(Part, culpritPart)}}
+}
+
+// innocentContent returns a request that crashes nothing. Each two of them have a part in common.
+func innocentContent(innocent uint64) Content {
+	return Content{Request: request(innocent), Shared: []Fingerprint{newShared(Part, 100+innocent/2)}}
+}
+
+// haveCommonPart reports whether two innocent requests have a part in common.
+func haveCommonPart(a, b uint64) bool { return a/2 == b/2 }
+
 // mayRun reports whether a host lets a request run, with its claim if it has one.
-func (host *machineHost) mayRun(request Fingerprint) (*Claim, bool) {
-	decision := host.Decide(request)
+func (host *machineHost) mayRun(content Content) (*Claim, bool) {
+	decision := host.Decide(content)
 	switch decision.Access {
 	case Denied:
 		return nil, false
 	case Exclusive:
-		claim, err := host.Claim(context.Background(), request, decision)
+		claim, err := host.Claim(context.Background(), decision)
 		return claim, err == nil
 	}
 	return nil, true
@@ -99,17 +113,17 @@
 
 // SendCulprit sends the request that crashes its endpoint and what else is in flight there.
 func (machine *machine) SendCulprit(t *rapid.T) {
-	host := machine.host()
-	claim, runs := host.mayRun(request(culprit))
+	host, content := machine.host(), machine.culpritContent()
+	claim, runs := host.mayRun(content)
 	if !runs {
 		return
 	}
 	machine.endpoints++
-	machine.advance(machineLatency)
-	host.RecordBrokenCall(BrokenCall{Request: request(culprit), Endpoint: machine.endpoints, Exclusive: claim != nil})
+	machine.advance(machineLatency + sharedAnswerWindow)
+	host.RecordBrokenCall(BrokenCall{Content: content, Endpoint: machine.endpoints, Exclusive: claim != nil})
 	for innocent := range machine.inFlight {
-		host.RecordBrokenCall(BrokenCall{Request: request(innocent), Endpoint: machine.endpoints})
-		delete(machine.answered, innocent)
+		host.RecordBrokenCall(BrokenCall{Content: innocentContent(innocent), Endpoint: machine.endpoints})
+		maps.DeleteFunc(machine.answered, func(other uint64, _ machineAnswer) bool { return haveCommonPart(innocent, other) })
 	}
 	machine.inFlight = make(map[uint64]bool)
 	host.RecordEndpointLoss(machine.endpoints, Refused)
@@ -127,7 +141,7 @@
 // BeginInnocent puts a request that crashes nothing at the endpoint that crashes next.
 func (machine *machine) BeginInnocent(t *rapid.T) {
 	innocent := rapid.Uint64Range(1, innocents).Draw(t, "innocent")
-	if claim, runs := machine.host().mayRun(request(innocent)); runs && claim == nil {
+	if claim, runs := machine.host().mayRun(innocentContent(innocent)); runs && claim == nil {
 		machine.inFlight[innocent] = true
 	}
 }
@@ -135,17 +149,28 @@
 // AnswerInnocent lets a request that crashes nothing run to its end.
 func (machine *machine) AnswerInnocent(t *rapid.T) {
 	innocent, host := rapid.Uint64Range(1, innocents).Draw(t, "innocent"), machine.host()
-	claim, runs := host.mayRun(request(innocent))
+	claim, runs := host.mayRun(innocentContent(innocent))
 	if !runs {
 		return
 	}
-	host.RecordAnswer(request(innocent))
+	machine.answer(host, innocent)
 	machine.answered[innocent] = machineAnswer{host, machine.now()}
 	if claim != nil {
 		host.EndClaim(claim)
 	}
 }
 
+// answer records answers to an innocent request at a host until no crash counts against its part: each
+// answer withdraws one.
+func (machine *machine) answer(host *machineHost, innocent uint64) {
+	content := innocentContent(innocent)
+	sentAt := host.clock.Now()
+	machine.advance(machineLatency)
+	for range len(machine.crashedAt) + 1 {
+		host.RecordAnswer(Answer{Content: content, SentAt: sentAt})
+	}
+}
+
 // Report sends one host's reports to another.
 func (machine *machine) Report(t *rapid.T) {
 	from, to := machine.host(), machine.host()
@@ -198,7 +223,7 @@
 		machine.answered[innocent] = machineAnswer{}
 	}
 	for _, host := range machine.hosts[1:] {
-		expected, decided := machine.hosts[0].Decide(request(culprit)), host.Decide(request(culprit))
+		expected, decided := machine.hosts[0].Decide(machine.culpritContent()), host.Decide(machine.culpritContent())
 		if max(expected.Crashes, decided.Crashes) >= exclusiveCrashes {
 			require.Equal(t, expected, decided, "hosts differ")
 		}
@@ -214,16 +239,16 @@
 
 func (machine *machine) checkInnocents(t *rapid.T, host *machineHost) {
 	for innocent := range machine.answered {
-		require.Equal(t, Free, host.Decide(request(innocent)).Access, "request %d was answered since its last crash", innocent)
+		require.Equal(t, Free, host.Decide(innocentContent(innocent)).Access, "request %d was answered since its last crash", innocent)
 	}
 }
 
 // Check implements rapid.StateMachine.
 func (machine *machine) Check(t *rapid.T) {
 	for _, host := range machine.hosts {
-		known := host.Decide(request(culprit))
+		known := host.Decide(machine.culpritContent())
 		require.LessOrEqual(t, known.Crashes, len(machine.crashedAt), "a crash that did not happen")
-		if known.Crashes < crashLimit {
+		if known.Crashes < sharedCrashLimit {
 			continue
 		}
 		last := machine.crashedAt[len(machine.crashedAt)-1]
--- a/bvsuspect/persist.go
+++ b/bvsuspect/persist.go
@@ -28,9 +28,10 @@
 
 // savedCrash is a row in the platform's store.
 type savedCrash struct {
-	AnyQuery  uint64 `json:"any_query"`
-	Exclusive bool   `json:"exclusive"`
-	At        int64  `json:"at_unix_ms"` // by the clock of the host that detected it
+	AnyQuery  uint64  `json:"any_query"`
+	Feature   Feature `json:"feature,omitempty"`
+	Exclusive bool    `json:"exclusive"`
+	At        int64   `json:"at_unix_ms"` // by the clock of the host that detected it
 }
 
 // crashKey returns the key of a crash in the platform's store.
@@ -51,7 +52,7 @@
 	if err := errors.Join(requestErr, endpointErr, json.Unmarshal(row.Value, &saved)); err != nil {
 		return report, fmt.Errorf("suspects: row %s: %w", row.Key, err)
 	}
-	report.Crash = Crash{Fingerprint{request, saved.AnyQuery}, incarnation}
+	report.Crash = Crash{Fingerprint{request, saved.AnyQuery, saved.Feature}, incarnation}
 	report.Exclusive, report.Age = saved.Exclusive, suspects.ageOf(saved.At)
 	return report, nil
 }
@@ -90,7 +91,7 @@
 	for _, report := range crashes {
 		put := bvplatform.Put{Key: crashKey(report.Crash)}
 		if !report.Withdrawn {
-			saved := savedCrash{report.Request.AnyQuery, report.Exclusive, wall - int64(report.Age)}
+			saved := savedCrash{report.Request.AnyQuery, report.Request.Feature, report.Exclusive, wall - int64(report.Age)}
 			put.Value, _ = json.Marshal(saved) // numbers always encode
 		}
 		puts = append(puts, put)
--- a/bvsuspect/persist_test.go
+++ b/bvsuspect/persist_test.go
@@ -26,13 +26,13 @@
 // crash records that a request has crashed endpoints, from one number up to another.
 func (suspects *Suspects) crash(request Fingerprint, from, to uint64) {
 	for endpoint := from; endpoint < to; endpoint++ {
-		suspects.RecordBrokenCall(BrokenCall{Request: request, Endpoint: endpoint})
+		suspects.RecordBrokenCall(BrokenCall{Content: contentOf(request), Endpoint: endpoint})
 		suspects.RecordEndpointLoss(endpoint, Refused)
 	}
 }
 
 func (suspects *Suspects) isDenied(request Fingerprint) bool {
-	return suspects.Decide(request).Access == Denied
+	return suspects.Decide(contentOf(request)).Access == Denied
 }
 
 func savedCount(t *testing.T, store bvplatform.Store) int {
@@ -78,7 +78,7 @@
 	require.NoError(t, first.Save(t.Context()))
 	second, _ := newHostSuspects(store, 0)
 	require.NoError(t, second.Load(t.Context()))
-	second.RecordAnswer(request(1))
+	second.RecordAnswer(Answer{Content: contentOf(request(1))})
 	require.NoError(t, second.Save(t.Context()))
 	require.Zero(t, savedCount(t, store))
 }
--- a/bvsuspect/recent.go
+++ b/bvsuspect/recent.go
@@ -6,38 +6,60 @@
 	// answerWindow is how long before a crash an answer clears a request: one that crashes
 	// endpoints is never answered.
 	answerWindow = 10 * bvclock.Second
-	// maxRecentRequests bounds the requests that are retained for that.
-	maxRecentRequests = 8192
+	// sharedAnswerWindow is how long before a crash an answer clears a shared feature. Those in
+	// flight at several endpoints are answered more often than that, so none is restricted when
+	// many endpoints are lost at once. It is short, since endpoints may begin to crash by a feature.
+	sharedAnswerWindow = 500 * bvclock.Millisecond
+	// maxAnswers bounds the answers that are retained for that.
+	maxAnswers = 32768
 )
 
-// recentRequests are hashes of requests that were answered in the last answerWindow, or up to
-// twice as long ago. The zero value is empty.
-type recentRequests struct {
-	current, previous map[uint64]struct{}
+// answer holds the times of an answered call.
+type answer struct {
+	sentAt, endedAt bvclock.Time
+}
+
+// recentAnswers are the last answers to requests and those with shared features, by hash. Those of the last
+// answerWindow are retained, or of up to twice that time. The zero value is empty.
+type recentAnswers struct {
+	current, previous map[uint64]answer
 	startedAt         bvclock.Time // of current
 }
 
-// rotate drops old hashes.
-func (requests *recentRequests) rotate(now bvclock.Time) {
-	age := now.Sub(requests.startedAt)
-	if requests.current != nil && age < answerWindow && len(requests.current) < maxRecentRequests/2 {
+// rotate drops old answers.
+func (answers *recentAnswers) rotate(now bvclock.Time) {
+	age := now.Sub(answers.startedAt)
+	if answers.current != nil && age < answerWindow && len(answers.current) < maxAnswers/2 {
 		return
 	}
-	requests.previous = requests.current
+	answers.previous = answers.current
 	if age >= 2*answerWindow {
-		requests.previous = nil
+		answers.previous = nil
 	}
-	requests.current, requests.startedAt = make(map[uint64]struct{}), now
+	answers.current, answers.startedAt = make(map[uint64]answer), now
+}
+
+func (answers *recentAnswers) add(now bvclock.Time, hash uint64, added answer) {
+	answers.rotate(now)
+	answers.current[hash] = added
 }
 
-func (requests *recentRequests) add(now bvclock.Time, request uint64) {
-	requests.rotate(now)
-	requests.current[request] = struct{}{}
+// clears reports whether an answer clears what has a hash of a crash at a time.
+func (answers *recentAnswers) clears(now bvclock.Time, hash uint64, feature Feature, crashedAt bvclock.Time) bool {
+	answers.rotate(now)
+	last, found := answers.current[hash]
+	if !found {
+		last, found = answers.previous[hash]
+	}
+	return found && (!feature.isShared() || last.clearsShared(crashedAt))
 }
 
-func (requests *recentRequests) has(now bvclock.Time, request uint64) bool {
-	requests.rotate(now)
-	_, inCurrent := requests.current[request]
-	_, inPrevious := requests.previous[request]
-	return inCurrent || inPrevious
+// clearsShared reports whether an answer to a request clears its shared features of a crash. An
+// answer that was in progress at the time of the crash does not: its run may have begun before
+// endpoints crash by them.
+func (answer answer) clearsShared(crashedAt bvclock.Time) bool {
+	if answer.sentAt.After(crashedAt) {
+		return true
+	}
+	return !answer.endedAt.After(crashedAt) && crashedAt.Sub(answer.endedAt) < sharedAnswerWindow
 }
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -9,6 +9,10 @@
 // of requests with several of them are in the platform's store too: hosts that start or were
 // cut off read them there.
 //
+// Requests that differ may crash endpoints by what they have in common: the path, the object that they
+// concern, or a part of their prompts. So a crash counts against each of these features of a call that broke
+// there, and a request is restricted by its worst feature.
+//
 // A Table holds what is known; it is pure logic. Suspects wraps a Table for concurrent use,
 // and writes a log line for each step that decides whether a request is refused.
 //
@@ -17,9 +21,9 @@
 //	suspects := bvsuspect.New(clock, store, counters, log)
 //	suspects.RecordBrokenCall(call)
 //	suspects.RecordCheck(call, connections.Check(ctx, endpoint))
-//	switch decision := suspects.Decide(request); decision.Access {
+//	switch decision := suspects.Decide(content); decision.Access {
 //	case bvsuspect.Exclusive:
-//		claim, err := suspects.Claim(ctx, request, decision) // and EndClaim after the run
+//		claim, err := suspects.Claim(ctx, decision) // and EndClaim after the run
 //	case bvsuspect.Denied:
 //		// refuse the request until decision.RetryAfter
 //	}
@@ -34,6 +38,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,7 +67,7 @@
 
 // BrokenCall is a call to an endpoint that ended without a complete answer.
 type BrokenCall struct {
-	Request  Fingerprint
+	Content
 	Endpoint uint64 // hash of the endpoint's ID
 	// ID, Route and Name describe the call in the log: the request's ID, its route, and the
 	// endpoint's name.
@@ -145,13 +150,14 @@
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	suspects.table.RecordBrokenCall(now, Crash{call.Request, call.Endpoint}, call.Exclusive)
+	suspects.table.RecordBrokenCall(now, call.Content, call.Endpoint, call.Exclusive)
 	suspects.counters.Count("broken_calls", call.kind())
 	suspects.log.WithFields(logrus.Fields{
 		"request":     call.ID,
 		"route":       call.Route,
 		"content":     FormatHash(call.Request.Exact),
 		"any_query":   FormatHash(call.Request.AnyQuery),
+		"shared":      formatShared(call.Shared),
 		"endpoint":    call.Name,
 		"incarnation": FormatHash(call.Endpoint),
 		"kind":        call.kind(),
@@ -209,12 +215,25 @@
 	}
 }
 
+// Answer is a complete answer of an endpoint.
+type Answer struct {
+	Content
+	SentAt  bvclock.Time // when the request was sent to the endpoint
+	Partial bool         // the endpoint ran a part of the request only: the rest of a stream
+}
+
 // RecordAnswer records that an endpoint has answered a request completely.
-func (suspects *Suspects) RecordAnswer(request Fingerprint) {
+func (suspects *Suspects) RecordAnswer(answer Answer) {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	suspects.logWithdrawn(suspects.table.RecordAnswer(now, request), "request answered")
+	suspects.logWithdrawn(suspects.table.RecordAnswer(now, answer.Request), "request answered")
+	if answer.Partial {
+		return
+	}
+	for _, shared := range answer.Shared {
+		suspects.logWithdrawn(suspects.table.RecordSharedAnswer(now, shared.Exact, answer.SentAt), "request with it answered")
+	}
 }
 
 // RecordRunning records that an endpoint has answered a request that was sent to it at a time.
@@ -261,21 +280,28 @@
 	suspects.logCrash(report.Crash, message, logrus.Fields{"source": source, "age_ms": int64(report.Age)})
 }
 
+// logCrash logs a change of a crash. A single crash of a shared feature is not logged: nearly all of
+// those in flight did not cause it.
 func (suspects *Suspects) logCrash(crash Crash, message string, fields logrus.Fields) {
+	crashes := suspects.table.Crashes(crash.Request)
+	if crash.Request.Feature.isShared() && crashes < exclusiveCrashes {
+		return
+	}
 	suspects.log.WithFields(fields).WithFields(logrus.Fields{
 		"content":     FormatHash(crash.Request.Exact),
 		"any_query":   FormatHash(crash.Request.AnyQuery),
+		"feature":     crash.Request.Feature.String(),
 		"incarnation": FormatHash(crash.Endpoint),
-		"crashes":     suspects.table.Crashes(crash.Request),
+		"crashes":     crashes,
 	}).Info(message)
 }
 
 // Decide decides what a request may do.
-func (suspects *Suspects) Decide(request Fingerprint) Decision {
+func (suspects *Suspects) Decide(content Content) Decision {
 	now := suspects.clock.Now()
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	return suspects.table.Decide(now, request)
+	return suspects.table.DecideContent(now, content)
 }
 
 // Reports returns what to report to other hosts.
@@ -286,6 +312,15 @@
 	return suspects.table.Reports(now)
 }
 
+// formatShared formats shared features for the log.
+func formatShared(shared []Fingerprint) string {
+	formatted := make([]string, len(shared))
+	for i, fingerprint := range shared {
+		formatted[i] = fingerprint.Feature.String() + " " + FormatHash(fingerprint.Exact)
+	}
+	return strings.Join(formatted, ",")
+}
+
 // FormatHash formats a hash for the log.
 func FormatHash(hash uint64) string { return fmt.Sprintf("%016x", hash) }
 
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -17,18 +17,21 @@
 	reportTime = 10 * bvclock.Second
 	// maxSuspects bounds the requests that are retained, and maxReports the crashes that are
 	// reported at once.
-	maxSuspects = 1024
+	maxSuspects = 4096
 	maxReports  = 64
 )
 
-// Fingerprint identifies a request that its caller sends again: in the same workspace, with the
-// same method, host, path, parent turn and body. The zero value is none.
+// Fingerprint identifies what may crash endpoints: a request that its caller sends again, in the same
+// workspace, with the same method, host, path, parent turn and body; or what requests of a workspace
+// have in common. The zero value is none.
 type Fingerprint struct {
 	Exact    uint64 // hash of the request with its query
 	AnyQuery uint64 // hash of the request without its query
+	// Feature is what the hashes are of. Both are the same unless it is WholeRequest.
+	Feature Feature
 }
 
-// Crash is the end of an endpoint while it ran a request.
+// Crash is the end of an endpoint while it ran a request, or one with a shared feature.
 type Crash struct {
 	Request  Fingerprint
 	Endpoint uint64 // hash of the endpoint's ID, which differs with each start
@@ -51,18 +54,19 @@
 //
 // Several requests are in flight at an endpoint that crashes. The one that caused it is never
 // answered; for each other one, an answer withdraws the crashes that count against it. So does an
-// answer of an endpoint that counted as crashed.
+// answer of an endpoint that counted as crashed. The same holds for the shared features of these
+// requests.
 type Table struct {
 	brokenCalls brokenCalls
-	answered    recentRequests
+	answered    recentAnswers
 	suspects    map[uint64]*suspect // by exact request
 	// families holds the suspects that differ in their query only.
 	families map[uint64][]*suspect
-	crashed  map[uint64]int // number of crashes by endpoint
-	unsaved  bool           // Unsaved may have something to return
+	crashed  map[uint64][]*suspect // by endpoint
+	unsaved  bool                  // Unsaved may have something to return
 }
 
-// suspect is a request that was in flight when endpoints crashed.
+// suspect is a request or a shared feature that was in flight when endpoints crashed.
 type suspect struct {
 	request   Fingerprint
 	crashes   map[uint64]*crash // by endpoint
@@ -117,7 +121,7 @@
 	if known == nil {
 		known = &crash{at: now.Add(-report.Age)}
 		found.crashes[report.Endpoint] = known
-		table.crashed[report.Endpoint]++
+		table.crashed[report.Endpoint] = append(table.crashed[report.Endpoint], found)
 		changed = true
 	}
 	changed = known.merge(report.Withdrawn, report.OtherQuery) || report.Exclusive && !known.exclusive || changed
@@ -125,8 +129,8 @@
 	if changed {
 		found.changedAt, table.unsaved = now, true
 	}
-	isAnswered := table.answered.has(now, report.Request.Exact)
-	if known.merge(isAnswered, table.answered.has(now, report.Request.AnyQuery)) {
+	isAnswered := table.answered.clears(now, report.Request.Exact, report.Request.Feature, known.at)
+	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, report.Request.Feature, known.at)) {
 		known.withdrawnHere = known.withdrawnHere || isAnswered
 		found.recordChange(now)
 		changed = true
@@ -200,7 +204,7 @@
 		return found
 	}
 	if table.suspects == nil {
-		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64]int)
+		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64][]*suspect)
 	}
 	if len(table.suspects) >= maxSuspects {
 		table.remove(slices.MaxFunc(slices.Collect(maps.Values(table.suspects)), compareUse))
@@ -225,18 +229,45 @@
 		delete(table.families, removed.request.AnyQuery)
 	}
 	for endpoint := range removed.crashes {
-		table.crashed[endpoint]--
-		if table.crashed[endpoint] == 0 {
+		table.crashed[endpoint] = slices.DeleteFunc(table.crashed[endpoint], func(other *suspect) bool { return other == removed })
+		if len(table.crashed[endpoint]) == 0 {
 			delete(table.crashed, endpoint)
 		}
 	}
 }
 
+// RecordSharedAnswer records that an endpoint has answered a request with a shared feature, which was
+// sent to it at a time. It returns the crash that no longer counts against the feature. A run that is short
+// may end before the endpoint crashes by it, so that each answer withdraws a single crash.
+func (table *Table) RecordSharedAnswer(now bvclock.Time, hash uint64, sentAt bvclock.Time) (withdrawn []Crash) {
+	table.answered.add(now, hash, answer{sentAt, now})
+	suspect := table.suspects[hash]
+	if suspect == nil {
+		return nil
+	}
+	var oldest *crash
+	var crashed uint64
+	for endpoint, crash := range suspect.crashes {
+		if crash.withdrawn || !sentAt.After(crash.at) {
+			continue
+		}
+		if oldest == nil || crash.at.Before(oldest.at) || crash.at == oldest.at && endpoint < crashed {
+			oldest, crashed = crash, endpoint
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	oldest.withdrawn, oldest.withdrawnHere, table.unsaved = true, true, true
+	suspect.recordChange(now)
+	return []Crash{{suspect.request, crashed}}
+}
+
 // RecordAnswer records that an endpoint has answered a request completely. It returns the
 // crashes that no longer count against the request.
 func (table *Table) RecordAnswer(now bvclock.Time, request Fingerprint) (withdrawn []Crash) {
-	table.answered.add(now, request.Exact)
-	table.answered.add(now, request.AnyQuery)
+	table.answered.add(now, request.Exact, answer{now, now})
+	table.answered.add(now, request.AnyQuery, answer{now, now})
 	for _, suspect := range table.families[request.AnyQuery] {
 		isExact := suspect.request.Exact == request.Exact
 		for endpoint, crash := range suspect.crashes {
@@ -257,12 +288,9 @@
 // has not crashed before. It returns the crashes that no longer count.
 func (table *Table) RecordRunning(now bvclock.Time, endpoint uint64, sentAt bvclock.Time) (withdrawn []Crash) {
 	table.brokenCalls.drop(endpoint, sentAt)
-	if table.crashed[endpoint] == 0 {
-		return nil
-	}
-	for _, suspect := range table.suspects {
+	for _, suspect := range table.crashed[endpoint] {
 		crash := suspect.crashes[endpoint]
-		if crash == nil || crash.withdrawn || !sentAt.After(crash.at) {
+		if crash.withdrawn || !sentAt.After(crash.at) {
 			continue
 		}
 		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
@@ -291,21 +319,31 @@
 	}
 }
 
-// TakeChanges returns what to report at once of the changes that this host has detected since the
-// last call: those of requests that have crashed at least a number of endpoints, and those that
-// clear a request.
+// TakeChanges returns what to report at once of the changes that this host has detected: those of
+// requests that have crashed at least a number of endpoints, and those that clear a request. What is
+// beyond maxReports is returned by the next calls.
 func (table *Table) TakeChanges(now bvclock.Time, minCrashes int) []Report {
-	var reports []Report
+	var changed []*suspect
 	for _, suspect := range table.suspects {
 		if !suspect.changedHere {
 			continue
 		}
+		if total := suspect.total(); total == 0 || max(total, table.Crashes(suspect.request)) >= minCrashes {
+			changed = append(changed, suspect)
+			continue
+		}
 		suspect.changedHere = false
-		if crashes := table.Crashes(suspect.request); crashes == 0 || crashes >= minCrashes {
-			reports = append(reports, suspect.reports(now)...)
+	}
+	slices.SortFunc(changed, compareUse)
+	var reports []Report
+	for _, suspect := range changed {
+		if len(reports) >= maxReports {
+			break
 		}
+		suspect.changedHere = false
+		reports = append(reports, suspect.reports(now)...)
 	}
-	return reports[:min(len(reports), maxReports)]
+	return reports
 }
 
 // Reports returns what to report to other hosts regularly, and removes old crashes.
--- a/bvsuspect/table_test.go
+++ b/bvsuspect/table_test.go
@@ -16,6 +16,9 @@
 	return Fingerprint{Exact: number<<32 + query, AnyQuery: number}
 }
 
+// contentOf returns the content of a request without shared features.
+func contentOf(request Fingerprint) Content { return Content{Request: request} }
+
 // isDenied reports whether a request may not run.
 func isDenied(table *Table, now bvclock.Time, request Fingerprint) bool {
 	return table.Decide(now, request).Access == Denied
@@ -26,7 +29,7 @@
 	var table Table
 	for endpoint := range uint64(crashLimit) {
 		require.False(t, isDenied(&table, 10, request(1)))
-		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
+		table.RecordBrokenCall(10, contentOf(request(1)), endpoint, false)
 		table.RecordEndpointLoss(11, endpoint, Refused)
 	}
 	require.True(t, isDenied(&table, 12, request(1)))
@@ -38,7 +41,7 @@
 func TestLostAnswersAreNoCrashes(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(50) {
-		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
+		table.RecordBrokenCall(10, contentOf(request(1)), endpoint, false)
 	}
 	require.False(t, isDenied(&table, 11, request(1)))
 }
@@ -47,7 +50,7 @@
 func TestLaterLossOfAnEndpointIsNoCrash(t *testing.T) {
 	var table Table
 	for endpoint := range uint64(crashLimit) {
-		table.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
+		table.RecordBrokenCall(10, contentOf(request(1)), endpoint, false)
 		table.RecordEndpointLoss(bvclock.Time(10).Add(crashWindow+1), endpoint, Refused)
 	}
 	require.Empty(t, table.Reports(bvclock.Time(crashWindow)+20))
@@ -57,7 +60,7 @@
 func TestCrashesSeenByOtherHostsCount(t *testing.T) {
 	var here, there Table
 	for endpoint := range uint64(crashLimit) {
-		there.RecordBrokenCall(10, Crash{request(1), endpoint}, false)
+		there.RecordBrokenCall(10, contentOf(request(1)), endpoint, false)
 		there.RecordEndpointLoss(10, endpoint, Refused)
 	}
 	for range 2 {
@@ -72,7 +75,7 @@
 func TestSuspectsStayBounded(t *testing.T) {
 	var table Table
 	for number := range uint64(10 * maxBrokenCalls) {
-		table.RecordBrokenCall(10, Crash{request(number), 1}, false)
+		table.RecordBrokenCall(10, contentOf(request(number)), 1, false)
 	}
 	require.LessOrEqual(t, len(table.brokenCalls), maxBrokenCalls)
 	table.RecordEndpointLoss(10, 1, Refused)
@@ -85,7 +88,7 @@
 // Guards against a crash that is counted because an endpoint can't be reached for another reason.
 func TestUnreachableEndpointIsNoCrash(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
+	table.RecordBrokenCall(10, contentOf(request(1)), 1, false)
 	require.Empty(t, table.RecordEndpointLoss(10, 1, Unreachable))
 	require.Len(t, table.RecordEndpointLoss(10, 1, AnotherInstance), 1)
 }
@@ -93,8 +96,8 @@
 // Guards against planned departures that count as crashes, and silent machines that don't.
 func TestRemovalIsACrashUnlessTheEndpointRan(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
-	table.RecordBrokenCall(10, Crash{request(1), 2}, false)
+	table.RecordBrokenCall(10, contentOf(request(1)), 1, false)
+	table.RecordBrokenCall(10, contentOf(request(1)), 2, false)
 	table.RecordConnected(1)
 	require.Empty(t, table.RecordEndpointLoss(4000, 1, Removed))
 	require.Len(t, table.RecordEndpointLoss(4000, 2, Removed), 1)
@@ -164,7 +167,7 @@
 // Guards against a call that broke at an endpoint long before it ends.
 func TestBrokenCallIsDroppedWhenItsEndpointAnswers(t *testing.T) {
 	var table Table
-	table.RecordBrokenCall(10, Crash{request(1), 1}, false)
+	table.RecordBrokenCall(10, contentOf(request(1)), 1, false)
 	table.RecordRunning(30, 1, 20)
 	require.Empty(t, table.RecordEndpointLoss(40, 1, Refused))
 }
@@ -282,12 +285,10 @@
 	var table Table
 	for number := range uint64(crashLimit + 1) {
 		for endpoint := range number {
-			table.RecordBrokenCall(10, Crash{request(number), endpoint}, false)
+			table.RecordBrokenCall(10, contentOf(request(number)), 10*number+endpoint, false)
+			table.RecordEndpointLoss(11, 10*number+endpoint, Refused)
 		}
 	}
-	for endpoint := range uint64(crashLimit) {
-		table.RecordEndpointLoss(11, endpoint, Refused)
-	}
 	require.Equal(t, 2, table.RestrictedCount(12), "the requests with two crashes and with three")
 	table.RecordAnswer(13, request(crashLimit))
 	require.Equal(t, 1, table.RestrictedCount(14))
