Shares of workspaces over all hosts in bvshare, bvdispatch and the simulation

Cause: fairness between workspaces counts the programs that one host started. With 84 hosts a host starts less than three in its window, so no workspace dominates. Change: hosts count work by workspace and exchange the counts; under contention, programs of workspaces above their max-min fair share are rejected first. The mechanism `shares` switches it off.

--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -3,6 +3,7 @@
 import (
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
+	"balsamvalve.example/bvshare"
 )
 
 // Admission control for new programs, for load beyond what the engines can serve in time.
@@ -28,6 +29,8 @@
 type NewProgram struct {
 	Priority  int
 	Workspace string // "": of none
+	// Standing is set, unless it is nil, if the workspace's share decides on a rejection.
+	Standing *bvshare.Standing
 }
 
 // Admit reports whether a new program may begin. If not, it returns the time after
@@ -51,6 +54,9 @@
 	if program.Workspace == "" || pool.disabled.Has(bvmechanism.Fairness) {
 		return limit
 	}
+	if shareLimit, decided := pool.shareLimit(now, program, limit); decided {
+		return shareLimit
+	}
 	if dominant, found := pool.startedPrograms.dominant(now); found && dominant != program.Workspace {
 		limit += othersExtraShare
 	}
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvshare"
 	"balsamvalve.example/bvsuspect"
 )
 
@@ -24,6 +25,8 @@
 	pools      map[string]*Pool
 	placements []Placement // since the last call of TakeLoadReport
 
+	shares bvshare.Shares // of all services together
+
 	trackers Trackers         // nil: none
 	observer EndpointObserver // nil: none
 }
@@ -134,6 +137,7 @@
 	if found == nil {
 		found = NewPool(dispatcher.seed, dispatcher.zone)
 		found.Disable(dispatcher.disabled)
+		found.shares = &dispatcher.shares
 		dispatcher.pools[service] = found
 	}
 	return found
@@ -359,6 +363,7 @@
 // EndCall records the end of a call.
 func (dispatcher *Dispatcher) EndCall(service, endpoint string, request *Request, result Result) {
 	hash := HashID(endpoint)
+	dispatcher.recordOutputWork(service, endpoint, request, result)
 	dispatcher.reportRunning(hash, dispatcher.endCall(service, endpoint, hash, result))
 	if result.Outcome == Served && dispatcher.hasTracker(request) {
 		dispatcher.trackers.ReportHolding(request.Program, request.Conversation, hash, request.PromptTokens+result.OutputTokens)
--- a/bvdispatch/fairness.go
+++ b/bvdispatch/fairness.go
@@ -8,7 +8,8 @@
 
 // Fairness between workspaces, for an overload caused by one workspace. While one
 // workspace starts a large part of all programs, its programs are rejected before those of
-// the others.
+// the others. It is judged by the programs that this host started where the work of all
+// hosts is not known (shares.go).
 const (
 	// programCountDecay is the time constant of the decay of the program counts.
 	programCountDecay = 5 * bvclock.Second
@@ -27,6 +28,7 @@
 	programs  map[string]float64
 	total     float64
 	updatedAt bvclock.Time
+	mean      meanWork
 }
 
 func (counts *programCounts) add(now bvclock.Time, workspace string) {
@@ -36,6 +38,7 @@
 	counts.decay(now)
 	counts.programs[workspace]++
 	counts.total++
+	counts.mean.addProgram()
 }
 
 // minProgramCount is the count below which a workspace is dropped.
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -30,6 +30,7 @@
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
+	"balsamvalve.example/bvshare"
 	"balsamvalve.example/bvsuspect"
 )
 
@@ -46,6 +47,7 @@
 	HeldPrefix    HeldPrefix      // where the previous turn ran
 	Program       uint64          // that the turn belongs to; 0: none
 	Conversation  uint64          // sequence of the program's turns that this one continues
+	Workspace     string          // that the work counts for; "": none
 	holderQueried bool            // the program's tracker was queried
 	holderUnknown bool            // it did not answer
 	// PeerCalls holds the calls that the other hosts have now at the endpoints to choose
@@ -75,6 +77,7 @@
 	pace            average // of calls, in milliseconds per event or answer
 	reading         readingEstimator
 	startedPrograms programCounts
+	shares          *bvshare.Shares
 	zone            string // availability zone of this host
 	disabled        bvmechanism.Set
 
@@ -104,6 +107,7 @@
 		zone:     zone,
 		prefixes: make(map[uint64]prefixUse),
 		versions: make(map[string]versionCount),
+		shares:   &bvshare.Shares{},
 	}
 }
 
@@ -238,6 +242,7 @@
 		return nil
 	}
 	row.running++
+	pool.recordPromptWork(now, request)
 	pool.recordRecent(row)
 	return row.cache.recordPrompt(request.Prefix, row.entry.CacheTokens)
 }
--- a/bvfleet/result.go
+++ b/bvfleet/result.go
@@ -16,6 +16,10 @@
 	// Programs of the workspaces other than the first; 0 without workspaces.
 	Others       int // programs that started
 	OthersInTime int
+
+	// Reports of the workspaces' work.
+	ShareReports int
+	ShareEntries int // of all reports
 }
 
 func (simulation *simulation) summarize() Result {
@@ -55,6 +59,11 @@
 	return float64(result.OthersInTime) / float64(max(result.Others, 1))
 }
 
+// MeanShareEntries returns the number of entries of a report of the workspaces' work.
+func (result Result) MeanShareEntries() float64 {
+	return float64(result.ShareEntries) / float64(max(result.ShareReports, 1))
+}
+
 // ShareWaited returns the fraction of the turns that waited for a slot.
 func (result Result) ShareWaited() float64 {
 	return float64(result.WaitedTurns) / float64(max(result.SentTurns, 1))
--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -70,6 +70,9 @@
 		if simulation.now%bvclock.Time(load.DigestInterval) == 0 {
 			simulation.exchangeDigests()
 		}
+		if load.Workspaces > 0 {
+			simulation.exchangeShares()
+		}
 	}
 	return simulation.summarize()
 }
@@ -162,7 +165,7 @@
 			return
 		}
 	}
-	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens}
+	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens, Workspace: program.workspace}
 	if simulation.load.Trackers && program.turnIndex > 0 {
 		request.HeldPrefix = program.heldPrefix
 	}
@@ -219,6 +222,7 @@
 	program := call.program
 	program.heldPrefix = bvdispatch.HeldPrefix{Endpoint: call.engine.hash, Tokens: program.promptTokens}
 	simulation.endCall(call, bvdispatch.Served)
+	simulation.hosts[call.host].pool.RecordOutputWork(simulation.now, call.engine.id, call.request, bvdispatch.Result{OutputTokens: int(program.turns[program.turnIndex].output)})
 	program.attempts, program.sends = 0, 0
 	pause := program.turns[program.turnIndex].pause
 	program.turnIndex++
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -167,7 +167,7 @@
 	short := &Digest{
 		Host: digest.GetHost(), Incarnation: digest.GetIncarnation(), Zone: digest.GetZone(), Address: digest.GetAddress(),
 		StateVersion: digest.GetStateVersion(), StoreReachable: digest.GetStoreReachable(), Leaving: digest.GetLeaving(),
-		Programs: digest.GetPrograms(), Crashes: digest.GetCrashes(),
+		Programs: digest.GetPrograms(), Crashes: digest.GetCrashes(), Shares: digest.GetShares(),
 	}
 	for _, load := range digest.GetLoads() {
 		if gossip.endpoints.ZoneOf(load.GetEndpoint()) == zone {
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -42,6 +42,7 @@
 	Fairness                       // fairness
 	Readers                        // readers
 	Versions                       // versions
+	Shares                         // shares
 	last
 )
 
@@ -67,6 +68,7 @@
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
 	Versions:      "streams begin at a software version that stays, while others are about to go",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
+	Shares:        "under overload, workspaces above their fair share over all hosts are rejected first",
 }
 
 // Purpose returns a one-line description of the mechanism.
