Routing daemons exchange, log and serve the shares of workspaces

Digests carry the work of the 16 workspaces with the largest demand. A rejection that a share decided is logged with its inputs and counted by workspace; the metrics address serves the work and shares of the largest workspaces.

--- a/bvcommand/fleet_shares.go
+++ b/bvcommand/fleet_shares.go
@@ -19,6 +19,7 @@
 	surgeFactor float64
 	seconds     int
 	surgeAll    bool
+	rule        string
 }
 
 func newFleetShares() *cobra.Command {
@@ -43,6 +44,7 @@
 	flags.IntVar(&options.seeds, "seeds", 1, "number of seeds to simulate")
 	flags.Float64Var(&options.surgeFactor, "surge", 3.5, "factor by which the surge multiplies the rate of new programs")
 	flags.IntVar(&options.seconds, "seconds", 12, "seconds during which programs start; the surge lasts from a quarter of them to two thirds")
+	flags.StringVar(&options.rule, "rule", "", "simulate this rule only")
 	flags.BoolVar(&options.surgeAll, "all", false, "the surge is of all workspaces")
 	return command
 }
@@ -58,24 +60,29 @@
 	load.Surges = []bvfleet.Surge{{Start: load.Duration / 4, Duration: load.Duration * 5 / 12, Factor: options.surgeFactor}}
 	for seed := range options.seeds {
 		load.Seed = uint64(seed + 1)
-		if err := compareFairness(to, load); err != nil {
+		if err := options.compareRules(to, load); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// compareFairness simulates a load once for each rule of fairness.
-func compareFairness(to io.Writer, load bvfleet.Load) error {
-	var none bvmechanism.Set
-	for _, variant := range []struct {
-		name     string
-		disabled bvmechanism.Set
-	}{
-		{"none", none.With(bvmechanism.Fairness).With(bvmechanism.Shares)},
-		{"programs", none.With(bvmechanism.Shares)},
-		{"shares", none},
-	} {
+// fairnessRules are the rules that are compared, with the mechanisms that are disabled.
+var fairnessRules = []struct {
+	name     string
+	disabled bvmechanism.Set
+}{
+	{"none", bvmechanism.Set(0).With(bvmechanism.Fairness).With(bvmechanism.Shares)},
+	{"programs", bvmechanism.Set(0).With(bvmechanism.Shares)},
+	{"shares", 0},
+}
+
+// compareRules simulates a load once for each rule.
+func (options *fleetSharesOptions) compareRules(to io.Writer, load bvfleet.Load) error {
+	for _, variant := range fairnessRules {
+		if options.rule != "" && options.rule != variant.name {
+			continue
+		}
 		load.Disabled = variant.disabled
 		result := bvfleet.Simulate(load)
 		if _, err := fmt.Fprintf(to, "seed %d  %-9s others %d, in time %.3f; %s; entries a report %.1f\n",
--- a/bvdispatch/shares.go
+++ b/bvdispatch/shares.go
@@ -39,7 +39,7 @@
 	switch {
 	case standing.Over:
 		limit += contendedLoadShare - maxLoadShare
-	case standing.Known:
+	case standing.Below:
 		limit += othersExtraShare
 	}
 	if load >= limit {
@@ -135,11 +135,11 @@
 	dispatcher.shares.SetPeerUsage(now, host, usages)
 }
 
-// Standing returns a workspace's work over all hosts. Its share is that while all demand is
-// met: whether it is contended depends on the service.
-func (dispatcher *Dispatcher) Standing(workspace string) bvshare.Standing {
+// LargestShares returns the standings of the workspaces with the largest demand, over all
+// hosts, by the hash of their names.
+func (dispatcher *Dispatcher) LargestShares() map[uint32]bvshare.Standing {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	return dispatcher.shares.Standing(now, bvshare.HashWorkspace(workspace), dispatcher.shares.Used(now))
+	return dispatcher.shares.Largest(now)
 }
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -157,6 +157,7 @@
 // Counters counts events and observes durations.
 type Counters interface {
 	Add(name string, delta int64)
+	CountLimited(name, kind string, limit int)
 	CountRefusal(member string, err error)
 	Observe(name string, duration bvclock.Duration)
 }
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -8,6 +8,7 @@
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
+	"balsamvalve.example/bvshare"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -39,12 +40,14 @@
 	if call.service.Engine == nil || call.metadata.Continues() || call.resumesStream() {
 		return nil
 	}
-	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName()}
+	var standing bvshare.Standing
+	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName(), Standing: &standing}
 	retryAfter, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, program)
 	if admitted || call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
 		return nil
 	}
 	call.front.parts.Counters.Add("programs_turned_away", 1)
+	call.reportShare(standing)
 	return bvverdict.Refuse(bvverdict.Overloaded, "the engines of %s can't serve another program in time", call.service.Name).
 		WithRetryAfter(retryAfter)
 }
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -59,6 +59,14 @@
 //	budget_accounts       programs with an account here
 //	conversations_from_hosts  conversations fetched from other hosts' memory
 //	rows_swept            expired rows of other hosts that were removed
+//	share_rejections      programs rejected because their workspace was above its share
+//	share_rejections_by_workspace  a map: the same by workspace, at most 64 of them
+//	workspace_used        a map: work of a workspace over all hosts, in thousandths of
+//	                      an engine's time, for the 16 with the largest demand
+//	workspace_asked       a map: the same with the work that was rejected
+//	workspace_share       a map: what a workspace may use before it is above its share
+//	workspace_reports_age_ms  age of the oldest report in these sums
+//	workspace_shares_known    1 while enough hosts report
 //	store_calls           a map: calls to the platform's store without a relay,
 //	                      by "operation table"
 //	store_reachable       1 while the platform's store answers this host
@@ -133,6 +141,33 @@
 	counters.kindMap(name).Set(kind, number)
 }
 
+// SetKinds replaces the variables of all kinds.
+func (counters *Counters) SetKinds(name string, values map[string]int64) {
+	kinds := new(expvar.Map).Init()
+	for kind, value := range values {
+		kinds.Add(kind, value)
+	}
+	counters.variables.Set(name, kinds)
+}
+
+// otherKinds is the kind of those beyond a limit.
+const otherKinds = "other"
+
+// CountLimited adds one to the counter of a kind. If there are limit others already, it counts
+// with all further ones.
+func (counters *Counters) CountLimited(name, kind string, limit int) {
+	kinds := counters.kindMap(name)
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	if count := 0; kinds.Get(kind) == nil {
+		kinds.Do(func(expvar.KeyValue) { count++ })
+		if count >= limit {
+			kind = otherKinds
+		}
+	}
+	kinds.Add(kind, 1)
+}
+
 func (counters *Counters) kindMap(name string) *expvar.Map {
 	if found, ok := counters.variables.Get(name).(*expvar.Map); ok {
 		return found
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -56,6 +56,7 @@
 		digest.StateVersion = table.Version()
 	}
 	router.addUsage(digest)
+	router.addShares(digest)
 	digest.Programs = router.budgets.TakeReservedPrograms()
 	running, placed := router.dispatcher.TakeLoadReport()
 	for endpoint, count := range running {
@@ -160,6 +161,7 @@
 		handler.applyCalls(digest)
 	}
 	handler.applyUsage(digest)
+	handler.applyShares(digest)
 	handler.HandleCrashes(&bvgossip.Crashes{Host: digest.GetHost(), Crashes: digest.GetCrashes()})
 	handler.budgets.AddHolder(digest.GetAddress(), digest.GetPrograms())
 }
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -38,6 +38,7 @@
 	queried, unanswered := router.gossip.TrackerQueries()
 	router.counters.Set("trackers_asked", queried)
 	router.counters.Set("trackers_unanswered", unanswered)
+	router.updateShareGauges()
 	for service, rate := range router.dispatcher.ReadingRates() {
 		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
 	}
--- a/bvshare/report.go
+++ b/bvshare/report.go
@@ -35,9 +35,7 @@
 		}
 		delete(shares.own, workspace)
 	}
-	slices.SortFunc(usages, func(a, b Usage) int {
-		return cmp.Or(cmp.Compare(b.demand(), a.demand()), cmp.Compare(a.Workspace, b.Workspace))
-	})
+	slices.SortFunc(usages, largestFirst)
 	remainder := Usage{Workspace: Remainder}
 	for _, usage := range usages[min(len(usages), maxReported):] {
 		remainder.Asked += usage.Asked
@@ -46,6 +44,10 @@
 	return append(usages[:min(len(usages), maxReported)], remainder)
 }
 
+func largestFirst(a, b Usage) int {
+	return cmp.Or(cmp.Compare(b.demand(), a.demand()), cmp.Compare(a.Workspace, b.Workspace))
+}
+
 // SetPeerUsage records the report of another host. Further entries than a report can have
 // are ignored, and rates that are invalid count as 0.
 func (shares *Shares) SetPeerUsage(now bvclock.Time, host uint64, usages []Usage) {
--- a/bvshare/shares.go
+++ b/bvshare/shares.go
@@ -27,6 +27,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -73,9 +74,12 @@
 	Use   float64
 	Asked float64
 	Age   bvclock.Duration // of the oldest report that counts
-	Over  bool             // the use is above the share
-	// Known is false while too few hosts report, or the capacity is unknown. Over is false
-	// then.
+	// Over is true if the use is above the share, and Below if it is not. Both are false
+	// while the uses of all workspaces are on the same side of their shares: then a
+	// rejection would leave nothing to another workspace. They are false, too, unless Known.
+	Over  bool
+	Below bool
+	// Known is false while too few hosts report, or the capacity is unknown.
 	Known bool
 }
 
@@ -173,16 +177,21 @@
 // work.
 func (shares *Shares) Standing(now bvclock.Time, workspace uint32, capacity float64) Standing {
 	shares.refresh(now)
-	usage := shares.totals.usage(workspace)
-	standing := Standing{Use: usage.Used, Asked: usage.Asked, Age: shares.totals.age(now)}
-	if !shares.isInformed() || !isPositive(capacity) {
-		return standing
+	return shares.newDivision(capacity).standing(now, shares.totals.usage(workspace))
+}
+
+// Largest returns the standings of the workspaces with the largest demand, by workspace. The
+// capacity is the rate of work that is admitted now.
+func (shares *Shares) Largest(now bvclock.Time) map[uint32]Standing {
+	shares.refresh(now)
+	division := shares.newDivision(shares.totals.used)
+	rows := slices.Clone(shares.totals.rows)
+	slices.SortFunc(rows, largestFirst)
+	standings := make(map[uint32]Standing)
+	for _, row := range rows[:min(len(rows), maxReported)] {
+		standings[row.Workspace] = division.standing(now, row)
 	}
-	level := fairLevel(shares.demands(), capacity-shares.totals.remainder.Used)
-	standing.Known = true
-	standing.Share = min(shares.weight(workspace)*level, capacity)
-	standing.Over = standing.Use > standing.Share
-	return standing
+	return standings
 }
 
 // isInformed reports whether at least half of the other hosts report.
@@ -190,12 +199,4 @@
 	return shares.hostsKnown && 2*shares.totals.reporting >= shares.otherHosts
 }
 
-func (shares *Shares) demands() []demand {
-	demands := make([]demand, len(shares.totals.rows))
-	for i, row := range shares.totals.rows {
-		demands[i] = demand{rate: row.demand(), weight: shares.weight(row.Workspace)}
-	}
-	return demands
-}
-
 func isPositive(value float64) bool { return value > 0 && !math.IsInf(value, 1) }
