--- a/bvmeasure/measure_test.go
+++ b/bvmeasure/measure_test.go
@@ -47,3 +47,12 @@
 	require.Contains(t, recorder.Body.String(), `balsamvalve_refused{kind="not run/overloaded"} 1`)
 	require.Contains(t, recorder.Body.String(), "balsamvalve_first_event_p50_ms 40\n")
 }
+
+// Guards against a map that grows with the kinds that callers bring.
+func TestKindsBeyondTheLimitAreCountedTogether(t *testing.T) {
+	counters := New()
+	for _, kind := range []string{"a", "b", "c", "d", "a"} {
+		counters.CountLimited("rejections", kind, 2)
+	}
+	require.Equal(t, `{"a": 2, "b": 1, "other": 2}`, counters.kindMap("rejections").String())
+}
