Simulated surges start more than one program a millisecond

Cause: the simulation started at most one program of a kind in a millisecond, so a surge of 1,000 hosts was cut to 1,000 a second of each kind, and the other workspaces got fewer programs. Tests of the simulation with shares.

--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 
 	"balsamvalve.example/bvclock"
@@ -107,8 +108,7 @@
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
-// startPrograms starts the programs of this millisecond, at most one of each kind: at a
-// few hundred a second, two in a millisecond are rare.
+// startPrograms starts the programs of this millisecond.
 func (simulation *simulation) startPrograms() {
 	if bvclock.Duration(simulation.now) > simulation.load.Duration {
 		return
@@ -120,7 +120,7 @@
 				rate *= surge.Factor
 			}
 		}
-		if simulation.random.Float64() < rate/float64(bvclock.Second) {
+		for range simulation.drawStarts(rate) {
 			started := simulation.drawProgram(i)
 			started.workspace = simulation.drawWorkspace(kind.Rate / rate)
 			simulation.programs = append(simulation.programs, started)
@@ -129,6 +129,16 @@
 	}
 }
 
+// drawStarts draws how many programs start in a millisecond, at a rate per second. Below a
+// thousand per second it is at most one: two are rare.
+func (simulation *simulation) drawStarts(rate float64) int {
+	whole, rest := math.Modf(rate / float64(bvclock.Second))
+	if simulation.random.Float64() < rest {
+		whole++
+	}
+	return int(whole)
+}
+
 // drawWorkspace draws the workspace of a program; usual is the fraction of programs
 // that would start without the surge.
 func (simulation *simulation) drawWorkspace(usual float64) string {
--- a/bvfleet/simulation_test.go
+++ b/bvfleet/simulation_test.go
@@ -75,3 +75,30 @@
 	require.Greater(t, fair.ShareOthersInTime(), none.ShareOthersInTime()+0.05)
 	require.Greater(t, fair.ShareInTime(), none.ShareInTime()-0.02)
 }
+
+// workspaceSurgeLoad is a surge of one workspace through so many hosts that none of them
+// starts many of its programs.
+func workspaceSurgeLoad() Load {
+	load := SurgeLoad(40)
+	load.GlobalDigests, load.Trackers = true, true
+	load.Workspaces, load.SingleWorkspaceSurge = 40, true
+	load.Surges[0].Factor = 3.5
+	return load
+}
+
+// Guards against a surge that no single host sees.
+func TestSharesOverAllHostsLeaveTheOthersMoreOfTheirPrograms(t *testing.T) {
+	load := workspaceSurgeLoad()
+	shares := Simulate(load)
+	load.Disabled = load.Disabled.With(bvmechanism.Shares)
+	present := Simulate(load)
+	require.Greater(t, shares.ShareOthersInTime(), present.ShareOthersInTime()+0.1)
+	require.Greater(t, shares.ShareOthersInTime(), 0.9)
+	require.Less(t, shares.MeanShareEntries(), 17.0)
+}
+
+// Guards against decisions that depend on the order of a map.
+func TestTwoSimulationsWithSharesAreTheSame(t *testing.T) {
+	load := workspaceSurgeLoad()
+	require.Equal(t, Simulate(load), Simulate(load))
+}
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -277,6 +277,13 @@
 	require.Equal(t, "a", last.GetIncarnation())
 }
 
+// Guards against work of workspaces that is unknown in other zones where there are many hosts.
+func TestManyHostsSendOtherZonesTheirShares(t *testing.T) {
+	host := newHostWithManyPeers(t, &bvclock.Manual{})
+	digest := &Digest{Shares: []*Share{{Workspace: 7, Asked: 2, Used: 1}}}
+	require.Equal(t, digest.GetShares(), host.trimDigest(digest, "other").GetShares())
+}
+
 // Guards against a host that counts as silent between two of its digests.
 func TestHostsOfOtherZonesAreGivenLongerWhereThereAreMany(t *testing.T) {
 	clock := &bvclock.Manual{}
