--- a/bvdispatch/shares.go
+++ b/bvdispatch/shares.go
@@ -53,7 +53,9 @@
 
 // recordPromptWork records the engine time that a call needs for its prompt.
 func (pool *Pool) recordPromptWork(now bvclock.Time, request *Request) {
-	pool.recordWork(now, request.Workspace, float64(max(request.PromptTokens-request.CachedTokens, 0))/pool.ReadingRate())
+	if request.Workspace != "" {
+		pool.recordWork(now, request.Workspace, float64(max(request.PromptTokens-request.CachedTokens, 0))/pool.ReadingRate())
+	}
 }
 
 // RecordOutputWork records the engine time of the tokens that a call at an endpoint has
