--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 
 	"balsamvalve.example/bvclock"
@@ -70,6 +71,9 @@
 		if simulation.now%bvclock.Time(load.DigestInterval) == 0 {
 			simulation.exchangeDigests()
 		}
+		if load.Workspaces > 0 {
+			simulation.exchangeShares()
+		}
 	}
 	return simulation.summarize()
 }
@@ -104,8 +108,7 @@
 
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
-// startPrograms starts the programs of this millisecond, at most one of each kind: at a
-// few hundred a second, two in a millisecond are rare.
+// startPrograms starts the programs of this millisecond.
 func (simulation *simulation) startPrograms() {
 	if bvclock.Duration(simulation.now) > simulation.load.Duration {
 		return
@@ -117,7 +120,7 @@
 				rate *= surge.Factor
 			}
 		}
-		if simulation.random.Float64() < rate/float64(bvclock.Second) {
+		for range simulation.drawStarts(rate) {
 			started := simulation.drawProgram(i)
 			started.workspace = simulation.drawWorkspace(kind.Rate / rate)
 			simulation.programs = append(simulation.programs, started)
@@ -126,6 +129,16 @@
 	}
 }
 
+// drawStarts draws how many programs start in a millisecond, at a rate per second. Below a
+// thousand per second it is at most one: two are rare.
+func (simulation *simulation) drawStarts(rate float64) int {
+	whole, rest := math.Modf(rate / float64(bvclock.Second))
+	if simulation.random.Float64() < rest {
+		whole++
+	}
+	return int(whole)
+}
+
 // drawWorkspace draws the workspace of a program; usual is the fraction of programs
 // that would start without the surge.
 func (simulation *simulation) drawWorkspace(usual float64) string {
@@ -162,7 +175,7 @@
 			return
 		}
 	}
-	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens}
+	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens, Workspace: program.workspace}
 	if simulation.load.Trackers && program.turnIndex > 0 {
 		request.HeldPrefix = program.heldPrefix
 	}
@@ -219,6 +232,7 @@
 	program := call.program
 	program.heldPrefix = bvdispatch.HeldPrefix{Endpoint: call.engine.hash, Tokens: program.promptTokens}
 	simulation.endCall(call, bvdispatch.Served)
+	simulation.hosts[call.host].pool.RecordOutputWork(simulation.now, call.engine.id, call.request, bvdispatch.Result{OutputTokens: int(program.turns[program.turnIndex].output)})
 	program.attempts, program.sends = 0, 0
 	pause := program.turns[program.turnIndex].pause
 	program.turnIndex++
