Load reports with a pace are read, invalid ones are counted and logged

The parser accepted exactly three figures, so each report of an endpoint that sends a fourth was dropped without a trace. Three figures or more are read now; the fourth is the pace. A report that can't be parsed is not applied in part: it is counted (load_reports, kind invalid) and logged once a minute for each endpoint. The load of an earlier send no longer counts for a later one.

--- a/bvdispatch/bench_test.go
+++ b/bvdispatch/bench_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkChoose measures the cost of one decision, by the number of endpoints.
 func BenchmarkChoose(b *testing.B) {
-	for _, count := range []int{12, 48, 400, 4200, 10_000, 20_000} {
+	for _, count := range []int{12, 48, 56, 400, 4200, 10_000, 20_000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			pool := NewPool(1, "z")
 			listed := make([]bvplatform.Endpoint, count)
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -114,6 +114,7 @@
 		fields["sent_ms"] = int64(call.sentAt.Sub(call.arrived))
 		fields["list_ms"] = int64(call.listAge)
 		fields["load"] = fmt.Sprintf("%d+%d/%d", call.load.Running, call.load.Waiting, call.load.Slots)
+		fields["pace"] = call.load.Pace
 	}
 	if call.endpoint.IsRetained() {
 		fields["retained"] = true
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -157,6 +157,8 @@
 // Counters counts events and observes durations.
 type Counters interface {
 	Add(name string, delta int64)
+	// Count counts one event of a kind.
+	Count(name, kind string)
 	CountRefusal(member string, err error)
 	Observe(name string, duration bvclock.Duration)
 }
@@ -186,9 +188,10 @@
 
 // Front serves callers. Make one with New; it is safe for concurrent use.
 type Front struct {
-	parts   Parts
-	leaving atomic.Bool
-	memory  memory
+	parts          Parts
+	leaving        atomic.Bool
+	memory         memory
+	invalidReports logLimiter
 }
 
 // HeldBytes returns how many bytes calls hold, of requests and of answers.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -10,6 +10,7 @@
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvsuspect"
 	"balsamvalve.example/bvverdict"
 )
@@ -99,7 +100,7 @@
 // sendOnce sends the request to one endpoint and relays its answer.
 func (call *call) sendOnce(endpoint bvplatform.Endpoint) error {
 	call.sends++
-	call.headReceived, call.serverError = false, false
+	call.headReceived, call.serverError, call.load = false, false, bvroute.Load{}
 	call.endpoint, call.sentAt = endpoint, call.front.parts.Clock.Now()
 	call.listAge = call.sentAt.Sub(call.front.parts.List.AsOf())
 	if endpoint.IsRetained() {
@@ -111,10 +112,7 @@
 		return call.countRun(err)
 	}
 	defer response.Close()
-	if response.Answer.HasLoad {
-		call.load = response.Answer.Load
-		call.front.parts.Dispatcher.SetLoad(call.service.Name, endpoint.ID(), response.Answer.Load)
-	}
+	call.applyLoad(endpoint, response.Answer)
 	if response.Answer.NotRun {
 		response.Drain()
 		return call.handleRefusal(response.Status)
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -60,6 +60,7 @@
 	NotRun           bool   // the endpoint states that it did not run the request
 	Load             Load
 	HasLoad          bool
+	InvalidLoad      string           // start of the text of a load report that can't be parsed; "": none
 	KeepAlive        bvclock.Duration // how long the endpoint keeps an idle connection open; 0: unspecified
 	ClosesConnection bool             // the endpoint closes the connection after this answer
 }
@@ -69,4 +70,5 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    int // how long work takes on its hardware now, in percent; 100: as usual, 0: not reported
 }
