Endpoints are rated by the speed that they report and that is measured

All endpoints of a service were treated as equal, though their work takes up to five times as long at one as at another. Each now has a speed factor, from the pace that it reports and from the pace of its responses, which the hosts of a zone share in their digests. It applies to the cost of an endpoint, the load share, the capacity and the reading rate.

--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -57,28 +57,13 @@
 	return limit
 }
 
-// loadShare returns the number of calls as a share of the slots of all endpoints that
-// accept new calls. It is 0 where there is none: calls that can't be served are refused
-// when an endpoint is chosen. With many endpoints, it is estimated from a sample.
+// loadShare returns the number of calls as a share of the slots, weighted by speed, of all
+// endpoints that accept new calls. It is 0 where there is none: calls that can't be served
+// are refused when an endpoint is chosen. With many endpoints, it is estimated from a sample.
 func (pool *Pool) loadShare(now bvclock.Time) float64 {
-	load, slots := 0.0, 0.0
-	add := func(row *endpoint) {
-		if row.isOpen(now) {
-			load += row.load(now)
-			slots += row.slots()
-		}
-	}
-	if len(pool.rows) <= loadSampleRows {
-		for _, row := range pool.rows {
-			add(row)
-		}
-	} else {
-		for range loadSampleRows {
-			add(pool.rows[pool.random.IntN(len(pool.rows))])
-		}
-	}
-	if slots == 0 {
+	capacity, _ := pool.sampleCapacity(now)
+	if capacity.Slots == 0 {
 		return 0
 	}
-	return load / slots
+	return capacity.Calls / capacity.Slots
 }
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -83,8 +83,8 @@
 	return best.entry, true
 }
 
-// cost returns the time that a call takes at an endpoint beyond the shortest possible, in
-// milliseconds. It includes the delay of the calls beside it: while an engine reads a
+// cost returns the time that a call takes at an endpoint beyond the shortest possible at one
+// of usual speed, in milliseconds; at a faster endpoint it may be negative. It includes the delay of the calls beside it: while an engine reads a
 // prompt, all calls that run there are stalled.
 //
 // The number of calls beside it counts as at least the average over all engines. An
@@ -92,9 +92,10 @@
 // prompt again. If only the present calls counted, conversations would move from the
 // engines that have them cached to any idle engine.
 func (pool *Pool) cost(snapshot snapshot, row *endpoint, request *Request) float64 {
-	duration := pool.duration.valueOr(defaultDurationMs)
+	speed, usualDuration := pool.speedOf(snapshot.now, row), pool.duration.valueOr(defaultDurationMs)
+	duration := usualDuration * speed
 	load, slots := row.load(snapshot.now), row.slots()
-	cost := contentionFactor * duration * load / slots
+	cost := contentionFactor*duration*load/slots + (duration - usualDuration)
 	if row.entry.Zone != pool.zone {
 		cost += zoneCostMs
 	}
@@ -105,7 +106,7 @@
 		cost += duration * (load - slots + 1) / slots
 	}
 	if !pool.disabled.Has(bvmechanism.Outliers) {
-		cost += row.stats.costMs(snapshot.now, pool.pace.valueOr(0), duration)
+		cost += row.stats.costMs(snapshot.now, pool.outlierPace(), duration)
 	}
 	cost += pool.versionCost(row.entry.Version, request)
 	if request.Object != 0 {
@@ -116,7 +117,7 @@
 	if !pool.disabled.Has(bvmechanism.Average) {
 		beside = max(beside, snapshot.loadShare*slots)
 	}
-	cost += float64(max(request.PromptTokens-cached, 0)) / pool.ReadingRate() * (1 + beside)
+	cost += float64(max(request.PromptTokens-cached, 0)) / pool.ReadingRate() * speed * (1 + beside)
 	if len(request.Prefix) > 0 && cached <= request.Prefix[0].Tokens {
 		cost += pool.affinityWeight(row) * row.affinityRank(request) // at most the shared first part is cached here
 	}
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -24,8 +26,9 @@
 	pools      map[string]*Pool
 	placements []Placement // since the last call of TakeLoadReport
 
-	trackers Trackers         // nil: none
-	observer EndpointObserver // nil: none
+	trackers Trackers           // nil: none
+	observer EndpointObserver   // nil: none
+	log      logrus.FieldLogger // nil: none
 }
 
 // EndpointObserver is notified of signs that a start of an endpoint has ended, or runs.
@@ -329,17 +332,22 @@
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	dispatcher.pool(service).SetLoad(now, endpoint, load)
+	pool := dispatcher.pool(service)
+	pool.SetLoad(now, endpoint, load)
+	if conflict, found := pool.takeSpeedConflict(now, endpoint); found {
+		dispatcher.logSpeedConflict(service, conflict)
+	}
 }
 
 // TakeOutcomeReports returns the outcomes of this host's calls since the last report, by
 // the hash of the endpoint's ID, and clears them.
 func (dispatcher *Dispatcher) TakeOutcomeReports() map[uint64]OutcomeReport {
+	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	reports := make(map[uint64]OutcomeReport)
 	for _, pool := range dispatcher.pools {
-		maps.Copy(reports, pool.TakeOutcomeReports())
+		maps.Copy(reports, pool.TakeOutcomeReports(now))
 	}
 	return reports
 }
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -21,6 +21,7 @@
 	cache          cache
 	health         health
 	stats          outlierStats
+	speed          speed
 	unsharedReport OutcomeReport // own calls since the last report to other hosts
 	lastCallEnd    bvclock.Time  // of this host's last call
 	lastRound      uint64        // last candidate round with this endpoint
--- a/bvdispatch/health.go
+++ b/bvdispatch/health.go
@@ -28,6 +28,7 @@
 	Refused          bool             // nothing listens at the endpoint's address
 	IsError          bool             // the answer is an error of the endpoint itself
 	Pace             bvclock.Duration // time per event, or of a whole answer without events; 0: unknown
+	ReportedPace     int              // that the endpoint reported with the answer, in percent; 0: unknown
 	OutputTokens     int              // generated tokens
 	UncachedTokens   int              // prompt tokens that were estimated not to be cached
 	TimeToFirstEvent bvclock.Duration // since it was sent; 0: no event, or the call waited for a slot
--- a/bvdispatch/outlier.go
+++ b/bvdispatch/outlier.go
@@ -37,6 +37,8 @@
 	Failures   int
 	PacedCalls int // calls whose pace is known
 	PaceMs     int // sum of their paces: time per event, or of a whole answer without events
+	// ReportedPace is the pace that the endpoint has just reported to the host, in percent; 0: none.
+	ReportedPace int
 }
 
 func (report *OutcomeReport) add(other OutcomeReport) {
@@ -87,6 +89,15 @@
 	return cost
 }
 
+// outlierPace returns the mean pace that slow endpoints are compared with, or 0 where their
+// speed factors account for it.
+func (pool *Pool) outlierPace() float64 {
+	if pool.speeds.reporters > 0 {
+		return 0
+	}
+	return pool.pace.valueOr(0)
+}
+
 // reportFrom returns the report of one call. It is empty where the result does not
 // indicate the endpoint's health.
 func reportFrom(result Result) OutcomeReport {
--- a/bvdispatch/outlier_test.go
+++ b/bvdispatch/outlier_test.go
@@ -95,10 +95,10 @@
 		here.BeginCall(1, "e3", &Request{})
 		here.EndCall(1, "e3", Result{Outcome: Served, Duration: 5, IsError: true})
 	}
-	for endpoint, report := range here.TakeOutcomeReports() {
+	for endpoint, report := range here.TakeOutcomeReports(1) {
 		there.AddPeerReport(1, endpoint, report)
 	}
-	require.Empty(t, here.TakeOutcomeReports(), "reported once")
+	require.Empty(t, here.TakeOutcomeReports(1), "reported once")
 	for range 100 {
 		chosen, _ := there.Choose(2, &Request{})
 		require.NotEqual(t, "e3", chosen.Name)
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -74,6 +74,7 @@
 	duration        average // of a call, in milliseconds
 	pace            average // of calls, in milliseconds per event or answer
 	reading         readingEstimator
+	speeds          serviceSpeeds
 	startedPrograms programCounts
 	zone            string // availability zone of this host
 	disabled        bvmechanism.Set
@@ -216,6 +217,7 @@
 	delete(pool.byName, row.entry.Name)
 	delete(pool.byHash, row.hash)
 	pool.countVersion(row.entry, -1)
+	pool.resetSpeed(row)
 	pool.invalidateCaches(row)
 }
 
@@ -289,20 +291,22 @@
 	report := reportFrom(result)
 	row.stats.add(now, report)
 	row.unsharedReport.add(report)
+	pool.recordPace(now, row, report, result.ReportedPace)
 	if result.Outcome != Served {
 		return
 	}
-	pool.duration.add(float64(result.Duration))
+	speed := pool.speedOf(now, row)
+	pool.duration.add(float64(result.Duration) / speed)
 	if result.Pace > 0 {
 		pool.pace.add(float64(result.Pace))
 	}
 	if result.TimeToFirstEvent > 0 {
-		pool.reading.add(result.UncachedTokens, result.TimeToFirstEvent)
+		pool.reading.add(result.UncachedTokens, bvclock.Duration(float64(result.TimeToFirstEvent)/speed))
 	}
 }
 
-// ReadingRate returns the number of prompt tokens that the engines read in a millisecond,
-// as estimated from this host's calls.
+// ReadingRate returns the number of prompt tokens that engines of usual speed read in a
+// millisecond, as estimated from this host's calls.
 func (pool *Pool) ReadingRate() float64 {
 	if pool.disabled.Has(bvmechanism.ReadingRate) {
 		return defaultReadingRate
@@ -314,14 +318,17 @@
 func (pool *Pool) AddPeerReport(now bvclock.Time, endpoint uint64, report OutcomeReport) {
 	if row := pool.byHash[endpoint]; row != nil {
 		row.stats.add(now, report)
+		pool.setPace(now, now.Add(-maxSharedPaceAge), row, report.ReportedPace, false)
+		pool.recordPace(now, row, report, report.ReportedPace)
 	}
 }
 
 // TakeOutcomeReports returns the outcomes of this host's calls since the last report, by
 // the hash of the endpoint's ID, and clears them.
-func (pool *Pool) TakeOutcomeReports() map[uint64]OutcomeReport {
+func (pool *Pool) TakeOutcomeReports(now bvclock.Time) map[uint64]OutcomeReport {
 	reports := make(map[uint64]OutcomeReport)
 	for _, row := range pool.rows {
+		row.unsharedReport.ReportedPace = row.sharedPace(now)
 		if row.unsharedReport != (OutcomeReport{}) {
 			reports[row.hash] = row.unsharedReport
 			row.unsharedReport = OutcomeReport{}
@@ -330,13 +337,15 @@
 	return reports
 }
 
-// SetLoad sets the load that an endpoint reports.
+// SetLoad sets the load that an endpoint reports. A report that this host received before
+// the last one is ignored.
 func (pool *Pool) SetLoad(now bvclock.Time, id string, load bvroute.Load) {
 	row := pool.byID(id)
-	if row == nil {
+	if row == nil || now.Before(row.reportedAt) {
 		return
 	}
 	row.reportedAt = now
+	pool.setPace(now, now, row, load.Pace, true)
 	row.reportedOthers = max(load.Running+load.Waiting-row.running, 0)
 	if load.Slots > 0 {
 		row.entry.Slots = load.Slots
--- /dev/null
+++ b/bvdispatch/speed.go
@@ -0,0 +1,280 @@
+package bvdispatch
+
+import (
+	"math"
+	"slices"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvmechanism"
+)
+
+// Speed of endpoints, for services whose endpoints differ by hardware or by the load of
+// their machines. An endpoint's speed factor states how long its work takes: 1 as usual, 2
+// twice as long. It follows from the pace that the endpoint reports, which is up to date for
+// a moment, and from the pace of its responses, which remains and can't be false. The
+// comparison is docs/design/endpoint-speed.md. Where no endpoint of a service reports a
+// pace, all factors are 1.
+const (
+	// minSpeed and maxSpeed bound the estimate.
+	minSpeed = 0.2
+	maxSpeed = 8
+	// usualPercent is the reported pace of an endpoint whose work takes as long as usual.
+	usualPercent = 100
+	// paceLifetime is how long a reported pace counts, with a weight that falls linearly: it
+	// changes several times a second.
+	paceLifetime = bvclock.Second
+	// maxSharedPaceAge is the age up to which this host's last report is shared with the
+	// other hosts. Theirs count as that old.
+	maxSharedPaceAge = 200 * bvclock.Millisecond
+	// measurementLifetime is how long measured responses count, with a weight that falls
+	// linearly. The hosts of a zone get a response of an endpoint every few seconds.
+	measurementLifetime = 15 * bvclock.Second
+	// maxMeasuredResponses bounds the weight of past responses, so that the mean follows a
+	// change within about as many responses.
+	maxMeasuredResponses = 16
+	// priorResponses is the weight of the service's median beside the measured responses:
+	// the pace of a single response depends on the calls beside it as much as on the endpoint.
+	priorResponses = 2
+	// A report is contradicted where the responses that came with it took more than
+	// conflictRatio times as long as it states, or less than that part of it, on average
+	// over minConflictResponses.
+	conflictRatio        = 2
+	minConflictResponses = 8
+	// evidenceLifetime is how long a contradiction counts after the last response.
+	evidenceLifetime = bvclock.Minute
+	// speedRefreshInterval is the number of reports and responses after which the values
+	// of the whole service are computed again, from at most speedSampleRows endpoints.
+	speedRefreshInterval = 16
+	speedSampleRows      = 512
+	// conflictLogInterval is the least time between two log lines on contradicted reports.
+	conflictLogInterval = bvclock.Minute
+)
+
+// paceMean is a geometric mean, in milliseconds per event or answer, in which a single
+// response that hung has little weight. The zero value is the mean of none.
+type paceMean struct {
+	value     float64
+	responses float64 // at most maxMeasuredResponses
+	updatedAt bvclock.Time
+}
+
+// add adds a number of responses with a mean pace.
+func (mean *paceMean) add(now bvclock.Time, pace, responses float64, lifetime bvclock.Duration) {
+	past := mean.weight(now, lifetime)
+	if past == 0 {
+		mean.value = pace
+	}
+	mean.value *= math.Pow(pace/mean.value, responses/(past+responses))
+	mean.responses, mean.updatedAt = min(past+responses, maxMeasuredResponses), now
+}
+
+// weight returns the number of responses, less the later the last one was.
+func (mean *paceMean) weight(now bvclock.Time, lifetime bvclock.Duration) float64 {
+	return mean.responses * max(1-float64(now.Sub(mean.updatedAt))/float64(lifetime), 0)
+}
+
+// speed is what is known of an endpoint's speed. The zero value is nothing.
+type speed struct {
+	pace     int // last reported, in percent; 0: none
+	paceAt   bvclock.Time
+	isOwn    bool     // reported to this host, not to another
+	measured paceMean // of all responses
+	// evidence is the mean pace of the responses that came with a reported pace, each
+	// divided by the reported factor.
+	evidence paceMean
+}
+
+// setPace sets the reported pace, unless a later one is known.
+func (speed *speed) setPace(at bvclock.Time, pace int, isOwn bool) {
+	if speed.pace > 0 && at.Before(speed.paceAt) {
+		return
+	}
+	speed.pace, speed.paceAt, speed.isOwn = pace, at, isOwn
+}
+
+// paceWeight returns the weight of the reported pace, from 1 down to 0.
+func (speed *speed) paceWeight(now bvclock.Time) float64 {
+	if speed.pace == 0 {
+		return 0
+	}
+	return min(max(1-float64(now.Sub(speed.paceAt))/float64(paceLifetime), 0), 1)
+}
+
+// serviceSpeeds holds the values of a whole service that speeds refer to.
+type serviceSpeeds struct {
+	reporters int     // endpoints that have reported a pace; 0: all factors are 1
+	usual     float64 // milliseconds per event or answer at a factor of 1; 0: unknown
+	median    float64 // of the factors of the endpoints of which something is known; 0: unknown
+	facts     int     // reports and responses that were recorded
+	loggedAt  bvclock.Time
+	hasLogged bool
+}
+
+func (service *serviceSpeeds) medianOrUsual() float64 {
+	if service.median == 0 {
+		return 1
+	}
+	return service.median
+}
+
+// isContradicted reports whether the responses contradict the reported paces.
+func (speed *speed) isContradicted(now bvclock.Time, service *serviceSpeeds) bool {
+	if service.usual == 0 || speed.evidence.responses < minConflictResponses || now.Sub(speed.evidence.updatedAt) > evidenceLifetime {
+		return false
+	}
+	ratio := speed.evidence.value / service.usual
+	return ratio > conflictRatio || ratio < 1.0/conflictRatio
+}
+
+// estimate returns the endpoint's speed factor.
+func (speed *speed) estimate(now bvclock.Time, service *serviceSpeeds) float64 {
+	if speed.isContradicted(now, service) {
+		return clampSpeed(speed.measured.value / service.usual)
+	}
+	estimate := service.medianOrUsual()
+	if responses := speed.measured.weight(now, measurementLifetime); responses > 0 && service.usual > 0 {
+		estimate += responses / (responses + priorResponses) * (clampSpeed(speed.measured.value/service.usual) - estimate)
+	}
+	estimate += speed.paceWeight(now) * (clampSpeed(factorOf(speed.pace)) - estimate)
+	return clampSpeed(estimate)
+}
+
+// isKnown reports whether the estimate rests on more than the service's median.
+func (speed *speed) isKnown(now bvclock.Time, service *serviceSpeeds) bool {
+	return speed.paceWeight(now) > 0 || service.usual > 0 && speed.measured.weight(now, measurementLifetime) > 0
+}
+
+// factorOf returns the factor that a reported pace states.
+func factorOf(pace int) float64 { return float64(pace) / usualPercent }
+
+func clampSpeed(factor float64) float64 { return min(max(factor, minSpeed), maxSpeed) }
+
+// speedOf returns an endpoint's speed factor.
+func (pool *Pool) speedOf(now bvclock.Time, row *endpoint) float64 {
+	if pool.speeds.reporters == 0 {
+		return 1
+	}
+	return row.speed.estimate(now, &pool.speeds)
+}
+
+// setPace records a pace that an endpoint reported.
+func (pool *Pool) setPace(now, at bvclock.Time, row *endpoint, pace int, isOwn bool) {
+	if pace <= 0 || pool.disabled.Has(bvmechanism.Speeds) {
+		return
+	}
+	if row.speed.pace == 0 {
+		pool.speeds.reporters++
+	}
+	row.speed.setPace(at, pace, isOwn)
+	pool.countSpeedFact(now)
+}
+
+// recordPace records the pace of responses; pace is the one that the endpoint reported with
+// them, 0 if unknown.
+func (pool *Pool) recordPace(now bvclock.Time, row *endpoint, report OutcomeReport, pace int) {
+	if report.PacedCalls <= 0 || report.PaceMs <= 0 {
+		return
+	}
+	responses, measured := float64(report.PacedCalls), float64(report.PaceMs)/float64(report.PacedCalls)
+	row.speed.measured.add(now, measured, responses, measurementLifetime)
+	if pace > 0 {
+		row.speed.evidence.add(now, measured/clampSpeed(factorOf(pace)), responses, evidenceLifetime)
+	}
+	pool.countSpeedFact(now)
+}
+
+// countSpeedFact counts a report or response and regularly updates the service's values. A
+// host that has just started does so each time.
+func (pool *Pool) countSpeedFact(now bvclock.Time) {
+	if pool.speeds.reporters == 0 {
+		return
+	}
+	pool.speeds.facts++
+	if pool.speeds.facts > speedRefreshInterval && pool.speeds.facts%speedRefreshInterval != 0 {
+		return
+	}
+	pool.refreshSpeeds(now)
+}
+
+// refreshSpeeds computes the values of the whole service. Both are medians: false reports of
+// a few endpoints have no effect on them.
+func (pool *Pool) refreshSpeeds(now bvclock.Time) {
+	var usual, factors []float64
+	step := max(len(pool.rows)/speedSampleRows, 1)
+	for i := pool.speeds.facts % step; i < len(pool.rows); i += step {
+		speed := &pool.rows[i].speed
+		if speed.evidence.responses > 0 {
+			usual = append(usual, speed.evidence.value)
+		}
+		if speed.isKnown(now, &pool.speeds) {
+			factors = append(factors, speed.estimate(now, &pool.speeds))
+		}
+	}
+	pool.speeds.usual = medianOr(usual, pool.speeds.usual)
+	pool.speeds.median = medianOr(factors, pool.speeds.median)
+}
+
+// medianOr returns the median of values, or other if there are none.
+func medianOr(values []float64, other float64) float64 {
+	if len(values) == 0 {
+		return other
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// resetSpeed makes a row that leaves the list, or restarts, count as unknown.
+func (pool *Pool) resetSpeed(row *endpoint) {
+	if row.speed.pace > 0 {
+		pool.speeds.reporters--
+	}
+	row.speed = speed{}
+}
+
+// sharedPace returns the pace that this host shares with others: the last one that the
+// endpoint reported to it, if that is recent, else 0.
+func (endpoint *endpoint) sharedPace(now bvclock.Time) int {
+	if !endpoint.speed.isOwn || now.Sub(endpoint.speed.paceAt) > maxSharedPaceAge {
+		return 0
+	}
+	return endpoint.speed.pace
+}
+
+// SpeedConflict is a reported pace that an endpoint's responses contradict.
+type SpeedConflict struct {
+	Endpoint  string  // ID
+	Pace      int     // reported, in percent
+	Measured  float64 // speed factor of the responses
+	Responses int     // that contradict the reports
+	Age       bvclock.Duration
+}
+
+// takeSpeedConflict returns the conflict of an endpoint's report with its responses, if any,
+// at most once in conflictLogInterval.
+func (pool *Pool) takeSpeedConflict(now bvclock.Time, id string) (conflict SpeedConflict, found bool) {
+	row := pool.byID(id)
+	if row == nil || pool.speeds.hasLogged && now.Sub(pool.speeds.loggedAt) < conflictLogInterval {
+		return SpeedConflict{}, false
+	}
+	if pool.speeds.reporters == 0 || !row.speed.isContradicted(now, &pool.speeds) {
+		return SpeedConflict{}, false
+	}
+	pool.speeds.loggedAt, pool.speeds.hasLogged = now, true
+	return SpeedConflict{
+		Endpoint: id, Pace: row.speed.pace, Measured: row.speed.estimate(now, &pool.speeds),
+		Responses: int(row.speed.evidence.responses), Age: now.Sub(row.speed.evidence.updatedAt),
+	}, true
+}
+
+// SpeedConflicts returns the number of endpoints whose responses contradict their reports.
+func (pool *Pool) SpeedConflicts(now bvclock.Time) (count int) {
+	if pool.speeds.reporters == 0 {
+		return 0
+	}
+	for _, row := range pool.rows {
+		if row.speed.isContradicted(now, &pool.speeds) {
+			count++
+		}
+	}
+	return count
+}
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -142,7 +142,7 @@
 	now := call.front.parts.Clock.Now()
 	result := bvdispatch.Result{
 		Outcome: outcome, Duration: now.Sub(call.sentAt), AnswerStarted: call.headReceived, Refused: refused,
-		IsError: call.serverError, OutputTokens: call.generatedTokens(),
+		IsError: call.serverError, ReportedPace: call.load.Pace, OutputTokens: call.generatedTokens(),
 	}
 	switch {
 	case call.service.Engine == nil:
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -55,6 +55,7 @@
 //	exclusive_runs        a map: runs of requests that have crashed two endpoints, by
 //	                      whether the platform's store granted them
 //	load_reports          a map: load reports of endpoints, valid and invalid ones
+//	speed_conflicts       endpoints whose responses contradict the pace that they report
 //	connections_opened    connections opened to endpoints
 //	budget_writes         transactions attempted on programs' budgets
 //	budget_accounts       programs with an account here
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -64,7 +64,7 @@
 	for endpoint, report := range router.dispatcher.TakeOutcomeReports() {
 		digest.Outcomes = append(digest.Outcomes, &bvgossip.Outcome{
 			Endpoint: endpoint, Ended: uint32(report.Calls), Failed: uint32(report.Failures),
-			Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs),
+			Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs), ToldPace: uint32(report.ReportedPace),
 		})
 	}
 	for _, report := range router.suspects.Reports() {
@@ -179,6 +179,7 @@
 	for _, outcome := range digest.GetOutcomes() {
 		seen[outcome.GetEndpoint()] = bvdispatch.OutcomeReport{
 			Calls: int(outcome.GetEnded()), Failures: int(outcome.GetFailed()), PacedCalls: int(outcome.GetPaced()), PaceMs: int(outcome.GetPace()),
+			ReportedPace: int(outcome.GetToldPace()),
 		}
 	}
 	handler.dispatcher.AddPeerReports(seen)
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -26,6 +26,7 @@
 	router.counters.Set("endpoints_age_ms", int64(router.endpointsAge()))
 	router.counters.Set("endpoints", int64(router.EndpointCount()))
 	router.counters.Set("endpoints_retained", int64(router.retainedCount()))
+	router.counters.Set("speed_conflicts", int64(router.dispatcher.SpeedConflicts()))
 	router.counters.Set("suspects", int64(router.suspects.Len()))
 	router.counters.Set("suspects_restricted", int64(router.suspects.RestrictedCount()))
 	router.counters.Set("stream_starts_known", int64(router.streams.Len()))
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -171,6 +171,7 @@
 	router.store = newStoreClient(parts.Platform, clock, log, router.relays, router.countStoreCall)
 	router.suspects = bvsuspect.New(clock, router.store, router.counters, log)
 	router.dispatcher.SetObserver(router.suspects)
+	router.dispatcher.SetLog(log)
 	router.streams = bvstream.New(bvstream.Parts{
 		Name: settings.Name, Clock: clock, Peers: streamPeers{router}, Store: router.store, Endpoints: router.dispatcher,
 		Counters: router.counters, Log: log,
