--- a/bvfleet/digest.go
+++ b/bvfleet/digest.go
@@ -22,6 +22,7 @@
 	}
 	for _, host := range simulation.hosts {
 		simulation.sendPlacements(host)
+		simulation.sendOutcomes(host)
 	}
 }
 
--- a/bvfleet/engine.go
+++ b/bvfleet/engine.go
@@ -19,6 +19,7 @@
 	zone    int
 	waiting []*call // by urgency, then by arrival
 	running []*call // in order of start
+	factor  float64 // by which its work takes longer at present
 
 	cachedParts     *simplelru.LRU[uint64, int] // tokens by key
 	cachedTokens    int                         // of cachedParts
@@ -26,7 +27,7 @@
 }
 
 func newEngine(spec Engine, id string, hash uint64, zone int) *engine {
-	engine := &engine{spec: spec, id: id, hash: hash, zone: zone}
+	engine := &engine{spec: spec, id: id, hash: hash, zone: zone, factor: 1}
 	engine.cachedParts, _ = simplelru.NewLRU(unbounded, func(_ uint64, tokens int) { engine.cachedTokens -= tokens })
 	return engine
 }
@@ -49,16 +50,22 @@
 	engine.running = slices.DeleteFunc(engine.running, isCanceled)
 }
 
-// step advances the engine by a millisecond and returns the calls that ended.
-func (engine *engine) step() (ended []*call) {
+// step advances the engine by a millisecond and returns the calls that began to generate, and
+// those that ended.
+func (engine *engine) step() (generating, ended []*call) {
 	engine.admit()
 	tokenTime := engine.spec.TokenTime + engine.spec.TokenTimePerCall*float64(len(engine.running))
 	if engine.prefillStep() {
 		tokenTime += float64(engine.spec.PrefillChunk) / engine.spec.PrefillRate
 	}
+	tokenTime *= engine.factor
 	running := engine.running[:0]
 	for _, call := range engine.running {
 		if call.unprefilled <= 0 {
+			if !call.generating {
+				call.generating = true
+				generating = append(generating, call)
+			}
 			call.outputLeft -= 1 / tokenTime
 		}
 		if call.outputLeft <= 0 {
@@ -68,7 +75,7 @@
 		running = append(running, call)
 	}
 	engine.running = running
-	return ended
+	return generating, ended
 }
 
 // admit starts waiting calls while there are slots.
@@ -89,7 +96,7 @@
 func (engine *engine) prefillStep() bool {
 	for _, call := range engine.running {
 		if call.unprefilled > 0 {
-			call.unprefilled -= engine.spec.PrefillRate
+			call.unprefilled -= engine.spec.PrefillRate / engine.factor
 			return true
 		}
 	}
--- a/bvfleet/load.go
+++ b/bvfleet/load.go
@@ -55,9 +55,18 @@
 	// number of calls and with the engine that has a conversation cached.
 	Trackers bool
 	Disabled bvmechanism.Set
+
+	// SlowShare is the fraction of the engines whose work takes SlowFactor times as long. With
+	// a SlowPeriod, they are slow in every other period only, not all in the same. If it is
+	// set, engines report their pace, and hosts share the outcomes of calls within a zone;
+	// with FalsePace, the slow ones report the usual pace.
+	SlowShare  float64
+	SlowFactor float64
+	SlowPeriod bvclock.Duration
+	FalsePace  bool
 }
 
-// Engine describes the engines, which are all equal.
+// Engine describes the engines, which are all equal but for the slow ones.
 type Engine struct {
 	Slots            int
 	CacheTokens      int     // tokens
--- a/bvfleet/program.go
+++ b/bvfleet/program.go
@@ -43,8 +43,12 @@
 	sentAt      bvclock.Time
 	urgency     int
 	started     bool
-	unprefilled float64 // prompt tokens left to prefill
-	outputLeft  float64 // tokens left to generate
+	generating  bool
+	firstAt     bvclock.Time // when it began to generate; used with slow engines
+	pace        int          // that the engine reported then, in percent
+	unprefilled float64      // prompt tokens left to prefill
+	output      float64      // tokens to generate
+	outputLeft  float64      // of these
 	ended       bool
 }
 
--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -199,16 +199,22 @@
 	}
 	call := &call{
 		program: program, request: request, host: program.host, engine: engine, sentAt: simulation.now,
-		urgency: bvdispatch.Urgency(program.kind.Priority, program.turnIndex > 0), outputLeft: program.turns[program.turnIndex].output,
+		urgency: bvdispatch.Urgency(program.kind.Priority, program.turnIndex > 0), output: program.turns[program.turnIndex].output,
 	}
+	call.outputLeft = call.output
 	engine.submit(call)
 	at := simulation.now.Add(callerTimeout)
 	simulation.callTimeouts[at] = append(simulation.callTimeouts[at], call)
 }
 
 func (simulation *simulation) stepEngines() {
-	for _, engine := range simulation.engines {
-		for _, call := range engine.step() {
+	for number, engine := range simulation.engines {
+		engine.factor = simulation.load.factor(simulation.now, number)
+		generating, ended := engine.step()
+		for _, call := range generating {
+			simulation.reportLoad(call)
+		}
+		for _, call := range ended {
 			simulation.finishTurn(call)
 		}
 	}
@@ -235,7 +241,9 @@
 
 func (simulation *simulation) endCall(call *call, outcome bvdispatch.Outcome) {
 	host := simulation.hosts[call.host]
-	host.pool.EndCall(simulation.now, call.engine.id, bvdispatch.Result{Outcome: outcome, Duration: simulation.now.Sub(call.sentAt), AnswerStarted: call.started})
+	result := bvdispatch.Result{Outcome: outcome, Duration: simulation.now.Sub(call.sentAt), AnswerStarted: call.started}
+	simulation.addPace(call, &result)
+	host.pool.EndCall(simulation.now, call.engine.id, result)
 	if host.running[call.engine.hash]--; host.running[call.engine.hash] == 0 {
 		delete(host.running, call.engine.hash)
 	}
