--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -62,10 +62,7 @@
 		digest.Loads = append(digest.Loads, &bvgossip.Load{Endpoint: endpoint, Running: uint32(count)})
 	}
 	for endpoint, report := range router.dispatcher.TakeOutcomeReports() {
-		digest.Outcomes = append(digest.Outcomes, &bvgossip.Outcome{
-			Endpoint: endpoint, Ended: uint32(report.Calls), Failed: uint32(report.Failures),
-			Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs), ToldPace: uint32(report.ReportedPace),
-		})
+		digest.Outcomes = append(digest.Outcomes, encodeOutcome(endpoint, report))
 	}
 	for _, report := range router.suspects.Reports() {
 		digest.Crashes = append(digest.Crashes, encodeReport(report))
@@ -177,14 +174,25 @@
 	handler.dispatcher.AddPeerPlacements(placed)
 	seen := make(map[uint64]bvdispatch.OutcomeReport, len(digest.GetOutcomes()))
 	for _, outcome := range digest.GetOutcomes() {
-		seen[outcome.GetEndpoint()] = bvdispatch.OutcomeReport{
-			Calls: int(outcome.GetEnded()), Failures: int(outcome.GetFailed()), PacedCalls: int(outcome.GetPaced()), PaceMs: int(outcome.GetPace()),
-			ReportedPace: int(outcome.GetToldPace()),
-		}
+		seen[outcome.GetEndpoint()] = decodeOutcome(outcome)
 	}
 	handler.dispatcher.AddPeerReports(seen)
 }
 
+func encodeOutcome(endpoint uint64, report bvdispatch.OutcomeReport) *bvgossip.Outcome {
+	return &bvgossip.Outcome{
+		Endpoint: endpoint, Ended: uint32(report.Calls), Failed: uint32(report.Failures),
+		Paced: uint32(report.PacedCalls), Pace: uint32(report.PaceMs), ToldPace: uint32(report.ReportedPace),
+	}
+}
+
+func decodeOutcome(outcome *bvgossip.Outcome) bvdispatch.OutcomeReport {
+	return bvdispatch.OutcomeReport{
+		Calls: int(outcome.GetEnded()), Failures: int(outcome.GetFailed()),
+		PacedCalls: int(outcome.GetPaced()), PaceMs: int(outcome.GetPace()), ReportedPace: int(outcome.GetToldPace()),
+	}
+}
+
 // maxRelays is the maximum number of hosts through which one call to the store is
 // attempted.
 const maxRelays = 2
