--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -18,6 +18,10 @@
 	reportedAt     bvclock.Time
 	peerCalls      int // calls of other hosts, as these reported
 	peerCallsAt    bvclock.Time
+	speed          *speed  // nil: nothing is known of it
+	factor         float64 // last estimate of the speed factor; 0: out of date
+	factorAt       bvclock.Time
+	knownUntil     bvclock.Time // from then on, nothing that is known of its speed counts
 	cache          cache
 	health         health
 	stats          outlierStats
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -43,6 +43,7 @@
 	Readers                        // readers
 	Versions                       // versions
 	Shares                         // shares
+	Speeds                         // speeds
 	last
 )
 
@@ -67,6 +68,7 @@
 	Holders:       "a host is queried for the endpoint that caches a conversation and whether its program is running",
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
 	Versions:      "streams begin at a software version that stays, while others are about to go",
+	Speeds:        "endpoints are rated by the speed that they report and that is measured",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 	Shares:        "under overload, workspaces above their fair share over all hosts are rejected first",
 }
