Calls of tools avoid endpoints that are known to be full

Cause: a tool service has 7 or 13 endpoints of 6 slots. A rejection paused an endpoint for 25 ms whether or not a slot got free, counts of calls were only weighed, under contention a choice compared three endpoints at random, and after four rejections a call was rejected although other endpoints had free slots.

An endpoint that rejected a call counts as full until a call there ends or 100 ms have passed; a full endpoint is chosen only if all are; the cost of the others has the duration at their pace and the risk of a rejection, which outweighs speed where a call must not run twice. An unexpected rejection does not count towards the four sends. While all endpoints are full, a rejected call waits for a slot up to 100 ms within its deadline and is then rejected. The mechanism 'tools' disables it.

--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -27,15 +27,19 @@
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.recordHeldPrefix(request)
+	pool.beginToolChoice(request)
 	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
 	rows := pool.candidates(request)
 	best := pool.cheapest(snapshot, request, rows, pool.sampleFor(snapshot, request, rows))
-	if best == nil {
-		best = pool.cheapest(snapshot, request, rows, sample{all: true}) // the sample was empty
+	if best == nil || pool.isFullTool(now, best) {
+		best = pool.cheapest(snapshot, request, rows, sample{all: true}) // the sample has no free endpoint
 	}
 	if best == nil {
 		return pool.lastResort(now, request)
 	}
+	if pool.mustWait(now, request, best) {
+		return bvplatform.Endpoint{}, false
+	}
 	request.CachedTokens, request.Load = best.cache.cachedTokens(request.Prefix), best.load(now)
 	return best.entry, true
 }
@@ -108,6 +112,7 @@
 		cost += row.stats.costMs(snapshot.now, pool.pace.valueOr(0), duration)
 	}
 	cost += pool.versionCost(row.entry.Version, request)
+	cost += pool.toolCost(snapshot, row, request)
 	if request.Object != 0 {
 		cost += objectWeightMs * row.rendezvousRank(request.Object)
 	}
--- a/bvdispatch/endpoint.go
+++ b/bvdispatch/endpoint.go
@@ -23,7 +23,8 @@
 	stats          outlierStats
 	unsharedReport OutcomeReport // own calls since the last report to other hosts
 	lastCallEnd    bvclock.Time  // of this host's last call
-	lastRound      uint64        // last candidate round with this endpoint
+	tool           toolRow
+	lastRound      uint64 // last candidate round with this endpoint
 }
 
 // peerCallsLifetime is how long the calls that the other hosts reported count: meanwhile
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -41,6 +41,8 @@
 	Excluded      map[string]bool // endpoints that must not be chosen again
 	Pinned        bool            // only endpoints of Version may be chosen
 	Version       string          // software version of the endpoints; used if Pinned
+	Tool          bool            // the service has no model engines
+	Once          bool            // must not run twice
 	StartsStream  bool            // may be resumed later, at endpoints of the same version only
 	Unstored      map[string]bool // versions at which a stream has to wait for the platform's store
 	HeldPrefix    HeldPrefix      // where the previous turn ran
@@ -48,6 +50,7 @@
 	Conversation  uint64          // sequence of the program's turns that this one continues
 	holderQueried bool            // the program's tracker was queried
 	holderUnknown bool            // it did not answer
+	tool          toolCall
 	// PeerCalls holds the calls that the other hosts have now at the endpoints to choose
 	// from, by the hashes of their IDs. Nil: choose from all.
 	PeerCalls map[uint64]int
@@ -77,6 +80,7 @@
 	startedPrograms programCounts
 	zone            string // availability zone of this host
 	disabled        bvmechanism.Set
+	tools           toolRules
 
 	versions map[string]versionCount // of the endpoints' software
 
@@ -285,7 +289,9 @@
 	}
 	row.running = max(row.running-1, 0)
 	row.lastCallEnd = now
-	row.health.recordOutcome(now, result.Outcome)
+	if !pool.recordToolEnd(now, row, result.Outcome) {
+		row.health.recordOutcome(now, result.Outcome)
+	}
 	report := reportFrom(result)
 	row.stats.add(now, report)
 	row.unsharedReport.add(report)
--- a/bvdispatch/shortlist.go
+++ b/bvdispatch/shortlist.go
@@ -70,4 +70,5 @@
 func (endpoint *endpoint) setPeerCalls(now bvclock.Time, count int) {
 	endpoint.peerCalls, endpoint.peerCallsAt = count, now
 	endpoint.reportedOthers = 0
+	endpoint.tool.recordCalls(endpoint.running + count)
 }
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -128,6 +128,8 @@
 		Prefix:       call.metadata.Prefix,
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
+		Tool:         call.service.Engine == nil,
+		Once:         !call.route.MayRepeat(),
 	}
 	call.fingerprint = call.newFingerprint()
 	if call.service.Engine != nil && call.metadata.Program != "" {
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -123,6 +123,9 @@
 		fields["load_thought"] = int(call.placement.Load)
 		fields["asked"] = len(call.placement.PeerCalls)
 	}
+	if waited := call.placement.Waited(); waited > 0 {
+		fields["slot_wait_ms"] = int64(waited)
+	}
 	if call.stream.count > 0 {
 		fields["first_ms"] = int64(call.firstEventAt.Sub(call.arrived))
 		fields["events"] = call.stream.count
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -14,14 +14,9 @@
 	"balsamvalve.example/bvverdict"
 )
 
-const (
-	// maxSends is the maximum number of endpoints that a request is sent to. Sends that an
-	// endpoint refused don't count as runs, but each takes a few milliseconds.
-	maxSends = 4
-	// minSendTime is the minimum remaining time for a send: a round trip to an endpoint
-	// takes some milliseconds.
-	minSendTime = 5 * bvclock.Millisecond
-)
+// minSendTime is the minimum remaining time for a send: a round trip to an endpoint
+// takes some milliseconds.
+const minSendTime = 5 * bvclock.Millisecond
 
 // forward sends the request to one endpoint after the other, as long as it can't have
 // run, or may run again.
@@ -35,6 +30,9 @@
 		}
 		call.prepareStart()
 		endpoint, found := call.front.parts.Dispatcher.Choose(call.service.Name, &call.placement)
+		if !found && call.awaitSlot() {
+			continue
+		}
 		if !found {
 			return call.noEndpointError()
 		}
@@ -47,7 +45,6 @@
 			return call.withVerdictOfAllSends(err)
 		}
 		call.awaitCheck()
-		call.avoidEndpoint(endpoint.Name)
 		call.front.parts.Counters.Add("sends_again", 1)
 	}
 }
@@ -61,15 +58,23 @@
 	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.From(err).Code(), "the request may have run at another endpoint").WithCause(err)
 }
 
-func (call *call) avoidEndpoint(endpoint string) {
-	if call.placement.Excluded == nil {
-		call.placement.Excluded = make(map[string]bool)
+// awaitSlot waits until a tool's endpoint may have a free slot, if all rejected the request and
+// the time suffices. It reports whether another choice may find one.
+func (call *call) awaitSlot() bool {
+	wait := call.placement.SlotWait()
+	if wait == 0 || call.remaining() < wait+minSendTime {
+		return false
 	}
-	call.placement.Excluded[endpoint] = true
+	call.front.parts.Counters.Add("slot_waits", 1)
+	select {
+	case <-bvclock.After(wait):
+	case <-call.ctx.Done():
+	}
+	return call.ctx.Err() == nil
 }
 
 func (call *call) mayResend(err error) bool {
-	if call.ctx.Err() != nil || call.sends >= maxSends {
+	if call.ctx.Err() != nil || !call.placement.MaySendAgain() {
 		return false
 	}
 	if bvverdict.Of(err) == bvverdict.NotRun {
@@ -93,6 +98,10 @@
 	if call.resumesStream() && call.isVersionGone() {
 		return call.versionGoneError()
 	}
+	if waited := call.placement.Waited(); waited > 0 {
+		return bvverdict.Refuse(bvverdict.Overloaded, "all endpoints of %s are full after %d sends and %s of waiting for a slot",
+			call.service.Name, call.sends, waited).WithRetryAfter(shortRetry)
+	}
 	return bvverdict.Refuse(bvverdict.Overloaded, "no endpoint of %s accepts the request", call.service.Name).WithRetryAfter(shortRetry)
 }
 
@@ -155,6 +164,7 @@
 	if call.stream.count > 0 && call.load.Waiting == 0 { // otherwise the request waited for a slot
 		result.UncachedTokens, result.TimeToFirstEvent = max(call.placement.PromptTokens-call.placement.CachedTokens, 0), call.firstEventAt.Sub(call.sentAt)
 	}
+	call.placement.RecordSend(call.endpoint.Name, outcome)
 	call.front.parts.Dispatcher.EndCall(call.service.Name, call.endpoint.ID(), &call.placement, result)
 	switch outcome {
 	case bvdispatch.Broken:
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -41,6 +41,7 @@
 //	first_event           of streams, from the request's arrival to the first event
 //	request_latency       of answered requests, from arrival to the last byte
 //	sends_again           sends of a request after its first
+//	slot_waits            times that a request waited for a free slot of a tool
 //	programs_turned_away  programs rejected before their first turn because of overload
 //	desired_state_version version of the active routes
 //	hosts_heard           other hosts whose digests arrive
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -42,6 +42,7 @@
 	Fairness                       // fairness
 	Readers                        // readers
 	Versions                       // versions
+	Tools                          // tools
 	last
 )
 
@@ -66,6 +67,7 @@
 	Holders:       "a host is queried for the endpoint that caches a conversation and whether its program is running",
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
 	Versions:      "streams begin at a software version that stays, while others are about to go",
+	Tools:         "calls of tools avoid full endpoints and rejections, by counts of calls and reported paces",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 }
 
