--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -28,7 +28,7 @@
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.recordHeldPrefix(request)
 	pool.beginToolChoice(request)
-	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
+	snapshot := snapshot{now: now, loadShare: pool.loadShare(now), toolRules: pool.appliesToolRules(now)}
 	rows := pool.candidates(request)
 	best := pool.cheapest(snapshot, request, rows, pool.sampleFor(snapshot, request, rows))
 	if best == nil || pool.isFullTool(now, best) {
@@ -48,6 +48,7 @@
 type snapshot struct {
 	now       bvclock.Time
 	loadShare float64 // number of calls as a share of all slots
+	toolRules bool    // the tool rules apply
 }
 
 // cheapest returns the endpoint at which the call costs least, of those rows that are in
@@ -112,7 +113,9 @@
 		cost += row.stats.costMs(snapshot.now, pool.pace.valueOr(0), duration)
 	}
 	cost += pool.versionCost(row.entry.Version, request)
-	cost += pool.toolCost(snapshot, row, request)
+	if snapshot.toolRules {
+		cost += row.toolCost(snapshot, load, duration, request.Once)
+	}
 	if request.Object != 0 {
 		cost += objectWeightMs * row.rendezvousRank(request.Object)
 	}
--- a/bvdispatch/shortlist.go
+++ b/bvdispatch/shortlist.go
@@ -30,7 +30,7 @@
 // hashes of their IDs.
 func (pool *Pool) Shortlist(now bvclock.Time, request *Request) []uint64 {
 	pool.recordHeldPrefix(request)
-	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
+	snapshot := snapshot{now: now, loadShare: pool.loadShare(now), toolRules: pool.appliesToolRules(now)}
 	type candidate struct {
 		endpoint *endpoint
 		cost     float64
