--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -27,15 +27,19 @@
 // false if none may be called.
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.recordHeldPrefix(request)
-	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
+	pool.beginToolChoice(request)
+	snapshot := snapshot{now: now, loadShare: pool.loadShare(now), toolRules: pool.appliesToolRules(now)}
 	rows := pool.candidates(request)
 	best := pool.cheapest(snapshot, request, rows, pool.sampleFor(snapshot, request, rows))
-	if best == nil {
-		best = pool.cheapest(snapshot, request, rows, sample{all: true}) // the sample was empty
+	if best == nil || pool.isFullTool(now, best) {
+		best = pool.cheapest(snapshot, request, rows, sample{all: true}) // the sample has no free endpoint
 	}
 	if best == nil {
 		return pool.lastResort(now, request)
 	}
+	if pool.mustWait(now, request, best) {
+		return bvplatform.Endpoint{}, false
+	}
 	request.CachedTokens, request.Load = best.cache.cachedTokens(request.Prefix), best.load(now)
 	return best.entry, true
 }
@@ -44,6 +48,7 @@
 type snapshot struct {
 	now       bvclock.Time
 	loadShare float64 // number of calls as a share of all slots
+	toolRules bool    // the tool rules apply
 }
 
 // cheapest returns the endpoint at which the call costs least, of those rows that are in
@@ -109,6 +114,9 @@
 		cost += row.stats.costMs(snapshot.now, pool.outlierPace(), duration)
 	}
 	cost += pool.versionCost(row.entry.Version, request)
+	if snapshot.toolRules {
+		cost += row.toolCost(snapshot, load, duration, request.Once)
+	}
 	if request.Object != 0 {
 		cost += objectWeightMs * row.rendezvousRank(request.Object)
 	}
--- a/bvdispatch/shortlist.go
+++ b/bvdispatch/shortlist.go
@@ -30,7 +30,7 @@
 // hashes of their IDs.
 func (pool *Pool) Shortlist(now bvclock.Time, request *Request) []uint64 {
 	pool.recordHeldPrefix(request)
-	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
+	snapshot := snapshot{now: now, loadShare: pool.loadShare(now), toolRules: pool.appliesToolRules(now)}
 	type candidate struct {
 		endpoint *endpoint
 		cost     float64
@@ -70,4 +70,5 @@
 func (endpoint *endpoint) setPeerCalls(now bvclock.Time, count int) {
 	endpoint.peerCalls, endpoint.peerCallsAt = count, now
 	endpoint.reportedOthers = 0
+	endpoint.tool.recordCalls(endpoint.running + count)
 }
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -129,6 +129,8 @@
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
 		Workspace:    call.workspaceName(),
+		Tool:         call.service.Engine == nil,
+		Once:         !call.route.MayRepeat(),
 	}
 	call.content = call.newContent()
 	if call.service.Engine != nil && call.metadata.Program != "" {
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -44,6 +44,7 @@
 	Versions                       // versions
 	Shares                         // shares
 	Speeds                         // speeds
+	Tools                          // tools
 	last
 )
 
@@ -69,6 +70,7 @@
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
 	Versions:      "streams begin at a software version that stays, while others are about to go",
 	Speeds:        "endpoints are rated by the speed that they report and that is measured",
+	Tools:         "calls of tools avoid full endpoints and rejections, by counts of calls and reported paces",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 	Shares:        "under overload, workspaces above their fair share over all hosts are rejected first",
 }
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -30,12 +30,13 @@
 	_ = x[Versions-19]
 	_ = x[Shares-20]
 	_ = x[Speeds-21]
-	_ = x[last-22]
+	_ = x[Tools-22]
+	_ = x[last-23]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionssharesspeedslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionssharesspeedstoolslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 147, 153, 157}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 147, 153, 158, 162}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
