Admission by time, and rejections that trackers remember

Cause: admission allowed 1.2 calls a slot whatever a program's deadline, and a rejected caller was admitted when it retried with too little time left.

Change: bvadmission decides by the program's deadline where the endpoints report a pace: the load share up to which calls are fast enough follows from the measured slowdown, corrected by turns that end late; small programs of a route have a higher limit, the most urgent priority a reserve. A program's tracker keeps its first rejection (Probe.refused, Holding.refused), and each host spaces the times to retry by the rate at which it admits programs. Turns late by more than their program's total time get the lowest urgency. Without a deadline or a pace, decisions are as before.

--- a/bvcommand/fleet.go
+++ b/bvcommand/fleet.go
@@ -41,7 +41,7 @@
 	flags.IntVar(&options.seeds, "seeds", 1, "number of seeds to simulate")
 	flags.Float64Var(&options.surgeFactor, "crowd", 1.6, "factor by which the surge multiplies the rate of new programs")
 	flags.StringVar(&options.disabled, "without", "", "mechanisms to switch off, separated by commas")
-	command.AddCommand(newFleetCaps())
+	command.AddCommand(newFleetCaps(), newFleetSurge())
 	return command
 }
 
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -28,6 +28,7 @@
 func (pool *Pool) Choose(now bvclock.Time, request *Request) (bvplatform.Endpoint, bool) {
 	pool.recordHeldPrefix(request)
 	snapshot := snapshot{now: now, loadShare: pool.loadShare(now)}
+	request.LoadShare = snapshot.loadShare
 	rows := pool.candidates(request)
 	best := pool.cheapest(snapshot, request, rows, pool.sampleFor(snapshot, request, rows))
 	if best == nil {
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -62,8 +63,11 @@
 	ReportRunning(endpoint uint64, running int)
 	// QueryHolding asks which endpoint has a conversation of a program cached, and how many
 	// tokens of it. For an unknown conversation, it is the endpoint of the program's last
-	// turn. Answered is false if the tracker did not answer, so that it may know one.
-	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool)
+	// turn. Answered is false if the tracker did not answer, so that it may know one. Refusal
+	// is what the tracker knows of rejections of the program.
+	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool, refusal bvadmission.Refusal)
+	// ReportRefusal reports that a program was rejected.
+	ReportRefusal(program uint64, refusal bvadmission.Refusal)
 	// ReportHolding reports which endpoint has a conversation cached.
 	ReportHolding(program, conversation, endpoint uint64, tokens int)
 }
@@ -139,13 +143,12 @@
 	return found
 }
 
-// Admit reports whether a new program may begin at a service. If not, it returns
-// the time after which the caller should retry.
-func (dispatcher *Dispatcher) Admit(service string, program NewProgram) (bvclock.Duration, bool) {
+// Admit decides whether a new program may begin at a service.
+func (dispatcher *Dispatcher) Admit(service string, program NewProgram) Admission {
 	now := dispatcher.clock.Now()
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	return dispatcher.pool(service).Admit(now, program)
+	return dispatcher.pool(service).Decide(now, program)
 }
 
 // ReadingRates returns the number of prompt tokens that the engines of each service read
@@ -174,6 +177,17 @@
 	return chosen, found
 }
 
+// ReportRefusal reports to the program's tracker that the program was rejected because of its
+// deadline, and when it may retry.
+func (dispatcher *Dispatcher) ReportRefusal(request *Request, retryAfter bvclock.Duration) {
+	if !dispatcher.hasTracker(request) || dispatcher.disabled.Has(bvmechanism.Returns) {
+		return
+	}
+	refusal := request.Refusal
+	refusal.Waited, refusal.DueIn = max(refusal.Waited, 1), retryAfter
+	dispatcher.trackers.ReportRefusal(request.Program, refusal)
+}
+
 // HasEarlierTurns reports whether the program's tracker knows of a turn before this one,
 // through any host.
 func (dispatcher *Dispatcher) HasEarlierTurns(request *Request) bool {
@@ -194,8 +208,8 @@
 		return
 	}
 	request.holderQueried = true
-	endpoint, tokens, found, answered := dispatcher.trackers.QueryHolding(request.Program, request.Conversation)
-	request.holderUnknown = !answered
+	endpoint, tokens, found, answered, refusal := dispatcher.trackers.QueryHolding(request.Program, request.Conversation)
+	request.holderUnknown, request.Refusal = !answered, refusal
 	if found {
 		request.HeldPrefix = HeldPrefix{Endpoint: endpoint, Tokens: tokens}
 	}
@@ -360,6 +374,7 @@
 func (dispatcher *Dispatcher) EndCall(service, endpoint string, request *Request, result Result) {
 	hash := HashID(endpoint)
 	dispatcher.reportRunning(hash, dispatcher.endCall(service, endpoint, hash, result))
+	dispatcher.recordTurn(service, request, result)
 	if result.Outcome == Served && dispatcher.hasTracker(request) {
 		dispatcher.trackers.ReportHolding(request.Program, request.Conversation, hash, request.PromptTokens+result.OutputTokens)
 	}
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -37,17 +38,19 @@
 type Request struct {
 	Prefix        []bvroute.Part // of the prompt; empty for plain services
 	PromptTokens  int
-	Object        uint64          // that the call concerns; 0: none, or it makes no difference
-	Excluded      map[string]bool // endpoints that must not be chosen again
-	Pinned        bool            // only endpoints of Version may be chosen
-	Version       string          // software version of the endpoints; used if Pinned
-	StartsStream  bool            // may be resumed later, at endpoints of the same version only
-	Unstored      map[string]bool // versions at which a stream has to wait for the platform's store
-	HeldPrefix    HeldPrefix      // where the previous turn ran
-	Program       uint64          // that the turn belongs to; 0: none
-	Conversation  uint64          // sequence of the program's turns that this one continues
-	holderQueried bool            // the program's tracker was queried
-	holderUnknown bool            // it did not answer
+	Object        uint64              // that the call concerns; 0: none, or it makes no difference
+	Excluded      map[string]bool     // endpoints that must not be chosen again
+	Pinned        bool                // only endpoints of Version may be chosen
+	Version       string              // software version of the endpoints; used if Pinned
+	StartsStream  bool                // may be resumed later, at endpoints of the same version only
+	Unstored      map[string]bool     // versions at which a stream has to wait for the platform's store
+	HeldPrefix    HeldPrefix          // where the previous turn ran
+	Program       uint64              // that the turn belongs to; 0: none
+	Conversation  uint64              // sequence of the program's turns that this one continues
+	ProgramEnd    bvclock.Time        // when the program should have ended; 0: unspecified
+	Refusal       bvadmission.Refusal // of the program, as its tracker knows
+	holderQueried bool                // the program's tracker was queried
+	holderUnknown bool                // it did not answer
 	// PeerCalls holds the calls that the other hosts have now at the endpoints to choose
 	// from, by the hashes of their IDs. Nil: choose from all.
 	PeerCalls map[uint64]int
@@ -55,6 +58,7 @@
 	// Set by Choose, for the log: estimates for the chosen endpoint.
 	CachedTokens int     // tokens of the prompt that it has cached
 	Load         float64 // its calls from all hosts
+	LoadShare    float64 // calls as a share of the slots of all endpoints
 }
 
 // HeldPrefix is the part of a prompt that an endpoint has cached from the previous turn.
@@ -75,6 +79,8 @@
 	pace            average // of calls, in milliseconds per event or answer
 	reading         readingEstimator
 	startedPrograms programCounts
+	controller      bvadmission.Controller
+	reportsPace     bool   // an endpoint of the service has reported a pace
 	zone            string // availability zone of this host
 	disabled        bvmechanism.Set
 
--- a/bvdispatch/shortlist_test.go
+++ b/bvdispatch/shortlist_test.go
@@ -5,12 +5,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 )
 
 // fakeTrackers answers with fixed counts and records queries and reports.
 type fakeTrackers struct {
+	refusals      map[uint64]bvadmission.Refusal
 	counts        map[uint64]int
 	queries       [][]uint64
 	reported      map[uint64]int
@@ -19,10 +21,14 @@
 	silent        bool // they don't answer queries for holders
 }
 
-func (trackers *fakeTrackers) QueryHolding(_, conversation uint64) (endpoint uint64, tokens int, found, answered bool) {
+func (trackers *fakeTrackers) QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool, refusal bvadmission.Refusal) {
 	trackers.holderQueries = append(trackers.holderQueries, conversation)
 	held, found := trackers.held[conversation]
-	return held.Endpoint, held.Tokens, found, !trackers.silent
+	return held.Endpoint, held.Tokens, found, !trackers.silent, trackers.refusals[program]
+}
+
+func (trackers *fakeTrackers) ReportRefusal(program uint64, refusal bvadmission.Refusal) {
+	trackers.refusals = map[uint64]bvadmission.Refusal{program: refusal}
 }
 
 func (trackers *fakeTrackers) ReportHolding(_, conversation, endpoint uint64, tokens int) {
--- a/bvdispatch/urgency.go
+++ b/bvdispatch/urgency.go
@@ -4,6 +4,8 @@
 const (
 	minUrgency = 1
 	maxUrgency = 9
+	// OverdueUrgency is the urgency of turns whose program is of no use to its caller.
+	OverdueUrgency = maxUrgency
 	// priorityStep leaves one urgency between two route priorities, for new programs.
 	priorityStep = 2
 )
--- a/bvfleet/engine.go
+++ b/bvfleet/engine.go
@@ -13,12 +13,13 @@
 
 // engine is the state of a model engine.
 type engine struct {
-	spec    Engine
-	id      string
-	hash    uint64
-	zone    int
-	waiting []*call // by urgency, then by arrival
-	running []*call // in order of start
+	spec     Engine
+	id       string
+	hash     uint64
+	zone     int
+	slowdown float64 // factor by which work takes longer
+	waiting  []*call // by urgency, then by arrival
+	running  []*call // in order of start
 
 	cachedParts     *simplelru.LRU[uint64, int] // tokens by key
 	cachedTokens    int                         // of cachedParts
@@ -26,7 +27,7 @@
 }
 
 func newEngine(spec Engine, id string, hash uint64, zone int) *engine {
-	engine := &engine{spec: spec, id: id, hash: hash, zone: zone}
+	engine := &engine{spec: spec, id: id, hash: hash, zone: zone, slowdown: 1}
 	engine.cachedParts, _ = simplelru.NewLRU(unbounded, func(_ uint64, tokens int) { engine.cachedTokens -= tokens })
 	return engine
 }
@@ -59,7 +60,7 @@
 	running := engine.running[:0]
 	for _, call := range engine.running {
 		if call.unprefilled <= 0 {
-			call.outputLeft -= 1 / tokenTime
+			call.outputLeft -= 1 / (tokenTime * engine.slowdown)
 		}
 		if call.outputLeft <= 0 {
 			ended = append(ended, call)
@@ -89,7 +90,7 @@
 func (engine *engine) prefillStep() bool {
 	for _, call := range engine.running {
 		if call.unprefilled > 0 {
-			call.unprefilled -= engine.spec.PrefillRate
+			call.unprefilled -= engine.spec.PrefillRate / engine.slowdown
 			return true
 		}
 	}
--- a/bvfleet/load.go
+++ b/bvfleet/load.go
@@ -34,8 +34,15 @@
 	Engine   Engine
 	Kinds    []Kind
 	Surges   []Surge
+	Slow     Slowdown
 	Duration bvclock.Duration // time during which programs start
 	Seed     uint64
+	// TurnTimeout is how long a caller waits for a turn to start. 0: callerTimeout.
+	TurnTimeout bvclock.Duration
+	// ReportsPace makes engines report a pace.
+	ReportsPace bool
+	// Oracle makes admission know the size and the progress of all programs.
+	Oracle bool
 
 	// Workspaces is the number of workspaces, which send programs at equal rates; with 0,
 	// programs have no workspace. The programs that a surge adds are all of the first
@@ -69,6 +76,7 @@
 
 // Kind is a kind of program.
 type Kind struct {
+	Name           string
 	Rate           float64
 	Priority       int
 	Turns          Lognormal
@@ -78,14 +86,32 @@
 	Output         Lognormal // tokens that a turn generates
 	Pause          Lognormal // milliseconds between two turns
 	// Slack is the time in which a program should end, as a multiple of its time on
-	// idle engines.
-	Slack float64
+	// idle engines, plus ExtraTime.
+	Slack     float64
+	ExtraTime bvclock.Duration
 }
 
 // Surge multiplies the rate of starting programs for some time.
 type Surge struct {
 	Start, Duration bvclock.Duration
 	Factor          float64
+	OneKind         bool // only the first kind of program surges
+}
+
+// rateFactor returns the factor by which the surge multiplies the rate of a kind now.
+func (surge Surge) rateFactor(now bvclock.Time, kind int) float64 {
+	since := bvclock.Duration(now) - surge.Start
+	if since < 0 || since >= surge.Duration || surge.OneKind && kind != 0 {
+		return 1
+	}
+	return surge.Factor
+}
+
+// Slowdown makes a share of the engines slower for some time.
+type Slowdown struct {
+	Start, Duration bvclock.Duration
+	Share           float64
+	Factor          float64
 }
 
 // Lognormal is a lognormal distribution.
--- a/bvfleet/program.go
+++ b/bvfleet/program.go
@@ -11,6 +11,7 @@
 // program is the state of an agent program.
 type program struct {
 	kind      *Kind
+	kindIndex int
 	workspace string
 	startedAt bvclock.Time
 	timeLimit bvclock.Duration
@@ -24,6 +25,9 @@
 	attempts     int // of the turn
 	sends        int // of the turn, each with its attempts
 	failed       bool
+	refused      bool                  // the last attempt was refused
+	dueAt        bvclock.Time          // when it may retry
+	refusedAt    bvclock.Time          // first, because of its deadline; 0: never
 	heldPrefix   bvdispatch.HeldPrefix // prompt cached by the engine of the last turn
 }
 
@@ -51,7 +55,7 @@
 // drawProgram draws a program of a kind that starts now.
 func (simulation *simulation) drawProgram(kind int) *program {
 	spec := &simulation.load.Kinds[kind]
-	drawn := &program{kind: spec, startedAt: simulation.now, host: simulation.random.IntN(simulation.load.Hosts)}
+	drawn := &program{kind: spec, kindIndex: kind, startedAt: simulation.now, host: simulation.random.IntN(simulation.load.Hosts)}
 	drawn.extend(simulation.drawSharedPrefix(kind))
 	idle := 0.0
 	for range max(1, int(math.Round(spec.Turns.draw(simulation.random)))) {
@@ -63,7 +67,7 @@
 		drawn.turns = append(drawn.turns, turn)
 		idle += float64(turn.input.Tokens)/simulation.load.Engine.PrefillRate + turn.output*simulation.load.Engine.TokenTime + float64(turn.pause+2*callerLatency)
 	}
-	drawn.timeLimit = bvclock.Duration(spec.Slack * idle)
+	drawn.timeLimit = bvclock.Duration(spec.Slack*idle) + spec.ExtraTime
 	drawn.extend(drawn.turns[0].input)
 	return drawn
 }
--- a/bvfleet/result.go
+++ b/bvfleet/result.go
@@ -1,6 +1,10 @@
 package bvfleet
 
-import "fmt"
+import (
+	"fmt"
+
+	"balsamvalve.example/bvclock"
+)
 
 // Result holds the outcomes of the programs.
 type Result struct {
@@ -11,11 +15,18 @@
 	Refusals        int
 	SentTurns       int // turns sent to an engine
 	WaitedTurns     int // of those, the turns that waited for a slot
+	TimedOutTurns   int // of those, the turns that did not start before the caller's timeout
 	PrefilledTokens int // prompt tokens that engines prefilled
 
 	// Programs of the workspaces other than the first; 0 without workspaces.
 	Others       int // programs that started
 	OthersInTime int
+
+	Peak  []Group // by kind: programs that started during the first surge, after peakDelay
+	After Group   // programs that started after the first surge
+	// Recovery is the time from the end of the first surge until programs that start then are
+	// in time again, but for calmLateShare.
+	Recovery bvclock.Duration
 }
 
 func (simulation *simulation) summarize() Result {
@@ -41,6 +52,7 @@
 	for _, engine := range simulation.engines {
 		result.PrefilledTokens += engine.prefilledTokens
 	}
+	simulation.groupBySurge(&result)
 	return result
 }
 
--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -16,11 +16,13 @@
 	callerLatency = 10 * bvclock.Millisecond
 	// callerTimeout is how long a caller waits for a turn to start.
 	callerTimeout = 2400 * bvclock.Millisecond
-	// A refused caller retries once, after the time in the refusal. A turn whose attempts
+	// A refused caller retries once through any host, after the time in the refusal but at
+	// most 1/retryAfterShare of the turn's time. A turn whose attempts
 	// all failed is sent twice more, each time after a pause of minRetryPause plus up to
 	// retryPauseJitter.
 	maxAttempts      = 2
 	maxSends         = 3
+	retryAfterShare  = 3
 	minRetryPause    = 100 * bvclock.Millisecond
 	retryPauseJitter = 300 * bvclock.Millisecond
 	// drainTime is how long programs may continue after the last one has started.
@@ -40,6 +42,7 @@
 	sharedPrefixes [][]bvroute.Part // by kind
 	lastPartKey    uint64
 	programs       []*program
+	active         []*program                  // that the oracle has admitted
 	dueTurns       map[bvclock.Time][]*program // by the time at which the next turn is sent
 	callTimeouts   map[bvclock.Time][]*call    // by the time of the caller's timeout
 	result         Result
@@ -91,6 +94,9 @@
 		pool := bvdispatch.NewPool(simulation.load.Seed<<32+uint64(i), zoneName(zone))
 		pool.Disable(simulation.load.Disabled)
 		pool.SetEndpoints(listed)
+		if simulation.load.ReportsPace {
+			pool.RecordPace()
+		}
 		simulation.hosts = append(simulation.hosts, &host{zone: zone, pool: pool, running: make(map[uint64]int)})
 	}
 	for _, kind := range simulation.load.Kinds {
@@ -113,9 +119,7 @@
 	for i, kind := range simulation.load.Kinds {
 		rate := kind.Rate
 		for _, surge := range simulation.load.Surges {
-			if since := bvclock.Duration(simulation.now) - surge.Start; since >= 0 && since < surge.Duration {
-				rate *= surge.Factor
-			}
+			rate *= surge.rateFactor(simulation.now, i)
 		}
 		if simulation.random.Float64() < rate/float64(bvclock.Second) {
 			started := simulation.drawProgram(i)
@@ -156,11 +160,13 @@
 func (simulation *simulation) sendTurn(program *program) {
 	host := simulation.hosts[program.host]
 	if program.turnIndex == 0 {
-		if retryAfter, admitted := host.pool.Admit(simulation.now, bvdispatch.NewProgram{Priority: program.kind.Priority, Workspace: program.workspace}); !admitted {
+		if retryAfter, admitted := simulation.admit(host, program); !admitted {
 			simulation.result.Refusals++
+			program.refused = true
 			simulation.scheduleRetry(program, retryAfter)
 			return
 		}
+		program.refused = false
 	}
 	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens}
 	if simulation.load.Trackers && program.turnIndex > 0 {
@@ -199,15 +205,29 @@
 	}
 	call := &call{
 		program: program, request: request, host: program.host, engine: engine, sentAt: simulation.now,
-		urgency: bvdispatch.Urgency(program.kind.Priority, program.turnIndex > 0), outputLeft: program.turns[program.turnIndex].output,
+		urgency: simulation.urgency(host, program), outputLeft: program.turns[program.turnIndex].output,
 	}
 	engine.submit(call)
-	at := simulation.now.Add(callerTimeout)
+	at := simulation.now.Add(simulation.turnTimeout())
 	simulation.callTimeouts[at] = append(simulation.callTimeouts[at], call)
 }
 
+func (simulation *simulation) turnTimeout() bvclock.Duration {
+	if simulation.load.TurnTimeout > 0 {
+		return simulation.load.TurnTimeout
+	}
+	return callerTimeout
+}
+
 func (simulation *simulation) stepEngines() {
-	for _, engine := range simulation.engines {
+	slow := simulation.load.Slow
+	since := bvclock.Duration(simulation.now) - slow.Start
+	isSlow := since >= 0 && since < slow.Duration
+	for i, engine := range simulation.engines {
+		engine.slowdown = 1
+		if isSlow && float64(i) < slow.Share*float64(len(simulation.engines)) {
+			engine.slowdown = slow.Factor
+		}
 		for _, call := range engine.step() {
 			simulation.finishTurn(call)
 		}
@@ -219,6 +239,7 @@
 	program := call.program
 	program.heldPrefix = bvdispatch.HeldPrefix{Endpoint: call.engine.hash, Tokens: program.promptTokens}
 	simulation.endCall(call, bvdispatch.Served)
+	simulation.recordTurn(call)
 	program.attempts, program.sends = 0, 0
 	pause := program.turns[program.turnIndex].pause
 	program.turnIndex++
@@ -250,6 +271,7 @@
 		}
 		call.engine.cancel(call)
 		simulation.endCall(call, bvdispatch.Withdrawn)
+		simulation.result.TimedOutTurns++
 		call.program.attempts = maxAttempts
 		simulation.scheduleRetry(call.program, 0)
 	}
@@ -259,8 +281,9 @@
 // scheduleRetry schedules the next attempt of a caller that was refused or timed out, or
 // marks its program as failed.
 func (simulation *simulation) scheduleRetry(program *program, retryAfter bvclock.Duration) {
+	program.host = simulation.random.IntN(simulation.load.Hosts)
 	if program.attempts++; program.attempts < maxAttempts {
-		simulation.scheduleTurn(program, retryAfter)
+		simulation.scheduleTurn(program, min(retryAfter, simulation.turnTimeout()/retryAfterShare))
 		return
 	}
 	program.attempts = 0
--- a/bvfleet/simulation_test.go
+++ b/bvfleet/simulation_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 )
 
@@ -75,3 +76,38 @@
 	require.Greater(t, fair.ShareOthersInTime(), none.ShareOthersInTime()+0.05)
 	require.Greater(t, fair.ShareInTime(), none.ShareInTime()-0.02)
 }
+
+// Guards against a surge beyond capacity in which nearly all programs are admitted and end
+// late, and in which the most urgent ones fare worse than the others.
+func TestSurgeIsAdmittedByTime(t *testing.T) {
+	load := ContendedLoad(24)
+	load.Duration = 14 * bvclock.Second
+	kinds := Simulate(load).Peak
+	byTime := Total(kinds)
+	load.Disabled = load.Disabled.With(bvmechanism.Deadlines)
+	fixed := Total(Simulate(load).Peak)
+	require.Greater(t, byTime.ShareInTime(), max(fixed.ShareInTime()+0.1, 0.6))
+	require.Less(t, byTime.ShareLate(), fixed.ShareLate()/3)
+	require.Greater(t, byTime.Worth(), fixed.Worth())
+	require.Greater(t, kinds[0].ShareInTime(), kinds[1].ShareInTime()-0.05)
+}
+
+// Guards against rejections at the usual load.
+func TestUsualLoadIsAdmittedByTime(t *testing.T) {
+	load := ContendedLoad(24)
+	load.Surges[0].Factor = 1
+	result := Simulate(load)
+	require.Zero(t, result.Refusals)
+	require.Greater(t, result.ShareInTime(), 0.98)
+}
+
+// Guards against a rule that depends on knowing all rejections: a lost tracker must not make
+// it worse than the fixed limit.
+func TestSurgeWithoutKnownRejectionsIsNoWorseThanBefore(t *testing.T) {
+	load := ContendedLoad(24)
+	load.Duration = 14 * bvclock.Second
+	load.Disabled = load.Disabled.With(bvmechanism.Returns)
+	unknown := Total(Simulate(load).Peak)
+	load.Disabled = load.Disabled.With(bvmechanism.Deadlines)
+	require.Greater(t, unknown.Worth(), Total(Simulate(load).Peak).Worth())
+}
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -128,6 +128,7 @@
 		Prefix:       call.metadata.Prefix,
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
+		ProgramEnd:   call.programDeadline(),
 	}
 	call.fingerprint = call.newFingerprint()
 	if call.service.Engine != nil && call.metadata.Program != "" {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -80,7 +80,13 @@
 
 // Dispatcher chooses endpoints. Its methods are safe for concurrent use.
 type Dispatcher interface {
-	Admit(service string, program bvdispatch.NewProgram) (retryAfter bvclock.Duration, admitted bool)
+	// Admit decides whether a new program may begin at a service.
+	Admit(service string, program bvdispatch.NewProgram) bvdispatch.Admission
+	// ReportRefusal reports to the program's tracker that it was rejected because of its deadline.
+	ReportRefusal(request *bvdispatch.Request, retryAfter bvclock.Duration)
+	// IsOverdue reports whether a turn comes so late that its program is of no use
+	// to its caller.
+	IsOverdue(service, route string, timeLeft bvclock.Duration) bool
 	// HasEarlierTurns reports whether the request's program is known to have had earlier turns.
 	HasEarlierTurns(request *bvdispatch.Request) bool
 	// MayHaveEarlierTurns reports whether that is known, or can't be found out.
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -210,6 +210,18 @@
 	return call.metadata.Continues() || call.resumesStream() || call.placement.HeldPrefix != (bvdispatch.HeldPrefix{})
 }
 
+// urgency returns the request's rank among those that wait at an engine.
+func (call *call) urgency() int {
+	if end := call.programDeadline(); end != 0 {
+		left := end.Sub(call.front.parts.Clock.Now())
+		if left < 0 && call.front.parts.Dispatcher.IsOverdue(call.service.Name, call.route.Name, left) {
+			call.front.parts.Counters.Add("turns_overdue", 1)
+			return bvdispatch.OverdueUrgency
+		}
+	}
+	return bvdispatch.Urgency(call.priority(), call.hasEarlierTurns())
+}
+
 func (call *call) newEndpointRequest(endpoint bvplatform.Endpoint) *bvforward.Request {
 	header := call.request.Header
 	bvforward.DropHopByHop(header, connectionNames(header), call.front.parts.Wire.IsProtected)
@@ -218,7 +230,7 @@
 		call.front.parts.Wire.SetWorkspace(header, call.workspaceName())
 	}
 	if call.service.Engine != nil && !call.front.parts.Without.Has(bvmechanism.Ranks) {
-		call.front.parts.Wire.SetUrgency(header, bvdispatch.Urgency(call.priority(), call.hasEarlierTurns()))
+		call.front.parts.Wire.SetUrgency(header, call.urgency())
 	}
 	return &bvforward.Request{
 		Endpoint: endpoint,
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -1,6 +1,7 @@
 package bvfront
 
 import (
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvbudget"
@@ -39,14 +40,63 @@
 	if call.service.Engine == nil || call.metadata.Continues() || call.resumesStream() {
 		return nil
 	}
-	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName()}
-	retryAfter, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, program)
-	if admitted || call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+	if call.metadata.ProgramDeadline != 0 && call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+		return nil // the query also returns the program's earlier rejections
+	}
+	admission := call.front.parts.Dispatcher.Admit(call.service.Name, call.newProgram())
+	if admission.Admitted || call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
 		return nil
 	}
 	call.front.parts.Counters.Add("programs_turned_away", 1)
+	call.recordRejection(admission)
 	return bvverdict.Refuse(bvverdict.Overloaded, "the engines of %s can't serve another program in time", call.service.Name).
-		WithRetryAfter(retryAfter)
+		WithRetryAfter(admission.RetryAfter)
+}
+
+// newProgram describes the request's program to the dispatcher.
+func (call *call) newProgram() bvdispatch.NewProgram {
+	return bvdispatch.NewProgram{
+		Route:                call.route.Name,
+		Priority:             call.priority(),
+		Workspace:            call.workspaceName(),
+		Deadline:             call.metadata.ProgramDeadline,
+		PromptTokens:         call.metadata.PromptTokens,
+		ExpectedOutputTokens: call.metadata.LengthHint,
+		Refusal:              call.placement.Refusal,
+		RetryWithin:          bvclock.Duration(retryShare * float64(call.remaining())),
+	}
+}
+
+// recordRejection logs and counts a rejection with what it is based on.
+func (call *call) recordRejection(admission bvdispatch.Admission) {
+	if admission.IsByTime() {
+		call.front.parts.Counters.Add("programs_turned_away_by_time", 1)
+		call.front.parts.Dispatcher.ReportRefusal(&call.placement, admission.RetryAfter)
+	}
+	call.front.parts.Log.WithFields(logrus.Fields{
+		"request":     call.metadata.ID,
+		"route":       call.route.Name,
+		"reason":      admission.Reason.String(),
+		"projected":   admission.Projected,
+		"limit":       admission.Limit,
+		"calls":       admission.Capacity.Calls,
+		"slots":       admission.Capacity.Slots,
+		"age_ms":      int64(admission.Capacity.Age),
+		"deadline_ms": int64(call.metadata.ProgramDeadline),
+		"waited_ms":   int64(call.placement.Refusal.Waited),
+		"prompt":      call.metadata.PromptTokens,
+		"expected":    call.metadata.LengthHint,
+		"retry_ms":    int64(admission.RetryAfter),
+	}).Info("program rejected")
+}
+
+// programDeadline returns when the request's program should have ended, or 0 if its caller
+// has not stated that.
+func (call *call) programDeadline() bvclock.Time {
+	if call.metadata.ProgramDeadline == 0 {
+		return 0
+	}
+	return call.arrived.Add(call.metadata.ProgramDeadline)
 }
 
 // admitRetained decides on a turn that can't be persisted now because the store is
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -31,6 +31,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 )
 
@@ -84,6 +85,7 @@
 	tracker      tracker
 	trackers     trackers
 	holdings     holdings
+	refusals     bvadmission.Refusals
 	probes       map[uint64]*pendingProbe
 	queried      int64 // queries to trackers since the start
 	unanswered   int64
--- a/bvgossip/holding.go
+++ b/bvgossip/holding.go
@@ -4,6 +4,9 @@
 	"net/netip"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"balsamvalve.example/bvadmission"
+	"balsamvalve.example/bvclock"
 )
 
 // A program's next turn may arrive at any host some tens of milliseconds after the last
@@ -63,15 +66,15 @@
 }
 
 // QueryHolding asks a program's tracker which endpoint has a conversation, and how many
-// tokens of it. It waits for at most probeTimeout. If the tracker is not known or does not answer,
-// answered is false.
-func (gossip *Gossip) QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool) {
+// tokens of it, and for earlier rejections of the program. It waits for at most probeTimeout.
+// If the tracker is not known or does not answer, answered is false.
+func (gossip *Gossip) QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool, refusal bvadmission.Refusal) {
 	holding, tracker, answered := gossip.localHolding(program, conversation)
 	if tracker.IsValid() {
 		probes := map[netip.AddrPort]*Probe{tracker: {Program: program, Conversation: conversation}}
 		gossip.queryTrackers(probes, probeTimeout, func(reply trackerReply) { holding, answered = reply.counts.GetHolding(), true })
 	}
-	return holding.GetEndpoint(), int(holding.GetTokens()), holding != nil, answered
+	return holding.GetEndpoint(), int(holding.GetTokens()), holding.GetEndpoint() != 0, answered, refusalFrom(holding.GetRefused())
 }
 
 // localHolding returns the holding that this host has as the program's tracker, or the
@@ -85,11 +88,24 @@
 	case !found || now.Before(gossip.backoffUntil[tracker]):
 		return nil, netip.AddrPort{}, false
 	case tracker == gossip.own.address:
-		return gossip.holdings.find(program, conversation), netip.AddrPort{}, true
+		return gossip.findHolding(now, program, conversation), netip.AddrPort{}, true
 	}
 	return nil, tracker, false
 }
 
+// findHolding returns what this host has as a program's tracker, or nil. The caller holds the
+// mutex.
+func (gossip *Gossip) findHolding(now bvclock.Time, program, conversation uint64) *Holding {
+	if holding := gossip.holdings.find(program, conversation); holding != nil {
+		return holding
+	}
+	refusal, found := gossip.refusals.Find(now, program)
+	if !found {
+		return nil
+	}
+	return &Holding{Program: program, Conversation: conversation, Refused: newRefused(refusal)}
+}
+
 func (gossip *Gossip) handleHolding(holding *Holding) {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -24,7 +24,7 @@
 				asker.mutex.Lock()
 				clear(asker.backoffUntil)
 				asker.mutex.Unlock()
-				endpoint, tokens, found, answered := asker.QueryHolding(program, 70)
+				endpoint, tokens, found, answered, _ := asker.QueryHolding(program, 70)
 				return found && answered && endpoint == 42 && tokens == 17_000
 			}, testTimeout, time.Millisecond)
 		}
@@ -33,11 +33,11 @@
 
 func TestHolderOfAnUnknownConversationIsNotFound(t *testing.T) {
 	a := newHost(t, "a", bvclock.Boot())
-	_, _, found, answered := a.QueryHolding(7, 70) // before the first digest
+	_, _, found, answered, _ := a.QueryHolding(7, 70) // before the first digest
 	require.False(t, found)
 	require.False(t, answered)
 	a.updateTrackers()
-	_, _, found, answered = a.QueryHolding(7, 70)
+	_, _, found, answered, _ = a.QueryHolding(7, 70)
 	require.False(t, found)
 	require.True(t, answered)
 }
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -163,13 +163,16 @@
 		counts.Stream = handler.FindStart(query)
 	}
 	gossip.mutex.Lock()
-	since := gossip.staleBefore(gossip.clock.Now())
+	now := gossip.clock.Now()
+	since := gossip.staleBefore(now)
 	for _, endpoint := range probe.GetEndpoints() {
 		running := gossip.tracker.count(endpoint, from, since)
 		counts.Loads = append(counts.Loads, &Load{Endpoint: endpoint, Running: uint32(running)})
 	}
-	if probe.GetProgram() != 0 {
-		counts.Holding = gossip.holdings.find(probe.GetProgram(), probe.GetConversation())
+	if refused := probe.GetRefused(); refused != nil {
+		gossip.refusals.Record(now, probe.GetProgram(), refusalFrom(refused))
+	} else if probe.GetProgram() != 0 {
+		counts.Holding = gossip.findHolding(now, probe.GetProgram(), probe.GetConversation())
 	}
 	gossip.mutex.Unlock()
 	for _, load := range counts.GetLoads() {
--- a/bvmeasure/measure.go
+++ b/bvmeasure/measure.go
@@ -42,6 +42,8 @@
 //	request_latency       of answered requests, from arrival to the last byte
 //	sends_again           sends of a request after its first
 //	programs_turned_away  programs rejected before their first turn because of overload
+//	programs_turned_away_by_time  of those, the ones that could not end within their deadline
+//	turns_overdue  turns of programs that are late by more than the time that they had
 //	desired_state_version version of the active routes
 //	hosts_heard           other hosts whose digests arrive
 //	endpoints             endpoints on the platform's list
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -42,6 +42,8 @@
 	Fairness                       // fairness
 	Readers                        // readers
 	Versions                       // versions
+	Deadlines                      // deadlines
+	Returns                        // returns
 	last
 )
 
@@ -66,6 +68,8 @@
 	Holders:       "a host is queried for the endpoint that caches a conversation and whether its program is running",
 	Readers:       "in a large fleet, few hosts read the lists of the store and pass them on",
 	Versions:      "streams begin at a software version that stays, while others are about to go",
+	Deadlines:     "new programs are admitted only if they can end within their deadline",
+	Returns:       "rejected callers are given times to retry in the order of their rejection",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 }
 
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -28,12 +28,14 @@
 	_ = x[Fairness-17]
 	_ = x[Readers-18]
 	_ = x[Versions-19]
-	_ = x[last-20]
+	_ = x[Deadlines-20]
+	_ = x[Returns-21]
+	_ = x[last-22]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionsdeadlinesreturnslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 145}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 150, 157, 161}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -21,7 +21,7 @@
 	Prefix          []Part // of the prompt, in order
 	Program         string
 	Session         string           // sequence of turns within the program
-	ProgramDeadline bvclock.Duration // time left until the whole program should be finished
+	ProgramDeadline bvclock.Duration // time left until the whole program should be finished; negative: it is over
 	Budget          int              // tokens that all turns of the program may generate
 	HasBudget       bool             // whether the client set a budget
 	ParentTurn      string           // ID of the turn that this one continues
