--- a/bvadmission/returns.go
+++ b/bvadmission/returns.go
@@ -11,7 +11,7 @@
 	// minReturn is the shortest time that is given: until then, a program that ends makes
 	// room at the earliest.
 	minReturn = 50 * bvclock.Millisecond
-	// maxPriorities is the number of priorities that are told apart.
+	// maxPriorities is the number of priorities with times of their own.
 	maxPriorities = 5
 )
 
--- a/bvadmission/returns_test.go
+++ b/bvadmission/returns_test.go
@@ -9,7 +9,7 @@
 	"balsamvalve.example/bvclock"
 )
 
-// Guards against more callers that are told to retry than can be admitted.
+// Guards against more retries than can be admitted.
 func TestTimesToRetryAreSpacedByTheRateOfAdmissions(t *testing.T) {
 	var controller Controller
 	for range 20 {
@@ -44,7 +44,7 @@
 	require.Greater(t, limitOf(newTaughtController(), due), limitOf(newTaughtController(), early))
 }
 
-// Guards against a caller that is told to wait longer than it will.
+// Guards against a time that the caller does not wait for.
 func TestTimeToRetryIsNeverLongerThanTheCallerWaits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var controller Controller
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -143,14 +143,6 @@
 	return found
 }
 
-// Admit decides whether a new program may begin at a service.
-func (dispatcher *Dispatcher) Admit(service string, program NewProgram) Admission {
-	now := dispatcher.clock.Now()
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	return dispatcher.pool(service).Decide(now, program)
-}
-
 // ReadingRates returns the number of prompt tokens that the engines of each service read
 // (prefill) in a millisecond. A service of which this host has no sample is missing.
 func (dispatcher *Dispatcher) ReadingRates() map[string]float64 {
@@ -177,17 +169,6 @@
 	return chosen, found
 }
 
-// ReportRefusal reports to the program's tracker that the program was rejected because of its
-// deadline, and when it may retry.
-func (dispatcher *Dispatcher) ReportRefusal(request *Request, retryAfter bvclock.Duration) {
-	if !dispatcher.hasTracker(request) || dispatcher.disabled.Has(bvmechanism.Returns) {
-		return
-	}
-	refusal := request.Refusal
-	refusal.Waited, refusal.DueIn = max(refusal.Waited, 1), retryAfter
-	dispatcher.trackers.ReportRefusal(request.Program, refusal)
-}
-
 // HasEarlierTurns reports whether the program's tracker knows of a turn before this one,
 // through any host.
 func (dispatcher *Dispatcher) HasEarlierTurns(request *Request) bool {
--- a/bvfleet/admission.go
+++ b/bvfleet/admission.go
@@ -12,9 +12,9 @@
 	if simulation.load.Oracle {
 		return simulation.admitByOracle(program)
 	}
-	request := bvdispatch.NewProgram{
-		Route: program.kind.Name, Priority: program.kind.Priority, Workspace: program.workspace,
-		PromptTokens: program.promptTokens, ExpectedOutputTokens: int(program.turns[0].output),
+	request := bvdispatch.NewProgram{Priority: program.kind.Priority, Workspace: program.workspace}
+	request.Timed = bvdispatch.Timed{
+		Route: program.kind.Name, PromptTokens: program.promptTokens, ExpectedOutputTokens: int(program.turns[0].output),
 		RetryWithin: simulation.turnTimeout() / retryAfterShare,
 	}
 	if simulation.load.ReportsPace {
--- a/bvfleet/group.go
+++ b/bvfleet/group.go
@@ -22,9 +22,9 @@
 	// peakDelay is the time from the start of a surge until its load has built up.
 	peakDelay = 2 * bvclock.Second
 	// recoveryStep is the time whose programs are compared for Recovery.
-	recoveryStep = 250 * bvclock.Millisecond
+	recoveryStep = 500 * bvclock.Millisecond
 	// calmLateShare is the share of programs that may miss their time without a surge.
-	calmLateShare = 0.05
+	calmLateShare = 0.1
 	// lateWorth is the worth of a program that ends within twice its time.
 	lateWorth = 0.25
 )
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -55,16 +55,16 @@
 
 // newProgram describes the request's program to the dispatcher.
 func (call *call) newProgram() bvdispatch.NewProgram {
-	return bvdispatch.NewProgram{
+	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName()}
+	program.Timed = bvdispatch.Timed{
 		Route:                call.route.Name,
-		Priority:             call.priority(),
-		Workspace:            call.workspaceName(),
 		Deadline:             call.metadata.ProgramDeadline,
 		PromptTokens:         call.metadata.PromptTokens,
 		ExpectedOutputTokens: call.metadata.LengthHint,
 		Refusal:              call.placement.Refusal,
 		RetryWithin:          bvclock.Duration(retryShare * float64(call.remaining())),
 	}
+	return program
 }
 
 // recordRejection logs and counts a rejection with what it is based on.
