A rejection has one log line; programs that have started are not asked about

Cause: the inputs of a rejection were logged beside the request's own line, and a later turn of a program counted as a request for admission.

Change: the inputs are fields of the request's line. Where deadlines decide, the program's tracker is queried before the decision, as it is afterwards anyway.

--- a/bvdispatch/admission_time.go
+++ b/bvdispatch/admission_time.go
@@ -52,7 +52,13 @@
 // admitsByTime reports whether the program's deadline decides on its admission.
 func (pool *Pool) admitsByTime(program NewProgram) bool {
 	timed := program.toAdmission()
-	return timed.HasDeadline() && pool.reportsPace && !pool.disabled.Has(bvmechanism.Deadlines)
+	return timed.HasDeadline() && pool.usesDeadlines()
+}
+
+// usesDeadlines reports whether deadlines decide on admission: without reports of the pace,
+// decisions are those of the fixed limit.
+func (pool *Pool) usesDeadlines() bool {
+	return pool.reportsPace && !pool.disabled.Has(bvmechanism.Deadlines)
 }
 
 // retryAfter returns the time after which the caller of a rejected program should retry.
@@ -97,14 +103,14 @@
 
 // RecordTurn records a turn that has ended, for the decisions on new programs.
 func (pool *Pool) RecordTurn(now bvclock.Time, turn bvadmission.Turn) {
-	if pool.reportsPace && !pool.disabled.Has(bvmechanism.Deadlines) {
+	if pool.usesDeadlines() {
 		pool.controller.RecordTurn(now, turn)
 	}
 }
 
 // IsOverdue reports whether a turn comes so late that its program is of no use to its caller.
 func (pool *Pool) IsOverdue(route string, timeLeft bvclock.Duration) bool {
-	return pool.reportsPace && !pool.disabled.Has(bvmechanism.Deadlines) && pool.controller.IsOverdue(route, timeLeft)
+	return pool.usesDeadlines() && pool.controller.IsOverdue(route, timeLeft)
 }
 
 // Admit decides whether a new program may begin at a service.
@@ -115,6 +121,13 @@
 	return dispatcher.pool(service).Decide(now, program)
 }
 
+// AdmitsByTime reports whether programs' deadlines decide on their admission at a service.
+func (dispatcher *Dispatcher) AdmitsByTime(service string) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.pool(service).usesDeadlines()
+}
+
 // IsOverdue reports whether a turn of a service comes so late that its program is of no use to
 // its caller.
 func (dispatcher *Dispatcher) IsOverdue(service, route string, timeLeft bvclock.Duration) bool {
--- a/bvfront/admit_test.go
+++ b/bvfront/admit_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"testing"
 
-	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
@@ -37,7 +36,7 @@
 
 func newTurnOf(program uint64) *call {
 	return &call{
-		front:     New(Parts{Dispatcher: fullDispatcher{runningProgram: 7}, Counters: bvmeasure.New(), Log: logrus.New(), Clock: &bvclock.Manual{}}),
+		front:     New(Parts{Dispatcher: fullDispatcher{runningProgram: 7}, Counters: bvmeasure.New(), Clock: &bvclock.Manual{}}),
 		request:   &http.Request{},
 		route:     &bvroute.Route{},
 		service:   &bvroute.Service{Name: "model", Engine: &bvroute.Engine{}},
@@ -77,6 +76,8 @@
 	reported *bvclock.Duration
 }
 
+func (timeDispatcher) AdmitsByTime(string) bool { return true }
+
 func (dispatcher timeDispatcher) Admit(_ string, program bvdispatch.NewProgram) bvdispatch.Admission {
 	*dispatcher.asked = program
 	decision := bvadmission.Decision{RetryAfter: 300, Reason: bvadmission.CannotEndInTime, Projected: 1, Limit: 0.5}
@@ -107,12 +108,20 @@
 	require.Equal(t, bvclock.Duration(300), *dispatcher.reported)
 }
 
+// Guards against a turn of a started program that counts as a new one.
+func TestTurnOfARunningProgramIsNotAskedAbout(t *testing.T) {
+	turn, dispatcher := newTimedTurn()
+	turn.placement.Program = 7
+	require.NoError(t, turn.admit())
+	require.Equal(t, bvdispatch.NewProgram{}, *dispatcher.asked)
+}
+
 // Guards against rejections whose cause an operator can't find out.
 func TestRejectionIsLoggedWithItsInputs(t *testing.T) {
 	turn, _ := newTimedTurn()
 	log, hook := test.NewNullLogger()
 	turn.front.parts.Log = log
-	require.Error(t, turn.admit())
+	turn.log(turn.admit())
 	require.Len(t, hook.Entries, 1)
 	for _, field := range []string{"projected", "limit", "calls", "slots", "age_ms", "reason"} {
 		require.Contains(t, hook.LastEntry().Data, field)
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -76,7 +76,8 @@
 	originSource bvstream.Source     // of a resumed stream: who knew its origin
 	recording    *bvstream.Recording // of the start of a new stream; nil before the first send
 
-	quotaBasis *bvquota.Basis // of a refusal for the usage cap
+	quotaBasis *bvquota.Basis        // of a refusal for the usage cap
+	rejection  *bvdispatch.Admission // of a new program, while the engines can't serve it in time
 
 	version  int64               // of the desired state
 	limits   bvroute.Limits      // of that version
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -139,6 +139,9 @@
 	if basis := call.quotaBasis; basis != nil {
 		fields["cap_level"], fields["cap_required"], fields["cap_share"] = basis.Level, basis.Required, basis.GroupShare
 	}
+	if call.rejection != nil {
+		maps.Copy(fields, call.rejectionFields())
+	}
 	if err != nil && call.fingerprint != (bvsuspect.Fingerprint{}) {
 		fields["content"] = bvsuspect.FormatHash(call.fingerprint.Exact)
 	}
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -82,6 +82,8 @@
 type Dispatcher interface {
 	// Admit decides whether a new program may begin at a service.
 	Admit(service string, program bvdispatch.NewProgram) bvdispatch.Admission
+	// AdmitsByTime reports whether programs' deadlines decide on their admission at a service.
+	AdmitsByTime(service string) bool
 	// ReportRefusal reports to the program's tracker that it was rejected because of its deadline.
 	ReportRefusal(request *bvdispatch.Request, retryAfter bvclock.Duration)
 	// IsOverdue reports whether a turn comes so late that its program is of no use
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -40,7 +40,7 @@
 	if call.service.Engine == nil || call.metadata.Continues() || call.resumesStream() {
 		return nil
 	}
-	if call.metadata.ProgramDeadline != 0 && call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+	if call.isAdmittedByTime() && call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
 		return nil // the query also returns the program's earlier rejections
 	}
 	admission := call.front.parts.Dispatcher.Admit(call.service.Name, call.newProgram())
@@ -67,27 +67,36 @@
 	return program
 }
 
-// recordRejection logs and counts a rejection with what it is based on.
+// isAdmittedByTime reports whether the deadline of the request's program may decide on it.
+func (call *call) isAdmittedByTime() bool {
+	return call.metadata.ProgramDeadline != 0 && call.front.parts.Dispatcher.AdmitsByTime(call.service.Name)
+}
+
+// recordRejection records what a rejection is based on, for the log and the program's tracker.
 func (call *call) recordRejection(admission bvdispatch.Admission) {
+	call.rejection = &admission
 	if admission.IsByTime() {
 		call.front.parts.Counters.Add("programs_turned_away_by_time", 1)
 		call.front.parts.Dispatcher.ReportRefusal(&call.placement, admission.RetryAfter)
 	}
-	call.front.parts.Log.WithFields(logrus.Fields{
-		"request":     call.metadata.ID,
-		"route":       call.route.Name,
-		"reason":      admission.Reason.String(),
-		"projected":   admission.Projected,
-		"limit":       admission.Limit,
-		"calls":       admission.Capacity.Calls,
-		"slots":       admission.Capacity.Slots,
-		"age_ms":      int64(admission.Capacity.Age),
+}
+
+// rejectionFields returns what the rejection is based on, for the log.
+func (call *call) rejectionFields() logrus.Fields {
+	rejection := call.rejection
+	return logrus.Fields{
+		"reason":      rejection.Reason.String(),
+		"projected":   rejection.Projected,
+		"limit":       rejection.Limit,
+		"calls":       rejection.Capacity.Calls,
+		"slots":       rejection.Capacity.Slots,
+		"age_ms":      int64(rejection.Capacity.Age),
 		"deadline_ms": int64(call.metadata.ProgramDeadline),
 		"waited_ms":   int64(call.placement.Refusal.Waited),
 		"prompt":      call.metadata.PromptTokens,
 		"expected":    call.metadata.LengthHint,
-		"retry_ms":    int64(admission.RetryAfter),
-	}).Info("program rejected")
+		"retry_ms":    int64(rejection.RetryAfter),
+	}
 }
 
 // programDeadline returns when the request's program should have ended, or 0 if its caller
