--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -38,19 +38,17 @@
 type Request struct {
 	Prefix        []bvroute.Part // of the prompt; empty for plain services
 	PromptTokens  int
-	Object        uint64              // that the call concerns; 0: none, or it makes no difference
-	Excluded      map[string]bool     // endpoints that must not be chosen again
-	Pinned        bool                // only endpoints of Version may be chosen
-	Version       string              // software version of the endpoints; used if Pinned
-	StartsStream  bool                // may be resumed later, at endpoints of the same version only
-	Unstored      map[string]bool     // versions at which a stream has to wait for the platform's store
-	HeldPrefix    HeldPrefix          // where the previous turn ran
-	Program       uint64              // that the turn belongs to; 0: none
-	Conversation  uint64              // sequence of the program's turns that this one continues
-	ProgramEnd    bvclock.Time        // when the program should have ended; 0: unspecified
-	Refusal       bvadmission.Refusal // of the program, as its tracker knows
-	holderQueried bool                // the program's tracker was queried
-	holderUnknown bool                // it did not answer
+	Object        uint64          // that the call concerns; 0: none, or it makes no difference
+	Excluded      map[string]bool // endpoints that must not be chosen again
+	Pinned        bool            // only endpoints of Version may be chosen
+	Version       string          // software version of the endpoints; used if Pinned
+	StartsStream  bool            // may be resumed later, at endpoints of the same version only
+	Unstored      map[string]bool // versions at which a stream has to wait for the platform's store
+	HeldPrefix    HeldPrefix      // where the previous turn ran
+	Program       uint64          // that the turn belongs to; 0: none
+	Conversation  uint64          // sequence of the program's turns that this one continues
+	holderQueried bool            // the program's tracker was queried
+	holderUnknown bool            // it did not answer
 	// PeerCalls holds the calls that the other hosts have now at the endpoints to choose
 	// from, by the hashes of their IDs. Nil: choose from all.
 	PeerCalls map[uint64]int
@@ -58,7 +56,10 @@
 	// Set by Choose, for the log: estimates for the chosen endpoint.
 	CachedTokens int     // tokens of the prompt that it has cached
 	Load         float64 // its calls from all hosts
-	LoadShare    float64 // calls as a share of the slots of all endpoints
+
+	ProgramEnd bvclock.Time        // when the program should have ended; 0: unspecified
+	Refusal    bvadmission.Refusal // of the program, as its tracker knows
+	LoadShare  float64             // set by Choose: calls as a share of the slots of all endpoints
 }
 
 // HeldPrefix is the part of a prompt that an endpoint has cached from the previous turn.
@@ -79,8 +80,6 @@
 	pace            average // of calls, in milliseconds per event or answer
 	reading         readingEstimator
 	startedPrograms programCounts
-	controller      bvadmission.Controller
-	reportsPace     bool   // an endpoint of the service has reported a pace
 	zone            string // availability zone of this host
 	disabled        bvmechanism.Set
 
@@ -97,6 +96,9 @@
 	zoneRowsRevision int         // of the list that zoneRows was derived from
 	candidateRows    []*endpoint // of the last decision
 	candidateRound   uint64      // number of the last decision
+
+	controller  bvadmission.Controller
+	reportsPace bool // an endpoint of the service has reported a pace
 }
 
 // NewPool returns an empty pool for a host in an availability zone. The seed
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -76,8 +76,9 @@
 	originSource bvstream.Source     // of a resumed stream: who knew its origin
 	recording    *bvstream.Recording // of the start of a new stream; nil before the first send
 
-	quotaBasis *bvquota.Basis        // of a refusal for the usage cap
-	rejection  *bvdispatch.Admission // of a new program, while the engines can't serve it in time
+	quotaBasis *bvquota.Basis // of a refusal for the usage cap
+
+	rejection *bvdispatch.Admission // of a new program, while the engines can't serve it in time
 
 	version  int64               // of the desired state
 	limits   bvroute.Limits      // of that version
@@ -129,8 +130,8 @@
 		Prefix:       call.metadata.Prefix,
 		PromptTokens: call.metadata.PromptTokens,
 		Object:       call.objectHash(),
-		ProgramEnd:   call.programDeadline(),
 	}
+	call.placement.ProgramEnd = call.programDeadline()
 	call.fingerprint = call.newFingerprint()
 	if call.service.Engine != nil && call.metadata.Program != "" {
 		program := call.scopedID(call.metadata.Program)
