--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -27,6 +27,8 @@
 
 // NewProgram is a program that asks for admission.
 type NewProgram struct {
+	Timed // what its caller states
+
 	Priority  int
 	Workspace string // "": of none
 	// Standing is set, unless it is nil, if the workspace's share decides on a rejection.
@@ -36,21 +38,46 @@
 // Admit reports whether a new program may begin. If not, it returns the time after
 // which the caller should retry.
 func (pool *Pool) Admit(now bvclock.Time, program NewProgram) (bvclock.Duration, bool) {
-	if pool.disabled.Has(bvmechanism.Admission) || pool.loadShare(now) < pool.admissionLimit(now, program) {
-		if program.Workspace != "" {
-			pool.startedPrograms.add(now, program.Workspace)
-		}
-		return 0, true
+	admission := pool.Decide(now, program)
+	return admission.RetryAfter, admission.Admitted
+}
+
+// Decide decides whether a new program may begin, as Admit does, and returns the inputs too.
+func (pool *Pool) Decide(now bvclock.Time, program NewProgram) Admission {
+	var admission Admission
+	if admission.Admitted = pool.disabled.Has(bvmechanism.Admission); !admission.Admitted {
+		admission = pool.admissionByTime(now, program)
+		admission.Limit = pool.admissionLimit(now, program, admission.Limit)
+		admission.Admitted = admission.Projected < admission.Limit
+	}
+	if !admission.Admitted {
+		admission.RetryAfter = pool.retryAfter(now, program)
+		return admission
+	}
+	pool.controller.RecordStart(now)
+	if program.Workspace != "" {
+		pool.startedPrograms.add(now, program.Workspace)
 	}
-	return minRetryAfter + bvclock.Duration(pool.random.Int64N(int64(maxRetryAfter-minRetryAfter))), false
+	return admission
 }
 
-// admissionLimit returns the load share from which a new program is rejected.
-func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram) float64 {
-	limit := maxLoadShare
+// randomRetryAfter draws the time after which a rejected caller should retry.
+func (pool *Pool) randomRetryAfter() bvclock.Duration {
+	return minRetryAfter + bvclock.Duration(pool.random.Int64N(int64(maxRetryAfter-minRetryAfter)))
+}
+
+// fixedLimit returns the load share from which a new program is rejected whatever its
+// workspace and its deadline.
+func fixedLimit(program NewProgram) float64 {
 	if program.Priority == 0 {
-		limit += urgentExtraShare
+		return maxLoadShare + urgentExtraShare
 	}
+	return maxLoadShare
+}
+
+// admissionLimit returns the load share from which a new program is rejected, given the limit
+// for a program without a workspace.
+func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram, limit float64) float64 {
 	if program.Workspace == "" || pool.disabled.Has(bvmechanism.Fairness) {
 		return limit
 	}
--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -29,6 +29,7 @@
 	pool.recordHeldPrefix(request)
 	pool.beginToolChoice(request)
 	snapshot := snapshot{now: now, loadShare: pool.loadShare(now), toolRules: pool.appliesToolRules(now)}
+	request.LoadShare = snapshot.loadShare
 	rows := pool.candidates(request)
 	best := pool.cheapest(snapshot, request, rows, pool.sampleFor(snapshot, request, rows))
 	if best == nil || pool.isFullTool(now, best) {
--- a/bvdispatch/dispatcher.go
+++ b/bvdispatch/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -68,8 +69,11 @@
 	ReportRunning(endpoint uint64, running int)
 	// QueryHolding asks which endpoint has a conversation of a program cached, and how many
 	// tokens of it. For an unknown conversation, it is the endpoint of the program's last
-	// turn. Answered is false if the tracker did not answer, so that it may know one.
-	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool)
+	// turn. Answered is false if the tracker did not answer, so that it may know one. Refusal
+	// is what the tracker knows of rejections of the program.
+	QueryHolding(program, conversation uint64) (endpoint uint64, tokens int, found, answered bool, refusal bvadmission.Refusal)
+	// ReportRefusal reports that a program was rejected.
+	ReportRefusal(program uint64, refusal bvadmission.Refusal)
 	// ReportHolding reports which endpoint has a conversation cached.
 	ReportHolding(program, conversation, endpoint uint64, tokens int)
 }
@@ -146,15 +150,6 @@
 	return found
 }
 
-// Admit reports whether a new program may begin at a service. If not, it returns
-// the time after which the caller should retry.
-func (dispatcher *Dispatcher) Admit(service string, program NewProgram) (bvclock.Duration, bool) {
-	now := dispatcher.clock.Now()
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	return dispatcher.pool(service).Admit(now, program)
-}
-
 // ReadingRates returns the number of prompt tokens that the engines of each service read
 // (prefill) in a millisecond. A service of which this host has no sample is missing.
 func (dispatcher *Dispatcher) ReadingRates() map[string]float64 {
@@ -201,8 +196,8 @@
 		return
 	}
 	request.holderQueried = true
-	endpoint, tokens, found, answered := dispatcher.trackers.QueryHolding(request.Program, request.Conversation)
-	request.holderUnknown = !answered
+	endpoint, tokens, found, answered, refusal := dispatcher.trackers.QueryHolding(request.Program, request.Conversation)
+	request.holderUnknown, request.Refusal = !answered, refusal
 	if found {
 		request.HeldPrefix = HeldPrefix{Endpoint: endpoint, Tokens: tokens}
 	}
@@ -373,6 +368,7 @@
 	hash := HashID(endpoint)
 	dispatcher.recordOutputWork(service, endpoint, request, result)
 	dispatcher.reportRunning(hash, dispatcher.endCall(service, endpoint, hash, result))
+	dispatcher.recordTurn(service, request, result)
 	if result.Outcome == Served && dispatcher.hasTracker(request) {
 		dispatcher.trackers.ReportHolding(request.Program, request.Conversation, hash, request.PromptTokens+result.OutputTokens)
 	}
--- a/bvdispatch/pool.go
+++ b/bvdispatch/pool.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -60,6 +61,10 @@
 	// Set by Choose, for the log: estimates for the chosen endpoint.
 	CachedTokens int     // tokens of the prompt that it has cached
 	Load         float64 // its calls from all hosts
+
+	ProgramEnd bvclock.Time        // when the program should have ended; 0: unspecified
+	Refusal    bvadmission.Refusal // of the program, as its tracker knows
+	LoadShare  float64             // set by Choose: calls as a share of the slots of all endpoints
 }
 
 // HeldPrefix is the part of a prompt that an endpoint has cached from the previous turn.
@@ -99,6 +104,9 @@
 	zoneRowsRevision int         // of the list that zoneRows was derived from
 	candidateRows    []*endpoint // of the last decision
 	candidateRound   uint64      // number of the last decision
+
+	controller  bvadmission.Controller
+	reportsPace bool // an endpoint of the service has reported a pace
 }
 
 // NewPool returns an empty pool for a host in an availability zone. The seed
@@ -356,6 +364,7 @@
 		return
 	}
 	row.reportedAt = now
+	pool.reportsPace = pool.reportsPace || load.Pace > 0
 	pool.setPace(now, now, row, load.Pace, true)
 	pool.recordToolPace(now, load.Pace)
 	row.reportedOthers = max(load.Running+load.Waiting-row.running, 0)
--- a/bvfleet/simulation.go
+++ b/bvfleet/simulation.go
@@ -17,11 +17,13 @@
 	callerLatency = 10 * bvclock.Millisecond
 	// callerTimeout is how long a caller waits for a turn to start.
 	callerTimeout = 2400 * bvclock.Millisecond
-	// A refused caller retries once, after the time in the refusal. A turn whose attempts
+	// A refused caller retries once through any host, after the time in the refusal but at
+	// most 1/retryAfterShare of the turn's time. A turn whose attempts
 	// all failed is sent twice more, each time after a pause of minRetryPause plus up to
 	// retryPauseJitter.
 	maxAttempts      = 2
 	maxSends         = 3
+	retryAfterShare  = 3
 	minRetryPause    = 100 * bvclock.Millisecond
 	retryPauseJitter = 300 * bvclock.Millisecond
 	// drainTime is how long programs may continue after the last one has started.
@@ -41,6 +43,7 @@
 	sharedPrefixes [][]bvroute.Part // by kind
 	lastPartKey    uint64
 	programs       []*program
+	active         []*program                  // that the oracle has admitted
 	dueTurns       map[bvclock.Time][]*program // by the time at which the next turn is sent
 	callTimeouts   map[bvclock.Time][]*call    // by the time of the caller's timeout
 	result         Result
@@ -116,9 +119,7 @@
 	for i, kind := range simulation.load.Kinds {
 		rate := kind.Rate
 		for _, surge := range simulation.load.Surges {
-			if since := bvclock.Duration(simulation.now) - surge.Start; since >= 0 && since < surge.Duration {
-				rate *= surge.Factor
-			}
+			rate *= surge.rateFactor(simulation.now, i)
 		}
 		for range simulation.drawStarts(rate) {
 			started := simulation.drawProgram(i)
@@ -169,11 +170,13 @@
 func (simulation *simulation) sendTurn(program *program) {
 	host := simulation.hosts[program.host]
 	if program.turnIndex == 0 {
-		if retryAfter, admitted := host.pool.Admit(simulation.now, bvdispatch.NewProgram{Priority: program.kind.Priority, Workspace: program.workspace}); !admitted {
+		if retryAfter, admitted := simulation.admit(host, program); !admitted {
 			simulation.result.Refusals++
+			program.refused = true
 			simulation.scheduleRetry(program, retryAfter)
 			return
 		}
+		program.refused = false
 	}
 	request := &bvdispatch.Request{Prefix: program.prefix, PromptTokens: program.promptTokens, Workspace: program.workspace}
 	if simulation.load.Trackers && program.turnIndex > 0 {
@@ -212,17 +215,24 @@
 	}
 	call := &call{
 		program: program, request: request, host: program.host, engine: engine, sentAt: simulation.now,
-		urgency: bvdispatch.Urgency(program.kind.Priority, program.turnIndex > 0), output: program.turns[program.turnIndex].output,
+		urgency: simulation.urgency(host, program), output: program.turns[program.turnIndex].output,
 	}
 	call.outputLeft = call.output
 	engine.submit(call)
-	at := simulation.now.Add(callerTimeout)
+	at := simulation.now.Add(simulation.turnTimeout())
 	simulation.callTimeouts[at] = append(simulation.callTimeouts[at], call)
 }
 
+func (simulation *simulation) turnTimeout() bvclock.Duration {
+	if simulation.load.TurnTimeout > 0 {
+		return simulation.load.TurnTimeout
+	}
+	return callerTimeout
+}
+
 func (simulation *simulation) stepEngines() {
 	for number, engine := range simulation.engines {
-		engine.factor = simulation.load.factor(simulation.now, number)
+		engine.factor = simulation.load.factor(simulation.now, number) * simulation.load.slowdown(simulation.now, number)
 		generating, ended := engine.step()
 		for _, call := range generating {
 			simulation.reportLoad(call)
@@ -239,6 +249,7 @@
 	program.heldPrefix = bvdispatch.HeldPrefix{Endpoint: call.engine.hash, Tokens: program.promptTokens}
 	simulation.endCall(call, bvdispatch.Served)
 	simulation.hosts[call.host].pool.RecordOutputWork(simulation.now, call.engine.id, call.request, bvdispatch.Result{OutputTokens: int(program.turns[program.turnIndex].output)})
+	simulation.recordTurn(call)
 	program.attempts, program.sends = 0, 0
 	pause := program.turns[program.turnIndex].pause
 	program.turnIndex++
@@ -272,6 +283,7 @@
 		}
 		call.engine.cancel(call)
 		simulation.endCall(call, bvdispatch.Withdrawn)
+		simulation.result.TimedOutTurns++
 		call.program.attempts = maxAttempts
 		simulation.scheduleRetry(call.program, 0)
 	}
@@ -281,8 +293,9 @@
 // scheduleRetry schedules the next attempt of a caller that was refused or timed out, or
 // marks its program as failed.
 func (simulation *simulation) scheduleRetry(program *program, retryAfter bvclock.Duration) {
+	program.host = simulation.random.IntN(simulation.load.Hosts)
 	if program.attempts++; program.attempts < maxAttempts {
-		simulation.scheduleTurn(program, retryAfter)
+		simulation.scheduleTurn(program, min(retryAfter, simulation.turnTimeout()/retryAfterShare))
 		return
 	}
 	program.attempts = 0
--- a/bvfleet/speed.go
+++ b/bvfleet/speed.go
@@ -31,9 +31,21 @@
 	return load.SlowFactor
 }
 
+// reportsPace reports whether engines report their pace.
+func (load *Load) reportsPace() bool { return load.ReportsPace || load.SlowShare > 0 }
+
+// slowdown returns the factor by which an engine's work takes longer at a time by Slow.
+func (load *Load) slowdown(now bvclock.Time, engine int) float64 {
+	since := bvclock.Duration(now) - load.Slow.Start
+	if since < 0 || since >= load.Slow.Duration || float64(engine) >= load.Slow.Share*float64(load.Engines) {
+		return 1
+	}
+	return load.Slow.Factor
+}
+
 // reportLoad reports an engine's load and pace to the host of a call that begins to generate.
 func (simulation *simulation) reportLoad(call *call) {
-	if simulation.load.SlowShare == 0 {
+	if !simulation.load.reportsPace() {
 		return
 	}
 	call.firstAt, call.pace = simulation.now, usualPercent
@@ -47,7 +59,7 @@
 
 // addPace adds the time that each event of a response took, and the reported pace.
 func (simulation *simulation) addPace(call *call, result *bvdispatch.Result) {
-	if simulation.load.SlowShare == 0 || !call.generating {
+	if !simulation.load.reportsPace() || !call.generating {
 		return
 	}
 	result.ReportedPace = call.pace
@@ -56,7 +68,7 @@
 
 // sendOutcomes sends the outcomes of a host's calls to the other hosts of its zone.
 func (simulation *simulation) sendOutcomes(sender *host) {
-	if simulation.load.SlowShare == 0 {
+	if !simulation.load.reportsPace() {
 		return
 	}
 	reports := sender.pool.TakeOutcomeReports(simulation.now)
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -78,6 +78,8 @@
 
 	quotaBasis *bvquota.Basis // of a refusal for the usage cap
 
+	rejection *bvdispatch.Admission // of a new program, while the engines can't serve it in time
+
 	version  int64               // of the desired state
 	limits   bvroute.Limits      // of that version
 	endpoint bvplatform.Endpoint // of the last send
@@ -132,6 +134,7 @@
 		Tool:         call.service.Engine == nil,
 		Once:         !call.route.MayRepeat(),
 	}
+	call.placement.ProgramEnd = call.programDeadline()
 	call.content = call.newContent()
 	if call.service.Engine != nil && call.metadata.Program != "" {
 		program := call.scopedID(call.metadata.Program)
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -143,6 +143,9 @@
 	if basis := call.quotaBasis; basis != nil {
 		fields["cap_level"], fields["cap_required"], fields["cap_share"] = basis.Level, basis.Required, basis.GroupShare
 	}
+	if call.rejection != nil {
+		maps.Copy(fields, call.rejectionFields())
+	}
 	if err != nil && call.content.Request != (bvsuspect.Fingerprint{}) {
 		fields["content"] = bvsuspect.FormatHash(call.content.Request.Exact)
 	}
--- a/bvfront/share_test.go
+++ b/bvfront/share_test.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvadmission"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvmeasure"
@@ -17,16 +18,16 @@
 // sharingDispatcher rejects every program because of its workspace's share.
 type sharingDispatcher struct{ fullDispatcher }
 
-func (sharingDispatcher) Admit(_ string, program bvdispatch.NewProgram) (bvclock.Duration, bool) {
+func (sharingDispatcher) Admit(_ string, program bvdispatch.NewProgram) bvdispatch.Admission {
 	*program.Standing = bvshare.Standing{Share: 1, Use: 2, Asked: 3, Age: 400, Over: true, Known: true}
-	return bvclock.Second, false
+	return bvdispatch.Admission{Decision: bvadmission.Decision{RetryAfter: bvclock.Second}}
 }
 
 // Guards against a rejection by a share that can't be explained afterwards.
 func TestRejectionByAShareIsLoggedAndCounted(t *testing.T) {
 	log, hook := test.NewNullLogger()
 	counters, turn := bvmeasure.New(), newTurnOf(8)
-	turn.front = New(Parts{Dispatcher: sharingDispatcher{}, Counters: counters, Log: log})
+	turn.front = New(Parts{Dispatcher: sharingDispatcher{}, Counters: counters, Log: log, Clock: &bvclock.Manual{}})
 	turn.workspace = &bvroute.Workspace{Name: "flood"}
 	require.Error(t, turn.admit())
 	require.Len(t, hook.AllEntries(), 1)
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -1,6 +1,7 @@
 package bvfront
 
 import (
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvbudget"
@@ -40,16 +41,76 @@
 	if call.service.Engine == nil || call.metadata.Continues() || call.resumesStream() {
 		return nil
 	}
+	if call.isAdmittedByTime() && call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+		return nil // the query also returns the program's earlier rejections
+	}
 	var standing bvshare.Standing
-	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName(), Standing: &standing}
-	retryAfter, admitted := call.front.parts.Dispatcher.Admit(call.service.Name, program)
-	if admitted || call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
+	program := call.newProgram()
+	program.Standing = &standing
+	admission := call.front.parts.Dispatcher.Admit(call.service.Name, program)
+	if admission.Admitted || call.front.parts.Dispatcher.HasEarlierTurns(&call.placement) {
 		return nil
 	}
 	call.front.parts.Counters.Add("programs_turned_away", 1)
 	call.reportShare(standing)
+	call.recordRejection(admission)
 	return bvverdict.Refuse(bvverdict.Overloaded, "the engines of %s can't serve another program in time", call.service.Name).
-		WithRetryAfter(retryAfter)
+		WithRetryAfter(admission.RetryAfter)
+}
+
+// newProgram describes the request's program to the dispatcher.
+func (call *call) newProgram() bvdispatch.NewProgram {
+	program := bvdispatch.NewProgram{Priority: call.priority(), Workspace: call.workspaceName()}
+	program.Timed = bvdispatch.Timed{
+		Route:                call.route.Name,
+		Deadline:             call.metadata.ProgramDeadline,
+		PromptTokens:         call.metadata.PromptTokens,
+		ExpectedOutputTokens: call.metadata.LengthHint,
+		Refusal:              call.placement.Refusal,
+		RetryWithin:          bvclock.Duration(retryShare * float64(call.remaining())),
+	}
+	return program
+}
+
+// isAdmittedByTime reports whether the deadline of the request's program may decide on it.
+func (call *call) isAdmittedByTime() bool {
+	return call.metadata.ProgramDeadline != 0 && call.front.parts.Dispatcher.AdmitsByTime(call.service.Name)
+}
+
+// recordRejection records what a rejection is based on, for the log and the program's tracker.
+func (call *call) recordRejection(admission bvdispatch.Admission) {
+	call.rejection = &admission
+	if admission.IsByTime() {
+		call.front.parts.Counters.Add("programs_turned_away_by_time", 1)
+		call.front.parts.Dispatcher.ReportRefusal(&call.placement, admission.RetryAfter)
+	}
+}
+
+// rejectionFields returns what the rejection is based on, for the log.
+func (call *call) rejectionFields() logrus.Fields {
+	rejection := call.rejection
+	return logrus.Fields{
+		"reason":      rejection.Reason.String(),
+		"projected":   rejection.Projected,
+		"limit":       rejection.Limit,
+		"calls":       rejection.Capacity.Calls,
+		"slots":       rejection.Capacity.Slots,
+		"age_ms":      int64(rejection.Capacity.Age),
+		"deadline_ms": int64(call.metadata.ProgramDeadline),
+		"waited_ms":   int64(call.placement.Refusal.Waited),
+		"prompt":      call.metadata.PromptTokens,
+		"expected":    call.metadata.LengthHint,
+		"retry_ms":    int64(rejection.RetryAfter),
+	}
+}
+
+// programDeadline returns when the request's program should have ended, or 0 if its caller
+// has not stated that.
+func (call *call) programDeadline() bvclock.Time {
+	if call.metadata.ProgramDeadline == 0 {
+		return 0
+	}
+	return call.arrived.Add(call.metadata.ProgramDeadline)
 }
 
 // admitRetained decides on a turn that can't be persisted now because the store is
--- a/bvmechanism/mechanism.go
+++ b/bvmechanism/mechanism.go
@@ -45,6 +45,8 @@
 	Shares                         // shares
 	Speeds                         // speeds
 	Tools                          // tools
+	Deadlines                      // deadlines
+	Returns                        // returns
 	last
 )
 
@@ -71,6 +73,8 @@
 	Versions:      "streams begin at a software version that stays, while others are about to go",
 	Speeds:        "endpoints are rated by the speed that they report and that is measured",
 	Tools:         "calls of tools avoid full endpoints and rejections, by counts of calls and reported paces",
+	Deadlines:     "new programs are admitted only if they can end within their deadline",
+	Returns:       "rejected callers are given times to retry in the order of their rejection",
 	Fairness:      "under overload, the workspace that starts most programs is rejected first",
 	Shares:        "under overload, workspaces above their fair share over all hosts are rejected first",
 }
--- a/bvmechanism/mechanism_string.go
+++ b/bvmechanism/mechanism_string.go
@@ -31,12 +31,14 @@
 	_ = x[Shares-20]
 	_ = x[Speeds-21]
 	_ = x[Tools-22]
-	_ = x[last-23]
+	_ = x[Deadlines-23]
+	_ = x[Returns-24]
+	_ = x[last-25]
 }
 
-const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionssharesspeedstoolslast"
+const _Mechanism_name = "affinitydigestssamplesoutliersadmissionrankslendinghalvesrelaysconversationsobjectsheldaveragerateholdingprobesholdersfairnessreadersversionssharesspeedstoolsdeadlinesreturnslast"
 
-var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 147, 153, 158, 162}
+var _Mechanism_index = [...]uint8{0, 8, 15, 22, 30, 39, 44, 51, 57, 63, 76, 83, 87, 94, 98, 105, 111, 118, 126, 133, 141, 147, 153, 158, 167, 174, 178}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
