A wide feature is not restricted when all endpoints crash at once

TestTurnsBesideAPoisonousPartAreNotRefused failed once beside 30 other tests: innocent turns have their path in common with the poisonous ones, which is at each crash, and each answer withdrew a single crash only. An answer now withdraws all crashes before its call was sent, and answers of the two seconds before a crash withdraw it.

--- a/bvsuspect/recent.go
+++ b/bvsuspect/recent.go
@@ -9,7 +9,7 @@
 	// sharedAnswerWindow is how long before a crash an answer clears a shared feature. Those in
 	// flight at several endpoints are answered more often than that, so none is restricted when
 	// many endpoints are lost at once. It is short, since endpoints may begin to crash by a feature.
-	sharedAnswerWindow = 500 * bvclock.Millisecond
+	sharedAnswerWindow = 2 * bvclock.Second
 	// maxAnswers bounds the answers that are retained for that.
 	maxAnswers = 32768
 )
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -237,30 +237,22 @@
 }
 
 // RecordSharedAnswer records that an endpoint has answered a request with a shared feature, which was
-// sent to it at a time. It returns the crash that no longer counts against the feature. A run that is short
-// may end before the endpoint crashes by it, so that each answer withdraws a single crash.
+// sent to it at a time. It returns the crashes before that, which no longer count against the feature.
 func (table *Table) RecordSharedAnswer(now bvclock.Time, hash uint64, sentAt bvclock.Time) (withdrawn []Crash) {
 	table.answered.add(now, hash, answer{sentAt, now})
 	suspect := table.suspects[hash]
 	if suspect == nil {
 		return nil
 	}
-	var oldest *crash
-	var crashed uint64
 	for endpoint, crash := range suspect.crashes {
 		if crash.withdrawn || !sentAt.After(crash.at) {
 			continue
 		}
-		if oldest == nil || crash.at.Before(oldest.at) || crash.at == oldest.at && endpoint < crashed {
-			oldest, crashed = crash, endpoint
-		}
-	}
-	if oldest == nil {
-		return nil
+		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
+		suspect.recordChange(now)
+		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
-	oldest.withdrawn, oldest.withdrawnHere, table.unsaved = true, true, true
-	suspect.recordChange(now)
-	return []Crash{{suspect.request, crashed}}
+	return withdrawn
 }
 
 // RecordAnswer records that an endpoint has answered a request completely. It returns the
