--- a/bvdispatch/speed.go
+++ b/bvdispatch/speed.go
@@ -1,7 +1,6 @@
 package bvdispatch
 
 import (
-	"math"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -56,29 +55,6 @@
 	conflictLogInterval = bvclock.Minute
 )
 
-// paceMean is a geometric mean, in milliseconds per event or answer, in which a single
-// response that hung has little weight. The zero value is the mean of none.
-type paceMean struct {
-	value     float64
-	responses float64 // at most maxMeasuredResponses
-	updatedAt bvclock.Time
-}
-
-// add adds a number of responses with a mean pace.
-func (mean *paceMean) add(now bvclock.Time, pace, responses float64, lifetime bvclock.Duration) {
-	past := mean.weight(now, lifetime)
-	if past == 0 {
-		mean.value = pace
-	}
-	mean.value *= math.Pow(pace/mean.value, responses/(past+responses))
-	mean.responses, mean.updatedAt = min(past+responses, maxMeasuredResponses), now
-}
-
-// weight returns the number of responses, less the later the last one was.
-func (mean *paceMean) weight(now bvclock.Time, lifetime bvclock.Duration) float64 {
-	return mean.responses * max(1-float64(now.Sub(mean.updatedAt))/float64(lifetime), 0)
-}
-
 // speed is what is known of an endpoint's speed. The zero value is nothing.
 type speed struct {
 	pace     int // last reported, in percent; 0: none
@@ -106,24 +82,6 @@
 	return min(max(1-float64(now.Sub(speed.paceAt))/float64(paceLifetime), 0), 1)
 }
 
-// serviceSpeeds holds the values of a whole service that speeds refer to.
-type serviceSpeeds struct {
-	reporters int     // endpoints that have reported a pace; 0: all factors are 1
-	usual     float64 // milliseconds per event or answer at a factor of 1; 0: unknown
-	median    float64 // of the factors of the endpoints of which something is known; 0: unknown
-	capacity  float64 // of the endpoints, as a multiple of what it would be if all factors were 1; 0: unknown
-	facts     int     // reports and responses that were recorded
-	loggedAt  bvclock.Time
-	hasLogged bool
-}
-
-func (service *serviceSpeeds) medianOrUsual() float64 {
-	if service.median == 0 {
-		return 1
-	}
-	return service.median
-}
-
 // isContradicted reports whether the responses contradict the reported paces.
 func (speed *speed) isContradicted(now bvclock.Time, service *serviceSpeeds) bool {
 	if speed == nil || service.usual == 0 || speed.evidence.responses < minConflictResponses || now.Sub(speed.evidence.updatedAt) > evidenceLifetime {
@@ -138,12 +96,13 @@
 	if speed.isContradicted(now, service) {
 		return clampSpeed(speed.measured.value / service.usual)
 	}
-	estimate := service.medianOrUsual()
+	estimate, confidence := service.medianOrUsual(), 0.0
 	if responses := speed.measured.weight(now, measurementLifetime); responses > 0 && service.usual > 0 {
-		estimate += responses / (responses + priorResponses) * (clampSpeed(speed.measured.value/service.usual) - estimate)
+		confidence = responses / (responses + priorResponses)
+		estimate += confidence * (clampSpeed(speed.measured.value/service.usual) - estimate)
 	}
-	estimate += speed.paceWeight(now) * (clampSpeed(factorOf(speed.pace)) - estimate)
-	return clampSpeed(estimate)
+	weight := speed.paceWeight(now) * (1 - confidence*(1-service.reliability()))
+	return clampSpeed(estimate + weight*(clampSpeed(factorOf(speed.pace))-estimate))
 }
 
 // knownUntil returns the time from which nothing that is known now counts any longer.
@@ -215,6 +174,7 @@
 	}
 	responses, measured := float64(report.PacedCalls), float64(report.PaceMs)/float64(report.PacedCalls)
 	speed := row.changeSpeed()
+	pool.speeds.recordErrors(now, speed, measured, pace)
 	speed.measured.add(now, measured, responses, measurementLifetime)
 	if pace > 0 {
 		speed.evidence.add(now, measured/clampSpeed(factorOf(pace)), responses, evidenceLifetime)
@@ -288,42 +248,3 @@
 	}
 	return endpoint.speed.pace
 }
-
-// SpeedConflict is a reported pace that an endpoint's responses contradict.
-type SpeedConflict struct {
-	Endpoint  string  // ID
-	Pace      int     // reported, in percent
-	Measured  float64 // speed factor of the responses
-	Responses int     // that contradict the reports
-	Age       bvclock.Duration
-}
-
-// takeSpeedConflict returns the conflict of an endpoint's report with its responses, if any,
-// at most once in conflictLogInterval.
-func (pool *Pool) takeSpeedConflict(now bvclock.Time, id string) (conflict SpeedConflict, found bool) {
-	row := pool.byID(id)
-	if row == nil || pool.speeds.hasLogged && now.Sub(pool.speeds.loggedAt) < conflictLogInterval {
-		return SpeedConflict{}, false
-	}
-	if pool.speeds.reporters == 0 || !row.speed.isContradicted(now, &pool.speeds) {
-		return SpeedConflict{}, false
-	}
-	pool.speeds.loggedAt, pool.speeds.hasLogged = now, true
-	return SpeedConflict{
-		Endpoint: id, Pace: row.speed.pace, Measured: row.speed.estimate(now, &pool.speeds),
-		Responses: int(row.speed.evidence.responses), Age: now.Sub(row.speed.evidence.updatedAt),
-	}, true
-}
-
-// SpeedConflicts returns the number of endpoints whose responses contradict their reports.
-func (pool *Pool) SpeedConflicts(now bvclock.Time) (count int) {
-	if pool.speeds.reporters == 0 {
-		return 0
-	}
-	for _, row := range pool.rows {
-		if row.speed.isContradicted(now, &pool.speeds) {
-			count++
-		}
-	}
-	return count
-}
