An endpoint's 408, 421, 429 or 503 without its seal becomes 502

Callers take these statuses as a promise that the request has not run. An answer with neither Not-Executed nor a seal was passed on with its status, though nothing shows that the endpoint sent it or that the request did not run.

Such an answer is now an error with the verdict that the request may have run, as a success without a seal is.

--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -24,7 +24,7 @@
 // relay passes an endpoint's answer on to the caller. If it returns an error and
 // call.headWritten is set, the caller has received a part of the answer.
 func (call *call) relay(response *bvforward.Response) error {
-	if response.Status < http.StatusMultipleChoices && !response.Answer.Sealed {
+	if needsSeal(response.Status) && !response.Answer.Sealed {
 		return call.brokenAnswerError("the answer is not authenticated", nil)
 	}
 	if call.route.Kind == bvroute.Stream && response.Status == http.StatusOK {
@@ -44,6 +44,16 @@
 	return nil
 }
 
+// needsSeal reports whether an answer with a status is passed on only with the endpoint's authentication
+// code: successes, and statuses that callers take as a promise that the request has not run.
+func needsSeal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return status < http.StatusMultipleChoices
+}
+
 // readBuffered reads up to maxBufferedBytes of an answer, or less if no memory is left,
 // and reports whether that is the complete answer.
 func (call *call) readBuffered(response *bvforward.Response) (buffered []byte, complete bool, err error) {
