A crash of sixteen calls no longer takes 100 ms when the table of suspects is full

Each new feature of a crash searched all 4,096 suspects for the least used one, and a crash of 16 calls with 14 features adds some 230. Counts of all suspects, ten times a second while the store is unavailable, looked for better explanations also of those with a single crash. Decisions wait for the same lock.

Suspects that can't have enough crashes are not counted.

--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -91,13 +91,23 @@
 // RestrictedCount returns the number of requests that have crashed endpoints and do not run freely.
 func (table *Table) RestrictedCount(now bvclock.Time) (count int) {
 	for _, suspect := range table.suspects {
-		if table.Decide(now, suspect.request).Access != Free {
+		if table.mayHaveCrashes(suspect.request, exclusiveCrashes) && table.Decide(now, suspect.request).Access != Free {
 			count++
 		}
 	}
 	return count
 }
 
+// mayHaveCrashes reports whether at least a number of crashes are known of a request. Few of the suspects of one
+// crash have more than that one, and to count those that have no better explanation takes much longer.
+func (table *Table) mayHaveCrashes(request Fingerprint, least int) bool {
+	known := 0
+	for _, suspect := range table.families[request.AnyQuery] {
+		known += len(suspect.crashes)
+	}
+	return known >= least
+}
+
 // countedCrashes are the crashes that count against a request.
 type countedCrashes struct {
 	key       uint64          // of the request, or of all its queries
@@ -164,11 +174,11 @@
 // feature in common with it.
 func (table *Table) hasOtherCause(endpoint uint64, feature Feature, total int) bool {
 	return slices.ContainsFunc(table.crashed[endpoint], func(other *suspect) bool {
-		if other.crashes[endpoint].withdrawn || len(other.crashes) < total {
+		exclusive, _ := other.request.limits()
+		if other.crashes[endpoint].withdrawn || len(other.crashes) < max(total, exclusive) {
 			return false
 		}
 		others := other.total()
-		exclusive, _ := other.request.limits()
 		return others >= exclusive && (others > total || others == total && other.request.Feature < feature)
 	})
 }
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -1,8 +1,6 @@
 package bvsuspect
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -64,6 +62,7 @@
 	families map[uint64][]*suspect
 	crashed  map[uint64][]*suspect // by endpoint
 	unsaved  bool                  // Unsaved may have something to return
+	unused   []unusedSuspect       // to remove next, the last one first
 }
 
 // suspect is a request or a shared feature that was in flight when endpoints crashed.
@@ -129,7 +128,7 @@
 	if changed {
 		found.changedAt, table.unsaved = now, true
 	}
-	isAnswered := table.answered.clears(now, report.Request.Exact, report.Request.Feature, known.at)
+	isAnswered := table.answered.clears(now, report.Request.Exact, found.request.Feature, known.at)
 	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, report.Request.Feature, known.at)) {
 		known.withdrawnHere = known.withdrawnHere || isAnswered
 		found.recordChange(now)
@@ -155,7 +154,7 @@
 	}
 	var unsaved []Report
 	for _, suspect := range table.suspects {
-		hasEnough := table.Crashes(suspect.request) >= minSavedCrashes
+		hasEnough := table.mayHaveCrashes(suspect.request, minSavedCrashes) && table.Crashes(suspect.request) >= minSavedCrashes
 		for endpoint, crash := range suspect.crashes {
 			mustSave := crash.here && !crash.withdrawn && !crash.saved && hasEnough
 			mustRemove := crash.saved && crash.withdrawn && (crash.here || crash.withdrawnHere)
@@ -207,7 +206,7 @@
 		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64][]*suspect)
 	}
 	if len(table.suspects) >= maxSuspects {
-		table.remove(slices.MaxFunc(slices.Collect(maps.Values(table.suspects)), compareUse))
+		table.remove(table.leastUsed())
 	}
 	added := &suspect{request: request, crashes: make(map[uint64]*crash), changedAt: now}
 	table.suspects[request.Exact] = added
@@ -215,12 +214,6 @@
 	return added
 }
 
-// compareUse orders suspects by their use: those with several crashes first, and of these the ones
-// that changed last. When many endpoints crash at once, thousands of requests are in flight there.
-func compareUse(a, b *suspect) int {
-	return cmp.Or(cmp.Compare(min(len(b.crashes), exclusiveCrashes), min(len(a.crashes), exclusiveCrashes)), cmp.Compare(b.changedAt, a.changedAt))
-}
-
 func (table *Table) remove(removed *suspect) {
 	delete(table.suspects, removed.request.Exact)
 	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
