Crashes of shared features that an older build reports count as such

An older build passes on reports without the feature, so that a part or path came back as a whole request. Any answer of the last 10 to 20 s withdrew its crashes then, and a host that heard the older build first took the part for a request from then on.

The widest feature reported of a suspect counts, whichever report comes first. Both new tests failed before.

--- a/bvsuspect/content_test.go
+++ b/bvsuspect/content_test.go
@@ -161,3 +161,31 @@
 	require.Equal(t, Denied, decision.Access)
 	require.Equal(t, newShared(Path, 9), decision.Cause)
 }
+
+// asOlderBuild returns a report as a host reports it whose build knows whole requests only.
+func asOlderBuild(report Report) Report {
+	report.Request.Feature = WholeRequest
+	return report
+}
+
+// Guards against a poisonous part whose crashes any earlier answer withdraws, since an older build reports it as a request.
+func TestReportOfAnOlderBuildDoesNotClearAPart(t *testing.T) {
+	var table Table
+	table.RecordSharedAnswer(10, 7, 9)
+	now := crashEach(&table, bvclock.Time(10).Add(sharedAnswerWindow), 5, contentWith(1, 7), contentWith(2, 7), contentWith(3, 7), contentWith(4, 7))
+	for _, report := range table.Reports(now) {
+		table.Merge(now, asOlderBuild(report))
+	}
+	require.Equal(t, Denied, table.DecideContent(now, contentWith(5, 7)).Access)
+}
+
+// Guards against a part that is taken for a request because an older build reported it first.
+func TestPartThatAnOlderBuildReportedFirstIsAPart(t *testing.T) {
+	var here, there Table
+	now := crashEach(&there, 10, 5, contentWith(1, 7), contentWith(2, 7))
+	for _, report := range there.Reports(now) {
+		here.Merge(now, asOlderBuild(report))
+		here.Merge(now, report)
+	}
+	require.Equal(t, newShared(Part, 7), here.suspects[7].request)
+}
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -129,7 +129,7 @@
 		found.changedAt, table.unsaved = now, true
 	}
 	isAnswered := table.answered.clears(now, report.Request.Exact, found.request.Feature, known.at)
-	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, report.Request.Feature, known.at)) {
+	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, found.request.Feature, known.at)) {
 		known.withdrawnHere = known.withdrawnHere || isAnswered
 		found.recordChange(now)
 		changed = true
@@ -200,6 +200,7 @@
 
 func (table *Table) getOrAdd(now bvclock.Time, request Fingerprint) *suspect {
 	if found := table.suspects[request.Exact]; found != nil {
+		found.request.Feature = max(found.request.Feature, request.Feature) // an older build reports each as a request
 		return found
 	}
 	if table.suspects == nil {
