Withdrawn crashes of popular features expire, and do not displace other reports

A part that most calls have in common is in flight at nearly every crash.

Withdrawn crashes are dropped after the time from which no report adds them again. A digest has at most 16 crashes of one suspect, those that changed last.

--- a/bvsuspect/eviction.go
+++ b/bvsuspect/eviction.go
@@ -25,8 +25,8 @@
 		len(unused.crashes) == unused.crashCount && unused.suspect.changedAt == unused.changedAt
 }
 
-// leastUsed returns the suspect to remove for a new one. Suspects only gain use, so the order holds for those
-// that have not changed.
+// leastUsed returns the suspect to remove for a new one. Nearly all changes are gains of use, so the order
+// holds for those that have not changed.
 func (table *Table) leastUsed() *suspect {
 	for len(table.unused) > 0 {
 		last := table.unused[len(table.unused)-1]
@@ -47,3 +47,39 @@
 func compareUse(a, b *suspect) int {
 	return cmp.Or(cmp.Compare(min(len(b.crashes), exclusiveCrashes), min(len(a.crashes), exclusiveCrashes)), cmp.Compare(b.changedAt, a.changedAt))
 }
+
+// removeExpired removes the suspects whose last crash is too long ago, and of the others the withdrawn crashes
+// that no report can add again: a popular part is in flight at nearly every crash.
+func (table *Table) removeExpired(now bvclock.Time) {
+	for _, suspect := range table.suspects {
+		if now.Sub(suspect.latest()) >= crashRetention {
+			table.remove(suspect)
+			continue
+		}
+		for endpoint, crash := range suspect.crashes {
+			if crash.withdrawn && !crash.saved && now.Sub(crash.at) >= crashRetention {
+				delete(suspect.crashes, endpoint)
+				table.removeCrashed(endpoint, suspect)
+			}
+		}
+	}
+}
+
+func (table *Table) remove(removed *suspect) {
+	delete(table.suspects, removed.request.Exact)
+	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
+	table.families[removed.request.AnyQuery] = family
+	if len(family) == 0 {
+		delete(table.families, removed.request.AnyQuery)
+	}
+	for endpoint := range removed.crashes {
+		table.removeCrashed(endpoint, removed)
+	}
+}
+
+func (table *Table) removeCrashed(endpoint uint64, removed *suspect) {
+	table.crashed[endpoint] = slices.DeleteFunc(table.crashed[endpoint], func(other *suspect) bool { return other == removed })
+	if len(table.crashed[endpoint]) == 0 {
+		delete(table.crashed, endpoint)
+	}
+}
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -1,6 +1,8 @@
 package bvsuspect
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -17,6 +19,9 @@
 	// reported at once.
 	maxSuspects = 4096
 	maxReports  = 64
+	// maxSuspectReports is how many of these are of one suspect. A popular part is in flight at nearly every
+	// crash and changes with nearly every answer, so it would take the place of all others.
+	maxSuspectReports = 16
 )
 
 // Fingerprint identifies what may crash endpoints: a request that its caller sends again, in the same
@@ -74,15 +79,16 @@
 	changedHere bool
 }
 
-// recordChange records a change that this host detected itself.
-func (suspect *suspect) recordChange(now bvclock.Time) {
-	suspect.changedAt, suspect.changedHere = now, true
+// recordChange records a change of a crash that this host detected itself.
+func (suspect *suspect) recordChange(now bvclock.Time, changed *crash) {
+	suspect.changedAt, suspect.changedHere, changed.changedAt = now, true, now
 }
 
 type crash struct {
 	at                    bvclock.Time
 	withdrawn, otherQuery bool // as in Report
 	exclusive             bool // as in Report
+	changedAt             bvclock.Time
 
 	here          bool // this host detected it
 	withdrawnHere bool // this host withdrew it
@@ -100,13 +106,14 @@
 
 // RecordCrash records a crash that this host detected. A crash that is recorded twice counts
 // once; it returns false the second time.
-func (table *Table) RecordCrash(now bvclock.Time, crash Crash, exclusive bool) (added bool) {
+func (table *Table) RecordCrash(now bvclock.Time, crash Crash, exclusive bool) (isNew bool) {
 	if !table.Merge(now, Report{Crash: crash, Exclusive: exclusive}) {
 		return false
 	}
 	found := table.suspects[crash.Request.Exact]
-	found.crashes[crash.Endpoint].here = true
-	found.recordChange(now)
+	added := found.crashes[crash.Endpoint]
+	added.here = true
+	found.recordChange(now, added)
 	return true
 }
 
@@ -126,12 +133,12 @@
 	changed = known.merge(report.Withdrawn, report.OtherQuery) || report.Exclusive && !known.exclusive || changed
 	known.exclusive = known.exclusive || report.Exclusive
 	if changed {
-		found.changedAt, table.unsaved = now, true
+		found.changedAt, known.changedAt, table.unsaved = now, now, true
 	}
 	isAnswered := table.answered.clears(now, report.Request.Exact, found.request.Feature, known.at)
 	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, found.request.Feature, known.at)) {
 		known.withdrawnHere = known.withdrawnHere || isAnswered
-		found.recordChange(now)
+		found.recordChange(now, known)
 		changed = true
 	}
 	return changed
@@ -215,21 +222,6 @@
 	return added
 }
 
-func (table *Table) remove(removed *suspect) {
-	delete(table.suspects, removed.request.Exact)
-	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
-	table.families[removed.request.AnyQuery] = family
-	if len(family) == 0 {
-		delete(table.families, removed.request.AnyQuery)
-	}
-	for endpoint := range removed.crashes {
-		table.crashed[endpoint] = slices.DeleteFunc(table.crashed[endpoint], func(other *suspect) bool { return other == removed })
-		if len(table.crashed[endpoint]) == 0 {
-			delete(table.crashed, endpoint)
-		}
-	}
-}
-
 // RecordSharedAnswer records that an endpoint has answered a request with a shared feature, which was
 // sent to it at a time. It returns the crash that no longer counts against the feature. A run that is short
 // may end before the endpoint crashes by it, so that each answer withdraws a single crash.
@@ -253,7 +245,7 @@
 		return nil
 	}
 	oldest.withdrawn, oldest.withdrawnHere, table.unsaved = true, true, true
-	suspect.recordChange(now)
+	suspect.recordChange(now, oldest)
 	return []Crash{{suspect.request, crashed}}
 }
 
@@ -267,7 +259,7 @@
 		for endpoint, crash := range suspect.crashes {
 			wasWithdrawn := crash.withdrawn
 			if crash.merge(isExact, true) {
-				suspect.recordChange(now)
+				suspect.recordChange(now, crash)
 			}
 			if crash.withdrawn && !wasWithdrawn {
 				crash.withdrawnHere, table.unsaved = true, true
@@ -288,7 +280,7 @@
 			continue
 		}
 		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
-		suspect.recordChange(now)
+		suspect.recordChange(now, crash)
 		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
 	return withdrawn
@@ -304,15 +296,6 @@
 // Len returns the number of suspects.
 func (table *Table) Len() int { return len(table.suspects) }
 
-// removeExpired removes the suspects whose last crash is too long ago.
-func (table *Table) removeExpired(now bvclock.Time) {
-	for _, suspect := range table.suspects {
-		if now.Sub(suspect.latest()) >= crashRetention {
-			table.remove(suspect)
-		}
-	}
-}
-
 // TakeChanges returns what to report at once of the changes that this host has detected: those of
 // requests that have crashed at least a number of endpoints, and those that clear a request. What is
 // beyond maxReports is returned by the next calls.
@@ -353,16 +336,21 @@
 	slices.SortFunc(changed, compareUse)
 	var reports []Report
 	for _, suspect := range changed[:min(len(changed), maxReports)] {
-		reports = append(reports, suspect.reports(now)...)
+		ofSuspect := suspect.reports(now)
+		reports = append(reports, ofSuspect[:min(len(ofSuspect), maxSuspectReports)]...)
 	}
 	return reports[:min(len(reports), maxReports)]
 }
 
 // reports returns what this host reports of a suspect. All hosts report a suspect with several
-// crashes; one with a single crash only the host that detected or withdrew it, since there are many.
+// crashes; one with a single crash only the host that detected or withdrew it, since there are many. Those
+// that changed last come first.
 func (suspect *suspect) reports(now bvclock.Time) []Report {
 	reports := make([]Report, 0, len(suspect.crashes))
-	for endpoint, crash := range suspect.crashes {
+	changedAt := func(endpoint uint64) bvclock.Time { return suspect.crashes[endpoint].changedAt }
+	latestFirst := func(a, b uint64) int { return cmp.Compare(changedAt(b), changedAt(a)) }
+	for _, endpoint := range slices.SortedFunc(maps.Keys(suspect.crashes), latestFirst) {
+		crash := suspect.crashes[endpoint]
 		if len(suspect.crashes) < exclusiveCrashes && !crash.here && !crash.withdrawnHere {
 			continue
 		}
