--- a/bvsuspect/machine_test.go
+++ b/bvsuspect/machine_test.go
@@ -33,10 +33,13 @@
 	return store.Memory.Scan(ctx, prefix, after, limit)
 }
 
-// machine plays hosts with requests that crash each endpoint by the part that they have in common, and
-// others that crash none. Its oracle is what truly happened.
+// machine plays hosts with requests that crash each endpoint, and others that crash none. Its oracle is what
+// truly happened.
 type machine struct {
-	t     *rapid.T
+	t *rapid.T
+	// isSameRequest: one request crashes the endpoints; otherwise different ones by the part in common.
+	isSameRequest bool
+
 	store gatedStore
 	hosts []*machineHost
 
@@ -85,11 +88,22 @@
 	return machine.hosts[rapid.IntRange(0, machineHosts-1).Draw(machine.t, "host")]
 }
 
-// culpritContent returns the next request that crashes its endpoint: each has a body of its own.
+// culpritContent returns the next request that crashes its endpoint.
 func (machine *machine) culpritContent() Content {
+	if machine.isSameRequest {
+		return contentOf(request(culprit))
+	}
 	return Content{Request: request(culprit + machine.endpoints), Shared: []Fingerprint{newShared(Part, culpritPart)}}
 }
 
+// crashLimit is the number of crashes from which the culprit is denied.
+func (machine *machine) crashLimit() int {
+	if machine.isSameRequest {
+		return crashLimit
+	}
+	return sharedCrashLimit
+}
+
 // innocentContent returns a request that crashes nothing. Each two of them have a part in common.
 func innocentContent(innocent uint64) Content {
 	return Content{Request: request(innocent), Shared: []Fingerprint{newShared(Part, 100+innocent/2)}}
@@ -248,7 +262,7 @@
 	for _, host := range machine.hosts {
 		known := host.Decide(machine.culpritContent())
 		require.LessOrEqual(t, known.Crashes, len(machine.crashedAt), "a crash that did not happen")
-		if known.Crashes < sharedCrashLimit {
+		if known.Crashes < machine.crashLimit() {
 			continue
 		}
 		last := machine.crashedAt[len(machine.crashedAt)-1]
@@ -260,7 +274,7 @@
 // Guards against hosts that disagree on a request when reports are lost and hosts restart.
 func TestHostsAgreeOnTheRequestThatCrashesEndpoints(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		machine := &machine{t: t, inFlight: make(map[uint64]bool), claimedAt: make(map[string]bvclock.Time), answered: make(map[uint64]machineAnswer)}
+		machine := &machine{t: t, isSameRequest: rapid.Bool().Draw(t, "same request"), inFlight: make(map[uint64]bool), claimedAt: make(map[string]bvclock.Time), answered: make(map[uint64]machineAnswer)}
 		for range machineHosts {
 			machine.hosts = append(machine.hosts, machine.newHost(bvclock.Time(bvclock.Hour)))
 		}
