A part that answers clear is not refused for five minutes after each answer

An answer withdraws one crash of a shared feature, so the number of crashes that names a claim comes again.

The host whose exclusive run was answered removes that claim too, unless another host has made it anew.

--- a/bvsuspect/claim.go
+++ b/bvsuspect/claim.go
@@ -28,10 +28,17 @@
 
 // Claim is the right to run a request exclusively. There is one for each number of crashes.
 type Claim struct {
-	key     string
-	version int64
+	hash    uint64 // of what has crashed the endpoints
 	crashes int
 	cause   Fingerprint
+	at      int64 // time in ms
+	// version is that of the row; 0: of any that was written up to the time of the claim.
+	version int64
+}
+
+// key returns the key of the claim's row.
+func (claim *Claim) key() string {
+	return fmt.Sprintf("%s%s-%d", claimPrefix, FormatHash(claim.hash), claim.crashes)
 }
 
 // savedClaim is a row in the platform's store.
@@ -48,12 +55,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Std())
 	defer cancel()
-	claim := &Claim{key: fmt.Sprintf("%s%s-%d", claimPrefix, FormatHash(decision.key), decision.Crashes), crashes: decision.Crashes, cause: decision.Cause}
-	value, _ := json.Marshal(savedClaim{rand.Uint64(), suspects.unixMilli()}) // integers always encode
+	claim := &Claim{hash: decision.key, crashes: decision.Crashes, cause: decision.Cause, at: suspects.unixMilli()}
+	value, _ := json.Marshal(savedClaim{rand.Uint64(), claim.at}) // integers always encode
 	err := suspects.commitClaim(ctx, claim, value)
 	var conflict *bvplatform.ConflictError
 	if errors.As(err, &conflict) {
-		if claim.version, err = suspects.abandonedVersion(ctx, claim.key); err == nil {
+		if claim.version, err = suspects.abandonedVersion(ctx, claim.key()); err == nil {
 			err = suspects.commitClaim(ctx, claim, value)
 		}
 	}
@@ -84,12 +91,12 @@
 func (suspects *Suspects) commitClaim(ctx context.Context, claim *Claim, value []byte) error {
 	puts, crashes := suspects.rowsOf(claim.cause)
 	transaction := bvplatform.Transaction{
-		Checks: []bvplatform.Check{{Key: claim.key, Version: claim.version}},
-		Puts:   append(puts, bvplatform.Put{Key: claim.key, Value: value}),
+		Checks: []bvplatform.Check{{Key: claim.key(), Version: claim.version}},
+		Puts:   append(puts, bvplatform.Put{Key: claim.key(), Value: value}),
 	}
 	version, err := suspects.store.Commit(ctx, transaction)
 	if errors.Is(err, bvplatform.ErrUnknown) {
-		version, err = suspects.readBack(ctx, claim.key, value)
+		version, err = suspects.readBack(ctx, claim.key(), value)
 	}
 	if err != nil {
 		return err
@@ -136,12 +143,18 @@
 }
 
 // EndClaim ends an exclusive run. A claim whose request has crashed one more endpoint stays: hosts
-// that don't know of that crash yet can't run the request with it.
+// that don't know of that crash yet can't run the request with it. It ends when an answer withdraws a crash,
+// as the next run has the same number of crashes then.
 func (suspects *Suspects) EndClaim(claim *Claim) {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
-	if suspects.table.Crashes(claim.cause) <= claim.crashes {
-		suspects.endedClaims = append(suspects.endedClaims, claim)
+	remaining := suspects.table.Crashes(claim.cause)
+	if remaining > claim.crashes {
+		return
+	}
+	suspects.endedClaims = append(suspects.endedClaims, claim)
+	if exclusive, _ := claim.cause.limits(); remaining >= exclusive && remaining < claim.crashes {
+		suspects.endedClaims = append(suspects.endedClaims, &Claim{hash: claim.hash, crashes: remaining, cause: claim.cause, at: claim.at})
 	}
 }
 
@@ -152,9 +165,7 @@
 	suspects.endedClaims = nil
 	suspects.mutex.Unlock()
 	for i, claim := range ended {
-		_, err := suspects.store.Commit(ctx, bvplatform.Transaction{
-			Checks: []bvplatform.Check{{Key: claim.key, Version: claim.version}}, Puts: []bvplatform.Put{{Key: claim.key}},
-		})
+		err := suspects.removeClaim(ctx, claim)
 		var conflict *bvplatform.ConflictError
 		if err == nil || errors.As(err, &conflict) {
 			continue // it is removed, or another host has it
@@ -166,3 +177,23 @@
 	}
 	return nil
 }
+
+// removeClaim removes the row of a claim.
+func (suspects *Suspects) removeClaim(ctx context.Context, claim *Claim) error {
+	version := claim.version
+	if version == 0 {
+		rows, err := suspects.store.Read(ctx, claim.key())
+		if err != nil {
+			return err
+		}
+		var saved savedClaim
+		if rows[0].Version == 0 || json.Unmarshal(rows[0].Value, &saved) != nil || saved.At > claim.at {
+			return nil // there is none, or a later one
+		}
+		version = rows[0].Version
+	}
+	_, err := suspects.store.Commit(ctx, bvplatform.Transaction{
+		Checks: []bvplatform.Check{{Key: claim.key(), Version: version}}, Puts: []bvplatform.Put{{Key: claim.key()}},
+	})
+	return err
+}
--- a/bvsuspect/claim_test.go
+++ b/bvsuspect/claim_test.go
@@ -78,7 +78,7 @@
 	_, err = host.claimOf(t, request(1))
 	require.ErrorIs(t, err, ErrClaimed)
 	old := `{"owner":1,"at_unix_ms":` + strconv.FormatInt(time.Now().UnixMilli()-int64(claimLifetime), 10) + `}`
-	_, err = store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: claim.key, Value: []byte(old)}}})
+	_, err = store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: claim.key(), Value: []byte(old)}}})
 	require.NoError(t, err)
 	_, err = host.claimOf(t, request(1))
 	require.NoError(t, err)
@@ -146,3 +146,26 @@
 	table.RecordCrash(10, Crash{request(1), 2}, false)
 	require.Equal(t, Exclusive, table.Decide(10, request(1)).Access)
 }
+
+// Guards against a part that is cleared by answers, but runs nowhere for minutes after each.
+func TestClaimOfACrashedRunEndsWhenAnAnswerWithdrawsACrash(t *testing.T) {
+	suspects, clock := newHostSuspects(&bvplatform.Memory{}, bvclock.Hour)
+	suspects.unixMilli = func() int64 { return int64(clock.Now()) }
+	content := Content{Shared: []Fingerprint{newShared(Part, 7)}}
+	claim := func() *Claim {
+		claim, err := suspects.Claim(t.Context(), suspects.Decide(content))
+		require.NoError(t, err)
+		return claim
+	}
+	suspects.crash(content.Shared[0], 1, 1+sharedExclusiveCrashes)
+	crashed := claim()
+	suspects.crash(content.Shared[0], 100, 101)
+	suspects.EndClaim(crashed)
+	clock.Advance(exclusivePauses[0])
+	answered, sentAt := claim(), clock.Now()
+	clock.Advance(1)
+	suspects.RecordAnswer(Answer{Content: content, SentAt: sentAt})
+	suspects.EndClaim(answered)
+	require.NoError(t, suspects.Save(t.Context()))
+	claim()
+}
--- a/bvsuspect/machine_test.go
+++ b/bvsuspect/machine_test.go
@@ -145,10 +145,10 @@
 	if claim == nil {
 		return
 	}
-	if at, found := machine.claimedAt[claim.key]; found {
+	if at, found := machine.claimedAt[claim.key()]; found {
 		require.GreaterOrEqual(t, machine.now().Sub(at), claimLifetime, "two exclusive runs for the same crashes")
 	}
-	machine.claimedAt[claim.key] = machine.now()
+	machine.claimedAt[claim.key()] = machine.now()
 	host.EndClaim(claim)
 }
 
