The share of a workspace decides on the load that admission compares

Admit and shareLimit each estimated the load share. With more than 512 endpoints the estimate is a sample, so the two differed: an admitted program could count as rejected demand, and a rejected one not at all, without its log line. It is estimated once now. TestShareDecidesOnTheLoadThatAdmissionCompares failed before; with fewer endpoints nothing changes.

--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -36,7 +36,7 @@
 // Admit reports whether a new program may begin. If not, it returns the time after
 // which the caller should retry.
 func (pool *Pool) Admit(now bvclock.Time, program NewProgram) (bvclock.Duration, bool) {
-	if pool.disabled.Has(bvmechanism.Admission) || pool.loadShare(now) < pool.admissionLimit(now, program) {
+	if pool.disabled.Has(bvmechanism.Admission) || pool.hasRoom(now, program) {
 		if program.Workspace != "" {
 			pool.startedPrograms.add(now, program.Workspace)
 		}
@@ -45,8 +45,14 @@
 	return minRetryAfter + bvclock.Duration(pool.random.Int64N(int64(maxRetryAfter-minRetryAfter))), false
 }
 
-// admissionLimit returns the load share from which a new program is rejected.
-func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram) float64 {
+// hasRoom reports whether the load share is below the program's limit.
+func (pool *Pool) hasRoom(now bvclock.Time, program NewProgram) bool {
+	load := pool.loadShare(now)
+	return load < pool.admissionLimit(now, program, load)
+}
+
+// admissionLimit returns the load share from which a new program is rejected; load is the present one.
+func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram, load float64) float64 {
 	limit := maxLoadShare
 	if program.Priority == 0 {
 		limit += urgentExtraShare
@@ -54,7 +60,7 @@
 	if program.Workspace == "" || pool.disabled.Has(bvmechanism.Fairness) {
 		return limit
 	}
-	if shareLimit, decided := pool.shareLimit(now, program, limit); decided {
+	if shareLimit, decided := pool.shareLimit(now, program, limit, load); decided {
 		return shareLimit
 	}
 	if dominant, found := pool.startedPrograms.dominant(now); found && dominant != program.Workspace {
--- a/bvdispatch/shares.go
+++ b/bvdispatch/shares.go
@@ -23,13 +23,12 @@
 )
 
 // shareLimit returns the load share from which a new program is rejected, by the share of its
-// workspace; limit is that for a program without a workspace. It returns false if shares are
-// disabled or unknown.
-func (pool *Pool) shareLimit(now bvclock.Time, program NewProgram, limit float64) (float64, bool) {
+// workspace; limit is that for a program without a workspace, and load the present load share. It
+// returns false if shares are disabled or unknown.
+func (pool *Pool) shareLimit(now bvclock.Time, program NewProgram, limit, load float64) (float64, bool) {
 	if pool.disabled.Has(bvmechanism.Shares) {
 		return 0, false
 	}
-	load := pool.loadShare(now)
 	if load < contendedLoadShare {
 		return limit, true
 	}
--- a/bvdispatch/shares_test.go
+++ b/bvdispatch/shares_test.go
@@ -1,6 +1,7 @@
 package bvdispatch
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -78,6 +79,27 @@
 	require.Zero(t, pool.Shares().Report(0)[0].Used)
 }
 
+// Guards against a decision and its demand and log line that rest on different samples of the load.
+func TestShareDecidesOnTheLoadThatAdmissionCompares(t *testing.T) {
+	const endpoints, slots = 2 * loadSampleRows, 16
+	pool := newTestPool(endpoints)
+	pool.Shares().SetHosts(1, 400)
+	pool.Shares().SetPeerUsage(0, 1, []bvshare.Usage{
+		{Workspace: bvshare.HashWorkspace("flood"), Asked: 0.9, Used: 0.8},
+		{Workspace: bvshare.HashWorkspace("calm"), Asked: 0.1, Used: 0.1},
+	})
+	for number := 0; number < endpoints; number += 2 {
+		for range 2 * slots {
+			pool.BeginCall(0, fmt.Sprint("e", number), &Request{})
+		}
+	}
+	for range 50 {
+		var standing bvshare.Standing
+		_, admitted := pool.Admit(0, NewProgram{Priority: 1, Workspace: "flood", Standing: &standing})
+		require.Equal(t, !admitted, standing.Over)
+	}
+}
+
 func TestCallCountsAsWorkOfItsWorkspace(t *testing.T) {
 	pool := newTestPool(1)
 	request := &Request{Workspace: "calm", Prefix: []bvroute.Part{{Key: 1, Tokens: 5000}}, PromptTokens: 5000, CachedTokens: 1640}
