--- a/bvdispatch/admission.go
+++ b/bvdispatch/admission.go
@@ -47,7 +47,7 @@
 	var admission Admission
 	if admission.Admitted = pool.disabled.Has(bvmechanism.Admission); !admission.Admitted {
 		admission = pool.admissionByTime(now, program)
-		admission.Limit = pool.admissionLimit(now, program, admission.Limit)
+		admission.Limit = pool.admissionLimit(now, program, admission.Limit, admission.Projected)
 		admission.Admitted = admission.Projected < admission.Limit
 	}
 	if !admission.Admitted {
@@ -76,12 +76,12 @@
 }
 
 // admissionLimit returns the load share from which a new program is rejected, given the limit
-// for a program without a workspace.
-func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram, limit float64) float64 {
+// for a program without a workspace and the present load share.
+func (pool *Pool) admissionLimit(now bvclock.Time, program NewProgram, limit, load float64) float64 {
 	if program.Workspace == "" || pool.disabled.Has(bvmechanism.Fairness) {
 		return limit
 	}
-	if shareLimit, decided := pool.shareLimit(now, program, limit); decided {
+	if shareLimit, decided := pool.shareLimit(now, program, limit, load); decided {
 		return shareLimit
 	}
 	if dominant, found := pool.startedPrograms.dominant(now); found && dominant != program.Workspace {
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -91,13 +91,23 @@
 // RestrictedCount returns the number of requests that have crashed endpoints and do not run freely.
 func (table *Table) RestrictedCount(now bvclock.Time) (count int) {
 	for _, suspect := range table.suspects {
-		if table.Decide(now, suspect.request).Access != Free {
+		if table.mayHaveCrashes(suspect.request, exclusiveCrashes) && table.Decide(now, suspect.request).Access != Free {
 			count++
 		}
 	}
 	return count
 }
 
+// mayHaveCrashes reports whether at least a number of crashes are known of a request. Few of the suspects of one
+// crash have more than that one, and to count those that have no better explanation takes much longer.
+func (table *Table) mayHaveCrashes(request Fingerprint, least int) bool {
+	known := 0
+	for _, suspect := range table.families[request.AnyQuery] {
+		known += len(suspect.crashes)
+	}
+	return known >= least
+}
+
 // countedCrashes are the crashes that count against a request.
 type countedCrashes struct {
 	key       uint64          // of the request, or of all its queries
@@ -133,7 +143,7 @@
 	}
 	total := suspect.total()
 	for endpoint, crash := range suspect.crashes {
-		if crash.withdrawn || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect.request.Feature, total) {
+		if crash.withdrawn || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect, total) {
 			continue
 		}
 		if counted.endpoints == nil {
@@ -158,17 +168,27 @@
 	return count
 }
 
-// hasOtherCause reports whether an endpoint's crash has a better explanation than a feature with a total
-// of crashes: a restricted suspect with more of them, or a narrower one with as many. Without this rule,
+// hasOtherCause reports whether an endpoint's crash has a better explanation than a suspect with a total of
+// crashes: a restricted suspect with more of them, or a likelier one with as many. Without this rule,
 // requests beside a poisonous one would be restricted with it, and so would all those that have a wider
 // feature in common with it.
-func (table *Table) hasOtherCause(endpoint uint64, feature Feature, total int) bool {
+func (table *Table) hasOtherCause(endpoint uint64, suspected *suspect, total int) bool {
 	return slices.ContainsFunc(table.crashed[endpoint], func(other *suspect) bool {
-		if other.crashes[endpoint].withdrawn || len(other.crashes) < total {
+		exclusive, _ := other.request.limits()
+		if other.crashes[endpoint].withdrawn || len(other.crashes) < max(total, exclusive) {
 			return false
 		}
 		others := other.total()
-		exclusive, _ := other.request.limits()
-		return others >= exclusive && (others > total || others == total && other.request.Feature < feature)
+		return others >= exclusive && (others > total || others == total && table.isLikelier(other, suspected))
 	})
 }
+
+// isLikelier reports whether one of two suspects with the same number of crashes is the likelier cause: the
+// one that was not answered lately, or the narrower one.
+func (table *Table) isLikelier(suspect, than *suspect) bool {
+	wasAnswered, otherWasAnswered := table.answered.knows(suspect.request.Exact), table.answered.knows(than.request.Exact)
+	if wasAnswered != otherWasAnswered {
+		return otherWasAnswered
+	}
+	return suspect.request.Feature < than.request.Feature
+}
--- a/bvsuspect/recent.go
+++ b/bvsuspect/recent.go
@@ -44,6 +44,13 @@
 	answers.current[hash] = added
 }
 
+// knows reports whether an answer to what has a hash is retained.
+func (answers *recentAnswers) knows(hash uint64) bool {
+	_, inCurrent := answers.current[hash]
+	_, inPrevious := answers.previous[hash]
+	return inCurrent || inPrevious
+}
+
 // clears reports whether an answer clears what has a hash of a crash at a time.
 func (answers *recentAnswers) clears(now bvclock.Time, hash uint64, feature Feature, crashedAt bvclock.Time) bool {
 	answers.rotate(now)
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -19,6 +19,9 @@
 	// reported at once.
 	maxSuspects = 4096
 	maxReports  = 64
+	// maxSuspectReports is how many of these are of one suspect. A popular part is in flight at nearly every
+	// crash and changes with nearly every answer, so it would take the place of all others.
+	maxSuspectReports = 16
 )
 
 // Fingerprint identifies what may crash endpoints: a request that its caller sends again, in the same
@@ -64,6 +67,7 @@
 	families map[uint64][]*suspect
 	crashed  map[uint64][]*suspect // by endpoint
 	unsaved  bool                  // Unsaved may have something to return
+	unused   []unusedSuspect       // to remove next, the last one first
 }
 
 // suspect is a request or a shared feature that was in flight when endpoints crashed.
@@ -75,15 +79,16 @@
 	changedHere bool
 }
 
-// recordChange records a change that this host detected itself.
-func (suspect *suspect) recordChange(now bvclock.Time) {
-	suspect.changedAt, suspect.changedHere = now, true
+// recordChange records a change of a crash that this host detected itself.
+func (suspect *suspect) recordChange(now bvclock.Time, changed *crash) {
+	suspect.changedAt, suspect.changedHere, changed.changedAt = now, true, now
 }
 
 type crash struct {
 	at                    bvclock.Time
 	withdrawn, otherQuery bool // as in Report
 	exclusive             bool // as in Report
+	changedAt             bvclock.Time
 
 	here          bool // this host detected it
 	withdrawnHere bool // this host withdrew it
@@ -101,13 +106,14 @@
 
 // RecordCrash records a crash that this host detected. A crash that is recorded twice counts
 // once; it returns false the second time.
-func (table *Table) RecordCrash(now bvclock.Time, crash Crash, exclusive bool) (added bool) {
+func (table *Table) RecordCrash(now bvclock.Time, crash Crash, exclusive bool) (isNew bool) {
 	if !table.Merge(now, Report{Crash: crash, Exclusive: exclusive}) {
 		return false
 	}
 	found := table.suspects[crash.Request.Exact]
-	found.crashes[crash.Endpoint].here = true
-	found.recordChange(now)
+	added := found.crashes[crash.Endpoint]
+	added.here = true
+	found.recordChange(now, added)
 	return true
 }
 
@@ -127,12 +133,12 @@
 	changed = known.merge(report.Withdrawn, report.OtherQuery) || report.Exclusive && !known.exclusive || changed
 	known.exclusive = known.exclusive || report.Exclusive
 	if changed {
-		found.changedAt, table.unsaved = now, true
+		found.changedAt, known.changedAt, table.unsaved = now, now, true
 	}
-	isAnswered := table.answered.clears(now, report.Request.Exact, report.Request.Feature, known.at)
-	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, report.Request.Feature, known.at)) {
+	isAnswered := table.answered.clears(now, report.Request.Exact, found.request.Feature, known.at)
+	if known.merge(isAnswered, table.answered.clears(now, report.Request.AnyQuery, found.request.Feature, known.at)) {
 		known.withdrawnHere = known.withdrawnHere || isAnswered
-		found.recordChange(now)
+		found.recordChange(now, known)
 		changed = true
 	}
 	return changed
@@ -155,7 +161,7 @@
 	}
 	var unsaved []Report
 	for _, suspect := range table.suspects {
-		hasEnough := table.Crashes(suspect.request) >= minSavedCrashes
+		hasEnough := table.mayHaveCrashes(suspect.request, minSavedCrashes) && table.Crashes(suspect.request) >= minSavedCrashes
 		for endpoint, crash := range suspect.crashes {
 			mustSave := crash.here && !crash.withdrawn && !crash.saved && hasEnough
 			mustRemove := crash.saved && crash.withdrawn && (crash.here || crash.withdrawnHere)
@@ -201,13 +207,14 @@
 
 func (table *Table) getOrAdd(now bvclock.Time, request Fingerprint) *suspect {
 	if found := table.suspects[request.Exact]; found != nil {
+		found.request.Feature = max(found.request.Feature, request.Feature) // an older build reports each as a request
 		return found
 	}
 	if table.suspects == nil {
 		table.suspects, table.families, table.crashed = make(map[uint64]*suspect), make(map[uint64][]*suspect), make(map[uint64][]*suspect)
 	}
 	if len(table.suspects) >= maxSuspects {
-		table.remove(slices.MaxFunc(slices.Collect(maps.Values(table.suspects)), compareUse))
+		table.remove(table.leastUsed())
 	}
 	added := &suspect{request: request, crashes: make(map[uint64]*crash), changedAt: now}
 	table.suspects[request.Exact] = added
@@ -215,27 +222,6 @@
 	return added
 }
 
-// compareUse orders suspects by their use: those with several crashes first, and of these the ones
-// that changed last. When many endpoints crash at once, thousands of requests are in flight there.
-func compareUse(a, b *suspect) int {
-	return cmp.Or(cmp.Compare(min(len(b.crashes), exclusiveCrashes), min(len(a.crashes), exclusiveCrashes)), cmp.Compare(b.changedAt, a.changedAt))
-}
-
-func (table *Table) remove(removed *suspect) {
-	delete(table.suspects, removed.request.Exact)
-	family := slices.DeleteFunc(table.families[removed.request.AnyQuery], func(other *suspect) bool { return other == removed })
-	table.families[removed.request.AnyQuery] = family
-	if len(family) == 0 {
-		delete(table.families, removed.request.AnyQuery)
-	}
-	for endpoint := range removed.crashes {
-		table.crashed[endpoint] = slices.DeleteFunc(table.crashed[endpoint], func(other *suspect) bool { return other == removed })
-		if len(table.crashed[endpoint]) == 0 {
-			delete(table.crashed, endpoint)
-		}
-	}
-}
-
 // RecordSharedAnswer records that an endpoint has answered a request with a shared feature, which was
 // sent to it at a time. It returns the crashes before that, which no longer count against the feature.
 func (table *Table) RecordSharedAnswer(now bvclock.Time, hash uint64, sentAt bvclock.Time) (withdrawn []Crash) {
@@ -249,7 +235,7 @@
 			continue
 		}
 		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
-		suspect.recordChange(now)
+		suspect.recordChange(now, crash)
 		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
 	return withdrawn
@@ -265,7 +251,7 @@
 		for endpoint, crash := range suspect.crashes {
 			wasWithdrawn := crash.withdrawn
 			if crash.merge(isExact, true) {
-				suspect.recordChange(now)
+				suspect.recordChange(now, crash)
 			}
 			if crash.withdrawn && !wasWithdrawn {
 				crash.withdrawnHere, table.unsaved = true, true
@@ -286,7 +272,7 @@
 			continue
 		}
 		crash.withdrawn, crash.withdrawnHere, table.unsaved = true, true, true
-		suspect.recordChange(now)
+		suspect.recordChange(now, crash)
 		withdrawn = append(withdrawn, Crash{suspect.request, endpoint})
 	}
 	return withdrawn
@@ -302,15 +288,6 @@
 // Len returns the number of suspects.
 func (table *Table) Len() int { return len(table.suspects) }
 
-// removeExpired removes the suspects whose last crash is too long ago.
-func (table *Table) removeExpired(now bvclock.Time) {
-	for _, suspect := range table.suspects {
-		if now.Sub(suspect.latest()) >= crashRetention {
-			table.remove(suspect)
-		}
-	}
-}
-
 // TakeChanges returns what to report at once of the changes that this host has detected: those of
 // requests that have crashed at least a number of endpoints, and those that clear a request. What is
 // beyond maxReports is returned by the next calls.
@@ -351,16 +328,21 @@
 	slices.SortFunc(changed, compareUse)
 	var reports []Report
 	for _, suspect := range changed[:min(len(changed), maxReports)] {
-		reports = append(reports, suspect.reports(now)...)
+		ofSuspect := suspect.reports(now)
+		reports = append(reports, ofSuspect[:min(len(ofSuspect), maxSuspectReports)]...)
 	}
 	return reports[:min(len(reports), maxReports)]
 }
 
 // reports returns what this host reports of a suspect. All hosts report a suspect with several
-// crashes; one with a single crash only the host that detected or withdrew it, since there are many.
+// crashes; one with a single crash only the host that detected or withdrew it, since there are many. Those
+// that changed last come first.
 func (suspect *suspect) reports(now bvclock.Time) []Report {
 	reports := make([]Report, 0, len(suspect.crashes))
-	for endpoint, crash := range suspect.crashes {
+	changedAt := func(endpoint uint64) bvclock.Time { return suspect.crashes[endpoint].changedAt }
+	latestFirst := func(a, b uint64) int { return cmp.Compare(changedAt(b), changedAt(a)) }
+	for _, endpoint := range slices.SortedFunc(maps.Keys(suspect.crashes), latestFirst) {
+		crash := suspect.crashes[endpoint]
 		if len(suspect.crashes) < exclusiveCrashes && !crash.here && !crash.withdrawnHere {
 			continue
 		}
