--- a/bvsuspect/content_test.go
+++ b/bvsuspect/content_test.go
@@ -203,7 +203,7 @@
 }
 
 // Guards against a path of all requests that is refused for a poisonous part, since it is narrower.
-func TestFeatureThatWasAnsweredLatelyIsNotTheCause(t *testing.T) {
+func TestFeatureThatWasAnsweredRecentlyIsNotTheCause(t *testing.T) {
 	var table Table
 	table.RecordSharedAnswer(10, 9, 9)
 	poisonous := func(number uint64) Content {
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -184,7 +184,7 @@
 }
 
 // isLikelier reports whether one of two suspects with the same number of crashes is the likelier cause: the
-// one that was not answered lately, or the narrower one.
+// one that was not answered recently, or the narrower one.
 func (table *Table) isLikelier(suspect, than *suspect) bool {
 	wasAnswered, otherWasAnswered := table.answered.knows(suspect.request.Exact), table.answered.knows(than.request.Exact)
 	if wasAnswered != otherWasAnswered {
