--- a/bvdispatch/choose.go
+++ b/bvdispatch/choose.go
@@ -90,8 +90,9 @@
 }
 
 // cost returns the time that a call takes at an endpoint beyond the shortest possible at one
-// of usual speed, in milliseconds; at a faster endpoint it may be negative. It includes the delay of the calls beside it: while an engine reads a
-// prompt, all calls that run there are stalled.
+// of usual speed, in milliseconds; at a faster endpoint it may be negative. It includes the
+// delay of the calls beside it: while an engine reads a prompt, all calls that run there are
+// stalled.
 //
 // The number of calls beside it counts as at least the average over all engines. An
 // engine that is idle now soon gets other calls, which are stalled too when it reads a
