--- a/review/platform/engine.go
+++ b/review/platform/engine.go
@@ -67,7 +67,7 @@
 	}
 	engine := &engine{config: config, address: listener.Addr().String(), onRun: onRun}
 	entry := map[string]any{
-		"service": config.service, "addr": engine.address, "zone": "hall", "version": "v1", "slots": config.slots,
+		"service": config.service, "addr": engine.address, "zone": "hall-1", "version": "v1", "slots": config.slots,
 		"state": "ready", "coldLeftMs": 0, "seq": 1,
 	}
 	if config.eventTokens > 0 {
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -20,10 +20,19 @@
 	rangePorts  = 16
 )
 
+// Base ports are tried from firstPort on, in steps.
+const (
+	firstPort       = 20300
+	portStep        = 50
+	portBases       = 200
+	maxPortAttempts = 100
+)
+
 // settings are what differs between the deployments of the cases.
 type settings struct {
 	bounds string // further lines of the table of bounds
 	ramMb  int
+	zones  int // the hosts are in them in turn; 0: one
 }
 
 // fleet runs the daemons of some hosts as processes, each at an address of the loopback range.
@@ -41,6 +50,7 @@
 	fleet   *fleet
 	name    string
 	ip      string
+	zone    string
 	process *exec.Cmd
 	exited  chan struct{}
 	log     *os.File
@@ -50,9 +60,13 @@
 func newFleet(root, folder, store string, count int, settings settings) (*fleet, error) {
 	fleet := &fleet{root: root, folder: folder, store: store, settings: settings}
 	for number := range count {
-		fleet.hosts = append(fleet.hosts, &host{fleet: fleet, name: fmt.Sprintf("edge-hall-%d", number+1), ip: fmt.Sprintf("127.0.0.%d", number+11)})
+		fleet.hosts = append(fleet.hosts, &host{
+			fleet: fleet, name: fmt.Sprintf("edge-hall-%d", number+1), ip: fmt.Sprintf("127.0.1.%d", number+11),
+			zone: fmt.Sprintf("hall-%d", 1+number%max(settings.zones, 1)),
+		})
 	}
-	for base := 20300; base < 32000; base += 100 {
+	for attempt := range maxPortAttempts {
+		base := firstPort + (os.Getpid()+attempt)%portBases*portStep // another case may start at the same time
 		if fleet.isFree(base) {
 			fleet.basePort = base
 			return fleet, nil
@@ -125,14 +139,14 @@
 machineClass = "edge"
 serves = ["edge"]
 ip = %q
-zone = "hall"
+zone = %q
 region = "region"
 portRange = [%d, %d]
 seeds = []
 bootstrap = %t
 heartbeatMs = 1200
 [zones]
-hall = "region"
+%s = "region"
 [listen]
 front = %q
 readyAddr = %q
@@ -169,7 +183,7 @@
 rowBytes = 65536
 across = false
 historyS = 20
-`, host.name, host.ip, first, first+rangePorts-1, bootstrap, host.front(), host.address(readyOffset), host.fleet.settings.ramMb, host.fleet.settings.bounds, host.fleet.store)
+`, host.name, host.ip, host.zone, first, first+rangePorts-1, bootstrap, host.zone, host.front(), host.address(readyOffset), host.fleet.settings.ramMb, host.fleet.settings.bounds, host.fleet.store)
 }
 
 // signal sends a signal to the daemon.
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(play) (broken bool, err error){
 	"twice":  playTwice,
 	"lost":   playLost,
+	"caps":   playCaps,
 	"budget": playBudget,
 }
 
--- a/review/platform/twice.go
+++ b/review/platform/twice.go
@@ -13,11 +13,11 @@
 	"time"
 )
 
-// The deployment of the case: three hosts before a plain service whose calls may not be repeated. In each
+// The deployment of the case: eight hosts before a plain service whose calls may not be repeated. In each
 // round, twice as many clients as usual send calls for 4 s, and a share of 0.5 of the engines sends a share of
 // 0.03 of its answers a second time for 5 s.
 const (
-	twiceHosts     = 3
+	twiceHosts     = 8
 	twiceEngines   = 2
 	twiceSlots     = 6
 	twiceFaulty    = 1
