--- a/review/platform/twice.go
+++ b/review/platform/twice.go
@@ -23,10 +23,10 @@
 	twiceFaulty    = 1
 	twiceExtras    = 0.03
 	twiceClients   = 32 // each keeps a connection open and has one call in flight
-	twiceUsual     = 16 // clients outside the crowds
+	twiceUsual     = 16 // clients outside the bursts
 	twiceRounds    = 11
 	twiceRoundTime = 8 * time.Second
-	twiceCrowdTime = 4 * time.Second
+	twiceBurstTime = 4 * time.Second
 	twiceFaultTime = 5 * time.Second
 	twiceDeadline  = 1200 // ms
 )
@@ -74,7 +74,7 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	attempts := playCrowds(play, fleet, engines)
+	attempts := playBursts(play, fleet, engines)
 	time.Sleep(2 * time.Second) // requests that run later
 	return judgeTwice(play, engines, attempts, runs, &mutex), nil
 }
@@ -92,8 +92,8 @@
 	}
 }
 
-// playCrowds sends the calls of some clients; for a part of each round, of more than usual.
-func playCrowds(play play, fleet *fleet, engines []*engine) []attempt {
+// playBursts sends the calls of some clients; for a part of each round, of more than usual.
+func playBursts(play play, fleet *fleet, engines []*engine) []attempt {
 	var mutex sync.Mutex
 	var attempts []attempt
 	var clients sync.WaitGroup
@@ -107,7 +107,7 @@
 				if elapsed > twiceRounds*twiceRoundTime {
 					return
 				}
-				if number >= twiceUsual && elapsed%twiceRoundTime > twiceCrowdTime {
+				if number >= twiceUsual && elapsed%twiceRoundTime > twiceBurstTime {
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
