--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -56,6 +56,9 @@
 	log     *os.File
 }
 
+// startedFleets are the fleets of this run, for stopOnSignal.
+var startedFleets []*fleet
+
 // newFleet prepares hosts without starting them.
 func newFleet(root, folder, store string, count int, settings settings) (*fleet, error) {
 	fleet := &fleet{root: root, folder: folder, store: store, settings: settings}
@@ -69,6 +72,7 @@
 		base := firstPort + (os.Getpid()+attempt)%portBases*portStep // another case may start at the same time
 		if fleet.isFree(base) {
 			fleet.basePort = base
+			startedFleets = append(startedFleets, fleet)
 			return fleet, nil
 		}
 	}
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -13,7 +13,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses.
@@ -66,6 +68,7 @@
 		return statusNotRun
 	}
 	defer record.close()
+	stopOnSignal()
 	broken, err := cases[os.Args[1]](play{absolute, scratch, os.Getenv("TROUBLE") != "0", record})
 	switch {
 	case err != nil:
@@ -78,3 +81,16 @@
 	record.print("the rule held")
 	return statusHeld
 }
+
+// stopOnSignal ends the daemons when the case itself is ended before its time.
+func stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		for _, fleet := range startedFleets {
+			fleet.stopAll()
+		}
+		os.Exit(statusNotRun)
+	}()
+}
