--- a/review/platform/lost.go
+++ b/review/platform/lost.go
@@ -14,10 +14,10 @@
 	"time"
 )
 
-// The deployment of the case: three hosts before a plain service. The hosts are stopped and started in turn,
+// The deployment of the case: four hosts before a plain service. The hosts are stopped and started in turn,
 // and the settings files of two of them change while they stop.
 const (
-	lostHosts    = 3
+	lostHosts    = 4
 	lostEngines  = 3
 	lostClients  = 18
 	lostDeadline = 3000 // ms
@@ -25,7 +25,7 @@
 	lostGrace    = 8 * time.Second
 	lostDowntime = time.Second
 	lostSettle   = 4 * time.Second
-	lostFiles    = 2 // hosts whose settings files change
+	lostFiles    = 2 // hosts whose settings files change, one at a time: a share of 0.25
 )
 
 // lostRequest is a request as its client saw it.
