Route: signals are handled from the start of the process to its exit

Cause: the goroutine that follows the settings returned when the context of SIGTERM was done, and its deferred signal.Stop removed the only registration for SIGHUP. From then on, the default action applied, which ends the process, while the graceful stop still waited for requests in flight. Evidence: the exit status names the signal, and the log has no line after "leaving: no longer ready". Ruled out: the limit of the graceful stop (7.5 s of 8 s, the cut came after 1.0 s) and the reload itself (a reload while serving cuts nothing). The same default applied before the registration: from the start of the process until the settings were read and all ports opened.

Change: bvsignal registers for SIGHUP, SIGTERM and SIGINT before anything else and never unregisters. Settings are reloaded during a graceful stop too. The file's modification time is read before the file, so that a change between the first read and the first poll counts. What is left: the first milliseconds (4 ms here, the runtime's and the packages' initialization), in which no port is open.

--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -4,18 +4,15 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
-	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvrouter"
+	"balsamvalve.example/bvsignal"
 	"balsamvalve.example/platform"
 )
 
@@ -49,14 +46,17 @@
 }
 
 func runRoute(command *cobra.Command, without string) error {
-	path := os.Getenv(platform.SettingsVariable)
-	settings, err := platform.LoadSettings(path)
+	signals := bvsignal.Register()
+	disabled, err := bvmechanism.Parse(without)
 	if err != nil {
 		return usageError{err}
 	}
-	if settings.Disabled, err = bvmechanism.Parse(without); err != nil {
+	file := settingsFile{path: os.Getenv(platform.SettingsVariable)}
+	settings, err := file.load()
+	if err != nil {
 		return usageError{err}
 	}
+	settings.Disabled = disabled
 	output := bvlog.NewBounded(command.OutOrStdout(), bvclock.Boot())
 	defer output.Close()
 	log := bvlog.New(output)
@@ -68,49 +68,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go followSettings(ctx, path, router, log)
-	return router.Run(ctx)
-}
-
-// settingsInterval is the interval at which the settings file is polled, since it
-// may change without a signal.
-const settingsInterval = 2 * bvclock.Second
-
-// followSettings reloads the settings file when it changes or SIGHUP arrives. An
-// invalid file is logged, and the settings in force stay.
-func followSettings(ctx context.Context, path string, router *bvrouter.Router, log logrus.FieldLogger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	lastChange := modTime(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-bvclock.After(settingsInterval):
-			if modTime(path).Equal(lastChange) {
-				continue
-			}
-		}
-		lastChange = modTime(path)
-		settings, err := platform.LoadSettings(path)
-		if err != nil {
-			log.WithError(err).Error("settings not taken over")
-			continue
-		}
-		router.Reload(settings)
-	}
-}
-
-// modTime returns the modification time of a file. It is zero if the file can't be
-// examined; the error shows when the file is read.
-func modTime(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
+	ctx, cancel := context.WithCancel(command.Context())
+	defer cancel()
+	go file.follow(ctx, signals.Hangups(), router, log)
+	return router.Run(signals.Deliver(ctx, log))
 }
--- /dev/null
+++ b/bvcommand/settings_file.go
@@ -0,0 +1,63 @@
+package bvcommand
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvrouter"
+	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/platform"
+)
+
+// settingsInterval is the interval at which the settings file is polled, since it
+// may change without a signal.
+const settingsInterval = 2 * bvclock.Second
+
+// settingsFile is the file with the settings of a routing daemon.
+type settingsFile struct {
+	path     string
+	modified time.Time // when the content last read was written
+}
+
+// load reads the file. The modification time is read first: after a change during the read,
+// the next poll reads the file again.
+func (file *settingsFile) load() (bvsetting.Host, error) {
+	file.modified = modTime(file.path)
+	return platform.LoadSettings(file.path)
+}
+
+// follow reloads the settings when the file changes or SIGHUP arrives, until ctx ends: also
+// while the daemon stops. Invalid settings are logged, and those in force stay.
+func (file *settingsFile) follow(ctx context.Context, hangups <-chan os.Signal, router *bvrouter.Router, log logrus.FieldLogger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-bvclock.After(settingsInterval):
+			if modTime(file.path).Equal(file.modified) {
+				continue
+			}
+		}
+		settings, err := file.load()
+		if err != nil {
+			log.WithError(err).Error("settings not taken over")
+			continue
+		}
+		router.Reload(settings)
+	}
+}
+
+// modTime returns the modification time of a file. It is zero if the file can't be
+// examined; the error shows when the file is read.
+func modTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
