Route: the end of its log's reader does not end the daemon

Cause: a write to a pipe without a reader on file descriptor 1 or 2 raises SIGPIPE, whose default action in Go ends the process, with all requests in flight, at the next log line after the reader of the log has ended. Found while all signals were looked through.

Change: bvsignal ignores SIGPIPE; the write fails instead, and bvlog drops the line, as it does for a reader that is too slow.

--- a/bvsignal/signals.go
+++ b/bvsignal/signals.go
@@ -1,12 +1,13 @@
 // Package bvsignal handles a daemon's signals from its start to its exit.
 //
-// The default action of SIGHUP, SIGTERM and SIGINT ends a process and aborts its
+// The default action of SIGHUP, SIGTERM, SIGINT and SIGPIPE ends a process and aborts its
 // requests in flight. A daemon therefore registers for them before it does anything else,
 // and never restores the default action:
 //
 //   - SIGTERM and SIGINT start a graceful stop. Further ones are logged and change nothing,
 //     except for a second SIGINT if ExitOnSecondInterrupt was called.
 //   - SIGHUP requests a reload of the settings, also during a graceful stop.
+//   - SIGPIPE is ignored: otherwise a process would end with the reader of its log.
 //
 // # Usage
 //
@@ -44,6 +45,7 @@
 // Register registers for the signals until the process exits.
 func Register() *Signals {
 	signals := &Signals{stops: make(chan os.Signal, stopSignals), hangups: make(chan os.Signal, 1)}
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(signals.hangups, syscall.SIGHUP)
 	signal.Notify(signals.stops, syscall.SIGTERM, syscall.SIGINT)
 	return signals
