Route: settings that were read half-written are read again

Cause: the poll compares modification times only. A file that was read while it was written was reported as invalid, and the complete content, written within the same tick of the file system's clock, was never read: the host kept the old settings until the next change.

Change: the poll reads an invalid file again, without a further log line until it changes.

TestSettingsReadHalfWrittenAreReadAgain failed before (no reload within 10 s).

--- a/bvcommand/settings_file.go
+++ b/bvcommand/settings_file.go
@@ -21,34 +21,39 @@
 type settingsFile struct {
 	path     string
 	modified time.Time // when the content last read was written
+	invalid  bool      // that content is invalid: it may have been read while it was written
 }
 
 // load reads the file. The modification time is read first: after a change during the read,
 // the next poll reads the file again.
 func (file *settingsFile) load() (bvsetting.Host, error) {
 	file.modified = modTime(file.path)
-	return platform.LoadSettings(file.path)
+	settings, err := platform.LoadSettings(file.path)
+	file.invalid = err != nil
+	return settings, err
 }
 
 // follow reloads the settings when the file changes or SIGHUP arrives, until ctx ends: also
 // while the daemon stops. Invalid settings are logged, and those in force stay.
 func (file *settingsFile) follow(ctx context.Context, hangups <-chan os.Signal, router *bvrouter.Router, log logrus.FieldLogger) {
 	for {
+		again := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
 		case <-bvclock.After(settingsInterval):
-			if modTime(file.path).Equal(file.modified) {
+			if again = modTime(file.path).Equal(file.modified); again && !file.invalid {
 				continue
 			}
 		}
 		settings, err := file.load()
-		if err != nil {
+		switch {
+		case err == nil:
+			router.Reload(settings)
+		case !again:
 			log.WithError(err).Error("settings not taken over")
-			continue
 		}
-		router.Reload(settings)
 	}
 }
 
