Serve: SIGHUP and a repeated SIGTERM cut no request

Cause: serve never registered for SIGHUP, so its default action ended the daemon at any moment; and it restored the default action of SIGTERM and SIGINT after the first of them, so that a second SIGTERM, as a service manager may send, cut the requests that the graceful stop was completing.

Change: serve uses bvsignal too. SIGHUP is logged and changes nothing, a repeated SIGTERM neither. A second SIGINT still ends the process at once, for a person at a terminal; its exit status is now 130, as shells report it.

--- a/bvcommand/command.go
+++ b/bvcommand/command.go
@@ -20,6 +20,8 @@
 	exitSuccess = 0
 	exitFailure = 1
 	exitUsage   = 2
+
+	exitInterrupted = 130 // as shells report a process that SIGINT ended
 )
 
 // usageError marks an error that the user can correct with other flags.
--- a/bvcommand/serve.go
+++ b/bvcommand/serve.go
@@ -4,14 +4,13 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvdaemon"
 	"balsamvalve.example/bvsetting"
+	"balsamvalve.example/bvsignal"
 )
 
 func newServe() *cobra.Command {
@@ -19,7 +18,8 @@
 		Use:   "serve",
 		Short: "Run one host's daemon",
 		Long: `Run one host's daemon until SIGTERM or SIGINT, then stop gracefully: no
-request in flight is cut off. A second signal ends the process at once.`,
+request in flight is cut off. A second SIGINT ends the process at once; a repeated
+SIGTERM does not. SIGHUP changes nothing: the settings are read at the start only.`,
 		Example: `  balsamvalve serve --platform-address 127.0.0.1:8090 --keys-file keys.txt
   BALSAMVALVE_ZONE=koper balsamvalve serve --keys-file keys.txt`,
 		Args: noArguments,
@@ -30,11 +30,14 @@
 }
 
 func runServe(command *cobra.Command, _ []string) error {
+	signals := bvsignal.Register()
+	signals.ExitOnSecondInterrupt(func() { os.Exit(exitInterrupted) })
 	settings, err := bvsetting.Load(command.Flags(), os.LookupEnv)
 	if err != nil {
 		return usageError{err}
 	}
-	daemon, err := bvdaemon.New(settings, newLog(settings, command.ErrOrStderr()))
+	log := newLog(settings, command.ErrOrStderr())
+	daemon, err := bvdaemon.New(settings, log)
 	if err != nil {
 		return err
 	}
@@ -43,13 +46,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go func() {
-		<-ctx.Done()
-		stop() // restores the default effect of a second signal
-	}()
-	return daemon.Run(ctx)
+	go logHangups(signals.Hangups(), log)
+	return daemon.Run(signals.Deliver(command.Context(), log))
+}
+
+// logHangups logs that SIGHUP changes nothing, until the process exits.
+func logHangups(hangups <-chan os.Signal, log logrus.FieldLogger) {
+	for range hangups {
+		log.Warn("SIGHUP: the settings are read at the start only")
+	}
 }
 
 func newLog(settings bvsetting.Serve, output io.Writer) *logrus.Logger {
