Route: a lack of descriptors ends neither the process nor the trust in endpoints

Cause: any error of Accept ended Serve, with it the group of all parts, and the process, with all requests in flight and without a graceful stop; so did any error of receiving a datagram. A process that has run out of descriptors is the case that occurs. A dial that failed for the same reason counted as a failure of the endpoint, of each one in turn.

Change: Serve tries again after errors that end without a change of the listener, with pauses of 5 to 500 ms; after one second without success the host reports that it is not ready and closes its idle connections to endpoints. A dial without resources is withdrawn and not held against the endpoint. A connection that is accepted during the stop is closed in place of being served and cut.

--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -21,8 +21,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -188,7 +190,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout.Std(), Control: setUnackedTimeout, KeepAliveConfig: keepAliveProbes}
 	conn, err := dialer.DialContext(ctx, "tcp", endpoint.Address)
 	if err != nil {
-		return nil, bvverdict.Refuse(bvverdict.EndpointFailed, "endpoint %s can't be reached", endpoint.Name).WithCause(err)
+		return nil, dialError(endpoint, err)
 	}
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
@@ -196,6 +198,21 @@
 	return newConnection(conn, connections.poolOf(endpoint.ID())), nil
 }
 
+// ErrNoResources means that this host lacks what a new connection requires; it shows nothing
+// about the endpoint.
+var ErrNoResources = errors.New("this host can't open another connection")
+
+// resourceErrors are the errors of a lack of descriptors, memory or local ports.
+var resourceErrors = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+func dialError(endpoint bvplatform.Endpoint, cause error) error {
+	var number syscall.Errno
+	if errors.As(cause, &number) && slices.Contains(resourceErrors, number) {
+		return bvverdict.Refuse(bvverdict.Overloaded, "no connection to endpoint %s", endpoint.Name).WithCause(errors.Join(ErrNoResources, cause))
+	}
+	return bvverdict.Refuse(bvverdict.EndpointFailed, "endpoint %s can't be reached", endpoint.Name).WithCause(cause)
+}
+
 // keepAliveProbes detect connections that fail without a reset. Two seconds without an
 // acknowledgement end the call, if its deadline is later than that.
 var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: bvclock.Second.Std(), Interval: bvclock.Second.Std(), Count: 2}
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -325,3 +327,12 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2*maxHeadBytes, count)
 }
+
+// Guards against endpoints that are blamed for a lack of descriptors of this host.
+func TestLackOfDescriptorsIsNotTheEndpointsFault(t *testing.T) {
+	cause := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	err := dialError(bvplatform.Endpoint{Name: "e"}, cause)
+	require.ErrorIs(t, err, ErrNoResources)
+	require.Equal(t, bvverdict.NotRun, bvverdict.Of(err))
+	require.NotErrorIs(t, dialError(bvplatform.Endpoint{Name: "e"}, syscall.ECONNREFUSED), ErrNoResources)
+}
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -207,7 +207,7 @@
 	switch {
 	case err == nil:
 		return bvdispatch.Served
-	case bvverdict.From(err).Code() == bvverdict.Canceled, errors.Is(err, errNotRecorded):
+	case bvverdict.From(err).Code() == bvverdict.Canceled, errors.Is(err, errNotRecorded), errors.Is(err, bvforward.ErrNoResources):
 		return bvdispatch.Withdrawn
 	case bvverdict.Of(err) == bvverdict.NotRun:
 		return bvdispatch.Unreachable
--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -7,7 +7,10 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,6 +31,9 @@
 	limits  bvroute.Limits
 	servers []*limitedServer // the last one serves new connections
 	idle    map[net.Conn]bvclock.Time
+	stopped bool
+
+	shortSince atomic.Int64 // when connections could first not be accepted; 0: they can
 }
 
 // limitedServer is an http.Server with one version of the limits.
@@ -42,21 +48,78 @@
 	return &Server{front: front, clock: front.parts.Clock, log: log, idle: make(map[net.Conn]bvclock.Time)}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. While the process or its machine
+// lacks what a connection requires, it tries again: callers on open connections are served
+// meanwhile. After another error, nothing more can be accepted.
 func (server *Server) Serve(listener net.Listener) error {
+	pause := bvclock.Duration(0)
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			pause = 0
+			server.shortSince.Store(0)
+			server.deliver(conn)
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case !isShortage(err):
 			return fmt.Errorf("front: accepting: %w", err)
+		default:
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			server.recordShortage(err, pause)
+			bvclock.Sleep(pause)
 		}
-		server.currentServer().listener.deliver(conn)
 	}
 }
 
-// currentServer returns the server with the newest limits.
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be
+	// accepted, which doubles each time.
+	minAcceptPause = 5 * bvclock.Millisecond
+	maxAcceptPause = 500 * bvclock.Millisecond
+	// shortageBound is how long connections may not be accepted until the host counts as
+	// unable to serve new callers.
+	shortageBound = bvclock.Second
+)
+
+// shortages are the errors of accept(2) that end without a change of the listener: of a lack
+// of descriptors or memory, of connections that were closed before they were accepted, and
+// of the network.
+var shortages = []syscall.Errno{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR,
+	syscall.EPERM, syscall.EPROTO, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.ETIMEDOUT,
+}
+
+func isShortage(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number) && slices.Contains(shortages, number)
+}
+
+// recordShortage records and logs that a connection can't be accepted.
+func (server *Server) recordShortage(err error, pause bvclock.Duration) {
+	server.shortSince.CompareAndSwap(0, int64(server.clock.Now()))
+	server.front.parts.Counters.Add("accept_failures", 1)
+	if pause == minAcceptPause || pause == maxAcceptPause {
+		server.front.parts.Log.WithError(err).WithField("pause_ms", int64(pause)).Warn("no connection can be accepted now")
+	}
+}
+
+// Accepts reports whether callers' new connections are accepted.
+func (server *Server) Accepts() bool {
+	since := bvclock.Time(server.shortSince.Load())
+	return since == 0 || server.clock.Now().Sub(since) <= shortageBound
+}
+
+// deliver passes a connection on to the server with the newest limits.
+func (server *Server) deliver(conn net.Conn) {
+	if current := server.currentServer(); current != nil {
+		current.listener.deliver(conn)
+		return
+	}
+	_ = conn.Close() // no byte was read from it
+}
+
+// currentServer returns the server with the newest limits, or nil after Shutdown.
 func (server *Server) currentServer() *limitedServer {
 	var limits bvroute.Limits
 	if table := server.front.parts.State.Current(); table != nil {
@@ -64,6 +127,9 @@
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	if server.stopped {
+		return nil
+	}
 	if len(server.servers) == 0 || !server.hasSameHeaderLimits(limits) {
 		server.servers = append(server.servers, server.startServer(limits))
 	}
@@ -138,6 +204,7 @@
 // connections. When ctx ends, it stops waiting for the remaining ones.
 func (server *Server) Shutdown(ctx context.Context) error {
 	server.mutex.Lock()
+	server.stopped = true
 	servers := server.servers
 	server.mutex.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
--- a/bvrouter/follow.go
+++ b/bvrouter/follow.go
@@ -87,6 +87,9 @@
 		pause(ctx, cleanupInterval)
 		router.server.CloseIdle()
 		router.connections.Expire()
+		if !router.server.Accepts() {
+			router.connections.Close() // frees descriptors for callers
+		}
 	}
 }
 
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -220,10 +219,3 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(len(addresses), limit)]
 }
-
-func (router *Router) receive() error {
-	if err := router.gossip.Receive(peerHandler{router}); err != nil && !errors.Is(err, net.ErrClosed) {
-		return err
-	}
-	return nil
-}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -305,7 +305,7 @@
 // programs, which another host may serve.
 func (router *Router) Ready() bool {
 	table, _, confirmed := router.state.Confirmed()
-	return !router.leaving.Load() && table != nil && confirmed && router.endpointsKnown.Load() &&
+	return !router.leaving.Load() && router.server.Accepts() && table != nil && confirmed && router.endpointsKnown.Load() &&
 		(router.store.hasRoute() || router.canGrantBudgets())
 }
 
@@ -336,7 +336,7 @@
 	group.Go(func() error { router.reportSuspects(background); return nil })
 	group.Go(func() error { router.storeOrigins(background); return nil })
 	group.Go(func() error { router.persistSuspects(background); return nil })
-	group.Go(router.receive)
+	group.Go(func() error { router.gossip.Receive(peerHandler{router}); return nil })
 	group.Go(func() error { return router.server.Serve(router.callers) })
 	group.Go(func() error { return serveUntil(background, router.ready, router.parts.ReadyHandler(router.Ready)) })
 	group.Go(func() error { return serveUntil(background, router.peers, router.relayHandler()) })
