Route: a panic in one request is answered and leaves nothing behind

Cause: net/http recovers a panic by closing the connection, so the caller of a kept connection lost its answer (LOST), no line of the request was logged, and the chosen endpoint kept a call that never ended. A panic in a goroutine that a request had started, a check of its endpoint, ended the process.

TestPanicInARequestIsAnswered failed before (no answer).

--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -50,6 +50,7 @@
 	placement    bvdispatch.Request
 	content      bvsuspect.Content // the same for each retry of the request
 
+	chosen      bool // an endpoint was chosen, and the outcome has not been reported yet
 	sends       int  // number of endpoints it was sent to
 	runs        int  // sends after which it may have run
 	headWritten bool // the answer's head was written to the caller
--- a/bvfront/check.go
+++ b/bvfront/check.go
@@ -32,6 +32,7 @@
 // runCheck checks the endpoint until it has ended or all checks are made.
 func (front *Front) runCheck(check *endpointCheck, broken bvsuspect.BrokenCall, endpoint bvplatform.Endpoint) {
 	defer close(check.last)
+	defer front.recoverPanic()
 	previous := bvforward.Unknown
 	for number, delay := range checkDelays {
 		<-bvclock.After(delay)
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -228,6 +228,5 @@
 	call := front.newCall(writer, request)
 	defer call.close()
 	call.setDeadlines()
-	err := call.serve()
-	call.finish(err)
+	call.finish(call.serveRecovered())
 }
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -37,6 +37,7 @@
 		if !found {
 			return call.noEndpointError()
 		}
+		call.chosen, call.endpoint, call.sentAt = true, endpoint, call.front.parts.Clock.Now()
 		call.recordStart(endpoint)
 		err := call.sendOnce(endpoint)
 		if err == nil || call.headWritten {
@@ -148,6 +149,7 @@
 // reportOutcome reports the outcome of the last send to the dispatcher; refused means that
 // nothing listens at the endpoint's address.
 func (call *call) reportOutcome(outcome bvdispatch.Outcome, refused bool) {
+	call.chosen = false
 	now := call.front.parts.Clock.Now()
 	result := bvdispatch.Result{
 		Outcome: outcome, Duration: now.Sub(call.sentAt), AnswerStarted: call.headReceived, Refused: refused,
--- a/bvfront/suspect.go
+++ b/bvfront/suspect.go
@@ -61,6 +61,7 @@
 	}
 	claim, check, suspects := call.claim, call.check, call.front.parts.Suspects
 	go func() {
+		defer call.front.recoverPanic()
 		if check != nil {
 			<-check.last
 		}
