Route: a part of the daemon that fails starts a graceful stop

Cause: the error of one part, for example of a listener, canceled the group of all parts, and the daemon returned without waiting for requests in flight; a panic in one ended the process at once.

Change: a panic in a part is its error; the first error is logged with the part's name, and the daemon leaves as after SIGTERM: not ready, requests in flight completed, other parts running until then.

--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -20,7 +20,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
@@ -314,49 +313,6 @@
 	return router.PeerCount() > 0 && router.leases.IsConfirmed(router.clock.Now())
 }
 
-// Run serves until ctx is canceled, and then stops without aborting requests.
-func (router *Router) Run(ctx context.Context) error {
-	router.log.WithFields(logrus.Fields{
-		"host":    router.settings.Name,
-		"zone":    router.settings.Zone,
-		"callers": router.callers.Addr().String(),
-	}).Info("started")
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, background := errgroup.WithContext(background)
-	group.Go(func() error { router.followRoutes(background); return nil })
-	group.Go(func() error { router.maintainConfirmation(background); return nil })
-	group.Go(func() error { router.followEndpoints(background); return nil })
-	group.Go(func() error { router.store.runProbes(background, hostsPrefix+router.settings.Name); return nil })
-	group.Go(func() error { router.closeIdleConnections(background); return nil })
-	group.Go(func() error { router.releaseIdleBudgets(background); return nil })
-	group.Go(func() error { router.sweep(background); return nil })
-	group.Go(func() error { router.followHosts(background); return nil })
-	group.Go(func() error { router.sendDigests(background); return nil })
-	group.Go(func() error { router.reportSuspects(background); return nil })
-	group.Go(func() error { router.storeOrigins(background); return nil })
-	group.Go(func() error { router.persistSuspects(background); return nil })
-	group.Go(func() error { router.gossip.Receive(peerHandler{router}); return nil })
-	group.Go(func() error { return router.server.Serve(router.callers) })
-	group.Go(func() error { return serveUntil(background, router.ready, router.parts.ReadyHandler(router.Ready)) })
-	group.Go(func() error { return serveUntil(background, router.peers, router.relayHandler()) })
-	group.Go(func() error { return serveUntil(background, router.metrics, router.metricsHandler()) })
-	group.Go(func() error {
-		defer func() { _ = router.peerConn.Close() }() // the process ends
-		defer stop()
-		select {
-		case <-ctx.Done():
-			return router.leave()
-		case <-background.Done():
-			return nil
-		}
-	})
-	err := group.Wait()
-	router.connections.Close()
-	router.log.WithError(err).Info("stopped")
-	return err
-}
-
 // serveUntil serves HTTP until ctx is canceled.
 func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: smallServerTimeout.Std()}
--- /dev/null
+++ b/bvrouter/run.go
@@ -0,0 +1,95 @@
+package bvrouter
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+// Run serves until ctx is canceled or a part of the daemon fails, and then stops without
+// aborting requests. It returns the error of the part that failed first.
+func (router *Router) Run(ctx context.Context) error {
+	router.log.WithFields(logrus.Fields{
+		"host":    router.settings.Name,
+		"zone":    router.settings.Zone,
+		"callers": router.callers.Addr().String(),
+	}).Info("started")
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	stopping, fail := context.WithCancel(ctx)
+	defer fail()
+	var group errgroup.Group
+	for _, part := range router.parallelParts(background) {
+		group.Go(func() error {
+			err := part.runRecovered()
+			if err != nil {
+				router.log.WithError(err).WithField("part", part.name).Error("a part of the daemon failed")
+				router.counters.Add("parts_failed", 1)
+				fail()
+			}
+			return err
+		})
+	}
+	group.Go(func() error {
+		defer func() { _ = router.peerConn.Close() }() // the process ends
+		defer stop()
+		<-stopping.Done()
+		return router.leave()
+	})
+	err := group.Wait()
+	router.connections.Close()
+	router.log.WithError(err).Info("stopped")
+	return err
+}
+
+// part is a part of the daemon that runs until the daemon stops.
+type part struct {
+	name string
+	run  func() error
+}
+
+// loop returns a part that ends when ctx is canceled.
+func loop(ctx context.Context, name string, run func(ctx context.Context)) part {
+	return part{name, func() error { run(ctx); return nil }}
+}
+
+func (router *Router) parallelParts(ctx context.Context) []part {
+	probe := func(ctx context.Context) { router.store.runProbes(ctx, hostsPrefix+router.settings.Name) }
+	return []part{
+		loop(ctx, "routes", router.followRoutes),
+		loop(ctx, "confirmation", router.maintainConfirmation),
+		loop(ctx, "endpoints", router.followEndpoints),
+		loop(ctx, "store probes", probe),
+		loop(ctx, "idle connections", router.closeIdleConnections),
+		loop(ctx, "idle budgets", router.releaseIdleBudgets),
+		loop(ctx, "sweep", router.sweep),
+		loop(ctx, "hosts", router.followHosts),
+		loop(ctx, "digests", router.sendDigests),
+		loop(ctx, "suspects", router.reportSuspects),
+		loop(ctx, "stream origins", router.storeOrigins),
+		loop(ctx, "stored suspects", router.persistSuspects),
+		loop(ctx, "messages", func(context.Context) { router.gossip.Receive(peerHandler{router}) }),
+		{"callers", func() error { return router.server.Serve(router.callers) }},
+		{"readiness", func() error { return serveUntil(ctx, router.ready, router.parts.ReadyHandler(router.Ready)) }},
+		{"other hosts", func() error { return serveUntil(ctx, router.peers, router.relayHandler()) }},
+		{"metrics", func() error { return serveUntil(ctx, router.metrics, router.metricsHandler()) }},
+	}
+}
+
+// maxStackBytes bounds the stack in the error of a panic.
+const maxStackBytes = 4 << 10
+
+// runRecovered runs the part, with a panic as an error: without it, the process would end
+// with all its requests in flight.
+func (part part) runRecovered() (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			stack := debug.Stack()
+			err = fmt.Errorf("router: %s: panic: %v\n%s", part.name, cause, stack[:min(len(stack), maxStackBytes)])
+		}
+	}()
+	return part.run()
+}
