Route: a stop that a failed part started ends within its time

A part that panicked may hold a lock that another part waits for. The platform kills a process that does not stop after SIGTERM, but knows nothing of a stop that the daemon starts itself: without a limit, the host would stay, not ready, and never be started again.

--- a/bvrouter/run.go
+++ b/bvrouter/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"balsamvalve.example/bvclock"
 )
 
 // Run serves until ctx is canceled or a part of the daemon fails, and then stops without
@@ -39,12 +41,31 @@
 		<-stopping.Done()
 		return router.leave()
 	})
-	err := group.Wait()
+	err := router.awaitParts(stopping, &group)
 	router.connections.Close()
 	router.log.WithError(err).Info("stopped")
 	return err
 }
 
+// awaitParts waits for all parts. Once the daemon stops, it waits no longer than the time
+// allowed for that: a part that panicked may hold a lock that another part waits for.
+func (router *Router) awaitParts(stopping context.Context, group *errgroup.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-stopping.Done():
+	}
+	limit := router.current.Load().StopBound
+	select {
+	case err := <-ended:
+		return err
+	case <-bvclock.After(limit):
+		return fmt.Errorf("router: parts of the daemon did not end within %v", limit)
+	}
+}
+
 // part is a part of the daemon that runs until the daemon stops.
 type part struct {
 	name string
