Serve: a panic in one call fails that call only

Cause: gRPC recovers no panic of a handler, and calls run in goroutines of their own, so any panic ended the daemon with all its calls.

Change: the recovery interceptors of go-grpc-middleware for other hosts' requests, and the result of a call that panicked is an error with the verdict that it may have run. The lock around the ledger is released by a panic too. A panic in the ledger or the committer itself still ends the process: what they hold may be inconsistent, and other hosts take over.

--- a/bvdaemon/daemon.go
+++ b/bvdaemon/daemon.go
@@ -139,7 +139,7 @@
 	})
 	daemon.caller = daemon.newHTTPServer(api.Handler())
 	daemon.operator = daemon.newHTTPServer(daemon.operatorHandler())
-	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials(), daemon.traces.TracerProvider())...)
+	daemon.peer = grpc.NewServer(bvpeer.ServerOptions(daemon.peerCredentials(), daemon.traces.TracerProvider(), daemon.log)...)
 	bvpeer.RegisterPeerServer(daemon.peer, &peerService{daemon: daemon})
 }
 
--- a/bvexperiment/capacity_peer_test.go
+++ b/bvexperiment/capacity_peer_test.go
@@ -48,7 +48,7 @@
 		}
 	}
 	permits.Update(endpoints, nil)
-	server := grpc.NewServer(bvpeer.ServerOptions(nil, nil)...)
+	server := grpc.NewServer(bvpeer.ServerOptions(nil, nil, logrus.New())...)
 	bvpeer.RegisterPeerServer(server, &permitService{permits: permits})
 	go func() { _ = server.Serve(countingListener{listener}) }()
 	b.Cleanup(server.Stop)
--- a/bvowner/owner.go
+++ b/bvowner/owner.go
@@ -98,15 +98,20 @@
 
 // apply applies an event to the ledger and carries out the resulting effects.
 func (owner *Owner) apply(event func(now bvclock.Time)) {
+	for _, effect := range owner.tick(event) {
+		owner.execute(effect)
+	}
+}
+
+// tick passes an event to the ledger and returns the effects to execute.
+func (owner *Owner) tick(event func(now bvclock.Time)) []bvledger.Effect {
 	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
 	now := owner.parts.Clock.Now()
 	event(now)
 	effects := owner.ledger.Tick(now)
 	owner.schedule(now)
-	owner.mutex.Unlock()
-	for _, effect := range effects {
-		owner.execute(effect)
-	}
+	return effects
 }
 
 // schedule sets the alarm for the next tick that is due without an event.
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
@@ -28,7 +29,7 @@
 	session.mutex.Lock()
 	session.cancelRun = cancel
 	session.mutex.Unlock()
-	result := session.runAttempts(ctx, start)
+	result := session.runAttemptsRecovered(ctx, start)
 	session.startSpan("commit")
 	owner := session.owner
 	owner.apply(func(now bvclock.Time) { owner.ledger.Finish(now, session.id, result) })
@@ -41,6 +42,19 @@
 	return min(session.deadline.Sub(session.owner.parts.Clock.Now()), maxCallDuration)
 }
 
+// runAttemptsRecovered is runAttempts, with a panic as an error: the panic would end the
+// process with all its calls.
+func (session *session) runAttemptsRecovered(ctx context.Context, start bvledger.Start) (result bvledger.Result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			session.owner.metrics.Add("panics", 1)
+			session.owner.parts.Log.WithField("panic", cause).WithField("stack", string(debug.Stack())).Error("panic in a call")
+			result = failedResult(bvverdict.New(bvverdict.MayHaveRun, bvverdict.Internal, "the call failed in this host"))
+		}
+	}()
+	return session.runAttempts(ctx, start)
+}
+
 // runAttempts runs attempts until one returns an answer or an outcome that must not be
 // retried, or none is left.
 func (session *session) runAttempts(ctx context.Context, start bvledger.Start) bvledger.Result {
--- a/bvpeer/pool.go
+++ b/bvpeer/pool.go
@@ -2,17 +2,22 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/grpc-ecosystem/go-grpc-middleware/v2/interceptors/recovery"
+	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"balsamvalve.example/bvtrace"
 )
@@ -111,12 +116,19 @@
 	}
 }
 
-// ServerOptions returns the options of a daemon's gRPC server that match those of Pool.
-func ServerOptions(transport credentials.TransportCredentials, tracers trace.TracerProvider) []grpc.ServerOption {
+// ServerOptions returns the options of a daemon's gRPC server that match those of Pool. A
+// panic in a handler is logged and fails its request only.
+func ServerOptions(transport credentials.TransportCredentials, tracers trace.TracerProvider, log logrus.FieldLogger) []grpc.ServerOption {
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
+	recovered := recovery.WithRecoveryHandler(func(cause any) error {
+		log.WithField("panic", cause).WithField("stack", string(debug.Stack())).Error("panic in another host's request")
+		return status.Error(codes.Internal, "the request failed in this host")
+	})
 	return []grpc.ServerOption{
+		grpc.ChainUnaryInterceptor(recovery.UnaryServerInterceptor(recovered)),
+		grpc.ChainStreamInterceptor(recovery.StreamServerInterceptor(recovered)),
 		grpc.Creds(transport),
 		grpc.StatsHandler(otelgrpc.NewServerHandler(traceOptions(tracers)...)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
