Errors of answers are typed and have an excerpt of an endpoint's bytes

Cause: net/http quotes what it can't parse, so a status line of 200 KB stood whole in the error of the call, and in its log line; so did a header line, a length or a coding.

Change: an error of reading an answer is an AnswerError with its defect (malformed, head too large, answers to other requests, broken off) and at most 160 bytes of the cause's text.

TestErrorsHaveAnExcerptOfTheEndpointsBytes failed before (mutation: without the excerpt). The other new tests send bytes without end over a socket: interim answers, status lines, trailers, extensions of chunks, chunks, bodies without length, answers to other requests, bytes after an answer. They held before: 256 KB for heads and interim answers together, 4 KB for trailers and extensions, 1 MB for an answer to another request, the request's time for bodies.

--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -45,10 +45,14 @@
 
 func (reader *eofReader) Read(buffer []byte) (int, error) {
 	n, err := reader.source.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		reader.reached = true
+		return n, io.EOF
 	}
-	return n, err
+	return n, newAnswerError(err)
 }
 
 // Send sends the request once and returns the answer when its head has been read.
@@ -107,7 +111,7 @@
 		}
 	}
 	return nil, bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed,
-		"endpoint %s sent answers to other requests", request.Endpoint.Name)
+		"endpoint %s sent answers to other requests", request.Endpoint.Name).WithCause(&AnswerError{defect: OtherAnswers})
 }
 
 // belongsTo reports whether the answer has the request's ID; only answers without
@@ -161,7 +165,7 @@
 		parsed, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed,
-				"endpoint %s gave no answer", request.Endpoint.Name).WithCause(err)
+				"endpoint %s gave no answer", request.Endpoint.Name).WithCause(newAnswerError(err))
 		}
 		if parsed.StatusCode >= http.StatusOK {
 			return connections.newResponse(parsed, connection), nil
