Route: the rest of a refusal is not awaited

Callers of a request that could run elsewhere got no answer in time: after a refusal whose body did not arrive, or trickled, the host read on until the request's time was over, and the request was lost though other endpoints had room.

Cause: Drain, which reads off up to 4 KB so that the connection can be used again, had the request's time as its only bound.

Change: 20 ms; the connection is closed after that. TestRestOfARefusalIsNotAwaited failed before (10 s, the request's time).

--- a/bvforward/bounds_test.go
+++ b/bvforward/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -168,6 +169,43 @@
 	requireClosed(t, closed)
 }
 
+// Guards against a refusal whose body does not arrive, which held its request until the end of
+// its time.
+func TestRestOfARefusalIsNotAwaited(t *testing.T) {
+	closed := make(chan struct{})
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		defer close(closed)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 100\r\n\r\nx")
+		_, _ = conn.Read(make([]byte, 1)) // until the host closes the connection
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), boundsTimeout)
+	defer cancel()
+	response, err := newConnections().Send(ctx, server.request("1"))
+	require.NoError(t, err)
+	response.Drain()
+	require.NoError(t, ctx.Err())
+	response.Close()
+	requireClosed(t, closed)
+}
+
+// Guards against a refusal whose short body is drained and whose connection is then lost.
+func TestConnectionOfARefusalIsUsedAgain(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull")
+		return err == nil
+	})
+	connections := newConnections()
+	for number := range 3 {
+		response, err := connections.Send(t.Context(), server.request(fmt.Sprint(number)))
+		require.NoError(t, err)
+		response.Drain()
+		response.Close()
+		time.Sleep(drainTimeout.Std()) // a deadline that was left on the connection passes
+	}
+	require.EqualValues(t, 1, server.dials.Load())
+}
+
 // Guards against bytes without end after an answer, on a connection that is kept.
 func TestBytesAfterAnAnswerAreNotReadOffWithoutEnd(t *testing.T) {
 	endless, closed := newEndless(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nKeep-Alive: timeout=1000000\r\n\r\nbody", "x")
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvverdict"
 )
@@ -211,7 +213,16 @@
 	response.connections.putIdle(response.connection)
 }
 
-// Drain reads the rest of a short answer, so that its connection can be reused.
+// drainTimeout bounds the wait for the rest of a short answer: the request may go to another
+// endpoint meanwhile.
+const drainTimeout = 20 * bvclock.Millisecond
+
+// Drain reads the rest of a short answer, so that its connection can be reused. After a
+// longer rest, or one that does not arrive in time, Close closes the connection.
 func (response *Response) Drain() {
-	_, _ = io.CopyN(io.Discard, response.Body, bufferBytes) // after a longer rest, Close closes the connection
+	if response.connection.SetReadDeadline(time.Now().Add(drainTimeout.Std())) != nil {
+		return // the connection is closed
+	}
+	_, _ = io.CopyN(io.Discard, response.Body, bufferBytes)
+	_ = response.connection.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
