Route: the idle timeout that an endpoint announces is bounded

An endpoint that announced a long timeout had its idle connections kept as long, and what it sent on them without a request stayed in the sockets' buffers, which count as memory of the host. One minute at most now; TestAnnouncedIdleTimeoutIsBounded failed before.

--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -46,6 +46,9 @@
 	// defaultIdleTimeout is how long an idle connection may be reused if the endpoint
 	// does not announce its own idle timeout.
 	defaultIdleTimeout = 4 * bvclock.Second
+	// maxIdleTimeout bounds the idle timeout that an endpoint announces: until then, bytes
+	// that belong to no request stay in the socket's buffer.
+	maxIdleTimeout = bvclock.Minute
 	// idleTimeoutMargin is subtracted from the endpoint's idle timeout to allow for
 	// network latency and for timers that fire late.
 	idleTimeoutMargin = 300 * bvclock.Millisecond
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -206,7 +206,7 @@
 		_ = response.connection.Close() // the connection can't be reused
 		return
 	}
-	response.connection.idleTimeout = response.Answer.KeepAlive
+	response.connection.idleTimeout = min(response.Answer.KeepAlive, maxIdleTimeout)
 	if response.connection.idleTimeout <= 0 {
 		response.connection.idleTimeout = defaultIdleTimeout
 	}
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -26,7 +26,11 @@
 type plainWire struct{}
 
 func (plainWire) ReadAnswer(_ int, header http.Header) bvroute.Answer {
-	return bvroute.Answer{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+	answer := bvroute.Answer{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+	if header.Get("Keep") != "" {
+		answer.KeepAlive = bvclock.Hour
+	}
+	return answer
 }
 
 // endpoint is a TCP server whose behaviour each test defines.
@@ -271,6 +275,22 @@
 	require.Empty(t, connections.pools[server.request("1").Endpoint.ID()].idle)
 }
 
+// Guards against an endpoint that has its idle connections kept, with what it sends on them.
+func TestAnnouncedIdleTimeoutIsBounded(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	clock := &bvclock.Manual{}
+	connections := &Connections{Clock: clock, Wire: plainWire{}}
+	response, err := connections.Send(t.Context(), server.request("1"))
+	require.NoError(t, err)
+	response.Close()
+	clock.Advance(maxIdleTimeout)
+	connections.Expire()
+	require.Empty(t, connections.pools[server.request("1").Endpoint.ID()].idle)
+}
+
 func TestTargetAndBodyArePassedOnAsTheyCame(t *testing.T) {
 	got := make(chan string, 1)
 	server := newEndpoint(t, func(conn net.Conn, request *http.Request, _ int) bool {
