Route: a connection without a request does not delay the stop

Cause: net/http's Shutdown waits five seconds for the first request of a connection that has had none. With a graceful stop of 8 s, of which 2.5 s pass before it, a connection that was opened late and never used had the stop end in an error: unspent budgets were not released, the host's row was not retired, and the process exited with a failure. Found by the tests of answers without end, whose clients keep spare connections.

Change: the server knows its connections without a request, and closes those that have been open for a quarter of a second once it accepts no more. No request is lost: none was read.

TestUnusedConnectionDoesNotDelayTheStop failed before (exit status 1).

--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -31,6 +31,7 @@
 	limits  bvroute.Limits
 	servers []*limitedServer // the last one serves new connections
 	idle    map[net.Conn]bvclock.Time
+	unused  map[net.Conn]bvclock.Time // no byte was read from them; since when they are open
 	stopped bool
 
 	shortSince atomic.Int64 // when connections could first not be accepted; 0: they can
@@ -45,7 +46,7 @@
 
 // NewServer returns a Server. net/http's own log lines are written to log.
 func NewServer(front *Front, log *log.Logger) *Server {
-	return &Server{front: front, clock: front.parts.Clock, log: log, idle: make(map[net.Conn]bvclock.Time)}
+	return &Server{front: front, clock: front.parts.Clock, log: log, idle: make(map[net.Conn]bvclock.Time), unused: make(map[net.Conn]bvclock.Time)}
 }
 
 // Serve accepts connections until the listener is closed. While the process or its machine
@@ -155,7 +156,7 @@
 			Handler:           server.front,
 			ReadHeaderTimeout: timeout.Std(),
 			MaxHeaderBytes:    limits.HeaderBytes,
-			ConnState:         server.trackIdle,
+			ConnState:         server.trackState,
 			ErrorLog:          server.log,
 		},
 		listener: newConnListener(),
@@ -168,18 +169,21 @@
 	return started
 }
 
-// trackIdle records which connections are idle.
-func (server *Server) trackIdle(conn net.Conn, state http.ConnState) {
+// trackState records which connections are idle or unused.
+func (server *Server) trackState(conn net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
 		_ = conn.SetWriteDeadline(time.Time{}) // clears the call's deadline; an error only means that the connection is closed
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if state == http.StateIdle {
+	delete(server.idle, conn)
+	delete(server.unused, conn)
+	switch state {
+	case http.StateIdle:
 		server.idle[conn] = server.clock.Now()
-		return
+	case http.StateNew:
+		server.unused[conn] = server.clock.Now()
 	}
-	delete(server.idle, conn)
 }
 
 // CloseIdle closes connections that have been idle for longer than the newest
@@ -207,6 +211,10 @@
 	server.stopped = true
 	servers := server.servers
 	server.mutex.Unlock()
+	server.closeUnused()
+	done := make(chan struct{})
+	defer close(done)
+	go server.closeUnusedUntil(done)
 	group, ctx := errgroup.WithContext(ctx)
 	for _, limited := range servers {
 		group.Go(func() error { return limited.server.Shutdown(ctx) })
@@ -214,6 +222,38 @@
 	return group.Wait()
 }
 
+const (
+	// maxUnusedTime is how long a connection may be unused while the server stops. net/http
+	// waits for its first request for five seconds, longer than most requests take.
+	maxUnusedTime = 250 * bvclock.Millisecond
+	// unusedInterval is the time between two checks for unused connections.
+	unusedInterval = 50 * bvclock.Millisecond
+)
+
+func (server *Server) closeUnusedUntil(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-bvclock.After(unusedInterval):
+			server.closeUnused()
+		}
+	}
+}
+
+// closeUnused closes connections that have been open for some time without a request.
+func (server *Server) closeUnused() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	now := server.clock.Now()
+	for conn, since := range server.unused {
+		if now.Sub(since) > maxUnusedTime {
+			_ = conn.Close() // no byte was read from it
+			delete(server.unused, conn)
+		}
+	}
+}
+
 // connListener is a net.Listener for connections that another listener has accepted.
 type connListener struct {
 	conns  chan net.Conn
