Route: answers without end leave a quarter of the host's link to others

Cause: chunks or a body without length or end are read until their request's time is over, as fast as endpoint and caller can: some 2 GB a second on loopback.

Weighed: a bound in bytes would cut answers that an endpoint may rightly send, since no page has a largest answer; the declared length says nothing, as it may be enormous. So the time of the request stays the bound, and what an answer has beyond 1 MB shares three quarters of the link's rate, which the settings have, with all other long answers. A long answer that is alone takes a third longer at most; without a rate in the settings there is no limit.

--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
@@ -191,6 +192,8 @@
 	// Memory bounds the bytes that all calls hold at once, of requests and of answers;
 	// 0 means no bound.
 	Memory int64
+	// LinkRate is the rate of the host's link, in bytes per second; 0 means unknown.
+	LinkRate int64
 	// Without has the mechanisms that are switched off for experiments.
 	Without bvmechanism.Set
 }
@@ -200,6 +203,7 @@
 	parts          Parts
 	leaving        atomic.Bool
 	memory         memory
+	bulk           *rate.Limiter // of the bytes of long answers
 	invalidReports logLimiter
 }
 
@@ -219,7 +223,9 @@
 
 // New returns a Front.
 func New(parts Parts) *Front {
-	return &Front{parts: parts, memory: memory{limit: parts.Memory}}
+	front := &Front{parts: parts, memory: memory{limit: parts.Memory}, bulk: rate.NewLimiter(rate.Inf, bulkBurstBytes)}
+	front.SetLinkRate(parts.LinkRate)
+	return front
 }
 
 // ServeHTTP implements http.Handler. It doesn't use http.ServeMux, which would
--- a/bvfront/relay.go
+++ b/bvfront/relay.go
@@ -82,7 +82,7 @@
 	if _, err := call.writer.Write(buffered); err != nil {
 		return callerLeftError(err)
 	}
-	if _, err := io.Copy(call.writer, response.Body); err != nil {
+	if _, err := io.Copy(call.writer, &bulkReader{source: response.Body, call: call, count: int64(len(buffered))}); err != nil {
 		return call.brokenAnswerError("the answer broke off", err)
 	}
 	return nil
@@ -128,8 +128,9 @@
 // relayStream passes on complete events as they arrive.
 func (call *call) relayStream(response *bvforward.Response) error {
 	buffer := make([]byte, streamReadBytes)
+	body := &bulkReader{source: response.Body, call: call}
 	for {
-		count, err := response.Body.Read(buffer)
+		count, err := body.Read(buffer)
 		if err := call.writeEvents(response, call.stream.add(buffer[:count])); err != nil {
 			return err
 		}
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -202,6 +202,7 @@
 		Counters:   router.counters,
 		Log:        log,
 		Memory:     int64(float64(settings.Memory) * callMemoryShare),
+		LinkRate:   settings.LinkRate,
 		Without:    settings.Disabled,
 	})
 	router.server = bvfront.NewServer(router.front, bvlog.ForServer(log))
@@ -212,10 +213,11 @@
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare))
 }
 
-// Reload applies new settings while the daemon runs: memory and the time for a graceful
-// stop. Names and addresses stay until the next start.
+// Reload applies new settings while the daemon runs: memory, the rate of the link, and the
+// time for a graceful stop. Names and addresses stay until the next start.
 func (router *Router) Reload(settings bvsetting.Host) {
 	limitMemory(settings)
+	router.front.SetLinkRate(settings.LinkRate)
 	router.current.Store(&settings)
 	fixed := settings.CallerAddress == router.settings.CallerAddress && settings.StoreAddress == router.settings.StoreAddress
 	router.log.WithFields(logrus.Fields{"memory": settings.Memory, "stop": settings.StopBound, "addresses_kept": fixed}).
--- a/bvsetting/host.go
+++ b/bvsetting/host.go
@@ -19,6 +19,7 @@
 	MetricsAddress string // IP:port of counters and latencies
 	StoreAddress   string // IP:port of the platform's store
 	Memory         int64  // bytes that the process may use
+	LinkRate       int64  // bytes per second that the host's link carries; 0: unknown
 	MaxRowBytes    int    // maximum size of a row of the store
 	FirstStart     bool   // the system starts for the first time, on all hosts
 
@@ -79,6 +80,7 @@
 		name  string
 		value float64
 	}{
+		{"link rate", float64(host.LinkRate)},
 		{"revocation bound", float64(host.RevocationBound)},
 		{"registration interval", float64(host.RegistrationInterval)},
 		{"quota window", float64(host.QuotaWindow)},
