Route: an incomplete event is scanned once

Cause: each read of a stream searched the incomplete event for its end from its start. An endpoint that sends short lines without a blank one cost a second of processor time until the bound of 1 MB on an event was reached, five on a host with a fifth of a processor, in which its other requests waited.

Change: the splitter keeps the start of the incomplete line and what it has scanned. Complete events are found as before (the property test over all cuts).

--- a/bvfront/event.go
+++ b/bvfront/event.go
@@ -9,6 +9,8 @@
 // another endpoint can continue the stream after the last complete one.
 type eventSplitter struct {
 	pending []byte
+	line    int // start of the first incomplete line in pending
+	scanned int // bytes of pending in which line ends were searched
 	lastID  string
 	count   int
 	unspent int    // events not yet counted against the budget
@@ -21,42 +23,33 @@
 	fieldData = []byte("data:")
 )
 
-// add appends bytes of the stream and returns the events that are now complete. The
-// result is valid until the next call.
+// add appends bytes of the stream and returns the events that are now complete, which must be
+// discarded before the next call. The result is valid until then.
 func (splitter *eventSplitter) add(chunk []byte) []byte {
 	splitter.pending = append(splitter.pending, chunk...)
 	complete := 0
 	for {
-		length := eventLength(splitter.pending[complete:])
-		if length == 0 {
+		length := bytes.IndexByte(splitter.pending[splitter.scanned:], '\n')
+		if length < 0 {
 			break
 		}
-		splitter.parseEvent(splitter.pending[complete : complete+length])
-		complete += length
+		line := splitter.pending[splitter.line : splitter.scanned+length]
+		splitter.scanned += length + 1
+		splitter.line = splitter.scanned
+		if len(bytes.TrimSuffix(line, []byte{'\r'})) == 0 {
+			splitter.parseEvent(splitter.pending[complete:splitter.line])
+			complete = splitter.line
+		}
 	}
+	splitter.scanned = len(splitter.pending)
 	return splitter.pending[:complete]
 }
 
 // discard removes the bytes that add returned.
 func (splitter *eventSplitter) discard(count int) {
 	splitter.pending = splitter.pending[:copy(splitter.pending, splitter.pending[count:])]
-}
-
-// eventLength returns the length of the first event including its blank line, or 0 if it
-// is incomplete.
-func eventLength(stream []byte) int {
-	start := 0
-	for {
-		at := bytes.IndexByte(stream[start:], '\n')
-		if at < 0 {
-			return 0
-		}
-		line := bytes.TrimSuffix(stream[start:start+at], []byte{'\r'})
-		start += at + 1
-		if len(line) == 0 {
-			return start
-		}
-	}
+	splitter.line -= count
+	splitter.scanned -= count
 }
 
 // parseEvent records an event's fields.
--- a/bvfront/event_test.go
+++ b/bvfront/event_test.go
@@ -1,6 +1,7 @@
 package bvfront
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 	"testing"
@@ -56,3 +57,23 @@
 	require.Equal(t, http.StatusPaymentRequired, status(bvverdict.Refuse(bvverdict.BudgetExceeded, "x")))
 	require.Equal(t, http.StatusNotFound, status(bvverdict.Refuse(bvverdict.UnknownRoute, "x")))
 }
+
+// Guards against an event without end that is scanned from its start at each read.
+func TestIncompleteEventIsScannedOnce(t *testing.T) {
+	var splitter eventSplitter
+	splitter.discard(len(splitter.add([]byte("data: x\n\ndata: y\nda"))))
+	require.Equal(t, len("data: y\nda"), splitter.scanned)
+	require.Equal(t, len("data: y\n"), splitter.line)
+	require.Equal(t, "data: y\nda\n\n", string(splitter.add([]byte("\n\n"))))
+}
+
+// BenchmarkEventWithoutEnd reads an event of short lines up to the bound on events.
+func BenchmarkEventWithoutEnd(b *testing.B) {
+	chunk := bytes.Repeat([]byte("a\n"), streamReadBytes/2)
+	for b.Loop() {
+		var splitter eventSplitter
+		for range maxEventBytes / streamReadBytes {
+			require.Empty(b, splitter.add(chunk))
+		}
+	}
+}
