Serve: what an endpoint sends is bounded in errors, log lines and a model's text

Found by listing each place of serve that reads an endpoint's bytes, with a test on a socket for each. Four of the nine failed before: - a status line of 100 KB stood whole in the error (102,551 bytes), and in its log line; - so did an engine's message of 50 KB, also in the caller's answer; - tokens without end grew the call's text until its time was over (20 s in the test): 16 MB now, as for a service's body, with a typed error (too large, may have run); - 4 KB of bytes that arrived on an idle connection were written by the standard logger, past our log: its lines go to the daemon's log now, with 200 bytes at most. Heads and interim answers had the 10 MB of net/http as their bound: 256 KB now, as in route. An event's line (1 MB), a service's body (16 MB), an error's body (64 KB) and comments (the call's time) had bounds; their tests held.

--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -60,6 +60,7 @@
 	output := bvlog.NewBounded(command.OutOrStdout(), bvclock.Boot())
 	defer output.Close()
 	log := bvlog.New(output)
+	bvlog.CaptureStandard(log)
 	router, err := bvrouter.New(settings, bvrouter.Parts{
 		Platform:     &platform.Store{Address: settings.StoreAddress},
 		Wire:         platform.Wire{},
--- a/bvcommand/serve.go
+++ b/bvcommand/serve.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvdaemon"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvsetting"
 	"balsamvalve.example/bvsignal"
 )
@@ -37,6 +38,7 @@
 		return usageError{err}
 	}
 	log := newLog(settings, command.ErrOrStderr())
+	bvlog.CaptureStandard(log)
 	daemon, err := bvdaemon.New(settings, log)
 	if err != nil {
 		return err
--- a/bvendpoint/chat.go
+++ b/bvendpoint/chat.go
@@ -20,6 +20,9 @@
 // progress in time.
 var errSilent = errors.New("no data received in time")
 
+// errTextTooLarge is the error of a model that generates text without end.
+var errTextTooLarge = errors.New("the text is too large")
+
 // ChatCall is one call of a model.
 type ChatCall struct {
 	Model     string
@@ -185,6 +188,8 @@
 		return nil
 	case stream.onTokenErr != nil:
 		return failure(bvverdict.MayHaveRun, bvverdict.Canceled, bvgate.Canceled, stream.onTokenErr, "call was canceled")
+	case errors.Is(err, errTextTooLarge):
+		return failure(bvverdict.MayHaveRun, bvverdict.TooLarge, bvgate.Refused, err, "engine generated too much text")
 	case errors.Is(err, errBadStream):
 		return failure(bvverdict.MayHaveRun, bvverdict.EndpointFailed, bvgate.Refused, err, "engine's stream can't be read")
 	}
@@ -241,6 +246,9 @@
 	if event.hasID && event.id != stream.nextOffset {
 		return fmt.Errorf("%w: received token %d, expected %d", errBadStream, event.id, stream.nextOffset)
 	}
+	if limit := orDefault(stream.client.MaxBodyBytes, DefaultMaxBodyBytes); int64(stream.text.Len()+len(event.text)) > limit {
+		return fmt.Errorf("%w: more than %d bytes", errTextTooLarge, limit)
+	}
 	stream.text.WriteString(event.text)
 	stream.nextOffset++
 	stream.result.OutputTokens = max(stream.result.OutputTokens, stream.nextOffset)
--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvexcerpt"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
@@ -38,6 +39,7 @@
 	keepAliveProbes   = 3
 	controlTimeout    = 2 * time.Second // of a release or cancel request
 	maxErrorBody      = 64 << 10
+	maxHeadBytes      = 256 << 10 // of an answer's head and the interim answers before it
 )
 
 // Client calls endpoints. The zero value is ready to use by many goroutines;
@@ -49,7 +51,7 @@
 	DialTimeout     bvclock.Duration
 	ServiceTimeout  bvclock.Duration // of a service call
 	MaxResumes      int              // of one stream; negative means none
-	MaxBodyBytes    int64            // bytes of a service's answer
+	MaxBodyBytes    int64            // bytes of a service's answer, and of a model's text
 	// CheckTimeout is how long a service at which a call broke must accept connections to count
 	// as running.
 	CheckTimeout bvclock.Duration
@@ -93,6 +95,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -221,7 +225,7 @@
 		verdict = bvverdict.NotRun
 	}
 	err := failure(verdict, statusCode(response.StatusCode), bvgate.Refused, nil,
-		"endpoint answered %d: %s", response.StatusCode, body.Error.Message)
+		"endpoint answered %d: %s", response.StatusCode, bvexcerpt.Of(body.Error.Message, bvexcerpt.MaxErrorBytes))
 	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
 		err = err.WithRetryAfter(bvclock.Duration(seconds) * bvclock.Second)
 	}
--- a/bvendpoint/endpoint.go
+++ b/bvendpoint/endpoint.go
@@ -29,6 +29,7 @@
 import (
 	"errors"
 
+	"balsamvalve.example/bvexcerpt"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvverdict"
 )
@@ -55,7 +56,7 @@
 	if err.cause == nil {
 		return "call " + err.outcome.String()
 	}
-	return "call " + err.outcome.String() + ": " + err.cause.Error()
+	return "call " + err.outcome.String() + ": " + bvexcerpt.Wrap(err.cause).Error()
 }
 
 // Unwrap returns the cause.
