Route: a request is not sent twice over one connection

Cause: at an endpoint that had refused a call, the same attempt may be sent again, over the connection that was returned to the pool. A late copy of the refusal then passed for the answer to the second send, while the endpoint ran that.

Weighed: no second send to an endpoint that refused (a service of few endpoints then refuses calls that would find a slot, which is what the second send is for); closing the connection after a refusal of such a call (each refusal in a crowd costs a new connection). Chosen: the attempt knows the connections that have carried it and takes another one, idle or new; the first one stays for other requests, whose ids tell a late copy apart.

The class: other joins by an id that is used again were looked through. Answers on one connection are the only ones of route whose id may repeat; datagrams carry a number for each question. serve sends calls that may not be repeated over new connections only, and its protocol has no id in answers: a late second answer there could pass for that of another call that may be repeated.

--- a/bvforward/bounds_test.go
+++ b/bvforward/bounds_test.go
@@ -213,7 +213,7 @@
 	body, err := fetch(t, connections, endless.request("1"))
 	require.NoError(t, err)
 	require.Equal(t, "body", body)
-	require.Nil(t, connections.takeIdle(endless.request("1").Endpoint.ID()))
+	require.Nil(t, connections.takeIdle(endless.request("1").Endpoint.ID(), nil))
 	requireClosed(t, closed)
 }
 
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -150,18 +150,28 @@
 	return now.Sub(connection.idleSince) > connection.idleTimeout-idleTimeoutMargin
 }
 
-// takeIdle returns an idle connection that can be reused, or nil.
-func (connections *Connections) takeIdle(endpoint string) *connection {
+// takeIdle returns an idle connection that can be reused and has not carried the attempt, or
+// nil.
+func (connections *Connections) takeIdle(endpoint string, attempt *Attempt) *connection {
 	now := connections.Clock.Now()
+	var skipped []*connection
+	defer func() {
+		for _, connection := range skipped {
+			connections.returnIdle(connection)
+		}
+	}()
 	for {
 		idle := connections.popIdle(endpoint)
-		if idle == nil {
+		switch {
+		case idle == nil:
 			return nil
-		}
-		if !idle.isExpired(now) && !idle.isStale() {
+		case idle.isExpired(now) || idle.isStale():
+			_ = idle.Close() // no request is in flight on it
+		case attempt.mayUse(idle):
 			return idle
+		default:
+			skipped = append(skipped, idle)
 		}
-		_ = idle.Close() // no request is in flight on it
 	}
 }
 
--- a/bvforward/request.go
+++ b/bvforward/request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"balsamvalve.example/bvplatform"
@@ -18,6 +19,25 @@
 	Host     string
 	Header   http.Header
 	Body     []byte
+	Attempt  *Attempt // of the sends of one request; nil if it is sent once
+}
+
+// Attempt records the connections that have carried a request. Its ID tells the answers of
+// different requests apart, but not those of two sends of one request over one connection:
+// a late copy of the first answer would pass for the second. The zero value has none.
+type Attempt struct {
+	carriedBy []*connection
+}
+
+// mayUse reports whether the request has not been sent over a connection.
+func (attempt *Attempt) mayUse(connection *connection) bool {
+	return attempt == nil || !slices.Contains(attempt.carriedBy, connection)
+}
+
+func (attempt *Attempt) record(connection *connection) {
+	if attempt != nil {
+		attempt.carriedBy = append(attempt.carriedBy, connection)
+	}
 }
 
 // hopByHop lists the headers that apply to one connection only (RFC 9110,
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -61,7 +61,7 @@
 // Canceling ctx closes the connection, also while the body is read. The error is a
 // *bvverdict.Error that states whether the request may have run.
 func (connections *Connections) Send(ctx context.Context, request *Request) (*Response, error) {
-	connection := connections.takeIdle(request.Endpoint.ID())
+	connection := connections.takeIdle(request.Endpoint.ID(), request.Attempt)
 	if connection == nil {
 		opened, err := connections.dial(ctx, request.Endpoint)
 		if err != nil {
@@ -69,6 +69,7 @@
 		}
 		connection = opened
 	}
+	request.Attempt.record(connection)
 	release := context.AfterFunc(ctx, func() {
 		_ = connection.Close() // fails only if it is already closed
 	})
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -137,6 +137,37 @@
 	require.Equal(t, "body2", body)
 }
 
+// Guards against a late copy of a refusal that passes for the answer to a second send of the
+// same request, which may run once, over the same connection.
+func TestRequestIsNotSentTwiceOverOneConnection(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var refusing net.Conn // of the first request
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		if number == 1 {
+			refusing = conn
+		}
+		if conn == refusing {
+			_, _ = io.WriteString(conn, refusal) // the answer, or its late copy
+		}
+		if number > 1 {
+			writeAnswer(conn, "1", "ran")
+		}
+		return true
+	})
+	connections := newConnections()
+	request := server.request("1")
+	request.Attempt = &Attempt{}
+	first, err := connections.Send(t.Context(), request)
+	require.NoError(t, err)
+	require.True(t, first.Answer.NotRun)
+	first.Close()
+	second, err := connections.Send(t.Context(), request)
+	require.NoError(t, err)
+	defer second.Close()
+	require.False(t, second.Answer.NotRun, "it runs")
+	require.NotNil(t, connections.takeIdle(request.Endpoint.ID(), nil), "the first connection is kept for other requests")
+}
+
 // Guards against stray bytes after an answer that are read as the next request's answer.
 func TestConnectionWithBytesAfterAnAnswerIsNotReused(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
