Budgets: a row is kept while its program may go on elsewhere

Cause: a host took a program for ended when it had had no turn of it for retainS + 30 s, and removed the row unless another host had changed it. Turns elsewhere that spend what was granted from memory, or reserved in the row before, change neither the row nor that host's account: 'unchanged' is not 'unused'. Record.Expires, by which rows are swept, had the same cause.

Who may say that a program has ended: no host knows. Chosen, without a message or a write: what can be spent without a write of the row is at most the two halves of the budget, each turn with output spends at least an event of it, and the next turn comes within retainS or the program has ended. The account of a host with an entry is kept as long. A row without entries says nothing and expires as before.

Cost: one write a row less. Rows and accounts stay longer, some 150 and 400 bytes: at 12 rows a second of the fleet of 985 hosts, by its rate of programs and a tenth of them with a row, 250,000 rows and 260 accounts a host (computed, not measured).

--- a/bvbudget/account.go
+++ b/bvbudget/account.go
@@ -25,6 +25,7 @@
 	budget         int   // tokens of the part in the record
 	lastUsed       bvclock.Time
 	retain         bvclock.Duration
+	rowRetain      bvclock.Duration // how long the row is kept after its last write
 }
 
 // isIdle reports whether no turn waits or has reserved tokens left.
@@ -32,6 +33,16 @@
 	return account.reserved == 0 && account.waiting == 0
 }
 
+// isExpired reports whether the account is no longer needed. While the row may have an entry
+// of this host, the account knows how much of it is spent: a new one would be credited with
+// all of it.
+func (account *account) isExpired(paused bvclock.Duration) bool {
+	if account.credited > 0 || account.writeUncertain {
+		return paused > account.rowRetain
+	}
+	return paused > account.retain+expiryMargin
+}
+
 // applyRecord updates the account with the record in the store. If the entry for this host
 // is above credited, a write whose answer was lost took effect, and the difference is
 // credited. While the row still has the version that an uncertain write expects, nothing
--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -38,6 +38,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sirupsen/logrus"
@@ -105,6 +106,7 @@
 	Program   string
 	Budget    int // tokens of the whole program
 	MaxTokens int // maximum that the turn may generate
+	MinTokens int // minimum that a turn with any output generates; 0: one
 	Continues bool
 	Retain    bvclock.Duration // how long the budget is retained after the last turn
 }
@@ -117,6 +119,7 @@
 	grantors        Grantors // nil: none
 	incarnation     string
 	clock           bvclock.Clock
+	wallTime        func() time.Time // the rows' expiry is compared by other hosts
 	log             logrus.FieldLogger
 	settleTime      bvclock.Duration
 	started         bvclock.Time
@@ -128,13 +131,14 @@
 	holders          *simplelru.LRU[uint64, []string] // addresses of hosts by hash of a program
 	reservedPrograms []uint64                         // hashes of programs to report to other hosts
 	writes           int64
+	sweeper          bvplatform.Sweeper // used by Sweep only
 }
 
 // NewAllocator returns an Allocator. The incarnation must differ with each start of the
 // process: tokens that an earlier one reserved count as spent.
 func NewAllocator(store bvplatform.Store, lenders Lenders, incarnation string, clock bvclock.Clock, log logrus.FieldLogger) *Allocator {
 	allocator := &Allocator{
-		store: store, lenders: lenders, incarnation: incarnation, clock: clock, log: log,
+		store: store, lenders: lenders, incarnation: incarnation, clock: clock, wallTime: time.Now, log: log,
 		settleTime: defaultSettleTime, started: clock.Now(), accounts: make(map[string]*account),
 		grants: make(map[string]*grant),
 	}
@@ -192,6 +196,7 @@
 	found.maxTokens = turn.MaxTokens
 	found.budget = allocator.storedBudget(turn)
 	found.retain = max(found.retain, turn.Retain)
+	found.rowRetain = max(found.rowRetain, turn.rowRetention())
 	found.lastUsed = allocator.clock.Now()
 	return found
 }
--- a/bvbudget/release.go
+++ b/bvbudget/release.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -16,24 +15,20 @@
 // maxConcurrentWrites is how many accounts are written to the store at once.
 const maxConcurrentWrites = 8
 
-// ReleaseIdle returns unspent tokens of idle programs to the record, and removes accounts
-// and rows of programs whose retention has passed. It is called a few times a second.
+// ReleaseIdle returns unspent tokens of idle programs to the record, and removes accounts of
+// programs whose retention has passed. It is called a few times a second.
 func (allocator *Allocator) ReleaseIdle(ctx context.Context) {
-	returnable, expired := allocator.dueAccounts()
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrentWrites)
-	for _, account := range returnable {
+	for _, account := range allocator.dueAccounts() {
 		group.Go(func() error { allocator.returnTokens(ctx, account, account.returnableTokens); return nil })
 	}
-	for _, account := range expired {
-		group.Go(func() error { allocator.removeRow(ctx, account); return nil })
-	}
 	_ = group.Wait() // the functions return no error
 }
 
-// dueAccounts returns the accounts whose unspent tokens are to be returned, and removes and
-// returns those whose retention has passed.
-func (allocator *Allocator) dueAccounts() (returnable, expired []*account) {
+// dueAccounts returns the accounts whose unspent tokens are to be returned, and removes those
+// whose retention has passed.
+func (allocator *Allocator) dueAccounts() (returnable []*account) {
 	now := allocator.clock.Now()
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
@@ -42,14 +37,13 @@
 		paused := now.Sub(account.lastUsed)
 		switch {
 		case !account.isIdle():
-		case paused > account.retain+expiryMargin:
+		case account.isExpired(paused):
 			delete(allocator.accounts, program)
-			expired = append(expired, account)
 		case paused > allocator.returnDelay() && account.returnableTokens() > 0:
 			returnable = append(returnable, account)
 		}
 	}
-	return returnable, expired
+	return returnable
 }
 
 // returnTokens lowers this host's entry in the record by the given amount. A turn that
@@ -104,27 +98,29 @@
 	return recent
 }
 
-// removeRow removes a row unless another host has changed it since this host last did.
-func (allocator *Allocator) removeRow(ctx context.Context, account *account) {
-	if !account.known || account.version == 0 {
-		return
-	}
-	_, err := allocator.store.Commit(ctx, bvplatform.Transaction{
-		Checks: []bvplatform.Check{{Key: account.key(), Version: account.version}},
-		Puts:   []bvplatform.Put{{Key: account.key()}},
-	})
-	var conflict *bvplatform.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		allocator.log.WithField("program", account.program).WithError(err).Debug("row not removed; the sweep will remove it")
-	}
+// rowRetention returns how long a row is kept after its last write.
+//
+// No host knows whether a program goes on elsewhere: turns that spend tokens granted from
+// memory, or reserved in the row earlier, change neither the row nor another host's account.
+// But there are no more of these tokens than the two halves of the budget. Each turn with any
+// output spends some, and the next one comes within the retention time of the program, or the
+// program has ended. So the row is not needed once that many turns must have passed.
+func (turn Turn) rowRetention() bvclock.Duration {
+	half := max(turn.Budget, 0)/2 + max(turn.MaxTokens, 0)/2 + 1
+	turnsOfHalf := min(half/max(turn.MinTokens, 1), maxRowTurns) + 1
+	turns := 2*turnsOfHalf + 1
+	return bvclock.Duration(turns) * (turn.Retain + expiryMargin)
 }
 
-// Sweep removes expired rows of programs whose last host failed, in a shard drawn at
-// random.
+// maxRowTurns bounds the turns of each half for which a row is kept, and with them the time:
+// callers choose the budget.
+const maxRowTurns = 5_000
+
+// Sweep removes rows whose retention has passed.
 func (allocator *Allocator) Sweep(ctx context.Context) (int, error) {
-	now := time.Now().Unix()
-	prefix := fmt.Sprintf("budget/%02x/", rand.IntN(shards))
-	return bvplatform.Sweep(ctx, allocator.store, prefix, func(row bvplatform.Row) bool {
+	now := allocator.wallTime().Unix()
+	part := func() string { return fmt.Sprintf("budget/%02x/", rand.IntN(shards)) }
+	return allocator.sweeper.Sweep(ctx, allocator.store, part, func(row bvplatform.Row) bool {
 		record, err := decodeRecord(row.Value)
 		return err == nil && record.Expires < now
 	})
--- a/bvbudget/row.go
+++ b/bvbudget/row.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,7 +57,7 @@
 		account.credited += change
 	}
 	record := account.record.withEntry(allocator.incarnation, account.credited+max(change, 0))
-	record.Expires = time.Now().Unix() + int64((account.retain+expiryMargin)/bvclock.Second)
+	record.Expires = allocator.newExpiry(account, record)
 	version := account.version
 	allocator.writes++
 	allocator.mutex.Unlock()
@@ -100,3 +99,13 @@
 	account.applyRecord(allocator.incarnation, current, conflict.Rows[0].Version)
 	return err
 }
+
+// newExpiry returns when a record that is about to be written may be removed. One without
+// entries is equal to none. The caller holds the mutex.
+func (allocator *Allocator) newExpiry(account *account, record Record) int64 {
+	now := allocator.wallTime().Unix()
+	if len(record.Granted) == 0 {
+		return now + int64((account.retain+expiryMargin)/bvclock.Second)
+	}
+	return max(record.Expires, now+int64(account.rowRetain/bvclock.Second))
+}
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -141,10 +141,15 @@
 	if maxTokens <= 0 {
 		maxTokens = call.metadata.Budget
 	}
+	minTokens := 0
+	if call.service.Engine != nil {
+		minTokens = call.service.Engine.EventTokens
+	}
 	call.reservation, err = call.front.parts.Budgets.Reserve(call.ctx, bvbudget.Turn{
 		Program:   call.scopedID(call.metadata.Program),
 		Budget:    call.metadata.Budget,
 		MaxTokens: maxTokens,
+		MinTokens: minTokens,
 		Continues: call.metadata.Continues(),
 		Retain:    call.route.Retain,
 	})
--- a/bvplatform/sweep.go
+++ b/bvplatform/sweep.go
@@ -13,7 +13,31 @@
 	sweepBatchRows = 50
 )
 
-// Sweep scans rows whose keys begin with prefix, which must lie in one partition, and
+// Sweeper removes expired rows of a table, some at a time. The zero value is ready to use; it
+// is not safe for concurrent use.
+type Sweeper struct {
+	prefix string // of the partition that is being scanned
+	after  string // last key scanned; "": choose another partition
+}
+
+// Sweep scans the next rows of a partition whose prefix choose returns, and removes those that
+// are expired. It returns the number of removed rows.
+func (sweeper *Sweeper) Sweep(ctx context.Context, store Store, choose func() (prefix string), expired func(Row) bool) (int, error) {
+	if sweeper.after == "" {
+		sweeper.prefix = choose()
+	}
+	rows, err := store.Scan(ctx, sweeper.prefix, sweeper.after, sweepScanRows)
+	if err != nil {
+		return 0, err
+	}
+	sweeper.after = ""
+	if len(rows) == sweepScanRows {
+		sweeper.after = rows[len(rows)-1].Key
+	}
+	return removeExpired(ctx, store, rows, expired)
+}
+
+// Sweep scans the first rows whose keys begin with prefix, which must lie in one partition, and
 // removes those that are expired. A row that is changed concurrently is not removed.
 // It returns the number of removed rows.
 //
@@ -24,6 +48,11 @@
 	if err != nil {
 		return 0, err
 	}
+	return removeExpired(ctx, store, rows, expired)
+}
+
+func removeExpired(ctx context.Context, store Store, rows []Row, expired func(Row) bool) (int, error) {
+	var err error
 	removed := 0
 	var batch Transaction
 	for _, row := range rows {
--- a/bvplatform/sweep_test.go
+++ b/bvplatform/sweep_test.go
@@ -40,3 +40,22 @@
 	writes, _ := store.Counts()
 	require.Zero(t, writes)
 }
+
+// Guards against expired rows that are never scanned, behind many that have not expired.
+func TestSweeperScansAllRowsOfAPart(t *testing.T) {
+	store := &bvplatform.Memory{}
+	for number := range 1_500 {
+		_, err := store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: fmt.Sprintf("t/p/%05d", number), Value: []byte("kept")}}})
+		require.NoError(t, err)
+	}
+	_, err := store.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: "t/p/99999", Value: []byte("expired")}}})
+	require.NoError(t, err)
+	var sweeper bvplatform.Sweeper
+	removed := 0
+	for range 4 {
+		count, err := sweeper.Sweep(t.Context(), store, func() string { return "t/p/" }, func(row bvplatform.Row) bool { return string(row.Value) == "expired" })
+		require.NoError(t, err)
+		removed += count
+	}
+	require.Equal(t, 1, removed)
+}
