Budgets: a grantor does not forget a program that is still spent from

Cause: MaxProgramTime was taken for a bound on how long a program lives without a grant; nothing made it true.

Change: tokens that a host did not reserve in the row itself may be reserved for a turn until MaxProgramTime after it last asked the grantor, from when the question was sent; then they are dropped and count as spent. So what is out is covered by what the grantor still remembers. It remembers programs for six hours in place of two minutes, 40,000 of them at most, beyond that the recent ones; a handover has the recent ones and as many others as fit.

Left, by reading: after a crash of a grantor, another host grants for its programs 405 s later (bvlease.takeoverDelay). A program that went on with its row alone for that long gets the half in memory once more.

--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -131,6 +131,7 @@
 	holders          *simplelru.LRU[uint64, []string] // addresses of hosts by hash of a program
 	reservedPrograms []uint64                         // hashes of programs to report to other hosts
 	writes           int64
+	nextGrantSweep   bvclock.Time
 	sweeper          bvplatform.Sweeper // used by Sweep only
 }
 
@@ -211,12 +212,21 @@
 func (allocator *Allocator) reserveFree(account *account, turn Turn) *Reservation {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
+	allocator.dropLapsed(account)
 	if account.free < turn.MaxTokens {
 		return nil
 	}
-	account.free -= turn.MaxTokens
+	foreign := account.take(turn.MaxTokens)
 	account.reserved += turn.MaxTokens
-	return &Reservation{allocator: allocator, account: account, remaining: turn.MaxTokens}
+	return &Reservation{allocator: allocator, account: account, remaining: turn.MaxTokens, foreign: foreign}
+}
+
+// dropLapsed drops tokens of an account that may no longer be reserved. The caller holds the
+// mutex.
+func (allocator *Allocator) dropLapsed(account *account) {
+	if allocator.grantors != nil {
+		account.dropLapsed(allocator.clock.Now())
+	}
 }
 
 // WriteCount returns how many writes were attempted so far.
--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -1,6 +1,9 @@
 package bvbudget
 
 import (
+	"cmp"
+	"slices"
+
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvlease"
 )
@@ -26,9 +29,22 @@
 	retain    bvclock.Duration
 }
 
-// isExpired reports whether the program can have no further turns.
-func (grant *grant) isExpired(now bvclock.Time) bool {
-	return now.Sub(grant.lastUsed) > grant.retain+bvlease.MaxProgramTime
+const (
+	// maxGrantAge is how long a grant is remembered after the grantor was last asked. A program
+	// may go on that long with the tokens in its row alone, while its hosts can't reach the
+	// grantor; one that was forgotten would be granted its half once more.
+	maxGrantAge = 6 * bvclock.Hour
+	// maxOldGrants bounds the grants that are remembered, in memory of some megabytes. Beyond
+	// it, only the recent ones are.
+	maxOldGrants = 40_000
+	// grantSweepInterval is the time between two searches for grants to forget.
+	grantSweepInterval = 10 * bvclock.Second
+)
+
+// isRecent reports whether hosts may still hold tokens of the grant: they spend what was granted
+// for MaxProgramTime after they last asked, and the last turn may take some more time.
+func (grant *grant) isRecent(now bvclock.Time) bool {
+	return now.Sub(grant.lastUsed) <= grant.retain+bvlease.MaxProgramTime+expiryMargin
 }
 
 // halfBudget returns how many tokens each half has. Together they may exceed the budget by
@@ -63,6 +79,9 @@
 		allocator.grants[request.Program] = found
 	}
 	found.lastUsed, found.retain = now, max(found.retain, request.Retain)
+	if request.Tokens <= 0 {
+		return 0, false // the host that asks has enough
+	}
 	tokens = blockSize(found.remaining, request.Tokens, request.MaxTokens)
 	if found.remaining < request.Tokens {
 		tokens = 0
@@ -83,7 +102,10 @@
 		return false
 	}
 	tokens, undecided := allocator.grantTokens(turn.tokenRequest(need, partial))
-	account.free += tokens
+	account.addForeign(tokens)
+	if now := allocator.clock.Now(); tokens > 0 || allocator.grantors != nil && allocator.grantors.MayGrant(now, turn.Program, turn.Retain) {
+		account.confirm(now)
+	}
 	return undecided
 }
 
@@ -118,8 +140,13 @@
 // removeExpiredGrants removes the grants of programs that can have no further turns. The
 // caller holds the mutex.
 func (allocator *Allocator) removeExpiredGrants(now bvclock.Time) {
+	if now < allocator.nextGrantSweep {
+		return
+	}
+	allocator.nextGrantSweep = now.Add(grantSweepInterval)
+	tooMany := len(allocator.grants) > maxOldGrants
 	for program, grant := range allocator.grants {
-		if grant.isExpired(now) {
+		if now.Sub(grant.lastUsed) > maxGrantAge || tooMany && !grant.isRecent(now) {
 			delete(allocator.grants, program)
 		}
 	}
@@ -134,20 +161,25 @@
 	Retain  bvclock.Duration `json:"retain"` // how long the program may pause, in milliseconds
 }
 
-// ExportGrants returns all grants that have not expired. It is called when this host no
+// ExportGrants returns the grants to hand over, the most recent ones first: all that hosts may
+// still hold tokens of, and older ones up to a number in total. It is called when this host no
 // longer grants.
-func (allocator *Allocator) ExportGrants() []GrantState {
+func (allocator *Allocator) ExportGrants(most int) []GrantState {
 	now := allocator.clock.Now()
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
-	allocator.removeExpiredGrants(now)
 	granted := make([]GrantState, 0, len(allocator.grants))
+	recent := 0
 	for program, grant := range allocator.grants {
+		if grant.isRecent(now) {
+			recent++
+		}
 		granted = append(granted, GrantState{
 			Program: program, Left: grant.remaining, Idle: now.Sub(grant.lastUsed), Retain: grant.retain,
 		})
 	}
-	return granted
+	slices.SortFunc(granted, func(a, b GrantState) int { return cmp.Compare(a.Idle-a.Retain, b.Idle-b.Retain) })
+	return granted[:min(len(granted), max(most, recent))]
 }
 
 // ImportGrants restores the grants of this host's last process. It is called before this
--- a/bvbudget/grant_test.go
+++ b/bvbudget/grant_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -52,7 +54,7 @@
 	next := grantor.cluster.allocators[host]
 	next.SetGrantors(grantorView{grantor, next.incarnation})
 	if handover && before.incarnation == grantor.incarnation {
-		next.ImportGrants(before.ExportGrants())
+		next.ImportGrants(before.ExportGrants(testHandover))
 		grantor.incarnation = next.incarnation
 	}
 }
@@ -195,7 +197,31 @@
 	cluster, _ := newGrantorCluster()
 	require.NoError(t, cluster.reserve("b", "p", false))
 	require.Len(t, cluster.allocators["a"].grants, 1)
-	cluster.clock.Advance(bvclock.Minute + bvlease.MaxProgramTime + 1)
+	cluster.clock.Advance(maxGrantAge)
+	cluster.allocators["a"].ReleaseIdle(context.Background())
+	require.Len(t, cluster.allocators["a"].grants, 1)
+	cluster.clock.Advance(grantSweepInterval)
 	cluster.allocators["a"].ReleaseIdle(context.Background())
 	require.Empty(t, cluster.allocators["a"].grants)
 }
+
+// Guards against old grants that exhaust the grantor's memory, or displace recent ones from a
+// handover.
+func TestOldGrantsYieldToRecentOnes(t *testing.T) {
+	cluster, _ := newGrantorCluster()
+	grantor := cluster.allocators["a"]
+	now := cluster.clock.Now()
+	for number := range maxOldGrants {
+		grantor.grants[fmt.Sprint("old ", number)] = &grant{lastUsed: now, retain: bvclock.Minute}
+	}
+	cluster.clock.Advance(bvclock.Minute + bvlease.MaxProgramTime + expiryMargin + 1)
+	require.NoError(t, cluster.reserve("b", "recent", false))
+	require.Equal(t, "recent", grantor.ExportGrants(testHandover)[0].Program)
+	require.Len(t, grantor.ExportGrants(testHandover), testHandover)
+	require.Len(t, grantor.ExportGrants(0), 1)
+	grantor.ReleaseIdle(context.Background())
+	require.Equal(t, []string{"recent"}, slices.Collect(maps.Keys(grantor.grants)))
+}
+
+// testHandover is the number of grants that a handover holds in tests.
+const testHandover = 10
--- a/bvbudget/reservation.go
+++ b/bvbudget/reservation.go
@@ -5,6 +5,7 @@
 	allocator *Allocator
 	account   *account
 	remaining int
+	foreign   int // of the tokens reserved; those that were not spent are returned as such first
 }
 
 // Spend counts tokens that are about to be delivered to the caller. It reports whether the
@@ -25,7 +26,9 @@
 	reservation.allocator.mutex.Lock()
 	defer reservation.allocator.mutex.Unlock()
 	reservation.account.reserved -= reservation.remaining
-	reservation.account.free += reservation.remaining
+	foreign := min(reservation.remaining, reservation.foreign)
+	reservation.account.addForeign(foreign)
+	reservation.account.free += reservation.remaining - foreign
 	reservation.account.lastUsed = reservation.allocator.clock.Now()
-	reservation.remaining = 0
+	reservation.remaining, reservation.foreign = 0, 0
 }
--- a/bvbudget/retention_test.go
+++ b/bvbudget/retention_test.go
@@ -114,6 +114,34 @@
 	require.Zero(t, cluster.allocators["a"].Len())
 }
 
+// Guards against a grantor that forgets what it has granted while a host still spends it.
+func TestGrantOfAProgramThatGoesOnElsewhereIsKept(t *testing.T) {
+	cluster, _ := newGrantorCluster()
+	const budget = 20 * testMaxTokens // large enough for a block of several turns
+	turn := func(host string, events int) bool {
+		reservation, err := cluster.allocators[host].Reserve(context.Background(), Turn{
+			Program: "p", Budget: budget, MaxTokens: testMaxTokens, MinTokens: testEventTokens, Continues: true, Retain: bvclock.Minute,
+		})
+		if err != nil {
+			return false
+		}
+		cluster.reservations = append(cluster.reservations, reservation)
+		cluster.spendAndClose(len(cluster.reservations)-1, events)
+		return true
+	}
+	require.True(t, turn("c", 1)) // a block of several turns
+	for range 4 {
+		require.True(t, turn("b", wholeTurn))
+	}
+	for range 6 {
+		require.True(t, turn("c", 1))
+		cluster.pause(t, testPause)
+	}
+	for turn("c", wholeTurn) {
+	}
+	require.LessOrEqual(t, cluster.delivered["p"], budget+testMaxTokens)
+}
+
 // Guards against a budget of any size whose row's retention overflows, and expires at once.
 func TestRetentionOfAnEnormousBudgetIsBounded(t *testing.T) {
 	turn := Turn{Budget: math.MaxInt, MaxTokens: math.MaxInt, Retain: bvclock.Minute}
@@ -131,6 +159,15 @@
 	})
 }
 
+// Guards against the same where a host grants one half from memory.
+func TestHalvesHoldOverPauses(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cluster, grantor := newGrantorCluster()
+		restart := func(host string) { grantor.restart(host, rapid.Bool().Draw(rt, "planned")) }
+		playPauses(rt, cluster, restart, testBudget+testMaxTokens)
+	})
+}
+
 // playPauses has a program pause and return through any host, and checks what it gets.
 func playPauses(rt *rapid.T, cluster *cluster, restart func(host string), limit int) {
 	hosts := rapid.SampledFrom([]string{"a", "b", "c"})
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -19,8 +19,10 @@
 
 const (
 	// maxHandoverShare is the share of the row limit that a handover may fill, in case the
-	// limit applies to the encoded row. A program takes some 70 bytes.
+	// limit applies to the encoded row.
 	maxHandoverShare = 0.7
+	// grantBytes is more than a program's grant takes in a handover.
+	grantBytes = 110
 	// maxClockSkew is the maximum difference of the wall clocks of two processes in the
 	// check of a handover's age: hosts' clocks differ by 5 s at most.
 	maxClockSkew = 5 * time.Second
@@ -65,12 +67,17 @@
 
 // handoverPuts returns the write of the handover row, or nothing if it doesn't fit into one.
 func (router *Router) handoverPuts(known bvlease.KnownHosts) []bvplatform.Put {
-	encoded, err := json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants()})
-	if err != nil || len(encoded) > int(maxHandoverShare*float64(router.settings.MaxRowBytes)) {
-		router.log.WithError(err).WithField("bytes", len(encoded)).Warn("grants exceed the size of a handover")
-		return nil
+	limit := int(maxHandoverShare * float64(router.settings.MaxRowBytes))
+	var encoded []byte
+	for _, most := range []int{limit / grantBytes, 0} {
+		var err error
+		encoded, err = json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants(most)})
+		if err == nil && len(encoded) <= limit {
+			return []bvplatform.Put{{Key: handoversPrefix + router.settings.Name, Value: encoded}}
+		}
 	}
-	return []bvplatform.Put{{Key: handoversPrefix + router.settings.Name, Value: encoded}}
+	router.log.WithField("bytes", len(encoded)).Warn("grants exceed the size of a handover")
+	return nil
 }
 
 // listSelf adds this host to the list, and continues from the handover of its last process.
