Budgets: granted tokens do not lapse at the hosts that hold them

Tokens lent by another host, from its part of the row, while the grantor was gone, were dropped at once: the borrower had never reached a grantor.

Left, by reading: a planned restart hands over what fits (some 400 programs), so an older program whose hosts still hold tokens may be granted its half once more after one.

--- a/bvbudget/account.go
+++ b/bvbudget/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"balsamvalve.example/bvclock"
-	"balsamvalve.example/bvlease"
 )
 
 // account is this host's part of a program's budget. A turn moves tokens from free to
@@ -20,13 +19,11 @@
 	credited       int   // tokens of the record's entry for this host that were added to free
 	writeUncertain bool  // the answer to a write was lost, and it may still take effect
 	free           int   // tokens that may be reserved here without a request
-	foreign        int   // of these, tokens that were not reserved in the record by this host
 	reserved       int   // tokens of turns in flight here, not yet delivered
 	waiting        int   // sum of the maxima of the turns that wait
 	maxTokens      int   // of the last turn
 	budget         int   // tokens of the part in the record
 	lastUsed       bvclock.Time
-	lapsesAt       bvclock.Time // until when foreign tokens may be reserved
 	retain         bvclock.Duration
 	rowRetain      bvclock.Duration // how long the row is kept after its last write
 }
@@ -36,37 +33,6 @@
 	return account.reserved == 0 && account.waiting == 0
 }
 
-// addForeign adds tokens that a grantor granted or another host lent.
-func (account *account) addForeign(tokens int) {
-	account.free += tokens
-	account.foreign += tokens
-}
-
-// take takes tokens for a turn or for another host, foreign ones first, and returns how many of
-// them are foreign.
-func (account *account) take(tokens int) (foreign int) {
-	foreign = min(tokens, account.foreign)
-	account.free -= tokens
-	account.foreign -= foreign
-	return foreign
-}
-
-// confirm extends the time for which foreign tokens may be reserved: at the given time, or
-// later, the program's grantor has been asked.
-func (account *account) confirm(asked bvclock.Time) {
-	account.lapsesAt = max(account.lapsesAt, asked.Add(bvlease.MaxProgramTime))
-}
-
-// dropLapsed drops foreign tokens that may no longer be reserved. A grantor forgets a program
-// some time after it was last asked; tokens that a host held for longer would be spent in
-// addition to those that it grants afresh.
-func (account *account) dropLapsed(now bvclock.Time) {
-	if account.foreign > 0 && now > account.lapsesAt {
-		account.free -= account.foreign
-		account.foreign = 0
-	}
-}
-
 // isExpired reports whether the account is no longer needed. While the row may have an entry
 // of this host, the account knows how much of it is spent: a new one would be credited with
 // all of it.
--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -212,21 +212,12 @@
 func (allocator *Allocator) reserveFree(account *account, turn Turn) *Reservation {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
-	allocator.dropLapsed(account)
 	if account.free < turn.MaxTokens {
 		return nil
 	}
-	foreign := account.take(turn.MaxTokens)
+	account.free -= turn.MaxTokens
 	account.reserved += turn.MaxTokens
-	return &Reservation{allocator: allocator, account: account, remaining: turn.MaxTokens, foreign: foreign}
-}
-
-// dropLapsed drops tokens of an account that may no longer be reserved. The caller holds the
-// mutex.
-func (allocator *Allocator) dropLapsed(account *account) {
-	if allocator.grantors != nil {
-		account.dropLapsed(allocator.clock.Now())
-	}
+	return &Reservation{allocator: allocator, account: account, remaining: turn.MaxTokens}
 }
 
 // WriteCount returns how many writes were attempted so far.
--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -31,8 +31,8 @@
 
 const (
 	// maxGrantAge is how long a grant is remembered after the grantor was last asked. A program
-	// may go on that long with the tokens in its row alone, while its hosts can't reach the
-	// grantor; one that was forgotten would be granted its half once more.
+	// may go on that long with tokens that its hosts hold, or with those in its row while they
+	// can't reach the grantor; one that was forgotten would be granted its half once more.
 	maxGrantAge = 6 * bvclock.Hour
 	// maxOldGrants bounds the grants that are remembered, in memory of some megabytes. Beyond
 	// it, only the recent ones are.
@@ -41,8 +41,7 @@
 	grantSweepInterval = 10 * bvclock.Second
 )
 
-// isRecent reports whether hosts may still hold tokens of the grant: they spend what was granted
-// for MaxProgramTime after they last asked, and the last turn may take some more time.
+// isRecent reports whether the program is likely to have further turns.
 func (grant *grant) isRecent(now bvclock.Time) bool {
 	return now.Sub(grant.lastUsed) <= grant.retain+bvlease.MaxProgramTime+expiryMargin
 }
@@ -79,9 +78,6 @@
 		allocator.grants[request.Program] = found
 	}
 	found.lastUsed, found.retain = now, max(found.retain, request.Retain)
-	if request.Tokens <= 0 {
-		return 0, false // the host that asks has enough
-	}
 	tokens = blockSize(found.remaining, request.Tokens, request.MaxTokens)
 	if found.remaining < request.Tokens {
 		tokens = 0
@@ -102,10 +98,7 @@
 		return false
 	}
 	tokens, undecided := allocator.grantTokens(turn.tokenRequest(need, partial))
-	account.addForeign(tokens)
-	if now := allocator.clock.Now(); tokens > 0 || allocator.grantors != nil && allocator.grantors.MayGrant(now, turn.Program, turn.Retain) {
-		account.confirm(now)
-	}
+	account.free += tokens
 	return undecided
 }
 
@@ -161,8 +154,8 @@
 	Retain  bvclock.Duration `json:"retain"` // how long the program may pause, in milliseconds
 }
 
-// ExportGrants returns the grants to hand over, the most recent ones first: all that hosts may
-// still hold tokens of, and older ones up to a number in total. It is called when this host no
+// ExportGrants returns the grants to hand over, the most recent ones first: all recent ones, and
+// older ones up to a number in total. It is called when this host no
 // longer grants.
 func (allocator *Allocator) ExportGrants(most int) []GrantState {
 	now := allocator.clock.Now()
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -79,11 +79,7 @@
 		allocator.mutex.Unlock()
 		request := turn.tokenRequest(need, partial)
 		request.AsGrantor = host == grantor
-		asked := allocator.clock.Now()
 		sent, answered := allocator.lenders.RequestTokens(ctx, host, request)
-		if answered && request.AsGrantor {
-			allocator.confirm(account, asked)
-		}
 		conclusive = conclusive && (answered || !sent && host != grantor)
 		if reservation := allocator.reserveFree(account, turn); reservation != nil {
 			return reservation, conclusive
@@ -95,12 +91,6 @@
 	return nil, conclusive
 }
 
-func (allocator *Allocator) confirm(account *account, asked bvclock.Time) {
-	allocator.mutex.Lock()
-	defer allocator.mutex.Unlock()
-	account.confirm(asked)
-}
-
 // discoveryTime is how long after its start a host may not have discovered all others: it
 // reads their list each second at first, and digests arrive ten times a second, some of
 // them lost.
@@ -166,8 +156,8 @@
 	hash := xxhash.Sum64String(request.Program)
 	reply := TokenReply{Tokens: allocator.lendFree(request)}
 	reply.Holders, _ = allocator.holders.Get(hash)
-	request.Tokens -= reply.Tokens
-	if request.Tokens > 0 || request.AsGrantor {
+	if reply.Tokens < request.Tokens {
+		request.Tokens -= reply.Tokens
 		granted, undecided := allocator.grantTokens(request)
 		reply.Tokens, reply.Undecided = reply.Tokens+granted, undecided
 	}
@@ -180,14 +170,11 @@
 // lendFree deducts tokens that this host holds of a program's budget.
 func (allocator *Allocator) lendFree(request TokenRequest) int {
 	account := allocator.accounts[request.Program]
-	if account != nil {
-		allocator.dropLapsed(account)
-	}
 	if account == nil || allocator.lendingDisabled || account.free < request.Tokens && !request.Partial {
 		return 0
 	}
 	lent := min(request.Tokens, account.free)
-	account.take(lent)
+	account.free -= lent
 	return lent
 }
 
@@ -203,6 +190,6 @@
 	if account == nil || tokens == 0 {
 		return
 	}
-	account.addForeign(tokens)
+	account.free += tokens
 	allocator.reservedPrograms = append(allocator.reservedPrograms, hash)
 }
--- a/bvbudget/reservation.go
+++ b/bvbudget/reservation.go
@@ -5,7 +5,6 @@
 	allocator *Allocator
 	account   *account
 	remaining int
-	foreign   int // of the tokens reserved; those that were not spent are returned as such first
 }
 
 // Spend counts tokens that are about to be delivered to the caller. It reports whether the
@@ -26,9 +25,7 @@
 	reservation.allocator.mutex.Lock()
 	defer reservation.allocator.mutex.Unlock()
 	reservation.account.reserved -= reservation.remaining
-	foreign := min(reservation.remaining, reservation.foreign)
-	reservation.account.addForeign(foreign)
-	reservation.account.free += reservation.remaining - foreign
+	reservation.account.free += reservation.remaining
 	reservation.account.lastUsed = reservation.allocator.clock.Now()
-	reservation.remaining, reservation.foreign = 0, 0
+	reservation.remaining = 0
 }
--- a/bvbudget/row.go
+++ b/bvbudget/row.go
@@ -55,7 +55,6 @@
 	if change < 0 {
 		account.free += change
 		account.credited += change
-		account.foreign = min(account.foreign, account.free)
 	}
 	record := account.record.withEntry(allocator.incarnation, account.credited+max(change, 0))
 	record.Expires = allocator.newExpiry(account, record)
