Route: broken answers are counted by their defect

The counter broken_answers has malformed answers, heads that are too large, answers to other requests, and answers that broke off before their request's time was over, so that an operator sees an endpoint that sends bytes that are no answer without reading logs.

--- a/bvforward/request.go
+++ b/bvforward/request.go
@@ -22,9 +22,9 @@
 	Attempt  *Attempt // of the sends of one request; nil if it is sent once
 }
 
-// Attempt records the connections that have carried a request. Its ID tells the answers of
-// different requests apart, but not those of two sends of one request over one connection:
-// a late copy of the first answer would pass for the second. The zero value has none.
+// Attempt records the connections that have carried a request. The ID distinguishes answers to
+// different requests, but not those to two sends of one request over one connection: a late
+// copy of the first answer would pass for the second. The zero value has none.
 type Attempt struct {
 	carriedBy []*connection
 }
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -118,6 +118,7 @@
 	}
 	response, err := call.front.parts.Endpoints.Send(call.ctx, call.newEndpointRequest(endpoint))
 	if err != nil {
+		call.countDefect(err)
 		call.reportOutcome(outcomeOf(err), bvforward.IsRefused(err))
 		return call.countRun(err)
 	}
@@ -130,6 +131,7 @@
 	call.runs++
 	call.headReceived, call.serverError = true, response.Status >= http.StatusInternalServerError
 	err = call.relay(response)
+	call.countDefect(err)
 	outcome := outcomeOf(err)
 	if call.ctx.Err() != nil && outcome == bvdispatch.Broken {
 		outcome = bvdispatch.Withdrawn // the endpoint was answering when the deadline passed
@@ -138,6 +140,14 @@
 	return err
 }
 
+// countDefect counts an answer that can't be read, unless the call had ended before.
+func (call *call) countDefect(err error) {
+	var answer *bvforward.AnswerError
+	if errors.As(err, &answer) && call.ctx.Err() == nil {
+		call.front.parts.Counters.Count("broken_answers", answer.Defect().String())
+	}
+}
+
 // countRun counts a send whose request may have run.
 func (call *call) countRun(err error) error {
 	if bvverdict.Of(err) != bvverdict.NotRun {
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -21,7 +21,7 @@
 	// maxHandoverShare is the share of the row limit that a handover may fill, in case the
 	// limit applies to the encoded row.
 	maxHandoverShare = 0.7
-	// grantBytes is more than a program's grant takes in a handover.
+	// grantBytes is an upper bound of the size of a grant in a handover.
 	grantBytes = 110
 	// maxClockSkew is the maximum difference of the wall clocks of two processes in the
 	// check of a handover's age: hosts' clocks differ by 5 s at most.
