--- a/bvfront/panic.go
+++ b/bvfront/panic.go
@@ -1,15 +1,11 @@
 package bvfront
 
 import (
-	"runtime/debug"
-
 	"balsamvalve.example/bvdispatch"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvverdict"
 )
 
-// maxStackBytes bounds the stack in the log line of a panic.
-const maxStackBytes = 4 << 10
-
 // serveRecovered is serve, with a panic as an error: net/http would close the caller's
 // connection without an answer.
 func (call *call) serveRecovered() (err error) {
@@ -24,10 +20,9 @@
 // panicError ends a call that panicked, and returns its error: a refusal only if the request
 // was sent to no endpoint.
 func (call *call) panicError(cause any) error {
-	stack := debug.Stack()
 	call.front.parts.Counters.Add("panics", 1)
 	call.front.parts.Log.WithField("request", call.metadata.ID).WithField("panic", cause).
-		WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("panic in a request")
+		WithField("stack", bvlog.Stack()).Error("panic in a request")
 	if call.chosen {
 		call.reportOutcome(bvdispatch.Withdrawn, false) // otherwise the endpoint keeps a call that never ends
 	}
@@ -44,7 +39,6 @@
 	if cause == nil {
 		return
 	}
-	stack := debug.Stack()
 	front.parts.Counters.Add("panics", 1)
-	front.parts.Log.WithField("panic", cause).WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("panic after a request")
+	front.parts.Log.WithField("panic", cause).WithField("stack", bvlog.Stack()).Error("panic after a request")
 }
--- a/bvowner/start.go
+++ b/bvowner/start.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"runtime/debug"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bvgate"
 	"balsamvalve.example/bvledger"
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvpeer"
 	"balsamvalve.example/bvpermit"
 	"balsamvalve.example/bvplatform"
@@ -48,7 +48,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			session.owner.metrics.Add("panics", 1)
-			session.owner.parts.Log.WithField("panic", cause).WithField("stack", string(debug.Stack())).Error("panic in a call")
+			session.owner.parts.Log.WithField("panic", cause).WithField("stack", bvlog.Stack()).Error("panic in a call")
 			result = failedResult(bvverdict.New(bvverdict.MayHaveRun, bvverdict.Internal, "the call failed in this host"))
 		}
 	}()
--- a/bvpeer/pool.go
+++ b/bvpeer/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"balsamvalve.example/bvlog"
 	"balsamvalve.example/bvtrace"
 )
 
@@ -123,7 +123,7 @@
 		transport = insecure.NewCredentials()
 	}
 	recovered := recovery.WithRecoveryHandler(func(cause any) error {
-		log.WithField("panic", cause).WithField("stack", string(debug.Stack())).Error("panic in another host's request")
+		log.WithField("panic", cause).WithField("stack", bvlog.Stack()).Error("panic in another host's request")
 		return status.Error(codes.Internal, "the request failed in this host")
 	})
 	return []grpc.ServerOption{
--- a/bvrouter/run.go
+++ b/bvrouter/run.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvlog"
 )
 
 // Run serves until ctx is canceled or a part of the daemon fails, and then stops without
@@ -100,16 +100,12 @@
 	}
 }
 
-// maxStackBytes bounds the stack in the error of a panic.
-const maxStackBytes = 4 << 10
-
 // runRecovered runs the part, with a panic as an error: without it, the process would end
 // with all its requests in flight.
 func (part part) runRecovered() (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			stack := debug.Stack()
-			err = fmt.Errorf("router: %s: panic: %v\n%s", part.name, cause, stack[:min(len(stack), maxStackBytes)])
+			err = fmt.Errorf("router: %s: panic: %v\n%s", part.name, cause, bvlog.Stack())
 		}
 	}()
 	return part.run()
