Caps: usage is reported to other zones, however many hosts there are

Above 120 hosts, digests to other zones had no usage of workspaces and no 'settled', since the short digest is built field by field and they were added later. Each zone then chose its own allocator, and a cap held within each zone only.

Change: both are sent, 14 B a workspace that a host has just served.

TestManyHostsSendOtherZonesAllFieldsButOutcomes failed before (used_workspaces); it goes over the message's fields, so that a new one must be sent or be named as left out.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -162,7 +162,8 @@
 }
 
 // trimDigest returns a digest for another availability zone. Where there are many hosts,
-// it leaves out the calls and placements at endpoints of other zones than that one.
+// it leaves out the calls and placements at endpoints of other zones than that one. The usage
+// of capped workspaces is never left out: a cap holds over all hosts.
 func (gossip *Gossip) trimDigest(digest *Digest, zone string) *Digest {
 	if gossip.hostCount() <= maxFullDigestHosts {
 		return digest
@@ -171,6 +172,8 @@
 		Host: digest.GetHost(), Incarnation: digest.GetIncarnation(), Zone: digest.GetZone(), Address: digest.GetAddress(),
 		StateVersion: digest.GetStateVersion(), StoreReachable: digest.GetStoreReachable(), Leaving: digest.GetLeaving(),
 		Programs: digest.GetPrograms(), Crashes: digest.GetCrashes(), Shares: digest.GetShares(),
+		UsedWorkspaces: digest.GetUsedWorkspaces(), UsedCounts: digest.GetUsedCounts(), UsedRecent: digest.GetUsedRecent(),
+		Settled: digest.GetSettled(),
 	}
 	for _, load := range digest.GetLoads() {
 		if gossip.endpoints.ZoneOf(load.GetEndpoint()) == zone {
--- a/bvgossip/totals_test.go
+++ b/bvgossip/totals_test.go
@@ -93,3 +93,27 @@
 	require.InDelta(t, 100, len(drawn), 50)
 	require.Equal(t, 1000, len(drawn)+len(rest))
 }
+
+// zoneOne lists all endpoints in zone one.
+type zoneOne struct{ fakeEndpoints }
+
+func (zoneOne) ZoneOf(uint64) string { return "one" }
+
+// Guards against a field of digests that hosts of other zones never get where there are many hosts.
+func TestManyHostsSendOtherZonesAllFieldsButOutcomes(t *testing.T) {
+	host := newHostWithManyPeers(t, &bvclock.Manual{})
+	host.endpoints = zoneOne{}
+	digest := &Digest{
+		Host: "h", Incarnation: "i", Zone: "z", Address: "a", StateVersion: 1, StoreReachable: true, Leaving: true,
+		Loads: []*Load{{}}, Placements: []*Placement{{}}, Programs: []uint64{1}, Crashes: []*Crash{{}}, Outcomes: []*Outcome{{}},
+		Totals: []*Load{{}}, UsedWorkspaces: []uint32{1}, UsedCounts: []uint32{1}, UsedRecent: []uint32{1}, Settled: true, Shares: []*Share{{}},
+	}
+	trimmed := host.trimDigest(digest, "one").ProtoReflect()
+	fields := trimmed.Descriptor().Fields()
+	for number := range fields.Len() {
+		field := fields.Get(number)
+		require.True(t, digest.ProtoReflect().Has(field), "the test sets %s", field.Name())
+		ownZoneOnly := field.Name() == "outcomes" || field.Name() == "totals" // totals are added for some hosts
+		require.Equal(t, !ownZoneOnly, trimmed.Has(field), "%s", field.Name())
+	}
+}
