--- a/bvbudget/grant_test.go
+++ b/bvbudget/grant_test.go
@@ -205,8 +205,7 @@
 	require.Empty(t, cluster.allocators["a"].grants)
 }
 
-// Guards against old grants that exhaust the grantor's memory, or displace recent ones from a
-// handover.
+// Guards against old grants that exhaust memory or displace recent ones from a handover.
 func TestOldGrantsYieldToRecentOnes(t *testing.T) {
 	cluster, _ := newGrantorCluster()
 	grantor := cluster.allocators["a"]
--- a/bvbudget/retention_test.go
+++ b/bvbudget/retention_test.go
@@ -57,8 +57,7 @@
 
 const wholeTurn = testMaxTokens / testEventTokens
 
-// Guards against a row that a host removes after its own last turn, though the program goes on
-// elsewhere: what is reserved in the row is then given out again.
+// Guards against a row that a host removes though its program goes on elsewhere.
 func TestRowOfAProgramThatGoesOnElsewhereIsKept(t *testing.T) {
 	cluster, _ := newGrantorCluster()
 	cluster.isolated = true // the grantor can't be reached
@@ -74,8 +73,7 @@
 	require.LessOrEqual(t, cluster.delivered["p"], testBudget+testMaxTokens)
 }
 
-// Guards against a host that is credited once more with what it had reserved, after its account
-// was removed.
+// Guards against a host that is credited again with what it had reserved and spent.
 func TestHostIsNotCreditedAgainAfterAPause(t *testing.T) {
 	cluster := newCluster()
 	for range 2 {
@@ -150,8 +148,7 @@
 	require.Positive(t, turn.rowRetention())
 }
 
-// Guards against budgets that are given out again over pauses, restarts and outages, while the
-// program returns within its retention time each time.
+// Guards against budgets that are given out again over pauses, restarts and outages.
 func TestBudgetHoldsOverPauses(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		cluster := newCluster()
--- a/bvforward/bounds_test.go
+++ b/bvforward/bounds_test.go
@@ -169,8 +169,7 @@
 	requireClosed(t, closed)
 }
 
-// Guards against a refusal whose body does not arrive, which held its request until the end of
-// its time.
+// Guards against a refusal whose body does not arrive and that holds its request.
 func TestRestOfARefusalIsNotAwaited(t *testing.T) {
 	closed := make(chan struct{})
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -137,8 +137,7 @@
 	require.Equal(t, "body2", body)
 }
 
-// Guards against a late copy of a refusal that passes for the answer to a second send of the
-// same request, which may run once, over the same connection.
+// Guards against a late copy of a refusal that passes for the answer to a second send.
 func TestRequestIsNotSentTwiceOverOneConnection(t *testing.T) {
 	refusal := "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	var refusing net.Conn // of the first request
