Stop: parts that end late on a busy host are no failure

Cause: the wait for all parts ended with the time allowed for the graceful stop.

Change: the parts have two seconds more, and the error names those that still run. A platform that kills the process at the limit is not affected.

--- a/bvrouter/run.go
+++ b/bvrouter/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -24,8 +26,11 @@
 	stopping, fail := context.WithCancel(ctx)
 	defer fail()
 	var group errgroup.Group
+	var running runningParts
 	for _, part := range router.parallelParts(background) {
+		running.begin(part.name)
 		group.Go(func() error {
+			defer running.end(part.name)
 			err := part.runRecovered()
 			if err != nil {
 				router.log.WithError(err).WithField("part", part.name).Error("a part of the daemon failed")
@@ -35,21 +40,27 @@
 			return err
 		})
 	}
+	running.begin(leavePart)
 	group.Go(func() error {
+		defer running.end(leavePart)
 		defer func() { _ = router.peerConn.Close() }() // the process ends
 		defer stop()
 		<-stopping.Done()
 		return router.leave()
 	})
-	err := router.awaitParts(stopping, &group)
+	err := router.awaitParts(stopping, &group, &running)
 	router.connections.Close()
 	router.log.WithError(err).Info("stopped")
 	return err
 }
 
-// awaitParts waits for all parts. Once the daemon stops, it waits no longer than the time
-// allowed for that: a part that panicked may hold a lock that another part waits for.
-func (router *Router) awaitParts(stopping context.Context, group *errgroup.Group) error {
+// endTimeout is how long parts may take to end after the time allowed for a graceful stop,
+// which the requests in flight may need whole.
+const endTimeout = 2 * bvclock.Second
+
+// awaitParts waits for all parts. Once the daemon stops, the wait has a limit: a part that
+// panicked may hold a lock that another part waits for.
+func (router *Router) awaitParts(stopping context.Context, group *errgroup.Group, running *runningParts) error {
 	ended := make(chan error, 1)
 	go func() { ended <- group.Wait() }()
 	select {
@@ -57,15 +68,44 @@
 		return err
 	case <-stopping.Done():
 	}
-	limit := router.current.Load().StopBound
+	limit := router.current.Load().StopBound + endTimeout
 	select {
 	case err := <-ended:
 		return err
 	case <-bvclock.After(limit):
-		return fmt.Errorf("router: parts of the daemon did not end within %v", limit)
+		return fmt.Errorf("router: parts of the daemon did not end within %v: %v", limit, running.names())
 	}
 }
 
+// leavePart is the name of the part that performs the graceful stop.
+const leavePart = "graceful stop"
+
+// runningParts holds the parts that have not ended.
+type runningParts struct {
+	mutex sync.Mutex
+	parts []string
+}
+
+func (running *runningParts) begin(name string) {
+	running.mutex.Lock()
+	defer running.mutex.Unlock()
+	running.parts = append(running.parts, name)
+}
+
+func (running *runningParts) end(name string) {
+	running.mutex.Lock()
+	defer running.mutex.Unlock()
+	if i := slices.Index(running.parts, name); i >= 0 {
+		running.parts = slices.Delete(running.parts, i, i+1)
+	}
+}
+
+func (running *runningParts) names() []string {
+	running.mutex.Lock()
+	defer running.mutex.Unlock()
+	return slices.Clone(running.parts)
+}
+
 // part is a part of the daemon that runs until the daemon stops.
 type part struct {
 	name string
