Digests larger than a datagram are sent in parts

A host in 120 with 250 calls a second of ten parts each has as much for other zones; the totals of a zone with 3,300 endpoints are larger too.

Change: up to eight parts, 2 ms apart. Calls count once all parts are there, so that no endpoint looks idle meanwhile; usage, outcomes, programs and placements count part by part. What does not fit is counted in digest_entries_omitted. Datagrams that can't be read, too long ones and invalid parts are counted in datagrams_rejected and logged once in ten seconds. A digest that fits is sent as before.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -67,6 +67,11 @@
 	maxDatagramBytes = 32 << 10
 )
 
+var (
+	errDatagramTooLong = errors.New("gossip: datagram longer than 32 KB")
+	errInvalidPart     = errors.New("gossip: no part of a digest")
+)
+
 // Gossip sends and receives digests. Make one with New.
 type Gossip struct {
 	self  string // incarnation
@@ -75,6 +80,10 @@
 	clock bvclock.Clock
 	log   logrus.FieldLogger
 
+	sequence   uint32 // of the last digest in parts; only SendDigest uses it
+	omitted    atomic.Int64
+	rejections rejections
+
 	mutex           sync.Mutex
 	hosts           map[netip.AddrPort]*peer
 	requests        map[uint64]*pendingRequest
@@ -216,9 +225,16 @@
 }
 
 func (gossip *Gossip) sendDigestTo(digest *Digest, addresses []netip.AddrPort) {
+	if len(addresses) == 0 {
+		return
+	}
 	encoded, err := proto.Marshal(&Datagram{Message: &Datagram_Digest{Digest: digest}})
-	if err != nil || len(encoded) > maxDatagramBytes {
-		gossip.log.WithError(err).WithField("bytes", len(encoded)).Warn("digest can't be sent")
+	if err != nil {
+		gossip.log.WithError(err).Warn("digest can't be sent")
+		return
+	}
+	if len(encoded) > maxDatagramBytes {
+		gossip.sendDigestInParts(digest, addresses)
 		return
 	}
 	for _, address := range addresses {
@@ -228,6 +244,27 @@
 	}
 }
 
+func (gossip *Gossip) sendDigestInParts(digest *Digest, addresses []netip.AddrPort) {
+	gossip.sequence++
+	parts, omitted := splitDigest(digest, gossip.sequence, maxDatagramBytes)
+	gossip.omitted.Add(int64(omitted))
+	for i, part := range parts {
+		if i > 0 {
+			bvclock.Sleep(partInterval)
+		}
+		for _, address := range addresses {
+			gossip.sendTo(address, &Datagram{Message: &Datagram_Digest{Digest: part}})
+		}
+	}
+}
+
+// Omitted returns the number of entries that were left out of digests since the start, because these
+// would have had too many parts.
+func (gossip *Gossip) Omitted() int64 { return gossip.omitted.Load() }
+
+// Rejected returns the number of datagrams since the start that could not be read.
+func (gossip *Gossip) Rejected() int64 { return gossip.rejections.count.Load() }
+
 // dueHosts returns the hosts to which a digest is to be sent now. Those of other
 // availability zones are grouped by zone; the map is nil until a digest to them is due.
 func (gossip *Gossip) dueHosts() (sameZone []netip.AddrPort, otherZones map[string][]netip.AddrPort) {
@@ -285,7 +322,7 @@
 
 // Receive passes the messages of other hosts to the handler until the socket is closed.
 func (gossip *Gossip) Receive(handler Handler) {
-	buffer := make([]byte, maxDatagramBytes)
+	buffer := make([]byte, maxDatagramBytes+1) // one that is longer is known as such
 	for {
 		count, from, err := gossip.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -296,9 +333,13 @@
 			bvclock.Sleep(receivePause)
 			continue
 		}
+		if count > maxDatagramBytes {
+			gossip.reject(from, errDatagramTooLong)
+			continue
+		}
 		datagram := &Datagram{}
 		if err := proto.Unmarshal(buffer[:count], datagram); err != nil {
-			gossip.log.WithError(err).Debug("datagram can't be read")
+			gossip.reject(from, err)
 			continue
 		}
 		gossip.handleDatagram(datagram, from, handler)
@@ -341,18 +382,27 @@
 	}
 }
 
-// storeDigest stores a digest of another host. It returns false if the digest is this
-// host's own or has no valid address.
+// storeDigest stores a digest of another host, or a part of one. It returns false if the digest is this
+// host's own or is invalid.
 func (gossip *Gossip) storeDigest(digest *Digest) bool {
+	if digest.GetIncarnation() == gossip.self {
+		return false
+	}
 	address, err := netip.ParseAddrPort(digest.GetAddress())
-	if err != nil || digest.GetIncarnation() == gossip.self {
+	if err == nil && !isValidPart(digest) {
+		err = errInvalidPart
+	}
+	if err != nil {
+		gossip.reject(address, err)
 		return false
 	}
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	peer := gossip.getOrAddPeer(address)
-	peer.digest, peer.lastSeen = digest, gossip.clock.Now()
-	gossip.storeTotals(peer.lastSeen, digest)
-	gossip.tracker.setAll(peer.lastSeen, address, digest.GetLoads())
+	peer.lastSeen = gossip.clock.Now()
+	if peer.store(digest, gossip.silenceLimit(digest.GetZone())) {
+		gossip.storeTotals(peer.lastSeen, peer.digest)
+		gossip.tracker.setAll(peer.lastSeen, address, peer.digest.GetLoads())
+	}
 	return true
 }
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -122,10 +122,14 @@
 }
 
 func newHostWith(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints) *host {
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
+	return newHostWithLog(t, incarnation, clock, endpoints, log)
+}
+
+func newHostWithLog(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints, log logrus.FieldLogger) *host {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
 	host := &host{Gossip: New(incarnation, "z", conn, clock, log, endpoints), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan struct{})
 	go func() {
--- a/bvgossip/peer.go
+++ b/bvgossip/peer.go
@@ -4,6 +4,8 @@
 	"maps"
 	"net/netip"
 
+	"google.golang.org/protobuf/proto"
+
 	"balsamvalve.example/bvclock"
 )
 
@@ -13,6 +15,30 @@
 	digest   *Digest // last one received; nil before the first
 	lastSeen bvclock.Time
 	sentAt   bvclock.Time // time of the last digest to this host
+	assembly assembly
+}
+
+// store stores a digest, or a part of one, that arrived at lastSeen. It reports whether the calls in it are
+// complete. Until all parts have arrived, the calls of the last whole digest count; if there was none
+// for a time, those of the parts that arrived.
+func (peer *peer) store(digest *Digest, limit bvclock.Duration) (isWhole bool) {
+	if digest.GetParts() == 0 {
+		peer.digest, peer.assembly = digest, assembly{completedAt: peer.lastSeen}
+		return true
+	}
+	latest, whole := proto.CloneOf(digest), peer.assembly.add(digest)
+	switch {
+	case whole != nil:
+		peer.assembly.completedAt = peer.lastSeen
+		latest.Loads, latest.Totals = joinLoads(whole)
+	case peer.lastSeen.Sub(peer.assembly.completedAt) > limit:
+		latest.Loads, _ = joinLoads(peer.assembly.parts)
+		latest.Totals = nil
+	default:
+		latest.Loads, latest.Totals = peer.digest.GetLoads(), nil
+	}
+	peer.digest = latest
+	return whole != nil
 }
 
 // SetHosts sets the hosts that the platform's store lists. Hosts that are neither listed
@@ -64,14 +90,17 @@
 // isSilent reports whether no digest of a host has arrived for too long. The caller holds
 // the mutex.
 func (gossip *Gossip) isSilent(now bvclock.Time, peer *peer) bool {
-	if peer.digest == nil {
-		return true
-	}
+	return peer.digest == nil || now.Sub(peer.lastSeen) > gossip.silenceLimit(peer.digest.GetZone())
+}
+
+// silenceLimit returns the time without digests after which a host of a zone counts as silent. The
+// caller holds the mutex.
+func (gossip *Gossip) silenceLimit(zone string) bvclock.Duration {
 	interval := gossip.interval()
-	if peer.digest.GetZone() != gossip.zone {
+	if zone != gossip.zone {
 		interval = gossip.crossZoneInterval()
 	}
-	return now.Sub(peer.lastSeen) > max(silenceTimeout, silenceIntervals*interval)
+	return max(silenceTimeout, silenceIntervals*interval)
 }
 
 // PeerStats returns how many other hosts are known, how many of them are not silent, and
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -39,6 +39,8 @@
 	queried, unanswered := router.gossip.TrackerQueries()
 	router.counters.Set("trackers_asked", queried)
 	router.counters.Set("trackers_unanswered", unanswered)
+	router.counters.Set("datagrams_rejected", router.gossip.Rejected())
+	router.counters.Set("digest_entries_omitted", router.gossip.Omitted())
 	router.updateShareGauges()
 	for service, rate := range router.dispatcher.ReadingRates() {
 		router.counters.SetKind("tokens_read_per_ms", service, int64(rate))
