Crashes are sent in several datagrams where one is too small

What was seen (by reading): the crashes that a host has just detected went out in one datagram. A popular part of prompts may be in flight at hundreds of crashes of two hours; beyond some 700 of them the message was longer than the receivers' buffer, so that none of it was read.

Change: 500 crashes a datagram, at most 25 KB.

Measured: TestManyCrashesArriveAtOtherHosts (1,500 crashes) received none before and all of them after, 5 of 5.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -24,6 +24,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -65,6 +66,8 @@
 	silentHostInterval = 2 * bvclock.Second
 	// maxDatagramBytes is the maximum size of a datagram.
 	maxDatagramBytes = 32 << 10
+	// maxCrashesPerDatagram crashes of up to 50 bytes fit into a datagram.
+	maxCrashesPerDatagram = 500
 )
 
 var (
@@ -200,8 +203,12 @@
 // SendCrashes sends crashes to all hosts that are not silent, without waiting for the next
 // digest.
 func (gossip *Gossip) SendCrashes(crashes *Crashes) {
-	for _, address := range gossip.liveAddresses() {
-		gossip.sendTo(address, &Datagram{Message: &Datagram_Crashes{Crashes: crashes}})
+	addresses := gossip.liveAddresses()
+	for some := range slices.Chunk(crashes.GetCrashes(), maxCrashesPerDatagram) {
+		message := &Datagram{Message: &Datagram_Crashes{Crashes: &Crashes{Host: crashes.GetHost(), Crashes: some}}}
+		for _, address := range addresses {
+			gossip.sendTo(address, message)
+		}
 	}
 }
 
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -397,3 +398,23 @@
 		return len(b.crashes) == 1 && b.crashes[0].GetRequest() == 7
 	}, testTimeout, time.Millisecond)
 }
+
+// Guards against crashes of a popular part that are lost because they do not fit into one datagram.
+func TestManyCrashesArriveAtOtherHosts(t *testing.T) {
+	const count = 3 * maxCrashesPerDatagram
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	exchangeDigests(t, a, b)
+	message := &Crashes{Host: "a"}
+	for i := range count {
+		message.Crashes = append(message.Crashes, &Crash{
+			Request: 1 << 60, Endpoint: uint64(i), AnyQuery: 1 << 60, Age: math.MaxUint32, Withdrawn: true, OtherQuery: true,
+			Exclusive: true, Feature: 3,
+		})
+	}
+	a.SendCrashes(message)
+	require.Eventually(t, func() bool {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return len(b.crashes) == count
+	}, testTimeout, time.Millisecond)
+}
