--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -122,10 +123,14 @@
 }
 
 func newHostWith(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints) *host {
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
+	return newHostWithLog(t, incarnation, clock, endpoints, log)
+}
+
+func newHostWithLog(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints, log logrus.FieldLogger) *host {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
 	host := &host{Gossip: New(incarnation, "z", conn, clock, log, endpoints), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan struct{})
 	go func() {
@@ -393,3 +398,23 @@
 		return len(b.crashes) == 1 && b.crashes[0].GetRequest() == 7
 	}, testTimeout, time.Millisecond)
 }
+
+// Guards against crashes of a popular part that are lost because they do not fit into one datagram.
+func TestManyCrashesArriveAtOtherHosts(t *testing.T) {
+	const count = 3 * maxCrashesPerDatagram
+	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
+	exchangeDigests(t, a, b)
+	message := &Crashes{Host: "a"}
+	for i := range count {
+		message.Crashes = append(message.Crashes, &Crash{
+			Request: 1 << 60, Endpoint: uint64(i), AnyQuery: 1 << 60, Age: math.MaxUint32, Withdrawn: true, OtherQuery: true,
+			Exclusive: true, Feature: 3,
+		})
+	}
+	a.SendCrashes(message)
+	require.Eventually(t, func() bool {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		return len(b.crashes) == count
+	}, testTimeout, time.Millisecond)
+}
