Route: a start while the settings are written reads them again

Cause: the start read the file once. It was cut off and not yet written; the platform places it anew at every start and whenever settings change. A running host reads such a file again, a starting one did not.

Change: an invalid file that changed within the last second is read again each 10 ms, for a second at most. Invalid settings that nobody writes still end the process with status 2, up to a second later.

--- a/bvcommand/route.go
+++ b/bvcommand/route.go
@@ -52,7 +52,7 @@
 		return usageError{err}
 	}
 	file := settingsFile{path: os.Getenv(platform.SettingsVariable)}
-	settings, err := file.load()
+	settings, err := file.loadSettled()
 	if err != nil {
 		return usageError{err}
 	}
--- a/bvcommand/settings_file.go
+++ b/bvcommand/settings_file.go
@@ -17,6 +17,13 @@
 // may change without a signal.
 const settingsInterval = 2 * bvclock.Second
 
+const (
+	// settleTime is how long after a change the file may still be being written.
+	settleTime = bvclock.Second
+	// settleInterval is the interval at which an invalid file is read again in that time.
+	settleInterval = 10 * bvclock.Millisecond
+)
+
 // settingsFile is the file with the settings of a routing daemon.
 type settingsFile struct {
 	path     string
@@ -33,6 +40,18 @@
 	return settings, err
 }
 
+// loadSettled reads the file at the start of the process. An invalid file that has just changed is
+// read again until it is valid or has settled.
+func (file *settingsFile) loadSettled() (bvsetting.Host, error) {
+	for waited := bvclock.Duration(0); ; waited += settleInterval {
+		settings, err := file.load()
+		if err == nil || waited >= settleTime || time.Since(file.modified) >= settleTime.Std() {
+			return settings, err
+		}
+		bvclock.Sleep(settleInterval)
+	}
+}
+
 // follow reloads the settings when the file changes or SIGHUP arrives, until ctx ends: also
 // while the daemon stops. Invalid settings are logged, and those in force stay.
 func (file *settingsFile) follow(ctx context.Context, hangups <-chan os.Signal, router *bvrouter.Router, log logrus.FieldLogger) {
