--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -123,15 +123,23 @@
 }
 
 func newHostWith(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints) *host {
+	return newHostWithLog(t, incarnation, "z", clock, endpoints, silentLog())
+}
+
+func newHostInZone(t testing.TB, incarnation, zone string, clock bvclock.Clock) *host {
+	return newHostWithLog(t, incarnation, zone, clock, fakeEndpoints{}, silentLog())
+}
+
+func silentLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	return newHostWithLog(t, incarnation, clock, endpoints, log)
+	return log
 }
 
-func newHostWithLog(t testing.TB, incarnation string, clock bvclock.Clock, endpoints Endpoints, log logrus.FieldLogger) *host {
+func newHostWithLog(t testing.TB, incarnation, zone string, clock bvclock.Clock, endpoints Endpoints, log logrus.FieldLogger) *host {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	host := &host{Gossip: New(incarnation, "z", conn, clock, log, endpoints), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	host := &host{Gossip: New(incarnation, zone, conn, clock, log, endpoints), address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -236,8 +244,7 @@
 func TestOtherZonesGetDigestsLessOftenWithoutLoss(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
-	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
-	b.zone = "other"
+	a, b := newHost(t, "a", clock), newHostInZone(t, "b", "other", clock)
 	exchangeDigests(t, a, b)
 	for part := range uint64(4) {
 		clock.Advance(minCrossZoneInterval / 4)
@@ -262,8 +269,7 @@
 func TestManyHostsSendOtherZonesOnlyTheirEndpoints(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
-	a, b := newHostWith(t, "a", clock, fakeEndpoints{1: "z", 2: "other"}), newHost(t, "b", clock)
-	b.zone = "other"
+	a, b := newHostWith(t, "a", clock, fakeEndpoints{1: "z", 2: "other"}), newHostInZone(t, "b", "other", clock)
 	exchangeDigests(t, a, b)
 	a.mutex.Lock()
 	for i := range maxFullDigestHosts {
@@ -296,8 +302,7 @@
 func TestHostsOfOtherZonesAreGivenLongerWhereThereAreMany(t *testing.T) {
 	clock := &bvclock.Manual{}
 	clock.Advance(bvclock.Minute)
-	a, b := newHost(t, "a", clock), newHost(t, "b", clock)
-	b.zone = "other"
+	a, b := newHost(t, "a", clock), newHostInZone(t, "b", "other", clock)
 	exchangeDigests(t, a, b)
 	a.mutex.Lock()
 	for i := range 600 {
--- a/bvgossip/holding_test.go
+++ b/bvgossip/holding_test.go
@@ -12,8 +12,7 @@
 // Guards against a turn whose conversation is unknown because it arrives at another host
 // than the last one, before any digest.
 func TestHolderOfAConversationIsKnownAtOnce(t *testing.T) {
-	a, b := newHost(t, "a", bvclock.Boot()), newHost(t, "b", bvclock.Boot())
-	b.zone = "other" // conversations move between zones
+	a, b := newHost(t, "a", bvclock.Boot()), newHostInZone(t, "b", "other", bvclock.Boot()) // conversations move between zones
 	exchangeDigests(t, a, b)
 	for _, tracker := range []*host{a, b} {
 		program := keyTrackedBy(t, tracker, a, (*trackers).ofProgram)
--- a/bvgossip/parts_test.go
+++ b/bvgossip/parts_test.go
@@ -133,7 +133,7 @@
 	clock.Advance(bvclock.Minute)
 	log, lines := logtest.NewNullLogger()
 	log.SetLevel(logrus.WarnLevel)
-	a, b := newHost(t, "a", clock), newHostWithLog(t, "b", clock, fakeEndpoints{}, log)
+	a, b := newHost(t, "a", clock), newHostWithLog(t, "b", "z", clock, fakeEndpoints{}, log)
 	tooLong := a.digest()
 	for i := range 4000 {
 		tooLong.Loads = append(tooLong.Loads, &Load{Endpoint: uint64(i), Running: 1})
--- a/bvgossip/stream_test.go
+++ b/bvgossip/stream_test.go
@@ -19,8 +19,7 @@
 	clock.Advance(bvclock.Minute)
 	asker = newHost(t, "asker", clock)
 	for number := range others {
-		other := newHost(t, fmt.Sprint("host-", number), clock)
-		other.zone = fmt.Sprint("z", number%3)
+		other := newHostInZone(t, fmt.Sprint("host-", number), fmt.Sprint("z", number%3), clock)
 		hosts = append(hosts, other)
 		require.True(t, asker.storeDigest(other.digest()))
 	}
