Route: a connection carries each request id once

Callers: an answer that belongs to an earlier request with the same id, if a caller uses an id again. Two sends of one call were kept apart already; the record of connections was the call's, so another call with the same id could go over a connection that had carried it.

Cause: an answer is joined to its request by the id alone, and a connection could carry an id twice.

Change: a connection keeps hashes of the ids that it has carried, and takes no request whose id is among them; it is closed after 1,000 requests, which bounds them (8 KB). This replaces bvforward.Attempt. A request without an id is not sent.

Ruled out: a record of the last few ids only, since an additional answer may come at any later point.

The test of the connections kept after refusals had refusals without an id; they have one now, and it checks that they are read as refusals.

--- a/bvforward/bounds_test.go
+++ b/bvforward/bounds_test.go
@@ -190,14 +190,15 @@
 
 // Guards against a refusal whose short body is drained and whose connection is then lost.
 func TestConnectionOfARefusalIsUsedAgain(t *testing.T) {
-	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
-		_, err := io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull")
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, number int) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nId: %d\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", number)
 		return err == nil
 	})
 	connections := newConnections()
 	for number := range 3 {
-		response, err := connections.Send(t.Context(), server.request(fmt.Sprint(number)))
+		response, err := connections.Send(t.Context(), server.request(fmt.Sprint(number+1)))
 		require.NoError(t, err)
+		require.True(t, response.Answer.NotRun)
 		response.Drain()
 		response.Close()
 		time.Sleep(drainTimeout.Std()) // a deadline that was left on the connection passes
@@ -212,7 +213,7 @@
 	body, err := fetch(t, connections, endless.request("1"))
 	require.NoError(t, err)
 	require.Equal(t, "body", body)
-	require.Nil(t, connections.takeIdle(endless.request("1").Endpoint.ID(), nil))
+	require.Nil(t, connections.takeIdle(endless.request("1").Endpoint.ID(), ""))
 	requireClosed(t, closed)
 }
 
--- a/bvforward/check.go
+++ b/bvforward/check.go
@@ -24,7 +24,7 @@
 // connection to this host, or accepts a new one. It sends no request. The sockets of a process
 // that crashes are not all closed at the same time: only a later check shows it for certain.
 func (connections *Connections) Check(ctx context.Context, endpoint bvplatform.Endpoint) Liveness {
-	if open := connections.takeIdle(endpoint.ID(), nil); open != nil {
+	if open := connections.takeIdle(endpoint.ID(), ""); open != nil {
 		connections.returnIdle(open)
 		return Running
 	}
--- a/bvforward/connection.go
+++ b/bvforward/connection.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"balsamvalve.example/bvclock"
@@ -23,6 +25,22 @@
 	idleSince      bvclock.Time // when it was returned to its pool
 	idleTimeout    bvclock.Duration
 	requestWritten atomic.Bool // the request was written completely
+	carried        []uint64    // hashes of the IDs of the requests that it has carried
+}
+
+// maxRequests is the maximum number of requests over one connection. It bounds the IDs that
+// are kept.
+const maxRequests = 1000
+
+// record records that the connection carries a request.
+func (connection *connection) record(id string) {
+	connection.carried = append(connection.carried, xxhash.Sum64String(id))
+}
+
+// hasCarried reports whether the connection has carried a request with the ID. A second one
+// must not follow: a late copy of the answer to the first would pass for its answer.
+func (connection *connection) hasCarried(id string) bool {
+	return slices.Contains(connection.carried, xxhash.Sum64String(id))
 }
 
 // bufferBytes is the size of each connection's two buffers. A request's head fits in;
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -127,6 +127,10 @@
 
 func (pool *pool) close() {
 	pool.closed = true
+	pool.closeIdle()
+}
+
+func (pool *pool) closeIdle() {
 	for _, idle := range pool.idle {
 		_ = idle.Close() // no request is in flight on it
 	}
@@ -150,9 +154,9 @@
 	return now.Sub(connection.idleSince) > connection.idleTimeout-idleTimeoutMargin
 }
 
-// takeIdle returns an idle connection that can be reused and has not carried the attempt, or
-// nil.
-func (connections *Connections) takeIdle(endpoint string, attempt *Attempt) *connection {
+// takeIdle returns an idle connection that can be reused and has not carried a request with
+// the ID, or nil.
+func (connections *Connections) takeIdle(endpoint, id string) *connection {
 	now := connections.Clock.Now()
 	var skipped []*connection
 	defer func() {
@@ -167,10 +171,10 @@
 			return nil
 		case idle.isExpired(now) || idle.isStale():
 			_ = idle.Close() // no request is in flight on it
-		case attempt.mayUse(idle):
-			return idle
-		default:
+		case idle.hasCarried(id):
 			skipped = append(skipped, idle)
+		default:
+			return idle
 		}
 	}
 }
@@ -251,9 +255,10 @@
 func (connections *Connections) returnIdle(connection *connection) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
-	if connection.pool.closed || len(connection.pool.idle) >= maxIdle {
+	pool := connection.pool
+	if pool.closed || len(pool.idle) >= maxIdle || len(connection.carried) >= maxRequests {
 		_ = connection.Close() // no request is in flight on it
 		return
 	}
-	connection.pool.idle = append(connection.pool.idle, connection)
+	pool.idle = append(pool.idle, connection)
 }
--- a/bvforward/request.go
+++ b/bvforward/request.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 
 	"balsamvalve.example/bvplatform"
@@ -13,31 +12,12 @@
 // Request is a request to an endpoint.
 type Request struct {
 	Endpoint bvplatform.Endpoint
-	ID       string // repeated by the endpoint in its answer
+	ID       string // repeated by the endpoint in its answer; required
 	Method   string
 	Target   string // path and query, exactly as the caller sent them
 	Host     string
 	Header   http.Header
 	Body     []byte
-	Attempt  *Attempt // of the sends of one request; nil if it is sent once
-}
-
-// Attempt records the connections that have carried a request. The ID distinguishes answers to
-// different requests, but not those to two sends of one request over one connection: a late
-// copy of the first answer would pass for the second. The zero value has none.
-type Attempt struct {
-	carriedBy []*connection
-}
-
-// mayUse reports whether the request has not been sent over a connection.
-func (attempt *Attempt) mayUse(connection *connection) bool {
-	return attempt == nil || !slices.Contains(attempt.carriedBy, connection)
-}
-
-func (attempt *Attempt) record(connection *connection) {
-	if attempt != nil {
-		attempt.carriedBy = append(attempt.carriedBy, connection)
-	}
 }
 
 // hopByHop lists the headers that apply to one connection only (RFC 9110,
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -61,7 +61,10 @@
 // Canceling ctx closes the connection, also while the body is read. The error is a
 // *bvverdict.Error that states whether the request may have run.
 func (connections *Connections) Send(ctx context.Context, request *Request) (*Response, error) {
-	connection := connections.takeIdle(request.Endpoint.ID(), request.Attempt)
+	if request.ID == "" {
+		return nil, bvverdict.Refuse(bvverdict.BadRequest, "the request has no id")
+	}
+	connection := connections.takeIdle(request.Endpoint.ID(), request.ID)
 	if connection == nil {
 		opened, err := connections.dial(ctx, request.Endpoint)
 		if err != nil {
@@ -69,7 +72,7 @@
 		}
 		connection = opened
 	}
-	request.Attempt.record(connection)
+	connection.record(request.ID)
 	release := context.AfterFunc(ctx, func() {
 		_ = connection.Close() // fails only if it is already closed
 	})
@@ -167,8 +170,7 @@
 	for {
 		parsed, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
-			return nil, bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed,
-				"endpoint %s gave no answer", request.Endpoint.Name).WithCause(newAnswerError(err))
+			return nil, newNoAnswerError(request, newAnswerError(err))
 		}
 		if parsed.StatusCode >= http.StatusOK {
 			return connections.newResponse(parsed, connection), nil
@@ -176,6 +178,10 @@
 	}
 }
 
+func newNoAnswerError(request *Request, cause error) error {
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed, "endpoint %s gave no answer", request.Endpoint.Name).WithCause(cause)
+}
+
 func (connections *Connections) newResponse(parsed *http.Response, connection *connection) *Response {
 	body := &eofReader{source: parsed.Body}
 	answer := connections.Wire.ReadAnswer(parsed.StatusCode, parsed.Header)
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -155,7 +155,6 @@
 	})
 	connections := newConnections()
 	request := server.request("1")
-	request.Attempt = &Attempt{}
 	first, err := connections.Send(t.Context(), request)
 	require.NoError(t, err)
 	require.True(t, first.Answer.NotRun)
@@ -164,7 +163,7 @@
 	require.NoError(t, err)
 	defer second.Close()
 	require.False(t, second.Answer.NotRun, "it runs")
-	require.NotNil(t, connections.takeIdle(request.Endpoint.ID(), nil), "the first connection is kept for other requests")
+	require.NotNil(t, connections.takeIdle(request.Endpoint.ID(), "2"), "the first connection is kept for other requests")
 }
 
 // Guards against stray bytes after an answer that are read as the next request's answer.
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -10,7 +10,6 @@
 	"balsamvalve.example/bvbudget"
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvdispatch"
-	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
@@ -52,7 +51,6 @@
 	content      bvsuspect.Content // the same for each retry of the request
 
 	chosen      bool // an endpoint was chosen, and the outcome has not been reported yet
-	attempt     bvforward.Attempt
 	sends       int  // number of endpoints it was sent to
 	runs        int  // sends after which it may have run
 	headWritten bool // the answer's head was written to the caller
--- a/bvfront/send.go
+++ b/bvfront/send.go
@@ -262,7 +262,6 @@
 		Host:     call.request.Host,
 		Header:   header,
 		Body:     call.body,
-		Attempt:  &call.attempt,
 	}
 }
 
