--- a/bvroute/call.go
+++ b/bvroute/call.go
@@ -55,7 +55,7 @@
 // Answer holds the metadata that an endpoint sends with its answer, besides status and
 // body.
 type Answer struct {
-	ID               string // of the request that it answers
+	ID               string // of the request that it answers; "" if it names none, or several
 	Sealed           bool   // has the endpoint's authentication code
 	NotRun           bool   // the endpoint states that it did not run the request
 	Load             Load
