Route: an answer without an id belongs to no request

Callers: calls that may run once ran twice, some were answered 503 although they ran, and a late 400 or 500 went to another request's caller.

Cause: bvforward took a failure without an id for the answer to whatever request was in flight on the connection, and bvfront believed its Not-Executed. PROTOCOL.md: additional bytes "belong to no request".

Change: such an answer is skipped and the request's own one awaited, if it can follow; if not, the request may have run: 502, or another endpoint where it may be repeated. For ten seconds each connection to that endpoint carries one request, so that nothing is awaited after further ones. Skipped answers are counted (answers_skipped).

--- a/bvforward/answer_error.go
+++ b/bvforward/answer_error.go
@@ -18,6 +18,7 @@
 	HeadTooLarge               // head_too_large
 	OtherAnswers               // other_answers
 	BrokenOff                  // broken_off
+	Unidentified               // without_id
 )
 
 // AnswerError is the error of an answer that can't be read. Its text has no more than an
--- a/bvforward/connection.go
+++ b/bvforward/connection.go
@@ -43,6 +43,10 @@
 	return slices.Contains(connection.carried, xxhash.Sum64String(id))
 }
 
+// isFirstRequest reports whether no request was sent over the connection before the present
+// one: its first answer can't be an additional answer to an earlier request.
+func (connection *connection) isFirstRequest() bool { return len(connection.carried) == 1 }
+
 // bufferBytes is the size of each connection's two buffers. A request's head fits in;
 // larger buffers would cost memory on each of several hundred connections.
 const bufferBytes = 4 << 10
--- a/bvforward/defect_string.go
+++ b/bvforward/defect_string.go
@@ -12,11 +12,12 @@
 	_ = x[HeadTooLarge-1]
 	_ = x[OtherAnswers-2]
 	_ = x[BrokenOff-3]
+	_ = x[Unidentified-4]
 }
 
-const _Defect_name = "malformedhead_too_largeother_answersbroken_off"
+const _Defect_name = "malformedhead_too_largeother_answersbroken_offwithout_id"
 
-var _Defect_index = [...]uint8{0, 9, 23, 36, 46}
+var _Defect_index = [...]uint8{0, 9, 23, 36, 46, 56}
 
 func (i Defect) String() string {
 	idx := int(i) - 0
--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -8,6 +8,14 @@
 // unframed answers. So this package pools connections itself and uses the standard
 // library only for parsing.
 //
+// # Which request an answer belongs to
+//
+// An answer belongs to the request whose ID it repeats, and no connection carries two
+// requests with the same ID. An answer with another ID is skipped. An answer without an ID,
+// or with several, belongs to no request: nothing that it says of a request is believed or
+// passed on. If the request's own answer can still follow on the connection, it is waited
+// for; if not, the request may have run, and the error's cause is an AnswerError.
+//
 // # Usage
 //
 //	connections := &bvforward.Connections{Clock: clock, Wire: wire}
@@ -26,6 +34,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -71,6 +80,7 @@
 	mutex     sync.Mutex
 	pools     map[string]*pool // by endpoint ID
 	dialCount int64
+	skipped   [skipReasons]atomic.Int64
 }
 
 // pool holds the idle connections to one endpoint, the most recently used one last.
@@ -78,6 +88,21 @@
 	connections *Connections
 	idle        []*connection
 	closed      bool
+	noReuse     bvclock.Time // until then, connections carry one request each
+}
+
+// noReuseTime is how long an endpoint's connections carry one request each after it has sent
+// an answer without an ID. On a connection that carries only one request, such an answer
+// can't belong to another one, and nothing is waited for after it.
+const noReuseTime = 10 * bvclock.Second
+
+// stopReuse has each of the endpoint's connections carry one request for some time.
+func (connections *Connections) stopReuse(pool *pool) {
+	now := connections.Clock.Now()
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	pool.noReuse = now.Add(noReuseTime)
+	pool.closeIdle()
 }
 
 // Opened returns the number of connections opened so far.
@@ -253,10 +278,11 @@
 
 // returnIdle adds a connection to its pool that has been idle for some time.
 func (connections *Connections) returnIdle(connection *connection) {
+	now := connections.Clock.Now()
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	pool := connection.pool
-	if pool.closed || len(pool.idle) >= maxIdle || len(connection.carried) >= maxRequests {
+	if pool.closed || len(pool.idle) >= maxIdle || len(connection.carried) >= maxRequests || now.Before(pool.noReuse) {
 		_ = connection.Close() // no request is in flight on it
 		return
 	}
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -109,25 +109,41 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.belongsTo(request) {
+		if response.Answer.ID == request.ID {
 			return response, nil
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); !errors.Is(err, io.EOF) {
-			break
+		if err := connections.skip(request, response); err != nil {
+			return nil, err
 		}
 	}
-	return nil, bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed,
-		"endpoint %s sent answers to other requests", request.Endpoint.Name).WithCause(&AnswerError{defect: OtherAnswers})
+	return nil, newStrayError(request, OtherAnswers)
 }
 
-// belongsTo reports whether the answer has the request's ID; only answers without
-// success may lack it. A faulty endpoint may send a late second answer where the next
-// request's answer is expected; only the ID distinguishes them.
-func (response *Response) belongsTo(request *Request) bool {
+// skip reads an answer that does not have the request's ID to its end, or returns an error if the
+// request's own answer can't follow.
+func (connections *Connections) skip(request *Request, response *Response) error {
+	reason, defect := OtherID, OtherAnswers
 	if response.Answer.ID == "" {
-		return response.Status >= http.StatusMultipleChoices
+		reason, defect = WithoutID, Unidentified
+		connections.stopReuse(response.connection.pool)
+	}
+	connections.skipped[reason].Add(1)
+	if !response.reusable || reason == WithoutID && response.connection.isFirstRequest() {
+		return newStrayError(request, defect)
 	}
-	return response.Answer.ID == request.ID
+	_, err := io.CopyN(io.Discard, response.Body, maxStrayBytes)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil: // it is longer
+		return newStrayError(request, defect)
+	}
+	return newNoAnswerError(request, err)
+}
+
+func newStrayError(request *Request, defect Defect) error {
+	return bvverdict.New(bvverdict.MayHaveRun, bvverdict.EndpointFailed,
+		"endpoint %s sent answers to other requests, or without an id", request.Endpoint.Name).WithCause(&AnswerError{defect: defect})
 }
 
 // writeRequest writes the request. A body larger than the buffer is written by another
--- a/bvrouter/metrics.go
+++ b/bvrouter/metrics.go
@@ -33,6 +33,9 @@
 	router.counters.Set("stream_starts_evicted", router.streams.Evicted())
 	router.counters.Set("call_bytes_held", router.HeldBytes())
 	router.counters.Set("connections_opened", router.connections.Opened())
+	for reason, count := range router.connections.Skipped() {
+		router.counters.SetKind("answers_skipped", reason.String(), count)
+	}
 	router.counters.Set("budget_writes", router.budgets.WriteCount())
 	router.counters.Set("budget_accounts", int64(router.budgets.Len()))
 	router.counters.Set("grants", int64(router.budgets.GrantCount()))
