Hosts: a datagram that arrives twice counts once

Callers would see a false 402, 429 or an interrupted stream. Cause: a number joins a reply to its request, but a receiver did not recognize a request that arrived again (tokens lent twice, a cap charged twice), and a query counted two replies of one host as those of two hosts.

Four tests with sockets, which failed before, each for its part.

--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -84,6 +84,7 @@
 	log   logrus.FieldLogger
 
 	sequence   uint32 // of the last digest in parts; only SendDigest uses it
+	answered   answeredRequests
 	omitted    atomic.Int64
 	rejections rejections
 
@@ -360,10 +361,7 @@
 			handler.HandleDigest(message.Digest)
 		}
 	case *Datagram_Ask:
-		ask := message.Ask
-		lend := handler.LendTokens(from.String(), ask)
-		lend.Number, lend.Program = ask.GetNumber(), ask.GetProgram()
-		gossip.sendTo(from, &Datagram{Message: &Datagram_Lend{Lend: lend}})
+		gossip.handleAsk(from, message.Ask, handler)
 	case *Datagram_Lend:
 		gossip.handleLend(message.Lend, handler)
 	case *Datagram_Probe:
--- a/bvgossip/gossip_test.go
+++ b/bvgossip/gossip_test.go
@@ -33,6 +33,7 @@
 	accepted  int
 	lendable  int // tokens that this host can lend
 	granting  bool
+	decided   int // claims
 	// undecided: its replies leave open whether it has more tokens
 	undecided bool
 }
@@ -76,6 +77,7 @@
 func (host *host) DecideClaim(claim *Claim) *Claimed {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
+	host.decided++
 	return &Claimed{Granted: host.granting, Wait: claim.GetCount()}
 }
 
--- a/bvgossip/probe.go
+++ b/bvgossip/probe.go
@@ -25,7 +25,8 @@
 
 // pendingProbe is a query to some trackers that is in flight.
 type pendingProbe struct {
-	replies chan trackerReply // has capacity for all
+	replies chan trackerReply       // has capacity for all
+	awaited map[netip.AddrPort]bool // that have not replied
 }
 
 // trackerReply is the reply of one tracker.
@@ -64,7 +65,7 @@
 		return
 	}
 	number := rand.Uint64()
-	pending := gossip.registerProbe(number, len(probes))
+	pending := gossip.registerProbe(number, probes)
 	defer gossip.removeProbe(number)
 	for tracker, probe := range probes {
 		probe.Number = number
@@ -115,12 +116,15 @@
 	return now.Add(-max(silenceTimeout, silenceIntervals*gossip.crossZoneInterval()))
 }
 
-func (gossip *Gossip) registerProbe(number uint64, trackers int) *pendingProbe {
-	pending := &pendingProbe{replies: make(chan trackerReply, trackers)}
+func (gossip *Gossip) registerProbe(number uint64, probes map[netip.AddrPort]*Probe) *pendingProbe {
+	pending := &pendingProbe{replies: make(chan trackerReply, len(probes)), awaited: make(map[netip.AddrPort]bool, len(probes))}
+	for tracker := range probes {
+		pending.awaited[tracker] = true
+	}
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	gossip.probes[number] = pending
-	gossip.queried += int64(trackers)
+	gossip.queried += int64(len(probes))
 	return pending
 }
 
@@ -150,8 +154,8 @@
 	return gossip.queried, gossip.unanswered
 }
 
-// handleProbe answers a probe of another host.
-func (gossip *Gossip) handleProbe(from netip.AddrPort, probe *Probe, handler Handler) {
+// answerProbe returns the answer to a probe of another host.
+func (gossip *Gossip) answerProbe(from netip.AddrPort, probe *Probe, handler Handler) *Datagram {
 	counts := &Counts{Number: probe.GetNumber()}
 	if claim := probe.GetClaim(); claim != nil {
 		counts.Claimed = handler.DecideClaim(claim)
@@ -178,7 +182,7 @@
 	for _, load := range counts.GetLoads() {
 		load.Running += uint32(gossip.endpoints.RunningAt(load.GetEndpoint()))
 	}
-	gossip.sendTo(from, &Datagram{Message: &Datagram_Counts{Counts: counts}})
+	return &Datagram{Message: &Datagram_Counts{Counts: counts}}
 }
 
 // handleUse records how many calls a host has at an endpoint now.
@@ -188,19 +192,18 @@
 	gossip.tracker.set(gossip.clock.Now(), from, use.GetEndpoint(), int(use.GetRunning()))
 }
 
-// handleCounts passes a reply to the query that waits for it.
+// handleCounts passes a reply to the query that waits for it, once for each host that was
+// queried: a datagram may arrive twice.
 func (gossip *Gossip) handleCounts(from netip.AddrPort, counts *Counts) {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	delete(gossip.backoffUntil, from)
 	pending := gossip.probes[counts.GetNumber()]
-	if pending == nil {
-		return // the query has timed out
-	}
-	select {
-	case pending.replies <- trackerReply{from, counts}:
-	default: // a duplicate
+	if pending == nil || !pending.awaited[from] {
+		return // the query has timed out, or has this host's reply
 	}
+	delete(pending.awaited, from)
+	pending.replies <- trackerReply{from, counts}
 }
 
 // updateTrackers sets the trackers to the hosts that are neither silent nor leaving, and
