Serve: each request goes over a new connection

Callers: with an endpoint that sends an answer again when the next request arrives, a caller got the answer to another caller's call; a late refusal had a model call run twice.

Cause: the protocol has no id in answers; connections of repeatable calls and of models were reused.

Ids in answers were weighed: endpoints may ignore all additions to their protocol.

TestInvokeNeverSendsTwiceWhenReusedConnectionDies and its sister for GET needed a reused connection; one test with connections that break at once, with both kinds of call, replaces them.

--- a/bvendpoint/bounds_test.go
+++ b/bvendpoint/bounds_test.go
@@ -171,10 +171,13 @@
 		_, _ = io.WriteString(conn, strings.Repeat("secret", 500))
 		_, _ = conn.Read(make([]byte, 1<<10)) // until the client closes the connection
 	}()
-	client := &bvendpoint.Client{}
-	defer client.Close()
-	_, err = client.Invoke(t.Context(), listener.Addr().String(), bvendpoint.ServiceCall{Path: "/x"})
+	client := &http.Client{Transport: &http.Transport{}} // keeps the connection, unlike bvendpoint.Client
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + listener.Addr().String() + "/x")
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(t, err)
+	_ = response.Body.Close()
 	<-ended
 	require.Eventually(t, func() bool { return len(lines.AllEntries()) > 0 }, boundsTimeout, time.Millisecond)
 	for _, line := range lines.AllEntries() {
--- a/bvendpoint/chat.go
+++ b/bvendpoint/chat.go
@@ -114,13 +114,7 @@
 }
 
 func (stream *chatStream) open(ctx context.Context, body []byte) *bvverdict.Error {
-	return stream.runOnce(ctx, http.MethodPost, "/v1/chat/completions", body, stream.client.sharedTransport())
-}
-
-// sharedTransport returns the transport that reuses connections.
-func (client *Client) sharedTransport() *http.Transport {
-	client.initTransports()
-	return client.shared
+	return stream.runOnce(ctx, http.MethodPost, "/v1/chat/completions", body)
 }
 
 func (stream *chatStream) canResume(ctx context.Context, failed *bvverdict.Error) bool {
@@ -146,7 +140,7 @@
 func (stream *chatStream) resume(ctx context.Context, previous *bvverdict.Error) *bvverdict.Error {
 	stream.result.Resumes++
 	path := fmt.Sprintf("/v1/streams/%s?offset=%d", url.PathEscape(stream.call.Stream), stream.nextOffset)
-	failed := stream.runOnce(ctx, http.MethodGet, path, nil, stream.client.fresh)
+	failed := stream.runOnce(ctx, http.MethodGet, path, nil)
 	if failed == nil || OutcomeOf(failed) != bvgate.Refused {
 		return failed
 	}
@@ -162,7 +156,7 @@
 }
 
 // runOnce reads the stream over one connection until its end or a failure.
-func (stream *chatStream) runOnce(ctx context.Context, method, path string, body []byte, transport *http.Transport) *bvverdict.Error {
+func (stream *chatStream) runOnce(ctx context.Context, method, path string, body []byte) *bvverdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	progress := orDefault(stream.client.ProgressTimeout, DefaultProgressTimeout).Std()
@@ -173,7 +167,7 @@
 		return bvverdict.From(err)
 	}
 	stream.addHeaders(exchange.request.Header)
-	response, err := exchange.send(transport)
+	response, err := stream.client.send(exchange)
 	if err != nil {
 		return exchange.noAnswerError(err)
 	}
@@ -272,7 +266,7 @@
 	if err != nil {
 		return
 	}
-	response, err := exchange.send(stream.client.fresh)
+	response, err := stream.client.send(exchange)
 	if err != nil {
 		return
 	}
--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -32,8 +32,6 @@
 )
 
 const (
-	maxIdleConns      = 64
-	idleConnTimeout   = 20 * time.Second
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
@@ -56,25 +54,19 @@
 	// as running.
 	CheckTimeout bvclock.Duration
 
-	once   sync.Once
-	shared *http.Transport // reuses connections
-	fresh  *http.Transport // dials for each request
-	budget retryBudget
+	once      sync.Once
+	transport *http.Transport
+	budget    retryBudget
 }
 
-// Close closes idle connections.
+// Close closes connections on which no request is in flight.
 func (client *Client) Close() {
-	client.initTransports()
-	client.shared.CloseIdleConnections()
-	client.fresh.CloseIdleConnections()
+	client.initTransport()
+	client.transport.CloseIdleConnections()
 }
 
-func (client *Client) initTransports() {
-	client.once.Do(func() {
-		client.shared = client.newTransport()
-		client.fresh = client.newTransport()
-		client.fresh.DisableKeepAlives = true
-	})
+func (client *Client) initTransport() {
+	client.once.Do(func() { client.transport = client.newTransport() })
 }
 
 func (client *Client) dialer() *net.Dialer {
@@ -89,13 +81,14 @@
 	}
 }
 
+// newTransport returns a transport that dials for each request. Answers have no id that joins
+// them to a request: on a reused connection, a late copy of the answer to the request before
+// would be another caller's answer.
 func (client *Client) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         client.dialer().DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-
+		DialContext:            client.dialer().DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
@@ -123,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := exchange.send(client.shared)
+	response, err := client.send(exchange)
 	if err != nil {
 		return exchange.noAnswerError(err)
 	}
@@ -154,7 +147,7 @@
 // would run the call twice. A body without GetBody can't be rewound, even if it is
 // empty, so the transport returns an error instead.
 func (client *Client) newExchange(ctx context.Context, method, address, path string, body []byte) (*exchange, error) {
-	client.initTransports()
+	client.initTransport()
 	exchange := &exchange{}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { exchange.connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
@@ -174,8 +167,8 @@
 
 // send uses the transport itself: an http.Client would follow a redirect and
 // send the request a second time.
-func (exchange *exchange) send(transport *http.Transport) (*http.Response, error) {
-	return transport.RoundTrip(exchange.request)
+func (client *Client) send(exchange *exchange) (*http.Response, error) {
+	return client.transport.RoundTrip(exchange.request)
 }
 
 // noAnswerError returns the error of an exchange without a complete answer.
--- a/bvendpoint/endpoint.go
+++ b/bvendpoint/endpoint.go
@@ -13,6 +13,9 @@
 //   - GET and DELETE /v1/streams/{id}, which resume and cancel a stream;
 //   - POST /cache/release, which drops the cached prefix of a program.
 //
+// Each request goes over a new connection: the protocol has no id in answers, so nothing else distinguishes
+// an answer from a late copy of the one before.
+//
 // # Usage
 //
 //	client := &bvendpoint.Client{}
--- a/bvendpoint/resume.go
+++ b/bvendpoint/resume.go
@@ -16,8 +16,7 @@
 func (client *Client) Resume(ctx context.Context, address string, call ChatCall, onToken func(offset int, text string) error) (ChatResult, error) {
 	stream := &chatStream{client: client, address: address, call: call, onToken: onToken}
 	path := fmt.Sprintf("/v1/streams/%s?offset=0", url.PathEscape(call.Stream))
-	client.initTransports()
-	failed := stream.runOnce(ctx, http.MethodGet, path, nil, client.fresh)
+	failed := stream.runOnce(ctx, http.MethodGet, path, nil)
 	return stream.resumeUntilDone(ctx, failed)
 }
 
--- a/bvendpoint/service.go
+++ b/bvendpoint/service.go
@@ -39,11 +39,6 @@
 
 // Invoke calls a plain service once. It returns an error if there is no answer or
 // the service states that it did not run the call.
-//
-// An unrepeatable call uses a new connection. The service may close a reused
-// connection while the request is in transit: the client sees a reset and can't
-// determine whether the call ran. On a newly dialed connection this happens only if
-// the service fails.
 func (client *Client) Invoke(ctx context.Context, address string, call ServiceCall) (ServiceResult, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, orDefault(client.ServiceTimeout, DefaultServiceTimeout).Std(), errSilent)
 	defer cancel()
@@ -52,11 +47,7 @@
 		return ServiceResult{}, err
 	}
 	call.addHeaders(exchange.request.Header)
-	transport := client.shared
-	if call.Unrepeatable {
-		transport = client.fresh
-	}
-	response, err := exchange.send(transport)
+	response, err := client.send(exchange)
 	if err != nil {
 		return ServiceResult{}, client.brokenCallError(ctx, exchange, address, err)
 	}
--- a/bvendpoint/service_test.go
+++ b/bvendpoint/service_test.go
@@ -24,8 +24,9 @@
 // closingService answers the first request of each connection. It runs the second
 // and then closes the connection without an answer.
 type closingService struct {
-	listener net.Listener
-	runs     atomic.Int64
+	listener     net.Listener
+	runs         atomic.Int64
+	closesAtOnce atomic.Bool // it closes each connection without an answer
 }
 
 func newClosingService(t *testing.T) *closingService {
@@ -57,6 +58,9 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		service.runs.Add(1)
+		if service.closesAtOnce.Load() {
+			return
+		}
 		if i == 0 {
 			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
@@ -100,13 +104,25 @@
 	require.Equal(t, int64(3), withGet.runs.Load())
 }
 
-// Guards against an automatic retry of a replayable call by http.Transport.
-func TestInvokeNeverSendsTwiceWhenReusedConnectionDies(t *testing.T) {
+// Guards against a call that is lost, or sent twice, on a connection that a service closes after
+// its first answer.
+func TestInvokeDoesNotReuseConnections(t *testing.T) {
 	service := newClosingService(t)
-	err := sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader})
+	require.NoError(t, sendTwo(t, service, bvendpoint.ServiceCall{Body: []byte("{}"), Header: replayHeader}))
 	require.Equal(t, int64(2), service.runs.Load())
-	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
-	require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err), "the service still runs")
+}
+
+// Guards against an automatic retry of a replayable call, or a GET without a body, by http.Transport.
+func TestInvokeNeverSendsTwiceWhenItsConnectionDies(t *testing.T) {
+	service := newClosingService(t)
+	service.closesAtOnce.Store(true)
+	for number, call := range []bvendpoint.ServiceCall{{Body: []byte("{}"), Header: replayHeader}, {Method: http.MethodGet}} {
+		call.Path = "/book"
+		_, err := newTestClient(t).Invoke(t.Context(), service.address(), call)
+		require.EqualValues(t, number+1, service.runs.Load())
+		require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+		require.Equal(t, bvgate.Silent, bvendpoint.OutcomeOf(err), "the service still runs")
+	}
 }
 
 // Guards against a service that has crashed during a call and does not count as crashed.
@@ -148,14 +164,6 @@
 	require.Equal(t, bvgate.Crashed, bvendpoint.OutcomeOf(err))
 }
 
-// Guards against an automatic retry of a GET without a body by http.Transport.
-func TestInvokeNeverSendsGetTwiceWhenReusedConnectionDies(t *testing.T) {
-	service := newClosingService(t)
-	err := sendTwo(t, service, bvendpoint.ServiceCall{Method: http.MethodGet})
-	require.Equal(t, int64(2), service.runs.Load())
-	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
-}
-
 // Guards against an unrepeatable call on a connection that is about to be closed.
 func TestUnrepeatableCallsHaveConnectionsOfTheirOwn(t *testing.T) {
 	service := newClosingService(t)
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -12,7 +12,7 @@
 // 503 and 429 mean that the request has not run and never will; they carry the time
 // after which a retry can succeed. 429 is for a workspace beyond its usage cap. 502, 504
 // and a broken connection promise nothing. 400 means that the request has no id, or more than
-// one: no answer could be told to be its own. 401 means that no workspace holds the key, 404
+// one: no answer could be identified as its own. 401 means that no workspace holds the key, 404
 // that no route, or no earlier turn, has the requested name; a host that can't be certain
 // of that answers 503.
 package bvfront
