Suspects: crashes count against shared features after 100 ms

Callers: innocent turns were refused, 1 or 2 of 120, beside a poisonous path or part of a prompt.

Cause (traces in docs/design/poisonous-requests.md): crashes within some 40 ms were counted while their reports still arrived one after the other, and before the features that turns have in common were answered; the path of all turns, or a part in flight beside a poisonous path, was blamed.

Change: a crash counts against the whole request at once, against a shared feature from an age of 100 ms. The rule on such requests has a bound of seconds.

--- a/bvsuspect/content_test.go
+++ b/bvsuspect/content_test.go
@@ -217,3 +217,18 @@
 	innocent := Content{Request: request(50), Shared: []Fingerprint{newShared(Path, 9)}}
 	require.Equal(t, Free, table.DecideContent(now, innocent).Access)
 }
+
+// Guards against a shared feature restricted before the reports of the crashes and answers to others with it arrive.
+func TestCrashesOfSharedFeaturesSettle(t *testing.T) {
+	table := Table{settleTime: sharedSettleTime}
+	now := crashEach(&table, 1000, 5, contentWith(1, 7), contentWith(2, 7), contentWith(3, 7), contentWith(4, 7))
+	require.Equal(t, Free, table.DecideContent(now, contentWith(5, 7)).Access)
+	require.Equal(t, 4, table.Crashes(newShared(Part, 7)), "they are known")
+	now = now.Add(sharedSettleTime)
+	require.Equal(t, Denied, table.DecideContent(now, contentWith(5, 7)).Access)
+	for number := range uint64(3) {
+		now = crashEach(&table, now, 5, contentWith(100+number))
+	}
+	now = crashEach(&table, now, 5, contentWith(200), contentWith(200))
+	require.Equal(t, Exclusive, table.DecideContent(now, contentWith(200)).Access, "a request's own crashes count at once")
+}
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -41,6 +41,11 @@
 	sharedCrashLimit       = 4
 )
 
+// sharedSettleTime is how long after a crash it counts against shared features. The reports of one crash
+// arrive one after the other, and a feature that others have in common is answered meanwhile: before, the
+// crash would count against the wrong one.
+const sharedSettleTime = 100 * bvclock.Millisecond
+
 // limits returns the numbers of crashes from which a request runs exclusively and is denied.
 func (fingerprint Fingerprint) limits() (exclusive, denied int) {
 	if fingerprint.Feature.isShared() {
@@ -70,7 +75,7 @@
 
 // Decide decides what a request may do by its own crashes.
 func (table *Table) Decide(now bvclock.Time, request Fingerprint) Decision {
-	counted := table.counted(request)
+	counted := table.counted(request, now.Add(-table.settleTime))
 	decision := Decision{Crashes: counted.crashes(), Cause: request, key: counted.key}
 	exclusive, denied := request.limits()
 	switch {
@@ -114,16 +119,19 @@
 	endpoints map[uint64]bool // that crashed
 	exclusive int             // crashes of exclusive runs
 	latest    bvclock.Time    // time of the last one
+
+	sharedUntil bvclock.Time // later crashes of a shared feature do not count
 }
 
 func (counted *countedCrashes) crashes() int { return len(counted.endpoints) }
 
 // counted returns the crashes that count against a request: its own, or those of requests that
-// differ from it in their query only, if several of them have crashed endpoints.
-func (table *Table) counted(request Fingerprint) countedCrashes {
-	exact := countedCrashes{key: request.Exact}
+// differ from it in their query only, if several of them have crashed endpoints. Crashes of a shared
+// feature count only up to a time.
+func (table *Table) counted(request Fingerprint, sharedUntil bvclock.Time) countedCrashes {
+	exact := countedCrashes{key: request.Exact, sharedUntil: sharedUntil}
 	exact.add(table, table.suspects[request.Exact], false)
-	family, queries := countedCrashes{key: request.AnyQuery}, 0
+	family, queries := countedCrashes{key: request.AnyQuery, sharedUntil: sharedUntil}, 0
 	for _, suspect := range table.families[request.AnyQuery] {
 		if family.add(table, suspect, true) {
 			queries++
@@ -143,7 +151,7 @@
 	}
 	total := suspect.total()
 	for endpoint, crash := range suspect.crashes {
-		if crash.withdrawn || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect, total) {
+		if crash.withdrawn || suspect.request.Feature.isShared() && crash.at.After(counted.sharedUntil) || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect, total) {
 			continue
 		}
 		if counted.endpoints == nil {
--- a/bvsuspect/suspect.go
+++ b/bvsuspect/suspect.go
@@ -106,6 +106,7 @@
 // New returns Suspects without suspects. They are saved in a store.
 func New(clock bvclock.Clock, store bvplatform.Store, counters Counters, log logrus.FieldLogger) *Suspects {
 	return &Suspects{
+		table: Table{settleTime: sharedSettleTime},
 		clock: clock, store: store, counters: counters, log: log, changed: make(chan struct{}, 1),
 		unixMilli: func() int64 { return time.Now().UnixMilli() },
 	}
--- a/bvsuspect/table.go
+++ b/bvsuspect/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"balsamvalve.example/bvclock"
@@ -60,6 +61,7 @@
 // answer of an endpoint that counted as crashed. The same holds for the shared features of these
 // requests.
 type Table struct {
+	settleTime  bvclock.Duration // until a crash counts against a shared feature; 0: at once
 	brokenCalls brokenCalls
 	answered    recentAnswers
 	suspects    map[uint64]*suspect // by exact request
@@ -281,7 +283,7 @@
 // Crashes returns how many endpoints a request has crashed, also with other queries if it has
 // come with several.
 func (table *Table) Crashes(request Fingerprint) int {
-	counted := table.counted(request)
+	counted := table.counted(request, math.MaxInt64)
 	return counted.crashes()
 }
 
