Test of bytes without end: waits until they have arrived

Traced: it took the connection before the endpoint's bytes behind the answer had arrived, when nothing is wrong with it yet; bytes that arrive later are read as no answer to the next request. The check is as before.

--- a/bvforward/bounds_test.go
+++ b/bvforward/bounds_test.go
@@ -213,7 +213,12 @@
 	body, err := fetch(t, connections, endless.request("1"))
 	require.NoError(t, err)
 	require.Equal(t, "body", body)
-	require.Nil(t, connections.takeIdle(endless.request("1").Endpoint.ID(), ""))
+	endpoint := endless.request("1").Endpoint.ID()
+	if idle := connections.popIdle(endpoint); idle != nil { // no bytes had arrived with the answer
+		require.Eventually(t, idle.isStale, boundsTimeout, time.Millisecond)
+		connections.returnIdle(idle)
+	}
+	require.Nil(t, connections.takeIdle(endpoint, ""))
 	requireClosed(t, closed)
 }
 
