--- a/bvforward/pool.go
+++ b/bvforward/pool.go
@@ -12,9 +12,9 @@
 //
 // An answer belongs to the request whose ID it repeats, and no connection carries two
 // requests with the same ID. An answer with another ID is skipped. An answer without an ID,
-// or with several, belongs to no request: nothing in it is believed or
-// passed on. If the request's own answer can still follow on the connection, it is waited
-// for; if not, the request may have run, and the error's cause is an AnswerError.
+// or with several, belongs to no request: nothing in it is believed or passed on. If the
+// request's own answer can still follow on the connection, it is waited for; if not, the
+// request may have run, and the error's cause is an AnswerError.
 //
 // # Usage
 //
--- a/bvforward/skip.go
+++ b/bvforward/skip.go
@@ -2,7 +2,7 @@
 
 //go:generate stringer -type=SkipReason -linecomment -output=skipreason_string.go
 
-// SkipReason is why an answer is not that to the request in flight.
+// SkipReason is why an answer does not belong to the request in flight.
 type SkipReason int
 
 // The reasons. The texts name counters.
--- a/bvsuspect/decide.go
+++ b/bvsuspect/decide.go
@@ -151,7 +151,8 @@
 	}
 	total := suspect.total()
 	for endpoint, crash := range suspect.crashes {
-		if crash.withdrawn || suspect.request.Feature.isShared() && crash.at.After(counted.sharedUntil) || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect, total) {
+		isUnsettled := suspect.request.Feature.isShared() && crash.at.After(counted.sharedUntil)
+		if crash.withdrawn || isUnsettled || ofFamily && crash.otherQuery || table.hasOtherCause(endpoint, suspect, total) {
 			continue
 		}
 		if counted.endpoints == nil {
