--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -113,12 +113,12 @@
 	if err := call.findRoute(); err != nil {
 		return err
 	}
-	if call.metadata.ID == "" {
-		return bvverdict.Refuse(bvverdict.BadRequest, "the request has no id, or more than one")
-	}
 	if err := call.authorize(); err != nil {
 		return err
 	}
+	if call.metadata.ID == "" {
+		return bvverdict.Refuse(bvverdict.BadRequest, "the request has no id, or more than one")
+	}
 	if !call.acquireMemory(callBytes) {
 		return memoryError()
 	}
