Test of a lost answer: its flag is shared between two requests

Traced: the test's own variable, written in the handler of the first connection and read in that of the second, without synchronization.

--- a/bvoperator/handler_test.go
+++ b/bvoperator/handler_test.go
@@ -135,13 +135,13 @@
 // Guards against applying an edit twice, which would revert another operator's edit.
 func TestEditWhoseAnswerIsLostIsAcceptedOnce(t *testing.T) {
 	fixture := newFixture(t)
-	lost := false
+	var lost atomic.Bool
 	cut := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if lost {
+		if lost.Load() {
 			fixture.mux.ServeHTTP(writer, request)
 			return
 		}
-		lost = true
+		lost.Store(true)
 		fixture.mux.ServeHTTP(httptest.NewRecorder(), request)
 		panic(http.ErrAbortHandler)
 	}))
@@ -149,7 +149,7 @@
 	client := &Client{Address: strings.TrimPrefix(cut.URL, "http://"), Key: "piran-operator-key"}
 	outcome, err := client.Set(t.Context(), budget("90"))
 	require.NoError(t, err)
-	require.True(t, lost)
+	require.True(t, lost.Load())
 	require.EqualValues(t, 2, outcome.Report.Version)
 	history, err := client.History(t.Context(), 0, 10)
 	require.NoError(t, err)
