Route: a connection is not closed while its request is read

What callers saw: a request on a kept connection that ends without an answer although an endpoint ran it, where the connection had been idle for about the idle timeout; or, at a stop, a request that was read and dropped.

Cause: net/http reports a connection active after it has read the head of a request. Until then CloseIdle and closeUnused took it for idle, and closed it with the request in memory: it was passed on to an endpoint, and its answer could not be written. CloseIdle held the lock for which that report waits. http.Server.Shutdown drops requests that it has read when it has begun.

Change: callerConn decides between the two by the read itself. Closing ends a read that waits by its deadline; a read that has returned a byte wins, and its request is served. Shutdown is our own: it closes connections that await a request and waits for the others. Counter caller_connections_closed, by reason.

Ruled out for stops: requests passed on during Shutdown were answered before too (the check in net/http follows the report); only dropped ones were not.

--- /dev/null
+++ b/bvfront/conn.go
@@ -0,0 +1,77 @@
+package bvfront
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// callerConn is a caller's connection that can be closed while it awaits a request, but not once a byte of the
+// request was read: a request that is served needs the connection for its answer.
+type callerConn struct {
+	net.Conn
+	onClose func(conn *callerConn)
+
+	mutex    sync.Mutex
+	isRead   bool      // bytes were read since it was accepted or began to await its next request
+	closing  string    // why it is being closed; "": it is not
+	deadline time.Time // of reads
+}
+
+// Read implements net.Conn. Without a byte, it fails once the connection is being closed.
+func (conn *callerConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count == 0 {
+		return count, err
+	}
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.isRead = true
+	if conn.closing != "" {
+		conn.closing = ""
+		_ = conn.Conn.SetReadDeadline(conn.deadline) // fails only on a closed connection
+	}
+	return count, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (conn *callerConn) SetReadDeadline(deadline time.Time) error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.deadline = deadline
+	if conn.closing != "" {
+		return nil
+	}
+	return conn.Conn.SetReadDeadline(deadline)
+}
+
+// Close implements net.Conn.
+func (conn *callerConn) Close() error {
+	conn.onClose(conn)
+	return conn.Conn.Close()
+}
+
+// awaitRequest records that the last request on the connection was answered.
+func (conn *callerConn) awaitRequest() {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.isRead = false
+}
+
+// closeUnread makes the server close the connection unless it reads a byte of a request first.
+func (conn *callerConn) closeUnread(reason string) {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	if conn.isRead || conn.closing != "" {
+		return
+	}
+	conn.closing = reason
+	_ = conn.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a read that waits; fails only on a closed connection
+}
+
+// closingReason returns why the connection is being closed; "" if its caller closes it, or after an answer.
+func (conn *callerConn) closingReason() string {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.closing
+}
--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -13,8 +13,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvroute"
 )
@@ -30,8 +28,9 @@
 	mutex   sync.Mutex
 	limits  bvroute.Limits
 	servers []*limitedServer // the last one serves new connections
-	idle    map[net.Conn]bvclock.Time
-	unused  map[net.Conn]bvclock.Time // no byte was read from them; since when they are open
+	open    map[*callerConn]bool
+	idle    map[*callerConn]bvclock.Time // await their next request; since when
+	unused  map[*callerConn]bvclock.Time // await their first request; since when they are open
 	stopped bool
 
 	shortSince atomic.Int64 // when connections could first not be accepted; 0: they can
@@ -46,7 +45,10 @@
 
 // NewServer returns a Server. net/http's own log lines are written to log.
 func NewServer(front *Front, log *log.Logger) *Server {
-	return &Server{front: front, clock: front.parts.Clock, log: log, idle: make(map[net.Conn]bvclock.Time), unused: make(map[net.Conn]bvclock.Time)}
+	return &Server{
+		front: front, clock: front.parts.Clock, log: log,
+		open: make(map[*callerConn]bool), idle: make(map[*callerConn]bvclock.Time), unused: make(map[*callerConn]bvclock.Time),
+	}
 }
 
 // Serve accepts connections until the listener is closed. While the process or its machine
@@ -113,11 +115,29 @@
 
 // deliver passes a connection on to the server with the newest limits.
 func (server *Server) deliver(conn net.Conn) {
-	if current := server.currentServer(); current != nil {
-		current.listener.deliver(conn)
+	current := server.currentServer()
+	if current == nil {
+		_ = conn.Close() // no byte was read from it
 		return
 	}
-	_ = conn.Close() // no byte was read from it
+	accepted := &callerConn{Conn: conn, onClose: server.removeConn}
+	server.mutex.Lock()
+	server.open[accepted] = true
+	server.mutex.Unlock()
+	current.listener.deliver(accepted)
+}
+
+// removeConn removes a connection that is being closed.
+func (server *Server) removeConn(conn *callerConn) {
+	reason := conn.closingReason()
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if reason != "" && server.open[conn] {
+		server.front.parts.Counters.Count("caller_connections_closed", reason)
+	}
+	delete(server.open, conn)
+	delete(server.idle, conn)
+	delete(server.unused, conn)
 }
 
 // currentServer returns the server with the newest limits, or nil after Shutdown.
@@ -169,19 +189,25 @@
 	return started
 }
 
-// trackState records which connections are idle or unused.
-func (server *Server) trackState(conn net.Conn, state http.ConnState) {
+// trackState records which connections await a request.
+func (server *Server) trackState(tracked net.Conn, state http.ConnState) {
+	conn, ok := tracked.(*callerConn)
+	if !ok {
+		return
+	}
 	if state == http.StateIdle {
 		_ = conn.SetWriteDeadline(time.Time{}) // clears the call's deadline; an error only means that the connection is closed
+		conn.awaitRequest()
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	delete(server.idle, conn)
 	delete(server.unused, conn)
-	switch state {
-	case http.StateIdle:
+	switch {
+	case !server.open[conn]:
+	case state == http.StateIdle:
 		server.idle[conn] = server.clock.Now()
-	case http.StateNew:
+	case state == http.StateNew:
 		server.unused[conn] = server.clock.Now()
 	}
 }
@@ -193,65 +219,77 @@
 	if table == nil || table.Limits().IdleTimeout <= 0 {
 		return
 	}
+	server.closeOlder("idle", server.idle, table.Limits().IdleTimeout)
+}
+
+// closeOlder closes connections that have awaited a request for longer than a time.
+func (server *Server) closeOlder(reason string, waiting map[*callerConn]bvclock.Time, limit bvclock.Duration) {
 	now := server.clock.Now()
+	var due []*callerConn
 	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	for conn, since := range server.idle {
-		if now.Sub(since) > table.Limits().IdleTimeout {
-			_ = conn.Close() // no request is in flight on it
-			delete(server.idle, conn)
+	for conn, since := range waiting {
+		if now.Sub(since) > limit {
+			due = append(due, conn)
 		}
 	}
+	server.mutex.Unlock()
+	for _, conn := range due {
+		conn.closeUnread(reason)
+	}
 }
 
-// Shutdown closes idle connections, waits for requests in flight, and then closes their
-// connections. When ctx ends, it stops waiting for the remaining ones.
+// Shutdown closes connections that await a request, and waits until all others have been closed after
+// their answer: a request of which a byte was read is served. When ctx ends, it closes the remaining ones.
+//
+// http.Server.Shutdown is not used, as it drops requests that it has read.
 func (server *Server) Shutdown(ctx context.Context) error {
 	server.mutex.Lock()
 	server.stopped = true
 	servers := server.servers
 	server.mutex.Unlock()
-	server.closeUnused()
-	done := make(chan struct{})
-	defer close(done)
-	go server.closeUnusedUntil(done)
-	group, ctx := errgroup.WithContext(ctx)
 	for _, limited := range servers {
-		group.Go(func() error { return limited.server.Shutdown(ctx) })
+		_ = limited.listener.Close() // does not fail
+	}
+	for {
+		server.closeOlder("stop", server.idle, -1)
+		server.closeUnused()
+		if server.OpenConnections() == 0 {
+			return nil
+		}
+		select {
+		case <-bvclock.After(unusedInterval):
+		case <-ctx.Done():
+			return server.closeAll(servers, ctx.Err())
+		}
+	}
+}
+
+// closeAll closes all connections.
+func (server *Server) closeAll(servers []*limitedServer, cause error) error {
+	open := server.OpenConnections()
+	for _, limited := range servers {
+		_ = limited.server.Close() // the listener is closed already
 	}
-	return group.Wait()
+	return fmt.Errorf("front: %d connections were open: %w", open, cause)
+}
+
+// OpenConnections returns the number of callers' connections.
+func (server *Server) OpenConnections() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.open)
 }
 
 const (
-	// maxUnusedTime is how long a connection may be unused while the server stops. net/http
-	// waits for its first request for five seconds, longer than most requests take.
+	// maxUnusedTime is how long a connection may be unused while the server stops.
 	maxUnusedTime = 250 * bvclock.Millisecond
 	// unusedInterval is the time between two checks for unused connections.
 	unusedInterval = 50 * bvclock.Millisecond
 )
 
-func (server *Server) closeUnusedUntil(done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-bvclock.After(unusedInterval):
-			server.closeUnused()
-		}
-	}
-}
-
 // closeUnused closes connections that have been open for some time without a request.
 func (server *Server) closeUnused() {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	now := server.clock.Now()
-	for conn, since := range server.unused {
-		if now.Sub(since) > maxUnusedTime {
-			_ = conn.Close() // no byte was read from it
-			delete(server.unused, conn)
-		}
-	}
+	server.closeOlder("unused", server.unused, maxUnusedTime)
 }
 
 // connListener is a net.Listener for connections that another listener has accepted.
