Budgets: a third is granted from memory, in place of half

Cause: one host grants half of a budget from its memory. When it is lost, the rest of that half can't be spent until a new grantor is certain that nothing of it can be spent any more; hosts that have just started are no grantors for ten minutes. Programs that begin then have the stored half only.

Change: the in-memory part is a third of the budget and a turn's maximum, no more than half of both, and the row has the rest. The two depend on turns' maxima such that they exceed the budget by one turn at most, whichever turns they are computed with. Beside hosts that grant halves, which the list and the handover show, rows have half.

This narrows the fault and does not close it: loops get the same 503 for the last third of their budgets.

Measured: TestProgramSpendsTwoThirdsOfItsBudgetWithoutAGrantor fails before (2860 of 5148 tokens).

Changed test: TestProgramWithoutGrantorHasTheRecordedHalf stated that such a program gets three turns of 66 of a budget of 400; it gets four, by the new part, and the test requires exactly that.

--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -2,13 +2,13 @@
 // and under any failure.
 //
 // Before a turn is sent, the maximum that it may generate is reserved. A program's tokens
-// are split into two halves, each of half the budget plus half of a turn's maximum, so
-// that together they exceed the budget by at most one turn:
+// are split into two parts, which together exceed the budget by at most one turn:
 //
-//   - One host, the program's grantor, grants the in-memory half from its memory (see
-//     bvlease). It needs no store, so programs can start while the store is unavailable.
-//     If the grantor fails, the rest of this half is lost.
-//   - The stored half is in the program's row of the platform's store, where hosts reserve
+//   - One host, the program's grantor, grants the in-memory part from its memory (see
+//     bvlease): a third of the budget and one turn's maximum, but no more than half of
+//     both. It needs no store, so programs can start while the store is unavailable.
+//     If the grantor fails, the rest of this part is lost.
+//   - The stored part is in the program's row of the platform's store, where hosts reserve
 //     blocks of it. It is for programs that spend more, and for those whose grantor has
 //     failed.
 //
@@ -19,7 +19,7 @@
 //
 // Without grantors, the row holds the whole budget, which is never exceeded.
 //
-// Few programs need more than one half: mostly those that loop endlessly.
+// Few programs need both parts whole: mostly those that loop endlessly.
 //
 // # Usage
 //
--- a/bvbudget/allocator_test.go
+++ b/bvbudget/allocator_test.go
@@ -201,8 +201,13 @@
 }
 
 func (cluster *cluster) reserve(host, program string, continues bool) error {
+	return cluster.reserveOf(host, program, testBudget, continues)
+}
+
+// reserveOf reserves a turn of a program with a budget.
+func (cluster *cluster) reserveOf(host, program string, budget int, continues bool) error {
 	reservation, err := cluster.allocators[host].Reserve(context.Background(), Turn{
-		Program: program, Budget: testBudget, MaxTokens: testMaxTokens, MinTokens: testEventTokens, Continues: continues, Retain: bvclock.Minute,
+		Program: program, Budget: budget, MaxTokens: testMaxTokens, MinTokens: testEventTokens, Continues: continues, Retain: bvclock.Minute,
 	})
 	if err == nil {
 		cluster.reservations = append(cluster.reservations, reservation)
--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -8,7 +8,7 @@
 	"balsamvalve.example/bvlease"
 )
 
-// Grantors determines which host grants a program's in-memory half.
+// Grantors determines which host grants the in-memory part of a program's budget.
 type Grantors interface {
 	// Holder returns the host that may grant, as far as this host knows, or false if it
 	// knows none.
@@ -16,13 +16,16 @@
 	// MayGrant reports whether this host alone may grant for the program now. It must never
 	// be true for a host while a grant of another one can still be spent.
 	MayGrant(now bvclock.Time, program string, retain bvclock.Duration) bool
+	// GrantsHalves reports whether hosts of older builds, which grant half of a budget from memory, grant or have
+	// granted for programs that may still run.
+	GrantsHalves(now bvclock.Time) bool
 }
 
-// SetGrantors enables grants of programs' in-memory halves. It is called before the first
+// SetGrantors enables grants from memory. It is called before the first
 // turn, on all hosts or on none.
 func (allocator *Allocator) SetGrantors(grantors Grantors) { allocator.grantors = grantors }
 
-// grant is the in-memory half of a program's budget at its grantor.
+// grant is the in-memory part of a program's budget at its grantor.
 type grant struct {
 	remaining int // tokens not granted yet
 	lastUsed  bvclock.Time
@@ -32,7 +35,7 @@
 const (
 	// maxGrantAge is how long a grant is remembered after the grantor was last asked. A program
 	// may go on that long with tokens that its hosts hold, or with those in its row while they
-	// can't reach the grantor; one that was forgotten would be granted its half once more.
+	// can't reach the grantor; one that was forgotten would be granted its part once more.
 	maxGrantAge = 6 * bvclock.Hour
 	// maxOldGrants bounds the grants that are remembered, in memory of some megabytes. Beyond
 	// it, only the recent ones are.
@@ -46,20 +49,38 @@
 	return now.Sub(grant.lastUsed) <= grant.retain+bvlease.MaxProgramTime+expiryMargin
 }
 
-// halfBudget returns how many tokens each half has. Together they may exceed the budget by
-// one turn's maximum, which is allowed; with exactly half of the budget each, many more
-// programs would need both halves.
-func halfBudget(budget, maxTokens int) int { return (budget + maxTokens) / 2 }
+// memoryDivisor is the part of a budget that its grantor grants from memory, besides one turn's maximum: a third, for
+// the first turns of a program, which can run while the store is unavailable. It can't be spent once the grantor is
+// lost, so the row has the rest.
+const memoryDivisor = 3
+
+// memoryPart returns how many tokens the in-memory part of a budget has. Together with the row's part it may exceed
+// the budget by one turn's maximum, which is allowed, whichever turns' maxima the two are computed with.
+func memoryPart(budget, maxTokens int) int {
+	return min(budget/memoryDivisor+maxTokens, evenPart(budget, maxTokens))
+}
+
+// rowPart returns how many tokens the row's part of a budget has.
+func rowPart(budget, maxTokens int) int {
+	return max(budget-budget/memoryDivisor, evenPart(budget, maxTokens))
+}
+
+// evenPart returns how many tokens each part has if a turn may take most of the budget, or if hosts of older builds
+// grant half of it from memory.
+func evenPart(budget, maxTokens int) int { return (budget + maxTokens) / 2 }
 
 // storedBudget returns the part of a budget that is in the program's row.
 func (allocator *Allocator) storedBudget(turn Turn) int {
-	if allocator.grantors == nil {
+	switch {
+	case allocator.grantors == nil:
 		return turn.Budget
+	case allocator.grantors.GrantsHalves(allocator.clock.Now()):
+		return evenPart(turn.Budget, turn.MaxTokens)
 	}
-	return halfBudget(turn.Budget, turn.MaxTokens)
+	return rowPart(turn.Budget, turn.MaxTokens)
 }
 
-// grantTokens grants tokens of a program's in-memory half if this host may. Undecided has
+// grantTokens grants tokens of a program's in-memory part if this host may. Undecided has
 // the meaning it has in TokenReply: hosts that have just started have incomplete lists and
 // may each choose another grantor, and one that is wrongly chosen must not deny tokens
 // that the right one has. The caller holds the mutex.
@@ -74,7 +95,7 @@
 	}
 	found := allocator.grants[request.Program]
 	if found == nil {
-		found = &grant{remaining: halfBudget(request.Budget, request.MaxTokens)}
+		found = &grant{remaining: memoryPart(request.Budget, request.MaxTokens)}
 		allocator.grants[request.Program] = found
 	}
 	found.lastUsed, found.retain = now, max(found.retain, request.Retain)
--- a/bvbudget/grant_test.go
+++ b/bvbudget/grant_test.go
@@ -20,12 +20,15 @@
 type singleGrantor struct {
 	cluster     *cluster
 	incarnation string // the process that may grant
+	halves      bool   // hosts of older builds grant
 }
 
 func (grantor *singleGrantor) Holder(string) (bvlease.Host, bool) {
 	return bvlease.Host{Name: "a", Incarnation: grantor.cluster.allocators["a"].incarnation, Address: "a"}, true
 }
 
+func (grantor *singleGrantor) GrantsHalves(bvclock.Time) bool { return grantor.halves }
+
 func (grantor *singleGrantor) MayGrant(bvclock.Time, string, bvclock.Duration) bool { return false }
 
 // grantorView is the Grantors of one host.
@@ -133,7 +136,7 @@
 	require.NoError(t, cluster.reserve("b", "p", false))
 	cluster.spendAndClose(0, testMaxTokens/testEventTokens)
 	grantor.restart("a", false)
-	for range halfBudget(testBudget, testMaxTokens) / testMaxTokens {
+	for range rowPart(testBudget, testMaxTokens) / testMaxTokens {
 		require.NoError(t, cluster.reserve("c", "p", true))
 		cluster.spendAndClose(0, testMaxTokens/testEventTokens)
 	}
@@ -180,7 +183,7 @@
 		}
 		require.Equal(t, bvverdict.PlatformUnavailable, bvverdict.From(err).Code(), "through host %s", host)
 	}
-	require.Equal(t, halfBudget(testBudget, testMaxTokens)/testMaxTokens*testMaxTokens, cluster.delivered["p"])
+	require.Equal(t, rowPart(testBudget, testMaxTokens)/testMaxTokens*testMaxTokens, cluster.delivered["p"])
 }
 
 // Guards against a refusal by a host that is wrongly considered the grantor.
@@ -224,3 +227,52 @@
 
 // testHandover is the number of grants that a handover holds in tests.
 const testHandover = 10
+
+// Guards against two parts of a budget that exceed it by more than one turn, whichever turns they are computed with.
+func TestPartsOfABudgetExceedItByOneTurnAtMost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		budget := rapid.IntRange(1, 30_000).Draw(rt, "budget")
+		first, later := rapid.IntRange(1, 3_000).Draw(rt, "first turn"), rapid.IntRange(1, 3_000).Draw(rt, "later turn")
+		memory := memoryPart(budget, first)
+		require.LessOrEqual(rt, memory+rowPart(budget, later), budget+max(first, later))
+		require.LessOrEqual(rt, memory+evenPart(budget, later), budget+max(first, later), "beside hosts that grant halves")
+		require.LessOrEqual(rt, memory, evenPart(budget, first), "beside rows of hosts that grant halves")
+		if first <= budget {
+			require.GreaterOrEqual(rt, rowPart(budget, first), first, "one turn needs no grantor")
+			require.GreaterOrEqual(rt, memory, first, "one turn needs no store")
+		}
+	})
+}
+
+// spendWithoutAGrantor runs whole turns of a program whose grantor has been lost, and returns the tokens it got.
+func spendWithoutAGrantor(cluster *cluster, grantor *singleGrantor) int {
+	cluster.clock.Advance(discoveryTime)
+	grantor.restart("a", false)
+	cluster.clock.Advance(discoveryTime)
+	for cluster.reserveOf("b", "p", largeBudget, true) == nil {
+		cluster.spendAndClose(0, testMaxTokens/testEventTokens)
+	}
+	return cluster.delivered["p"]
+}
+
+// largeBudget is a budget of nine whole turns.
+const largeBudget = 9 * testMaxTokens
+
+// Guards against a program that is refused halfway through its budget since all hosts were lost before it began.
+func TestProgramSpendsTwoThirdsOfItsBudgetWithoutAGrantor(t *testing.T) {
+	cluster, grantor := newGrantorCluster()
+	require.Equal(t, largeBudget*2/3, spendWithoutAGrantor(cluster, grantor))
+}
+
+// Guards against a program that gets a half from a host of an older build, and two thirds from its row.
+func TestRowHasHalfOfABudgetBesideHostsThatGrantTheOther(t *testing.T) {
+	cluster, grantor := newGrantorCluster()
+	grantor.halves = true
+	require.Equal(t, evenPart(largeBudget, testMaxTokens), spendWithoutAGrantor(cluster, grantor))
+}
+
+// Guards against a program that is refused while a part of its budget is unspent, since all hosts were lost.
+func TestProgramSpendsItsWholeBudgetWithoutAGrantor(t *testing.T) {
+	cluster, grantor := newGrantorCluster()
+	require.Greater(t, spendWithoutAGrantor(cluster, grantor)+testMaxTokens, largeBudget)
+}
--- a/bvbudget/record_test.go
+++ b/bvbudget/record_test.go
@@ -9,7 +9,7 @@
 // Guards against large blocks of small budgets that stay unspent or are lost with a host.
 func TestBlockIsOnlyTheNeedWhenFewTokensAreAvailable(t *testing.T) {
 	const maxTokens = 572
-	available := halfBudget(2600, maxTokens)
+	available := evenPart(2600, maxTokens)
 	for _, need := range []int{maxTokens, maxTokens, 330} {
 		size := blockSize(available, need, maxTokens)
 		require.Equal(t, need, size)
@@ -20,5 +20,5 @@
 
 // Guards against a request for each turn where enough tokens are available.
 func TestBlockCoversSeveralTurnsWhenManyTokensAreAvailable(t *testing.T) {
-	require.Equal(t, blockTurns*572, blockSize(halfBudget(12_900, 572), 572, 572))
+	require.Equal(t, blockTurns*572, blockSize(evenPart(12_900, 572), 572, 572))
 }
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -9,7 +9,7 @@
 // program's holder waits until its predecessor must have stopped granting and all
 // programs of that time have ended. So no program receives grants from two hosts,
 // whatever fails. During this wait, and after its holder has failed, a program is
-// limited to the stored half of its budget.
+// limited to the stored part of its budget.
 //
 // Only the first start of the whole system has no predecessors: hosts then wait until
 // all of them have read the same list. A host that stops as planned hands over what it
@@ -71,6 +71,7 @@
 	Name        string
 	Incarnation string // differs with each start of the process
 	Address     string // IP:port for requests of other hosts
+	IsOlder     bool   // its build grants half of a budget from memory
 }
 
 // row is a listed host and the hash of its name, the seed of its rendezvous weights.
@@ -97,7 +98,8 @@
 	readAt        bvclock.Time // when the last successful read of the list began; 0 before the first
 	rows          []row
 	departedHosts []departedHost
-	inherited     bool // this host continues from the handover of its previous process
+	olderUntil    bvclock.Time // until when programs may run for which hosts of older builds have granted
+	inherited     bool         // this host continues from the handover of its previous process
 	stopped       bool
 }
 
@@ -159,6 +161,9 @@
 	for _, host := range hosts {
 		seed := xxhash.Sum64String(host.Name)
 		listed[seed] = true
+		if host.IsOlder {
+			leases.olderUntil = now.Add(takeoverDelay)
+		}
 		rows = append(rows, row{Host: host, seed: seed})
 	}
 	leases.handleGap(readAt, now)
@@ -243,6 +248,21 @@
 	return best != nil && best.Incarnation == leases.self.Incarnation && !leases.isHeldByDeparted(now, program, highest)
 }
 
+// RecordOlder records that a host of an older build has granted until now.
+func (leases *Leases) RecordOlder(now bvclock.Time) {
+	leases.mutex.Lock()
+	defer leases.mutex.Unlock()
+	leases.olderUntil = now.Add(takeoverDelay)
+}
+
+// GrantsHalves reports whether a host of an older build is listed as a grantor, or was so recently that programs for
+// which it granted may still run.
+func (leases *Leases) GrantsHalves(now bvclock.Time) bool {
+	leases.mutex.Lock()
+	defer leases.mutex.Unlock()
+	return now.Before(leases.olderUntil)
+}
+
 // hasNoPredecessor reports whether no host can have granted for this host's programs
 // before it was listed, or those programs have ended.
 func (leases *Leases) hasNoPredecessor(now bvclock.Time) bool {
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -151,6 +151,11 @@
 	return grantors.leases.MayGrant(now, program, retain)
 }
 
+// GrantsHalves implements bvbudget.Grantors.
+func (grantors grantors) GrantsHalves(now bvclock.Time) bool {
+	return grantors.leases.GrantsHalves(now)
+}
+
 // HandleDigest implements bvgossip.Handler.
 func (handler peerHandler) HandleDigest(digest *bvgossip.Digest) {
 	if !handler.settings.Disabled.Has(bvmechanism.Digests) {
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -35,6 +35,8 @@
 	Stopped time.Time             `json:"stopped"`
 	Known   bvlease.KnownHosts    `json:"known"` // hosts
 	Granted []bvbudget.GrantState `json:"granted"`
+	// SmallGrants: a third of a budget was granted from memory; older builds grant half.
+	SmallGrants bool `json:"small_grants"`
 }
 
 // retire stops granting and removes this host from the list. The same transaction stores
@@ -71,7 +73,7 @@
 	var encoded []byte
 	for _, most := range []int{limit / grantBytes, 0} {
 		var err error
-		encoded, err = json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants(most)})
+		encoded, err = json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants(most), SmallGrants: true})
 		if err == nil && len(encoded) <= limit {
 			return []bvplatform.Put{{Key: handoversPrefix + router.settings.Name, Value: encoded}}
 		}
@@ -121,6 +123,9 @@
 	if inherited {
 		router.budgets.ImportGrants(router.previousHandover.Granted)
 		router.leases.Inherit(router.clock.Now(), router.previousHandover.Known)
+		if !router.previousHandover.SmallGrants {
+			router.leases.RecordOlder(router.clock.Now())
+		}
 	}
 	router.previousHandover = nil
 	if grantor {
@@ -153,7 +158,8 @@
 // hostRowPut returns the write of this host's row in the list.
 func (router *Router) hostRowPut(grantor bool) bvplatform.Put {
 	encoded, _ := json.Marshal(hostRow{ // strings always encode
-		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation, Grantor: grantor, Origins: true,
+		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation, Grantor: grantor,
+		Origins: true, SmallGrants: true,
 	})
 	return bvplatform.Put{Key: hostsPrefix + router.settings.Name, Value: encoded}
 }
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -42,6 +42,8 @@
 	Grantor     bool   `json:"grantor"`     // grants for a share of all programs
 	// Origins: it stores the origins at which it begins streams, which older builds don't.
 	Origins bool `json:"origins"`
+	// SmallGrants: it grants a third of a budget from memory; older builds grant half.
+	SmallGrants bool `json:"small_grants"`
 }
 
 // followHosts adds this host to the list and reads the list regularly.
@@ -94,6 +96,7 @@
 		if host.Row.Grantor {
 			grantors = append(grantors, bvlease.Host{
 				Name: strings.TrimPrefix(host.Key, hostsPrefix), Incarnation: host.Row.Incarnation, Address: host.Row.Address,
+				IsOlder: !host.Row.SmallGrants,
 			})
 		}
 		if host.Row.Incarnation == router.incarnation {
