Route: a request that was read with the one before it keeps its connection

By reading: a caller may send two requests at once. net/http then has the second one in memory when it reports the connection idle, so a stop that begins at that moment ends reads of a connection whose request is served next, and the request counts as left by its caller. The report that a request was read ends the closing too. The test fails with an i/o timeout without that.

--- a/bvfront/conn.go
+++ b/bvfront/conn.go
@@ -24,6 +24,12 @@
 	if count == 0 {
 		return count, err
 	}
+	conn.beginRequest()
+	return count, err
+}
+
+// beginRequest records that a byte of a request was read. The connection stays open for its answer.
+func (conn *callerConn) beginRequest() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.isRead = true
@@ -31,7 +37,6 @@
 		conn.closing = ""
 		_ = conn.Conn.SetReadDeadline(conn.deadline) // fails only on a closed connection
 	}
-	return count, err
 }
 
 // SetReadDeadline implements net.Conn.
--- a/bvfront/conn_test.go
+++ b/bvfront/conn_test.go
@@ -133,3 +133,18 @@
 	require.NoError(t, server.Shutdown(t.Context()))
 	require.Less(t, time.Since(started), 5*time.Second)
 }
+
+// Guards against a request that was read with the one before it, on a connection that is closed in between.
+func TestRequestThatWasReadEarlierKeepsItsConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := &callerConn{Conn: near, onClose: func(*callerConn) {}}
+	conn.awaitRequest()
+	conn.closeUnread("stop")
+	conn.beginRequest()
+	go func() { _, _ = far.Write([]byte("x")) }()
+	count, err := conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.Equal(t, 1, count)
+	require.NoError(t, conn.Close())
+}
--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -199,6 +199,9 @@
 		_ = conn.SetWriteDeadline(time.Time{}) // clears the call's deadline; an error only means that the connection is closed
 		conn.awaitRequest()
 	}
+	if state == http.StateActive {
+		conn.beginRequest() // it may have been read together with the request before it
+	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	delete(server.idle, conn)
