Budgets: the row has the whole budget where turns are retained

What callers saw: after the loss of all hosts, turns of kept conversations got 503 'a host that has tokens of the program did not answer' on each try, to the end of the recovery and for minutes more, at two thirds of their program's budget.

Cause: a third of each budget was known to one host's memory alone. Once that host was lost, nobody knew how much of it had been granted, so that nobody could grant the rest.

What may still be granted from memory is then no part of the budget, so the row alone says whether it is spent. The first host that needs the row reserves a third of it at once, which carries the program through an outage of the store as the in-memory part did; later each turn is reserved by itself, so that little is lost with a host. The grantor tells whether a program began with turns of the other kind. Hosts of builds that grant more from memory are seen in the list, and the time until which their rule holds is passed on from row to row: before, a second loss of all hosts after an upgrade forgot it.

--- a/bvbudget/account.go
+++ b/bvbudget/account.go
@@ -23,6 +23,7 @@
 	waiting        int   // sum of the maxima of the turns that wait
 	maxTokens      int   // of the last turn
 	budget         int   // tokens of the part in the record
+	split          bool  // a part of the budget is granted from memory, as the grantor replied
 	lastUsed       bvclock.Time
 	retain         bvclock.Duration
 	rowRetain      bvclock.Duration // how long the row is kept after its last write
--- a/bvbudget/allocator.go
+++ b/bvbudget/allocator.go
@@ -12,6 +12,11 @@
 //     blocks of it. It is for programs that spend more, and for those whose grantor has
 //     failed.
 //
+// Where turns are retained, the in-memory part is one turn's maximum and the row has the
+// whole budget, because such a turn must not be refused for good after a grantor was lost.
+// The first host that needs the row reserves a third of it, so that the program can go on
+// while the store is unavailable.
+//
 // A host spends the tokens it holds without a request to others, and lends some to other
 // hosts that have turns of the program. It deducts the tokens before it sends them, so a
 // lost reply loses tokens and never duplicates them. The tokens that callers get stay
@@ -72,14 +77,26 @@
 // Lenders are the other hosts, which may lend tokens.
 type Lenders interface {
 	// RequestTokens requests tokens from a host and waits for the reply for a short time.
-	// The tokens are passed to Allocator.AcceptTokens, also when they are late. No request
-	// is sent to a silent host. An undecided reply counts as unanswered.
-	RequestTokens(ctx context.Context, host string, request TokenRequest) (sent, answered bool)
+	// The reply is passed to Allocator.AcceptTokens, also when it is late.
+	RequestTokens(ctx context.Context, host string, request TokenRequest) Answer
 	// AddressOfIncarnation returns the address of an incarnation of a host, unless the host
 	// is silent.
 	AddressOfIncarnation(incarnation string) (host string, reachable bool)
 }
 
+//go:generate stringer -type=Answer -linecomment -output=answer_string.go
+
+// Answer is what became of a request for tokens.
+type Answer int
+
+// The answers.
+const (
+	NotAsked   Answer = iota // not asked, as the host is silent
+	Unanswered               // not answered in time
+	Undecided                // undecided, see TokenReply
+	Answered                 // answered
+)
+
 // TokenRequest is a request of one host for tokens of another.
 type TokenRequest struct {
 	Program   string
@@ -88,6 +105,7 @@
 	Budget    int              // tokens of the whole program
 	MaxTokens int              // maximum that the turn may generate
 	Retain    bvclock.Duration // how long the budget is retained after the last turn
+	Retained  bool             // the program's turns are retained
 	AsGrantor bool             // the sender considers this host the program's grantor
 }
 
@@ -95,6 +113,8 @@
 type TokenReply struct {
 	Tokens  int
 	Holders []string // addresses of other hosts that may hold some
+	// Split: this host grants a part of the budget from memory, as the first turn was not retained.
+	Split bool
 	// Undecided: there may be more tokens, which this host can neither grant nor deny. It
 	// is the program's grantor but does not know what was granted before it started, or it
 	// knows no grantor, or another one than the sender.
@@ -104,10 +124,10 @@
 // Turn is a turn for which tokens are reserved.
 type Turn struct {
 	Program   string
-	Budget    int // tokens of the whole program
-	MaxTokens int // maximum that the turn may generate
-	MinTokens int // minimum that a turn with any output generates; 0: one
-	Continues bool
+	Budget    int              // tokens of the whole program
+	MaxTokens int              // maximum that the turn may generate
+	MinTokens int              // minimum that a turn with any output generates; 0: one
+	Retained  bool             // the turns are retained, and must not be refused because a host was lost
 	Retain    bvclock.Duration // how long the budget is retained after the last turn
 }
 
@@ -195,7 +215,7 @@
 	}
 	found.waiting += turn.MaxTokens
 	found.maxTokens = turn.MaxTokens
-	found.budget = allocator.storedBudget(turn)
+	found.budget = allocator.storedBudget(found, turn)
 	found.retain = max(found.retain, turn.Retain)
 	found.rowRetain = max(found.rowRetain, turn.rowRetention())
 	found.lastUsed = allocator.clock.Now()
--- a/bvbudget/grant.go
+++ b/bvbudget/grant.go
@@ -16,9 +16,8 @@
 	// MayGrant reports whether this host alone may grant for the program now. It must never
 	// be true for a host while a grant of another one can still be spent.
 	MayGrant(now bvclock.Time, program string, retain bvclock.Duration) bool
-	// GrantsHalves reports whether hosts of older builds, which grant half of a budget from memory, grant or have
-	// granted for programs that may still run.
-	GrantsHalves(now bvclock.Time) bool
+	// OldestRule returns the oldest rule by which hosts grant, or have granted for programs that may still run.
+	OldestRule(now bvclock.Time) bvlease.Rule
 }
 
 // SetGrantors enables grants from memory. It is called before the first
@@ -27,7 +26,8 @@
 
 // grant is the in-memory part of a program's budget at its grantor.
 type grant struct {
-	remaining int // tokens not granted yet
+	split     bool // the program's first turn was not retained
+	remaining int  // tokens not granted yet
 	lastUsed  bvclock.Time
 	retain    bvclock.Duration
 }
@@ -69,37 +69,63 @@
 // grant half of it from memory.
 func evenPart(budget, maxTokens int) int { return (budget + maxTokens) / 2 }
 
-// storedBudget returns the part of a budget that is in the program's row.
-func (allocator *Allocator) storedBudget(turn Turn) int {
+// newGrant returns the in-memory part of the budget of a program that is new to its grantor.
+func newGrant(request TokenRequest) *grant {
+	part := memoryPart(request.Budget, request.MaxTokens)
+	if request.Retained {
+		part = min(part, request.MaxTokens)
+	}
+	return &grant{split: !request.Retained, remaining: part}
+}
+
+// storedBudget returns the part of a budget that is in the program's row. The caller holds the mutex.
+func (allocator *Allocator) storedBudget(account *account, turn Turn) int {
 	switch {
 	case allocator.grantors == nil:
 		return turn.Budget
-	case allocator.grantors.GrantsHalves(allocator.clock.Now()):
+	case allocator.grantors.OldestRule(allocator.clock.Now()) == bvlease.GrantHalf:
 		return evenPart(turn.Budget, turn.MaxTokens)
+	case allocator.hasWholeRow(account, turn):
+		return turn.Budget
 	}
 	return rowPart(turn.Budget, turn.MaxTokens)
 }
 
+// hasWholeRow reports whether a program's row has its whole budget, so that none of it is lost with a grantor. The
+// caller holds the mutex.
+func (allocator *Allocator) hasWholeRow(account *account, turn Turn) bool {
+	if allocator.grantors == nil {
+		return true
+	}
+	return turn.Retained && !account.split && allocator.grantors.OldestRule(allocator.clock.Now()) > bvlease.GrantThird
+}
+
+func (allocator *Allocator) isRowWhole(account *account, turn Turn) bool {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return allocator.hasWholeRow(account, turn)
+}
+
 // grantTokens grants tokens of a program's in-memory part if this host may. Undecided has
 // the meaning it has in TokenReply: hosts that have just started have incomplete lists and
 // may each choose another grantor, and one that is wrongly chosen must not deny tokens
 // that the right one has. The caller holds the mutex.
-func (allocator *Allocator) grantTokens(request TokenRequest) (tokens int, undecided bool) {
+func (allocator *Allocator) grantTokens(request TokenRequest) TokenReply {
 	now := allocator.clock.Now()
 	if allocator.grantors == nil {
-		return 0, false
+		return TokenReply{}
 	}
 	if !allocator.grantors.MayGrant(now, request.Program, request.Retain) {
 		holder, found := allocator.grantors.Holder(request.Program)
-		return 0, request.AsGrantor || !found || holder.Incarnation == allocator.incarnation
+		return TokenReply{Undecided: request.AsGrantor || !found || holder.Incarnation == allocator.incarnation}
 	}
 	found := allocator.grants[request.Program]
 	if found == nil {
-		found = &grant{remaining: memoryPart(request.Budget, request.MaxTokens)}
+		found = newGrant(request)
 		allocator.grants[request.Program] = found
 	}
 	found.lastUsed, found.retain = now, max(found.retain, request.Retain)
-	tokens = blockSize(found.remaining, request.Tokens, request.MaxTokens)
+	tokens := blockSize(found.remaining, request.Tokens, request.MaxTokens)
 	if found.remaining < request.Tokens {
 		tokens = 0
 		if request.Partial {
@@ -107,7 +133,7 @@
 		}
 	}
 	found.remaining -= tokens
-	return tokens, false
+	return TokenReply{Tokens: tokens, Split: found.split}
 }
 
 // grantLocally grants tokens for a turn of this host.
@@ -118,16 +144,17 @@
 	if need <= 0 {
 		return false
 	}
-	tokens, undecided := allocator.grantTokens(turn.tokenRequest(need, partial))
-	account.free += tokens
-	return undecided
+	reply := allocator.grantTokens(turn.tokenRequest(need, partial))
+	account.free += reply.Tokens
+	account.split = account.split || reply.Split
+	return reply.Undecided
 }
 
 // tokenRequest returns a request for tokens that the turn lacks.
 func (turn Turn) tokenRequest(tokens int, partial bool) TokenRequest {
 	return TokenRequest{
 		Program: turn.Program, Tokens: tokens, Partial: partial,
-		Budget: turn.Budget, MaxTokens: turn.MaxTokens, Retain: turn.Retain,
+		Budget: turn.Budget, MaxTokens: turn.MaxTokens, Retain: turn.Retain, Retained: turn.Retained,
 	}
 }
 
@@ -173,6 +200,7 @@
 	Left    int              `json:"left"`   // tokens not granted yet
 	Idle    bvclock.Duration `json:"idle"`   // time since the last grant, in milliseconds
 	Retain  bvclock.Duration `json:"retain"` // how long the program may pause, in milliseconds
+	Split   bool             `json:"split"`  // the program's first turn was not retained
 }
 
 // ExportGrants returns the grants to hand over, the most recent ones first: all recent ones, and
@@ -189,7 +217,7 @@
 			recent++
 		}
 		granted = append(granted, GrantState{
-			Program: program, Left: grant.remaining, Idle: now.Sub(grant.lastUsed), Retain: grant.retain,
+			Program: program, Left: grant.remaining, Idle: now.Sub(grant.lastUsed), Retain: grant.retain, Split: grant.split,
 		})
 	}
 	slices.SortFunc(granted, func(a, b GrantState) int { return cmp.Compare(a.Idle-a.Retain, b.Idle-b.Retain) })
@@ -203,6 +231,8 @@
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
 	for _, state := range granted {
-		allocator.grants[state.Program] = &grant{remaining: state.Left, lastUsed: now.Add(-state.Idle), retain: state.Retain}
+		allocator.grants[state.Program] = &grant{
+			split: state.Split, remaining: state.Left, lastUsed: now.Add(-state.Idle), retain: state.Retain,
+		}
 	}
 }
--- a/bvbudget/lend.go
+++ b/bvbudget/lend.go
@@ -59,19 +59,20 @@
 // borrow gets tokens from this host's own grants and from other hosts that may have some
 // of the program: all that a turn lacks from one of the first hosts, or, with partial, as
 // many as each can lend. Conclusive is false if the grantor or a host that was queried
-// left open whether it has more tokens, or if a holder may not be discovered yet.
+// left open whether it has more tokens, or if a holder may not be discovered yet. The
+// grantor of a program whose row has the whole budget leaves nothing open.
 func (allocator *Allocator) borrow(ctx context.Context, account *account, turn Turn, partial bool) (reservation *Reservation, conclusive bool) {
 	undecided := allocator.grantLocally(account, turn, partial)
 	if reservation := allocator.reserveFree(account, turn); reservation != nil {
 		return reservation, true
 	}
-	conclusive = !undecided
+	conclusive = !undecided || allocator.isRowWhole(account, turn)
 	grantor := allocator.grantorAddress(account.program)
 	queried := make(map[string]bool)
 	for requests := 0; partial || requests < maxFullRequests; {
 		host, found := allocator.nextLender(account, grantor, queried)
 		if !found {
-			return nil, conclusive && !allocator.hasUndiscoveredHolders(account)
+			return nil, conclusive && !allocator.hasUndiscoveredHolders(account, turn)
 		}
 		queried[host] = true
 		allocator.mutex.Lock()
@@ -79,18 +80,30 @@
 		allocator.mutex.Unlock()
 		request := turn.tokenRequest(need, partial)
 		request.AsGrantor = host == grantor
-		sent, answered := allocator.lenders.RequestTokens(ctx, host, request)
-		conclusive = conclusive && (answered || !sent && host != grantor)
+		answer := allocator.lenders.RequestTokens(ctx, host, request)
+		conclusive = conclusive && isConclusive(answer, allocator.isRowWhole(account, turn), host == grantor)
 		if reservation := allocator.reserveFree(account, turn); reservation != nil {
 			return reservation, conclusive
 		}
-		if sent {
+		if answer != NotAsked {
 			requests++
 		}
 	}
 	return nil, conclusive
 }
 
+// isConclusive reports whether a host can't have more tokens after its answer. One that is silent counts as failed,
+// with the tokens that it held. Where the row has the whole budget, it makes no difference what the grantor may grant.
+func isConclusive(answer Answer, isWhole, isGrantor bool) bool {
+	switch answer {
+	case NotAsked:
+		return isWhole || !isGrantor
+	case Undecided:
+		return isWhole
+	}
+	return answer == Answered
+}
+
 // discoveryTime is how long after its start a host may not have discovered all others: it
 // reads their list each second at first, and digests arrive ten times a second, some of
 // them lost.
@@ -100,14 +113,14 @@
 // may not have discovered yet. A host that has just started can't distinguish it from a
 // failed one, and would refuse the program as over budget while most of its budget is
 // unspent there.
-func (allocator *Allocator) hasUndiscoveredHolders(account *account) bool {
+func (allocator *Allocator) hasUndiscoveredHolders(account *account, turn Turn) bool {
 	if allocator.clock.Now().Sub(allocator.started) >= discoveryTime {
 		return false
 	}
 	allocator.mutex.Lock()
 	granted := slices.Collect(maps.Keys(account.record.Granted))
 	allocator.mutex.Unlock()
-	if allocator.grantors != nil {
+	if !allocator.isRowWhole(account, turn) {
 		if holder, found := allocator.grantors.Holder(account.program); found {
 			granted = append(granted, holder.Incarnation)
 		}
@@ -158,8 +171,12 @@
 	reply.Holders, _ = allocator.holders.Get(hash)
 	if reply.Tokens < request.Tokens {
 		request.Tokens -= reply.Tokens
-		granted, undecided := allocator.grantTokens(request)
-		reply.Tokens, reply.Undecided = reply.Tokens+granted, undecided
+		granted := allocator.grantTokens(request)
+		reply.Tokens += granted.Tokens
+		reply.Undecided = granted.Undecided
+	}
+	if grant := allocator.grants[request.Program]; grant != nil {
+		reply.Split = grant.split
 	}
 	if reply.Tokens > 0 {
 		allocator.recordHolder(hash, borrower)
@@ -179,17 +196,21 @@
 }
 
 // AcceptTokens adds tokens that another host has lent, and the holders that it named.
-func (allocator *Allocator) AcceptTokens(program string, tokens int, holders []string) {
+func (allocator *Allocator) AcceptTokens(program string, reply TokenReply) {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
 	hash := xxhash.Sum64String(program)
-	for _, holder := range holders {
+	for _, holder := range reply.Holders {
 		allocator.recordHolder(hash, holder)
 	}
 	account := allocator.accounts[program]
-	if account == nil || tokens == 0 {
+	if account == nil {
+		return
+	}
+	account.split = account.split || reply.Split
+	if reply.Tokens == 0 {
 		return
 	}
-	account.free += tokens
+	account.free += reply.Tokens
 	allocator.reservedPrograms = append(allocator.reservedPrograms, hash)
 }
--- a/bvbudget/record.go
+++ b/bvbudget/record.go
@@ -74,6 +74,19 @@
 	return blockSize(available, need, maxTokens), true
 }
 
+// nextRetainedBlock returns the same where the row has the whole budget: first a third of it,
+// which most programs don't exceed, and then the need, so that little is lost with a host.
+func (record Record) nextRetainedBlock(budget, need int) (int, bool) {
+	granted := record.totalGranted()
+	switch {
+	case budget-granted < need:
+		return 0, false
+	case granted == 0:
+		return max(need, budget/memoryDivisor), true
+	}
+	return need, true
+}
+
 // blockSize returns how many of the available tokens a host gets that needs some of them.
 // If few are available it is only the need, because tokens that are unspent at one host,
 // or lost with it, are missing at the next.
--- a/bvbudget/reserve.go
+++ b/bvbudget/reserve.go
@@ -114,11 +114,15 @@
 func (allocator *Allocator) planBlock(account *account, turn Turn) (block int, fits bool) {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
-	budget := allocator.storedBudget(turn)
-	if block, fits = account.record.nextBlock(budget, account.waiting-account.free, turn.MaxTokens); fits {
+	account.budget = allocator.storedBudget(account, turn)
+	next := func(need int) (int, bool) { return account.record.nextBlock(account.budget, need, turn.MaxTokens) }
+	if turn.Retained && allocator.hasWholeRow(account, turn) {
+		next = func(need int) (int, bool) { return account.record.nextRetainedBlock(account.budget, need) }
+	}
+	if block, fits = next(account.waiting - account.free); fits {
 		return block, true
 	}
-	return account.record.nextBlock(budget, turn.MaxTokens-account.free, turn.MaxTokens)
+	return next(turn.MaxTokens - account.free)
 }
 
 func (allocator *Allocator) exceededError(account *account, turn Turn) error {
--- a/bvfront/turn.go
+++ b/bvfront/turn.go
@@ -150,7 +150,7 @@
 		Budget:    call.metadata.Budget,
 		MaxTokens: maxTokens,
 		MinTokens: minTokens,
-		Continues: call.metadata.Continues(),
+		Retained:  call.route.Retained,
 		Retain:    call.route.Retain,
 	})
 	return err
--- a/bvgossip/ask.go
+++ b/bvgossip/ask.go
@@ -25,23 +25,22 @@
 
 // RequestTokens requests tokens of a program's budget from a host and waits for the reply
 // for a short time. The tokens go to the Handler's AcceptTokens, also when the reply is
-// late. No request is sent to a silent host. A reply that is undecided counts as
-// unanswered, because it leaves open whether there are more tokens. RequestTokens sets
-// the Ask's number.
-func (gossip *Gossip) RequestTokens(ctx context.Context, host netip.AddrPort, ask *Ask) (sent, answered bool) {
+// late. No request is sent to a silent host. The reply is nil if it did not arrive in time.
+// RequestTokens sets the Ask's number.
+func (gossip *Gossip) RequestTokens(ctx context.Context, host netip.AddrPort, ask *Ask) (reply *Lend, sent bool) {
 	if gossip.isHostSilent(host) {
-		return false, false
+		return nil, false
 	}
 	ask.Number = rand.Uint64()
 	pending := gossip.registerRequest(ask.Number)
 	gossip.sendTo(host, &Datagram{Message: &Datagram_Ask{Ask: ask}})
 	select {
 	case lend := <-pending.replies:
-		return true, !lend.GetWithheld()
+		return lend, true
 	case <-bvclock.After(requestTimeout):
 	case <-ctx.Done():
 	}
-	return true, false
+	return nil, true
 }
 
 // AddressOfIncarnation returns the address of a host's incarnation, unless it is silent.
@@ -97,6 +96,6 @@
 	if pending == nil {
 		return
 	}
-	handler.AcceptTokens(lend.GetProgram(), int(lend.GetTokens()), lend.GetHolders())
+	handler.AcceptTokens(lend)
 	pending.replies <- lend
 }
--- a/bvgossip/gossip.go
+++ b/bvgossip/gossip.go
@@ -323,9 +323,8 @@
 	FindStart(query *StreamQuery) *StreamFinding
 	// HandleCrashes handles crashes that another host has just detected.
 	HandleCrashes(crashes *Crashes)
-	// AcceptTokens adds tokens that another host lent. Holders are the addresses of other
-	// hosts that may have some.
-	AcceptTokens(program string, tokens int, holders []string)
+	// AcceptTokens adds the tokens that another host lent.
+	AcceptTokens(lend *Lend)
 }
 
 // Receive passes the messages of other hosts to the handler until the socket is closed.
--- a/bvlease/lease.go
+++ b/bvlease/lease.go
@@ -43,20 +43,20 @@
 	// maxRetain is the longest retention time of a route's turns for which grants
 	// are made.
 	maxRetain = 5 * bvclock.Minute
-	// takeoverDelay is how long a new holder waits before it grants: after it, the
+	// TakeoverDelay is how long a new holder waits before it grants: after it, the
 	// previous holder must have stopped granting, and no program that it granted for
 	// can return.
-	takeoverDelay = leaseTime + MaxProgramTime + maxRetain + maxReadGap
+	TakeoverDelay = leaseTime + MaxProgramTime + maxRetain + maxReadGap
 	// maxReadGap is the longest time between two reads of the list in which a departed
 	// host may have been listed and removed again unseen without its delay being
-	// restarted; takeoverDelay includes it.
+	// restarted; TakeoverDelay includes it.
 	maxReadGap = 15 * bvclock.Second
 	// resetGap is the time between two reads of the list after which this host starts
-	// over as if newly listed. A host that was never seen here waits for takeoverDelay
+	// over as if newly listed. A host that was never seen here waits for TakeoverDelay
 	// before its first grant, so it can't have granted unseen within a shorter gap.
 	resetGap = 2 * bvclock.Minute
 	// MaxHandoverAge is the age up to which the next process of a host may continue
-	// from a handover: other hosts wait for takeoverDelay.
+	// from a handover: other hosts wait for TakeoverDelay.
 	MaxHandoverAge = leaseTime
 	// maxFirstWriteDelay is how soon after its start a host must have written its row
 	// to be part of the first list.
@@ -71,9 +71,22 @@
 	Name        string
 	Incarnation string // differs with each start of the process
 	Address     string // IP:port for requests of other hosts
-	IsOlder     bool   // its build grants half of a budget from memory
 }
 
+//go:generate stringer -type=Rule -linecomment
+
+// Rule states how much of a budget hosts of a build grant from memory. The rest is in the program's row.
+type Rule int
+
+// The rules, from that of the oldest builds to that of this build.
+const (
+	GrantHalf                Rule = iota // half
+	GrantThird                           // third
+	GrantThirdUnlessRetained             // third, one turn where turns are retained
+
+	CurrentRule = GrantThirdUnlessRetained
+)
+
 // row is a listed host and the hash of its name, the seed of its rendezvous weights.
 type row struct {
 	Host
@@ -98,8 +111,8 @@
 	readAt        bvclock.Time // when the last successful read of the list began; 0 before the first
 	rows          []row
 	departedHosts []departedHost
-	olderUntil    bvclock.Time // until when programs may run for which hosts of older builds have granted
-	inherited     bool         // this host continues from the handover of its previous process
+	ruleUntil     [CurrentRule]bvclock.Time // until when programs may run for which hosts have granted by earlier rules
+	inherited     bool                      // this host continues from the handover of its previous process
 	stopped       bool
 }
 
@@ -161,9 +174,6 @@
 	for _, host := range hosts {
 		seed := xxhash.Sum64String(host.Name)
 		listed[seed] = true
-		if host.IsOlder {
-			leases.olderUntil = now.Add(takeoverDelay)
-		}
 		rows = append(rows, row{Host: host, seed: seed})
 	}
 	leases.handleGap(readAt, now)
@@ -199,7 +209,7 @@
 // dropExpired removes the departed hosts whose delay has passed.
 func (leases *Leases) dropExpired(now bvclock.Time) {
 	leases.departedHosts = slices.DeleteFunc(leases.departedHosts, func(departed departedHost) bool {
-		return now.Sub(departed.departedAt) >= takeoverDelay
+		return now.Sub(departed.departedAt) >= TakeoverDelay
 	})
 }
 
@@ -248,25 +258,31 @@
 	return best != nil && best.Incarnation == leases.self.Incarnation && !leases.isHeldByDeparted(now, program, highest)
 }
 
-// RecordOlder records that a host of an older build has granted until now.
-func (leases *Leases) RecordOlder(now bvclock.Time) {
+// ExtendRule records that programs for which a host has granted by a rule may run until a time.
+func (leases *Leases) ExtendRule(rule Rule, until bvclock.Time) {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
-	leases.olderUntil = now.Add(takeoverDelay)
+	if rule >= 0 && rule < CurrentRule {
+		leases.ruleUntil[rule] = max(leases.ruleUntil[rule], until)
+	}
 }
 
-// GrantsHalves reports whether a host of an older build is listed as a grantor, or was so recently that programs for
-// which it granted may still run.
-func (leases *Leases) GrantsHalves(now bvclock.Time) bool {
+// OldestRule returns the oldest rule by which hosts grant, or have granted for programs that may still run.
+func (leases *Leases) OldestRule(now bvclock.Time) Rule {
 	leases.mutex.Lock()
 	defer leases.mutex.Unlock()
-	return now.Before(leases.olderUntil)
+	for rule, until := range leases.ruleUntil {
+		if now.Before(until) {
+			return Rule(rule)
+		}
+	}
+	return CurrentRule
 }
 
 // hasNoPredecessor reports whether no host can have granted for this host's programs
 // before it was listed, or those programs have ended.
 func (leases *Leases) hasNoPredecessor(now bvclock.Time) bool {
-	if leases.inherited || now.Sub(leases.writtenAt) >= takeoverDelay {
+	if leases.inherited || now.Sub(leases.writtenAt) >= TakeoverDelay {
 		return true
 	}
 	return leases.isFirstStart && leases.writtenAt.Sub(leases.startedAt) <= maxFirstWriteDelay && leases.readAt.Sub(leases.startedAt) >= FirstReadDelay
@@ -277,6 +293,6 @@
 func (leases *Leases) isHeldByDeparted(now bvclock.Time, program string, ownWeight uint64) bool {
 	key := xxhash.Sum64String(program)
 	return slices.ContainsFunc(leases.departedHosts, func(departed departedHost) bool {
-		return bvhost.Weight(departed.seed, key) > ownWeight && now.Sub(departed.departedAt) < takeoverDelay
+		return bvhost.Weight(departed.seed, key) > ownWeight && now.Sub(departed.departedAt) < TakeoverDelay
 	})
 }
--- a/bvrouter/gossip.go
+++ b/bvrouter/gossip.go
@@ -96,35 +96,48 @@
 		Budget:    int(ask.GetBudget()),
 		MaxTokens: int(ask.GetMost()),
 		Retain:    bvclock.Duration(ask.GetRetain()),
+		Retained:  ask.GetRetained(),
 		AsGrantor: ask.GetGrantor(),
 	})
-	return &bvgossip.Lend{Tokens: uint32(lent.Tokens), Holders: lent.Holders, Withheld: lent.Undecided}
+	return &bvgossip.Lend{Tokens: uint32(lent.Tokens), Holders: lent.Holders, Withheld: lent.Undecided, Split: lent.Split}
 }
 
 // AcceptTokens implements bvgossip.Handler.
-func (handler peerHandler) AcceptTokens(program string, tokens int, holders []string) {
-	handler.budgets.AcceptTokens(program, tokens, holders)
+func (handler peerHandler) AcceptTokens(lend *bvgossip.Lend) {
+	handler.budgets.AcceptTokens(lend.GetProgram(), bvbudget.TokenReply{
+		Tokens: int(lend.GetTokens()), Holders: lend.GetHolders(), Split: lend.GetSplit(), Undecided: lend.GetWithheld(),
+	})
 }
 
 // lenders requests tokens of a program's budget from other hosts.
 type lenders struct{ *Router }
 
 // RequestTokens implements bvbudget.Lenders.
-func (lenders lenders) RequestTokens(ctx context.Context, host string, want bvbudget.TokenRequest) (sent, answered bool) {
+func (lenders lenders) RequestTokens(ctx context.Context, host string, want bvbudget.TokenRequest) bvbudget.Answer {
 	address, err := netip.ParseAddrPort(host)
 	if err != nil {
 		lenders.log.WithError(err).Warn("another host's address can't be read")
-		return false, false
-	}
-	return lenders.gossip.RequestTokens(ctx, address, &bvgossip.Ask{
-		Program: want.Program,
-		Tokens:  uint32(want.Tokens),
-		Partial: want.Partial,
-		Budget:  uint32(want.Budget),
-		Most:    uint32(want.MaxTokens),
-		Retain:  int64(want.Retain),
-		Grantor: want.AsGrantor,
+		return bvbudget.NotAsked
+	}
+	reply, sent := lenders.gossip.RequestTokens(ctx, address, &bvgossip.Ask{
+		Program:  want.Program,
+		Tokens:   uint32(want.Tokens),
+		Partial:  want.Partial,
+		Budget:   uint32(want.Budget),
+		Most:     uint32(want.MaxTokens),
+		Retain:   int64(want.Retain),
+		Retained: want.Retained,
+		Grantor:  want.AsGrantor,
 	})
+	switch {
+	case !sent:
+		return bvbudget.NotAsked
+	case reply == nil:
+		return bvbudget.Unanswered
+	case reply.GetWithheld():
+		return bvbudget.Undecided
+	}
+	return bvbudget.Answered
 }
 
 // AddressOfIncarnation implements bvbudget.Lenders.
@@ -151,9 +164,9 @@
 	return grantors.leases.MayGrant(now, program, retain)
 }
 
-// GrantsHalves implements bvbudget.Grantors.
-func (grantors grantors) GrantsHalves(now bvclock.Time) bool {
-	return grantors.leases.GrantsHalves(now)
+// OldestRule implements bvbudget.Grantors.
+func (grantors grantors) OldestRule(now bvclock.Time) bvlease.Rule {
+	return grantors.leases.OldestRule(now)
 }
 
 // HandleDigest implements bvgossip.Handler.
--- a/bvrouter/handover.go
+++ b/bvrouter/handover.go
@@ -22,7 +22,7 @@
 	// limit applies to the encoded row.
 	maxHandoverShare = 0.7
 	// grantBytes is an upper bound of the size of a grant in a handover.
-	grantBytes = 110
+	grantBytes = 125
 	// maxClockSkew is the maximum difference of the wall clocks of two processes in the
 	// check of a handover's age: hosts' clocks differ by 5 s at most.
 	maxClockSkew = 5 * time.Second
@@ -35,8 +35,9 @@
 	Stopped time.Time             `json:"stopped"`
 	Known   bvlease.KnownHosts    `json:"known"` // hosts
 	Granted []bvbudget.GrantState `json:"granted"`
-	// SmallGrants: a third of a budget was granted from memory; older builds grant half.
-	SmallGrants bool `json:"small_grants"`
+	// SmallGrants and Rule are those of the host's row.
+	SmallGrants bool         `json:"small_grants"`
+	Rule        bvlease.Rule `json:"rule"`
 }
 
 // retire stops granting and removes this host from the list. The same transaction stores
@@ -73,7 +74,7 @@
 	var encoded []byte
 	for _, most := range []int{limit / grantBytes, 0} {
 		var err error
-		encoded, err = json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants(most), SmallGrants: true})
+		encoded, err = json.Marshal(handover{Stopped: time.Now(), Known: known, Granted: router.budgets.ExportGrants(most), SmallGrants: true, Rule: bvlease.CurrentRule})
 		if err == nil && len(encoded) <= limit {
 			return []bvplatform.Put{{Key: handoversPrefix + router.settings.Name, Value: encoded}}
 		}
@@ -123,9 +124,9 @@
 	if inherited {
 		router.budgets.ImportGrants(router.previousHandover.Granted)
 		router.leases.Inherit(router.clock.Now(), router.previousHandover.Known)
-		if !router.previousHandover.SmallGrants {
-			router.leases.RecordOlder(router.clock.Now())
-		}
+		previous := hostRow{SmallGrants: router.previousHandover.SmallGrants, Rule: router.previousHandover.Rule}
+		router.rules.recordGrants(previous.rule(), time.Now())
+		router.rules.extend(router.leases, router.clock.Now(), time.Now())
 	}
 	router.previousHandover = nil
 	if grantor {
@@ -159,7 +160,7 @@
 func (router *Router) hostRowPut(grantor bool) bvplatform.Put {
 	encoded, _ := json.Marshal(hostRow{ // strings always encode
 		Address: router.settings.PeerAddress, Zone: router.settings.Zone, Incarnation: router.incarnation, Grantor: grantor,
-		Origins: true, SmallGrants: true,
+		Origins: true, SmallGrants: true, Rule: bvlease.CurrentRule, RuleUntil: router.rules,
 	})
 	return bvplatform.Put{Key: hostsPrefix + router.settings.Name, Value: encoded}
 }
--- a/bvrouter/hosts.go
+++ b/bvrouter/hosts.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -42,8 +43,13 @@
 	Grantor     bool   `json:"grantor"`     // grants for a share of all programs
 	// Origins: it stores the origins at which it begins streams, which older builds don't.
 	Origins bool `json:"origins"`
-	// SmallGrants: it grants a third of a budget from memory; older builds grant half.
+	// SmallGrants: it grants a third of a budget from memory at most; older builds grant half.
 	SmallGrants bool `json:"small_grants"`
+	// Rule is the rule by which it grants; builds that grant a third for all programs have none.
+	Rule bvlease.Rule `json:"rule"`
+	// RuleUntil is until when programs may run for which hosts granted by earlier rules, as far as this host knew when
+	// it listed itself.
+	RuleUntil grantRules `json:"rule_until,omitzero"`
 }
 
 // followHosts adds this host to the list and reads the list regularly.
@@ -93,10 +99,10 @@
 		if err != nil {
 			return fmt.Errorf("router: row %s of the list of hosts: %w", host.Key, err)
 		}
+		router.rules.add(host.Row, time.Now())
 		if host.Row.Grantor {
 			grantors = append(grantors, bvlease.Host{
 				Name: strings.TrimPrefix(host.Key, hostsPrefix), Incarnation: host.Row.Incarnation, Address: host.Row.Address,
-				IsOlder: !host.Row.SmallGrants,
 			})
 		}
 		if host.Row.Incarnation == router.incarnation {
@@ -112,6 +118,7 @@
 	router.setHosts(hosts, asOf)
 	router.logReaderRole()
 	router.leases.UpdateList(asOf, router.clock.Now(), grantors)
+	router.rules.extend(router.leases, router.clock.Now(), time.Now())
 	return nil
 }
 
--- a/bvrouter/router.go
+++ b/bvrouter/router.go
@@ -90,6 +90,7 @@
 	streams     *bvstream.Streams
 	connections *bvforward.Connections
 	budgets     *bvbudget.Allocator
+	rules       grantRules // used by followHosts only
 	histories   *bvhistory.Store
 	leases      *bvlease.Leases
 	limiter     *bvquota.Limiter
