Tests of frozen processes wait until all their threads have stopped

What was seen: TestStatusNamesTheHostThatDoesNotAnswer failed once in 'go test ./...' beside two rigs and six builds: the status had an answer of the host that was frozen.

Cause: the test's own. kill(2) returns before a thread on another processor has stopped.

--- a/bvprocess/endpoint_test.go
+++ b/bvprocess/endpoint_test.go
@@ -146,7 +146,7 @@
 	poison := newConversation(t, piranKey, cluster.programOwnedBy("piran", decider.name))
 	poison.turn = 1
 	for _, other := range others {
-		other.signal(syscall.SIGSTOP)
+		other.freeze()
 	}
 	require.Eventually(t, func() bool {
 		status, _ := poison.post(decider, bvstandin.PoisonMarker, false)
--- a/bvprocess/once_test.go
+++ b/bvprocess/once_test.go
@@ -100,7 +100,7 @@
 		request := fmt.Sprintf("booking-3-%d", round)
 		var callers sync.WaitGroup
 		callers.Go(func() { cluster.sendBooking(cluster.daemons[0], program, request) })
-		owner.signal(syscall.SIGSTOP)
+		owner.freeze()
 		callers.Go(func() { cluster.sendBooking(cluster.daemons[1], program, request) })
 		callers.Wait()
 		owner.signal(syscall.SIGCONT)
--- a/bvprocess/process_test.go
+++ b/bvprocess/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -98,6 +99,21 @@
 	_ = process.command.Process.Signal(signal)
 }
 
+// freeze stops all threads of the process, which may run on for a moment after the signal.
+func (process *process) freeze() {
+	process.signal(syscall.SIGSTOP)
+	require.Eventually(process.t, process.isFrozen, testTimeout, time.Millisecond)
+}
+
+func (process *process) isFrozen() bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", process.command.Process.Pid)) // the pattern is valid
+	return len(threads) > 0 && !slices.ContainsFunc(threads, func(name string) bool {
+		content, err := os.ReadFile(name)
+		_, state, found := strings.Cut(string(content), ") ")
+		return err == nil && (!found || !strings.HasPrefix(state, "T"))
+	})
+}
+
 // kill ends the process as a power cut would.
 func (process *process) kill() {
 	process.signal(syscall.SIGKILL)
--- a/bvprocess/status_test.go
+++ b/bvprocess/status_test.go
@@ -74,7 +74,7 @@
 	t.Parallel()
 	cluster := startCluster(t, size{daemons: 3})
 	cluster.writeTable()
-	cluster.daemons[2].signal(syscall.SIGSTOP)
+	cluster.daemons[2].freeze()
 	defer cluster.daemons[2].signal(syscall.SIGCONT)
 	seen := cluster.statusJSON(cluster.daemons[0], adminKey)
 	require.Len(t, seen.Hosts, 3)
--- a/bvprocess/table_test.go
+++ b/bvprocess/table_test.go
@@ -56,7 +56,7 @@
 	cluster := startCluster(t, size{daemons: 3})
 	cluster.writeTable()
 	frozen := cluster.daemons[2]
-	frozen.signal(syscall.SIGSTOP)
+	frozen.freeze()
 	output, code := cluster.runTableCommand(cluster.daemons[0], piranOperatorKey, "set", "piran/booking", "turns=3")
 	require.Contains(t, output, frozen.name, "exit %d", code)
 	frozen.signal(syscall.SIGCONT)
