Route: a request that outlasts a stop is answered

What callers saw: a request that was still in flight at the end of a stop's time ended with a closed connection, without an answer.

Cause: the stop waited for requests and closed the remaining connections at the end of its time, 94 in 100 of graceS. It then counted as failed, so that unspent budgets were not released and the host stayed on the list.

Change: at nine tenths of the time all calls end as at their deadline. Their callers get 503 if the request has not run, or 504; an answer that has begun is still cut, as it can't be finished. Then the stop goes on.

--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -129,7 +129,7 @@
 	if err := call.authorize(); err != nil {
 		return err
 	}
-	call.ctx, call.cancel = context.WithTimeout(call.ctx, call.remaining().Std())
+	call.limitTime()
 	call.placement = bvdispatch.Request{
 		Prefix:       call.metadata.Prefix,
 		PromptTokens: call.metadata.PromptTokens,
@@ -157,6 +157,18 @@
 	return call.forward()
 }
 
+// limitTime ends the call's context at its deadline, or when the host ends all calls.
+func (call *call) limitTime() {
+	ctx, end := context.WithCancelCause(call.ctx)
+	stop := context.AfterFunc(call.front.ending, func() { end(errEnding) })
+	limited, cancel := context.WithTimeout(ctx, call.remaining().Std())
+	call.ctx, call.cancel = limited, func() {
+		cancel()
+		stop()
+		end(nil)
+	}
+}
+
 // objectHash returns the hash of the object that the request concerns, for routes whose
 // endpoints serve an object faster after earlier requests for it; 0 for other routes.
 func (call *call) objectHash() uint64 {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 
@@ -203,6 +204,8 @@
 type Front struct {
 	parts          Parts
 	leaving        atomic.Bool
+	ending         context.Context // ends with End
+	end            context.CancelFunc
 	memory         memory
 	bulk           *rate.Limiter // of the bytes of long answers
 	invalidReports logLimiter
@@ -215,6 +218,13 @@
 // callers move to other hosts before this one stops.
 func (front *Front) Leave() { front.leaving.Store(true) }
 
+// End ends all calls shortly before the process exits: their callers get an answer that tells
+// whether the request may have run, in place of a closed connection.
+func (front *Front) End() { front.end() }
+
+// errEnding is the cause of the end of calls by End. For them it is their deadline.
+var errEnding = fmt.Errorf("the host stops: %w", context.DeadlineExceeded)
+
 // addCloseHeader adds "Connection: close" to an answer's headers after Leave.
 func (front *Front) addCloseHeader(header http.Header) {
 	if front.leaving.Load() {
@@ -225,6 +235,7 @@
 // New returns a Front.
 func New(parts Parts) *Front {
 	front := &Front{parts: parts, memory: memory{limit: parts.Memory}, bulk: rate.NewLimiter(rate.Inf, bulkBurstBytes)}
+	front.ending, front.end = context.WithCancel(context.Background())
 	front.SetLinkRate(parts.LinkRate)
 	return front
 }
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"balsamvalve.example/bvclock"
 )
@@ -17,6 +18,9 @@
 	// stopMargin is the margin between the end of a graceful stop and the time at which
 	// the process would be killed, as a share of the allowed time.
 	stopMargin = 0.06
+	// endMargin is the margin between the end of calls that are still in flight and the end of
+	// the stop, as a share of the allowed time: their callers get an answer meanwhile.
+	endMargin = 0.04
 	// releaseTimeout bounds the release of unspent budgets by a leaving host.
 	releaseTimeout = 500 * bvclock.Millisecond
 	// retireTimeout bounds the single write after that.
@@ -38,6 +42,11 @@
 	limit := bvclock.Duration(stop*(1-stopMargin)) - router.clock.Now().Sub(start)
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
+	ending := time.AfterFunc((limit - bvclock.Duration(stop*endMargin)).Std(), func() {
+		router.log.WithField("connections", router.server.OpenConnections()).Warn("calls in flight end before their deadline")
+		router.front.End()
+	})
+	defer ending.Stop()
 	if err := router.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("router: requests were cut off after %v: %w", limit, err)
 	}
