Conversations: a turn longer than a transaction is kept in parts

What callers saw: a kept turn of more than some 740 KB, or one that continues a conversation of that size which is older than half of retainS, never ended: its events came, and then the connection was closed.

Cause: a turn is one transaction, and so is the copy that a long conversation gets after half of its retention time. The store accepts a megabyte a call, in base64, so that it rejected the turn for good.

The emulated store has the limit.

Evidence: TestTurnLongerThanATransactionIsKept and TestCopyOfALongConversationIsKept failed before ('transaction rejected').

--- a/bvhistory/history_test.go
+++ b/bvhistory/history_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -21,9 +23,17 @@
 	bvplatform.Memory
 	loseCommits int
 	down        bool
+	limit       int // of the bytes of a transaction, in base64; 0: none
 }
 
 func (store *faultyStore) Commit(ctx context.Context, transaction bvplatform.Transaction) (int64, error) {
+	size := 0
+	for _, put := range transaction.Puts {
+		size += base64.StdEncoding.EncodedLen(len(put.Value))
+	}
+	if store.limit > 0 && size > store.limit {
+		return 0, bvplatform.ErrRejected
+	}
 	version, err := store.Memory.Commit(ctx, transaction)
 	if store.loseCommits > 0 {
 		store.loseCommits--
@@ -211,6 +221,44 @@
 	require.Equal(t, long+"end\n", string(chain.Prompt(nil)))
 }
 
+// storeLimit is the platform's limit of a transaction.
+const storeLimit = 1 << 20
+
+// Guards against a turn whose answer never ends, since its input is longer than a transaction may be.
+func TestTurnLongerThanATransactionIsKept(t *testing.T) {
+	shared := &faultyStore{limit: storeLimit}
+	long := strings.Repeat("long text ", 250_000)
+	first := newTestStore(shared)
+	addTurn(t, first, "", "t1", long, "end\n")
+	addTurn(t, first, "t1", "t2", "and ", "on\n")
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", "t2")
+	require.NoError(t, err)
+	require.Equal(t, long+"end\nand on\n", string(chain.Prompt(nil)))
+}
+
+// Guards against a long conversation that can't go on once its chain is copied.
+func TestCopyOfALongConversationIsKept(t *testing.T) {
+	shared := &faultyStore{limit: storeLimit}
+	store := newTestStore(shared)
+	finished := FinishedTurn{ID: "t0", Input: bytes.Repeat([]byte("x"), 100_000), Output: []byte("y\n"), Retain: bvclock.Minute}
+	var expected []byte
+	parent := ""
+	for number := range 30 {
+		chain, err := store.Chain(t.Context(), "p", parent)
+		require.NoError(t, err)
+		for _, turn := range chain {
+			turn.ChainStart -= 2 // the next turn comes two seconds later
+		}
+		finished.ID = fmt.Sprint("t", number)
+		require.NoError(t, store.Add(t.Context(), chain, finished))
+		expected = append(append(expected, finished.Input...), finished.Output...)
+		parent = finished.ID
+	}
+	chain, err := newTestStore(shared).Chain(t.Context(), "p", parent)
+	require.NoError(t, err)
+	require.Equal(t, expected, chain.Prompt(nil))
+}
+
 // Guards against a long conversation that needs a row which has expired.
 func TestLongConversationNeedsNoExpiredRow(t *testing.T) {
 	now := int64(1000)
--- a/bvhistory/store.go
+++ b/bvhistory/store.go
@@ -4,7 +4,8 @@
 // then on, whichever hosts fail.
 //
 // A row holds one turn and the ids of its ancestors, so the rows of a chain are read
-// in parallel and nothing is stored twice. A conversation that lasts longer than half
+// in parallel and nothing is stored twice. What is too long for one transaction is stored in
+// parts, as if they were turns before it. A conversation that lasts longer than half
 // of the retention time starts a new chain with a copy of its history, so that no row
 // is needed for longer than one and a half times the retention time.
 //
@@ -176,14 +177,23 @@
 // Add persists a turn. It returns when the turn is durable, or when ctx ends, in
 // which case the turn must not be reported to the caller as complete.
 func (store *Store) Add(ctx context.Context, chain Chain, finished FinishedTurn) error {
-	now := time.Now().Unix()
-	turn := newTurn(chain, finished, now)
+	turn := newTurn(chain, finished, time.Now().Unix())
+	for _, part := range turn.splitInput() {
+		if err := store.persist(ctx, part); err != nil {
+			return err
+		}
+	}
+	return store.persist(ctx, turn)
+}
+
+// persist writes a turn, or a part of one, in a single transaction.
+func (store *Store) persist(ctx context.Context, turn *Turn) error {
 	for attempt := 0; ; attempt++ {
 		_, err := store.platform.Commit(ctx, bvplatform.Transaction{Puts: store.encodeRows(turn, attempt%candidateShards)})
 		if err == nil {
 			store.cacheTurn(turn)
 			if attempt > 0 {
-				store.log.WithFields(logrus.Fields{"request": finished.ID, "tries": attempt + 1}).Info("turn kept after all")
+				store.log.WithFields(logrus.Fields{"request": turn.ID, "tries": attempt + 1}).Info("turn kept after all")
 			}
 			return nil
 		}
@@ -194,7 +204,7 @@
 		// nothing: after a lost answer the write is retried without a check, and the
 		// next attempt may go to another shard.
 		if attempt == 0 { // logged once a turn: there is an attempt each 20 ms, for seconds
-			store.log.WithField("request", finished.ID).WithError(err).Warn("turn not kept yet")
+			store.log.WithField("request", turn.ID).WithError(err).Warn("turn not kept yet")
 		}
 		sleep(ctx, retryPause)
 	}
--- a/bvhistory/turn.go
+++ b/bvhistory/turn.go
@@ -29,6 +29,25 @@
 	return len(turn.Input) + len(turn.Output) + rowOverhead
 }
 
+// maxTransactionBytes bounds the text of a turn that is written in one transaction: the store accepts
+// one of a megabyte, in base64.
+const maxTransactionBytes = 512 << 10
+
+// splitInput takes parts off the input of a turn that is too long for one transaction, which become
+// ancestors of the turn, and returns them.
+func (turn *Turn) splitInput() (parts []*Turn) {
+	for len(turn.Input) > 0 && len(turn.Input)+len(turn.Output) > maxTransactionBytes {
+		length := min(len(turn.Input), maxTransactionBytes)
+		part := &Turn{
+			ID: fmt.Sprintf("%s part %d", turn.ID, len(parts)), ChainStart: turn.ChainStart, Expires: turn.Expires, Input: turn.Input[:length],
+		}
+		parts = append(parts, part)
+		turn.Ancestors = append(turn.Ancestors, part.ID)
+		turn.Input = turn.Input[length:]
+	}
+	return parts
+}
+
 // encode serializes the turn as length-prefixed bytes: most of it is text that JSON
 // would escape.
 func (turn *Turn) encode() []byte {
