--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -218,7 +218,7 @@
 // callers move to other hosts before this one stops.
 func (front *Front) Leave() { front.leaving.Store(true) }
 
-// End ends all calls shortly before the process exits: their callers get an answer that tells
+// End ends all calls shortly before the process exits: their callers get an answer that states
 // whether the request may have run, in place of a closed connection.
 func (front *Front) End() { front.end() }
 
--- a/bvrouter/rules.go
+++ b/bvrouter/rules.go
@@ -22,7 +22,7 @@
 	return row.Rule
 }
 
-// add adds what a row of the list tells.
+// add adds what a row of the list states.
 func (rules *grantRules) add(row hostRow, now time.Time) {
 	for rule, until := range row.RuleUntil {
 		rules.record(bvlease.Rule(rule), until)
