Budgets: a host of an older build that grants nothing has its rule too

By reading: hosts of older builds that are no grantors yet, in their first ten minutes, were not seen as such. They request tokens of a program with retained turns as of any other, so that a new grantor gives a third of its budget from memory, while rows of new hosts have the whole budget once that grantor is lost.

--- a/bvrouter/rules.go
+++ b/bvrouter/rules.go
@@ -27,12 +27,11 @@
 	for rule, until := range row.RuleUntil {
 		rules.record(bvlease.Rule(rule), until)
 	}
-	if row.Grantor {
-		rules.recordGrants(row.rule(), now)
-	}
+	// A host of an older build that is no grantor requests tokens by its rule all the same.
+	rules.recordGrants(row.rule(), now)
 }
 
-// recordGrants records that a host grants by a rule now.
+// recordGrants records that a host follows a rule now.
 func (rules *grantRules) recordGrants(rule bvlease.Rule, now time.Time) {
 	rules.record(rule, now.Add(bvlease.TakeoverDelay.Std()+maxClockSkew))
 }
--- a/bvrouter/rules_test.go
+++ b/bvrouter/rules_test.go
@@ -63,3 +63,14 @@
 	rules.add(row, time.Now())
 	require.Equal(t, bvlease.Rule(5), row.rule())
 }
+
+// Guards against a program whose tokens a host of an older build requests as if its turns were not retained.
+func TestOlderHostThatGrantsNothingHasItsRuleToo(t *testing.T) {
+	now := time.Now()
+	var rules grantRules
+	rules.add(decodeHostRow(t, `{"grantor":false,"small_grants":true}`), now)
+	require.True(t, rules[bvlease.GrantThird].After(now))
+	rules = grantRules{}
+	rules.add(hostRow{SmallGrants: true, Rule: bvlease.CurrentRule}, now)
+	require.Zero(t, rules)
+}
