Budgets: what the first host of a kept program reserves is at most three turns

A third of a large budget is many turns, and what a host has reserved and not spent is lost with it.

Change: the first block is a third of the budget, but at most three turns' maximum, which is as much as other blocks. Smaller budgets are unchanged.

--- a/bvbudget/record.go
+++ b/bvbudget/record.go
@@ -74,15 +74,15 @@
 	return blockSize(available, need, maxTokens), true
 }
 
-// nextRetainedBlock returns the same where the row has the whole budget: first a third of it,
-// which most programs don't exceed, and then the need, so that little is lost with a host.
-func (record Record) nextRetainedBlock(budget, need int) (int, bool) {
+// nextRetainedBlock returns the same where the row has the whole budget: first a third of it, at
+// most a few turns, and then the need, so that little is lost with a host.
+func (record Record) nextRetainedBlock(budget, need, maxTokens int) (int, bool) {
 	granted := record.totalGranted()
 	switch {
 	case budget-granted < need:
 		return 0, false
 	case granted == 0:
-		return max(need, budget/memoryDivisor), true
+		return max(need, min(budget/memoryDivisor, blockTurns*maxTokens)), true
 	}
 	return need, true
 }
--- a/bvbudget/reserve.go
+++ b/bvbudget/reserve.go
@@ -117,7 +117,9 @@
 	account.budget = allocator.storedBudget(account, turn)
 	next := func(need int) (int, bool) { return account.record.nextBlock(account.budget, need, turn.MaxTokens) }
 	if turn.Retained && allocator.hasWholeRow(account, turn) {
-		next = func(need int) (int, bool) { return account.record.nextRetainedBlock(account.budget, need) }
+		next = func(need int) (int, bool) {
+			return account.record.nextRetainedBlock(account.budget, need, turn.MaxTokens)
+		}
 	}
 	if block, fits = next(account.waiting - account.free); fits {
 		return block, true
