Answers: the end of a connection that a write found reset is not the end of an answer

What callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is written; callers got that part as a complete answer.

Cause: Linux reports a reset once. The goroutine that writes the upload gets ECONNRESET, and the next read of the goroutine that reads the answer returns 0 bytes, as after an end in order. A body without a length ends there. The same holds for TCP_USER_TIMEOUT, and wherever a request is written beside a read, or before it.

Change: bvresponse.Conn keeps the first error of a write that shows that the connection was lost, and a read returns it in place of EOF. At EOF a write that is in progress is interrupted and waited for, so that its error is known before the end is believed. route, serve, the calls to the platform and to other hosts, the operator's client, the load tool and the emulator's clients use it. Response.Framed, which nothing read, is removed.

Ruled out: waiting for the upload before the end is believed, as an endpoint may answer and never read it.

--- a/bvcommand/tableclient.go
+++ b/bvcommand/tableclient.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"balsamvalve.example/bvoperator"
+	"balsamvalve.example/bvresponse"
 	"balsamvalve.example/bvtable"
 )
 
@@ -29,6 +30,7 @@
 	}
 	client := &bvoperator.Client{Address: address, Key: key, HTTP: &http.Client{Timeout: tableTimeout.Std()}}
 	if flags.caFile == "" {
+		client.HTTP.Transport = bvresponse.NewDefaultTransport()
 		return client, nil
 	}
 	content, err := os.ReadFile(flags.caFile)
@@ -40,7 +42,7 @@
 		return nil, usageError{fmt.Errorf("--ca: %s has no certificate in PEM form", flags.caFile)}
 	}
 	client.TLS = true
-	client.HTTP.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	client.HTTP.Transport = bvresponse.NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}})
 	return client, nil
 }
 
--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -17,6 +17,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvexcerpt"
 	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvresponse"
 	"balsamvalve.example/bvtrace"
 	"balsamvalve.example/bvverdict"
 )
@@ -55,7 +56,7 @@
 	CheckTimeout bvclock.Duration
 
 	once      sync.Once
-	transport *http.Transport
+	transport *bvresponse.Transport
 	budget    retryBudget
 }
 
@@ -84,13 +85,13 @@
 // newTransport returns a transport that dials for each request. Answers have no id that joins
 // them to a request: on a reused connection, a late copy of the answer to the request before
 // would be another caller's answer.
-func (client *Client) newTransport() *http.Transport {
-	return &http.Transport{
+func (client *Client) newTransport() *bvresponse.Transport {
+	return bvresponse.NewTransport(&http.Transport{
 		DialContext:            client.dialer().DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 func orDefault[T int | int64 | bvclock.Duration](value, standard T) T {
--- /dev/null
+++ b/bvforward/broken_test.go
@@ -0,0 +1,152 @@
+package bvforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// uploadBytes is more than the socket buffers of both sides hold.
+	uploadBytes = 32 << 20
+	// settleTime is long enough for a packet to arrive and for the other side to act on it.
+	settleTime = 50 * time.Millisecond
+	// brokenTimeout is only reached by a failing test.
+	brokenTimeout = 2 * time.Second
+)
+
+// newUpload returns a request whose body an endpoint does not read before it answers.
+func newUpload(server *endpoint) *Request {
+	request := server.request("1")
+	request.Method, request.Body = "POST", []byte(strings.Repeat("x", uploadBytes))
+	return request
+}
+
+// Guards against a part of an answer that passes for all of it: the write of the request gets the error of the
+// connection, and reads end as after a complete answer.
+func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+		time.Sleep(settleTime) // until the head is read
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	response, err := newConnections().Send(t.Context(), newUpload(server))
+	require.NoError(t, err)
+	defer response.Close()
+	time.Sleep(3 * settleTime) // until the write has failed
+	body, err := io.ReadAll(response.Body)
+	require.Error(t, err, "%q", body)
+	var answer *AnswerError
+	require.ErrorAs(t, err, &answer)
+	require.Equal(t, BrokenOff, answer.Defect())
+}
+
+// Guards against a complete answer that is taken for a part because the rest of the upload is refused.
+func TestAnswerThatEndsBeforeTheUploadIsReadIsComplete(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(settleTime) // the end arrives before the reset
+		return false
+	})
+	response, err := newConnections().Send(t.Context(), newUpload(server))
+	require.NoError(t, err)
+	defer response.Close()
+	time.Sleep(3 * settleTime)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+}
+
+// Guards against a wait for an upload that is never read, after its answer has ended.
+func TestAnswerThatEndsWhileTheUploadWaitsIsComplete(t *testing.T) {
+	ended := make(chan struct{})
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		<-ended
+		return false
+	})
+	defer close(ended)
+	ctx, cancel := context.WithTimeout(t.Context(), brokenTimeout)
+	defer cancel()
+	response, err := newConnections().Send(ctx, newUpload(server))
+	require.NoError(t, err)
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+}
+
+// Guards against an answer with a length that is rejected because the rest of the upload is refused.
+func TestFramedAnswerIsCompleteThoughTheUploadIsReset(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	} {
+		server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, answer)
+			time.Sleep(settleTime)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		response, err := newConnections().Send(t.Context(), newUpload(server))
+		require.NoError(t, err)
+		time.Sleep(3 * settleTime)
+		body, err := io.ReadAll(response.Body)
+		response.Close()
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+	}
+}
+
+// Guards against proper answers that are taken for broken ones.
+func TestProperAnswersAreRead(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200\r\nid:1\r\ncontent-length:5\r\nEmpty:\r\n\r\nwhole",
+		"HTTP/1.1 200 \r\nID: 1\r\nX-!#$%&'*+.^_`|~9: \t a \x80\xff b \t\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\nId: 1\nContent-Length: 5\n\nwhole",
+		"HTTP/1.1 299 Caf\xe9 \t au lait\r\nId: 1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 599 Own\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: Chunked\r\n\r\n2;x=y\r\nwh\r\n3\r\nole\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nX: " + strings.Repeat("x", 3*bufferBytes) + "\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole",
+		"HTTP/1.0 200 OK\r\nId: 1\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nwhole",
+	} {
+		for _, size := range []int{len(answer), 1} {
+			server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				for rest := answer; rest != ""; rest = rest[min(size, len(rest)):] {
+					_, _ = io.WriteString(conn, rest[:min(size, len(rest))])
+				}
+				return false
+			})
+			body, err := fetch(t, newConnections(), server.request("1"))
+			require.NoError(t, err, "%.80q", answer)
+			require.Equal(t, "whole", body, "%.80q", answer)
+		}
+	}
+}
+
+// Guards against an answer without a length that looks complete after its connection was lost.
+func TestAnswerWithoutALengthThatIsResetIsNotComplete(t *testing.T) {
+	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+		time.Sleep(settleTime)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	_, err := fetch(t, newConnections(), server.request("1"))
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF))
+}
--- a/bvforward/connection.go
+++ b/bvforward/connection.go
@@ -12,12 +12,13 @@
 	"golang.org/x/sys/unix"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvresponse"
 )
 
 // connection is one TCP connection to an endpoint. It carries one request at a
 // time.
 type connection struct {
-	net.Conn
+	*bvresponse.Conn
 	pool           *pool
 	head           *headReader
 	reader         *bufio.Reader
@@ -52,13 +53,14 @@
 const bufferBytes = 4 << 10
 
 func newConnection(conn net.Conn, pool *pool) *connection {
-	head := &headReader{source: conn}
+	checked := bvresponse.NewConn(conn)
+	head := &headReader{source: checked}
 	return &connection{
-		Conn:   conn,
+		Conn:   checked,
 		pool:   pool,
 		head:   head,
 		reader: bufio.NewReaderSize(head, bufferBytes),
-		writer: bufio.NewWriterSize(conn, bufferBytes),
+		writer: bufio.NewWriterSize(checked, bufferBytes),
 	}
 }
 
@@ -101,7 +103,7 @@
 	if connection.reader.Buffered() > 0 {
 		return true
 	}
-	socket, ok := connection.Conn.(*net.TCPConn)
+	socket, ok := connection.Conn.Conn.(*net.TCPConn)
 	if !ok {
 		return false
 	}
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -27,9 +27,6 @@
 	Header http.Header
 	Answer bvroute.Answer
 	Length int64 // of the body in bytes; -1: unknown
-	// Framed is false for a body that ends when the connection closes, so that a broken
-	// connection can look like a complete body.
-	Framed bool
 	Body   io.Reader
 
 	connections *Connections
@@ -208,7 +205,6 @@
 		Header:      parsed.Header,
 		Answer:      answer,
 		Length:      parsed.ContentLength,
-		Framed:      framed,
 		Body:        body,
 		connections: connections,
 		connection:  connection,
--- a/bvload/load.go
+++ b/bvload/load.go
@@ -38,6 +38,7 @@
 	"time"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvresponse"
 )
 
 // Defaults of Config.
@@ -129,7 +130,7 @@
 const minIdleConnections = 64
 
 func newLoad(config Config) *load {
-	transport := &http.Transport{MaxIdleConnsPerHost: max(config.Concurrency, minIdleConnections), DisableCompression: true}
+	transport := bvresponse.NewTransport(&http.Transport{MaxIdleConnsPerHost: max(config.Concurrency, minIdleConnections), DisableCompression: true})
 	load := &load{
 		config:  config.withDefaults(),
 		planner: planner{seed: config.Seed, members: config.Members},
--- a/bvoperator/client.go
+++ b/bvoperator/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 
+	"balsamvalve.example/bvresponse"
 	"balsamvalve.example/bvstatus"
 	"balsamvalve.example/bvtable"
 	"balsamvalve.example/bvverdict"
@@ -24,10 +25,12 @@
 type Client struct {
 	Address string       // IP and port of the host's HTTP server for operators
 	Key     string       // sent as a bearer token
-	HTTP    *http.Client // nil: http.DefaultClient, which has no timeout
+	HTTP    *http.Client // nil: one without a timeout
 	TLS     bool         // https instead of http
 }
 
+var defaultClient = &http.Client{Transport: bvresponse.NewDefaultTransport()}
+
 // Get returns the part of the table that the key's member may see.
 func (client *Client) Get(ctx context.Context) (View, error) {
 	var view View
@@ -157,7 +160,7 @@
 		request.Header.Set(attemptHeader, attempt)
 	}
 	if client.HTTP == nil {
-		return http.DefaultClient.Do(request)
+		return defaultClient.Do(request)
 	}
 	return client.HTTP.Do(request)
 }
--- a/bvplatform/client.go
+++ b/bvplatform/client.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvresponse"
 	"balsamvalve.example/bvtrace"
 )
 
@@ -35,7 +36,7 @@
 	DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once      sync.Once
-	transport *http.Transport
+	transport *bvresponse.Transport
 }
 
 // Endpoints implements EndpointList.
@@ -268,13 +269,13 @@
 	return DefaultTimeout
 }
 
-func (client *Client) connections() *http.Transport {
+func (client *Client) connections() *bvresponse.Transport {
 	client.once.Do(func() {
-		client.transport = &http.Transport{
+		client.transport = bvresponse.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
 			DialTLSContext:      client.DialTLS,
-		}
+		})
 	})
 	return client.transport
 }
--- /dev/null
+++ b/bvresponse/conn.go
@@ -0,0 +1,76 @@
+// Package bvresponse rejects what servers send in place of complete HTTP/1.1 responses.
+//
+// A reset is reported once on a connection: if a write of the request gets it, reads end as after a
+// complete response. A response without a length then looks complete though it is not.
+//
+// A Conn reports the end of a connection only if no write found it lost. A Transport sends requests
+// over such connections.
+//
+// # Usage
+//
+//	conn := bvresponse.NewConn(dialed)
+//	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+//
+//	client := &http.Client{Transport: bvresponse.NewTransport(&http.Transport{DisableCompression: true})}
+package bvresponse
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conn is a connection to a server that reports whether the server ended it in order.
+type Conn struct {
+	net.Conn
+
+	writing sync.Mutex // held during a write; guards lost
+	lost    error      // the first error of a write that shows that the connection was lost
+}
+
+// NewConn returns a Conn over a connection that carries plain HTTP/1.1.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Read implements net.Conn.
+func (conn *Conn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		return count, conn.endError()
+	}
+	return count, err
+}
+
+// endError returns io.EOF if the server ended the connection in order. If a write found the connection
+// lost, it returns that error. A write that is still in progress is interrupted: nobody waits for it
+// after the end of the response.
+func (conn *Conn) endError() error {
+	_ = conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	if conn.lost != nil {
+		return fmt.Errorf("response broken off: %w", conn.lost)
+	}
+	return io.EOF
+}
+
+// Write implements net.Conn.
+func (conn *Conn) Write(content []byte) (int, error) {
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	count, err := conn.Conn.Write(content)
+	if conn.lost == nil && showsLoss(err) {
+		conn.lost = err
+	}
+	return count, err
+}
+
+// showsLoss reports whether an error of a write means that the connection was lost before the server
+// ended it. A write after the end of a connection gets EPIPE, also if it is reset later.
+func showsLoss(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -11,6 +11,7 @@
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvmechanism"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvresponse"
 )
 
 // relayTimeout bounds a call through another host. The other host's own call
@@ -76,13 +77,15 @@
 	return nil
 }
 
+var hostClient = &http.Client{Transport: bvresponse.NewDefaultTransport()}
+
 // get sends a request to another host; the caller closes the answer's body.
 func get(ctx context.Context, address, path string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := hostClient.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
