Answers: a status outside 100 to 599 is no answer

What callers saw: an answer whose status is 000 (or anything below 100) was skipped like an interim one, and what stood in place of its body was parsed as the request's own answer: a whole 200 put there reached the caller. Without a body, the request was held until its deadline. 600 and 999 were passed on as they are. In serve 000 became the result of a call, and for the platform's client a success of a write.

Cause: http.ReadResponse takes any three characters that strconv.Atoi accepts, "+20" included, and the code took each status below 200 for an interim one.

Change: bvresponse.Conn checks the status line of each head as it is read, the interim ones included, before net/http parses it: HTTP/1, a status of 100 to 599 but not 101, which nobody asked for, and no control byte. Everything else is Malformed: 502, it may have run, a request that may be repeated goes to another endpoint, the connection is closed. The load tool takes nothing but a 2xx for an answer. The check reads nothing itself: it sees the bytes that a read returns, and a line without end still ends at the bound on heads.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -13,6 +13,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bvstandin"
+	"balsamvalve.example/bvverdict"
 )
 
 // startRaw starts an endpoint that answers with the bytes that a function writes.
@@ -24,6 +25,29 @@
 	return listener.Addr().String()
 }
 
+// requireBroken calls an endpoint that answers with the given bytes, and fails if the call gets an answer, or an
+// untrue refusal.
+func requireBroken(t *testing.T, answer string) {
+	t.Helper()
+	address := startRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
+	})
+	client := newTestClient(t)
+	result, err := client.Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book", Body: []byte("one board")})
+	require.Error(t, err, "%+v", result)
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	require.Error(t, client.Release(t.Context(), address, "salt", "prefix"))
+}
+
+// Guards against a status that is no status and becomes the result of a call.
+func TestAnswerWithAnInvalidStatusIsNoResult(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "101"} {
+		requireBroken(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
 // Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"balsamvalve.example/bvverdict"
 )
 
 const (
@@ -29,6 +31,32 @@
 	return request
 }
 
+// newAnsweringEndpoint returns an endpoint that answers each request with the same bytes and keeps its
+// connections open.
+func newAnsweringEndpoint(t *testing.T, answer string) *endpoint {
+	return newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, answer)
+		return err == nil
+	})
+}
+
+// fetchBroken sends a request that must fail before its time is over, as one that may have run.
+func fetchBroken(t *testing.T, server *endpoint) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), brokenTimeout)
+	defer cancel()
+	response, err := newConnections().Send(ctx, server.request("1"))
+	body := []byte(nil)
+	if err == nil {
+		defer response.Close()
+		body, err = io.ReadAll(response.Body)
+	}
+	require.Error(t, err, "%q", body)
+	require.NoError(t, ctx.Err(), "it is not waited for")
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+	requireDefect(t, Malformed, err)
+}
+
 // Guards against a part of an answer that passes for all of it: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
@@ -108,6 +136,20 @@
 	}
 }
 
+// Guards against an invalid status that is skipped like an interim one, and whose body is read as the answer.
+func TestAnswerWithAnInvalidStatusIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "-10", "+20", "2x0"} {
+		for _, rest := range []string{
+			"Id: 1\r\nContent-Length: 0\r\n\r\n",
+			"Id: 1\r\nContent-Length: 49\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		} {
+			t.Run(status, func(t *testing.T) {
+				fetchBroken(t, newAnsweringEndpoint(t, "HTTP/1.1 "+status+" Trouble\r\n"+rest))
+			})
+		}
+	}
+}
+
 // Guards against proper answers that are taken for broken ones.
 func TestProperAnswersAreRead(t *testing.T) {
 	for _, answer := range []string{
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -180,6 +180,10 @@
 func (connections *Connections) readAnswer(request *Request, connection *connection) (*Response, error) {
 	connection.head.setBounded(true)
 	defer connection.head.setBounded(false)
+	buffered, _ := connection.reader.Peek(connection.reader.Buffered()) // reads nothing
+	if err := connection.ExpectHead(buffered); err != nil {
+		return nil, newNoAnswerError(request, newAnswerError(err))
+	}
 	for {
 		parsed, err := http.ReadResponse(connection.reader, &http.Request{Method: request.Method})
 		if err != nil {
--- a/bvload/caller.go
+++ b/bvload/caller.go
@@ -147,7 +147,7 @@
 		return apiAnswer{}, transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return apiAnswer{}, responseError(response)
 	}
 	if request.stream {
--- a/bvoperator/handler_test.go
+++ b/bvoperator/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvkey"
 	"balsamvalve.example/bvplatform"
+	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvtable"
 )
 
@@ -183,3 +185,28 @@
 	require.NoError(t, err)
 	require.Equal(t, bvtable.Accepted, outcome.Proposal.State)
 }
+
+// Guards against an edit that counts as failed because of a broken answer, and is not looked up.
+func TestEditWhoseAnswerIsBrokenIsSentAgain(t *testing.T) {
+	for _, broken := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n"} {
+		fixture := newFixture(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		var sends atomic.Int64
+		go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, request *http.Request) {
+			if sends.Add(1) == 1 {
+				_, _ = io.WriteString(conn, broken+"Content-Length: 2\r\n\r\n{}")
+				return
+			}
+			recorder := httptest.NewRecorder()
+			fixture.mux.ServeHTTP(recorder, request)
+			_ = recorder.Result().Write(conn) // the client sees a failed write
+		})
+		client := &Client{Address: listener.Addr().String(), Key: "piran-operator-key"}
+		outcome, err := client.Set(t.Context(), budget("90"))
+		require.NoError(t, err)
+		require.EqualValues(t, 2, outcome.Report.Version)
+		require.EqualValues(t, 2, sends.Load())
+	}
+}
--- a/bvresponse/conn.go
+++ b/bvresponse/conn.go
@@ -1,15 +1,19 @@
-// Package bvresponse rejects what servers send in place of complete HTTP/1.1 responses.
+// Package bvresponse rejects what servers send in place of proper HTTP/1.1 responses.
 //
-// A reset is reported once on a connection: if a write of the request gets it, reads end as after a
-// complete response. A response without a length then looks complete though it is not.
+// net/http accepts a status of any three digits. A proxy that takes one below 100 for an interim one
+// passes on a body that is not the server's. Besides, a reset is reported once on a connection: if a
+// write of the request gets it, reads end as after a complete response. A response without a length
+// then looks complete though it is not.
 //
-// A Conn reports the end of a connection only if no write found it lost. A Transport sends requests
-// over such connections.
+// A Conn checks each head that it reads, interim ones included, and reports the end of a connection
+// only if no write found it lost. A Transport sends requests over such connections.
 //
 // # Usage
 //
 //	conn := bvresponse.NewConn(dialed)
-//	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+//	reader := bufio.NewReader(conn)
+//	if err := conn.ExpectHead(nil); err != nil { ... }
+//	response, err := http.ReadResponse(reader, request) // a proper one, or an error
 //
 //	client := &http.Client{Transport: bvresponse.NewTransport(&http.Transport{DisableCompression: true})}
 package bvresponse
@@ -25,26 +29,47 @@
 	"time"
 )
 
-// Conn is a connection to a server that reports whether the server ended it in order.
+// Conn is a connection to a server whose responses are checked while they are read.
 type Conn struct {
 	net.Conn
 
+	mutex sync.Mutex // guards head
+	head  headChecker
+
 	writing sync.Mutex // held during a write; guards lost
 	lost    error      // the first error of a write that shows that the connection was lost
 }
 
-// NewConn returns a Conn over a connection that carries plain HTTP/1.1.
+// NewConn returns a Conn over a connection that carries plain HTTP/1.1. It checks the first response.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
-// Read implements net.Conn.
+// ExpectHead makes the Conn check another response. It is called before the response is read;
+// buffered are bytes that were read with the one before.
+func (conn *Conn) ExpectHead(buffered []byte) error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	conn.head = headChecker{}
+	return conn.head.check(buffered)
+}
+
+// Read implements net.Conn. Its error is a *HeadError after a head that is not proper.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
+	if headErr := conn.checkHead(buffer[:count]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		return count, conn.endError()
 	}
 	return count, err
 }
 
+func (conn *Conn) checkHead(read []byte) error {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.head.check(read)
+}
+
 // endError returns io.EOF if the server ended the connection in order. If a write found the connection
 // lost, it returns that error. A write that is still in progress is interrupted: nobody waits for it
 // after the end of the response.
--- /dev/null
+++ b/bvresponse/head.go
@@ -0,0 +1,179 @@
+package bvresponse
+
+import (
+	"bytes"
+	"fmt"
+)
+
+//go:generate stringer -type=Defect -linecomment -output=defect_string.go
+
+// Defect is why a head is not proper. The texts stand in errors.
+type Defect int
+
+// The defects, with the section of RFC 9112 or 9110 that rules each out.
+const (
+	noDefect          Defect = iota // proper
+	InvalidStatusLine               // invalid status line (RFC 9112, section 4)
+	InvalidStatus                   // invalid status (RFC 9110, section 15)
+	InvalidProtocol                 // not HTTP/1 (RFC 9112, section 2.3)
+	UpgradeNotAsked                 // upgrade that was not asked for (RFC 9110, section 7.8)
+)
+
+// maxExcerptBytes is how much of an improper line stands in an error.
+const maxExcerptBytes = 64
+
+// HeadError is the error of a head that is not proper.
+type HeadError struct {
+	defect Defect
+	line   string // an excerpt
+}
+
+// Defect returns what is wrong.
+func (err *HeadError) Defect() Defect { return err.defect }
+
+// Error implements error.
+func (err *HeadError) Error() string {
+	return fmt.Sprintf("improper HTTP response: %s: %q", err.defect, err.line)
+}
+
+// section is the part of a response that a headChecker expects.
+type section int
+
+const (
+	statusLine section = iota
+	fieldStart         // the start of a line after the status line
+	fieldName          // the rest of such a line
+	body
+)
+
+// headChecker checks the head of a response, in pieces of any size. The zero value expects a status
+// line. Interim responses before the head are checked as well; what follows it is not.
+type headChecker struct {
+	section   section
+	defect    Defect // of the present line; reported at its end, so that it stands in the error
+	isAfterCR bool
+
+	line   [maxExcerptBytes]byte // the start of the present line
+	length int                   // of the present line
+
+	isInterim bool
+}
+
+// check checks the next bytes of a response.
+func (checker *headChecker) check(content []byte) error {
+	for len(content) > 0 && checker.section != body {
+		line, rest, isComplete := bytes.Cut(content, []byte{'\n'})
+		checker.addToLine(line)
+		if !isComplete {
+			return nil
+		}
+		if err := checker.endLine(); err != nil {
+			return err
+		}
+		content = rest
+	}
+	return nil
+}
+
+// addToLine checks a piece of a line without its line feed.
+func (checker *headChecker) addToLine(piece []byte) {
+	if len(piece) == 0 {
+		return
+	}
+	if checker.isAfterCR && checker.section == statusLine {
+		checker.setDefect(InvalidStatusLine)
+	}
+	start := checker.length
+	if start < maxExcerptBytes {
+		copy(checker.line[start:], piece)
+	}
+	checker.length += len(piece)
+	last := len(piece) - 1
+	checker.isAfterCR = piece[last] == '\r'
+	if checker.isAfterCR {
+		piece = piece[:last]
+	}
+	if checker.section == fieldStart && len(piece) > 0 {
+		checker.section = fieldName
+	}
+	if checker.section != statusLine {
+		return
+	}
+	for _, b := range piece {
+		if !isText[b] {
+			checker.setDefect(InvalidStatusLine)
+			return
+		}
+	}
+}
+
+// isText has the bytes that may stand in the reason of a status.
+var isText = func() (table [256]bool) {
+	for b := range table {
+		table[b] = b >= ' ' && b != 0x7f || b == '\t'
+	}
+	return table
+}()
+
+func (checker *headChecker) setDefect(defect Defect) {
+	if checker.defect == noDefect {
+		checker.defect = defect
+	}
+}
+
+// endLine checks a complete line.
+func (checker *headChecker) endLine() error {
+	line := bytes.TrimSuffix(checker.excerpt(), []byte{'\r'})
+	switch checker.section {
+	case statusLine:
+		checker.endStatusLine(line)
+	case fieldStart:
+		checker.endHead()
+	default:
+		checker.section = fieldStart
+	}
+	if checker.defect != noDefect {
+		return &HeadError{checker.defect, string(line)}
+	}
+	checker.length, checker.isAfterCR = 0, false
+	return nil
+}
+
+// excerpt returns the start of the present line.
+func (checker *headChecker) excerpt() []byte {
+	return checker.line[:min(checker.length, maxExcerptBytes)]
+}
+
+var protocolPrefix = []byte("HTTP/1.")
+
+// endStatusLine checks a status line.
+func (checker *headChecker) endStatusLine(line []byte) {
+	checker.section = fieldStart
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	switch {
+	case len(version) != len(protocolPrefix)+1, !bytes.HasPrefix(version, protocolPrefix), !isDigit(version[len(version)-1]):
+		checker.setDefect(InvalidProtocol)
+	case !isStatus(code):
+		checker.setDefect(InvalidStatus)
+	case string(code) == "101":
+		checker.setDefect(UpgradeNotAsked)
+	default:
+		checker.isInterim = code[0] == '1'
+	}
+}
+
+// isStatus reports whether a text is a status that a response may have.
+func isStatus(code []byte) bool {
+	return len(code) == 3 && '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// endHead expects another head after an interim one.
+func (checker *headChecker) endHead() {
+	checker.section = body
+	if checker.isInterim {
+		checker.section = statusLine
+	}
+}
--- a/bvresponse/transport.go
+++ b/bvresponse/transport.go
@@ -6,9 +6,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Transport sends requests over HTTP/1.1 and returns complete responses only. Make one with
+// Transport sends requests over HTTP/1.1 and returns proper responses only. Make one with
 // NewTransport; it is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
@@ -17,7 +18,7 @@
 // NewDefaultTransport returns a Transport with the settings of http.DefaultTransport.
 func NewDefaultTransport() *Transport {
 	base := http.DefaultTransport.(*http.Transport).Clone()
-	base.ForceAttemptHTTP2 = false
+	base.ForceAttemptHTTP2 = false // only HTTP/1.1 is checked
 	return NewTransport(base)
 }
 
@@ -72,7 +73,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return transport.base.RoundTrip(request)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok {
+			_ = conn.ExpectHead(nil) // nothing is checked yet
+		}
+	}}
+	return transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 }
 
 // CloseIdleConnections closes the connections on which no request is in flight.
