Answers: a head with an invalid name of a field, or a folded line, is no answer

What callers saw: of a head with a blank in a field's name the other fields were believed. "Content-Length : 5" and "Transfer-Encoding : chunked" were not obeyed, so that callers got 200 with the framing of the chunks as its body ("5\r\nwhole\r\n0\r\n\r\n") or with more bytes than the length said. A line that begins with a blank became a part of the value before it, and was passed on. A control byte in a name was Malformed already; its tests stay.

Cause: net/textproto accepts blanks in names and joins folded lines, for the sake of old servers. RFC 9112, section 5.2, lets a gateway answer 502 in place of a folded line; section 5.1 allows no blank before the colon.

Change: bvresponse checks each line of a head by the grammar, with the tables of httpguts (golang.org/x/net, which was required already).

Ruled out: a check of the parsed header, as it no longer shows folded lines, nor those of interim heads that http.Transport skips.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// Guards against a field whose name is not valid: it is passed on, or the length that it has is not read.
+func TestAnswerWithAnInvalidFieldNameIsNoResult(t *testing.T) {
+	for _, line := range []string{"X Y: 1", "X : 1", " X: 1", "X\x01Y: 1", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		requireBroken(t, "HTTP/1.1 200 OK\r\nA: 1\r\n"+line+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+		requireBroken(t, "HTTP/1.1 103 Early Hints\r\nA: 1\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+	}
+}
+
 // Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// Guards against a field whose name is not valid: it is passed on, or a length that it has is not read.
+func TestAnswerWithAnInvalidFieldNameIsMalformed(t *testing.T) {
+	for _, line := range []string{
+		"X Y: 1", "X : 1", " : 1", " X: 1", "\tX: 1", ": 1", "X\x01Y: 1", "X\x00: 1", "X\x7f: 1", "X\t: 1", "\x0bX: 1", "X\xe9: 1", "X(: 1",
+		"Content-Length : 5", "Transfer-Encoding : chunked", "no colon",
+	} {
+		t.Run(line, func(t *testing.T) {
+			fetchBroken(t, newAnsweringEndpoint(t, "HTTP/1.1 200 OK\r\nId: 1\r\n"+line+"\r\nContent-Length: 5\r\n\r\nwhole"))
+			fetchBroken(t, newAnsweringEndpoint(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole"))
+			fetchBroken(t, newAnsweringEndpoint(t, "HTTP/1.1 103 Early Hints\r\nX: 1\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole"))
+		})
+	}
+}
+
 // Guards against proper answers that are taken for broken ones.
 func TestProperAnswersAreRead(t *testing.T) {
 	for _, answer := range []string{
--- a/bvload/broken_test.go
+++ b/bvload/broken_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a load that counts a broken answer as an answer of the system.
 func TestBrokenAnswerIsNoAnswer(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 304 Not Modified\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 304 Not Modified\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
--- a/bvoperator/handler_test.go
+++ b/bvoperator/handler_test.go
@@ -188,7 +188,7 @@
 
 // Guards against an edit that counts as failed because of a broken answer, and is not looked up.
 func TestEditWhoseAnswerIsBrokenIsSentAgain(t *testing.T) {
-	for _, broken := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n"} {
+	for _, broken := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 400 Bad\r\nX Y: 1\r\n"} {
 		fixture := newFixture(t)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
--- a/bvresponse/conn.go
+++ b/bvresponse/conn.go
@@ -1,9 +1,10 @@
 // Package bvresponse rejects what servers send in place of proper HTTP/1.1 responses.
 //
-// net/http accepts a status of any three digits. A proxy that takes one below 100 for an interim one
-// passes on a body that is not the server's. Besides, a reset is reported once on a connection: if a
-// write of the request gets it, reads end as after a complete response. A response without a length
-// then looks complete though it is not.
+// net/http accepts more than RFC 9112 does, for the sake of old servers: a status of any three
+// digits, names of fields with blanks, folded lines. A proxy that does so
+// passes on bodies that are not the server's. Besides, a reset is reported once on a connection:
+// if a write of the request gets it, reads end as after a complete response. A response without a
+// length then looks complete though it is not.
 //
 // A Conn checks each head that it reads, interim ones included, and reports the end of a connection
 // only if no write found it lost. A Transport sends requests over such connections.
--- a/bvresponse/defect_string.go
+++ b/bvresponse/defect_string.go
@@ -13,11 +13,14 @@
 	_ = x[InvalidStatus-2]
 	_ = x[InvalidProtocol-3]
 	_ = x[UpgradeNotAsked-4]
+	_ = x[FoldedLine-5]
+	_ = x[InvalidName-6]
+	_ = x[InvalidValue-7]
 }
 
-const _Defect_name = "properinvalid status line (RFC 9112, section 4)invalid status (RFC 9110, section 15)not HTTP/1 (RFC 9112, section 2.3)upgrade that was not asked for (RFC 9110, section 7.8)"
+const _Defect_name = "properinvalid status line (RFC 9112, section 4)invalid status (RFC 9110, section 15)not HTTP/1 (RFC 9112, section 2.3)upgrade that was not asked for (RFC 9110, section 7.8)folded line (RFC 9112, section 5.2)invalid name of a field (RFC 9112, section 5.1)invalid value of a field (RFC 9110, section 5.5)"
 
-var _Defect_index = [...]uint8{0, 6, 47, 84, 118, 172}
+var _Defect_index = [...]uint16{0, 6, 47, 84, 118, 172, 207, 254, 302}
 
 func (i Defect) String() string {
 	idx := int(i) - 0
--- a/bvresponse/head.go
+++ b/bvresponse/head.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 //go:generate stringer -type=Defect -linecomment -output=defect_string.go
@@ -17,6 +19,9 @@
 	InvalidStatus                   // invalid status (RFC 9110, section 15)
 	InvalidProtocol                 // not HTTP/1 (RFC 9112, section 2.3)
 	UpgradeNotAsked                 // upgrade that was not asked for (RFC 9110, section 7.8)
+	FoldedLine                      // folded line (RFC 9112, section 5.2)
+	InvalidName                     // invalid name of a field (RFC 9112, section 5.1)
+	InvalidValue                    // invalid value of a field (RFC 9110, section 5.5)
 )
 
 // maxExcerptBytes is how much of an improper line stands in an error.
@@ -42,7 +47,8 @@
 const (
 	statusLine section = iota
 	fieldStart         // the start of a line after the status line
-	fieldName          // the rest of such a line
+	fieldName
+	fieldValue
 	body
 )
 
@@ -80,8 +86,8 @@
 	if len(piece) == 0 {
 		return
 	}
-	if checker.isAfterCR && checker.section == statusLine {
-		checker.setDefect(InvalidStatusLine)
+	if checker.isAfterCR {
+		checker.setDefect(checker.controlDefect())
 	}
 	start := checker.length
 	if start < maxExcerptBytes {
@@ -95,19 +101,41 @@
 	}
 	if checker.section == fieldStart && len(piece) > 0 {
 		checker.section = fieldName
+		if piece[0] == ' ' || piece[0] == '\t' {
+			checker.setDefect(FoldedLine)
+		}
 	}
-	if checker.section != statusLine {
-		return
+	if checker.section == fieldName {
+		piece = checker.addToName(piece, start)
 	}
 	for _, b := range piece {
 		if !isText[b] {
-			checker.setDefect(InvalidStatusLine)
+			checker.setDefect(checker.controlDefect())
 			return
 		}
 	}
 }
 
-// isText has the bytes that may stand in the reason of a status.
+// addToName checks a piece of a name, which begins at an offset in its line. It returns the part of
+// the value that follows the name.
+func (checker *headChecker) addToName(piece []byte, offset int) (value []byte) {
+	name, value, isComplete := bytes.Cut(piece, []byte{':'})
+	for _, b := range name {
+		if !httpguts.IsTokenRune(rune(b)) {
+			checker.setDefect(InvalidName)
+			break
+		}
+	}
+	if isComplete {
+		checker.section = fieldValue
+		if offset+len(name) == 0 {
+			checker.setDefect(InvalidName)
+		}
+	}
+	return value
+}
+
+// isText has the bytes that may stand in a value and in the reason of a status.
 var isText = func() (table [256]bool) {
 	for b := range table {
 		table[b] = b >= ' ' && b != 0x7f || b == '\t'
@@ -121,6 +149,17 @@
 	}
 }
 
+// controlDefect is the defect of a control byte in the present section.
+func (checker *headChecker) controlDefect() Defect {
+	switch checker.section {
+	case statusLine:
+		return InvalidStatusLine
+	case fieldStart, fieldName:
+		return InvalidName
+	}
+	return InvalidValue
+}
+
 // endLine checks a complete line.
 func (checker *headChecker) endLine() error {
 	line := bytes.TrimSuffix(checker.excerpt(), []byte{'\r'})
@@ -129,6 +168,8 @@
 		checker.endStatusLine(line)
 	case fieldStart:
 		checker.endHead()
+	case fieldName:
+		checker.setDefect(InvalidName) // it has no colon
 	default:
 		checker.section = fieldStart
 	}
