Answers: a head that leaves open where its body ends is no answer

What callers saw: of an answer with a length and chunks the chunks were read and the length was dropped; of one with chunks in HTTP/1.0 callers got the framing as the body, since net/http does not obey the field there; a whole answer in the place of the body of an interim answer was passed on as the request's own. All three are forbidden by RFC 9112, sections 6, 6.1 and 6.2, as ways to have two readers disagree about where an answer ends.

Failed before: TestAnswerWithoutOneFramingIsMalformed (on at its first case), TestAnswerWithoutOneFramingIsNoResult (200 "whole"), and the case with an interim head of TestBrokenAnswerOfThePlatformIsNone.

Change: the check of heads notes both fields and the version. Two lengths that are equal, a length in a 204 and the like are as before.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// Guards against a head that leaves open where its body ends.
+func TestAnswerWithoutOneFramingIsNoResult(t *testing.T) {
+	requireBroken(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	requireBroken(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+	requireBroken(t, "HTTP/1.1 103 Early Hints\r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+}
+
 // Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -164,6 +164,28 @@
 	}
 }
 
+// Guards against a head that leaves open where its body ends.
+func TestAnswerWithoutOneFramingIsMalformed(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole!",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 49\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/2.0 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 O\x01K\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, head)
+			return false
+		})
+		fetchBroken(t, server)
+	}
+}
+
 // Guards against proper answers that are taken for broken ones.
 func TestProperAnswersAreRead(t *testing.T) {
 	for _, answer := range []string{
--- a/bvplatform/broken_test.go
+++ b/bvplatform/broken_test.go
@@ -19,6 +19,7 @@
 		"HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nA: 1\r\n X: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
--- a/bvresponse/conn.go
+++ b/bvresponse/conn.go
@@ -1,7 +1,7 @@
 // Package bvresponse rejects what servers send in place of proper HTTP/1.1 responses.
 //
 // net/http accepts more than RFC 9112 does, for the sake of old servers: a status of any three
-// digits, names of fields with blanks, folded lines. A proxy that does so
+// digits, names of fields with blanks, folded lines, a length beside chunks. A proxy that does so
 // passes on bodies that are not the server's. Besides, a reset is reported once on a connection:
 // if a write of the request gets it, reads end as after a complete response. A response without a
 // length then looks complete though it is not.
--- a/bvresponse/conn_test.go
+++ b/bvresponse/conn_test.go
@@ -18,14 +18,19 @@
 	"pgregory.net/rapid"
 )
 
-// properHeads is the grammar of RFC 9112 for interim heads and a final one.
+// properHeads is the grammar of RFC 9112 for interim heads and a final one, without what makes the framing
+// ambiguous.
 var properHeads = regexp.MustCompile(`(?s-i)\A` +
 	`(HTTP/1\.[0-9] +1(0[02-9]|[1-9][0-9])( [\t -~\x80-\x{ff}]*)?\r?\n` + properFields + `\r?\n)*` +
 	`HTTP/1\.[0-9] +[2-5][0-9][0-9]( [\t -~\x80-\x{ff}]*)?\r?\n` + properFields + `\r?\n`)
 
 const properFields = "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t -~\\x80-\\x{ff}]*\\r?\\n)*"
 
-var headEnd = regexp.MustCompile(`\r?\n\r?\n`)
+var (
+	headEnd     = regexp.MustCompile(`\r?\n\r?\n`)
+	lengthField = regexp.MustCompile(`(?im)^content-length:`)
+	codingField = regexp.MustCompile(`(?im)^transfer-encoding:`)
+)
 
 // isProper reports whether a text, with a character for each byte, begins with proper heads.
 func isProper(text string) bool {
@@ -33,7 +38,11 @@
 	for found != "" {
 		end := headEnd.FindStringIndex(found)[1]
 		head := found[:end]
+		hasLength, isEncoded := lengthField.MatchString(head), codingField.MatchString(head)
 		isInterim := strings.HasPrefix(strings.TrimLeft(head[len("HTTP/1.1"):], " "), "1")
+		if isInterim && (hasLength || isEncoded) || hasLength && isEncoded || isEncoded && strings.HasPrefix(head, "HTTP/1.0") {
+			return false
+		}
 		if !isInterim {
 			return true
 		}
--- a/bvresponse/head.go
+++ b/bvresponse/head.go
@@ -22,6 +22,9 @@
 	FoldedLine                      // folded line (RFC 9112, section 5.2)
 	InvalidName                     // invalid name of a field (RFC 9112, section 5.1)
 	InvalidValue                    // invalid value of a field (RFC 9110, section 5.5)
+	TwoFramings                     // length and transfer encoding (RFC 9112, section 6.2)
+	EncodingInHTTP10                // transfer encoding in HTTP/1.0 (RFC 9112, section 6.1)
+	FramedInterim                   // length or transfer encoding of an interim response (RFC 9112, section 6)
 )
 
 // maxExcerptBytes is how much of an improper line stands in an error.
@@ -62,7 +65,10 @@
 	line   [maxExcerptBytes]byte // the start of the present line
 	length int                   // of the present line
 
+	isHTTP10  bool
 	isInterim bool
+	hasLength bool
+	isEncoded bool // has a transfer encoding
 }
 
 // check checks the next bytes of a response.
@@ -127,14 +133,22 @@
 		}
 	}
 	if isComplete {
-		checker.section = fieldValue
-		if offset+len(name) == 0 {
-			checker.setDefect(InvalidName)
-		}
+		checker.endName(offset + len(name))
 	}
 	return value
 }
 
+// endName notes the fields that say where the body ends.
+func (checker *headChecker) endName(length int) {
+	checker.section = fieldValue
+	if length == 0 {
+		checker.setDefect(InvalidName)
+	}
+	name := checker.line[:min(length, maxExcerptBytes)]
+	checker.hasLength = checker.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+	checker.isEncoded = checker.isEncoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+}
+
 // isText has the bytes that may stand in a value and in the reason of a status.
 var isText = func() (table [256]bool) {
 	for b := range table {
@@ -200,7 +214,7 @@
 	case string(code) == "101":
 		checker.setDefect(UpgradeNotAsked)
 	default:
-		checker.isInterim = code[0] == '1'
+		checker.isHTTP10, checker.isInterim = string(version) == "HTTP/1.0", code[0] == '1'
 	}
 }
 
@@ -211,10 +225,19 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// endHead expects another head after an interim one.
+// endHead checks what a head says about the end of its body.
 func (checker *headChecker) endHead() {
-	checker.section = body
-	if checker.isInterim {
+	switch {
+	case checker.isInterim && (checker.hasLength || checker.isEncoded):
+		checker.setDefect(FramedInterim)
+	case checker.isEncoded && checker.hasLength:
+		checker.setDefect(TwoFramings)
+	case checker.isEncoded && checker.isHTTP10:
+		checker.setDefect(EncodingInHTTP10)
+	case checker.isInterim:
 		checker.section = statusLine
+		checker.isInterim = false
+	default:
+		checker.section = body
 	}
 }
