Answers: a trailer with an invalid name makes its answer incomplete

What callers saw: an answer whose trailer has a field with a blank in its name was passed on as complete. Nothing of a trailer reaches a caller, but bytes that are no trailer show that the end of the body can't be believed.

Failed before: TestAnswerWithAnInvalidTrailerIsMalformed (2 of 5 names; the others are refused by net/textproto), TestAnswerWithAnInvalidTrailerIsNoResult.

Change: names are checked when the body ends, in bvforward and in bvresponse.Transport. A folded line of a trailer is not seen there, nor is it used anywhere.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -63,6 +63,15 @@
 	requireBroken(t, "HTTP/1.1 103 Early Hints\r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
 }
 
+// Guards against a trailer whose names are not valid.
+func TestAnswerWithAnInvalidTrailerIsNoResult(t *testing.T) {
+	address := startRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Y: 1\r\n\r\n")
+	})
+	_, err := newTestClient(t).Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book"})
+	require.Error(t, err)
+}
+
 // Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -164,6 +164,15 @@
 	}
 }
 
+// Guards against a trailer whose names are not valid.
+func TestAnswerWithAnInvalidTrailerIsMalformed(t *testing.T) {
+	for _, line := range []string{"X Y: 1", "X : 1", "X\x01Y: 1", ": 1", "no colon"} {
+		t.Run(line, func(t *testing.T) {
+			fetchBroken(t, newAnsweringEndpoint(t, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+line+"\r\n\r\n"))
+		})
+	}
+}
+
 // Guards against a head that leaves open where its body ends.
 func TestAnswerWithoutOneFramingIsMalformed(t *testing.T) {
 	for _, head := range []string{
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -1,6 +1,7 @@
 package bvforward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 	"time"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvresponse"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvverdict"
 )
@@ -36,14 +38,17 @@
 	reusable    bool
 }
 
-// eofReader records whether the body was read to its end.
+// eofReader records whether the body was read to its end, and checks what follows it.
 type eofReader struct {
-	source  io.Reader
+	parsed  *http.Response
 	reached bool
 }
 
 func (reader *eofReader) Read(buffer []byte) (int, error) {
-	n, err := reader.source.Read(buffer)
+	n, err := reader.parsed.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(bvresponse.CheckTrailer(reader.parsed.Trailer), err)
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -200,7 +205,7 @@
 }
 
 func (connections *Connections) newResponse(parsed *http.Response, connection *connection) *Response {
-	body := &eofReader{source: parsed.Body}
+	body := &eofReader{parsed: parsed}
 	answer := connections.Wire.ReadAnswer(parsed.StatusCode, parsed.Header)
 	answer.ClosesConnection = parsed.Close
 	framed := parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0
--- a/bvresponse/head.go
+++ b/bvresponse/head.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
 
 //go:generate stringer -type=Defect -linecomment -output=defect_string.go
 
-// Defect is why a head is not proper. The texts stand in errors.
+// Defect is why a head, or a trailer, is not proper. The texts stand in errors.
 type Defect int
 
 // The defects, with the section of RFC 9112 or 9110 that rules each out.
@@ -30,7 +31,7 @@
 // maxExcerptBytes is how much of an improper line stands in an error.
 const maxExcerptBytes = 64
 
-// HeadError is the error of a head that is not proper.
+// HeadError is the error of a head, or of a trailer, that is not proper.
 type HeadError struct {
 	defect Defect
 	line   string // an excerpt
@@ -44,6 +45,16 @@
 	return fmt.Sprintf("improper HTTP response: %s: %q", err.defect, err.line)
 }
 
+// CheckTrailer returns an error if a name in the trailer of a response is not valid.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{InvalidName, name[:min(len(name), maxExcerptBytes)]}
+		}
+	}
+	return nil
+}
+
 // section is the part of a response that a headChecker expects.
 type section int
 
--- a/bvresponse/transport.go
+++ b/bvresponse/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -78,8 +79,30 @@
 			_ = conn.ExpectHead(nil) // nothing is checked yet
 		}
 	}}
-	return transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &checkedBody{ReadCloser: response.Body, response: response}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections on which no request is in flight.
 func (transport *Transport) CloseIdleConnections() { transport.base.CloseIdleConnections() }
+
+// checkedBody checks the trailer that follows a body.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (body *checkedBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		if trailerErr := CheckTrailer(body.response.Trailer); trailerErr != nil {
+			return count, trailerErr
+		}
+	}
+	return count, err
+}
