Serve: the verdict of a refusal that breaks off is not believed

What callers saw: a service that refuses with "not run" in its body and breaks off before the end of that body was believed, and the call was sent to another one. What it would have said further is not known; a call may run twice.

Failed before: TestRefusalThatBreaksOffPromisesNothing. Change: the error of the read is no longer dropped; without the whole body, the call may have run.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -72,6 +72,17 @@
 	require.Error(t, err)
 }
 
+// Guards against the verdict of a refusal that breaks off: the call may be run again, though it has run.
+func TestRefusalThatBreaksOffPromisesNothing(t *testing.T) {
+	const refusal = `{"error":{"message":"full","verdict":"not run"}}`
+	address := startRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nContent-Length: 100\r\n\r\n"+refusal)
+	})
+	_, err := newTestClient(t).Invoke(t.Context(), address, bvendpoint.ServiceCall{Path: "/book"})
+	require.Error(t, err)
+	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
+}
+
 // Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
 // connection, and reads end as after a complete answer.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
--- a/bvendpoint/client.go
+++ b/bvendpoint/client.go
@@ -212,18 +212,20 @@
 			Verdict string `json:"verdict"`
 		} `json:"error"`
 	}
-	content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
-	_ = json.Unmarshal(content, &body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	if err == nil {
+		_ = json.Unmarshal(content, &body) // a body in another form has no verdict
+	}
 	verdict := bvverdict.MayHaveRun
 	if body.Error.Verdict == bvverdict.NotRun.String() {
 		verdict = bvverdict.NotRun
 	}
-	err := failure(verdict, statusCode(response.StatusCode), bvgate.Refused, nil,
+	failed := failure(verdict, statusCode(response.StatusCode), bvgate.Refused, nil,
 		"endpoint answered %d: %s", response.StatusCode, bvexcerpt.Of(body.Error.Message, bvexcerpt.MaxErrorBytes))
 	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
-		err = err.WithRetryAfter(bvclock.Duration(seconds) * bvclock.Second)
+		failed = failed.WithRetryAfter(bvclock.Duration(seconds) * bvclock.Second)
 	}
-	return err
+	return failed
 }
 
 func statusCode(status int) bvverdict.Code {
