Relay, load tool: another status than a success is not read as one

What was seen: a host that asks another one for a conversation decoded the body of each answer but 404, a 500 as well; the load tool's audit did so with each answer. Found while listing where answers are read.

Failed before: TestConversationIsReadOfProperAnswersOnly with the case of a 500. The audit's change is by reading.

--- a/bvload/audit.go
+++ b/bvload/audit.go
@@ -77,6 +77,9 @@
 		return fmt.Errorf("load: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("load: status %d", response.StatusCode)
+	}
 	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
 		return fmt.Errorf("load: %w", err)
 	}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -101,8 +101,12 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusNotFound {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
 		return nil, nil
+	default:
+		return nil, fmt.Errorf("relay: status %d", response.StatusCode)
 	}
 	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxConversationBytes))
 	if err != nil {
--- a/bvrouter/relay_test.go
+++ b/bvrouter/relay_test.go
@@ -18,6 +18,7 @@
 	for head, isProper := range map[string]bool{
 		"HTTP/1.1 200 OK\r\n":                  true,
 		"HTTP/1.1 000 Trouble\r\n":             false,
+		"HTTP/1.1 500 Trouble\r\n":             false,
 		"HTTP/1.1 200 OK\r\nX Y: 1\r\n":        false,
 		"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n": false,
 	} {
