Route: a request that comes late in a stop and may outlast it is refused

What callers saw (reported by another operator): requests that came late in the grace of a planned stop were passed on, and cut at its end, among them requests that may not be repeated.

Seen here with a process: of a request whose head came before SIGTERM and whose body came a second later, with half of the two seconds left and 30 s of its own, the endpoint got all; at nine tenths of the stop its caller got 504, or the end of a stream that had begun. A request whose body had not come by then got no answer at all (unexpected EOF). Failed before: TestRequestThatCantEndBeforeAStopIsRefused (504 in place of 503, for a plain call and a stream), TestRequestWithoutItsBodyIsAnsweredAtTheEndOfAStop. TestRequestThatEndsBeforeAStopIsServed held before and after.

Cause: the stop knew when calls end, and the calls did not.

Change: once the host takes no more connections, a request that is complete is passed on only if its time, the smaller of its own and its route's, ends before calls do. Otherwise it is refused at once (503, Retry-After, not run), and another host serves it. A body that has not come when calls end is no longer waited for; its request gets 503.

Ruled out: refusing from SIGTERM on, as the balancer sends callers for two seconds more, and most of their requests end in time; a guess from the usual duration of a request, which would run some that are cut.

--- a/bvfront/body.go
+++ b/bvfront/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -21,9 +22,13 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(call.writer, reader, limit)
 	}
+	inTime := context.AfterFunc(call.front.ending, call.endBody)
 	body, err := readAll(&meteredReader{source: reader, call: call}, call.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !inTime():
+		call.bodyTimedOut = true
+		return bvverdict.Refuse(bvverdict.Stopping, "the host stops before the body has arrived").WithRetryAfter(shortRetry)
 	case errors.As(err, &tooLarge):
 		return bvverdict.Refuse(bvverdict.TooLarge, "the body exceeds %d bytes", limit)
 	case errors.Is(err, errNoMemory):
--- a/bvfront/call.go
+++ b/bvfront/call.go
@@ -129,6 +129,9 @@
 	if err := call.authorize(); err != nil {
 		return err
 	}
+	if err := call.refuseLate(); err != nil {
+		return err
+	}
 	call.limitTime()
 	call.placement = bvdispatch.Request{
 		Prefix:       call.metadata.Prefix,
@@ -157,6 +160,15 @@
 	return call.forward()
 }
 
+// refuseLate refuses a request that the host can't serve to its end, as it stops before.
+func (call *call) refuseLate() error {
+	endsAt := bvclock.Time(call.front.endsAt.Load())
+	if endsAt == 0 || call.front.parts.Clock.Now().Add(call.remaining()) <= endsAt {
+		return nil
+	}
+	return bvverdict.Refuse(bvverdict.Stopping, "the host stops before the request's time is over").WithRetryAfter(shortRetry)
+}
+
 // limitTime ends the call's context at its deadline, or when the host ends all calls.
 func (call *call) limitTime() {
 	ctx, end := context.WithCancelCause(call.ctx)
--- a/bvfront/deadline.go
+++ b/bvfront/deadline.go
@@ -24,6 +24,11 @@
 	}
 }
 
+// endBody ends the wait for the rest of the body.
+func (call *call) endBody() {
+	call.logDeadlineError(http.NewResponseController(call.writer).SetReadDeadline(time.Unix(1, 0)))
+}
+
 // clearReadDeadline removes the read deadline when the body was read. If it passed
 // while the caller waits for its answer, net/http would treat the caller as disconnected.
 func (call *call) clearReadDeadline() {
--- a/bvfront/front.go
+++ b/bvfront/front.go
@@ -204,6 +204,7 @@
 type Front struct {
 	parts          Parts
 	leaving        atomic.Bool
+	endsAt         atomic.Int64    // when End is called; 0: not known
 	ending         context.Context // ends with End
 	end            context.CancelFunc
 	memory         memory
@@ -218,6 +219,10 @@
 // callers move to other hosts before this one stops.
 func (front *Front) Leave() { front.leaving.Store(true) }
 
+// EndAt announces when End is called. A request that is complete from now on, and whose time may last
+// longer, is refused: it could not be served to its end.
+func (front *Front) EndAt(at bvclock.Time) { front.endsAt.Store(int64(at)) }
+
 // End ends all calls shortly before the process exits: their callers get an answer that states
 // whether the request may have run, in place of a closed connection.
 func (front *Front) End() { front.end() }
--- a/bvrouter/leave.go
+++ b/bvrouter/leave.go
@@ -29,7 +29,8 @@
 
 // leave stops without aborting requests: first this host reports itself as not ready to the
 // balancer, and answers ask callers to close their connections; then idle connections are
-// closed, and requests in flight are completed.
+// closed, and requests in flight are completed. Requests that come then and may last longer than the
+// host does are refused.
 func (router *Router) leave() error {
 	router.log.Info("leaving: no longer ready")
 	router.leaving.Store(true)
@@ -42,7 +43,9 @@
 	limit := bvclock.Duration(stop*(1-stopMargin)) - router.clock.Now().Sub(start)
 	ctx, cancel := context.WithTimeout(context.Background(), limit.Std())
 	defer cancel()
-	ending := time.AfterFunc((limit - bvclock.Duration(stop*endMargin)).Std(), func() {
+	callLimit := limit - bvclock.Duration(stop*endMargin)
+	router.front.EndAt(router.clock.Now().Add(callLimit))
+	ending := time.AfterFunc(callLimit.Std(), func() {
 		router.log.WithField("connections", router.server.OpenConnections()).Warn("calls in flight end before their deadline")
 		router.front.End()
 	})
