Route: an answer that breaks off ends with a reset for callers of HTTP/1.0

What such a caller saw: an answer of over 64 KB without a known length, or a stream, whose endpoint broke off ended with the connection, as a complete one does in HTTP/1.0. Found while listing where answers end; the platform's callers speak HTTP/1.1, where the missing last chunk shows it.

Change: the connection is reset in place of closed. Callers of HTTP/1.1 see what they saw.

--- a/bvfront/conn.go
+++ b/bvfront/conn.go
@@ -1,6 +1,7 @@
 package bvfront
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +19,24 @@
 	deadline time.Time // of reads
 }
 
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// resetOnClose makes the connection of a request end with a reset when it is closed.
+func resetOnClose(ctx context.Context) {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if socket, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // Read implements net.Conn. Without a byte, it fails once the connection is being closed.
 func (conn *callerConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
--- a/bvfront/finish.go
+++ b/bvfront/finish.go
@@ -24,7 +24,10 @@
 	call.front.parts.Counters.CountRefusal(call.workspaceName(), err)
 	if call.headWritten || call.hasCallerLeft() {
 		// A truncated answer must not look complete: HTTP can signal it only by
-		// closing the connection.
+		// closing the connection. In HTTP/1.0 that ends a complete answer as well.
+		if !call.request.ProtoAtLeast(1, 1) {
+			resetOnClose(call.request.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	call.writeError(bvverdict.From(err))
--- a/bvfront/server.go
+++ b/bvfront/server.go
@@ -177,6 +177,7 @@
 			ReadHeaderTimeout: timeout.Std(),
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ConnState:         server.trackState,
+			ConnContext:       withConn,
 			ErrorLog:          server.log,
 		},
 		listener: newConnListener(),
