--- a/bvresponse/conn.go
+++ b/bvresponse/conn.go
@@ -72,8 +72,8 @@
 }
 
 // endError returns io.EOF if the server ended the connection in order. If a write found the connection
-// lost, it returns that error. A write that is still in progress is interrupted: nobody waits for it
-// after the end of the response.
+// lost, it returns that error. A write that is still in progress is interrupted: its result is not
+// needed after the end of the response.
 func (conn *Conn) endError() error {
 	_ = conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	conn.writing.Lock()
--- a/bvresponse/head.go
+++ b/bvresponse/head.go
@@ -162,7 +162,7 @@
 	return table
 }()
 
-// endName notes the fields that say where the body ends.
+// endName records the fields that determine the end of the body.
 func (checker *headChecker) endName(length int) {
 	checker.section = fieldValue
 	if length == 0 {
@@ -243,7 +243,7 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// endHead checks what a head says about the end of its body.
+// endHead checks the fields of a head that determine the end of its body.
 func (checker *headChecker) endHead() {
 	switch {
 	case checker.isInterim && (checker.hasLength || checker.isEncoded):
