--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -77,6 +77,32 @@
 	require.Equal(t, BrokenOff, answer.Defect())
 }
 
+// Guards against a reset that only the write, or only the read, of a request finds.
+func TestAnswerThatIsResetAtAnyMomentOfTheUploadIsNotComplete(t *testing.T) {
+	upload := []byte(strings.Repeat("x", uploadBytes))
+	for _, bytesRead := range []int64{0, 64 << 10, 2 << 20} {
+		for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+			for _, isAborted := range []bool{true, false} { // otherwise it is closed with unread bytes
+				server := newEndpoint(t, func(conn net.Conn, request *http.Request, _ int) bool {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+					_, _ = io.CopyN(io.Discard, request.Body, bytesRead)
+					time.Sleep(delay)
+					if isAborted {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					return false
+				})
+				for range 5 {
+					request := server.request("1")
+					request.Method, request.Body = "POST", upload
+					body, err := fetch(t, newConnections(), request)
+					require.Error(t, err, "%q, %d, %v, %t", body, bytesRead, delay, isAborted)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a complete answer that is taken for a part because the rest of the upload is refused.
 func TestAnswerThatEndsBeforeTheUploadIsReadIsComplete(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
