Platform, relay: an answer without end is bounded in bytes

Reported by another operator for engines: bytes without end that a host keeps until its memory is exhausted. Those of engines are bounded already (design/endpoint-bytes.md, 19 forms with tests). The answers of the store and of other hosts had a bound in time and none in bytes: within the 1.5 s of a call, loopback brings gigabytes.

A page of rows has a megabyte, and the changes to a list of 10,000 engines some four.

--- a/bvplatform/client.go
+++ b/bvplatform/client.go
@@ -24,6 +24,7 @@
 	DefaultTimeout = 2 * bvclock.Second
 	maxIdleConns   = 64
 	maxErrorBody   = 4096
+	maxAnswerBytes = 64 << 20 // more than any object or list has
 )
 
 // Client reaches a platform over HTTP. It implements Store, Objects, HostList
@@ -199,7 +200,7 @@
 		return nil, NoAnswerError(connected.Load(), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, NoAnswerError(true, err)
 	}
--- a/bvrouter/relay.go
+++ b/bvrouter/relay.go
@@ -48,6 +48,8 @@
 	// maxConversationHosts is the maximum number of hosts with turns of a program that are
 	// queried before the store.
 	maxConversationHosts = 4
+	// maxRelayBytes bounds any answer of another host.
+	maxRelayBytes = 32 << 20
 	// maxConversationBytes bounds the bytes read of a conversation.
 	maxConversationBytes = 4 << 20
 )
@@ -89,6 +91,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxRelayBytes)
 	return response, nil
 }
 
--- a/bvrouter/relay_test.go
+++ b/bvrouter/relay_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvhistory"
 	"balsamvalve.example/bvstandin"
 )
@@ -32,3 +34,20 @@
 		require.Equal(t, isProper, err == nil, "%q: %v", head, err)
 	}
 }
+
+// Guards against an answer of another host without end that is kept until the memory is exhausted.
+func TestEndlessAnswerOfAHostIsAborted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	chunk := strings.Repeat("x", 1<<20)
+	go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, _ *http.Request) {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n\"")
+		for sent := 0; err == nil && sent < 200; sent++ { // enough for a test to fail
+			_, err = io.WriteString(conn, chunk)
+		}
+	})
+	var answer string
+	_, err = fetchJSON(t.Context(), listener.Addr().String(), "/hosts", bvclock.Minute, &answer)
+	require.ErrorContains(t, err, "too large")
+}
