--- a/bvfront/body.go
+++ b/bvfront/body.go
@@ -14,6 +14,9 @@
 // readBody reads the body into memory, so that it can be sent to more than one
 // endpoint.
 func (call *call) readBody() error {
+	if call.request.ContentLength == 0 {
+		return nil
+	}
 	limit := call.limits.BodyBytes
 	if limit > 0 && call.request.ContentLength > limit {
 		return bvverdict.Refuse(bvverdict.TooLarge, "the body exceeds %d bytes", limit)
