Answers: an end that is followed by a reset of the upload is not the end of an answer

The rule that EPIPE is no loss took that for an end in order. It can't be told from a broken answer by the order of the two.

Change: each error of a write of the request makes an end without a length a part. A request that is still written when the end comes gets 20 ms to fail; a round trip is enough for an endpoint that is gone. One whose upload is read, or waits, is complete as before. The tests of proper answers have endpoints that read the upload, or hold it, after their end, in place of ones that close it within 20 and 50 ms: those are the case that can't be told.

--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -105,7 +105,7 @@
 	address := startRaw(t, func(conn *net.TCPConn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
 		_ = conn.CloseWrite()
-		time.Sleep(50 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, conn) // until the client closes the connection
 	})
 	client := newTestClient(t)
 	for range 10 {
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -103,21 +103,23 @@
 	}
 }
 
-// Guards against a complete answer that is taken for a part because the rest of the upload is refused.
+// Guards against a complete answer that is taken for a part because the endpoint reads the upload after it.
 func TestAnswerThatEndsBeforeTheUploadIsReadIsComplete(t *testing.T) {
-	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+	server := newEndpoint(t, func(conn net.Conn, request *http.Request, _ int) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
 		_ = conn.(*net.TCPConn).CloseWrite()
-		time.Sleep(settleTime) // the end arrives before the reset
+		_, _ = io.Copy(io.Discard, request.Body)
 		return false
 	})
-	response, err := newConnections().Send(t.Context(), newUpload(server))
-	require.NoError(t, err)
-	defer response.Close()
-	time.Sleep(3 * settleTime)
-	body, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	require.Equal(t, "whole", string(body))
+	for range 10 {
+		response, err := newConnections().Send(t.Context(), newUpload(server))
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		body, err := io.ReadAll(response.Body)
+		response.Close()
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+	}
 }
 
 // Guards against a wait for an upload that is never read, after its answer has ended.
--- a/bvforward/send.go
+++ b/bvforward/send.go
@@ -157,6 +157,7 @@
 		return newSendError(request, err)
 	}
 	if len(request.Body) > connection.writer.Available() {
+		connection.BeginRequest()
 		go connection.writeBody(request.Body)
 		return nil
 	}
@@ -170,10 +171,9 @@
 
 func (connection *connection) writeBody(body []byte) {
 	_, _ = connection.writer.Write(body)
-	if err := connection.writer.Flush(); err != nil {
-		return // reading the answer fails on the same connection
-	}
-	connection.requestWritten.Store(true)
+	err := connection.writer.Flush()
+	connection.EndRequest()
+	connection.requestWritten.Store(err == nil) // otherwise reading the answer fails on the same connection
 }
 
 func newSendError(request *Request, cause error) error {
--- a/bvresponse/conn.go
+++ b/bvresponse/conn.go
@@ -7,13 +7,15 @@
 // length then looks complete though it is not.
 //
 // A Conn checks each head that it reads, interim ones included, and reports the end of a connection
-// only if no write found it lost. A Transport sends requests over such connections.
+// only if no write of the request failed. A Transport sends requests over such connections.
 //
 // # Usage
 //
 //	conn := bvresponse.NewConn(dialed)
 //	reader := bufio.NewReader(conn)
-//	if err := conn.ExpectHead(nil); err != nil { ... }
+//	conn.BeginRequest()
+//	err := request.Write(conn) // also beside the reads
+//	conn.EndRequest()
 //	response, err := http.ReadResponse(reader, request) // a proper one, or an error
 //
 //	client := &http.Client{Transport: bvresponse.NewTransport(&http.Transport{DisableCompression: true})}
@@ -26,7 +28,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -37,8 +38,9 @@
 	mutex sync.Mutex // guards head
 	head  headChecker
 
-	writing sync.Mutex // held during a write; guards lost
-	lost    error      // the first error of a write that shows that the connection was lost
+	sending sync.Mutex    // guards written and lost
+	written chan struct{} // closed when the present request is written, or can't be; nil before the first
+	lost    error         // the first error of a write
 }
 
 // NewConn returns a Conn over a connection that carries plain HTTP/1.1. It checks the first response.
@@ -71,32 +73,79 @@
 	return conn.head.check(read)
 }
 
-// endError returns io.EOF if the server ended the connection in order. If a write found the connection
-// lost, it returns that error. A write that is still in progress is interrupted: its result is not
-// needed after the end of the response.
-func (conn *Conn) endError() error {
-	_ = conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
-	conn.writing.Lock()
-	defer conn.writing.Unlock()
-	if conn.lost != nil {
-		return fmt.Errorf("response broken off: %w", conn.lost)
+// BeginRequest records that a request is written beside the reads, until EndRequest.
+func (conn *Conn) BeginRequest() {
+	conn.sending.Lock()
+	defer conn.sending.Unlock()
+	conn.written = make(chan struct{})
+}
+
+// EndRequest records that the request is written, or that it can't be.
+func (conn *Conn) EndRequest() {
+	conn.sending.Lock()
+	defer conn.sending.Unlock()
+	if conn.written == nil {
+		return
+	}
+	select {
+	case <-conn.written:
+	default:
+		close(conn.written)
 	}
-	return io.EOF
 }
 
 // Write implements net.Conn.
 func (conn *Conn) Write(content []byte) (int, error) {
-	conn.writing.Lock()
-	defer conn.writing.Unlock()
 	count, err := conn.Conn.Write(content)
-	if conn.lost == nil && showsLoss(err) {
-		conn.lost = err
+	if err != nil {
+		conn.recordLoss(err)
 	}
 	return count, err
 }
 
-// showsLoss reports whether an error of a write means that the connection was lost before the server
-// ended it. A write after the end of a connection gets EPIPE, also if it is reset later.
-func showsLoss(err error) bool {
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+// recordLoss records an error of a write, but not that of endError's deadline.
+func (conn *Conn) recordLoss(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	conn.sending.Lock()
+	defer conn.sending.Unlock()
+	if conn.lost == nil {
+		conn.lost = err
+	}
+}
+
+// uploadGrace is how long after the end of a response the rest of its request may show that the server
+// is gone: it answers the next bytes with a reset.
+const uploadGrace = 20 * time.Millisecond
+
+// endError returns io.EOF if the server ended the connection in order, and the error of a write of the
+// request if one failed. A write that is in progress then gets some time to fail, and is interrupted: its
+// error must be known before the end is believed.
+func (conn *Conn) endError() error {
+	conn.sending.Lock()
+	written := conn.written
+	conn.sending.Unlock()
+	if written != nil {
+		conn.awaitWritten(written)
+	}
+	conn.sending.Lock()
+	defer conn.sending.Unlock()
+	if conn.lost != nil {
+		return fmt.Errorf("response broken off: %w", conn.lost)
+	}
+	return io.EOF
+}
+
+func (conn *Conn) awaitWritten(written <-chan struct{}) {
+	select {
+	case <-written:
+		return
+	case <-time.After(uploadGrace):
+	}
+	_ = conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	select {
+	case <-written:
+	case <-time.After(uploadGrace): // the request's body does not come
+	}
 }
--- a/bvresponse/transport.go
+++ b/bvresponse/transport.go
@@ -74,9 +74,16 @@
 
 // RoundTrip implements http.RoundTripper.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used *Conn // of the present attempt; its request is written after GotConn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*Conn); ok {
 			_ = conn.ExpectHead(nil) // nothing is checked yet
+			conn.BeginRequest()
+			used = conn
+		}
+	}, WroteRequest: func(httptrace.WroteRequestInfo) {
+		if used != nil {
+			used.EndRequest()
 		}
 	}}
 	response, err := transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
