--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -83,8 +83,7 @@
 	require.Equal(t, bvverdict.MayHaveRun, bvverdict.Of(err))
 }
 
-// Guards against a part of an answer that is the result of a call: the write of the request gets the error of the
-// connection, and reads end as after a complete answer.
+// Guards against a part of an answer as a result: the write of the request gets the reset, and reads just end.
 func TestAnswerThatIsResetDuringTheUploadIsNoResult(t *testing.T) {
 	address := startRaw(t, func(conn *net.TCPConn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
--- a/bvforward/broken_test.go
+++ b/bvforward/broken_test.go
@@ -57,8 +57,7 @@
 	requireDefect(t, Malformed, err)
 }
 
-// Guards against a part of an answer that passes for all of it: the write of the request gets the error of the
-// connection, and reads end as after a complete answer.
+// Guards against a part of an answer that passes for all of it: the write gets the reset, and reads just end.
 func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
 	server := newEndpoint(t, func(conn net.Conn, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
