Tests: servers listen at an address of their process

Cause: its engine keeps the trace of the last request, and a request that was not the test's came after it. Tests of several packages run at once on 127.0.0.1. A gRPC client of one reconnects to the port of a peer that has ended, which the kernel has given to another test's server; net/http passes its preface on as a request "PRI *" without fields.

Change: bvloopback gives tests an address of their process, as tests of routing hosts have; servers and listeners of tests use it, except those whose certificates name 127.0.0.1 and settings of daemons. No check is changed.

--- a/bvdaemon/follow_test.go
+++ b/bvdaemon/follow_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 )
 
@@ -18,7 +18,7 @@
 func TestListOfEndpointsDoesNotWaitForTheListOfHosts(t *testing.T) {
 	var hostsRequests, overlaps atomic.Int64
 	platform := &bvstandin.Platform{}
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		switch {
 		case strings.HasPrefix(request.URL.Path, "/hosts"):
 			hostsRequests.Add(1)
--- a/bvdaemon/ready_test.go
+++ b/bvdaemon/ready_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +12,7 @@
 	"github.com/spf13/pflag"
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvsetting"
 	"balsamvalve.example/bvstandin"
 )
@@ -21,7 +21,7 @@
 func TestHostWithoutATableIsNotReady(t *testing.T) {
 	var tableOpen atomic.Bool
 	platform := &bvstandin.Platform{}
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.URL.Path, "/table/") && !tableOpen.Load() {
 			http.Error(writer, "not now", http.StatusServiceUnavailable)
 			return
--- a/bvendpoint/bounds_test.go
+++ b/bvendpoint/bounds_test.go
@@ -6,7 +6,6 @@
 	"log"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"runtime"
 	"strings"
@@ -20,6 +19,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bvlog"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvverdict"
 )
 
@@ -38,7 +38,7 @@
 	t.Helper()
 	ended := make(chan struct{})
 	piece = strings.Repeat(piece, max(1, 32<<10/len(piece)))
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		conn, _, err := http.NewResponseController(writer).Hijack()
 		if err != nil {
 			return // the client has disconnected
@@ -155,7 +155,7 @@
 	to.SetLevel(logrus.DebugLevel)
 	bvlog.CaptureStandard(to)
 	defer log.SetOutput(os.Stderr)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	ended := make(chan struct{})
--- a/bvendpoint/broken_test.go
+++ b/bvendpoint/broken_test.go
@@ -12,13 +12,14 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvverdict"
 )
 
 // startRaw starts an endpoint that answers with the bytes that a function writes.
 func startRaw(t *testing.T, answer func(conn *net.TCPConn)) (address string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, _ *http.Request) { answer(conn) })
--- a/bvendpoint/chat_test.go
+++ b/bvendpoint/chat_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -13,6 +12,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvmodel"
 	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvverdict"
@@ -37,7 +37,7 @@
 
 func newTestEngine(t *testing.T, handler func(http.Handler) http.Handler) (*bvstandin.Engine, string) {
 	engine := bvstandin.NewEngine(bvstandin.EngineConfig{Batch: bvmodel.Config{DecodeTokensPerSecond: 500}})
-	server := httptest.NewServer(handler(engine))
+	server := bvloopback.NewServer(handler(engine))
 	t.Cleanup(server.Close)
 	return engine, server.Listener.Addr().String()
 }
@@ -168,7 +168,7 @@
 }
 
 func TestUnreachableEngineIsNotRun(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
+	server := bvloopback.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := newTestClient(t).Chat(t.Context(), server.Listener.Addr().String(), testCall(), nil)
 	require.Equal(t, bvgate.Refused, bvendpoint.OutcomeOf(err))
@@ -178,7 +178,7 @@
 // Guards against a caller that waits indefinitely for a silent engine.
 func TestEngineThatStaysSilentTimesOut(t *testing.T) {
 	hold := make(chan struct{})
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	server := bvloopback.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
 	t.Cleanup(func() {
 		close(hold)
 		server.Close()
--- a/bvendpoint/fault_test.go
+++ b/bvendpoint/fault_test.go
@@ -15,6 +15,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvverdict"
 )
@@ -36,7 +37,7 @@
 }
 
 func newFaultyProxy(target string, faults []connectionFault) (*faultyProxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +117,7 @@
 // that the oracle finds.
 func chatUnderFaults(faults []connectionFault, chat func(address string, onToken func(int, string) error) error) error {
 	engine := bvstandin.NewEngine(bvstandin.EngineConfig{Instant: true})
-	server := httptest.NewServer(engine)
+	server := bvloopback.NewServer(engine)
 	defer server.Close()
 	proxy, err := newFaultyProxy(server.Listener.Addr().String(), faults)
 	if err != nil {
@@ -192,7 +193,7 @@
 func BenchmarkChatToken(b *testing.B) {
 	const tokens = 1000
 	body := recordStream(b, tokens)
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		_, _ = writer.Write(body)
 	}))
 	defer server.Close()
--- a/bvendpoint/identity_test.go
+++ b/bvendpoint/identity_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvendpoint"
+	"balsamvalve.example/bvloopback"
 )
 
 // repeatingEndpoint sends each answer a second time when the next request has arrived on its
@@ -23,7 +24,7 @@
 }
 
 func newRepeatingEndpoint(t testing.TB, answer func(number int64) string) *repeatingEndpoint {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	endpoint := &repeatingEndpoint{listener: listener, answer: answer}
@@ -95,7 +96,7 @@
 
 func BenchmarkInvoke(b *testing.B) {
 	answer := withLength(200, "answer")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(b, err)
 	defer func() { _ = listener.Close() }()
 	go func() {
--- a/bvendpoint/service_test.go
+++ b/bvendpoint/service_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvendpoint"
 	"balsamvalve.example/bvgate"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvverdict"
 )
@@ -30,7 +30,7 @@
 }
 
 func newClosingService(t *testing.T) *closingService {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	service := &closingService{listener: listener}
@@ -127,7 +127,7 @@
 
 // Guards against a service that has crashed during a call and does not count as crashed.
 func TestServiceThatRefusesConnectionsAfterACallHasCrashed(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	go func() {
 		conn, err := listener.Accept()
@@ -143,7 +143,7 @@
 
 // Guards against a crash that does not count because the service still accepted a connection.
 func TestServiceThatEndsJustAfterACallBrokeHasCrashed(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	go func() {
 		for number := range 2 { // the call, and a check
@@ -173,7 +173,7 @@
 
 func newTestService(t *testing.T) (*bvstandin.Service, string) {
 	service := &bvstandin.Service{Name: "s", Serves: "book"}
-	server := httptest.NewServer(service)
+	server := bvloopback.NewServer(service)
 	t.Cleanup(server.Close)
 	return service, server.Listener.Addr().String()
 }
@@ -206,7 +206,7 @@
 
 // Guards against a bare 503 that counts as "not run".
 func TestBareUnavailableIsPassedOnAsAnswer(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(server.Close)
--- a/bvforward/send_test.go
+++ b/bvforward/send_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 	"balsamvalve.example/bvverdict"
@@ -43,7 +44,7 @@
 // newEndpoint calls serve for each request; the connection is closed when it returns
 // false.
 func newEndpoint(t testing.TB, serve func(conn net.Conn, request *http.Request, number int) (more bool)) *endpoint {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	endpoint := &endpoint{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
--- a/bvload/broken_test.go
+++ b/bvload/broken_test.go
@@ -9,13 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 )
 
 // Guards against a load that counts a broken answer as an answer of the system.
 func TestBrokenAnswerIsNoAnswer(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 304 Not Modified\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", bvloopback.Address())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, _ *http.Request) {
--- a/bvload/system_test.go
+++ b/bvload/system_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvmodel"
 	"balsamvalve.example/bvstandin"
 )
@@ -46,7 +47,7 @@
 	mux.HandleFunc("DELETE /v1/programs/{program}", system.end)
 	mux.HandleFunc("GET /v1/programs/{program}/answers/{request}", system.fetch)
 	address := func(handler http.Handler) string {
-		server := httptest.NewServer(handler)
+		server := bvloopback.NewServer(handler)
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
--- a/bvoperator/handler_test.go
+++ b/bvoperator/handler_test.go
@@ -14,6 +14,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvkey"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvstandin"
 	"balsamvalve.example/bvtable"
@@ -55,7 +56,7 @@
 		},
 	}
 	handler.Register(fixture.mux)
-	fixture.server = httptest.NewServer(fixture.mux)
+	fixture.server = bvloopback.NewServer(fixture.mux)
 	t.Cleanup(fixture.server.Close)
 	_, err = fixture.client("makers-admin-key").Import(t.Context(), []byte(sheet), false)
 	require.NoError(t, err)
@@ -138,7 +139,7 @@
 func TestEditWhoseAnswerIsLostIsAcceptedOnce(t *testing.T) {
 	fixture := newFixture(t)
 	var lost atomic.Bool
-	cut := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	cut := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if lost.Load() {
 			fixture.mux.ServeHTTP(writer, request)
 			return
@@ -161,7 +162,7 @@
 // Guards against reporting "not run" for an edit that may be in force.
 func TestRefusalAfterALostAnswerReportsThatTheEditMayHaveRun(t *testing.T) {
 	fixture := newFixture(t)
-	cut := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	cut := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if fixture.store.unavailable.Load() {
 			fixture.mux.ServeHTTP(writer, request)
 			return
@@ -190,7 +191,7 @@
 func TestEditWhoseAnswerIsBrokenIsSentAgain(t *testing.T) {
 	for _, broken := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 400 Bad\r\nX Y: 1\r\n"} {
 		fixture := newFixture(t)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", bvloopback.Address())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		var sends atomic.Int64
--- a/bvplatform/broken_test.go
+++ b/bvplatform/broken_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvstandin"
 )
@@ -21,7 +22,7 @@
 		"HTTP/1.1 200 OK\r\nA: 1\r\n X: 1\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", bvloopback.Address())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, answer) })
--- a/bvplatform/client_test.go
+++ b/bvplatform/client_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvstandin"
 )
@@ -17,7 +17,7 @@
 
 func newPlatform(t *testing.T) (*bvstandin.Platform, *bvplatform.Client) {
 	platform := &bvstandin.Platform{}
-	server := httptest.NewServer(platform)
+	server := bvloopback.NewServer(platform)
 	client := &bvplatform.Client{Address: server.Listener.Addr().String(), Timeout: clientTimeout}
 	t.Cleanup(func() {
 		client.Close()
@@ -114,7 +114,7 @@
 }
 
 func TestUnreachablePlatformIsUnavailable(t *testing.T) {
-	server := httptest.NewServer(http.NotFoundHandler())
+	server := bvloopback.NewServer(http.NotFoundHandler())
 	server.Close()
 	client := &bvplatform.Client{Address: server.Listener.Addr().String()}
 	_, err := client.Commit(t.Context(), write("a1", "a", 0))
--- a/bvrouter/confirm_test.go
+++ b/bvrouter/confirm_test.go
@@ -3,20 +3,20 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvgossip"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
 
 // confirmingHost answers requests of other hosts with an age of the desired state.
 func confirmingHost(t *testing.T, age bvclock.Duration) (address string) {
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		bvplatform.WriteAnswer(writer, struct{ Age bvclock.Duration }{age}, nil)
 	}))
 	t.Cleanup(server.Close)
--- a/bvrouter/endpoint_follow_test.go
+++ b/bvrouter/endpoint_follow_test.go
@@ -20,6 +20,7 @@
 	"balsamvalve.example/bvdispatch"
 	"balsamvalve.example/bvforward"
 	"balsamvalve.example/bvlog"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvmeasure"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
@@ -195,7 +196,7 @@
 
 // readerOfAge returns the address of a host whose list has an age.
 func readerOfAge(t *testing.T, age bvclock.Duration) string {
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := bvloopback.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		bvplatform.WriteAnswer(writer, struct {
 			Age     bvclock.Duration
 			Changes bvplatform.EndpointChanges
--- a/bvrouter/relay_test.go
+++ b/bvrouter/relay_test.go
@@ -11,6 +11,7 @@
 
 	"balsamvalve.example/bvclock"
 	"balsamvalve.example/bvhistory"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvstandin"
 )
 
@@ -24,7 +25,7 @@
 		"HTTP/1.1 200 OK\r\nX Y: 1\r\n":        false,
 		"HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\n": false,
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", bvloopback.Address())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		go bvstandin.ServeRaw(listener, func(conn *net.TCPConn, _ *http.Request) {
@@ -37,7 +38,7 @@
 
 // Guards against an answer of another host without end that is kept until the memory is exhausted.
 func TestEndlessAnswerOfAHostIsAborted(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", bvloopback.Address())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	chunk := strings.Repeat("x", 1<<20)
--- a/bvrouter/store_client_test.go
+++ b/bvrouter/store_client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"balsamvalve.example/bvclock"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvroute"
 )
@@ -56,7 +56,7 @@
 	shared := &switchedPlatform{}
 	_, err := shared.Commit(t.Context(), bvplatform.Transaction{Puts: []bvplatform.Put{{Key: "t/p/k", Value: []byte("v")}}})
 	require.NoError(t, err)
-	relay := httptest.NewServer(bvplatform.NewHandler(newTestStoreClient(shared, bvclock.Boot()).direct()))
+	relay := bvloopback.NewServer(bvplatform.NewHandler(newTestStoreClient(shared, bvclock.Boot()).direct()))
 	defer relay.Close()
 	cutOff := newTestStoreClient(&switchedPlatform{err: bvplatform.ErrUnavailable}, bvclock.Boot(), relay.Listener.Addr().String())
 	rows, err := cutOff.Read(t.Context(), "t/p/k")
--- a/bvtrace/provider_test.go
+++ b/bvtrace/provider_test.go
@@ -5,11 +5,11 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvsetting"
 	"balsamvalve.example/bvtrace"
 )
@@ -32,7 +32,7 @@
 func TestSpansReachAnOTLPCollectorAtTheShutdown(t *testing.T) {
 	var path string
 	var body []byte
-	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+	collector := bvloopback.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		path = request.URL.Path
 		body, _ = io.ReadAll(request.Body)
 	}))
--- a/bvtrace/trace_test.go
+++ b/bvtrace/trace_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +18,7 @@
 	"balsamvalve.example/bvdaemon"
 	"balsamvalve.example/bventry"
 	"balsamvalve.example/bvhost"
+	"balsamvalve.example/bvloopback"
 	"balsamvalve.example/bvplatform"
 	"balsamvalve.example/bvsetting"
 	"balsamvalve.example/bvstandin"
@@ -57,10 +57,10 @@
 
 func startSystem(t *testing.T, engine http.Handler) *system {
 	system := &system{t: t}
-	platform := httptest.NewServer(&bvstandin.Platform{})
+	platform := bvloopback.NewServer(&bvstandin.Platform{})
 	t.Cleanup(platform.Close)
 	system.platform = platform.Listener.Addr().String()
-	engineServer := httptest.NewServer(engine)
+	engineServer := bvloopback.NewServer(engine)
 	t.Cleanup(engineServer.Close)
 	client := &bvplatform.Client{Address: system.platform}
 	require.NoError(t, client.PutEndpoint(t.Context(), bvplatform.Endpoint{
