Budgets: a planned stop returns unspent tokens also after other hosts have changed the row

Callers saw 402 "the program's budget does not hold another turn" while their program had a third of its budget left.

Cause: a host that stops returns unspent tokens by one write each, which checks the version of the row that it knows. If another host had reserved tokens since, the store refused the write, and the tokens were lost with the host. The write of programs that pause has the same check, but is made again 200 ms later. A stop also skipped accounts whose row had to be read again after a failed call, and those of which a return was in progress.

It waits for a return in progress. The property test of budgets has planned stops among its actions.

--- a/bvbudget/allocator_test.go
+++ b/bvbudget/allocator_test.go
@@ -171,6 +171,18 @@
 	cluster.reservations = remaining
 }
 
+// stop ends the turns of a host as planned, and restarts it.
+func (cluster *cluster) stop(host string) {
+	for _, reservation := range cluster.reservations {
+		if reservation.allocator == cluster.allocators[host] {
+			reservation.Close()
+		}
+	}
+	cluster.dropReservations(host)
+	cluster.allocators[host].ReleaseUnspent(context.Background())
+	cluster.restart(host)
+}
+
 // exchangeHolders reports to all hosts which hosts hold tokens of which programs, as
 // digests do.
 func (cluster *cluster) exchangeHolders() {
@@ -270,6 +282,11 @@
 				cluster.dropReservations(host)
 				cluster.restart(host)
 			},
+			"stop": func(rt *rapid.T) {
+				host := hosts.Draw(rt, "host")
+				cluster.store.nextFault = rapid.SampledFrom([]string{"", "", "down", "lost", "late", "never"}).Draw(rt, "fault")
+				cluster.stop(host)
+			},
 			"": func(rt *rapid.T) {
 				for _, program := range []string{"p", "q"} {
 					if tokens := cluster.maxDeliverable(program); tokens > testBudget {
@@ -425,6 +442,31 @@
 	}
 }
 
+// Guards against a planned stop that loses unspent tokens after other hosts have changed the row.
+func TestPlannedStopReturnsUnspentTokensOfAChangedRow(t *testing.T) {
+	cluster := newCluster()
+	require.NoError(t, cluster.reserve("a", "p"))
+	require.NoError(t, cluster.reserve("b", "p"))
+	cluster.stop("a")
+	for range testBudget/testMaxTokens - 1 {
+		require.NoError(t, cluster.reserve("b", "p"))
+	}
+}
+
+// Guards against a planned stop that loses unspent tokens of a row that must be read again first.
+func TestPlannedStopReturnsUnspentTokensOfAnUnknownRow(t *testing.T) {
+	cluster := newCluster()
+	require.NoError(t, cluster.reserve("a", "p"))
+	cluster.reservations[0].Close()
+	cluster.clock.Advance(defaultSettleTime)
+	cluster.store.nextFault = "down"
+	cluster.allocators["a"].ReleaseIdle(context.Background())
+	cluster.stop("a")
+	for range testBudget / testMaxTokens {
+		require.NoError(t, cluster.reserve("b", "p"))
+	}
+}
+
 // Guards against tokens that are spent at one host and reserved by another.
 func TestTokensOfAnUncertainReturnAreNotReused(t *testing.T) {
 	cluster := newCluster()
--- a/bvbudget/release.go
+++ b/bvbudget/release.go
@@ -21,7 +21,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrentWrites)
 	for _, account := range allocator.dueAccounts() {
-		group.Go(func() error { allocator.returnTokens(ctx, account, account.returnableTokens); return nil })
+		group.Go(func() error { allocator.returnIdle(ctx, account); return nil })
 	}
 	_ = group.Wait() // the functions return no error
 }
@@ -46,26 +46,39 @@
 	return returnable
 }
 
-// returnTokens lowers this host's entry in the record by the given amount. A turn that
-// arrives meanwhile waits for the account's lock.
-func (allocator *Allocator) returnTokens(ctx context.Context, account *account, amount func() int) {
+// returnIdle returns the unspent tokens of a program that pauses. A turn that arrives meanwhile waits for
+// the account's lock. If another host has changed the record, the next call returns them.
+func (allocator *Allocator) returnIdle(ctx context.Context, account *account) {
 	select {
 	case account.lock <- struct{}{}:
 		defer func() { <-account.lock }()
 	default:
 		return // a turn has arrived
 	}
+	if err := allocator.returnTokens(ctx, account, account.returnableTokens); err != nil && !isConflict(err) {
+		allocator.logNotReturned(account, err)
+	}
+}
+
+// returnTokens lowers this host's entry in the record by the given amount. The caller holds the
+// account's lock.
+func (allocator *Allocator) returnTokens(ctx context.Context, account *account, amount func() int) error {
 	allocator.mutex.Lock()
 	tokens := amount()
 	allocator.mutex.Unlock()
 	if tokens == 0 {
-		return
+		return nil
 	}
-	err := allocator.writeRecord(ctx, account, -tokens)
+	return allocator.writeRecord(ctx, account, -tokens)
+}
+
+func isConflict(err error) bool {
 	var conflict *bvplatform.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		allocator.log.WithField("program", account.program).WithError(err).Debug("unspent tokens not returned")
-	}
+	return errors.As(err, &conflict)
+}
+
+func (allocator *Allocator) logNotReturned(account *account, err error) {
+	allocator.log.WithField("program", account.program).WithError(err).Debug("unspent tokens not returned")
 }
 
 // ReleaseUnspent returns all unspent tokens here before a planned stop: tokens that a host
@@ -75,11 +88,35 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrentWrites)
 	for _, account := range allocator.recentAccounts() {
-		group.Go(func() error { allocator.returnTokens(ctx, account, account.unspentTokens); return nil })
+		group.Go(func() error { allocator.returnUnspent(ctx, account); return nil })
 	}
 	_ = group.Wait() // the functions return no error
 }
 
+// returnUnspent returns an account's unspent tokens, again if another host changes the record meanwhile.
+// It waits for a return that is in progress.
+func (allocator *Allocator) returnUnspent(ctx context.Context, account *account) {
+	select {
+	case account.lock <- struct{}{}:
+		defer func() { <-account.lock }()
+	case <-ctx.Done():
+		allocator.logNotReturned(account, ctx.Err())
+		return
+	}
+	var err error
+	for range maxAttempts {
+		if _, err = allocator.readRecord(ctx, account); err == nil {
+			err = allocator.returnTokens(ctx, account, account.unspentTokens)
+		}
+		if !isConflict(err) {
+			break
+		}
+	}
+	if err != nil {
+		allocator.logNotReturned(account, err)
+	}
+}
+
 // activeTime is how long after its last turn here a program may still have turns elsewhere.
 // The pauses of the users' programs are far shorter.
 const activeTime = 5 * bvclock.Second
@@ -91,7 +128,7 @@
 	defer allocator.mutex.Unlock()
 	var recent []*account
 	for _, account := range allocator.accounts {
-		if now.Sub(account.lastUsed) < activeTime && account.unspentTokens() > 0 {
+		if now.Sub(account.lastUsed) < activeTime && account.isIdle() && min(account.free, account.credited) > 0 {
 			recent = append(recent, account)
 		}
 	}
