--- a/bvbudget/release.go
+++ b/bvbudget/release.go
@@ -93,7 +93,7 @@
 	_ = group.Wait() // the functions return no error
 }
 
-// returnUnspent returns an account's unspent tokens, again if another host changes the record meanwhile.
+// returnUnspent returns an account's unspent tokens, and retries if another host has changed the record.
 // It waits for a return that is in progress.
 func (allocator *Allocator) returnUnspent(ctx context.Context, account *account) {
 	select {
