--- a/bvbudget/allocator_test.go
+++ b/bvbudget/allocator_test.go
@@ -467,6 +467,19 @@
 	}
 }
 
+// Guards against a planned stop that loses unspent tokens because a return of them is in progress.
+func TestPlannedStopWaitsForAReturnInProgress(t *testing.T) {
+	cluster := newCluster()
+	require.NoError(t, cluster.reserve("a", "p"))
+	lock := cluster.allocators["a"].accounts["p"].lock
+	lock <- struct{}{}
+	time.AfterFunc(20*time.Millisecond, func() { <-lock })
+	cluster.stop("a")
+	for range testBudget / testMaxTokens {
+		require.NoError(t, cluster.reserve("b", "p"))
+	}
+}
+
 // Guards against tokens that are spent at one host and reserved by another.
 func TestTokensOfAnUncertainReturnAreNotReused(t *testing.T) {
 	cluster := newCluster()
